--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+GO ?= go
+
+.PHONY: dev test lint generate check-generate bench soak fmt
+
+dev:
+	$(GO) run ./cmd/carobkeel dev
+
+test: lint check-generate
+	$(GO) test -race -timeout 20m ./...
+
+fmt:
+	$(GO) tool gofumpt -w $$(git ls-files '*.go')
+
+lint:
+	@out=$$($(GO) tool gofumpt -l $$(git ls-files '*.go')); \
+	  if [ -n "$$out" ]; then echo "not formatted: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+generate:
+	$(GO) generate ./...
+
+check-generate: generate
+	@git diff --exit-code -- '*_gen.go' || (echo "generated code is not current: run make generate"; exit 1)
+
+bench:
+	$(GO) run ./cmd/benchmark
+
+soak:
+	$(GO) run ./cmd/soak
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,92 @@
+// Package logging makes the loggers of the parts. A line is short and begins
+// with the name of the part that wrote it.
+package logging
+
+import (
+	"flag"
+	"io"
+	"os"
+
+	"github.com/phuslu/log"
+
+	"github.com/carobkeel/carobkeel/internal/settings"
+)
+
+// Config is the settings of all loggers of a process.
+type Config struct {
+	// Level is debug, info, warn or error.
+	Level string
+	// JSON writes a JSON object a line in place of text.
+	JSON bool
+}
+
+// RegisterFlags registers the logging flags.
+func RegisterFlags(fs *flag.FlagSet) *Config {
+	c := &Config{}
+	fs.StringVar(&c.Level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	fs.BoolVar(&c.JSON, "log-json", false, "write logs as JSON")
+	return c
+}
+
+// Check implements settings.Checker.
+func (c *Config) Check() []settings.Problem {
+	switch c.Level {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return []settings.Problem{{Name: "log-level", Reason: "want debug, info, warn or error, have \"" + c.Level + "\""}}
+}
+
+// Factory makes loggers that share one configuration and one destination.
+type Factory struct {
+	level  log.Level
+	writer log.Writer
+}
+
+// NewFactory returns a factory that writes to out.
+func NewFactory(c Config, out io.Writer) *Factory {
+	f := &Factory{level: log.ParseLevel(c.Level)}
+	if c.JSON {
+		f.writer = log.IOWriter{Writer: out}
+		return f
+	}
+	f.writer = &log.ConsoleWriter{Writer: out, Formatter: formatLine}
+	return f
+}
+
+// Default returns a factory that writes text at level info to standard error.
+func Default() *Factory { return NewFactory(Config{Level: "info"}, os.Stderr) }
+
+// Discard returns a factory whose loggers write nothing.
+func Discard() *Factory { return NewFactory(Config{Level: "error"}, io.Discard) }
+
+// For returns the logger of the named part.
+func (f *Factory) For(part string) *log.Logger {
+	return &log.Logger{
+		Level:   f.level,
+		Writer:  f.writer,
+		Context: log.NewContext(nil).Str("part", part).Value(),
+	}
+}
+
+func formatLine(w io.Writer, args *log.FormatterArgs) (int, error) {
+	line := make([]byte, 0, 256)
+	line = append(line, args.Time...)
+	line = append(line, ' ')
+	line = append(line, args.Level...)
+	line = append(line, ' ')
+	line = append(line, args.Get("part")...)
+	line = append(line, ": "...)
+	line = append(line, args.Message...)
+	for _, field := range args.KeyValues {
+		if field.Key == "part" {
+			continue
+		}
+		line = append(line, ' ')
+		line = append(line, field.Key...)
+		line = append(line, '=')
+		line = append(line, field.Value...)
+	}
+	line = append(line, '\n')
+	return w.Write(line)
+}
