--- /dev/null
+++ b/caller/httpapi/body.go
@@ -0,0 +1,72 @@
+package httpapi
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
+)
+
+// readBody sets the request's body. Short bodies and those of keyed requests are
+// held, so that they can be compared and sent again.
+func readBody(out *caller.Request, r *http.Request, limit int64) *carobkeel.Error {
+	out.BodyLength = r.ContentLength
+	if limit > 0 && r.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	body := r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(nil, body, limit)
+	}
+	held := r.ContentLength >= 0 && r.ContentLength <= heldBytes
+	if !held && out.Key == "" {
+		out.Body = body
+		return nil
+	}
+	if r.ContentLength != 0 {
+		content, err := readAll(body, r.ContentLength)
+		if err != nil {
+			return bodyFailure(err, limit)
+		}
+		out.Content = content
+	}
+	out.BodyLength = int64(len(out.Content))
+	if out.Key != "" {
+		out.Digest = digest(out)
+	}
+	return nil
+}
+
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	content := make([]byte, length)
+	_, err := io.ReadFull(body, content)
+	return content, err
+}
+
+func bodyFailure(err error, limit int64) *carobkeel.Error {
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return tooLarge(limit)
+	}
+	return carobkeel.NewError(carobkeel.CodeInvalidRequest, "the body could not be read: %v", err)
+}
+
+func tooLarge(limit int64) *carobkeel.Error {
+	return carobkeel.NewError(carobkeel.CodeBodyTooLarge, "the service takes at most %d bytes", limit)
+}
+
+// digest returns the sum of what makes two requests with one key the same.
+func digest(r *caller.Request) carobkeel.Digest {
+	sum := sha256.New()
+	_, _ = io.WriteString(sum, r.Method+" "+r.Path+"\n")
+	_, _ = sum.Write(r.Content)
+	var out carobkeel.Digest
+	sum.Sum(out[:0])
+	return out
+}
--- /dev/null
+++ b/caller/httpapi/handler.go
@@ -0,0 +1,159 @@
+// Package httpapi is the HTTP server for callers: it reads their requests, hands
+// them to a forwarder and writes the answers.
+package httpapi
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
+)
+
+// Forwarder carries requests to upstreams.
+type Forwarder interface {
+	// Forward returns the upstream's answer. Every error is a
+	// *carobkeel.Error.
+	Forward(ctx context.Context, r *caller.Request) (*caller.Answer, error)
+}
+
+// Catalogues gives the catalogue that is in force.
+type Catalogues interface {
+	Catalogue() *carobkeel.Catalogue
+}
+
+// Admission says whether new requests are taken.
+type Admission interface {
+	Admits() bool
+}
+
+// heldBytes is the longest body of a request without key that is held in
+// memory. A longer one is passed on as it comes, and is not sent twice.
+const heldBytes = 64 << 10
+
+// Handler serves callers' requests.
+type Handler struct {
+	self       carobkeel.Incarnation
+	sequence   atomic.Uint64
+	catalogues Catalogues
+	forwarder  Forwarder
+	admission  Admission
+	metrics    *Metrics
+}
+
+// New returns a handler whose request ids carry the entry's incarnation.
+func New(self carobkeel.Incarnation, c Catalogues, f Forwarder, a Admission, m *Metrics) *Handler {
+	return &Handler{self: self, catalogues: c, forwarder: f, admission: a, metrics: m}
+}
+
+// Mount adds the callers' routes to the router.
+func (h *Handler) Mount(router chi.Router) {
+	router.Handle("/services/{name}", http.HandlerFunc(h.serve))
+	router.Handle("/services/{name}/*", http.HandlerFunc(h.serve))
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	id := carobkeel.RequestID{Entry: h.self, Sequence: h.sequence.Add(1)}
+	request, refusal := h.request(r, id, started)
+	if refusal != nil {
+		h.refuse(w, request, refusal, started)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
+	defer cancel()
+	answer, err := h.forwarder.Forward(ctx, request)
+	if err != nil {
+		h.refuse(w, request, carobkeel.AsError(err), started)
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	writeAnswer(w, id, answer)
+	h.metrics.answered(request.Owner, request.Class, carobkeel.CodeOK, time.Since(started))
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, r *caller.Request, e *carobkeel.Error, started time.Time) {
+	h.metrics.answered(r.Owner, r.Class, e.Code, time.Since(started))
+	WriteProblem(w, r.ID, e)
+}
+
+// writeAnswer gives the answer to the caller. An answer that breaks off ends the
+// connection, so that the caller does not take it for whole.
+func writeAnswer(w http.ResponseWriter, id carobkeel.RequestID, answer *caller.Answer) {
+	writeFields(w, answer.Header)
+	header := w.Header()
+	header.Set(RequestIDHeader, id.String())
+	header.Set(ResultHeader, "0")
+	if _, set := header["Content-Length"]; !set && answer.BodyLength >= 0 && bodyAllowed(answer.Status) {
+		header.Set("Content-Length", strconv.FormatInt(answer.BodyLength, 10))
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	w.WriteHeader(answer.Status)
+	if _, err := io.Copy(w, answer.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// request reads what the caller asks for. The request it returns has at least
+// its id, also beside a refusal.
+func (h *Handler) request(r *http.Request, id carobkeel.RequestID, now time.Time) (*caller.Request, *carobkeel.Error) {
+	out := &caller.Request{ID: id, Service: carobkeel.Service(chi.URLParam(r, "name")), Method: r.Method}
+	if !h.admission.Admits() {
+		return out, carobkeel.NewError(carobkeel.CodeDraining, "this entry is shutting down")
+	}
+	entry, ok := h.catalogues.Catalogue().Lookup(string(out.Service))
+	if !ok || entry.Class != carobkeel.ClassLatencyCritical {
+		return out, carobkeel.NewError(carobkeel.CodeUnknownService, "the catalogue has no service %q", out.Service)
+	}
+	out.Owner = entry.Owner
+	out.Class = entry.Class
+	out.Path = pathBelow(r)
+	out.Idempotent = caller.IsIdempotent(entry, r.Method)
+	asked, refusal := askedTimeout(r)
+	if refusal != nil {
+		return out, refusal
+	}
+	out.Deadline = now.Add(caller.Timeout(entry, asked))
+	out.Header = requestFields(r)
+	out.Key = r.Header.Get(KeyHeader)
+	return out, readBody(out, r, entry.Limits.BodyBytes)
+}
+
+// pathBelow returns the path below the service's name and the query, as the
+// caller wrote them.
+func pathBelow(r *http.Request) string {
+	path := r.URL.EscapedPath()
+	rest := strings.TrimPrefix(path, "/services/")
+	if slash := strings.IndexByte(rest, '/'); slash >= 0 {
+		rest = rest[slash:]
+	} else {
+		rest = "/"
+	}
+	if r.URL.RawQuery != "" {
+		rest += "?" + r.URL.RawQuery
+	}
+	return rest
+}
+
+func askedTimeout(r *http.Request) (time.Duration, *carobkeel.Error) {
+	text := r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return 0, nil
+	}
+	asked, err := time.ParseDuration(text)
+	if err != nil || asked <= 0 {
+		return 0, carobkeel.NewError(carobkeel.CodeInvalidRequest, "%s %q is not a duration such as 800ms", TimeoutHeader, text)
+	}
+	return asked, nil
+}
--- /dev/null
+++ b/entry/server/config.go
@@ -0,0 +1,69 @@
+// Package server is the sidecar's server for entries: it takes their requests
+// over framed links, lets them wait for a slot, sends them to the upstream and
+// gives back the answers.
+package server
+
+import (
+	"flag"
+	"time"
+
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/settings"
+)
+
+// Config is the settings of a sidecar's server.
+type Config struct {
+	// Slots is the number of requests that the upstream serves at once.
+	Slots int
+	// Queue is the number of requests that may wait for a slot.
+	Queue int
+	// Retention is how long the outcome of a request is kept.
+	Retention time.Duration
+	// InlineBytes is the longest answer that is kept whole, so that it can be
+	// given again over another link.
+	InlineBytes int64
+	// Timing is the timing of the links.
+	Timing link.Config
+}
+
+// DefaultConfig returns the settings where none are given.
+func DefaultConfig() Config {
+	return Config{
+		Slots:       8,
+		Queue:       64,
+		Retention:   30 * time.Second,
+		InlineBytes: 32 << 10,
+		Timing:      link.DefaultConfig(),
+	}
+}
+
+// RegisterFlags registers the settings' flags.
+func RegisterFlags(fs *flag.FlagSet) *Config {
+	c := DefaultConfig()
+	fs.IntVar(&c.Slots, "slots", c.Slots, "requests that the upstream serves at once")
+	fs.IntVar(&c.Queue, "queue", c.Queue, "requests that may wait for a slot")
+	fs.DurationVar(&c.Retention, "retention", c.Retention, "how long the outcome of a request is kept")
+	fs.Int64Var(&c.InlineBytes, "inline-bytes", c.InlineBytes, "longest answer, in bytes, that is kept to be given again")
+	return &c
+}
+
+// Check implements settings.Checker.
+func (c *Config) Check() []settings.Problem {
+	var problems []settings.Problem
+	if c.Slots < 1 {
+		problems = append(problems, settings.Problem{Name: "slots", Reason: "must be at least 1"})
+	}
+	if c.Queue < 0 {
+		problems = append(problems, settings.Problem{Name: "queue", Reason: "must not be negative"})
+	}
+	if c.Retention <= 0 {
+		problems = append(problems, settings.Problem{Name: "retention", Reason: "must be above 0"})
+	}
+	if c.InlineBytes < 0 || c.InlineBytes > maxInlineBytes {
+		problems = append(problems, settings.Problem{Name: "inline-bytes", Reason: "must be from 0 to 131072"})
+	}
+	return problems
+}
+
+// maxInlineBytes keeps an inline answer with its header within one frame.
+const maxInlineBytes = 128 << 10
--- /dev/null
+++ b/entry/server/serve.go
@@ -0,0 +1,155 @@
+package server
+
+import (
+	"context"
+	"hash/crc32"
+	"io"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
+	"github.com/carobkeel/carobkeel/entry"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/sidecar/wire"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// serve carries one request from its arrival to its outcome.
+func (s *Server) serve(st *stream, open *wire.Open) {
+	defer st.close()
+	request := requestOf(open, time.Now())
+	st.idempotent.Store(request.Idempotent)
+	record, fresh := s.ledger.Begin(request.ID)
+	if !fresh {
+		st.replay(record)
+		return
+	}
+	st.record.Store(record)
+	if st.body != nil {
+		request.Body = st.body
+	}
+	ctx, cancel := context.WithDeadline(st.ctx, request.Deadline)
+	defer cancel()
+	if refusal := s.enter(ctx, request); refusal != nil {
+		record.Refuse(refusal, time.Now())
+		s.metrics.refused(refusal.Code)
+		st.answer(record.Outcome())
+		return
+	}
+	defer s.gate.leave()
+	if !record.Start() {
+		st.answer(record.Outcome())
+		return
+	}
+	s.metrics.started()
+	s.call(ctx, st, record, request)
+}
+
+// enter lets the request wait for a slot.
+func (s *Server) enter(ctx context.Context, r *caller.Request) *carobkeel.Error {
+	if s.draining.Load() {
+		return carobkeel.NewError(carobkeel.CodeDraining, "the upstream is shutting down")
+	}
+	refusal := s.gate.enter(ctx, entry.Waiting{Class: r.Class, Deadline: r.Deadline})
+	if refusal != nil {
+		return refusal
+	}
+	if ctx.Err() != nil {
+		s.gate.leave()
+		return carobkeel.NewError(carobkeel.CodeTimeoutNotRun, "the time ran out before a slot was free")
+	}
+	return nil
+}
+
+// call sends a started request to the upstream and gives back its answer.
+func (s *Server) call(ctx context.Context, st *stream, record *entry.Record, r *caller.Request) {
+	answer, err := s.upstream.Do(ctx, r)
+	if err != nil {
+		s.finish(st, record, &entry.Outcome{Refusal: carobkeel.AsError(err)})
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.BodyLength < 0 || answer.BodyLength > s.config.InlineBytes {
+		s.stream(st, record, answer)
+		return
+	}
+	body := make([]byte, answer.BodyLength)
+	if _, err := io.ReadFull(answer.Body, body); err != nil {
+		s.finish(st, record, &entry.Outcome{Refusal: brokenOff(err)})
+		return
+	}
+	s.finish(st, record, &entry.Outcome{Status: answer.Status, Header: answer.Header, Body: body})
+}
+
+func (s *Server) finish(st *stream, record *entry.Record, o *entry.Outcome) {
+	record.Finish(o, time.Now())
+	st.answer(o)
+}
+
+// stream sends an answer that is too long to be kept, in pieces.
+func (s *Server) stream(st *stream, record *entry.Record, answer *caller.Answer) {
+	st.send(wire.Encode(wire.TypeAnswer, st.number, &wire.Answer{
+		Status:      answer.Status,
+		Header:      wire.FromFields(answer.Header),
+		BodyLength:  answer.BodyLength,
+		BodyFollows: true,
+		Load:        s.load(),
+	}))
+	var sum uint32
+	length, err := st.outgoing.Send(st.linkCtx, answer.Body, func(data []byte) error {
+		sum = crc32.Update(sum, castagnoli, data)
+		if !st.send(frame.Frame{Type: wire.TypeAnswerBody, Stream: st.number, Payload: data}) {
+			return errLinkLost
+		}
+		return nil
+	})
+	lost := carobkeel.NewError(carobkeel.CodeAnswerLost, "the answer was too long to be kept")
+	if err != nil && st.linkCtx.Err() == nil {
+		lost = brokenOff(err)
+	}
+	record.Finish(&entry.Outcome{Refusal: lost}, time.Now())
+	if err != nil {
+		st.refuse(lost)
+		return
+	}
+	st.send(wire.Encode(wire.TypeAnswerEnd, st.number, &wire.AnswerEnd{Length: length, Checksum: sum}))
+}
+
+func brokenOff(err error) *carobkeel.Error {
+	return carobkeel.NewError(carobkeel.CodeUpstreamFailed, "the answer broke off: %v", err)
+}
+
+// replay answers a query, or a request that arrives a second time, from its
+// record.
+func (s *Server) replay(st *stream, id carobkeel.RequestID) {
+	defer st.close()
+	st.replay(s.ledger.Query(id, time.Now()))
+}
+
+func (st *stream) replay(record *entry.Record) {
+	select {
+	case <-record.Done():
+		st.answer(record.Outcome())
+	case <-st.linkCtx.Done():
+	}
+}
+
+func requestOf(o *wire.Open, now time.Time) *caller.Request {
+	r := &caller.Request{
+		ID:         carobkeel.RequestID{Entry: carobkeel.Incarnation(o.EntryIncarnation), Sequence: o.Sequence},
+		Service:    carobkeel.Service(o.Service),
+		Owner:      carobkeel.Owner(o.Owner),
+		Class:      carobkeel.Class(o.Class),
+		Method:     o.Method,
+		Path:       o.Path,
+		Header:     wire.ToFields(o.Header),
+		BodyLength: o.BodyLength,
+		Content:    o.Body,
+		Key:        o.Key,
+		Idempotent: o.Idempotent,
+		Deadline:   now.Add(time.Duration(o.TimeoutMicros) * time.Microsecond),
+	}
+	copy(r.Digest[:], o.Digest)
+	return r
+}
--- /dev/null
+++ b/entry/wire/messages.go
@@ -0,0 +1,38 @@
+// Package wire is the encoding of the events between an entry and the sidecars
+// and other entries: msgpack payloads in frames. The generated code is
+// committed.
+package wire
+
+//go:generate go tool msgp -file messages.go -o messages_gen.go -tests=false
+
+// Topics of events.
+const (
+	// TopicAnnouncement carries an Announcement.
+	TopicAnnouncement = "announcement"
+)
+
+// Event is one message of a topic.
+type Event struct {
+	Topic    string            `msg:"t"`
+	UUID     string            `msg:"u"`
+	Metadata map[string]string `msg:"m"`
+	Payload  []byte            `msg:"p"`
+}
+
+// Announcement is what a sidecar tells of itself.
+type Announcement struct {
+	Incarnation uint64 `msg:"i"`
+	Sequence    uint64 `msg:"q"`
+	// StartedMicros is when the incarnation began, in microseconds of Unix
+	// time.
+	StartedMicros int64  `msg:"st"`
+	Address       string `msg:"a"`
+	Service       string `msg:"sv"`
+	DataCentre    string `msg:"dc"`
+	Rack          string `msg:"rk"`
+	Host          string `msg:"h"`
+	State         uint8  `msg:"s"`
+	Slots         int    `msg:"sl"`
+	Running       int    `msg:"r"`
+	Queued        int    `msg:"qd"`
+}
--- /dev/null
+++ b/sidecar/client/config.go
@@ -0,0 +1,67 @@
+// Package client sends requests from an entry to sidecars over framed links. A
+// link carries many requests at once; a request whose link is lost is asked for
+// over a new one.
+package client
+
+import (
+	"flag"
+	"time"
+
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/settings"
+)
+
+// Config is the settings of the links to sidecars.
+type Config struct {
+	// DialTimeout is how long a connection may take to come up.
+	DialTimeout time.Duration
+	// HeartbeatInterval is the time between two pings on a link.
+	HeartbeatInterval time.Duration
+	// SilenceTimeout is how long a sidecar may send nothing on a link.
+	SilenceTimeout time.Duration
+	// Attempts is the most sidecars that one request is sent to.
+	Attempts int
+}
+
+// DefaultConfig returns the settings where none are given.
+func DefaultConfig() Config {
+	timing := link.DefaultConfig()
+	return Config{
+		DialTimeout:       time.Second,
+		HeartbeatInterval: timing.HeartbeatInterval,
+		SilenceTimeout:    timing.SilenceTimeout,
+		Attempts:          3,
+	}
+}
+
+// RegisterFlags registers the settings' flags.
+func RegisterFlags(fs *flag.FlagSet) *Config {
+	c := DefaultConfig()
+	fs.DurationVar(&c.DialTimeout, "sidecar-dial-timeout", c.DialTimeout, "longest time to connect to a sidecar")
+	fs.DurationVar(&c.HeartbeatInterval, "sidecar-heartbeat", c.HeartbeatInterval, "time between two heartbeats on a link to a sidecar")
+	fs.DurationVar(&c.SilenceTimeout, "sidecar-silence-timeout", c.SilenceTimeout, "silence after which a link to a sidecar is given up")
+	fs.IntVar(&c.Attempts, "sidecar-attempts", c.Attempts, "most sidecars that one request is sent to")
+	return &c
+}
+
+// Check implements settings.Checker.
+func (c *Config) Check() []settings.Problem {
+	var problems []settings.Problem
+	if c.DialTimeout <= 0 {
+		problems = append(problems, settings.Problem{Name: "sidecar-dial-timeout", Reason: "must be above 0"})
+	}
+	if c.HeartbeatInterval <= 0 {
+		problems = append(problems, settings.Problem{Name: "sidecar-heartbeat", Reason: "must be above 0"})
+	}
+	if c.SilenceTimeout < 2*c.HeartbeatInterval {
+		problems = append(problems, settings.Problem{Name: "sidecar-silence-timeout", Reason: "must be at least twice -sidecar-heartbeat"})
+	}
+	if c.Attempts < 1 {
+		problems = append(problems, settings.Problem{Name: "sidecar-attempts", Reason: "must be at least 1"})
+	}
+	return problems
+}
+
+func (c Config) timing() link.Config {
+	return link.Config{HeartbeatInterval: c.HeartbeatInterval, SilenceTimeout: c.SilenceTimeout}
+}
--- /dev/null
+++ b/sidecar/client/forwarder.go
@@ -0,0 +1,235 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/sidecar"
+	"github.com/carobkeel/carobkeel/sidecar/wire"
+)
+
+// refusalGrace is how long a request whose time has run out waits for the
+// sidecar's word on whether it had started.
+const refusalGrace = 50 * time.Millisecond
+
+// Views gives the present state of the sidecars.
+type Views interface {
+	View() *sidecar.View
+}
+
+// Forwarder sends requests to sidecars.
+type Forwarder struct {
+	views   Views
+	pool    *pool
+	config  Config
+	metrics *Metrics
+}
+
+// NewForwarder returns a forwarder whose links end with ctx.
+func NewForwarder(ctx context.Context, self carobkeel.Incarnation, views Views, config Config, metrics *Metrics) *Forwarder {
+	return &Forwarder{
+		views:   views,
+		pool:    newPool(ctx, self, config, dialTCP),
+		config:  config,
+		metrics: metrics,
+	}
+}
+
+// Prune closes the links to sidecars that are no longer announced.
+func (f *Forwarder) Prune() {
+	view := f.views.View()
+	f.pool.forget(func(address string) bool {
+		_, known := view.Member(address)
+		return known
+	})
+	f.metrics.lateFrames(f.pool.late.Load())
+}
+
+// Forward sends the request to a sidecar and returns the upstream's answer. Every
+// error is a *carobkeel.Error.
+func (f *Forwarder) Forward(ctx context.Context, r *caller.Request) (*caller.Answer, error) {
+	var tried []*sidecar.Member
+	last := carobkeel.NewError(carobkeel.CodeNoUpstream, "no upstream of %s is announced", r.Service)
+	for len(tried) < f.config.Attempts {
+		member := sidecar.Pick(f.views.View().Serving(r.Service), rand.Uint64(), tried)
+		if member == nil {
+			return nil, last
+		}
+		if len(tried) > 0 {
+			f.metrics.retry()
+		}
+		answer, refusal := f.send(ctx, member, r)
+		if refusal == nil {
+			return answer, nil
+		}
+		if ctx.Err() != nil || !caller.MayRetry(r, refusal) {
+			return nil, refusal
+		}
+		tried = append(tried, member)
+		last = refusal
+	}
+	return nil, last
+}
+
+// send carries one request to one sidecar.
+func (f *Forwarder) send(ctx context.Context, m *sidecar.Member, r *caller.Request) (*caller.Answer, *carobkeel.Error) {
+	m.Live.InFlight.Add(1)
+	started := time.Now()
+	release := func() { m.Live.InFlight.Add(-1) }
+	c, err := f.pool.conn(ctx, m.Address)
+	if err != nil {
+		release()
+		return nil, carobkeel.NewError(carobkeel.CodeUpstreamUnreachable, "%v", err)
+	}
+	s, ok := newStream(ctx, c, loadRecorder(m))
+	if !ok {
+		release()
+		return nil, carobkeel.NewError(carobkeel.CodeOverloaded, "the link to sidecar %s is full", m.Address)
+	}
+	c.link.Send(wire.Encode(wire.TypeOpen, s.number, openMessage(r)))
+	if body := following(r); body != nil {
+		go sendBody(ctx, s, body)
+	}
+	got := await(ctx, s)
+	if got.lost {
+		s, got = f.query(ctx, m, c, r)
+	}
+	if got.refusal != nil {
+		release()
+		return nil, got.refusal
+	}
+	m.Live.Observe(time.Since(started))
+	return newAnswer(s, got.answer, release), nil
+}
+
+// await parks until the answer begins. Once the caller's time has run out it
+// asks the sidecar to drop the request and waits a moment for its word.
+func await(ctx context.Context, s *stream) result {
+	select {
+	case got := <-s.first:
+		return got
+	case <-ctx.Done():
+	}
+	s.conn.link.Send(frame.Frame{Type: wire.TypeCancel, Stream: s.number})
+	grace := time.NewTimer(refusalGrace)
+	defer grace.Stop()
+	select {
+	case got := <-s.first:
+		if !got.lost && got.refusal != nil {
+			return got
+		}
+	case <-grace.C:
+	}
+	s.abandon()
+	return result{refusal: outOfTime(ctx)}
+}
+
+func outOfTime(ctx context.Context) *carobkeel.Error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return carobkeel.NewError(carobkeel.CodeTimeoutUnknown, "the time ran out with the request at a sidecar")
+	}
+	return carobkeel.NewError(carobkeel.CodeCallerGone, "the caller went away with the request at a sidecar")
+}
+
+// query asks the sidecar over a new link what became of a request whose link
+// was lost.
+func (f *Forwarder) query(ctx context.Context, m *sidecar.Member, lost *conn, r *caller.Request) (*stream, result) {
+	f.metrics.query()
+	unknown := carobkeel.NewError(carobkeel.CodeLinkLost, "the link to sidecar %s was lost", m.Address)
+	c, err := f.pool.conn(ctx, m.Address)
+	if err != nil || c.incarnation() != lost.incarnation() {
+		return nil, result{refusal: unknown}
+	}
+	s, ok := newStream(ctx, c, loadRecorder(m))
+	if !ok {
+		return nil, result{refusal: unknown}
+	}
+	c.link.Send(wire.Encode(wire.TypeQuery, s.number, &wire.Query{
+		EntryIncarnation: uint64(r.ID.Entry),
+		Sequence:         r.ID.Sequence,
+	}))
+	got := await(ctx, s)
+	if got.lost {
+		got = result{refusal: unknown}
+	}
+	return s, got
+}
+
+func loadRecorder(m *sidecar.Member) func(wire.Load) {
+	return func(l wire.Load) { m.Live.Remote.Store(int64(l.Running) + int64(l.Queued)) }
+}
+
+func sendBody(ctx context.Context, s *stream, body io.Reader) {
+	_, err := s.outgoing.Send(ctx, body, func(data []byte) error {
+		if !s.conn.link.Send(frame.Frame{Type: wire.TypeBody, Stream: s.number, Payload: data}) {
+			return errLinkLost
+		}
+		return nil
+	})
+	if err != nil {
+		s.conn.link.Send(frame.Frame{Type: wire.TypeCancel, Stream: s.number})
+		return
+	}
+	s.conn.link.Send(frame.Frame{Type: wire.TypeBodyEnd, Stream: s.number})
+}
+
+// inlineBytes is the longest body that goes with the Open message.
+const inlineBytes = 64 << 10
+
+// following returns the body where it goes in pieces after the Open message.
+func following(r *caller.Request) io.Reader {
+	if r.Body != nil {
+		return r.Body
+	}
+	if len(r.Content) > inlineBytes {
+		return bytes.NewReader(r.Content)
+	}
+	return nil
+}
+
+func openMessage(r *caller.Request) *wire.Open {
+	open := &wire.Open{
+		EntryIncarnation: uint64(r.ID.Entry),
+		Sequence:         r.ID.Sequence,
+		Service:          string(r.Service),
+		Owner:            string(r.Owner),
+		Class:            uint8(r.Class),
+		Method:           r.Method,
+		Path:             r.Path,
+		Header:           wire.FromFields(r.Header),
+		TimeoutMicros:    time.Until(r.Deadline).Microseconds(),
+		Idempotent:       r.Idempotent,
+		Key:              r.Key,
+		BodyLength:       r.BodyLength,
+		BodyFollows:      r.Body != nil || len(r.Content) > inlineBytes,
+	}
+	if !open.BodyFollows {
+		open.Body = r.Content
+	}
+	if r.Key != "" {
+		open.Digest = r.Digest[:]
+	}
+	return open
+}
+
+func newAnswer(s *stream, a *wire.Answer, release func()) *caller.Answer {
+	answer := &caller.Answer{
+		Status:     a.Status,
+		Header:     wire.ToFields(a.Header),
+		BodyLength: a.BodyLength,
+	}
+	if a.BodyFollows {
+		answer.Body = &answerBody{stream: s, onEnd: release}
+		return answer
+	}
+	s.cancel(nil)
+	release()
+	answer.Body = io.NopCloser(bytes.NewReader(a.Body))
+	return answer
+}
--- /dev/null
+++ b/sidecar/client/stream.go
@@ -0,0 +1,157 @@
+package client
+
+import (
+	"context"
+	"hash/crc32"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/sidecar/wire"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// errLinkLost ends a stream whose link has ended.
+var errLinkLost = errors.New("link to the sidecar was lost")
+
+// errIncomplete ends an answer whose length or checksum is not as announced.
+var errIncomplete = errors.New("answer is not whole")
+
+// result is the beginning of a stream's answer, or its refusal.
+type result struct {
+	answer  *wire.Answer
+	refusal *carobkeel.Error
+	// lost says that the link ended first.
+	lost bool
+}
+
+// stream is one request on one link.
+type stream struct {
+	conn     *conn
+	number   uint64
+	first    chan result
+	settled  atomic.Bool
+	body     *link.Receiver
+	outgoing *link.Sender
+	cancel   context.CancelCauseFunc
+	load     func(wire.Load)
+	// following says that the answer's body comes in pieces. The link's
+	// reading goroutine alone uses it.
+	following bool
+	end       atomic.Pointer[wire.AnswerEnd]
+}
+
+// newStream adds a stream to the link. It returns false where the link carries
+// too many.
+func newStream(ctx context.Context, c *conn, load func(wire.Load)) (*stream, bool) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &stream{conn: c, first: make(chan result, 1), outgoing: link.NewSender(), cancel: cancel, load: load}
+	s.body = link.NewReceiver(ctx, s.grant)
+	number, ok := c.streams.Add(s)
+	if !ok {
+		cancel(nil)
+		return nil, false
+	}
+	s.number = number
+	if !c.alive() {
+		s.lost()
+	}
+	return s, true
+}
+
+func (s *stream) grant(bytes int64) {
+	s.conn.link.Send(wire.Encode(wire.TypeCredit, s.number, &wire.Credit{Bytes: bytes}))
+}
+
+func (s *stream) settle(r result) bool {
+	if !s.settled.CompareAndSwap(false, true) {
+		return false
+	}
+	s.first <- r
+	return true
+}
+
+func (s *stream) answered(answer *wire.Answer) error {
+	s.load(answer.Load)
+	s.following = answer.BodyFollows
+	if !s.settle(result{answer: answer}) {
+		return errors.New("second answer on one stream")
+	}
+	if !answer.BodyFollows {
+		s.conn.streams.Remove(s.number)
+	}
+	return nil
+}
+
+func (s *stream) refused(refused *wire.Refused) {
+	s.load(refused.Load)
+	s.conn.streams.Remove(s.number)
+	refusal := carobkeel.NewError(carobkeel.Code(refused.Code), "%s", refused.Detail).
+		WithRan(carobkeel.Ran(refused.Ran)).
+		WithRetryAfter(time.Duration(refused.RetryAfterMillis) * time.Millisecond)
+	if !s.settle(result{refusal: refusal}) {
+		s.body.End(refusal)
+	}
+}
+
+func (s *stream) ended(end wire.AnswerEnd) {
+	s.conn.streams.Remove(s.number)
+	s.end.Store(&end)
+	s.body.End(io.EOF)
+}
+
+func (s *stream) lost() {
+	s.cancel(errLinkLost)
+	if !s.settle(result{lost: true}) {
+		s.body.End(errLinkLost)
+	}
+}
+
+// abandon tells the sidecar that nobody waits any more.
+func (s *stream) abandon() {
+	if s.conn.streams.Remove(s.number) {
+		s.conn.link.Send(frame.Frame{Type: wire.TypeCancel, Stream: s.number})
+	}
+	s.cancel(context.Canceled)
+}
+
+// answerBody yields the body of an answer that comes in pieces and checks at
+// its end that it is whole.
+type answerBody struct {
+	stream *stream
+	length int64
+	sum    uint32
+	onEnd  func()
+	closed bool
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.stream.body.Read(p)
+	b.length += int64(n)
+	b.sum = crc32.Update(b.sum, castagnoli, p[:n])
+	if err == io.EOF {
+		end := b.stream.end.Load()
+		if end == nil || end.Length != b.length || end.Checksum != b.sum {
+			return n, errIncomplete
+		}
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	if b.closed {
+		return nil
+	}
+	b.closed = true
+	b.stream.abandon()
+	b.onEnd()
+	return nil
+}
--- /dev/null
+++ b/sidecar/view.go
@@ -0,0 +1,124 @@
+package sidecar
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+)
+
+// View is an immutable state of all announced sidecars.
+type View struct {
+	// members holds every known member by address.
+	members map[string]*Member
+	// serving holds the members that take new work, by service, in the order
+	// of their addresses.
+	serving map[carobkeel.Service][]*Member
+}
+
+// NewView returns a view without members.
+func NewView() *View {
+	return &View{members: map[string]*Member{}, serving: map[carobkeel.Service][]*Member{}}
+}
+
+// Serving returns the members of the service that take new work. The slice must
+// not be changed.
+func (v *View) Serving(service carobkeel.Service) []*Member { return v.serving[service] }
+
+// Member returns the member at the address.
+func (v *View) Member(address string) (*Member, bool) {
+	member, ok := v.members[address]
+	return member, ok
+}
+
+// Members returns all members in the order of their addresses.
+func (v *View) Members() []*Member {
+	return slices.SortedFunc(maps.Values(v.members), func(a, b *Member) int {
+		return strings.Compare(a.Address, b.Address)
+	})
+}
+
+// Announce returns the view after an announcement that arrived at now. The
+// second result is false where the announcement is older than what is known;
+// the view is then the same. An announcement that changes nothing but the load
+// is noted in the member and makes no new view. Only one goroutine may announce
+// and expire.
+func (v *View) Announce(a Announcement, now time.Time) (*View, bool) {
+	known, ok := v.members[a.Address]
+	if ok && !supersedes(a, known) {
+		return v, false
+	}
+	live := &Live{}
+	if ok && known.Incarnation == a.Incarnation {
+		live = known.Live
+	}
+	live.take(a, now)
+	if ok && sameButLoad(a, known.Announcement) {
+		return v, true
+	}
+	next := v.clone()
+	next.members[a.Address] = &Member{Announcement: a, Live: live}
+	next.rebuild(a.Service)
+	if ok && known.Service != a.Service {
+		next.rebuild(known.Service)
+	}
+	return next, true
+}
+
+// supersedes reports whether a is later than what is known. Within one
+// incarnation the sequence decides, between two the time of their start.
+func supersedes(a Announcement, known *Member) bool {
+	if a.Incarnation == known.Incarnation {
+		return a.Sequence > known.Live.sequence.Load()
+	}
+	return a.Started.After(known.Started)
+}
+
+// sameButLoad reports whether two announcements differ in load alone.
+func sameButLoad(a, b Announcement) bool {
+	a.Sequence, a.Running, a.Queued = b.Sequence, b.Running, b.Queued
+	return a == b
+}
+
+// Expire returns the view without the members not heard of since the time.
+func (v *View) Expire(since time.Time) *View {
+	var gone []*Member
+	for _, member := range v.members {
+		if member.Live.Heard().Before(since) {
+			gone = append(gone, member)
+		}
+	}
+	if len(gone) == 0 {
+		return v
+	}
+	next := v.clone()
+	for _, member := range gone {
+		delete(next.members, member.Address)
+	}
+	for _, member := range gone {
+		next.rebuild(member.Service)
+	}
+	return next
+}
+
+func (v *View) clone() *View {
+	return &View{members: maps.Clone(v.members), serving: maps.Clone(v.serving)}
+}
+
+// rebuild computes the serving members of one service anew.
+func (v *View) rebuild(service carobkeel.Service) {
+	var serving []*Member
+	for _, member := range v.members {
+		if member.Service == service && member.State == StateServing {
+			serving = append(serving, member)
+		}
+	}
+	if len(serving) == 0 {
+		delete(v.serving, service)
+		return
+	}
+	slices.SortFunc(serving, func(a, b *Member) int { return strings.Compare(a.Address, b.Address) })
+	v.serving[service] = serving
+}
--- /dev/null
+++ b/sidecar/wire/fields.go
@@ -0,0 +1,21 @@
+package wire
+
+import "github.com/carobkeel/carobkeel"
+
+// FromFields returns header fields as they go on a link.
+func FromFields(fields []carobkeel.Field) []Field {
+	out := make([]Field, len(fields))
+	for i, field := range fields {
+		out[i] = Field{Name: field.Name, Value: field.Value}
+	}
+	return out
+}
+
+// ToFields returns header fields as they came from a link.
+func ToFields(fields []Field) []carobkeel.Field {
+	out := make([]carobkeel.Field, len(fields))
+	for i, field := range fields {
+		out[i] = carobkeel.Field{Name: field.Name, Value: field.Value}
+	}
+	return out
+}
