--- a/catalogue.go
+++ b/catalogue.go
@@ -49,6 +49,8 @@
 // Quota is what an owner may use of the fleet before it borrows.
 type Quota struct {
 	Owner Owner `json:"owner"`
+	// Revision is the catalogue's revision that last changed this quota.
+	Revision Revision `json:"revision"`
 	// Guaranteed is what the owner gets back on demand.
 	Guaranteed Resources `json:"guaranteed"`
 	// Weight is the owner's share of what is left over, relative to others.
