Wire the path from caller to upstream in dev, entry, sidecar and sample-echo

Cause: the parts of the path had no process around them. Change: commands dev, entry, sidecar and sample-echo; announcements travel as watermill messages over event links into the entry's view; shutdown leaves the balancer, drains, then stops.

--- /dev/null
+++ b/cmd/carobkeel/dev.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"github.com/carobkeel/carobkeel/entry/server"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/internal/settings"
+	"github.com/carobkeel/carobkeel/operator/catalogfile"
+	"github.com/carobkeel/carobkeel/sidecar/client"
+)
+
+const (
+	devUpstreams  = 2
+	devDataCentre = "local"
+	devService    = "echo"
+)
+
+// devConfig is the settings of the process that runs everything.
+type devConfig struct {
+	listen         string
+	operatorListen string
+}
+
+func registerDevFlags(fs *flag.FlagSet) *devConfig {
+	c := &devConfig{}
+	fs.StringVar(&c.listen, "listen", "127.0.0.1:8080", "address for callers")
+	fs.StringVar(&c.operatorListen, "operator-listen", "127.0.0.1:8081", "address for operators, metrics and health")
+	return c
+}
+
+// Check implements settings.Checker.
+func (c *devConfig) Check() []settings.Problem {
+	return append(checkAddress("listen", c.listen), checkAddress("operator-listen", c.operatorListen)...)
+}
+
+// devProcess is everything in one process.
+type devProcess struct {
+	entry    *entryProcess
+	sidecars []*sidecarProcess
+	echoes   []*sampleEcho
+}
+
+// startDev starts everything on loopback.
+func startDev(c devConfig, logs *logging.Factory) (*devProcess, error) {
+	p := &devProcess{}
+	var err error
+	p.entry, err = startEntry(entryConfig{
+		listen:         c.listen,
+		operatorListen: c.operatorListen,
+		linkListen:     "127.0.0.1:0",
+		dataCentre:     devDataCentre,
+		drainTimeout:   30 * time.Second,
+	}, client.DefaultConfig(), logs)
+	if err != nil {
+		return nil, err
+	}
+	for range devUpstreams {
+		if err := p.addUpstream(logs); err != nil {
+			return nil, err
+		}
+	}
+	p.entry.use(catalogfile.DevCatalogue().Catalogue(1))
+	return p, nil
+}
+
+func (p *devProcess) addUpstream(logs *logging.Factory) error {
+	sample, err := startSampleEcho("127.0.0.1:0", logs)
+	if err != nil {
+		return err
+	}
+	p.echoes = append(p.echoes, sample)
+	beside, err := startSidecar(sidecarConfig{
+		listen:       "127.0.0.1:0",
+		adminListen:  "127.0.0.1:0",
+		upstream:     sample.address.String(),
+		healthPath:   "/healthz",
+		service:      devService,
+		entries:      p.entry.linkAddress.String(),
+		dataCentre:   devDataCentre,
+		drainTimeout: 30 * time.Second,
+	}, server.DefaultConfig(), logs)
+	if err != nil {
+		return err
+	}
+	p.sidecars = append(p.sidecars, beside)
+	return nil
+}
+
+// waitServing parks until the entry knows every upstream or ctx ends.
+func (p *devProcess) waitServing(ctx context.Context) error {
+	ticker := time.NewTicker(devPollInterval)
+	defer ticker.Stop()
+	for len(p.entry.members.View().Serving(devService)) < len(p.sidecars) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+const devPollInterval = 10 * time.Millisecond
+
+// stop ends the entry first, so that no request is cut, then the rest.
+func (p *devProcess) stop() error {
+	err := p.entry.stop()
+	for _, s := range p.sidecars {
+		if stopErr := s.stop(); err == nil {
+			err = stopErr
+		}
+	}
+	for _, sample := range p.echoes {
+		if stopErr := sample.stop(0); err == nil {
+			err = stopErr
+		}
+	}
+	return err
+}
+
+// devCommand runs everything in one process.
+func devCommand() command {
+	return command{
+		name:    "dev",
+		summary: "run everything in one process on loopback",
+		run: func(ctx context.Context, args []string, io streams) int {
+			fs := newFlagSet("dev", io)
+			config := registerDevFlags(fs)
+			logConfig := logging.RegisterFlags(fs)
+			if code, ok := parse(fs, args, io, config, logConfig); !ok {
+				return code
+			}
+			process, err := startDev(*config, logging.NewFactory(*logConfig, io.err))
+			if err != nil {
+				return fail(io, err)
+			}
+			if err := process.waitServing(ctx); err != nil {
+				return fail(io, err)
+			}
+			fmt.Fprintf(io.out, "ready caller=%s operator=%s\n", process.entry.callerAddress, process.entry.operatorAddress)
+			<-ctx.Done()
+			if err := process.stop(); err != nil {
+				return fail(io, err)
+			}
+			return exitOK
+		},
+	}
+}
--- /dev/null
+++ b/cmd/carobkeel/entry.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/go-chi/chi/v5"
+	"github.com/phuslu/log"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/balancer"
+	"github.com/carobkeel/carobkeel/caller/httpapi"
+	"github.com/carobkeel/carobkeel/entry/eventlink"
+	"github.com/carobkeel/carobkeel/entry/wire"
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/internal/settings"
+	"github.com/carobkeel/carobkeel/internal/telemetry"
+	"github.com/carobkeel/carobkeel/sidecar/client"
+	"github.com/carobkeel/carobkeel/sidecar/members"
+)
+
+// entryConfig is the settings of the entry.
+type entryConfig struct {
+	listen         string
+	operatorListen string
+	linkListen     string
+	dataCentre     string
+	leaveTime      time.Duration
+	drainTimeout   time.Duration
+}
+
+func registerEntryFlags(fs *flag.FlagSet) *entryConfig {
+	c := &entryConfig{}
+	fs.StringVar(&c.listen, "listen", "127.0.0.1:8080", "address for callers")
+	fs.StringVar(&c.operatorListen, "operator-listen", "127.0.0.1:8081", "address for operators, metrics and health")
+	fs.StringVar(&c.linkListen, "link-listen", "127.0.0.1:8082", "address for the event links of sidecars and other entries")
+	fs.StringVar(&c.dataCentre, "data-centre", "", "data centre of this host")
+	fs.DurationVar(&c.leaveTime, "leave-time", 2*time.Second, "time between leaving the balancer and refusing requests")
+	fs.DurationVar(&c.drainTimeout, "drain-timeout", 30*time.Second, "longest time that requests in flight get at shutdown")
+	return c
+}
+
+// Check implements settings.Checker.
+func (c *entryConfig) Check() []settings.Problem {
+	problems := checkAddress("listen", c.listen)
+	problems = append(problems, checkAddress("operator-listen", c.operatorListen)...)
+	problems = append(problems, checkAddress("link-listen", c.linkListen)...)
+	if c.dataCentre == "" {
+		problems = append(problems, settings.Problem{Name: "data-centre", Reason: "must not be empty"})
+	}
+	if c.leaveTime < 0 {
+		problems = append(problems, settings.Problem{Name: "leave-time", Reason: "must not be negative"})
+	}
+	if c.drainTimeout <= 0 {
+		problems = append(problems, settings.Problem{Name: "drain-timeout", Reason: "must be above 0"})
+	}
+	return problems
+}
+
+// entryProcess is a running entry.
+type entryProcess struct {
+	config    entryConfig
+	readiness *balancer.Readiness
+	catalogue atomic.Pointer[carobkeel.Catalogue]
+	members   *members.Members
+	links     *eventlink.Listener
+	forwarder *client.Forwarder
+	callers   *http.Server
+	operators *http.Server
+
+	callerAddress   net.Addr
+	operatorAddress net.Addr
+	linkAddress     net.Addr
+
+	log    *log.Logger
+	cancel context.CancelFunc
+}
+
+// Catalogue returns the catalogue that is in force.
+func (p *entryProcess) Catalogue() *carobkeel.Catalogue { return p.catalogue.Load() }
+
+// Admits reports whether new requests are taken.
+func (p *entryProcess) Admits() bool { return p.readiness.Admits() }
+
+// startEntry starts an entry. It runs until it is stopped.
+func startEntry(c entryConfig, sidecars client.Config, logs *logging.Factory) (*entryProcess, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &entryProcess{config: c, readiness: &balancer.Readiness{}, log: logs.For("entry"), cancel: cancel}
+	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
+	self := newIncarnation()
+	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
+	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
+	handler := httpapi.New(self, p, p.forwarder, p, httpapi.NewMetrics(scope))
+	if err := p.startEvents(ctx); err != nil {
+		cancel()
+		return nil, err
+	}
+	if err := p.startServers(handler, metricsPage); err != nil {
+		cancel()
+		return nil, err
+	}
+	return p, nil
+}
+
+// startEvents takes event links and hands announcements to the members.
+func (p *entryProcess) startEvents(ctx context.Context) error {
+	listener, err := listen(p.config.linkListen)
+	if err != nil {
+		return err
+	}
+	p.linkAddress = listener.Addr()
+	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
+	go func() { _ = p.links.Run(ctx, listener) }()
+	go p.members.Run(ctx)
+	return runRouter(ctx, p.log, func(router *message.Router) {
+		router.AddConsumerHandler("members", wire.TopicAnnouncement, p.links, p.members.Handle)
+	})
+}
+
+func (p *entryProcess) startServers(handler *httpapi.Handler, metricsPage http.Handler) error {
+	callerListener, err := listen(p.config.listen)
+	if err != nil {
+		return err
+	}
+	operatorListener, err := listen(p.config.operatorListen)
+	if err != nil {
+		return err
+	}
+	p.callerAddress = callerListener.Addr()
+	p.operatorAddress = operatorListener.Addr()
+	router := chi.NewRouter()
+	handler.Mount(router)
+	p.callers = newHTTPServer(router)
+	p.operators = newHTTPServer(p.operatorRouter(metricsPage))
+	go serveHTTP(p.callers, callerListener, p.log)
+	go serveHTTP(p.operators, operatorListener, p.log)
+	return nil
+}
+
+func (p *entryProcess) operatorRouter(metricsPage http.Handler) http.Handler {
+	router := chi.NewRouter()
+	router.Handle("/metrics", metricsPage)
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !p.readiness.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mountPprof(router)
+	return router
+}
+
+// use puts a catalogue in force and makes the entry ready.
+func (p *entryProcess) use(c *carobkeel.Catalogue) {
+	p.catalogue.Store(c)
+	p.readiness.Advance(balancer.PhaseReady)
+}
+
+// stop leaves the balancer, lets the requests in flight end and stops.
+func (p *entryProcess) stop() error {
+	p.log.Info().Msg("leaving the balancer")
+	p.readiness.Advance(balancer.PhaseLeaving)
+	timer := time.NewTimer(p.config.leaveTime)
+	<-timer.C
+	p.log.Info().Msg("draining")
+	p.readiness.Advance(balancer.PhaseDraining)
+	ctx, cancel := context.WithTimeout(context.Background(), p.config.drainTimeout)
+	defer cancel()
+	err := p.callers.Shutdown(ctx)
+	p.readiness.Advance(balancer.PhaseStopped)
+	_ = p.operators.Close()
+	p.cancel()
+	p.log.Info().Msg("stopped")
+	return err
+}
+
+// entryCommand runs the process that callers and operators reach.
+func entryCommand() command {
+	return command{
+		name:    "entry",
+		summary: "run the process that callers and operators reach",
+		run: func(ctx context.Context, args []string, io streams) int {
+			fs := newFlagSet("entry", io)
+			config := registerEntryFlags(fs)
+			sidecars := client.RegisterFlags(fs)
+			logConfig := logging.RegisterFlags(fs)
+			if code, ok := parse(fs, args, io, config, sidecars, logConfig); !ok {
+				return code
+			}
+			process, err := startEntry(*config, *sidecars, logging.NewFactory(*logConfig, io.err))
+			if err != nil {
+				return fail(io, err)
+			}
+			fmt.Fprintf(io.out, "ready caller=%s operator=%s link=%s\n",
+				process.callerAddress, process.operatorAddress, process.linkAddress)
+			<-ctx.Done()
+			if err := process.stop(); err != nil {
+				return fail(io, err)
+			}
+			return exitOK
+		},
+	}
+}
--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -42,6 +42,10 @@
 // commands lists the commands in the order that help shows.
 func commands() []command {
 	return []command{
+		devCommand(),
+		entryCommand(),
+		sidecarCommand(),
+		sampleEchoCommand(),
 		versionCommand(),
 	}
 }
