Run a keyed request once through claims in the table

Cause: a repeat of a booking through another entry would run it again, and a record forgotten by a sidecar could turn into a false promise of "never ran". Change: a claim row for each owner, service and key, made before the request is sent; a repeat asks the claim's sidecar and may take over only on its promise. The ledger keeps the highest sequence number it forgot of each entry, so that "never" does not depend on how long ago the request was sent.

--- /dev/null
+++ b/caller/claims/direct.go
@@ -0,0 +1,21 @@
+package claims
+
+import (
+	"context"
+
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// Direct is a Writer that gives each write a transaction of its own.
+type Direct struct {
+	Table table.Table
+}
+
+// Write implements Writer.
+func (d Direct) Write(ctx context.Context, condition table.Condition, write table.Write) (table.Outcome, error) {
+	return d.Table.Commit(ctx, table.Transaction{
+		ID:         table.NewTransactionID(),
+		Conditions: []table.Condition{condition},
+		Writes:     []table.Write{write},
+	})
+}
--- /dev/null
+++ b/caller/claims/row.go
@@ -0,0 +1,88 @@
+// Package claims keeps the claims of idempotency keys in the table service, so
+// that a keyed request runs once through whichever entry it comes.
+package claims
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
+)
+
+//go:generate go tool msgp -file row.go -o row_gen.go -tests=false -unexported
+
+// Prefix begins the keys of all claim rows.
+const Prefix = "claims/"
+
+// row is a claim as it stands in the table.
+type row struct {
+	Entry      uint64 `msg:"e"`
+	Sequence   uint64 `msg:"s"`
+	Address    string `msg:"a"`
+	Home       uint64 `msg:"h"`
+	Digest     []byte `msg:"d"`
+	BornMicros int64  `msg:"b"`
+	Ended      bool   `msg:"x"`
+	HasAnswer  bool   `msg:"y"`
+	Status     int    `msg:"st"`
+	// Header holds names and values in turn.
+	Header []string `msg:"hd"`
+	Body   []byte   `msg:"bd"`
+}
+
+// rowKey returns the key of the row for an owner, service and idempotency key.
+func rowKey(owner carobkeel.Owner, service carobkeel.Service, key string) string {
+	sum := sha256.New()
+	_, _ = io.WriteString(sum, string(owner)+"\x00"+string(service)+"\x00"+key)
+	return Prefix + hex.EncodeToString(sum.Sum(nil))
+}
+
+func encode(c *caller.Claim) ([]byte, error) {
+	r := row{
+		Entry:      uint64(c.Request.Entry),
+		Sequence:   c.Request.Sequence,
+		Address:    c.Address,
+		Home:       uint64(c.Home),
+		Digest:     c.Digest[:],
+		BornMicros: c.Born.UnixMicro(),
+		Ended:      c.Ended,
+		HasAnswer:  c.Answer != nil,
+	}
+	if c.Answer != nil {
+		r.Status, r.Body = c.Answer.Status, c.Answer.Body
+		for _, field := range c.Answer.Header {
+			r.Header = append(r.Header, field.Name, field.Value)
+		}
+	}
+	data, err := r.MarshalMsg(nil)
+	return data, errors.Wrap(err, "encode claim")
+}
+
+func decode(data []byte) (*caller.Claim, error) {
+	var r row
+	if _, err := r.UnmarshalMsg(data); err != nil {
+		return nil, errors.Wrap(err, "decode claim")
+	}
+	c := &caller.Claim{
+		Request: carobkeel.RequestID{Entry: carobkeel.Incarnation(r.Entry), Sequence: r.Sequence},
+		Address: r.Address,
+		Home:    carobkeel.Incarnation(r.Home),
+		Born:    time.UnixMicro(r.BornMicros),
+		Ended:   r.Ended,
+	}
+	if copy(c.Digest[:], r.Digest) != len(c.Digest) {
+		return nil, errors.New("decode claim: short digest")
+	}
+	if r.HasAnswer {
+		c.Answer = &caller.KeptAnswer{Status: r.Status, Body: r.Body}
+		for i := 0; i+1 < len(r.Header); i += 2 {
+			c.Answer.Header = append(c.Answer.Header, carobkeel.Field{Name: r.Header[i], Value: r.Header[i+1]})
+		}
+	}
+	return c, nil
+}
--- a/caller/httpapi/handler.go
+++ b/caller/httpapi/handler.go
@@ -61,8 +61,10 @@
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	id := carobkeel.RequestID{Entry: h.self, Sequence: h.sequence.Add(1)}
-	request, refusal := h.request(r, id, started)
+	request, refusal := h.request(r, started)
+	// The id is drawn once the body is there: sidecars forget by id, and a
+	// caller may take its time to send.
+	request.ID = carobkeel.RequestID{Entry: h.self, Sequence: h.sequence.Add(1)}
 	if refusal != nil {
 		h.refuse(w, request, refusal, started)
 		return
@@ -75,7 +77,7 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
-	writeAnswer(w, id, answer)
+	writeAnswer(w, request, answer)
 	h.metrics.answered(request.Owner, request.Class, carobkeel.CodeOK, time.Since(started))
 }
 
@@ -86,15 +88,18 @@
 
 // writeAnswer gives the answer to the caller. An answer that breaks off ends the
 // connection, so that the caller does not take it for whole.
-func writeAnswer(w http.ResponseWriter, id carobkeel.RequestID, answer *caller.Answer) {
+func writeAnswer(w http.ResponseWriter, r *caller.Request, answer *caller.Answer) {
 	writeFields(w, answer.Header)
 	header := w.Header()
-	header.Set(RequestIDHeader, id.String())
+	header.Set(RequestIDHeader, r.ID.String())
 	header.Set(ResultHeader, "0")
 	if _, set := header["Content-Length"]; !set && answer.BodyLength >= 0 && bodyAllowed(answer.Status) {
 		header.Set("Content-Length", strconv.FormatInt(answer.BodyLength, 10))
 	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	if r.Body != nil {
+		// The upstream may answer before it has read the whole body.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	w.WriteHeader(answer.Status)
 	if _, err := io.Copy(w, answer.Body); err != nil {
 		panic(http.ErrAbortHandler)
@@ -105,10 +110,10 @@
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// request reads what the caller asks for. The request it returns has at least
-// its id, also beside a refusal.
-func (h *Handler) request(r *http.Request, id carobkeel.RequestID, now time.Time) (*caller.Request, *carobkeel.Error) {
-	out := &caller.Request{ID: id, Service: carobkeel.Service(chi.URLParam(r, "name")), Method: r.Method}
+// request reads what the caller asks for. It returns a request also beside a
+// refusal.
+func (h *Handler) request(r *http.Request, now time.Time) (*caller.Request, *carobkeel.Error) {
+	out := &caller.Request{Service: carobkeel.Service(chi.URLParam(r, "name")), Method: r.Method}
 	if !h.admission.Admits() {
 		return out, carobkeel.NewError(carobkeel.CodeDraining, "this entry is shutting down")
 	}
--- a/cmd/carobkeel/dev.go
+++ b/cmd/carobkeel/dev.go
@@ -11,6 +11,7 @@
 	"github.com/carobkeel/carobkeel/internal/settings"
 	"github.com/carobkeel/carobkeel/operator/catalogfile"
 	"github.com/carobkeel/carobkeel/sidecar/client"
+	"github.com/carobkeel/carobkeel/table/memory"
 )
 
 const (
@@ -54,7 +55,7 @@
 		linkListen:     "127.0.0.1:0",
 		dataCentre:     devDataCentre,
 		drainTimeout:   30 * time.Second,
-	}, client.DefaultConfig(), logs)
+	}, client.DefaultConfig(), memory.New(), logs)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -15,6 +15,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/balancer"
+	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/wire"
@@ -24,6 +25,8 @@
 	"github.com/carobkeel/carobkeel/internal/telemetry"
 	"github.com/carobkeel/carobkeel/sidecar/client"
 	"github.com/carobkeel/carobkeel/sidecar/members"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/memory"
 )
 
 // entryConfig is the settings of the entry.
@@ -89,15 +92,18 @@
 // Admits reports whether new requests are taken.
 func (p *entryProcess) Admits() bool { return p.readiness.Admits() }
 
-// startEntry starts an entry. It runs until it is stopped.
-func startEntry(c entryConfig, sidecars client.Config, logs *logging.Factory) (*entryProcess, error) {
+// startEntry starts an entry that keeps its claims in the table. It runs until it
+// is stopped.
+func startEntry(c entryConfig, sidecars client.Config, tables table.Table, logs *logging.Factory) (*entryProcess, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &entryProcess{config: c, readiness: &balancer.Readiness{}, log: logs.For("entry"), cancel: cancel}
 	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
 	self := newIncarnation()
 	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
-	handler := httpapi.New(self, p, p.forwarder, p, httpapi.NewMetrics(scope))
+	store := claims.NewStore(claims.Direct{Table: tables}, tables)
+	keyed := claims.NewForwarder(store, p.forwarder, p.log)
+	handler := httpapi.New(self, p, keyed, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
 		return nil, err
@@ -196,7 +202,7 @@
 			if code, ok := parse(fs, args, io, config, sidecars, logConfig); !ok {
 				return code
 			}
-			process, err := startEntry(*config, *sidecars, logging.NewFactory(*logConfig, io.err))
+			process, err := startEntry(*config, *sidecars, memory.New(), logging.NewFactory(*logConfig, io.err))
 			if err != nil {
 				return fail(io, err)
 			}
--- a/entry/ledger.go
+++ b/entry/ledger.go
@@ -1,9 +1,3 @@
-// Package entry is about the entries as a sidecar sees them: which of their
-// requests it has taken, in which order they start, and what it says of them
-// afterwards.
-//
-// The package is pure. The sub-packages hold the sidecar's server and the links
-// that carry events.
 package entry
 
 import (
@@ -14,106 +8,87 @@
 	"github.com/carobkeel/carobkeel"
 )
 
-// RecordState is how far a request has come at this sidecar.
-type RecordState uint32
-
-// States of a request. It moves from accepted to started to finished, or from
-// accepted to refused. Finished and refused are final.
-const (
-	// StateAccepted waits for a slot.
-	StateAccepted RecordState = iota
-	// StateStarted was sent to the upstream.
-	StateStarted
-	// StateFinished has its outcome.
-	StateFinished
-	// StateRefused will never start.
-	StateRefused
-)
-
-// Record is what a sidecar knows of one request.
-type Record struct {
-	ID      carobkeel.RequestID
-	state   atomic.Uint32
-	outcome atomic.Pointer[Outcome]
-	ended   atomic.Int64
-	done    chan struct{}
+// Ledger holds the records of a sidecar's requests. Its methods are safe for use
+// by several goroutines and take no lock that all requests share.
+//
+// A record that is forgotten leaves a trace: for each start of an entry the
+// ledger keeps the highest sequence number that it forgot. A request above that
+// number of which there is no record has never been here; one at or below it
+// may have been. So a promise that a request never started does not depend on
+// how long ago it was sent.
+type Ledger struct {
+	records   sync.Map // of carobkeel.RequestID to *Record
+	forgotten sync.Map // of carobkeel.Incarnation to *watermark
+	count     atomic.Int64
+	kept      atomic.Int64
+	limits    LedgerLimits
 }
 
-// Outcome is how a request ended.
-type Outcome struct {
-	// Refusal is the result where there is no whole answer.
-	Refusal *carobkeel.Error
-	// Status, Header and Body are the upstream's answer where Refusal is nil.
-	Status int
-	Header []carobkeel.Field
-	Body   []byte
+// LedgerLimits bounds what a ledger keeps.
+type LedgerLimits struct {
+	// Retention is how long the outcome of a request is kept.
+	Retention time.Duration
+	// KeyedRetention is how long that of a request with a key is kept.
+	KeyedRetention time.Duration
+	// KeptBytes is how many bytes of answers are kept in all.
+	KeptBytes int64
 }
 
-// State returns how far the request has come.
-func (r *Record) State() RecordState { return RecordState(r.state.Load()) }
-
-// Done is closed once the request is finished or refused.
-func (r *Record) Done() <-chan struct{} { return r.done }
-
-// Outcome returns how the request ended, nil while it has not.
-func (r *Record) Outcome() *Outcome { return r.outcome.Load() }
-
-// Start moves the request to started. It returns false where the request was
-// refused in the meantime, and then it must not be sent to the upstream.
-func (r *Record) Start() bool {
-	return r.state.CompareAndSwap(uint32(StateAccepted), uint32(StateStarted))
+// watermark is the highest sequence number that was forgotten of one entry.
+type watermark struct {
+	sequence atomic.Uint64
 }
 
-// Refuse ends a request that has not started. It returns false where the
-// request has started or ended.
-func (r *Record) Refuse(refusal *carobkeel.Error, now time.Time) bool {
-	if !r.state.CompareAndSwap(uint32(StateAccepted), uint32(StateRefused)) {
-		return false
+func (w *watermark) raise(sequence uint64) {
+	for {
+		old := w.sequence.Load()
+		if old >= sequence || w.sequence.CompareAndSwap(old, sequence) {
+			return
+		}
 	}
-	r.close(&Outcome{Refusal: refusal}, now)
-	return true
 }
 
-// Finish ends a started request with its outcome.
-func (r *Record) Finish(outcome *Outcome, now time.Time) bool {
-	if !r.state.CompareAndSwap(uint32(StateStarted), uint32(StateFinished)) {
-		return false
+// NewLedger returns an empty ledger.
+func NewLedger(limits LedgerLimits) *Ledger { return &Ledger{limits: limits} }
+
+// Begin enters a request that arrived. The second result is true where this call
+// entered it, and only then may the caller start it. The record is nil where the
+// request is so old that an earlier arrival of it may be forgotten; it must not
+// be started then either.
+func (l *Ledger) Begin(id carobkeel.RequestID, keyed bool) (*Record, bool) {
+	if held, ok := l.records.Load(id); ok {
+		return held.(*Record), false
 	}
-	r.close(outcome, now)
-	return true
+	return l.enter(id, keyed)
 }
 
-func (r *Record) close(outcome *Outcome, now time.Time) {
-	r.outcome.Store(outcome)
-	r.ended.Store(now.UnixNano())
-	close(r.done)
-}
-
-// Ledger holds the records of a sidecar's requests. Its methods are safe for use
-// by several goroutines and take no lock that all requests share.
-type Ledger struct {
-	records sync.Map // of carobkeel.RequestID to *Record
-	count   atomic.Int64
+// enter adds a record where the request can't have been forgotten.
+func (l *Ledger) enter(id carobkeel.RequestID, keyed bool) (*Record, bool) {
+	held, known := l.records.LoadOrStore(id, newRecord(id, keyed))
+	record := held.(*Record)
+	if known {
+		return record, false
+	}
+	// The watermark is read after the record is in place: Sweep raises it
+	// before it deletes, so an earlier record that is gone shows here.
+	if l.mayHaveForgotten(id) {
+		l.records.Delete(id)
+		return nil, false
+	}
+	l.count.Add(1)
+	return record, true
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{} }
-
-// Begin enters a request. The second result is false where the request is known
-// already, be it only from a query: it must then not be started by this call.
-func (l *Ledger) Begin(id carobkeel.RequestID) (*Record, bool) {
-	fresh := &Record{ID: id, done: make(chan struct{})}
-	held, known := l.records.LoadOrStore(id, fresh)
-	if !known {
-		l.count.Add(1)
-	}
-	return held.(*Record), !known
+func (l *Ledger) mayHaveForgotten(id carobkeel.RequestID) bool {
+	held, ok := l.forgotten.Load(id.Entry)
+	return ok && id.Sequence <= held.(*watermark).sequence.Load()
 }
 
-// Query returns the record of a request. Where there is none it enters one that
-// is refused, so that the answer "never" stays true.
+// Query returns the record of a request. Where it never arrived, Query enters a
+// record that is refused, so that the answer "never" stays true. The record is
+// nil where the request may have been here and is forgotten.
 func (l *Ledger) Query(id carobkeel.RequestID, now time.Time) *Record {
-	record, fresh := l.Begin(id)
+	record, fresh := l.Begin(id, false)
 	if fresh {
 		refusal := carobkeel.NewError(carobkeel.CodeLinkLost, "the request never arrived").WithRan(carobkeel.RanNo)
 		record.Refuse(refusal, now)
@@ -121,17 +96,36 @@
 	return record
 }
 
-// Sweep forgets the requests that ended before the time.
-func (l *Ledger) Sweep(before time.Time) {
+// Keep reports whether an answer with a body of so many bytes may be kept, and
+// counts it where it may.
+func (l *Ledger) Keep(bytes int) bool {
+	if l.kept.Add(int64(bytes)) > l.limits.KeptBytes {
+		l.kept.Add(int64(-bytes))
+		return false
+	}
+	return true
+}
+
+// Sweep forgets the requests whose time of retention is over at now.
+func (l *Ledger) Sweep(now time.Time) {
 	l.records.Range(func(key, value any) bool {
-		ended := value.(*Record).ended.Load()
-		if ended != 0 && ended < before.UnixNano() {
-			l.records.Delete(key)
-			l.count.Add(-1)
+		record := value.(*Record)
+		if record.expired(now, l.limits) {
+			l.forget(key.(carobkeel.RequestID), record)
 		}
 		return true
 	})
 }
 
+func (l *Ledger) forget(id carobkeel.RequestID, record *Record) {
+	held, _ := l.forgotten.LoadOrStore(id.Entry, &watermark{})
+	held.(*watermark).raise(id.Sequence)
+	l.records.Delete(id)
+	l.count.Add(-1)
+	if outcome := record.Outcome(); outcome != nil {
+		l.kept.Add(int64(-len(outcome.Body)))
+	}
+}
+
 // Len returns the number of records.
 func (l *Ledger) Len() int { return int(l.count.Load()) }
--- a/entry/server/config.go
+++ b/entry/server/config.go
@@ -19,6 +19,10 @@
 	Queue int
 	// Retention is how long the outcome of a request is kept.
 	Retention time.Duration
+	// KeyedRetention is how long that of a request with a key is kept.
+	KeyedRetention time.Duration
+	// KeptBytes is how many bytes of answers are kept in all.
+	KeptBytes int64
 	// InlineBytes is the longest answer that is kept whole, so that it can be
 	// given again over another link.
 	InlineBytes int64
@@ -29,11 +33,13 @@
 // DefaultConfig returns the settings where none are given.
 func DefaultConfig() Config {
 	return Config{
-		Slots:       8,
-		Queue:       64,
-		Retention:   30 * time.Second,
-		InlineBytes: 32 << 10,
-		Timing:      link.DefaultConfig(),
+		Slots:          8,
+		Queue:          64,
+		Retention:      30 * time.Second,
+		KeyedRetention: 10 * time.Minute,
+		KeptBytes:      32 << 20,
+		InlineBytes:    32 << 10,
+		Timing:         link.DefaultConfig(),
 	}
 }
 
@@ -43,6 +49,8 @@
 	fs.IntVar(&c.Slots, "slots", c.Slots, "requests that the upstream serves at once")
 	fs.IntVar(&c.Queue, "queue", c.Queue, "requests that may wait for a slot")
 	fs.DurationVar(&c.Retention, "retention", c.Retention, "how long the outcome of a request is kept")
+	fs.DurationVar(&c.KeyedRetention, "keyed-retention", c.KeyedRetention, "how long the outcome of a request with an idempotency key is kept")
+	fs.Int64Var(&c.KeptBytes, "kept-bytes", c.KeptBytes, "bytes of answers that are kept in all")
 	fs.Int64Var(&c.InlineBytes, "inline-bytes", c.InlineBytes, "longest answer, in bytes, that is kept to be given again")
 	return &c
 }
@@ -59,6 +67,12 @@
 	if c.Retention <= 0 {
 		problems = append(problems, settings.Problem{Name: "retention", Reason: "must be above 0"})
 	}
+	if c.KeyedRetention < c.Retention {
+		problems = append(problems, settings.Problem{Name: "keyed-retention", Reason: "must be at least -retention"})
+	}
+	if c.KeptBytes < 0 {
+		problems = append(problems, settings.Problem{Name: "kept-bytes", Reason: "must not be negative"})
+	}
 	if c.InlineBytes < 0 || c.InlineBytes > maxInlineBytes {
 		problems = append(problems, settings.Problem{Name: "inline-bytes", Reason: "must be from 0 to 131072"})
 	}
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -20,7 +20,7 @@
 	defer st.close()
 	request := requestOf(open, time.Now())
 	st.idempotent.Store(request.Idempotent)
-	record, fresh := s.ledger.Begin(request.ID)
+	record, fresh := s.ledger.Begin(request.ID, request.Key != "")
 	if !fresh {
 		st.replay(record)
 		return
@@ -82,8 +82,13 @@
 	s.finish(st, record, &entry.Outcome{Status: answer.Status, Header: answer.Header, Body: body})
 }
 
+// finish ends a request with an outcome and gives it to the entry.
 func (s *Server) finish(st *stream, record *entry.Record, o *entry.Outcome) {
-	record.Finish(o, time.Now())
+	kept := o
+	if !s.ledger.Keep(len(o.Body)) {
+		kept = &entry.Outcome{Refusal: carobkeel.NewError(carobkeel.CodeAnswerLost, "too many answers are kept")}
+	}
+	record.Finish(kept, time.Now())
 	st.answer(o)
 }
 
@@ -127,7 +132,13 @@
 	st.replay(s.ledger.Query(id, time.Now()))
 }
 
+// replay gives the outcome of a request that was here before. Where nobody can
+// say whether it was, it says so.
 func (st *stream) replay(record *entry.Record) {
+	if record == nil {
+		st.refuse(carobkeel.NewError(carobkeel.CodeUnknownRequest, "the request may have been here and is forgotten"))
+		return
+	}
 	select {
 	case <-record.Done():
 		st.answer(record.Outcome())
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -48,11 +48,15 @@
 		config:   config,
 		self:     self,
 		upstream: up,
-		ledger:   entry.NewLedger(),
-		gate:     newGate(config.Slots, config.Queue),
-		metrics:  metrics,
-		log:      logger,
-		active:   activity{idle: make(chan struct{}, 1)},
+		ledger: entry.NewLedger(entry.LedgerLimits{
+			Retention:      config.Retention,
+			KeyedRetention: config.KeyedRetention,
+			KeptBytes:      config.KeptBytes,
+		}),
+		gate:    newGate(config.Slots, config.Queue),
+		metrics: metrics,
+		log:     logger,
+		active:  activity{idle: make(chan struct{}, 1)},
 	}
 }
 
@@ -104,7 +108,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			s.ledger.Sweep(now.Add(-s.config.Retention))
+			s.ledger.Sweep(now)
 			s.metrics.state(s.Load())
 			s.dropFences()
 		}
--- a/entry/server/session.go
+++ b/entry/server/session.go
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// open takes a request. The record is entered before the next frame is read, so
-// that a query that comes later finds it.
+// open takes a request. Should a query for it be answered first, the request
+// finds itself refused.
 func (s *session) open(f frame.Frame) error {
 	var open wire.Open
 	if err := wire.Decode(f, &open); err != nil {
--- a/sidecar/client/config.go
+++ b/sidecar/client/config.go
@@ -4,7 +4,9 @@
 package client
 
 import (
+	"context"
 	"flag"
+	"net"
 	"time"
 
 	"github.com/carobkeel/carobkeel/internal/link"
@@ -21,6 +23,8 @@
 	SilenceTimeout time.Duration
 	// Attempts is the most sidecars that one request is sent to.
 	Attempts int
+	// Dial opens a connection to an address, by TCP where it is nil.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // DefaultConfig returns the settings where none are given.
--- a/sidecar/client/conn.go
+++ b/sidecar/client/conn.go
@@ -23,9 +23,6 @@
 	late  *atomic.Int64
 }
 
-// dialer opens a connection to an address.
-type dialer func(ctx context.Context, address string) (net.Conn, error)
-
 // newConn starts a link over a connection and sends the hello. The link's
 // goroutines end with ctx.
 func newConn(ctx context.Context, raw net.Conn, hello wire.Hello, config Config, late *atomic.Int64) *conn {
--- a/sidecar/client/forwarder.go
+++ b/sidecar/client/forwarder.go
@@ -33,9 +33,12 @@
 
 // NewForwarder returns a forwarder whose links end with ctx.
 func NewForwarder(ctx context.Context, self carobkeel.Incarnation, views Views, config Config, metrics *Metrics) *Forwarder {
+	if config.Dial == nil {
+		config.Dial = dialTCP
+	}
 	return &Forwarder{
 		views:   views,
-		pool:    newPool(ctx, self, config, dialTCP),
+		pool:    newPool(ctx, self, config),
 		config:  config,
 		metrics: metrics,
 	}
@@ -83,9 +86,12 @@
 	started := time.Now()
 	release := func() { m.Live.InFlight.Add(-1) }
 	c, err := f.pool.conn(ctx, m.Address)
+	if err == nil && c.incarnation() != m.Incarnation {
+		err = errReplaced
+	}
 	if err != nil {
 		release()
-		return nil, carobkeel.NewError(carobkeel.CodeUpstreamUnreachable, "%v", err)
+		return nil, carobkeel.NewError(carobkeel.CodeUpstreamUnreachable, "sidecar %s: %v", m.Address, err)
 	}
 	s, ok := newStream(ctx, c, loadRecorder(m))
 	if !ok {
@@ -97,8 +103,12 @@
 		go sendBody(ctx, s, body)
 	}
 	got := await(ctx, s)
+	if got.lost && repeatsFreely(r) {
+		release()
+		return nil, carobkeel.NewError(carobkeel.CodeLinkLost, "the link to sidecar %s was lost", m.Address)
+	}
 	if got.lost {
-		s, got = f.query(ctx, m, c, r)
+		s, got = f.query(ctx, m.Address, m.Incarnation, r.ID, loadRecorder(m))
 	}
 	if got.refusal != nil {
 		release()
@@ -108,6 +118,12 @@
 	return newAnswer(s, got.answer, release), nil
 }
 
+// repeatsFreely reports whether sending the request again is quicker than asking
+// what became of it, and harmless.
+func repeatsFreely(r *caller.Request) bool {
+	return r.Idempotent && r.Key == "" && r.Repeatable()
+}
+
 // await parks until the answer begins. Once the caller's time has run out it
 // asks the sidecar to drop the request and waits a moment for its word.
 func await(ctx context.Context, s *stream) result {
@@ -137,30 +153,6 @@
 	return carobkeel.NewError(carobkeel.CodeCallerGone, "the caller went away with the request at a sidecar")
 }
 
-// query asks the sidecar over a new link what became of a request whose link
-// was lost.
-func (f *Forwarder) query(ctx context.Context, m *sidecar.Member, lost *conn, r *caller.Request) (*stream, result) {
-	f.metrics.query()
-	unknown := carobkeel.NewError(carobkeel.CodeLinkLost, "the link to sidecar %s was lost", m.Address)
-	c, err := f.pool.conn(ctx, m.Address)
-	if err != nil || c.incarnation() != lost.incarnation() {
-		return nil, result{refusal: unknown}
-	}
-	s, ok := newStream(ctx, c, loadRecorder(m))
-	if !ok {
-		return nil, result{refusal: unknown}
-	}
-	c.link.Send(wire.Encode(wire.TypeQuery, s.number, &wire.Query{
-		EntryIncarnation: uint64(r.ID.Entry),
-		Sequence:         r.ID.Sequence,
-	}))
-	got := await(ctx, s)
-	if got.lost {
-		got = result{refusal: unknown}
-	}
-	return s, got
-}
-
 func loadRecorder(m *sidecar.Member) func(wire.Load) {
 	return func(l wire.Load) { m.Live.Remote.Store(int64(l.Running) + int64(l.Queued)) }
 }
--- a/sidecar/client/pool.go
+++ b/sidecar/client/pool.go
@@ -18,7 +18,6 @@
 	ctx    context.Context
 	self   carobkeel.Incarnation
 	config Config
-	dial   dialer
 	peers  atomic.Pointer[map[string]*peer]
 	late   atomic.Int64
 	// generation numbers all links of this process, so that a later link to a
@@ -39,8 +38,8 @@
 	err  error
 }
 
-func newPool(ctx context.Context, self carobkeel.Incarnation, config Config, dial dialer) *pool {
-	p := &pool{ctx: ctx, self: self, config: config, dial: dial}
+func newPool(ctx context.Context, self carobkeel.Incarnation, config Config) *pool {
+	p := &pool{ctx: ctx, self: self, config: config}
 	p.peers.Store(&map[string]*peer{})
 	return p
 }
@@ -143,7 +142,7 @@
 	defer close(a.done)
 	ctx, cancel := context.WithTimeout(p.ctx, p.config.DialTimeout)
 	defer cancel()
-	raw, err := p.dial(ctx, target.address)
+	raw, err := p.config.Dial(ctx, target.address)
 	if err != nil {
 		a.err = errors.Wrapf(err, "connect to sidecar %s", target.address)
 		return
