Number the frames of a link and prove the path by a fault matrix

The checksum covers one frame, not its place. Change: each frame carries its place in the order of its link, and a reader that finds another ends the link; the request is then asked for over a new one. The matrix runs every fault at every step for each kind of request in virtual time and holds what callers were told against the upstream's record.

--- /dev/null
+++ b/caller/claims/faults_test.go
@@ -0,0 +1,263 @@
+package claims_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/sidecar/wire"
+)
+
+// effect is what a fault does to a frame or to its link.
+type effect uint8
+
+const (
+	effectNone effect = iota
+	effectReset
+	effectSilent
+	effectStall
+	effectDelay
+	effectDuplicate
+	effectTruncate
+	effectCorrupt
+	effectReorder
+	effectKillSidecar
+	effectReplaceSidecar
+	effectKillEntry
+	effectStoreDown
+)
+
+var effectNames = map[effect]string{
+	effectNone: "none", effectReset: "reset", effectSilent: "silent", effectStall: "stall", effectDelay: "delay",
+	effectDuplicate: "duplicate", effectTruncate: "truncate", effectCorrupt: "corrupt", effectReorder: "reorder",
+	effectKillSidecar: "kill-sidecar", effectReplaceSidecar: "replace-sidecar", effectKillEntry: "kill-entry",
+	effectStoreDown: "store-down",
+}
+
+// step is where in a request's life a fault happens.
+type step struct {
+	name string
+	// direction and frameType choose a frame; work chooses the upstream's
+	// start or finish instead.
+	direction direction
+	frameType frame.Type
+	work      string
+}
+
+var steps = []step{
+	{name: "hello-to-sidecar", direction: toSidecar, frameType: wire.TypeHello},
+	{name: "hello-to-entry", direction: toEntry, frameType: wire.TypeHello},
+	{name: "open", direction: toSidecar, frameType: wire.TypeOpen},
+	{name: "body", direction: toSidecar, frameType: wire.TypeBody},
+	{name: "body-end", direction: toSidecar, frameType: wire.TypeBodyEnd},
+	{name: "started", work: "start"},
+	{name: "finished", work: "finish"},
+	{name: "answer", direction: toEntry, frameType: wire.TypeAnswer},
+	{name: "answer-body", direction: toEntry, frameType: wire.TypeAnswerBody},
+	{name: "credit", direction: toSidecar, frameType: wire.TypeCredit},
+	{name: "answer-end", direction: toEntry, frameType: wire.TypeAnswerEnd},
+}
+
+// frameFault is one fault at one step. It happens once.
+type frameFault struct {
+	step   step
+	effect effect
+	done   bool
+	// process carries out the effects on processes and the store.
+	process func(effect)
+}
+
+func (f *frameFault) isFrameEffect() bool { return f.effect <= effectReorder }
+
+// effect returns what happens to a frame.
+func (w *world) effect(d direction, kind frame.Type) effect {
+	w.mu.Lock()
+	fault := w.fault
+	hit := fault != nil && !fault.done && fault.step.work == "" && fault.step.direction == d && fault.step.frameType == kind
+	if hit {
+		fault.done = true
+	}
+	w.mu.Unlock()
+	switch {
+	case !hit:
+		return effectNone
+	case fault.isFrameEffect():
+		return fault.effect
+	}
+	fault.process(fault.effect)
+	return effectNone
+}
+
+// worked applies a fault at the upstream's start or finish.
+func (w *world) worked(point string) {
+	w.mu.Lock()
+	fault := w.fault
+	hit := fault != nil && !fault.done && fault.step.work == point
+	if hit {
+		fault.done = true
+	}
+	relays := w.relays
+	w.mu.Unlock()
+	if !hit {
+		return
+	}
+	switch fault.effect {
+	case effectReset:
+		for _, r := range relays {
+			r.reset()
+		}
+	case effectSilent, effectStall:
+		for _, r := range relays {
+			r.apply(fault.effect)
+		}
+	default:
+		fault.process(fault.effect)
+	}
+}
+
+// kind is a kind of request.
+type kind struct {
+	idempotent, keyed bool
+	size              int // of request and answer
+}
+
+func (k kind) String() string {
+	return fmt.Sprintf("idempotent=%v,keyed=%v,size=%d", k.idempotent, k.keyed, k.size)
+}
+
+const (
+	small = 16
+	large = 700 << 10
+)
+
+func kinds() []kind {
+	var all []kind
+	for _, size := range []int{small, large} {
+		for _, idempotent := range []bool{false, true} {
+			for _, keyed := range []bool{false, true} {
+				all = append(all, kind{idempotent: idempotent, keyed: keyed, size: size})
+			}
+		}
+	}
+	return all
+}
+
+// TestFaultMatrix holds what callers are told against the upstreams' record, for
+// every fault at every step and every kind of request.
+func TestFaultMatrix(t *testing.T) {
+	for _, k := range kinds() {
+		for _, s := range steps {
+			for e := effectNone; e <= effectStoreDown; e++ {
+				name := fmt.Sprintf("%s/%s/%s", k, s.name, effectNames[e])
+				t.Run(name, func(t *testing.T) {
+					inBubble(t, func(t *testing.T, ctx context.Context) { runFault(t, ctx, k, s, e) })
+				})
+			}
+		}
+	}
+}
+
+func runFault(t *testing.T, ctx context.Context, k kind, s step, e effect) {
+	w := newWorld(t, ctx, k.size)
+	w.startSidecar("s2")
+	first, second := w.startEntry(1), w.startEntry(2)
+	callerCtx, callerGone := context.WithCancel(ctx)
+	w.fault = &frameFault{step: s, effect: e, process: func(e effect) {
+		switch e {
+		case effectKillSidecar:
+			go w.killSidecar(w.busySidecar())
+		case effectReplaceSidecar:
+			go w.replaceSidecar(w.busySidecar())
+		case effectKillEntry:
+			first.cancel()
+			callerGone()
+		case effectStoreDown:
+			w.table.setDown(true)
+		}
+	}}
+	w.record.onStart = func() { w.worked("start") }
+	w.record.onFinish = func() { w.worked("finish") }
+
+	content := strings.Repeat("x", k.size)
+	key := ""
+	if k.keyed {
+		key = "key-1"
+	}
+	heard := []told{first.send(callerCtx, k.idempotent, key, content)}
+	if k.keyed {
+		heard = append(heard, second.send(ctx, k.idempotent, key, content))
+		w.table.setDown(false)
+		time.Sleep(30 * time.Second)
+		heard = append(heard, second.send(ctx, k.idempotent, key, content))
+	}
+	// Whatever is still under way gets its time before the record is read.
+	time.Sleep(5 * time.Minute)
+	NewWithT(t).Expect(w.fault.done).To(Equal(s.happens(k)), "the fault was to happen where its step does")
+	judge(t, w, k, e, content, heard)
+}
+
+// happens reports whether a request of the kind passes the step. The bodies of
+// small ones go with the first frame.
+func (s step) happens(k kind) bool {
+	switch s.frameType {
+	case wire.TypeBody, wire.TypeBodyEnd, wire.TypeAnswerBody, wire.TypeAnswerEnd:
+		return k.size == large
+	case wire.TypeCredit:
+		return k.size == large
+	}
+	return true
+}
+
+// busySidecar returns the address of a sidecar whose process lives, the one with
+// a link first.
+func (w *world) busySidecar() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, ok := w.sidecars[w.lastDialed]; ok {
+		return w.lastDialed
+	}
+	return "s1"
+}
+
+func judge(t *testing.T, w *world, k kind, e effect, content string, heard []told) {
+	t.Helper()
+	g := NewWithT(t)
+	runs := w.record.count(content)
+	story := fmt.Sprintf("told %v, ran %d times", heard, runs)
+	if !k.idempotent || k.keyed {
+		g.Expect(runs).To(BeNumerically("<=", 1), story)
+	}
+	answered := false
+	for _, o := range heard {
+		if o.err == nil {
+			answered = true
+			g.Expect(o.body == content).To(BeTrue(), "answer is not the request's own: "+story)
+			continue
+		}
+		// With a key, a later repeat may run what an earlier one was told had
+		// not; without one nothing may run after that.
+		if o.err.Ran == carobkeel.RanNo && !k.keyed {
+			g.Expect(runs).To(BeZero(), story)
+		}
+		if o.err.Ran == carobkeel.RanYes {
+			g.Expect(runs).To(BeNumerically(">=", 1), story)
+		}
+	}
+	if answered {
+		g.Expect(runs).To(BeNumerically(">=", 1), story)
+	}
+	if e == effectNone {
+		g.Expect(heard[0].err).NotTo(HaveOccurred(), story)
+	}
+	if k.keyed && runs == 0 {
+		for _, o := range heard {
+			g.Expect(o.err.Ran).NotTo(Equal(carobkeel.RanYes), story)
+		}
+	}
+}
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -1,11 +1,15 @@
 // Package frame is the framing between the system's own processes: a length, a
-// checksum, a type, a stream number and a payload.
+// checksum, a place in the order of frames, a type, a stream number and a
+// payload.
 //
 //	length   4 bytes, big endian, of all that follows the checksum
 //	checksum 4 bytes, CRC-32C of all that follows
+//	order    4 bytes, big endian, one more than that of the frame before
 //	type     1 byte
 //	stream   8 bytes, big endian
-//	payload  length - 9 bytes
+//	payload  length - 13 bytes
+//
+// A frame that is damaged, missing, doubled or out of order ends the reading.
 package frame
 
 import (
@@ -18,14 +22,17 @@
 
 const (
 	prefixBytes = 8
-	headBytes   = 9
+	headBytes   = 13
+	typeOffset  = 4
+	// streamOffset is where the stream's number begins after the checksum.
+	streamOffset = 5
 	// MaxPayload is the largest payload of one frame, in bytes. Larger content
 	// goes in pieces.
 	MaxPayload = 256 << 10
 )
 
-// ErrCorrupt says that a frame's length or checksum is wrong. The link that it
-// came on can't be read any further.
+// ErrCorrupt says that a frame's length, checksum or order is wrong. The link
+// that it came on can't be read any further.
 var ErrCorrupt = errors.New("corrupt frame")
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -51,18 +58,26 @@
 	Payload []byte
 }
 
-// Append appends the frame's bytes to buf and returns it.
-func Append(buf []byte, f Frame) ([]byte, error) {
+// Writer numbers frames and encodes them. The zero value begins a link.
+type Writer struct {
+	order uint32
+}
+
+// Append appends the bytes of the next frame to buf and returns it.
+func (w *Writer) Append(buf []byte, f Frame) ([]byte, error) {
 	if len(f.Payload) > MaxPayload {
 		return buf, errors.Errorf("payload of %d bytes exceeds %d", len(f.Payload), MaxPayload)
 	}
 	start := len(buf)
 	buf = binary.BigEndian.AppendUint32(buf, uint32(headBytes+len(f.Payload)))
-	buf = append(buf, 0, 0, 0, 0, byte(f.Type))
+	buf = append(buf, 0, 0, 0, 0)
+	buf = binary.BigEndian.AppendUint32(buf, w.order)
+	buf = append(buf, byte(f.Type))
 	buf = binary.BigEndian.AppendUint64(buf, f.Stream)
 	buf = append(buf, f.Payload...)
 	sum := crc32.Checksum(buf[start+prefixBytes:], castagnoli)
 	binary.BigEndian.PutUint32(buf[start+4:], sum)
+	w.order++
 	return buf, nil
 }
 
@@ -70,6 +85,7 @@
 type Reader struct {
 	source io.Reader
 	prefix [prefixBytes]byte
+	order  uint32
 }
 
 // NewReader returns a reader of source. Give it a buffered source.
@@ -91,9 +107,13 @@
 	if crc32.Checksum(body, castagnoli) != binary.BigEndian.Uint32(r.prefix[4:]) {
 		return Frame{}, errors.Wrap(ErrCorrupt, "checksum")
 	}
+	if order := binary.BigEndian.Uint32(body); order != r.order {
+		return Frame{}, errors.Wrapf(ErrCorrupt, "frame %d in the place of %d", order, r.order)
+	}
+	r.order++
 	return Frame{
-		Type:    Type(body[0]),
-		Stream:  binary.BigEndian.Uint64(body[1:headBytes]),
+		Type:    Type(body[typeOffset]),
+		Stream:  binary.BigEndian.Uint64(body[streamOffset:headBytes]),
 		Payload: body[headBytes:],
 	}, nil
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -54,7 +54,8 @@
 	cause    atomic.Pointer[error]
 	// heard counts frames received. The heartbeat compares it over time, so
 	// that the reading side reads no clock.
-	heard atomic.Uint64
+	heard  atomic.Uint64
+	writer frame.Writer
 }
 
 // New returns a link over conn, which the link then owns.
@@ -167,7 +168,7 @@
 			}
 			buf = buf[:0]
 		}
-		if buf, err = frame.Append(buf, f); err != nil {
+		if buf, err = l.writer.Append(buf, f); err != nil {
 			return buf, err
 		}
 	}
