Keep the benchmark's results by commit

Cause: a figure that got worse could not be seen, since results were only printed.

Change: cmd/benchmark writes JSON lines with commit, seed and time (-out, make bench) and keeps docs/MEASUREMENTS.md, a table by commit for each figure with a list of those that got worse (-history, make history). internal/measurement holds records, series over a size and fitted lines. A suite measures the metrics by owner and class.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: dev test lint generate check-generate bench soak fmt
+.PHONY: dev test lint generate check-generate bench history soak fmt
 
 dev:
 	$(GO) run ./cmd/carobkeel dev
@@ -23,8 +23,13 @@
 check-generate: generate
 	@git diff --exit-code -- '*_gen.go' || (echo "generated code is not current: run make generate"; exit 1)
 
+COMMIT = $$(git describe --always --dirty --exclude '*')
+
 bench:
-	$(GO) run ./cmd/benchmark
+	$(GO) run ./cmd/benchmark -commit $(COMMIT) -out bench-results/$(COMMIT).jsonl
+
+history:
+	$(GO) run ./cmd/benchmark -commit $(COMMIT) -out bench-results/$(COMMIT).jsonl -history docs/MEASUREMENTS.md
 
 soak:
 	$(GO) run ./cmd/soak
--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
+	"github.com/carobkeel/carobkeel/internal/measurement"
 	"github.com/carobkeel/carobkeel/internal/settings"
 )
 
@@ -30,6 +32,7 @@
 func suites() []suite {
 	return []suite{
 		catalogueSuite(),
+		telemetrySuite(),
 	}
 }
 
@@ -41,28 +44,56 @@
 	fs := flag.NewFlagSet("benchmark", flag.ContinueOnError)
 	only := fs.String("only", "", "comma-separated names of the suites to run; all where empty")
 	seed := fs.Uint64("seed", 1, "seed of every random choice")
+	out := fs.String("out", "", "file that the results are appended to as JSON lines")
+	history := fs.String("history", "", "page of measurements that the results are added to")
+	commit := fs.String("commit", "unknown", "commit that is measured")
 	if err := settings.Parse(fs, args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	failed := false
+	info := runInfo{time: time.Now().UTC().Truncate(time.Second), commit: *commit, seed: *seed}
+	records, failed := runSuites(*only, info)
+	if err := save(records, *out, *history); err != nil {
+		fmt.Fprintf(os.Stderr, "benchmark: %v\n", err)
+		return 1
+	}
+	if failed {
+		return 1
+	}
+	return 0
+}
+
+// runSuites runs the selected suites and prints their figures. A suite that
+// fails does not stop the others.
+func runSuites(only string, info runInfo) (records []measurement.Record, failed bool) {
 	for _, s := range suites() {
-		if !selected(*only, s.name) {
+		if !selected(only, s.name) {
 			continue
 		}
-		figures, err := s.run(context.Background(), options{seed: *seed})
+		figures, err := s.run(context.Background(), options{seed: info.seed})
 		for _, f := range figures {
 			fmt.Println(s.name + "/" + f.line())
+			records = append(records, info.record(s.name, f))
 		}
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "benchmark: %s: %v\n", s.name, err)
 			failed = true
 		}
 	}
-	if failed {
-		return 1
+	return records, failed
+}
+
+// save writes the records to the files that were asked for.
+func save(records []measurement.Record, out, history string) error {
+	if out != "" {
+		if err := writeRecords(out, records); err != nil {
+			return err
+		}
 	}
-	return 0
+	if history != "" {
+		return addHistory(history, records)
+	}
+	return nil
 }
 
 func selected(only, name string) bool {
--- /dev/null
+++ b/internal/measurement/history.go
@@ -0,0 +1,158 @@
+package measurement
+
+import (
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// worseBy is the relative change against the best earlier value from which a
+// figure is listed as worse.
+const worseBy = 0.10
+
+const historyHeader = `# Measurements
+
+Every figure by commit, as ` + "`make history`" + ` measured and appended it
+(` + "`go run ./cmd/benchmark -history docs/MEASUREMENTS.md`" + `). The change is
+against the line before. Figures vary from run to run and from host to host:
+compare lines of one host, and run again what looks worse.
+`
+
+// HistoryRow is one line of a figure's history.
+type HistoryRow struct {
+	Date, Commit string
+	Seed         uint64
+	Value        float64
+	Target       string
+	Verdict      string
+}
+
+// FigureHistory is the lines of one figure, the oldest first.
+type FigureHistory struct {
+	Figure, Unit string
+	Rows         []HistoryRow
+}
+
+// History is the content of docs/MEASUREMENTS.md.
+type History []FigureHistory
+
+var (
+	historyTitle = regexp.MustCompile(`^### (\S+) \((.*)\)$`)
+	historyRow   = regexp.MustCompile(`^\| (\S+) \| (\S+) \| (\d+) \| (\S+) \| [^|]* \| (\S+) \| (\S+) \|$`)
+)
+
+// ParseHistory reads the page that String renders.
+func ParseHistory(page string) History {
+	var history History
+	for _, line := range strings.Split(page, "\n") {
+		if title := historyTitle.FindStringSubmatch(line); title != nil {
+			history = append(history, FigureHistory{Figure: title[1], Unit: title[2]})
+			continue
+		}
+		row := historyRow.FindStringSubmatch(line)
+		if row == nil || len(history) == 0 {
+			continue
+		}
+		seed, _ := strconv.ParseUint(row[3], 10, 64)
+		value, err := strconv.ParseFloat(row[4], 64)
+		if err != nil {
+			continue
+		}
+		last := &history[len(history)-1]
+		last.Rows = append(last.Rows, HistoryRow{row[1], row[2], seed, value, row[5], row[6]})
+	}
+	return history
+}
+
+// Add appends the records, each to its figure.
+func (h History) Add(records []Record) History {
+	for _, record := range records {
+		row := HistoryRow{
+			Date: record.Time.UTC().Format("2006-01-02T15:04Z"), Commit: record.Commit, Seed: record.Seed,
+			Value: record.Value, Target: record.Target, Verdict: record.Verdict,
+		}
+		h = h.addRow(record.Figure(), record.Unit, row)
+	}
+	sort.SliceStable(h, func(i, j int) bool { return suiteOf(h[i].Figure) < suiteOf(h[j].Figure) })
+	return h
+}
+
+func suiteOf(figure string) string {
+	suite, _, _ := strings.Cut(figure, "/")
+	return suite
+}
+
+func (h History) addRow(figure, unit string, row HistoryRow) History {
+	for i := range h {
+		if h[i].Figure == figure {
+			h[i].Rows = append(h[i].Rows, row)
+			return h
+		}
+	}
+	return append(h, FigureHistory{Figure: figure, Unit: unit, Rows: []HistoryRow{row}})
+}
+
+// String renders the page.
+func (h History) String() string {
+	var page strings.Builder
+	page.WriteString(historyHeader)
+	page.WriteString("\n## Figures that got worse\n\n")
+	worse := h.worse()
+	if len(worse) == 0 {
+		fmt.Fprintf(&page, "None is more than %.0f%% worse than its best earlier line.\n", 100*worseBy)
+	}
+	for _, line := range worse {
+		page.WriteString(line)
+	}
+	page.WriteString("\n## All figures\n")
+	for _, figure := range h {
+		figure.render(&page)
+	}
+	return page.String()
+}
+
+func (f FigureHistory) render(page *strings.Builder) {
+	fmt.Fprintf(page, "\n### %s (%s)\n\n", f.Figure, f.Unit)
+	page.WriteString("| date | commit | seed | value | change | target | verdict |\n|---|---|---|---|---|---|---|\n")
+	for i, row := range f.Rows {
+		change := "-"
+		if i > 0 && f.Rows[i-1].Value != 0 {
+			before := f.Rows[i-1].Value
+			change = fmt.Sprintf("%+.1f%%", 100*(row.Value-before)/before)
+		}
+		fmt.Fprintf(page, "| %s | %s | %d | %s | %s | %s | %s |\n", row.Date, row.Commit, row.Seed,
+			strconv.FormatFloat(row.Value, 'g', 5, 64), change, row.Target, row.Verdict)
+	}
+}
+
+// worse returns a line for each figure whose last value is worse than its best
+// earlier one. A figure with a lower bound is better when it is greater, every
+// other one when it is less.
+func (h History) worse() []string {
+	var lines []string
+	for _, figure := range h {
+		last := len(figure.Rows) - 1
+		if last < 1 {
+			continue
+		}
+		higherIsBetter := strings.HasPrefix(figure.Rows[last].Target, ">=")
+		best := figure.Rows[0].Value
+		for _, row := range figure.Rows[:last] {
+			if (row.Value > best) == higherIsBetter {
+				best = row.Value
+			}
+		}
+		value := figure.Rows[last].Value
+		isWorse := value > best*(1+worseBy)
+		if higherIsBetter {
+			isWorse = value < best*(1-worseBy)
+		}
+		if isWorse {
+			lines = append(lines, fmt.Sprintf("- %s: %.5g %s at %s, best earlier line %.5g\n",
+				figure.Figure, value, figure.Unit, figure.Rows[last].Commit, best))
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/measurement/record.go
@@ -0,0 +1,138 @@
+// Package measurement holds the machine-readable results of the benchmark:
+// records, series over a size, and the lines that are fitted to them.
+package measurement
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"regexp"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Record is one measured figure. It says nothing about the host.
+type Record struct {
+	Time   time.Time `json:"time"`
+	Commit string    `json:"commit"`
+	Seed   uint64    `json:"seed"`
+	Suite  string    `json:"suite"`
+	Name   string    `json:"name"`
+	Value  float64   `json:"value"`
+	Unit   string    `json:"unit"`
+	// Target is the bound with its side, as in "<=78.8", or "-".
+	Target  string `json:"target"`
+	Verdict string `json:"verdict"`
+}
+
+// Figure returns the suite and name of the record.
+func (r Record) Figure() string { return r.Suite + "/" + r.Name }
+
+// Write writes the records, a JSON object a line.
+func Write(w io.Writer, records []Record) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetEscapeHTML(false)
+	for _, record := range records {
+		if err := encoder.Encode(record); err != nil {
+			return errors.Wrap(err, "write a measurement")
+		}
+	}
+	return nil
+}
+
+// Read reads what Write wrote.
+func Read(r io.Reader) ([]Record, error) {
+	var records []Record
+	lines := bufio.NewScanner(r)
+	for number := 1; lines.Scan(); number++ {
+		if strings.TrimSpace(lines.Text()) == "" {
+			continue
+		}
+		var record Record
+		if err := json.Unmarshal(lines.Bytes(), &record); err != nil {
+			return nil, errors.Wrapf(err, "line %d", number)
+		}
+		records = append(records, record)
+	}
+	return records, errors.Wrap(lines.Err(), "read measurements")
+}
+
+// ReadFile reads a file that Write wrote.
+func ReadFile(path string) ([]Record, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read measurements")
+	}
+	defer file.Close()
+	records, err := Read(file)
+	return records, errors.Wrap(err, path)
+}
+
+// sized matches the name of a figure that was measured at a size, as in
+// "apply-change-1000-entries".
+var sized = regexp.MustCompile(`^(.+)-(\d+)-(.+)$`)
+
+// Point is the value of a figure at one size.
+type Point struct{ Size, Value float64 }
+
+// Series is a figure that was measured at several sizes.
+type Series struct {
+	// Name has N in place of the size, as in "catalogue/apply-change-N-entries".
+	Name   string
+	Unit   string
+	Commit string
+	// Points are ordered by size. A size that was measured several times has the
+	// latest value.
+	Points []Point
+}
+
+// AllSeries groups the records with a size in their name.
+func AllSeries(records []Record) map[string]Series {
+	ordered := append([]Record(nil), records...)
+	sort.SliceStable(ordered, func(i, j int) bool { return ordered[i].Time.Before(ordered[j].Time) })
+	all := make(map[string]Series)
+	for _, record := range ordered {
+		match := sized.FindStringSubmatch(record.Name)
+		if match == nil {
+			continue
+		}
+		size, err := strconv.ParseFloat(match[2], 64)
+		if err != nil {
+			continue
+		}
+		name := record.Suite + "/" + match[1] + "-N-" + match[3]
+		series := all[name]
+		series.Name, series.Unit, series.Commit = name, record.Unit, record.Commit
+		series.Points = withPoint(series.Points, Point{Size: size, Value: record.Value})
+		all[name] = series
+	}
+	return all
+}
+
+func withPoint(points []Point, point Point) []Point {
+	for i := range points {
+		if points[i].Size == point.Size {
+			points[i].Value = point.Value
+			return points
+		}
+	}
+	points = append(points, point)
+	sort.Slice(points, func(i, j int) bool { return points[i].Size < points[j].Size })
+	return points
+}
+
+// Latest returns the last record of each figure.
+func Latest(records []Record) map[string]Record {
+	latest := make(map[string]Record)
+	for _, record := range records {
+		if known, ok := latest[record.Figure()]; !ok || !record.Time.Before(known.Time) {
+			latest[record.Figure()] = record
+		}
+	}
+	return latest
+}
