--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -46,6 +46,7 @@
 		entryCommand(),
 		sidecarCommand(),
 		sampleEchoCommand(),
+		loadCommand(),
 		versionCommand(),
 	}
 }
