--- a/operator/catalogfile/node.go
+++ b/operator/catalogfile/node.go
@@ -117,7 +117,7 @@
 		o.add(o.path+name, node.Line, "want a list, have %s", kindName(node))
 		return nil
 	}
-	values := make([]string, 0, len(node.Content))
+	var values []string
 	for _, item := range node.Content {
 		if item.Kind != yaml.ScalarNode {
 			o.add(o.path+name, item.Line, "want a list of strings, have %s in it", kindName(item))
--- /dev/null
+++ b/operator/edit.go
@@ -0,0 +1,250 @@
+package operator
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+)
+
+// MaxEditItems bounds the items of one edit, which is one transaction.
+const MaxEditItems = 500
+
+// Edit is what an operator asks to change. It is taken wholly or not at all.
+type Edit struct {
+	ID    EditID
+	By    string
+	Items []EditItem
+}
+
+// EditItem sets or removes one entry or owner.
+type EditItem struct {
+	Kind   Kind
+	Name   string
+	Expect Expectation
+	// Entry is the new entry, nil where the kind is another or it is removed.
+	Entry *carobkeel.Entry
+	// Quota is the new quota, nil where the kind is another or it is removed.
+	Quota *carobkeel.Quota
+}
+
+func (i EditItem) isRemoval() bool { return i.Entry == nil && i.Quota == nil }
+
+// expectationKind says which state an edit expects.
+type expectationKind uint8
+
+const (
+	expectAny expectationKind = iota
+	expectAbsent
+	expectPresent
+	expectRevision
+)
+
+// Expectation is the state in which an edit expects an entry or owner. The zero
+// value expects nothing.
+type Expectation struct {
+	kind     expectationKind
+	revision carobkeel.Revision
+}
+
+// ExpectAny takes every state.
+func ExpectAny() Expectation { return Expectation{} }
+
+// ExpectAbsent expects that there is none of that name.
+func ExpectAbsent() Expectation { return Expectation{kind: expectAbsent} }
+
+// ExpectPresent expects that there is one of that name.
+func ExpectPresent() Expectation { return Expectation{kind: expectPresent} }
+
+// ExpectRevision expects that the given revision last changed it.
+func ExpectRevision(revision carobkeel.Revision) Expectation {
+	return Expectation{kind: expectRevision, revision: revision}
+}
+
+// check compares the expectation with the item's present state.
+func (e Expectation) check(kind Kind, name string, present bool, revision carobkeel.Revision) error {
+	state := "is absent"
+	if present {
+		state = fmt.Sprintf("is at revision %d", revision)
+	}
+	switch {
+	case e.kind == expectAbsent && present:
+		return carobkeel.NewError(carobkeel.CodeRevisionConflict, "%s %q %s, the edit expects none", kind, name, state)
+	case e.kind == expectPresent && !present:
+		return carobkeel.NewError(carobkeel.CodeRevisionConflict, "%s %q %s, the edit expects one", kind, name, state)
+	case e.kind == expectRevision && (!present || revision != e.revision):
+		return carobkeel.NewError(carobkeel.CodeRevisionConflict, "%s %q %s, the edit expects revision %d", kind, name, state, e.revision)
+	}
+	return nil
+}
+
+// EditOf returns the edit that sets everything in the document. An owner or
+// entry with a revision is expected at it.
+func EditOf(doc Document, id EditID, by string) Edit {
+	edit := Edit{ID: id, By: by}
+	for _, quota := range doc.Quotas {
+		edit.Items = append(edit.Items, EditItem{
+			Kind: KindOwner, Name: string(quota.Owner), Expect: expectationOf(quota.Revision), Quota: &quota,
+		})
+	}
+	for _, entry := range doc.Entries {
+		edit.Items = append(edit.Items, EditItem{
+			Kind: KindEntry, Name: entry.Name, Expect: expectationOf(entry.Revision), Entry: &entry,
+		})
+	}
+	return edit
+}
+
+func expectationOf(revision carobkeel.Revision) Expectation {
+	if revision == 0 {
+		return ExpectAny()
+	}
+	return ExpectRevision(revision)
+}
+
+// Plan decides whether the edit may be taken on the current catalogue while the
+// given work runs. It returns the change that would be made; one without items
+// says that the catalogue is already as the edit wants it. A refusal is a
+// Problems where the edit is not valid, else a carobkeel.Error.
+func Plan(current *carobkeel.Catalogue, edit Edit, usage Usage, now time.Time) (Change, error) {
+	if len(edit.Items) > MaxEditItems {
+		return Change{}, Problems{{Reason: fmt.Sprintf("the edit has %d items, want at most %d", len(edit.Items), MaxEditItems)}}
+	}
+	change := Change{Revision: revisionOf(current) + 1, Edit: edit.ID, By: edit.By, At: now}
+	for _, item := range edit.Items {
+		planned, changed, err := planItem(current, item, change.Revision)
+		if err != nil {
+			return Change{}, err
+		}
+		if changed {
+			change.Items = append(change.Items, planned)
+		}
+	}
+	if err := validateItems(edit.Items).AsError(); err != nil {
+		return Change{}, err
+	}
+	next, err := Apply(current, change)
+	if err != nil {
+		return Change{}, err
+	}
+	if err := checkReferences(next, change.Items); err != nil {
+		return Change{}, err
+	}
+	if err := usage.check(change.Items); err != nil {
+		return Change{}, err
+	}
+	return change, nil
+}
+
+// planItem checks an item's expectation and fills in its present state. The
+// second result is false where nothing would change.
+func planItem(current *carobkeel.Catalogue, item EditItem, revision carobkeel.Revision) (ChangeItem, bool, error) {
+	planned := ChangeItem{Kind: item.Kind, Name: item.Name}
+	var present bool
+	var last carobkeel.Revision
+	if item.Kind == KindEntry {
+		if entry, ok := current.Lookup(item.Name); ok {
+			planned.EntryBefore, present, last = entry, true, entry.Revision
+		}
+	} else if quota, ok := lookupQuota(current, item.Name); ok {
+		planned.QuotaBefore, present, last = &quota, true, quota.Revision
+	}
+	if item.isRemoval() && !present {
+		return planned, false, carobkeel.NewError(carobkeel.CodeUnknownEntry, "there is no %s %q", item.Kind, item.Name)
+	}
+	if err := item.Expect.check(item.Kind, item.Name, present, last); err != nil {
+		return planned, false, err
+	}
+	changed := planned.setAfter(item, revision)
+	return planned, changed, nil
+}
+
+// setAfter fills in the state after the edit and reports whether it differs.
+func (p *ChangeItem) setAfter(item EditItem, revision carobkeel.Revision) bool {
+	switch {
+	case item.Entry != nil:
+		after := *item.Entry
+		if p.EntryBefore != nil {
+			after.Revision = p.EntryBefore.Revision
+			if reflect.DeepEqual(after, *p.EntryBefore) {
+				return false
+			}
+		}
+		after.Revision = revision
+		p.EntryAfter = &after
+	case item.Quota != nil:
+		after := *item.Quota
+		if p.QuotaBefore != nil {
+			after.Revision = p.QuotaBefore.Revision
+			if after == *p.QuotaBefore {
+				return false
+			}
+		}
+		after.Revision = revision
+		p.QuotaAfter = &after
+	}
+	return true
+}
+
+func lookupQuota(c *carobkeel.Catalogue, owner string) (carobkeel.Quota, bool) {
+	if c == nil {
+		return carobkeel.Quota{}, false
+	}
+	quota, ok := c.Quotas[carobkeel.Owner(owner)]
+	return quota, ok
+}
+
+func validateItems(items []EditItem) Problems {
+	var problems Problems
+	seen := make(map[Kind]map[string]bool)
+	for _, item := range items {
+		if seen[item.Kind] == nil {
+			seen[item.Kind] = make(map[string]bool)
+		}
+		if seen[item.Kind][item.Name] {
+			problems = append(problems, Problem{Entry: item.Name, Field: "name", Reason: "stands twice"})
+		}
+		seen[item.Kind][item.Name] = true
+		if item.Entry != nil {
+			problems = append(problems, ValidateEntry(*item.Entry)...)
+			if item.Entry.Name != item.Name {
+				problems = append(problems, Problem{Entry: item.Name, Field: "name", Reason: fmt.Sprintf("%q is not the name that is edited", item.Entry.Name)})
+			}
+		}
+		if item.Quota != nil {
+			problems = append(problems, ValidateQuota(*item.Quota)...)
+		}
+	}
+	return problems
+}
+
+// checkReferences refuses a change after which an entry would have no owner.
+func checkReferences(next *carobkeel.Catalogue, items []ChangeItem) error {
+	var problems Problems
+	for _, item := range items {
+		if item.EntryAfter == nil {
+			continue
+		}
+		if _, ok := next.Quotas[item.EntryAfter.Owner]; !ok {
+			problems = append(problems, Problem{
+				Entry: item.Name, Field: "owner",
+				Reason: fmt.Sprintf("the catalogue has no owner %q", item.EntryAfter.Owner),
+			})
+		}
+	}
+	if err := problems.AsError(); err != nil {
+		return err
+	}
+	for _, item := range items {
+		if item.Kind != KindOwner || item.QuotaAfter != nil {
+			continue
+		}
+		for _, entry := range DocumentOf(next).Entries {
+			if string(entry.Owner) == item.Name {
+				return carobkeel.NewError(carobkeel.CodeEntryInUse, "owner %q still has entry %q", item.Name, entry.Name)
+			}
+		}
+	}
+	return nil
+}
