Plan stops of hosts, racks and data centres

Cause: operators could not announce that hosts go away, so that services and tasks could not leave them first.

A stop that would leave a service without an instance is refused unless forced, and is held where the fleet shrank before its start. operator/store keeps stops in the table; any process carries them on by conditional writes, and the row stops/head orders the decisions that depend on other stops. Result code 408 says that a stop is done.

Conclusion: a stop survives its carrier, and two stops planned at once can't together leave a service with nothing.

--- a/caller/httpapi/problem.go
+++ b/caller/httpapi/problem.go
@@ -58,6 +58,7 @@
 	carobkeel.CodeEditUnsettled:       http.StatusServiceUnavailable,
 	carobkeel.CodeUnknownStop:         http.StatusNotFound,
 	carobkeel.CodeEntryInUse:          http.StatusConflict,
+	carobkeel.CodeStopFinished:        http.StatusConflict,
 	carobkeel.CodeUnknownJob:          http.StatusNotFound,
 	carobkeel.CodeNeverFits:           http.StatusUnprocessableEntity,
 	carobkeel.CodeStaleEpoch:          http.StatusConflict,
--- a/code.go
+++ b/code.go
@@ -67,6 +67,8 @@
 	CodeUnknownStop Code = 406
 	// CodeEntryInUse says that an edit would break work that runs.
 	CodeEntryInUse Code = 407
+	// CodeStopFinished says that a planned stop is done and can't be changed.
+	CodeStopFinished Code = 408
 
 	// CodeUnknownJob says that there is no such job.
 	CodeUnknownJob Code = 500
@@ -146,6 +148,7 @@
 	{CodeEditUnsettled, "edit-unsettled", "It is not known yet whether the edit was taken", RanUnknown, false},
 	{CodeUnknownStop, "unknown-stop", "There is no such planned stop", RanNo, false},
 	{CodeEntryInUse, "entry-in-use", "The edit would break work that runs", RanNo, false},
+	{CodeStopFinished, "stop-finished", "The planned stop is done", RanNo, false},
 	{CodeUnknownJob, "unknown-job", "There is no such job", RanNo, false},
 	{CodeNeverFits, "never-fits", "No host can ever run this task", RanNo, false},
 	{CodeStaleEpoch, "stale-epoch", "The action came under an older epoch", RanNo, false},
--- a/operator/store/edit.go
+++ b/operator/store/edit.go
@@ -196,20 +196,20 @@
 }
 
 func (s *Store) count(result Result, err error) {
-	switch {
-	case err == nil && result.Repeated:
+	s.metrics.Edits.Inc(codeOf(err))
+	if result.Repeated {
 		s.metrics.EditsRepeated.Inc(1)
-	case err == nil && len(result.Change.Items) == 0:
-		s.metrics.EditsUnchanged.Inc(1)
-	case err == nil:
-		s.metrics.EditsAccepted.Inc(1)
-	case carobkeel.CodeOf(err) == carobkeel.CodeEditUnsettled:
-		s.metrics.EditsUnsettled.Inc(1)
-	default:
-		s.metrics.EditsRefused.Inc(1)
 	}
 }
 
+func codeOf(err error) carobkeel.Code {
+	var problems operator.Problems
+	if errors.As(err, &problems) {
+		return carobkeel.CodeInvalidEntry
+	}
+	return carobkeel.CodeOf(err)
+}
+
 // digestOf returns a digest of the edit's items, without its id.
 func digestOf(edit operator.Edit) (string, error) {
 	data, err := encode(edit.Items)
--- /dev/null
+++ b/operator/store/stops.go
@@ -0,0 +1,360 @@
+package store
+
+import (
+	"context"
+	"regexp"
+	"sort"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// Rows of planned stops. Whoever plans a stop or starts its draining writes the
+// head, so that no two such decisions are taken on the same state.
+const (
+	stopHeadKey = "stops/head"
+	stopPrefix  = "stops/item/"
+	// StopRetention is how long a finished stop stays listed.
+	StopRetention = 7 * 24 * time.Hour
+)
+
+// stopIDPattern is the form of a stop's id, which is part of a table key.
+var stopIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,64}$`)
+
+// FleetSource gives a snapshot of hosts and work.
+type FleetSource interface {
+	Fleet(ctx context.Context) (operator.Fleet, error)
+}
+
+// StopsConfig is what Stops needs. Only Table and Fleet are required.
+type StopsConfig struct {
+	Table   table.Table
+	Fleet   FleetSource
+	Metrics *Metrics
+	Now     func() time.Time
+	NewID   func() table.TransactionID
+	Wait    Wait
+}
+
+// Stops keeps planned stops in the table service and carries them on. Any
+// process may carry on any stop: a step is a conditional write, and one taken
+// twice has one effect. All methods are safe for use by several goroutines.
+type Stops struct {
+	settler
+	fleet   FleetSource
+	metrics *Metrics
+	now     func() time.Time
+	newID   func() table.TransactionID
+}
+
+// NewStops returns stops in the table service. It reads nothing yet.
+func NewStops(c StopsConfig) *Stops {
+	s := &Stops{
+		settler: settler{table: c.Table, wait: c.Wait},
+		fleet:   c.Fleet, metrics: c.Metrics, now: c.Now, newID: c.NewID,
+	}
+	if s.wait == nil {
+		s.wait = Backoff
+	}
+	if s.metrics == nil {
+		s.metrics = NewMetrics(tally.NoopScope)
+	}
+	if s.now == nil {
+		s.now = time.Now
+	}
+	if s.newID == nil {
+		s.newID = table.NewTransactionID
+	}
+	return s
+}
+
+// stopRow is a stop with its row's version.
+type stopRow struct {
+	operator.Stop
+	version table.Version
+}
+
+// Plan plans a stop. A request that is repeated with the same id has one
+// effect.
+func (s *Stops) Plan(ctx context.Context, request operator.StopRequest) (operator.Stop, error) {
+	if request.ID == "" {
+		request.ID = operator.StopID(uuid.NewString())
+	}
+	if !stopIDPattern.MatchString(string(request.ID)) {
+		return operator.Stop{}, carobkeel.NewError(carobkeel.CodeInvalidRequest, "stop id %q is not 1 to 64 of A-Z, a-z, 0-9, dot, dash and underscore", request.ID)
+	}
+	for attempt := range raceAttempts {
+		head, _, err := s.table.Get(ctx, stopHeadKey)
+		if err != nil {
+			return operator.Stop{}, unavailable(err)
+		}
+		rows, err := s.rows(ctx)
+		if err != nil {
+			return operator.Stop{}, err
+		}
+		if known, found := findStop(rows, request.ID); found {
+			return plannedAs(known, request)
+		}
+		stop, err := s.decide(ctx, request, rows)
+		if err != nil {
+			return operator.Stop{}, err
+		}
+		done, err := s.write(ctx, stopRow{Stop: stop}, stop, &head.Version)
+		if err != nil {
+			return operator.Stop{}, asStopError(stop.ID, err)
+		}
+		if done {
+			return stop, nil
+		}
+		if err := s.wait(ctx, attempt); err != nil {
+			return operator.Stop{}, unavailable(err)
+		}
+	}
+	return operator.Stop{}, unavailable(errors.Errorf("%d other changes came first", raceAttempts))
+}
+
+func (s *Stops) decide(ctx context.Context, request operator.StopRequest, rows []stopRow) (operator.Stop, error) {
+	fleet, err := s.fleet.Fleet(ctx)
+	if err != nil {
+		return operator.Stop{}, unavailable(errors.Wrap(err, "the fleet is not known"))
+	}
+	return operator.PlanStop(request, fleet, stopsOf(rows), s.now().UTC())
+}
+
+// plannedAs returns the stop that was planned under the request's id before.
+func plannedAs(known stopRow, request operator.StopRequest) (operator.Stop, error) {
+	if known.Target != request.Target {
+		return operator.Stop{}, carobkeel.NewError(carobkeel.CodeKeyConflict, "stop id %q belongs to a stop of %s", known.ID, known.Target)
+	}
+	return known.Stop, nil
+}
+
+// List returns the planned stops by their start.
+func (s *Stops) List(ctx context.Context) ([]operator.Stop, error) {
+	rows, err := s.rows(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stops := stopsOf(rows)
+	sort.SliceStable(stops, func(i, j int) bool { return stops[i].Start.Before(stops[j].Start) })
+	return stops, nil
+}
+
+// Get returns the stop with the given id.
+func (s *Stops) Get(ctx context.Context, id operator.StopID) (operator.Stop, error) {
+	row, err := s.get(ctx, id)
+	return row.Stop, err
+}
+
+// Cancel calls a stop off.
+func (s *Stops) Cancel(ctx context.Context, id operator.StopID, by string) (operator.Stop, error) {
+	for attempt := range raceAttempts {
+		row, err := s.get(ctx, id)
+		if err != nil {
+			return operator.Stop{}, err
+		}
+		next, err := row.Cancel(by, s.now().UTC())
+		if err != nil || next == row.Stop {
+			return next, err
+		}
+		done, err := s.write(ctx, row, next, nil)
+		if err != nil {
+			return operator.Stop{}, asStopError(id, err)
+		}
+		if done {
+			return next, nil
+		}
+		if err := s.wait(ctx, attempt); err != nil {
+			return operator.Stop{}, unavailable(err)
+		}
+	}
+	return operator.Stop{}, unavailable(errors.Errorf("%d other changes came first", raceAttempts))
+}
+
+// Advance takes one step of every stop that can go on and forgets finished
+// ones after StopRetention. It returns the stops as they are after it. Each
+// process that carries stops on calls it every few seconds.
+func (s *Stops) Advance(ctx context.Context) ([]operator.Stop, error) {
+	head, _, err := s.table.Get(ctx, stopHeadKey)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	rows, err := s.rows(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if len(rows) == 0 {
+		return nil, nil
+	}
+	fleet, err := s.fleet.Fleet(ctx)
+	if err != nil {
+		return stopsOf(rows), unavailable(errors.Wrap(err, "the fleet is not known"))
+	}
+	a := &advance{stops: s, fleet: fleet, headVersion: head.Version, now: s.now().UTC()}
+	for i := range rows {
+		if err := a.step(ctx, rows, i); err != nil {
+			return stopsOf(rows), err
+		}
+	}
+	return stopsOf(rows), nil
+}
+
+// advance is one pass over the stops.
+type advance struct {
+	stops       *Stops
+	fleet       operator.Fleet
+	headVersion table.Version
+	now         time.Time
+	// headSpent says that this pass wrote the head, so that a further start
+	// has to wait for the next one.
+	headSpent bool
+}
+
+func (a *advance) step(ctx context.Context, rows []stopRow, index int) error {
+	row := rows[index]
+	if row.State.IsFinal() {
+		if a.now.Sub(row.ChangedAt) > StopRetention {
+			return a.stops.forget(ctx, row)
+		}
+		return nil
+	}
+	others := append(stopsOf(rows[:index]), stopsOf(rows[index+1:])...)
+	next := row.Step(a.fleet, others, a.now)
+	if next == row.Stop {
+		return nil
+	}
+	starts := row.State == operator.StopPlanned && next.State == operator.StopDraining
+	var head *table.Version
+	if starts {
+		if a.headSpent {
+			return nil
+		}
+		a.headSpent = true
+		head = &a.headVersion
+	}
+	done, err := a.stops.write(ctx, row, next, head)
+	switch {
+	case errors.Is(err, errUnsettled):
+		// The next pass reads what became of it and goes on from there.
+		return nil
+	case err != nil:
+		return err
+	case !done:
+		a.stops.metrics.StopRaces.Inc(1)
+		return nil
+	}
+	a.stops.metrics.StopSteps.Inc(1)
+	rows[index].Stop = next
+	return nil
+}
+
+func (s *Stops) forget(ctx context.Context, row stopRow) error {
+	key := stopPrefix + string(row.ID)
+	_, _, err := s.commit(ctx, table.Transaction{
+		ID:         s.newID(),
+		Conditions: []table.Condition{{Key: key, Version: row.version}},
+		Writes:     []table.Write{{Key: key, Delete: true}},
+	})
+	return err
+}
+
+// write puts next in the place of row. Where head is given, it is a condition
+// too and is written. The result is false where another process came first. An
+// outcome that stays unknown is settled by reading: the row that is there is
+// this one's or it is another's.
+func (s *Stops) write(ctx context.Context, row stopRow, next operator.Stop, head *table.Version) (bool, error) {
+	value, err := wrap(next)
+	if err != nil {
+		return false, err
+	}
+	key := stopPrefix + string(next.ID)
+	txn := table.Transaction{
+		ID:         s.newID(),
+		Conditions: []table.Condition{{Key: key, Version: row.version}},
+		Writes:     []table.Write{{Key: key, Value: value}},
+	}
+	if head != nil {
+		txn.Conditions = append(txn.Conditions, table.Condition{Key: stopHeadKey, Version: *head})
+		txn.Writes = append(txn.Writes, table.Write{Key: stopHeadKey, Value: value})
+	}
+	outcome, known, err := s.commit(ctx, txn)
+	if known {
+		return outcome.Applied, err
+	}
+	return s.settleWrite(ctx, row, next)
+}
+
+func (s *Stops) settleWrite(ctx context.Context, row stopRow, next operator.Stop) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	present, err := s.get(ctx, next.ID)
+	if err != nil || present.version == row.version {
+		return false, errUnsettled
+	}
+	return present.Stop == next, nil
+}
+
+func (s *Stops) get(ctx context.Context, id operator.StopID) (stopRow, error) {
+	row, found, err := s.table.Get(ctx, stopPrefix+string(id))
+	if err != nil {
+		return stopRow{}, unavailable(err)
+	}
+	if !found {
+		return stopRow{}, carobkeel.NewError(carobkeel.CodeUnknownStop, "there is no stop %q", id)
+	}
+	stop, err := unwrap[operator.Stop](row)
+	return stopRow{Stop: stop, version: row.Version}, err
+}
+
+func (s *Stops) rows(ctx context.Context) ([]stopRow, error) {
+	var stops []stopRow
+	after := ""
+	for {
+		rows, err := s.table.Range(ctx, stopPrefix, after, pageRows)
+		if err != nil {
+			return nil, unavailable(err)
+		}
+		for _, row := range rows {
+			stop, err := unwrap[operator.Stop](row)
+			if err != nil {
+				return nil, err
+			}
+			stops = append(stops, stopRow{Stop: stop, version: row.Version})
+			after = row.Key
+		}
+		if len(rows) < pageRows {
+			return stops, nil
+		}
+	}
+}
+
+func stopsOf(rows []stopRow) []operator.Stop {
+	stops := make([]operator.Stop, 0, len(rows))
+	for _, row := range rows {
+		stops = append(stops, row.Stop)
+	}
+	return stops
+}
+
+func findStop(rows []stopRow, id operator.StopID) (stopRow, bool) {
+	for _, row := range rows {
+		if row.ID == id {
+			return row, true
+		}
+	}
+	return stopRow{}, false
+}
+
+func asStopError(id operator.StopID, err error) error {
+	if errors.Is(err, errUnsettled) {
+		return carobkeel.NewError(carobkeel.CodeEditUnsettled,
+			"the table service does not say whether stop %q was changed; send it again under the same id", id)
+	}
+	return err
+}
