Serve the operators' HTTP interface

Cause: the catalogue and stops could not be reached from outside a process.

Change: operator/httpapi has /v1/catalogue, /v1/owners, /v1/stops and /v1/status with entity tags, required conditions (428, 412 with the current state), dry runs, Idempotency-Key and application/problem+json. While the table service is down, reads are answered from what the process has seen and say so. A refusal under an id that came from outside no longer promises that nothing ran, because an earlier request under it may have run.

Measured: go test -race ./operator/... . passes.

Conclusion: the handler takes interfaces and can be mounted beside /metrics.

--- a/operator/edit.go
+++ b/operator/edit.go
@@ -13,8 +13,11 @@
 
 // Edit is what an operator asks to change. It is taken wholly or not at all.
 type Edit struct {
-	ID    EditID
-	By    string
+	ID EditID
+	By string
+	// Base is the revision of the whole catalogue that the edit expects, zero
+	// where it expects none.
+	Base  carobkeel.Revision
 	Items []EditItem
 }
 
@@ -111,6 +114,10 @@
 	if len(edit.Items) > MaxEditItems {
 		return Change{}, Problems{{Reason: fmt.Sprintf("the edit has %d items, want at most %d", len(edit.Items), MaxEditItems)}}
 	}
+	if edit.Base != 0 && edit.Base != revisionOf(current) {
+		return Change{}, carobkeel.NewError(carobkeel.CodeRevisionConflict,
+			"the catalogue is at revision %d, the edit expects revision %d", revisionOf(current), edit.Base)
+	}
 	change := Change{Revision: revisionOf(current) + 1, Edit: edit.ID, By: edit.By, At: now}
 	for _, item := range edit.Items {
 		planned, changed, err := planItem(current, item, change.Revision)
--- /dev/null
+++ b/operator/httpapi/api.go
@@ -0,0 +1,95 @@
+// Package httpapi is the operators' HTTP interface: the catalogue, planned
+// stops and the fleet's status. It encodes and decodes; the decisions are in
+// package operator.
+//
+// Requests that change something name what they change: If-Match with the
+// entity tag that was read, or If-None-Match: * for what is new. An
+// Idempotency-Key makes a repeat safe. What goes wrong is answered as
+// application/problem+json.
+package httpapi
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
+	"github.com/carobkeel/carobkeel/operator/store"
+)
+
+// Catalogue is where the catalogue is kept. store.Store implements it.
+type Catalogue interface {
+	Load(ctx context.Context) (*carobkeel.Catalogue, error)
+	Seen() *carobkeel.Catalogue
+	Edit(ctx context.Context, edit operator.Edit) (store.Result, error)
+	Plan(ctx context.Context, edit operator.Edit) (operator.Change, error)
+	History(ctx context.Context, kind operator.Kind, name string, after carobkeel.Revision, limit int) ([]operator.Record, error)
+}
+
+// Stops is where planned stops are kept. store.Stops implements it.
+type Stops interface {
+	Plan(ctx context.Context, request operator.StopRequest) (operator.Stop, error)
+	List(ctx context.Context) ([]operator.Stop, error)
+	Get(ctx context.Context, id operator.StopID) (operator.Stop, error)
+	Cancel(ctx context.Context, id operator.StopID, by string) (operator.Stop, error)
+}
+
+// StatusSource knows what the fleet does now.
+type StatusSource interface {
+	Status(ctx context.Context) (operator.Status, error)
+}
+
+// Config is what a Handler needs.
+type Config struct {
+	Catalogue Catalogue
+	Stops     Stops
+	Status    StatusSource
+}
+
+// Handler answers operators.
+type Handler struct {
+	catalogue Catalogue
+	stops     Stops
+	status    StatusSource
+}
+
+// NewHandler returns a handler.
+func NewHandler(c Config) *Handler {
+	return &Handler{catalogue: c.Catalogue, stops: c.Stops, status: c.Status}
+}
+
+// Mount adds the routes under /v1.
+func (h *Handler) Mount(router chi.Router) {
+	router.Get("/v1/catalogue", h.getCatalogue)
+	router.Post("/v1/catalogue", h.applyDocument)
+	router.Post("/v1/catalogue:validate", h.validateDocument)
+	h.mountResource(router, "/v1/catalogue/{name}", entries{})
+	h.mountResource(router, "/v1/owners/{name}", owners{})
+	router.Get("/v1/stops", h.listStops)
+	router.Post("/v1/stops", h.planStop)
+	router.Get("/v1/stops/{id}", h.getStop)
+	router.Delete("/v1/stops/{id}", h.cancelStop)
+	router.Get("/v1/status", h.getStatus)
+}
+
+func (h *Handler) mountResource(router chi.Router, path string, kind resource) {
+	router.Get(path, func(w http.ResponseWriter, r *http.Request) { h.getItem(w, r, kind) })
+	router.Put(path, func(w http.ResponseWriter, r *http.Request) { h.putItem(w, r, kind) })
+	router.Delete(path, func(w http.ResponseWriter, r *http.Request) { h.deleteItem(w, r, kind) })
+	router.Get(path+"/history", func(w http.ResponseWriter, r *http.Request) { h.getHistory(w, r, kind) })
+}
+
+// MountHealth adds /healthz, which answers while the process lives, and
+// /readyz, which the balancer asks.
+func MountHealth(router chi.Router, ready func() bool) {
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
--- /dev/null
+++ b/operator/httpapi/document.go
@@ -0,0 +1,89 @@
+package httpapi
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
+	"github.com/carobkeel/carobkeel/operator/catalogfile"
+)
+
+// applyDocument makes one edit of everything in a document.
+func (h *Handler) applyDocument(w http.ResponseWriter, r *http.Request) {
+	base, err := baseOf(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	edit, err := readEdit(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	edit.Base = base
+	if isDryRun(r) {
+		h.writePlan(w, r, edit)
+		return
+	}
+	result, err := h.catalogue.Edit(r.Context(), edit)
+	if err != nil {
+		h.writeDocumentError(w, r, err)
+		return
+	}
+	w.Header().Set("ETag", tagOf(result.Revision))
+	writeJSON(w, http.StatusOK, Accepted{
+		Revision: result.Revision, Repeated: result.Repeated, Differences: result.Change.Differences(),
+	})
+}
+
+// validateDocument answers what a document would change, and changes nothing.
+func (h *Handler) validateDocument(w http.ResponseWriter, r *http.Request) {
+	edit, err := readEdit(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	h.writePlan(w, r, edit)
+}
+
+func readEdit(w http.ResponseWriter, r *http.Request) (operator.Edit, error) {
+	data, err := readBody(w, r)
+	if err != nil {
+		return operator.Edit{}, err
+	}
+	doc, err := catalogfile.Read(data)
+	return operator.EditOf(doc, editID(r), operatorName(r)), err
+}
+
+func (h *Handler) writePlan(w http.ResponseWriter, r *http.Request, edit operator.Edit) {
+	change, err := h.catalogue.Plan(r.Context(), edit)
+	if err != nil {
+		h.writeDocumentError(w, r, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, Plan{Revision: change.Revision - 1, Differences: change.Differences()})
+}
+
+// writeDocumentError answers with the failure of an edit, and after a race with
+// the whole catalogue as it is.
+func (h *Handler) writeDocumentError(w http.ResponseWriter, r *http.Request, err error) {
+	if carobkeel.CodeOf(err) != carobkeel.CodeRevisionConflict {
+		writeError(w, err)
+		return
+	}
+	c, loadErr := h.load(w, r)
+	if loadErr != nil {
+		writeError(w, err)
+		return
+	}
+	data, writeErr := catalogfile.WriteJSON(operator.DocumentOf(c))
+	if writeErr != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", tagOf(c.Revision))
+	writeErrorWith(w, err, data)
+}
+
+func formatTime(t time.Time) string { return t.UTC().Format(time.RFC3339Nano) }
--- a/operator/store/edit.go
+++ b/operator/store/edit.go
@@ -49,7 +49,17 @@
 	}
 	result, err := s.edit(ctx, identified{edit, digest, fresh})
 	s.count(result, err)
-	return result, err
+	return result, withRepeatsInMind(err, fresh)
+}
+
+// withRepeatsInMind takes back the promise that nothing ran where the id came
+// from outside: an earlier request under it may have had its effect.
+func withRepeatsInMind(err error, fresh bool) error {
+	var coded *carobkeel.Error
+	if !fresh && errors.As(err, &coded) && coded.Code == carobkeel.CodeStoreUnavailable {
+		return coded.WithRan(carobkeel.RanUnknown)
+	}
+	return err
 }
 
 // Plan returns what the edit would change now, without taking it.
--- a/operator/store/stops.go
+++ b/operator/store/stops.go
@@ -83,12 +83,18 @@
 // Plan plans a stop. A request that is repeated with the same id has one
 // effect.
 func (s *Stops) Plan(ctx context.Context, request operator.StopRequest) (operator.Stop, error) {
-	if request.ID == "" {
+	fresh := request.ID == ""
+	if fresh {
 		request.ID = operator.StopID(uuid.NewString())
 	}
 	if !stopIDPattern.MatchString(string(request.ID)) {
 		return operator.Stop{}, carobkeel.NewError(carobkeel.CodeInvalidRequest, "stop id %q is not 1 to 64 of A-Z, a-z, 0-9, dot, dash and underscore", request.ID)
 	}
+	stop, err := s.plan(ctx, request)
+	return stop, withRepeatsInMind(err, fresh)
+}
+
+func (s *Stops) plan(ctx context.Context, request operator.StopRequest) (operator.Stop, error) {
 	for attempt := range raceAttempts {
 		head, _, err := s.table.Get(ctx, stopHeadKey)
 		if err != nil {
--- a/operator/store/store_test.go
+++ b/operator/store/store_test.go
@@ -171,6 +171,9 @@
 			s := newStore(faulty)
 			_, err := s.Edit(ctx, edit)
 			g.Expect(carobkeel.CodeOf(err)).To(Equal(c.code), "%v", err)
+			if err != nil {
+				g.Expect(carobkeel.AsError(err).Ran).To(Equal(carobkeel.RanUnknown), "an edit of this id may have run")
+			}
 			after, err := newStore(rows).Load(ctx)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(after.Revision == 2).To(Equal(c.applied))
@@ -187,6 +190,16 @@
 	}
 }
 
+func TestRefusalOfAFreshEditPromisesThatItDidNotRun(t *testing.T) {
+	g, ctx := NewWithT(t), context.Background()
+	rows, s := seeded(g)
+	edit := timeoutEdit(g, s, "", time.Second, operator.ExpectRevision(1))
+	_, err := newStore(&scripted{Table: rows, steps: []step{notSent}}).Edit(ctx, edit)
+	g.Expect(carobkeel.CodeOf(err)).To(Equal(carobkeel.CodeStoreUnavailable))
+	g.Expect(carobkeel.AsError(err).Ran).To(Equal(carobkeel.RanNo))
+	g.Expect(s.Load(ctx)).To(HaveField("Revision", carobkeel.Revision(1)))
+}
+
 func TestTrimKeepsTheCatalogueAndTheNewestRecords(t *testing.T) {
 	g, ctx := NewWithT(t), context.Background()
 	rows, s := seeded(g)
