Measure the path against a direct call

Cause: what the path adds was not known. Change: suite path compares requests a core and latency in an open loop with a direct call to the same upstream in the same run.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -33,6 +33,7 @@
 	return []suite{
 		catalogueSuite(),
 		telemetrySuite(),
+		pathSuite(),
 	}
 }
 
