--- a/caller/claims/faults_test.go
+++ b/caller/claims/faults_test.go
@@ -193,11 +193,11 @@
 	if k.keyed {
 		heard = append(heard, second.send(ctx, k.idempotent, key, content))
 		w.table.setDown(false)
-		time.Sleep(30 * time.Second)
+		<-time.After(30 * time.Second)
 		heard = append(heard, second.send(ctx, k.idempotent, key, content))
 	}
 	// Whatever is still under way gets its time before the record is read.
-	time.Sleep(5 * time.Minute)
+	<-time.After(5 * time.Minute)
 	NewWithT(t).Expect(w.fault.done).To(Equal(s.happens(k)), "the fault was to happen where its step does")
 	judge(t, w, k, e, content, heard)
 }
--- a/caller/claims/harness_test.go
+++ b/caller/claims/harness_test.go
@@ -184,7 +184,7 @@
 // later.
 func (w *world) replaceSidecar(address string) {
 	w.killSidecar(address)
-	time.Sleep(time.Second)
+	<-time.After(time.Second)
 	w.startSidecar(address)
 }
 
@@ -316,7 +316,7 @@
 			held = data
 			continue
 		case effectDelay:
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 		}
 		if r.dropped() {
 			continue
@@ -361,7 +361,7 @@
 	wait, silent := time.Until(r.stalled), r.silent
 	r.mu.Unlock()
 	if wait > 0 {
-		time.Sleep(wait)
+		<-time.After(wait)
 	}
 	return silent
 }
@@ -402,6 +402,6 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		run(t, ctx)
 		cancel()
-		time.Sleep(time.Minute) // the bubble's clock: lets every goroutine end
+		<-time.After(time.Minute) // the bubble's clock: lets every goroutine end
 	})
 }
--- /dev/null
+++ b/entry/ledger_test.go
@@ -0,0 +1,127 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry"
+)
+
+const retention = 30 * time.Second
+
+func newLedger() *entry.Ledger {
+	return entry.NewLedger(entry.LedgerLimits{Retention: retention, KeyedRetention: 10 * retention, KeptBytes: 100})
+}
+
+// ledgerModel holds what the ledger has said of each request.
+type ledgerModel struct {
+	started  map[carobkeel.RequestID]bool
+	promised map[carobkeel.RequestID]bool
+}
+
+// TestLedgerKeepsItsPromises draws arrivals, starts, ends, queries and sweeps at
+// any time and in any order. A request starts once, and never after the ledger
+// has said that it never will; and the ledger never says so of one that started.
+func TestLedgerKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledger := newLedger()
+		now := time.Unix(1000, 0)
+		model := ledgerModel{started: map[carobkeel.RequestID]bool{}, promised: map[carobkeel.RequestID]bool{}}
+		var open []*entry.Record
+		anyID := rapid.Custom(func(t *rapid.T) carobkeel.RequestID {
+			return carobkeel.RequestID{
+				Entry:    carobkeel.Incarnation(rapid.Uint64Range(1, 2).Draw(t, "entry")),
+				Sequence: rapid.Uint64Range(1, 12).Draw(t, "sequence"),
+			}
+		})
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				record, fresh := ledger.Begin(anyID.Draw(t, "id"), rapid.Bool().Draw(t, "keyed"))
+				if fresh {
+					open = append(open, record)
+				}
+			},
+			"start": func(t *rapid.T) {
+				for _, record := range open {
+					if record.State() == entry.StateAccepted && rapid.Bool().Draw(t, "now") && record.Start() {
+						if model.started[record.ID] {
+							t.Fatalf("request %s started twice", record.ID)
+						}
+						if model.promised[record.ID] {
+							t.Fatalf("request %s started after a promise that it never would", record.ID)
+						}
+						model.started[record.ID] = true
+					}
+				}
+			},
+			"end": func(t *rapid.T) {
+				for _, record := range open {
+					record.Finish(&entry.Outcome{Status: 200}, now)
+				}
+			},
+			"query": func(t *rapid.T) {
+				id := anyID.Draw(t, "id")
+				record := ledger.Query(id, now)
+				if record == nil || record.State() != entry.StateRefused {
+					return
+				}
+				if model.started[id] {
+					t.Fatalf("request %s ran, and the ledger said that it never would", id)
+				}
+				model.promised[id] = true
+			},
+			"sweep": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "seconds")) * time.Second)
+				ledger.Sweep(now)
+			},
+		})
+	})
+}
+
+func TestLedgerForgetsWhatHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	ledger := newLedger()
+	now := time.Unix(1000, 0)
+	for sequence := range uint64(100) {
+		record, _ := ledger.Begin(carobkeel.RequestID{Entry: 1, Sequence: sequence + 1}, false)
+		record.Start()
+		record.Finish(&entry.Outcome{}, now)
+	}
+	running, _ := ledger.Begin(carobkeel.RequestID{Entry: 1, Sequence: 101}, false)
+	running.Start()
+	ledger.Sweep(now.Add(retention))
+	g.Expect(ledger.Len()).To(Equal(1))
+}
+
+func TestLedgerBoundsTheAnswersItKeeps(t *testing.T) {
+	g := NewWithT(t)
+	ledger := newLedger()
+	now := time.Unix(1000, 0)
+	g.Expect(ledger.Keep(80)).To(BeTrue())
+	g.Expect(ledger.Keep(30)).To(BeFalse())
+	record, _ := ledger.Begin(carobkeel.RequestID{Entry: 1, Sequence: 1}, false)
+	record.Start()
+	record.Finish(&entry.Outcome{Body: make([]byte, 80)}, now)
+	ledger.Sweep(now.Add(retention))
+	g.Expect(ledger.Keep(30)).To(BeTrue(), "a forgotten answer gives its bytes back")
+}
+
+func TestQueueOrdersByClassThenDeadlineThenArrival(t *testing.T) {
+	g := NewWithT(t)
+	at := func(seconds int64) time.Time { return time.Unix(seconds, 0) }
+	var queue entry.Queue[string]
+	queue.Push(entry.Waiting{Class: carobkeel.ClassBatch, Deadline: at(1)}, "batch")
+	queue.Push(entry.Waiting{Deadline: at(9)}, "late")
+	queue.Push(entry.Waiting{Deadline: at(5)}, "soon, first")
+	queue.Push(entry.Waiting{Deadline: at(5)}, "soon, second")
+	var order []string
+	for queue.Len() > 0 {
+		value, _ := queue.Pop()
+		order = append(order, value)
+	}
+	g.Expect(order).To(Equal([]string{"soon, first", "soon, second", "late", "batch"}))
+}
--- /dev/null
+++ b/sidecar/wire/codec_test.go
@@ -0,0 +1,58 @@
+package wire_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/sidecar/wire"
+)
+
+// message is what every message of the package can do.
+type message interface {
+	msgp.Marshaler
+	msgp.Unmarshaler
+}
+
+func messages() map[frame.Type]func() message {
+	return map[frame.Type]func() message{
+		wire.TypeHello:     func() message { return &wire.Hello{} },
+		wire.TypeOpen:      func() message { return &wire.Open{} },
+		wire.TypeAnswer:    func() message { return &wire.Answer{} },
+		wire.TypeAnswerEnd: func() message { return &wire.AnswerEnd{} },
+		wire.TypeRefused:   func() message { return &wire.Refused{} },
+		wire.TypeCredit:    func() message { return &wire.Credit{} },
+		wire.TypeQuery:     func() message { return &wire.Query{} },
+	}
+}
+
+// FuzzDecode decodes any bytes as each message. What decodes must encode to
+// bytes that decode again to the same.
+func FuzzDecode(f *testing.F) {
+	for kind, make := range messages() {
+		f.Add(byte(kind), wire.Encode(kind, 1, make()).Payload)
+	}
+	f.Add(byte(wire.TypeOpen), wire.Encode(wire.TypeOpen, 1, &wire.Open{
+		Service: "echo", Header: []wire.Field{{Name: "Accept", Value: "*/*"}}, Body: []byte("body"),
+	}).Payload)
+	f.Fuzz(func(t *testing.T, kind byte, payload []byte) {
+		make, known := messages()[frame.Type(kind)]
+		if !known {
+			return
+		}
+		first := make()
+		if wire.Decode(frame.Frame{Type: frame.Type(kind), Payload: payload}, first) != nil {
+			return
+		}
+		encoded := wire.Encode(frame.Type(kind), 1, first)
+		second := make()
+		if err := wire.Decode(encoded, second); err != nil {
+			t.Fatalf("own encoding does not decode: %v", err)
+		}
+		if again := wire.Encode(frame.Type(kind), 1, second); !bytes.Equal(again.Payload, encoded.Payload) {
+			t.Fatal("two encodings of one message differ")
+		}
+	})
+}
