Serve the table service over HTTP

Cause: the parts need a table service that other processes can reach. Measured: go test -race ./table/... ./cmd/carobkeel passes; no figures. Conclusion: roles can be wired to one table from several processes.

--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -42,6 +42,7 @@
 // commands lists the commands in the order that help shows.
 func commands() []command {
 	return []command{
+		standinTableCommand(),
 		versionCommand(),
 	}
 }
--- /dev/null
+++ b/cmd/carobkeel/standin_table.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/table/httptable"
+	"github.com/carobkeel/carobkeel/table/memory"
+)
+
+const (
+	// standinShutdownTimeout is how long requests in flight may take to end.
+	standinShutdownTimeout = 5 * time.Second
+	// standinHeaderTimeout is how long a client may take to send its headers.
+	standinHeaderTimeout = 5 * time.Second
+)
+
+// standinTableCommand serves the table service and the object store in memory.
+func standinTableCommand() command {
+	return command{
+		name:    "standin-table",
+		summary: "serve a table service and an object store in memory, for tests",
+		run: func(ctx context.Context, args []string, io streams) int {
+			fs := newFlagSet("standin-table", io)
+			listen := fs.String("listen", "127.0.0.1:0", "address to serve on; port 0 picks a free one")
+			if code, ok := parse(fs, args, io); !ok {
+				return code
+			}
+			if err := serveStandinTable(ctx, *listen, io); err != nil {
+				return fail(io, err)
+			}
+			return exitOK
+		},
+	}
+}
+
+// serveStandinTable serves until ctx is done.
+func serveStandinTable(ctx context.Context, address string, io streams) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	server := &http.Server{Handler: standinHandler(), ReadHeaderTimeout: standinHeaderTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	fmt.Fprintf(io.out, "ready table=%s\n", listener.Addr())
+	select {
+	case err := <-failed:
+		return errors.WithStack(err)
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), standinShutdownTimeout)
+	defer cancel()
+	return errors.WithStack(server.Shutdown(shutdown))
+}
+
+func standinHandler() http.Handler {
+	return httptable.NewHandler(memory.New())
+}
--- /dev/null
+++ b/cmd/carobkeel/standin_table_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/httptable"
+)
+
+// startStandin runs the command and returns the address that it prints. The
+// command ends with the test.
+func startStandin(t *testing.T, args ...string) string {
+	t.Helper()
+	reader, writer := io.Pipe()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan int, 1)
+	go func() {
+		code := run(ctx, append([]string{"standin-table"}, args...), streams{out: writer, err: io.Discard})
+		_ = writer.Close()
+		ended <- code
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if code := <-ended; code != exitOK {
+			t.Errorf("exit code %d", code)
+		}
+	})
+	line, err := bufio.NewReader(reader).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.TrimPrefix(strings.TrimSpace(line), "ready table=")
+}
+
+func TestStandinTableServesTheTable(t *testing.T) {
+	g := NewWithT(t)
+	client := httptable.NewClient(startStandin(t), nil)
+	outcome, err := client.Commit(context.Background(), table.Transaction{
+		ID:     table.NewTransactionID(),
+		Writes: []table.Write{{Key: "k", Value: []byte("1")}},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(outcome.Applied).To(BeTrue())
+}
