Add a table service that fails by setting and seed

Cause: outages, lost answers and limits have to be induced in tests. Change: table/faulty decorates any table with an injected clock; faults can be replaced while it runs, from tests, by flags of standin-table and by PUT /faults. Measured: go test -race ./table/... ./cmd/carobkeel passes; no figures. Conclusion: every fault of the table service can be produced at will.

--- a/cmd/carobkeel/standin_table.go
+++ b/cmd/carobkeel/standin_table.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/httptable"
 	"github.com/carobkeel/carobkeel/table/memory"
 )
@@ -28,10 +29,11 @@
 		run: func(ctx context.Context, args []string, io streams) int {
 			fs := newFlagSet("standin-table", io)
 			listen := fs.String("listen", "127.0.0.1:0", "address to serve on; port 0 picks a free one")
-			if code, ok := parse(fs, args, io); !ok {
+			faults := faulty.RegisterFlags(fs)
+			if code, ok := parse(fs, args, io, faults); !ok {
 				return code
 			}
-			if err := serveStandinTable(ctx, *listen, io); err != nil {
+			if err := serveStandinTable(ctx, *listen, *faults, io); err != nil {
 				return fail(io, err)
 			}
 			return exitOK
@@ -40,12 +42,16 @@
 }
 
 // serveStandinTable serves until ctx is done.
-func serveStandinTable(ctx context.Context, address string, io streams) error {
+func serveStandinTable(ctx context.Context, address string, faults faulty.Config, io streams) error {
+	handler, err := standinHandler(faults)
+	if err != nil {
+		return err
+	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	server := &http.Server{Handler: standinHandler(), ReadHeaderTimeout: standinHeaderTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	fmt.Fprintf(io.out, "ready table=%s\n", listener.Addr())
@@ -59,6 +65,13 @@
 	return errors.WithStack(server.Shutdown(shutdown))
 }
 
-func standinHandler() http.Handler {
-	return httptable.NewHandler(memory.New())
+func standinHandler(config faulty.Config) (http.Handler, error) {
+	rows := faulty.New(memory.New(), config.Seed, faulty.SystemClock{})
+	if err := rows.Set(config.Faults); err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(httptable.BasePath+"/", httptable.NewHandler(rows))
+	mux.Handle(faulty.AdminPath, faulty.NewAdminHandler(rows))
+	return mux, nil
 }
--- a/cmd/carobkeel/standin_table_test.go
+++ b/cmd/carobkeel/standin_table_test.go
@@ -4,12 +4,15 @@
 	"bufio"
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/httptable"
 )
 
@@ -48,3 +51,26 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(outcome.Applied).To(BeTrue())
 }
+
+func TestStandinTableTakesFaultsByFlagAndByRequest(t *testing.T) {
+	g := NewWithT(t)
+	address := startStandin(t, "-down")
+	client := httptable.NewClient(address, nil)
+	_, _, err := client.Get(context.Background(), "k")
+	g.Expect(errors.Is(err, table.ErrUnavailable)).To(BeTrue())
+
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+faulty.AdminPath, strings.NewReader(`{}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.Body.Close()).To(Succeed())
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	_, _, err = client.Get(context.Background(), "k")
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestStandinTableRefusesAWrongProbability(t *testing.T) {
+	g := NewWithT(t)
+	code := run(context.Background(), []string{"standin-table", "-conflicts", "2"}, streams{out: io.Discard, err: io.Discard})
+	g.Expect(code).To(Equal(exitUsage))
+}
--- /dev/null
+++ b/table/faulty/faults.go
@@ -0,0 +1,91 @@
+// Package faulty wraps a table service and makes it fail as the platform's may:
+// outages, slowness, lost requests, lost answers, effects that come late,
+// competing writers, and limits of reads and writes a second. Faults are
+// chosen by a seed, and may be changed while it runs.
+package faulty
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Faults is what goes wrong. The zero value is a service without faults.
+// Probabilities run from 0 to 1.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay"`
+	// Jitter is the most that is added to Delay, evenly distributed.
+	Jitter time.Duration `json:"jitter"`
+	// LostRequests is the probability that a commit has no effect and no answer.
+	LostRequests float64 `json:"lost_requests"`
+	// LostAnswers is the probability that a commit takes effect and the answer
+	// is lost. For reads it is the probability that the read fails.
+	LostAnswers float64 `json:"lost_answers"`
+	// LateEffects is the probability that the answer of a commit is lost and
+	// that the service carries it out only LateBy afterwards.
+	LateEffects float64       `json:"late_effects"`
+	LateBy      time.Duration `json:"late_by"`
+	// Conflicts is the probability that another writer changes the rows of a
+	// commit's conditions just before it.
+	Conflicts float64 `json:"conflicts"`
+	// WritesPerSecond and ReadsPerSecond are the limits; zero means none.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+}
+
+// Check returns the first value that is out of range.
+func (f Faults) Check() error {
+	probabilities := []struct {
+		name  string
+		value float64
+	}{
+		{"lost_requests", f.LostRequests},
+		{"lost_answers", f.LostAnswers},
+		{"late_effects", f.LateEffects},
+		{"conflicts", f.Conflicts},
+	}
+	for _, p := range probabilities {
+		if !(p.value >= 0 && p.value <= 1) {
+			return errors.Errorf("%s: %v is not between 0 and 1", p.name, p.value)
+		}
+	}
+	if f.Delay < 0 || f.Jitter < 0 || f.LateBy < 0 {
+		return errors.New("delay, jitter, late_by: a time is below zero")
+	}
+	if !(f.WritesPerSecond >= 0 && f.ReadsPerSecond >= 0) {
+		return errors.New("writes_per_second, reads_per_second: a rate is below zero")
+	}
+	return nil
+}
+
+// Clock tells the time and waits. Tests put in one of their own.
+type Clock interface {
+	Now() time.Time
+	// Sleep returns ctx's error where ctx ends before d has passed.
+	Sleep(ctx context.Context, d time.Duration) error
+}
+
+// SystemClock is the clock of the process.
+type SystemClock struct{}
+
+// Now implements Clock.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// Sleep implements Clock.
+func (SystemClock) Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
