--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -47,6 +47,7 @@
 		sidecarCommand(),
 		sampleEchoCommand(),
 		loadCommand(),
+		standinTableCommand(),
 		versionCommand(),
 	}
 }
