Add the operators' commands

Cause: operators had no command line for the catalogue, stops and status.

Change: carobkeel catalogue validate, apply, get and history, stop plan, list and cancel, and status, with tables for people and -json. operator/client repeats a change under one id through each configured address, so that a lost answer does not change what is reported.

--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -46,6 +46,9 @@
 		entryCommand(),
 		sidecarCommand(),
 		sampleEchoCommand(),
+		catalogueCommand(),
+		stopCommand(),
+		statusCommand(),
 		versionCommand(),
 	}
 }
--- /dev/null
+++ b/operator/client/errors.go
@@ -0,0 +1,25 @@
+package client
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/operator"
+)
+
+// foreignError is an answer that is not from the operators' interface.
+type foreignError struct {
+	address string
+	status  int
+}
+
+// Error implements error.
+func (e *foreignError) Error() string {
+	return fmt.Sprintf("%s answered with status %d and no result code; is it an operators' listener?", e.address, e.status)
+}
+
+func isProblems(err error) bool {
+	var problems operator.Problems
+	return errors.As(err, &problems)
+}
--- a/operator/httpapi/catalogue.go
+++ b/operator/httpapi/catalogue.go
@@ -92,7 +92,7 @@
 // writeTagged answers with a state and its entity tag, or that the reader has
 // it already.
 func writeTagged(w http.ResponseWriter, r *http.Request, revision carobkeel.Revision, data []byte) {
-	tag := tagOf(revision)
+	tag := TagOf(revision)
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
@@ -172,7 +172,7 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	w.Header().Set("ETag", tagOf(revision))
+	w.Header().Set("ETag", TagOf(revision))
 	writeRaw(w, status, data)
 }
 
@@ -193,7 +193,7 @@
 		writeErrorWith(w, err, absentState)
 		return
 	}
-	w.Header().Set("ETag", tagOf(revision))
+	w.Header().Set("ETag", TagOf(revision))
 	writeErrorWith(w, err, data)
 }
 
--- a/operator/httpapi/document.go
+++ b/operator/httpapi/document.go
@@ -31,7 +31,7 @@
 		h.writeDocumentError(w, r, err)
 		return
 	}
-	w.Header().Set("ETag", tagOf(result.Revision))
+	w.Header().Set("ETag", TagOf(result.Revision))
 	writeJSON(w, http.StatusOK, Accepted{
 		Revision: result.Revision, Repeated: result.Repeated, Differences: result.Change.Differences(),
 	})
@@ -82,7 +82,7 @@
 		writeError(w, err)
 		return
 	}
-	w.Header().Set("ETag", tagOf(c.Revision))
+	w.Header().Set("ETag", TagOf(c.Revision))
 	writeErrorWith(w, err, data)
 }
 
--- a/operator/httpapi/request.go
+++ b/operator/httpapi/request.go
@@ -60,8 +60,8 @@
 	return data, nil
 }
 
-// tagOf returns the strong entity tag of a state.
-func tagOf(revision carobkeel.Revision) string {
+// TagOf returns the strong entity tag of a state.
+func TagOf(revision carobkeel.Revision) string {
 	return `"` + strconv.FormatUint(uint64(revision), 10) + `"`
 }
 
