--- a/caller/httpapi/handler.go
+++ b/caller/httpapi/handler.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/caller"
 )
@@ -53,16 +51,28 @@
 	return &Handler{self: self, catalogues: c, forwarder: f, admission: a, metrics: m}
 }
 
-// Mount adds the callers' routes to the router.
-func (h *Handler) Mount(router chi.Router) {
-	router.Handle("/services/{name}", http.HandlerFunc(h.serve))
-	router.Handle("/services/{name}/*", http.HandlerFunc(h.serve))
+// servicesPrefix begins the paths of requests to services.
+const servicesPrefix = "/services/"
+
+// Over returns a handler that takes the requests to services and leaves all
+// others to next. It looks at the path's beginning alone: a router would make a
+// context for each request.
+func (h *Handler) Over(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, servicesPrefix) {
+			h.serve(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	id := carobkeel.RequestID{Entry: h.self, Sequence: h.sequence.Add(1)}
-	request, refusal := h.request(r, id, started)
+	request, refusal := h.request(r, started)
+	// The id is drawn once the body is there: sidecars forget by id, and a
+	// caller may take its time to send.
+	request.ID = carobkeel.RequestID{Entry: h.self, Sequence: h.sequence.Add(1)}
 	if refusal != nil {
 		h.refuse(w, request, refusal, started)
 		return
@@ -75,7 +85,7 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
-	writeAnswer(w, id, answer)
+	writeAnswer(w, request, answer)
 	h.metrics.answered(request.Owner, request.Class, carobkeel.CodeOK, time.Since(started))
 }
 
@@ -86,15 +96,18 @@
 
 // writeAnswer gives the answer to the caller. An answer that breaks off ends the
 // connection, so that the caller does not take it for whole.
-func writeAnswer(w http.ResponseWriter, id carobkeel.RequestID, answer *caller.Answer) {
+func writeAnswer(w http.ResponseWriter, r *caller.Request, answer *caller.Answer) {
 	writeFields(w, answer.Header)
 	header := w.Header()
-	header.Set(RequestIDHeader, id.String())
+	header.Set(RequestIDHeader, r.ID.String())
 	header.Set(ResultHeader, "0")
 	if _, set := header["Content-Length"]; !set && answer.BodyLength >= 0 && bodyAllowed(answer.Status) {
 		header.Set("Content-Length", strconv.FormatInt(answer.BodyLength, 10))
 	}
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	if r.Body != nil {
+		// The upstream may answer before it has read the whole body.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	w.WriteHeader(answer.Status)
 	if _, err := io.Copy(w, answer.Body); err != nil {
 		panic(http.ErrAbortHandler)
@@ -105,10 +118,11 @@
 	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// request reads what the caller asks for. The request it returns has at least
-// its id, also beside a refusal.
-func (h *Handler) request(r *http.Request, id carobkeel.RequestID, now time.Time) (*caller.Request, *carobkeel.Error) {
-	out := &caller.Request{ID: id, Service: carobkeel.Service(chi.URLParam(r, "name")), Method: r.Method}
+// request reads what the caller asks for. It returns a request also beside a
+// refusal.
+func (h *Handler) request(r *http.Request, now time.Time) (*caller.Request, *carobkeel.Error) {
+	name, path := splitPath(r)
+	out := &caller.Request{Service: carobkeel.Service(name), Method: r.Method, Path: path}
 	if !h.admission.Admits() {
 		return out, carobkeel.NewError(carobkeel.CodeDraining, "this entry is shutting down")
 	}
@@ -118,7 +132,6 @@
 	}
 	out.Owner = entry.Owner
 	out.Class = entry.Class
-	out.Path = pathBelow(r)
 	out.Idempotent = caller.IsIdempotent(entry, r.Method)
 	asked, refusal := askedTimeout(r)
 	if refusal != nil {
@@ -130,20 +143,18 @@
 	return out, readBody(out, r, entry.Limits.BodyBytes)
 }
 
-// pathBelow returns the path below the service's name and the query, as the
-// caller wrote them.
-func pathBelow(r *http.Request) string {
-	path := r.URL.EscapedPath()
-	rest := strings.TrimPrefix(path, "/services/")
-	if slash := strings.IndexByte(rest, '/'); slash >= 0 {
-		rest = rest[slash:]
-	} else {
-		rest = "/"
+// splitPath returns the service's name, and the path below it with the query as
+// the caller wrote them.
+func splitPath(r *http.Request) (name, path string) {
+	name = strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix)
+	path = "/"
+	if slash := strings.IndexByte(name, '/'); slash >= 0 {
+		name, path = name[:slash], name[slash:]
 	}
 	if r.URL.RawQuery != "" {
-		rest += "?" + r.URL.RawQuery
+		path += "?" + r.URL.RawQuery
 	}
-	return rest
+	return name, path
 }
 
 func askedTimeout(r *http.Request) (time.Duration, *carobkeel.Error) {
--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -49,6 +49,7 @@
 		catalogueCommand(),
 		stopCommand(),
 		statusCommand(),
+		loadCommand(),
 		versionCommand(),
 	}
 }
