--- /dev/null
+++ b/worker/commit.go
@@ -0,0 +1,177 @@
+package worker
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/carobkeel/carobkeel"
+)
+
+// Registry holds the current Fleet. Readers load it without a lock; writers
+// build the next one aside, one at a time, and swap it in.
+type Registry struct {
+	current atomic.Pointer[Fleet]
+
+	// mu serializes writers. No reader takes it.
+	mu sync.Mutex
+	// placed tells which worker has a task. It is guarded by mu.
+	placed map[carobkeel.TaskID]ID
+}
+
+// NewRegistry returns a Registry that starts from the given fleet, nil for an
+// empty one.
+func NewRegistry(fleet *Fleet) *Registry {
+	if fleet == nil {
+		fleet = &Fleet{}
+	}
+	r := &Registry{placed: map[carobkeel.TaskID]ID{}}
+	fleet.Each(func(w *Worker) bool {
+		for _, task := range w.Tasks {
+			r.placed[task.ID] = w.ID
+		}
+		return true
+	})
+	r.current.Store(fleet)
+	return r
+}
+
+// Fleet returns the current snapshot.
+func (r *Registry) Fleet() *Fleet { return r.current.Load() }
+
+// Update applies a change to the current snapshot and publishes the result.
+func (r *Registry) Update(apply func(*Edit)) *Fleet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.update(apply)
+}
+
+// Locate returns the worker that has the task.
+func (r *Registry) Locate(task carobkeel.TaskID) (ID, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.locate(task)
+}
+
+// Commit implements Planner.
+func (r *Registry) Commit(plan Plan) Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var result Result
+	result.Fleet = r.update(func(e *Edit) { result = e.Apply(plan) })
+	return result
+}
+
+func (r *Registry) update(apply func(*Edit)) *Fleet {
+	edit := r.current.Load().Edit()
+	edit.located = r.locate
+	apply(edit)
+	for task, id := range edit.moved {
+		if id == "" {
+			delete(r.placed, task)
+		} else {
+			r.placed[task] = id
+		}
+	}
+	next := edit.Publish()
+	r.current.Store(next)
+	return next
+}
+
+func (r *Registry) locate(task carobkeel.TaskID) (ID, bool) {
+	id, ok := r.placed[task]
+	return id, ok
+}
+
+// Apply checks each part of the plan against the edit's state and applies what
+// holds. The parts of a plan are independent of each other: one that no longer
+// holds does not stop the next.
+func (e *Edit) Apply(plan Plan) Result {
+	result := Result{Outcomes: make([]Outcome, 0, len(plan.Assignments))}
+	for _, p := range plan.Preemptions {
+		if e.Evicting(p.Worker, p.Task) {
+			result.Evicted = append(result.Evicted, p)
+		}
+	}
+	for i := range plan.Assignments {
+		outcome := e.assign(&plan.Assignments[i], plan, &result)
+		if outcome.Err == nil {
+			result.Accepted++
+		}
+		result.Outcomes = append(result.Outcomes, outcome)
+	}
+	return result
+}
+
+// assign applies one assignment where it holds.
+func (e *Edit) assign(a *Assignment, plan Plan, result *Result) Outcome {
+	outcome := Outcome{Task: a.Request.Task, Worker: a.Worker}
+	w, err := e.recheck(a, plan)
+	if err != nil {
+		outcome.Err = err
+		return outcome
+	}
+	if a.Request.Demand.FitsIn(w.Free()) {
+		e.add(a.Worker, a.Request.task(PhaseRunning, plan.At))
+		return outcome
+	}
+	victims, ok := claimVictims(w, a)
+	if !ok {
+		outcome.Err = hostFull(w, &a.Request)
+		return outcome
+	}
+	for _, victim := range victims {
+		e.Evicting(a.Worker, victim)
+		result.Evicted = append(result.Evicted, Preemption{Task: victim, Worker: a.Worker, Version: a.Version})
+	}
+	e.add(a.Worker, a.Request.task(PhaseClaimed, plan.At))
+	outcome.Claimed = true
+	return outcome
+}
+
+// recheck returns the assignment's worker as it is now, or why the task can't
+// go there whatever is evicted.
+func (e *Edit) recheck(a *Assignment, plan Plan) (*Worker, error) {
+	if err := a.Request.Validate(); err != nil {
+		return nil, err
+	}
+	if at, ok := e.locate(a.Request.Task); ok {
+		return nil, carobkeel.NewError(carobkeel.CodeHostFull, "task %s is on worker %s already", a.Request.Task, at)
+	}
+	w, ok := e.Worker(a.Worker)
+	if !ok {
+		return nil, carobkeel.NewError(carobkeel.CodeHostFull, "worker %s is gone", a.Worker)
+	}
+	if _, ok := w.Task(a.Request.Task); ok {
+		return nil, carobkeel.NewError(carobkeel.CodeHostFull, "task %s is on worker %s already", a.Request.Task, w.ID)
+	}
+	check := checker{state: e, request: &a.Request, now: plan.At}
+	if reason := check.standing(w); reason != ReasonNone {
+		return nil, carobkeel.NewError(carobkeel.CodeHostFull, "worker %s is not feasible: %s", w.ID, reason)
+	}
+	return w, nil
+}
+
+// claimVictims returns the assignment's victims that are still needed, and
+// whether evicting them makes room.
+func claimVictims(w *Worker, a *Assignment) ([]carobkeel.TaskID, bool) {
+	room := w.Claimable()
+	var needed []carobkeel.TaskID
+	for _, id := range a.Victims {
+		if a.Request.Demand.FitsIn(room) {
+			break
+		}
+		task, ok := w.Task(id)
+		if !ok || !task.Preemptible(a.Request.Class, a.Request.Urgency) {
+			continue
+		}
+		room = room.Add(task.Reserved)
+		needed = append(needed, id)
+	}
+	waits := len(a.Victims) > 0
+	return needed, waits && a.Request.Demand.FitsIn(room)
+}
+
+func hostFull(w *Worker, r *Request) error {
+	return carobkeel.NewError(carobkeel.CodeHostFull,
+		"worker %s has no room for task %s", w.ID, r.Task)
+}
--- /dev/null
+++ b/worker/page.go
@@ -0,0 +1,65 @@
+package worker
+
+import "github.com/carobkeel/carobkeel"
+
+// pageSize is the number of workers on a page.
+const pageSize = 64
+
+// page holds up to pageSize workers of one data centre and the upper bounds of
+// what they offer, so that a search passes over a page without a look at its
+// workers. A page that is part of a Fleet is never changed.
+type page struct {
+	dataCentre carobkeel.DataCentre
+	workers    []*Worker
+	// free, reclaimable and capacity are the largest amount, part by part,
+	// that any worker of the page has. The first two count ready workers only.
+	free        carobkeel.Resources
+	reclaimable carobkeel.Resources
+	capacity    carobkeel.Resources
+	// cells are the workers' free capacity, by slot on the page, apart from
+	// the workers so that a search reads few cache lines.
+	cells [pageSize]cell
+}
+
+// cell is what a search needs to know of one worker.
+type cell struct {
+	free        carobkeel.Resources
+	reclaimable carobkeel.Resources
+	status      Status
+}
+
+func (p *page) clone() *page {
+	next := *p
+	next.workers = append(make([]*Worker, 0, pageSize), p.workers...)
+	return &next
+}
+
+func (p *page) set(slot int, w *Worker) {
+	p.workers[slot] = w
+	p.cells[slot] = cell{free: w.Free(), reclaimable: w.reclaimable(), status: w.Status}
+	p.summarize()
+}
+
+// summarize computes the upper bounds of the page from its cells.
+func (p *page) summarize() {
+	var free, reclaimable, capacity carobkeel.Resources
+	for i, w := range p.workers {
+		c := &p.cells[i]
+		if c.status == StatusReady {
+			free = maxParts(free, c.free)
+			reclaimable = maxParts(reclaimable, c.reclaimable)
+		}
+		if c.status != StatusLost {
+			capacity = maxParts(capacity, w.Capacity)
+		}
+	}
+	p.free, p.reclaimable, p.capacity = free, reclaimable, capacity
+}
+
+func maxParts(a, b carobkeel.Resources) carobkeel.Resources {
+	return carobkeel.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryBytes:  max(a.MemoryBytes, b.MemoryBytes),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
