Place tasks: search, ranking, plans and the cheapest evictions

Cause: work needs a worker; urgent work needs room that batch work holds. Change: Place searches pages by upper bounds of what they offer, ranks at most 16 feasible workers (batch packed, services spread, predicted interference and the home data centre weighed) and, for services and urgent batch work, chooses the evictions that throw away least. PlaceAll makes a plan over what its own earlier decisions leave.

--- a/worker/commit.go
+++ b/worker/commit.go
@@ -88,7 +88,7 @@
 func (e *Edit) Apply(plan Plan) Result {
 	result := Result{Outcomes: make([]Outcome, 0, len(plan.Assignments))}
 	for _, p := range plan.Preemptions {
-		if e.Evicting(p.Worker, p.Task) {
+		if e.preempt(&p) {
 			result.Evicted = append(result.Evicted, p)
 		}
 	}
@@ -102,6 +102,19 @@
 	return result
 }
 
+// preempt starts the eviction of a running task or withdraws a claim.
+func (e *Edit) preempt(p *Preemption) bool {
+	w, ok := e.Worker(p.Worker)
+	if !ok {
+		return false
+	}
+	if task, ok := w.Task(p.Task); ok && task.Phase == PhaseClaimed {
+		p.Withdrawn = true
+		return e.Remove(p.Worker, p.Task)
+	}
+	return e.Evicting(p.Worker, p.Task)
+}
+
 // assign applies one assignment where it holds.
 func (e *Edit) assign(a *Assignment, plan Plan, result *Result) Outcome {
 	outcome := Outcome{Task: a.Request.Task, Worker: a.Worker}
@@ -167,8 +180,7 @@
 		room = room.Add(task.Reserved)
 		needed = append(needed, id)
 	}
-	waits := len(a.Victims) > 0
-	return needed, waits && a.Request.Demand.FitsIn(room)
+	return needed, a.Wait && a.Request.Demand.FitsIn(room)
 }
 
 func hostFull(w *Worker, r *Request) error {
--- a/worker/plan.go
+++ b/worker/plan.go
@@ -12,8 +12,10 @@
 	Worker  ID
 	// Version is the worker's version that the assignment was made from.
 	Version uint64
-	// Victims are the tasks on the worker that have to be evicted first. The
-	// assignment is a claim where there are any.
+	// Wait says that the task may wait for evictions on the worker: those of
+	// Victims and those that are under way.
+	Wait bool
+	// Victims are the tasks on the worker that have to be evicted first.
 	Victims []carobkeel.TaskID
 }
 
@@ -24,6 +26,9 @@
 	Worker ID
 	// Version is the worker's version that the preemption was made from.
 	Version uint64
+	// Withdrawn is set by a commit: the task was a claim, has not started and
+	// is off the worker already.
+	Withdrawn bool
 }
 
 // Plan is a set of decisions made from one snapshot.
--- /dev/null
+++ b/worker/select.go
@@ -0,0 +1,276 @@
+package worker
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+)
+
+const (
+	// defaultCandidates is the number of feasible workers that are ranked.
+	defaultCandidates = 16
+	// defaultExamined is the most workers that one search looks at.
+	defaultExamined = 2048
+)
+
+// Policy bounds and steers a placement.
+type Policy struct {
+	// Candidates is the number of feasible workers that are ranked against
+	// each other. Zero means 16.
+	Candidates int
+	// Examined is the most workers that one search looks at. Zero means 2048.
+	Examined int
+	// PreemptFrom is the urgency from which batch work may evict less urgent
+	// batch work. Services always may.
+	PreemptFrom Urgency
+	// Interference predicts slowdowns. It may be nil.
+	Interference Interference
+	// MaxPenalty is the predicted slowdown from which a worker is rejected.
+	// Zero means that none is.
+	MaxPenalty float64
+}
+
+// DefaultPolicy returns the policy for production: only urgent work preempts.
+func DefaultPolicy() Policy {
+	return Policy{Candidates: defaultCandidates, Examined: defaultExamined, PreemptFrom: UrgencyHigh}
+}
+
+// Verdict says what became of a request.
+type Verdict uint8
+
+const (
+	// VerdictPlaced requests have a worker that has room now.
+	VerdictPlaced Verdict = iota
+	// VerdictPreempting requests have a worker on which they wait for
+	// evictions.
+	VerdictPreempting
+	// VerdictWaiting requests fit on no worker now.
+	VerdictWaiting
+	// VerdictNeverFits requests are larger than every worker of the fleet.
+	VerdictNeverFits
+	// VerdictInvalid requests demand nothing or a negative amount.
+	VerdictInvalid
+)
+
+// Decision is the answer to one request.
+type Decision struct {
+	Verdict Verdict
+	// Assignment is set for VerdictPlaced and VerdictPreempting.
+	Assignment Assignment
+	// Rejections counts why workers that the search passed were rejected.
+	Rejections Rejections
+	// Truncated says that the search ended at the policy's bound, so that
+	// another seed may find room.
+	Truncated bool
+	// Err is set for VerdictNeverFits and VerdictInvalid.
+	Err error
+}
+
+// Place chooses a worker for the request. The seed decides where the search
+// starts; planners that work at once should use different ones.
+func Place(state State, request Request, policy Policy, seed uint64, now time.Time) Decision {
+	if err := request.Validate(); err != nil {
+		return Decision{Verdict: VerdictInvalid, Err: err}
+	}
+	s := newSelection(state, &request, policy, seed, now)
+	if s.selectFree() {
+		return s.decision(VerdictPlaced)
+	}
+	if s.mayPreempt() && s.selectReclaimable() {
+		return s.decision(VerdictPreempting)
+	}
+	if err := NeverFits(state, &request); err != nil {
+		return Decision{Verdict: VerdictNeverFits, Rejections: s.rejections, Err: err}
+	}
+	return Decision{Verdict: VerdictWaiting, Rejections: s.rejections, Truncated: s.truncated}
+}
+
+// NeverFits returns an Error with CodeNeverFits where the demand exceeds every
+// worker of the data centres that the request allows, nil otherwise.
+func NeverFits(state State, r *Request) error {
+	largest := state.largest(r)
+	reason := lacks(r.Demand, largest)
+	if reason == ReasonNone {
+		reason = lacksTogether(state, r)
+	}
+	if reason == ReasonNone {
+		return nil
+	}
+	return carobkeel.NewError(carobkeel.CodeNeverFits,
+		"task %s asks for %d mCPU, %d bytes and %d accelerators; the most of any worker is %d mCPU, %d bytes and %d accelerators (%s)",
+		r.Task, r.Demand.MilliCPU, r.Demand.MemoryBytes, r.Demand.Accelerators,
+		largest.MilliCPU, largest.MemoryBytes, largest.Accelerators, reason)
+}
+
+// lacksTogether reports whether each part of the demand is found on some
+// worker, but not all of them on one.
+func lacksTogether(state State, r *Request) Reason {
+	reason := ReasonProcessors
+	state.Each(func(w *Worker) bool {
+		if w.Status != StatusLost && r.allows(w.Location.DataCentre) && r.Demand.FitsIn(w.Capacity) {
+			reason = ReasonNone
+		}
+		return reason != ReasonNone
+	})
+	return reason
+}
+
+// selection is the search for one request's worker.
+type selection struct {
+	checker
+	policy     Policy
+	seed       uint64
+	rejections Rejections
+	examined   int
+	found      int
+	truncated  bool
+	best       *Worker
+	bestScore  float64
+	victims    []carobkeel.TaskID
+}
+
+func newSelection(state State, r *Request, policy Policy, seed uint64, now time.Time) *selection {
+	if policy.Candidates == 0 {
+		policy.Candidates = defaultCandidates
+	}
+	if policy.Examined == 0 {
+		policy.Examined = defaultExamined
+	}
+	mixed := rand.NewPCG(seed, state.Version()).Uint64()
+	return &selection{checker: checker{state: state, request: r, now: now}, policy: policy, seed: mixed}
+}
+
+func (s *selection) mayPreempt() bool {
+	r := s.request
+	return r.Class == carobkeel.ClassLatencyCritical || (r.Urgency >= s.policy.PreemptFrom && r.Urgency > UrgencyLow)
+}
+
+// selectFree looks for a worker with room, in the home data centre first.
+func (s *selection) selectFree() bool {
+	return s.sweep(filter{request: s.request}, s.weighFree)
+}
+
+// selectReclaimable looks for a worker on which the cheapest evictions make
+// room.
+func (s *selection) selectReclaimable() bool {
+	return s.sweep(filter{request: s.request, reclaim: true}, s.weighReclaimable)
+}
+
+func (s *selection) sweep(by filter, weigh func(*Worker)) bool {
+	s.examined, s.found = 0, 0
+	visit := func(w *Worker) bool {
+		s.examined++
+		weigh(w)
+		s.truncated = s.examined >= s.policy.Examined
+		return s.found < s.policy.Candidates && !s.truncated
+	}
+	if s.request.Home == "" {
+		s.state.search(by, s.seed, &s.rejections, visit)
+		return s.best != nil
+	}
+	by.home = true
+	s.state.search(by, s.seed, &s.rejections, visit)
+	if s.best != nil {
+		return true
+	}
+	by.home, by.away = false, true
+	s.state.search(by, s.seed, &s.rejections, visit)
+	return s.best != nil
+}
+
+func (s *selection) weighFree(w *Worker) {
+	penalty, ok := s.admit(w)
+	if !ok {
+		return
+	}
+	s.offer(w, score(s.request, w, penalty), nil)
+}
+
+func (s *selection) weighReclaimable(w *Worker) {
+	penalty, ok := s.admit(w)
+	if !ok {
+		return
+	}
+	victims, cost, ok := Victims(w, s.request, s.now)
+	if !ok {
+		s.rejections.Add(ReasonProcessors, 1)
+		return
+	}
+	s.offer(w, cost+interferenceWeight*penalty, victims)
+}
+
+// admit checks what the page's cells don't tell.
+func (s *selection) admit(w *Worker) (float64, bool) {
+	if reason := s.standing(w); reason != ReasonNone {
+		s.rejections.Add(reason, 1)
+		return 0, false
+	}
+	if s.policy.Interference == nil {
+		return 0, true
+	}
+	penalty := s.policy.Interference.Penalty(s.request, w)
+	if s.policy.MaxPenalty > 0 && penalty > s.policy.MaxPenalty {
+		s.rejections.Add(ReasonInterference, 1)
+		return 0, false
+	}
+	return penalty, true
+}
+
+func (s *selection) offer(w *Worker, score float64, victims []carobkeel.TaskID) {
+	s.found++
+	if s.best == nil || score < s.bestScore {
+		s.best, s.bestScore, s.victims = w, score, victims
+	}
+}
+
+func (s *selection) decision(verdict Verdict) Decision {
+	return Decision{
+		Verdict: verdict,
+		Assignment: Assignment{
+			Request: *s.request, Worker: s.best.ID, Version: s.best.Version,
+			Wait: verdict == VerdictPreempting, Victims: s.victims,
+		},
+		Rejections: s.rejections,
+	}
+}
+
+// PlaceAll decides on the requests in their order, each over the state that the
+// earlier ones leave, and returns the plan and one decision for each request.
+func PlaceAll(fleet *Fleet, requests []Request, policy Policy, seed uint64, now time.Time) (Plan, []Decision) {
+	plan := Plan{FleetVersion: fleet.Version(), At: now}
+	decisions := make([]Decision, 0, len(requests))
+	overlay := fleet.Edit()
+	for i := range requests {
+		decision := Place(overlay, requests[i], policy, seed+uint64(i), now)
+		if decision.Verdict <= VerdictPreempting {
+			step := Plan{At: now, Assignments: []Assignment{decision.Assignment}}
+			if overlay.Apply(step).Accepted == 1 {
+				plan.Assignments = append(plan.Assignments, decision.Assignment)
+			} else {
+				decision = Decision{Verdict: VerdictWaiting, Rejections: decision.Rejections}
+			}
+		}
+		decisions = append(decisions, decision)
+	}
+	return plan, decisions
+}
+
+// Explain counts, over all workers, why each can't start the request's task
+// now. It answers why a task waits; placements don't pay for it.
+func Explain(state State, request Request, now time.Time) (feasible int, rejections Rejections) {
+	check := checker{state: state, request: &request, now: now}
+	state.Each(func(w *Worker) bool {
+		reason := check.standing(w)
+		if reason == ReasonNone {
+			reason = lacks(request.Demand, w.Free())
+		}
+		if reason == ReasonNone {
+			feasible++
+		} else {
+			rejections.Add(reason, 1)
+		}
+		return true
+	})
+	return feasible, rejections
+}
