Measure placement and check rack spread last

Change: cmd/benchmark has the suite placement. The spread over racks is checked only for a worker that would be the best so far, and reads hashes of the tasks' groups that lie together. Evictions are compared on 4 workers in place of 16, without allocations for a worker's usual number of tasks. Comparing fewer workers may cost dearer evictions; that is not measured yet.

--- a/cmd/benchmark/figure.go
+++ b/cmd/benchmark/figure.go
@@ -33,6 +33,11 @@
 	return f
 }
 
+// measured returns a figure that has no target.
+func measured(name string, value float64, unit string) figure {
+	return figure{Name: name, Value: value, Unit: unit, Verdict: "measured"}
+}
+
 // line returns the figure as "name value unit target verdict".
 func (f figure) line() string {
 	return fmt.Sprintf("%s %s %s %s %s", f.Name, number(f.Value), f.Unit, f.targetText(), f.Verdict)
--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -30,6 +30,7 @@
 func suites() []suite {
 	return []suite{
 		catalogueSuite(),
+		placementSuite(),
 	}
 }
 
--- a/worker/feasible.go
+++ b/worker/feasible.go
@@ -65,8 +65,19 @@
 	racks   map[rackKey]int
 }
 
-// standing checks what no eviction changes.
+// standing checks what no eviction on the worker changes.
 func (c *checker) standing(w *Worker) Reason {
+	if reason := c.permits(w); reason != ReasonNone {
+		return reason
+	}
+	if c.crowdsRack(w) {
+		return ReasonRackSpread
+	}
+	return ReasonNone
+}
+
+// permits checks what the worker by itself tells.
+func (c *checker) permits(w *Worker) Reason {
 	r := c.request
 	switch {
 	case !r.allows(w.Location.DataCentre):
@@ -80,13 +91,13 @@
 	case r.Avoid == w.ID && r.Avoid != "":
 		return ReasonAvoided
 	}
-	if reason := lacks(r.Demand, w.Capacity); reason != ReasonNone {
-		return reason
-	}
-	if r.MaxPerRack > 0 && c.rackCount(w) >= r.MaxPerRack {
-		return ReasonRackSpread
-	}
-	return ReasonNone
+	return lacks(r.Demand, w.Capacity)
+}
+
+// crowdsRack reports whether the worker's rack has all tasks of the request's
+// group that it may have.
+func (c *checker) crowdsRack(w *Worker) bool {
+	return c.request.MaxPerRack > 0 && c.rackCount(w) >= c.request.MaxPerRack
 }
 
 // stopsTooEarly reports whether the worker's planned stop would cut the task.
@@ -108,13 +119,9 @@
 	if count, ok := c.racks[key]; ok {
 		return count
 	}
-	count := 0
+	count, hash := 0, hashGroup(c.request.Group)
 	c.state.Rack(key.dataCentre, key.rack, func(neighbour *Worker) bool {
-		for _, task := range neighbour.Tasks {
-			if task.Group == c.request.Group && task.Phase != PhaseEvicting {
-				count++
-			}
-		}
+		count += neighbour.groupCount(c.request.Group, hash)
 		return true
 	})
 	if c.racks == nil {
--- a/worker/preempt.go
+++ b/worker/preempt.go
@@ -13,6 +13,9 @@
 	restartCost = 30 * time.Second
 	// acceleratorCores is the number of cores that one accelerator counts as.
 	acceleratorCores = 16.0
+	// taskBuffer is the number of a worker's tasks that are weighed without an
+	// allocation.
+	taskBuffer = 32
 )
 
 // EvictionCost returns what evicting the task throws away, in core-seconds. It
@@ -29,7 +32,13 @@
 // false where evicting everything less urgent does not make room.
 func Victims(w *Worker, r *Request, now time.Time) ([]carobkeel.TaskID, float64, bool) {
 	deficit := shortfall(r.Demand, w.Claimable())
-	options := eligible(w, func(t *Task) bool { return t.Preemptible(r.Class, r.Urgency) }, now)
+	var buffer [taskBuffer]option
+	options := buffer[:0]
+	for _, task := range w.Tasks {
+		if task.Preemptible(r.Class, r.Urgency) {
+			options = append(options, option{task: task, cost: EvictionCost(task, now)})
+		}
+	}
 	chosen, ok := cover(deficit, options)
 	if !ok {
 		return nil, 0, false
@@ -104,7 +113,8 @@
 		return nil, true
 	}
 	var chosen []option
-	left, rest := deficit, append([]option(nil), options...)
+	var buffer [taskBuffer]option
+	left, rest := deficit, append(buffer[:0], options...)
 	for !left.IsZero() {
 		i := cheapest(left, rest)
 		if i < 0 {
--- a/worker/select.go
+++ b/worker/select.go
@@ -10,6 +10,9 @@
 const (
 	// defaultCandidates is the number of feasible workers that are ranked.
 	defaultCandidates = 16
+	// defaultPreemptCandidates is the number of workers whose evictions are
+	// compared.
+	defaultPreemptCandidates = 4
 	// defaultExamined is the most workers that one search looks at.
 	defaultExamined = 2048
 )
@@ -19,6 +22,9 @@
 	// Candidates is the number of feasible workers that are ranked against
 	// each other. Zero means 16.
 	Candidates int
+	// PreemptCandidates is the number of workers whose evictions are compared.
+	// Zero means 4.
+	PreemptCandidates int
 	// Examined is the most workers that one search looks at. Zero means 2048.
 	Examined int
 	// PreemptFrom is the urgency from which batch work may evict less urgent
@@ -33,7 +39,10 @@
 
 // DefaultPolicy returns the policy for production: only urgent work preempts.
 func DefaultPolicy() Policy {
-	return Policy{Candidates: defaultCandidates, Examined: defaultExamined, PreemptFrom: UrgencyHigh}
+	return Policy{
+		Candidates: defaultCandidates, PreemptCandidates: defaultPreemptCandidates,
+		Examined: defaultExamined, PreemptFrom: UrgencyHigh,
+	}
 }
 
 // Verdict says what became of a request.
@@ -134,6 +143,9 @@
 	if policy.Candidates == 0 {
 		policy.Candidates = defaultCandidates
 	}
+	if policy.PreemptCandidates == 0 {
+		policy.PreemptCandidates = defaultPreemptCandidates
+	}
 	if policy.Examined == 0 {
 		policy.Examined = defaultExamined
 	}
@@ -148,22 +160,22 @@
 
 // selectFree looks for a worker with room, in the home data centre first.
 func (s *selection) selectFree() bool {
-	return s.sweep(filter{request: s.request}, s.weighFree)
+	return s.sweep(filter{request: s.request}, s.policy.Candidates, s.weighFree)
 }
 
 // selectReclaimable looks for a worker on which the cheapest evictions make
 // room.
 func (s *selection) selectReclaimable() bool {
-	return s.sweep(filter{request: s.request, reclaim: true}, s.weighReclaimable)
+	return s.sweep(filter{request: s.request, reclaim: true}, s.policy.PreemptCandidates, s.weighReclaimable)
 }
 
-func (s *selection) sweep(by filter, weigh func(*Worker)) bool {
+func (s *selection) sweep(by filter, candidates int, weigh func(*Worker)) bool {
 	s.examined, s.found = 0, 0
 	visit := func(w *Worker) bool {
 		s.examined++
 		weigh(w)
 		s.truncated = s.examined >= s.policy.Examined
-		return s.found < s.policy.Candidates && !s.truncated
+		return s.found < candidates && !s.truncated
 	}
 	if s.request.Home == "" {
 		s.state.search(by, s.seed, &s.rejections, visit)
@@ -194,7 +206,7 @@
 	}
 	victims, cost, ok := Victims(w, s.request, s.now)
 	if !ok {
-		s.rejections.Add(ReasonProcessors, 1)
+		s.rejections.Add(lacks(s.request.Demand, w.Claimable()), 1)
 		return
 	}
 	s.offer(w, cost+interferenceWeight*penalty, victims)
@@ -202,7 +214,7 @@
 
 // admit checks what the page's cells don't tell.
 func (s *selection) admit(w *Worker) (float64, bool) {
-	if reason := s.standing(w); reason != ReasonNone {
+	if reason := s.permits(w); reason != ReasonNone {
 		s.rejections.Add(reason, 1)
 		return 0, false
 	}
@@ -217,11 +229,19 @@
 	return penalty, true
 }
 
+// offer takes the worker where it is better than the best so far. The spread
+// over racks costs most to check, so it is checked for these only.
 func (s *selection) offer(w *Worker, score float64, victims []carobkeel.TaskID) {
-	s.found++
-	if s.best == nil || score < s.bestScore {
-		s.best, s.bestScore, s.victims = w, score, victims
+	if s.best != nil && score >= s.bestScore {
+		s.found++
+		return
 	}
+	if s.crowdsRack(w) {
+		s.rejections.Add(ReasonRackSpread, 1)
+		return
+	}
+	s.found++
+	s.best, s.bestScore, s.victims = w, score, victims
 }
 
 func (s *selection) decision(verdict Verdict) Decision {
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -67,6 +67,10 @@
 	Usage  Usage
 	// Tasks are the tasks of the worker in the order in which they came.
 	Tasks []*Task
+	// groups are the hashes of the groups of Tasks, in the same order. They
+	// lie together, so that counting a group on a rack reads little memory.
+	// Only Edit changes them.
+	groups []uint32
 }
 
 // Free returns the capacity that a task may start on at once. A part is
@@ -128,8 +132,37 @@
 	return sum
 }
 
-// sum computes Reserved, Claimed and Releasing from the tasks.
+// groupCount returns how many tasks of a group the worker has, evicting ones
+// apart. The hash is that of the group.
+func (w *Worker) groupCount(group string, hash uint32) int {
+	count := 0
+	for i, h := range w.groups {
+		if h != hash {
+			continue
+		}
+		if task := w.Tasks[i]; task.Group == group && task.Phase != PhaseEvicting {
+			count++
+		}
+	}
+	return count
+}
+
+// hashGroup returns the FNV-1a hash of a group.
+func hashGroup(group string) uint32 {
+	const offset, prime = 2166136261, 16777619
+	hash := uint32(offset)
+	for i := range len(group) {
+		hash = (hash ^ uint32(group[i])) * prime
+	}
+	return hash
+}
+
+// sum computes Reserved, Claimed, Releasing and groups from the tasks.
 func (w *Worker) sum() {
+	w.groups = make([]uint32, len(w.Tasks))
+	for i, task := range w.Tasks {
+		w.groups[i] = hashGroup(task.Group)
+	}
 	w.Reserved, w.Claimed, w.Releasing = carobkeel.Resources{}, carobkeel.Resources{}, carobkeel.Resources{}
 	for _, task := range w.Tasks {
 		switch task.Phase {
