Share the fleet between owners by quota

Cause: 300 owners share the fleet; what one leaves is lent to others and has to come back on demand, and urgency must not undo guarantees. Change: Fairness is a ledger with a heap of waiting owners: within their guarantee first, then by the weighted dominant share of what they borrow. PlaceFairly makes a plan in that order and Settle corrects the ledger after a commit. An owner within its guarantee takes room back from borrowers, never below their own guarantee; urgent batch work of an owner beyond its guarantee evicts only its own and borrowed work. Guarantees are scaled down where the fleet has shrunk below their sum.

--- a/cmd/benchmark/placement.go
+++ b/cmd/benchmark/placement.go
@@ -37,7 +37,7 @@
 		for _, size := range []int{120, 1_200, 12_000} {
 			figures = append(figures, placementFigures(o, size)...)
 		}
-		return figures, nil
+		return append(figures, fairnessFigures(o)...), nil
 	}}
 }
 
--- a/worker/commit.go
+++ b/worker/commit.go
@@ -174,7 +174,7 @@
 			break
 		}
 		task, ok := w.Task(id)
-		if !ok || !task.Preemptible(a.Request.Class, a.Request.Urgency) {
+		if !ok || !isRunningBatch(task) || !a.mayEvict(task) {
 			continue
 		}
 		room = room.Add(task.Reserved)
@@ -183,6 +183,10 @@
 	return needed, a.Wait && a.Request.Demand.FitsIn(room)
 }
 
+func (a *Assignment) mayEvict(t *Task) bool {
+	return a.Reclaim || t.Preemptible(a.Request.Class, a.Request.Urgency)
+}
+
 func hostFull(w *Worker, r *Request) error {
 	return carobkeel.NewError(carobkeel.CodeHostFull,
 		"worker %s has no room for task %s", w.ID, r.Task)
--- /dev/null
+++ b/worker/fairness_test.go
@@ -0,0 +1,190 @@
+package worker_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker"
+)
+
+// queues is a fixed list of requests by owner.
+type queues map[carobkeel.Owner][]worker.Request
+
+func (q queues) Head(owner carobkeel.Owner) (worker.Request, bool) {
+	list := q[owner]
+	if len(list) == 0 {
+		return worker.Request{}, false
+	}
+	q[owner] = list[1:]
+	return list[0], true
+}
+
+func batchOf(owner carobkeel.Owner, n int, demand carobkeel.Resources) []worker.Request {
+	var list []worker.Request
+	for i := range n {
+		list = append(list, worker.Request{
+			Task: carobkeel.TaskID(fmt.Sprintf("%s-%d", owner, i)), Owner: owner,
+			Class: carobkeel.ClassBatch, Demand: demand,
+		})
+	}
+	return list
+}
+
+// usageOf returns what each owner's tasks hold, evicting ones apart.
+func usageOf(fleet *worker.Fleet) map[carobkeel.Owner]carobkeel.Resources {
+	usage := map[carobkeel.Owner]carobkeel.Resources{}
+	fleet.Each(func(w *worker.Worker) bool {
+		for _, task := range w.Tasks {
+			if task.Phase != worker.PhaseEvicting {
+				usage[task.Owner] = usage[task.Owner].Add(task.Reserved)
+			}
+		}
+		return true
+	})
+	return usage
+}
+
+// TestDominantShares is the example of the paper on dominant resource fairness:
+// 9 processors and 18 GiB, one owner's tasks take 1 and 4, the other's 3 and 1.
+func TestDominantShares(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(1, cores(9, 18))
+	ledger := worker.NewFairness(fleet.Total())
+	waiting := queues{"a": batchOf("a", 9, cores(1, 4)), "b": batchOf("b", 9, cores(3, 1))}
+	ledger.SetWaiting("a", true)
+	ledger.SetWaiting("b", true)
+	plan, _ := worker.PlaceFairly(fleet, ledger, waiting, 20, worker.DefaultPolicy(), 1, epoch)
+	placed := map[carobkeel.Owner]int{}
+	for _, a := range plan.Assignments {
+		placed[a.Request.Owner]++
+	}
+	g.Expect(placed).To(Equal(map[carobkeel.Owner]int{"a": 3, "b": 2}))
+}
+
+func TestTheNextOwnerIsTheOneThatStandsWorst(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		ledger := worker.NewFairness(cores(100, 100))
+		waiting := map[carobkeel.Owner]bool{}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			owner := carobkeel.Owner(fmt.Sprint(rapid.IntRange(0, 12).Draw(rt, "owner")))
+			amount := cores(rapid.Int64Range(0, 9).Draw(rt, "cores"), rapid.Int64Range(0, 9).Draw(rt, "gib"))
+			switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+			case 0:
+				ledger.SetQuota(carobkeel.Quota{Owner: owner, Guaranteed: amount, Weight: rapid.Float64Range(0.5, 4).Draw(rt, "weight")})
+			case 1:
+				ledger.Charge(owner, amount)
+			case 2:
+				waiting[owner] = rapid.Bool().Draw(rt, "waiting")
+				ledger.SetWaiting(owner, waiting[owner])
+			case 3:
+				ledger.SetTotal(cores(rapid.Int64Range(10, 100).Draw(rt, "total"), 100))
+			}
+			next, ok := ledger.Next()
+			best := ledger.Standing(next)
+			for other, waits := range waiting {
+				if !waits {
+					continue
+				}
+				g.Expect(ok).To(BeTrue())
+				standing := ledger.Standing(other)
+				g.Expect(standing.Borrowing || !best.Borrowing).To(BeTrue())
+				g.Expect(standing.Borrowing != best.Borrowing || standing.Share >= best.Share).To(BeTrue())
+			}
+		}
+	})
+}
+
+func TestAnOwnerTakesItsGuaranteeBackFromBorrowersOnly(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		g := NewWithT(rt)
+		registry := worker.NewRegistry(fleetOf(4, cores(8, 16)))
+		ledger := worker.NewFairness(registry.Fleet().Total())
+		owners := []carobkeel.Owner{"a", "b", "c", "d"}
+		for _, owner := range owners {
+			ledger.SetQuota(carobkeel.Quota{Owner: owner, Guaranteed: cores(8, 16)})
+		}
+		now := epoch
+		for round := range rapid.IntRange(1, 8).Draw(rt, "rounds") {
+			waiting := queues{}
+			for _, owner := range owners {
+				n := rapid.IntRange(0, 20).Draw(rt, "n")
+				waiting[owner] = batchOf(owner+carobkeel.Owner(fmt.Sprint("-", round)), n, cores(rapid.Int64Range(1, 3).Draw(rt, "cores"), 1))
+				for i := range waiting[owner] {
+					waiting[owner][i].Owner = owner
+				}
+				ledger.SetWaiting(owner, n > 0)
+			}
+			fleet := registry.Fleet()
+			plan, _ := worker.PlaceFairly(fleet, ledger, waiting, 50, worker.DefaultPolicy(), uint64(round), now)
+			if rapid.Bool().Draw(rt, "shrink") {
+				registry.Update(func(e *worker.Edit) { e.SetCapacity("w0", cores(rapid.Int64Range(0, 8).Draw(rt, "to"), 16)) })
+			}
+			result := registry.Commit(plan)
+			ledger.Settle(fleet, plan, result)
+			usage := usageOf(registry.Fleet())
+			for _, owner := range owners {
+				g.Expect(ledger.Usage(owner)).To(Equal(usage[owner]), "owner %s", owner)
+			}
+			for _, evicted := range result.Evicted {
+				w, _ := fleet.Worker(evicted.Worker)
+				task, _ := w.Task(evicted.Task)
+				g.Expect(cores(8, 16).MilliCPU).To(BeNumerically("<=", usage[task.Owner].MilliCPU),
+					"owner %s was taken below its guarantee", task.Owner)
+			}
+			now = now.Add(time.Minute)
+			finishEvictions(registry, now)
+		}
+	})
+}
+
+// finishEvictions stops what is being evicted and starts what waits for it.
+func finishEvictions(registry *worker.Registry, now time.Time) {
+	registry.Update(func(e *worker.Edit) {
+		registry.Fleet().Each(func(w *worker.Worker) bool {
+			for _, task := range w.Tasks {
+				if task.Phase == worker.PhaseEvicting {
+					e.Remove(w.ID, task.ID)
+				}
+			}
+			host, _ := e.Worker(w.ID)
+			for _, task := range host.Startable() {
+				e.Started(w.ID, task.ID, now)
+			}
+			return true
+		})
+	})
+}
+
+func TestGuaranteesShrinkWithTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	ledger := worker.NewFairness(cores(20, 20))
+	ledger.SetQuota(carobkeel.Quota{Owner: "a", Guaranteed: cores(10, 10)})
+	ledger.SetQuota(carobkeel.Quota{Owner: "b", Guaranteed: cores(10, 10)})
+	ledger.Charge("a", cores(8, 8))
+	g.Expect(ledger.Entitled("a", cores(2, 2))).To(BeTrue())
+	ledger.SetTotal(cores(10, 10))
+	g.Expect(ledger.Entitled("a", cores(2, 2))).To(BeFalse())
+	g.Expect(ledger.Lends("a", cores(3, 3))).To(BeTrue())
+	g.Expect(ledger.Lends("a", cores(4, 4))).To(BeFalse())
+}
+
+func TestUrgencyDoesNotTakeAnotherOwnersGuarantee(t *testing.T) {
+	g := NewWithT(t)
+	registry := worker.NewRegistry(fleetOf(1, cores(4, 8)))
+	ledger := worker.NewFairness(cores(4, 8))
+	ledger.SetQuota(carobkeel.Quota{Owner: "a", Guaranteed: cores(4, 8)})
+	registry.Commit(worker.Plan{At: epoch, Assignments: []worker.Assignment{{Request: batchOf("a", 1, cores(4, 4))[0], Worker: "w0"}}})
+	ledger.Charge("a", cores(4, 4))
+	urgent := batchOf("greedy", 1, cores(1, 1))[0]
+	urgent.Urgency = worker.UrgencyCritical
+	policy := worker.DefaultPolicy()
+	g.Expect(worker.Place(registry.Fleet(), urgent, policy, 1, epoch).Verdict).To(Equal(worker.VerdictPreempting))
+	policy.Fairness = ledger
+	g.Expect(worker.Place(registry.Fleet(), urgent, policy, 1, epoch).Verdict).To(Equal(worker.VerdictWaiting))
+}
--- a/worker/placement_test.go
+++ b/worker/placement_test.go
@@ -190,7 +190,7 @@
 		}
 		host, _ := registry.Fleet().Worker("w0")
 		request := drawRequest(rt, 100)
-		victims, _, ok := worker.Victims(host, &request, epoch.Add(time.Minute))
+		victims, _, ok := worker.Victims(host, &request, worker.Policy{}, epoch.Add(time.Minute))
 		all := host.Claimable()
 		for _, task := range host.Tasks {
 			if task.Preemptible(request.Class, request.Urgency) {
--- a/worker/plan.go
+++ b/worker/plan.go
@@ -15,6 +15,9 @@
 	// Wait says that the task may wait for evictions on the worker: those of
 	// Victims and those that are under way.
 	Wait bool
+	// Reclaim says that the owner takes back its guarantee, so that urgency
+	// does not matter.
+	Reclaim bool
 	// Victims are the tasks on the worker that have to be evicted first.
 	Victims []carobkeel.TaskID
 }
--- a/worker/preempt.go
+++ b/worker/preempt.go
@@ -27,30 +27,6 @@
 	return lost.Seconds() * max(weight, 0.1)
 }
 
-// Victims returns the tasks whose eviction makes room for the request on the
-// worker at little cost, and that cost. No victim can be spared. It reports
-// false where evicting everything less urgent does not make room.
-func Victims(w *Worker, r *Request, now time.Time) ([]carobkeel.TaskID, float64, bool) {
-	deficit := shortfall(r.Demand, w.Claimable())
-	var buffer [taskBuffer]option
-	options := buffer[:0]
-	for _, task := range w.Tasks {
-		if task.Preemptible(r.Class, r.Urgency) {
-			options = append(options, option{task: task, cost: EvictionCost(task, now)})
-		}
-	}
-	chosen, ok := cover(deficit, options)
-	if !ok {
-		return nil, 0, false
-	}
-	ids, cost := make([]carobkeel.TaskID, 0, len(chosen)), 0.0
-	for _, o := range chosen {
-		ids = append(ids, o.task.ID)
-		cost += o.cost
-	}
-	return ids, cost, true
-}
-
 // Shed returns what a worker that has shrunk below what it holds has to give
 // up: claims first, then batch tasks, then services.
 func Shed(w *Worker, now time.Time) []Preemption {
--- a/worker/select.go
+++ b/worker/select.go
@@ -30,6 +30,9 @@
 	// PreemptFrom is the urgency from which batch work may evict less urgent
 	// batch work. Services always may.
 	PreemptFrom Urgency
+	// Fairness protects guarantees from urgent work and lets owners take back
+	// what others borrow. It may be nil.
+	Fairness *Fairness
 	// Interference predicts slowdowns. It may be nil.
 	Interference Interference
 	// MaxPenalty is the predicted slowdown from which a worker is rejected.
@@ -86,7 +89,7 @@
 	if s.selectFree() {
 		return s.decision(VerdictPlaced)
 	}
-	if s.mayPreempt() && s.selectReclaimable() {
+	if (s.eviction.urgent || s.eviction.entitled) && s.selectReclaimable() {
 		return s.decision(VerdictPreempting)
 	}
 	if err := NeverFits(state, &request); err != nil {
@@ -129,6 +132,7 @@
 type selection struct {
 	checker
 	policy     Policy
+	eviction   eviction
 	seed       uint64
 	rejections Rejections
 	examined   int
@@ -150,12 +154,10 @@
 		policy.Examined = defaultExamined
 	}
 	mixed := rand.NewPCG(seed, state.Version()).Uint64()
-	return &selection{checker: checker{state: state, request: r, now: now}, policy: policy, seed: mixed}
-}
-
-func (s *selection) mayPreempt() bool {
-	r := s.request
-	return r.Class == carobkeel.ClassLatencyCritical || (r.Urgency >= s.policy.PreemptFrom && r.Urgency > UrgencyLow)
+	return &selection{
+		checker: checker{state: state, request: r, now: now},
+		policy:  policy, eviction: newEviction(r, policy), seed: mixed,
+	}
 }
 
 // selectFree looks for a worker with room, in the home data centre first.
@@ -204,7 +206,7 @@
 	if !ok {
 		return
 	}
-	victims, cost, ok := Victims(w, s.request, s.now)
+	victims, cost, ok := s.eviction.victims(w, s.now)
 	if !ok {
 		s.rejections.Add(lacks(s.request.Demand, w.Claimable()), 1)
 		return
@@ -250,6 +252,7 @@
 		Assignment: Assignment{
 			Request: *s.request, Worker: s.best.ID, Version: s.best.Version,
 			Wait: verdict == VerdictPreempting, Victims: s.victims,
+			Reclaim: s.eviction.entitled,
 		},
 		Rejections: s.rejections,
 	}
