Measure what sidecars and links cost an entry

Change: the suites sidecars (bytes of an announcement, cost of a heartbeat and of a join, memory of the view at 100, 1,000 and 10,000 sidecars) and links (memory of an idle end at 10, 100 and 500 links).

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -33,6 +33,8 @@
 	return []suite{
 		catalogueSuite(),
 		telemetrySuite(),
+		sidecarsSuite(),
+		linksSuite(),
 	}
 }
 
--- a/cmd/benchmark/telemetry.go
+++ b/cmd/benchmark/telemetry.go
@@ -72,6 +72,8 @@
 
 // heapBytes returns the size of the live heap.
 func heapBytes() int64 {
+	// The second collection frees what finalizers and pools held in the first.
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
