Compute the capacity page from measured slopes

Cause: the users ask for the needs of each role at the size to design for, worked out from slopes that were measured on this code.

A figure that is missing is "not measured", and a sum with such a line never holds.

Conclusion: the model names the figures that are still wanted.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: dev test lint generate check-generate bench history soak fmt
+.PHONY: dev test lint generate check-generate bench history capacity soak fmt
 
 dev:
 	$(GO) run ./cmd/carobkeel dev
@@ -30,6 +30,10 @@
 
 history:
 	$(GO) run ./cmd/benchmark -commit $(COMMIT) -out bench-results/$(COMMIT).jsonl -history docs/MEASUREMENTS.md
+	$(GO) run ./cmd/capacity
+
+capacity:
+	$(GO) run ./cmd/capacity
 
 soak:
 	$(GO) run ./cmd/soak
--- a/cmd/benchmark/sidecars.go
+++ b/cmd/benchmark/sidecars.go
@@ -44,9 +44,9 @@
 }
 
 func sidecarFigures(count int) ([]figure, error) {
-	before := heapBytes()
+	before := liveHeapBytes()
 	view := sampleView(count)
-	kb := float64(heapBytes()-before) / 1024
+	kb := float64(liveHeapBytes()-before) / 1024
 	heartbeat, err := heartbeatCost(view, count)
 	if err != nil {
 		return nil, err
@@ -56,6 +56,7 @@
 		targeted(fmt.Sprintf("memory-%d-sidecars", count), kb, "KB", atMost, nodeMemoryKB),
 		unjudged(fmt.Sprintf("heartbeat-%d-sidecars", count), heartbeat, "us"),
 		unjudged(fmt.Sprintf("join-%d-sidecars", count), join, "us"),
+		unjudged(fmt.Sprintf("expiry-check-%d-sidecars", count), expiryCost(view), "us"),
 	}, nil
 }
 
@@ -135,3 +136,13 @@
 	}
 	return float64(time.Since(start).Nanoseconds()) / 1e3 / joinRounds
 }
+
+// expiryCost returns the microseconds that a look for silent sidecars takes
+// where there is none.
+func expiryCost(view *sidecar.View) float64 {
+	start := time.Now()
+	for range joinRounds {
+		view.Expire(time.Unix(0, 0))
+	}
+	return float64(time.Since(start).Nanoseconds()) / 1e3 / joinRounds
+}
--- a/cmd/benchmark/telemetry.go
+++ b/cmd/benchmark/telemetry.go
@@ -51,7 +51,7 @@
 // ownerMetricsCost returns the memory in KB of the metrics of all owners, and
 // the nanoseconds that recording one latency takes.
 func ownerMetricsCost(owners int) (kb, nanos float64) {
-	before := heapBytes()
+	before := liveHeapBytes()
 	scope, handler, closer := telemetry.New(telemetry.Config{Interval: time.Hour})
 	byOwner := telemetry.NewByOwner(scope, 0, newOwnerMetrics)
 	names := make([]carobkeel.Owner, owners)
@@ -59,7 +59,7 @@
 		names[i] = carobkeel.Owner(fmt.Sprintf("owner-%d", i))
 		byOwner.For(names[i], carobkeel.ClassBatch)
 	}
-	kb = float64(heapBytes()-before) / 1024
+	kb = float64(liveHeapBytes()-before) / 1024
 	start := time.Now()
 	for i := range recordRounds {
 		byOwner.For(names[i%owners], carobkeel.ClassLatencyCritical).latency.RecordDuration(time.Millisecond)
@@ -70,8 +70,8 @@
 	return kb, nanos
 }
 
-// heapBytes returns the size of the live heap.
-func heapBytes() int64 {
+// liveHeapBytes returns the size of the live heap.
+func liveHeapBytes() int64 {
 	// The second collection frees what finalizers and pools held in the first.
 	runtime.GC()
 	runtime.GC()
--- /dev/null
+++ b/cmd/capacity/roles.go
@@ -0,0 +1,158 @@
+package main
+
+// lines returns every line of the ordinary day. A new line is one more element;
+// its figure may come later and is "not measured" until it is in the results.
+func lines() []line {
+	var all []line
+	all = append(all, entryLines()...)
+	all = append(all, sidecarLines()...)
+	all = append(all, schedulingLines()...)
+	all = append(all, storeLines()...)
+	return append(all, workerLines()...)
+}
+
+const (
+	everySidecarLinks = "every sidecar holds an event link to every entry, as the setting -entries asks today"
+	wholeCatalogue    = "each process holds the whole catalogue"
+)
+
+func entryLines() []line {
+	return []line{
+		{
+			roleEntry, memory, "view of all sidecars", at("sidecars/memory-N-sidecars", sidecars), one,
+			"one sidecar for each latency-critical task", "an immutable view, swapped at each change",
+		},
+		{
+			roleEntry, memory, "event links of the sidecars", at("links/memory-N-links", sidecars), one,
+			everySidecarLinks, "framed TCP links with a reading buffer each",
+		},
+		{
+			roleEntry, memory, "metrics by owner and class", at("telemetry/memory-N-owners", owners), one,
+			"three histograms and a counter for each owner and class", "a bounded number of owners in telemetry.ByOwner",
+		},
+		{
+			roleEntry, memory, "catalogue", at("catalogue/memory-N-entries", catalogueEntries.quantity), one,
+			wholeCatalogue, "an immutable catalogue, swapped at each change",
+		},
+		{
+			roleEntry, processor, "heartbeats of the sidecars", at("sidecars/heartbeat-N-sidecars", sidecars),
+			sidecars.over(announceSeconds), everySidecarLinks, "the load is noted in place, without a new view",
+		},
+		{
+			roleEntry, processor, "sidecars that join or leave", at("sidecars/join-N-sidecars", sidecars), joinsPerSec,
+			"each replaced host brings its share of instances back", "a copy of the view for each change",
+		},
+		{
+			roleEntry, processor, "looks for silent sidecars", at("sidecars/expiry-check-N-sidecars", sidecars), checksPerSec,
+			"a look each half second, as the code does", "a pass over the view",
+		},
+		{
+			roleEntry, processor, "catalogue changes", at("catalogue/apply-change-N-entries", catalogueEntries.quantity),
+			changesPerSec, wholeCatalogue, "a copy of the catalogue for each change",
+		},
+		{
+			roleEntry, traffic, "announcements", plain("sidecars/announcement-size"), sidecars.over(announceSeconds),
+			everySidecarLinks, "one event for each sidecar and interval",
+		},
+		{
+			roleEntry, traffic, "heartbeats of links", plain("links/ping-size"),
+			sidecars.times(pingAndPong).times(bothWays).over(pingSeconds), everySidecarLinks, "pings in both directions of each link",
+		},
+	}
+}
+
+func sidecarLines() []line {
+	return []line{
+		{
+			roleSidecar, memory, "event links to the entries", at("links/memory-N-links", entries), one,
+			everySidecarLinks, "framed TCP links with a reading buffer each",
+		},
+		{
+			roleSidecar, memory, "ledger of keyed requests", plain("path/ledger-memory"), one,
+			"the keyed requests of the retention time", "the sidecar's ledger",
+		},
+		{
+			roleSidecar, traffic, "announcements", plain("sidecars/announcement-size"), entries.over(announceSeconds),
+			everySidecarLinks, "one event for each entry and interval",
+		},
+		{
+			roleSidecar, traffic, "heartbeats of links", plain("links/ping-size"),
+			entries.times(pingAndPong).times(bothWays).over(pingSeconds), everySidecarLinks, "pings in both directions of each link",
+		},
+	}
+}
+
+func schedulingLines() []line {
+	return []line{
+		{
+			roleScheduling, processor, "placement of task starts", rateAt("placement/place-N-workers-rate", shardWorkers), shardStarts,
+			"starts spread evenly over the shards", "a search over an immutable snapshot of the fleet",
+		},
+		{
+			roleScheduling, processor, "commit of placements", at("placement/commit-N-workers", shardWorkers), shardStarts,
+			"as above", "plans are checked again, host by host",
+		},
+		{
+			roleScheduling, processor, "choice of the next owner", at("placement/next-owner-N-owners", owners), shardStarts,
+			"one choice for each start", "fair shares by quota",
+		},
+		{
+			roleScheduling, memory, "workers of a shard", at("placement/memory-worker-N-workers", shardWorkers), shardWorkers,
+			"workers spread evenly over the shards", "the fleet snapshot",
+		},
+		{
+			roleScheduling, memory, "tasks of a shard", at("placement/memory-task-N-workers", shardWorkers), shardTasks,
+			"tasks spread evenly over the shards", "the fleet snapshot",
+		},
+		{
+			roleScheduling, traffic, "usage reports of the workers", plain("workers/report-size"),
+			shardWorkers.over(reportInterval.quantity), "one report for each worker and interval", "events on framed TCP links",
+		},
+	}
+}
+
+func storeLines() []line {
+	return []line{
+		{
+			roleTable, storeWrites, "task starts at the peak", plain("table/writes-per-start"), startsPerSec,
+			"every start is written before it is sent", "assignments in batches",
+		},
+		{
+			roleTable, storeWrites, "jobs accepted", plain("table/writes-per-job"), amount(120_000, "jobs a day").over(daySeconds),
+			"a job is durable before it is accepted", "a row for each job",
+		},
+		{
+			roleTable, storeWrites, "catalogue changes", plain("table/writes-per-change"), changesPerSec,
+			"one conditional transaction for each change", "rows of entries with a head revision",
+		},
+		{
+			roleTable, storeWrites, "shard leases", plain("table/writes-per-renewal-second"), shards.quantity,
+			"one holder for each shard", "leases with an epoch",
+		},
+		{
+			roleTable, storeReads, "entries that follow the catalogue", plain("table/reads-per-follow-second"), entries,
+			"each entry looks for news at the table", "the head revision, read before anything else",
+		},
+		{
+			roleObjectStore, storeWrites, "checkpoints of evicted tasks", plain("objectstore/writes-per-checkpoint"),
+			replacedHosts.times(tasksPerWorker).over(daySeconds), "each task of a replaced host leaves one checkpoint", "objects with a checksum",
+		},
+	}
+}
+
+func workerLines() []line {
+	return []line{
+		{
+			roleWorker, processor, "renewal of task leases", plain("workers/lease-renewal"), tasksPerWorker,
+			"one renewal a second for each task", "leases that are renewed together",
+		},
+		{
+			roleWorker, traffic, "usage reports", plain("workers/report-size"), one.over(reportInterval.quantity),
+			"one report for each interval", "events on framed TCP links",
+		},
+		{
+			roleWorker, memory, "tasks of a worker", plain("workers/memory-task"), tasksPerWorker,
+			"tasks spread evenly over the workers", "the worker's table of leases",
+		},
+	}
+}
--- a/internal/measurement/history.go
+++ b/internal/measurement/history.go
@@ -6,12 +6,16 @@
 	"sort"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // worseBy is the relative change against the best earlier value from which a
 // figure is listed as worse.
 const worseBy = 0.10
 
+// historyTime is the form of the time of a line, in UTC.
+const historyTime = "2006-01-02T15:04Z"
+
 const historyHeader = `# Measurements
 
 Every figure by commit, as ` + "`make history`" + ` measured and appended it
@@ -70,7 +74,7 @@
 func (h History) Add(records []Record) History {
 	for _, record := range records {
 		row := HistoryRow{
-			Date: record.Time.UTC().Format("2006-01-02T15:04Z"), Commit: record.Commit, Seed: record.Seed,
+			Date: record.Time.UTC().Format(historyTime), Commit: record.Commit, Seed: record.Seed,
 			Value: record.Value, Target: record.Target, Verdict: record.Verdict,
 		}
 		h = h.addRow(record.Figure(), record.Unit, row)
@@ -94,6 +98,25 @@
 	return append(h, FigureHistory{Figure: figure, Unit: unit, Rows: []HistoryRow{row}})
 }
 
+// Records returns every line of the history as a record.
+func (h History) Records() []Record {
+	var records []Record
+	for _, figure := range h {
+		suite, name, _ := strings.Cut(figure.Figure, "/")
+		for _, row := range figure.Rows {
+			at, err := time.Parse(historyTime, row.Date)
+			if err != nil {
+				continue
+			}
+			records = append(records, Record{
+				Time: at, Commit: row.Commit, Seed: row.Seed, Suite: suite, Name: name,
+				Value: row.Value, Unit: figure.Unit, Target: row.Target, Verdict: row.Verdict,
+			})
+		}
+	}
+	return records
+}
+
 // String renders the page.
 func (h History) String() string {
 	var page strings.Builder
