--- a/cmd/benchmark/links.go
+++ b/cmd/benchmark/links.go
@@ -16,17 +16,17 @@
 // linksSuite measures what one end of an idle link takes.
 func linksSuite() suite {
 	return suite{name: "links", run: func(ctx context.Context, _ options) ([]figure, error) {
-		ping, err := frame.Append(nil, frame.Frame{Type: frame.TypePing})
+		ping, err := new(frame.Writer).Append(nil, frame.Frame{Type: frame.TypePing})
 		if err != nil {
 			return nil, err
 		}
-		figures := []figure{unjudged("ping-size", float64(len(ping)), "bytes")}
+		figures := []figure{measured("ping-size", float64(len(ping)), "bytes")}
 		for _, count := range []int{10, 100, 500} {
 			kb, err := linkMemory(ctx, count)
 			if err != nil {
 				return figures, err
 			}
-			figures = append(figures, unjudged(fmt.Sprintf("memory-%d-links", count), kb, "KB"))
+			figures = append(figures, measured(fmt.Sprintf("memory-%d-links", count), kb, "KB"))
 		}
 		return figures, nil
 	}}
--- a/cmd/benchmark/sidecars.go
+++ b/cmd/benchmark/sidecars.go
@@ -33,11 +33,11 @@
 			targeted("announcement-size", size, "bytes", atMost, nodeBytesPerSecond),
 		}
 		for _, count := range []int{100, 1_000, 10_000} {
-			measured, err := sidecarFigures(count)
+			more, err := sidecarFigures(count)
 			if err != nil {
 				return figures, err
 			}
-			figures = append(figures, measured...)
+			figures = append(figures, more...)
 		}
 		return figures, nil
 	}}
@@ -54,17 +54,12 @@
 	join := joinCost(view, count)
 	return []figure{
 		targeted(fmt.Sprintf("memory-%d-sidecars", count), kb, "KB", atMost, nodeMemoryKB),
-		unjudged(fmt.Sprintf("heartbeat-%d-sidecars", count), heartbeat, "us"),
-		unjudged(fmt.Sprintf("join-%d-sidecars", count), join, "us"),
-		unjudged(fmt.Sprintf("expiry-check-%d-sidecars", count), expiryCost(view), "us"),
+		measured(fmt.Sprintf("heartbeat-%d-sidecars", count), heartbeat, "us"),
+		measured(fmt.Sprintf("join-%d-sidecars", count), join, "us"),
+		measured(fmt.Sprintf("expiry-check-%d-sidecars", count), expiryCost(view), "us"),
 	}, nil
 }
 
-// unjudged returns a figure without a target.
-func unjudged(name string, value float64, unit string) figure {
-	return figure{Name: name, Value: value, Unit: unit, Verdict: "measured"}
-}
-
 // sampleAnnouncement returns what the numbered sidecar announces.
 func sampleAnnouncement(number int, sequence uint64) sidecar.Announcement {
 	return sidecar.Announcement{
@@ -92,7 +87,7 @@
 	if err != nil {
 		return 0, err
 	}
-	bytes, err := frame.Append(nil, event)
+	bytes, err := new(frame.Writer).Append(nil, event)
 	return float64(len(bytes)), err
 }
 
--- a/cmd/benchmark/telemetry.go
+++ b/cmd/benchmark/telemetry.go
@@ -42,7 +42,7 @@
 			kb, nanos := ownerMetricsCost(owners)
 			figures = append(figures,
 				targeted(fmt.Sprintf("memory-%d-owners", owners), kb, "KB", atMost, nodeMemoryKB),
-				figure{Name: fmt.Sprintf("record-%d-owners", owners), Value: nanos, Unit: "ns", Verdict: "measured"})
+				measured(fmt.Sprintf("record-%d-owners", owners), nanos, "ns"))
 		}
 		return figures, nil
 	}}
