Add the soak: processes under load and faults by seed

Cause: no run held what callers were told against what upstreams ran while processes are killed, paused and replaced.

Change: cmd/soak starts a stand-in of the table, entries and sidecars as processes of the binary, keeps the upstreams and their records in its own process, sends the load of entry/loadtest, carries out faults by a seed, and counts requests that were doubled, falsely refused, falsely said to have run, mismatched, failed or lost. A loss counts apart when its entry was killed or paused meanwhile. The load tool names each request in the header Load-Request.

Measured: go test -race ./cmd/soak: pass. make soak was not run: the entry takes no -table yet.

--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,4 @@
 	$(GO) run ./cmd/capacity
 
 soak:
-	$(GO) run ./cmd/soak
+	$(GO) run ./cmd/soak -commit $(COMMIT) -out soak-results/$(COMMIT).json -logs soak-results/$(COMMIT).log
--- /dev/null
+++ b/cmd/soak/fleet.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	soakService    = "echo"
+	soakDataCentre = "soak"
+	loopback       = "127.0.0.1:0"
+)
+
+// member is a running entry or sidecar, or nil while it starts again.
+type member struct {
+	// mu keeps two faults from touching one process at a time.
+	mu      sync.Mutex
+	process *process
+	// addresses are those of the first start. Later starts take them again.
+	addresses map[string]string
+	// upstream is the address of a sidecar's upstream.
+	upstream string
+}
+
+// fleet is the processes of a run. The table's stand-in, the entries and the
+// sidecars are processes; the upstreams are servers in this process.
+type fleet struct {
+	binary   string
+	logs     io.Writer
+	table    *member
+	entries  []*member
+	sidecars []*member
+	records  *records
+	servers  []*http.Server
+	started  time.Time
+
+	hurtMu sync.Mutex
+	hurt   []window
+}
+
+// startFleet starts everything and waits until each process is ready.
+func startFleet(ctx context.Context, c config, logs io.Writer) (*fleet, error) {
+	f := &fleet{binary: c.binary, logs: logs, table: &member{}, records: &records{}}
+	var err error
+	if f.table.process, err = startProcess(ctx, f.binary, logs, "standin-table", "-listen", loopback); err != nil {
+		return f, err
+	}
+	for range c.entries {
+		entry := &member{addresses: map[string]string{"caller": loopback, "operator": loopback, "link": loopback}}
+		if err := f.startEntry(ctx, entry); err != nil {
+			return f, err
+		}
+		f.entries = append(f.entries, entry)
+	}
+	for range c.sidecars {
+		if err := f.addSidecar(ctx); err != nil {
+			return f, err
+		}
+	}
+	return f, f.waitServing(ctx)
+}
+
+// startEntry starts an entry at its addresses and keeps those that it got.
+func (f *fleet) startEntry(ctx context.Context, entry *member) error {
+	started, err := startProcess(ctx, f.binary, f.logs, "entry",
+		"-listen", entry.addresses["caller"],
+		"-operator-listen", entry.addresses["operator"],
+		"-link-listen", entry.addresses["link"],
+		"-data-centre", soakDataCentre,
+		"-table", "http://"+f.table.process.ready["table"],
+	)
+	if err != nil {
+		return err
+	}
+	entry.process, entry.addresses = started, started.ready
+	return nil
+}
+
+// addSidecar starts an upstream in this process and a sidecar beside it.
+func (f *fleet) addSidecar(ctx context.Context) error {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Wrap(err, "start an upstream")
+	}
+	server := &http.Server{Handler: f.records, ReadHeaderTimeout: readyTimeout}
+	go func() { _ = server.Serve(listener) }()
+	f.servers = append(f.servers, server)
+	sidecar := &member{upstream: listener.Addr().String()}
+	if err := f.startSidecar(ctx, sidecar); err != nil {
+		return err
+	}
+	f.sidecars = append(f.sidecars, sidecar)
+	return nil
+}
+
+func (f *fleet) startSidecar(ctx context.Context, sidecar *member) error {
+	var links []string
+	for _, entry := range f.entries {
+		links = append(links, entry.addresses["link"])
+	}
+	started, err := startProcess(ctx, f.binary, f.logs, "sidecar",
+		"-upstream", sidecar.upstream, "-service", soakService,
+		"-entries", strings.Join(links, ","), "-data-centre", soakDataCentre,
+	)
+	sidecar.process = started
+	return err
+}
+
+// waitServing parks until every entry answers a request to the service.
+func (f *fleet) waitServing(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, entry := range f.entries {
+		for !f.answers(ctx, entry) {
+			if ctx.Err() != nil {
+				return errors.New("an entry did not serve in time")
+			}
+			park(ctx, 100*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (f *fleet) answers(ctx context.Context, entry *member) bool {
+	url := "http://" + entry.addresses["caller"] + "/services/" + soakService + "/"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// inflict carries a fault out and waits until the process is back.
+func (f *fleet) inflict(ctx context.Context, planned fault) error {
+	switch planned.Kind {
+	case pauseTable:
+		f.table.process.pause(ctx, planned.For)
+		return nil
+	case killEntry, replaceEntry, pauseEntry:
+		return f.hurtEntry(ctx, planned)
+	}
+	return f.hurtSidecar(ctx, planned)
+}
+
+func (f *fleet) hurtEntry(ctx context.Context, planned fault) error {
+	entry := f.entries[planned.Target]
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	if planned.Kind == replaceEntry {
+		if err := entry.process.stop(); err != nil {
+			return err
+		}
+		return f.startEntry(ctx, entry)
+	}
+	from := time.Since(f.started)
+	defer func() { f.noteHurt(window{target: planned.Target, from: from, to: time.Since(f.started)}) }()
+	if planned.Kind == pauseEntry {
+		entry.process.pause(ctx, planned.For)
+		return nil
+	}
+	entry.process.kill()
+	return f.startEntry(ctx, entry)
+}
+
+func (f *fleet) noteHurt(w window) {
+	f.hurtMu.Lock()
+	defer f.hurtMu.Unlock()
+	f.hurt = append(f.hurt, w)
+}
+
+func (f *fleet) hurtSidecar(ctx context.Context, planned fault) error {
+	sidecar := f.sidecars[planned.Target]
+	sidecar.mu.Lock()
+	defer sidecar.mu.Unlock()
+	switch planned.Kind {
+	case pauseSidecar:
+		sidecar.process.pause(ctx, planned.For)
+		return nil
+	case replaceSidecar:
+		if err := sidecar.process.stop(); err != nil {
+			return err
+		}
+	case killSidecar:
+		sidecar.process.kill()
+	}
+	return f.startSidecar(ctx, sidecar)
+}
+
+// stop ends every process that was started.
+func (f *fleet) stop() {
+	var waiting sync.WaitGroup
+	members := append([]*member{f.table}, f.entries...)
+	for _, m := range append(members, f.sidecars...) {
+		if m.process != nil {
+			waiting.Go(m.process.kill)
+		}
+	}
+	waiting.Wait()
+	for _, server := range f.servers {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,226 @@
+// Command soak runs entries, sidecars and a stand-in of the table service as
+// processes of the binary, sends them a load, kills, pauses and replaces them
+// by a seed, and holds what callers were told against what the upstreams ran.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/entry/loadtest"
+	"github.com/carobkeel/carobkeel/entry/loadtest/plan"
+	"github.com/carobkeel/carobkeel/entry/loadtest/report"
+	"github.com/carobkeel/carobkeel/internal/settings"
+)
+
+// config is the settings of a run.
+type config struct {
+	binary            string
+	seed              uint64
+	duration          time.Duration
+	rate              float64
+	entries, sidecars int
+	out, logs, commit string
+}
+
+// result is a run as it is written to a file.
+type result struct {
+	Time     time.Time      `json:"time"`
+	Commit   string         `json:"commit"`
+	Seed     uint64         `json:"seed"`
+	Faults   []fault        `json:"faults"`
+	Counts   counts         `json:"counts"`
+	Findings []finding      `json:"findings"`
+	Errors   []string       `json:"errors"`
+	Load     *report.Report `json:"load"`
+}
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	code := run(ctx, os.Args[1:])
+	cancel()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, args []string) int {
+	fs := flag.NewFlagSet("soak", flag.ContinueOnError)
+	c := config{}
+	fs.StringVar(&c.binary, "binary", "", "binary of carobkeel; built from this module where empty")
+	fs.Uint64Var(&c.seed, "seed", 1, "seed of the faults and the load")
+	fs.DurationVar(&c.duration, "duration", time.Minute, "how long the load lasts")
+	fs.Float64Var(&c.rate, "rate", 200, "requests a second")
+	fs.IntVar(&c.entries, "entries", 2, "number of entries")
+	fs.IntVar(&c.sidecars, "sidecars", 3, "number of upstreams with a sidecar")
+	fs.StringVar(&c.out, "out", "", "file for the result as JSON")
+	fs.StringVar(&c.logs, "logs", "", "file for the logs of the processes; none where empty")
+	fs.StringVar(&c.commit, "commit", "unknown", "commit that is tested")
+	if err := settings.Parse(fs, args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	r, err := soak(ctx, c)
+	if err == nil {
+		err = r.write(c.out)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
+		return 1
+	}
+	r.print(os.Stdout)
+	if r.Counts.broken() || len(r.Errors) > 0 {
+		return 1
+	}
+	return 0
+}
+
+// soak runs the fleet under load and faults and judges the run.
+func soak(ctx context.Context, c config) (*result, error) {
+	logs, err := openLogs(c.logs)
+	if err != nil {
+		return nil, err
+	}
+	defer logs.Close()
+	if c.binary == "" {
+		folder, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		defer os.RemoveAll(folder)
+		if c.binary, err = build(ctx, folder); err != nil {
+			return nil, err
+		}
+	}
+	f, err := startFleet(ctx, c, logs)
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	return f.underLoad(ctx, c)
+}
+
+func build(ctx context.Context, folder string) (string, error) {
+	binary := filepath.Join(folder, "carobkeel")
+	command := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/carobkeel")
+	command.Stderr = os.Stderr
+	return binary, errors.Wrap(command.Run(), "build the binary")
+}
+
+func openLogs(path string) (io.WriteCloser, error) {
+	if path == "" {
+		path = os.DevNull
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return nil, errors.Wrap(err, "open the logs")
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
+	return file, errors.Wrap(err, "open the logs")
+}
+
+// underLoad sends the load while the faults are carried out.
+func (f *fleet) underLoad(ctx context.Context, c config) (*result, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	attempts := newAttempts()
+	load := c.load(f)
+	load.OnResult = attempts.add
+	faults := planFaults(c.seed, c.duration, c.entries, c.sidecars)
+	f.started = time.Now()
+	failures := make(chan []string, 1)
+	go func() { failures <- f.inflictAll(ctx, faults) }()
+	sent := loadtest.New(load).Run(ctx)
+	errs := <-failures
+	r := &result{
+		Time: f.started.UTC().Truncate(time.Second), Commit: c.commit, Seed: c.seed,
+		Faults: faults, Errors: errs, Load: sent,
+	}
+	r.Counts, r.Findings = judge(attempts.all(), f.records.Runs, f.hurt)
+	return r, nil
+}
+
+// load returns the settings of the load: half of the requests have a key, and a
+// fifth of these are repeated through another entry.
+func (c config) load(f *fleet) loadtest.Config {
+	mix := plan.Mix{
+		{Service: soakService, Owner: "quick", Weight: 3, Method: "POST"},
+		{Service: soakService, Owner: "slow", Weight: 1, Method: "POST", Delay: 100 * time.Millisecond},
+	}
+	load := loadtest.Config{
+		Plan: plan.Config{
+			Seed: c.seed, Run: fmt.Sprintf("soak-%d-%d", c.seed, time.Now().UnixNano()),
+			Rate: c.rate, Duration: c.duration, Mix: mix,
+			KeyShare: 0.5, RepeatShare: 0.2, RepeatWithin: 2 * time.Second,
+			Bodies: plan.Sizes{Min: 16, Max: 8192},
+		},
+		GiveUp: 30 * time.Second, MaxInFlight: 20_000, Commit: c.commit,
+	}
+	for _, entry := range f.entries {
+		load.Targets = append(load.Targets, "http://"+entry.addresses["caller"])
+	}
+	return load
+}
+
+// inflictAll carries the faults out at their times, several at once where they
+// overlap, and returns what went wrong in doing so.
+func (f *fleet) inflictAll(ctx context.Context, faults []fault) []string {
+	var waiting sync.WaitGroup
+	var mu sync.Mutex
+	var errs []string
+	for _, planned := range faults {
+		park(ctx, time.Until(f.started.Add(planned.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		waiting.Go(func() {
+			if err := f.inflict(ctx, planned); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				errs = append(errs, fmt.Sprintf("%s at %s: %v", planned.Kind, planned.At, err))
+			}
+		})
+	}
+	waiting.Wait()
+	return errs
+}
+
+func (r *result) write(path string) error {
+	if path == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "write the result")
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return errors.Wrap(err, "write the result")
+	}
+	return errors.Wrap(os.WriteFile(path, data, 0o644), "write the result")
+}
+
+// print writes the result for people.
+func (r *result) print(w io.Writer) {
+	fmt.Fprintf(w, "soak: commit %s, seed %d, %d faults\n", r.Commit, r.Seed, len(r.Faults))
+	_ = r.Load.WriteText(w)
+	c := r.Counts
+	fmt.Fprintf(w, "\nrequests %d, answered %d, refused %d, unreachable %d, lost with their entry %d\n",
+		c.Requests, c.Answered, c.Refused, c.Unreachable, c.LostWithEntry)
+	fmt.Fprintf(w, "broken promises: doubled %d, falsely refused %d, falsely said to have run %d, mismatched %d, failed %d, lost %d\n",
+		c.Doubled, c.FalselyRefused, c.FalselyRan, c.Mismatched, c.Failed, c.Lost)
+	for _, e := range r.Errors {
+		fmt.Fprintf(w, "harness: %s\n", e)
+	}
+	for _, f := range r.Findings {
+		fmt.Fprintf(w, "%s: %s ran %d times, attempts %+v\n", f.Kind, f.Request, f.Runs, f.Attempts)
+	}
+}
--- /dev/null
+++ b/cmd/soak/soak_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry/loadtest"
+)
+
+func TestFaultsAreOrderedAndFixedByTheSeed(t *testing.T) {
+	g := NewWithT(t)
+	faults := planFaults(7, 10*time.Minute, 2, 3)
+	g.Expect(planFaults(7, 10*time.Minute, 2, 3)).To(Equal(faults))
+	g.Expect(planFaults(8, 10*time.Minute, 2, 3)).NotTo(Equal(faults))
+	seen := make(map[faultKind]bool)
+	last := 90 * time.Second
+	for _, f := range faults {
+		g.Expect(f.At).To(BeNumerically(">=", last))
+		g.Expect(f.At).To(BeNumerically("<", 510*time.Second))
+		last = f.At
+		seen[f.Kind] = true
+	}
+	g.Expect(seen).To(HaveLen(len(faultKinds)))
+}
+
+func TestEachBrokenPromiseIsCounted(t *testing.T) {
+	answered := attempt{outcome: loadtest.Answered}
+	notRun := attempt{outcome: loadtest.Refused, ran: carobkeel.RanNo}
+	unknown := attempt{outcome: loadtest.Refused, ran: carobkeel.RanUnknown}
+	lost := attempt{outcome: loadtest.Lost, target: 1, from: 5 * time.Second, to: 6 * time.Second}
+	killed := []window{{target: 1, from: 5500 * time.Millisecond, to: 7 * time.Second}}
+	cases := []struct {
+		name     string
+		attempts []attempt
+		runs     int64
+		hurt     []window
+		want     string
+	}{
+		{"answered once", []attempt{answered, answered}, 1, nil, ""},
+		{"ran twice", []attempt{answered, answered}, 2, nil, "doubled"},
+		{"a true refusal", []attempt{notRun}, 0, nil, ""},
+		{"a false refusal", []attempt{notRun}, 1, nil, "falsely refused"},
+		{"refused and then answered", []attempt{notRun, answered}, 1, nil, ""},
+		{"unknown and ran", []attempt{unknown, notRun}, 1, nil, ""},
+		{"answered without a run", []attempt{answered}, 0, nil, "falsely said to have run"},
+		{"lost for no reason", []attempt{lost}, 1, nil, "lost"},
+		{"lost with its entry", []attempt{lost}, 1, killed, ""},
+		{"lost, another entry killed", []attempt{lost}, 1, []window{{target: 0, to: time.Hour}}, "lost"},
+		{"crossed", []attempt{{outcome: loadtest.Mismatched}}, 1, nil, "mismatched"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			count, findings := judge(map[string][]attempt{"r": c.attempts}, func(string) int64 { return c.runs }, c.hurt)
+			g.Expect(count.broken()).To(Equal(c.want != ""))
+			if c.want == "" {
+				g.Expect(findings).To(BeEmpty())
+				return
+			}
+			g.Expect(findings).To(HaveLen(1))
+			g.Expect(findings[0].Kind).To(Equal(c.want))
+		})
+	}
+}
+
+func TestUpstreamsRecordEachStartByName(t *testing.T) {
+	g := NewWithT(t)
+	r := &records{}
+	for range 2 {
+		request := httptest.NewRequest(http.MethodPost, "/", bytes.NewBufferString("body"))
+		request.Header.Set(loadtest.HeaderRequest, "a-1")
+		response := httptest.NewRecorder()
+		r.ServeHTTP(response, request)
+		g.Expect(response.Body.String()).To(Equal("body"))
+	}
+	g.Expect(r.Runs("a-1")).To(BeEquivalentTo(2))
+	g.Expect(r.Runs("a-2")).To(BeZero())
+}
+
+func TestReadyLineIsRead(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(parseReady("ready caller=127.0.0.1:1 link=127.0.0.1:2")).To(Equal(map[string]string{
+		"caller": "127.0.0.1:1", "link": "127.0.0.1:2",
+	}))
+}
--- a/entry/loadtest/judge.go
+++ b/entry/loadtest/judge.go
@@ -11,6 +11,10 @@
 	"github.com/carobkeel/carobkeel/entry/loadtest/plan"
 )
 
+// HeaderRequest names each planned request. A request and its repeat have the
+// same name. Upstreams that record it can be held against what callers got.
+const HeaderRequest = "Load-Request"
+
 // Headers of the callers' interface.
 const (
 	headerTimeout   = "Carobkeel-Timeout"
--- a/entry/loadtest/plan/plan.go
+++ b/entry/loadtest/plan/plan.go
@@ -88,6 +88,12 @@
 	BodySize int
 }
 
+// RequestName returns the name of a request and of its repeat. It differs from
+// run to run.
+func (c Config) RequestName(r Request) string {
+	return c.Run + "-" + strconv.FormatUint(r.Sequence, 10)
+}
+
 // Plan yields the requests of a run in the order of their start.
 type Plan struct {
 	config  Config
@@ -136,7 +142,7 @@
 	}
 	p.next++
 	if p.random.Float64() < p.config.KeyShare {
-		request.Key = p.config.Run + "-" + strconv.FormatUint(request.Sequence, 10)
+		request.Key = p.config.RequestName(request)
 		if p.random.Float64() < p.config.RepeatShare {
 			p.addRepeat(request)
 			request.Repeated = true
--- a/entry/loadtest/result.go
+++ b/entry/loadtest/result.go
@@ -27,6 +27,16 @@
 	outcomeCount = 6
 )
 
+var outcomeNames = [outcomeCount]string{"answered", "refused", "failed", "mismatched", "lost", "unreachable"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	if int(o) >= outcomeCount {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
 // Reason says what was seen of a request that was neither answered nor refused.
 type Reason uint8
 
@@ -73,6 +83,8 @@
 type Result struct {
 	Request plan.Request
 	Share   plan.Share
+	// Name is the request's name in HeaderRequest.
+	Name    string
 	Outcome Outcome
 	Reason  Reason
 	// Code and Ran are what a refusal says.
--- a/entry/loadtest/send.go
+++ b/entry/loadtest/send.go
@@ -61,6 +61,7 @@
 	if result.Job != "" && jobs != nil && !jobs.sameJob(result.Job) {
 		result.Doubled, result.Reason = true, ReasonJobsDiffer
 	}
+	result.Name = t.config.Plan.RequestName(request)
 	result.Latency = time.Since(t.start) - request.At
 	return result
 }
@@ -78,6 +79,7 @@
 	if err != nil {
 		return answer{}, errors.WithStack(err)
 	}
+	message.Header.Set(HeaderRequest, t.config.Plan.RequestName(request))
 	if request.Key != "" {
 		// The canonical spelling would let the transport repeat the request by
 		// itself, which would hide a lost answer.
