Bound repeats by a budget and refuse floods at the entry

Cause: retries had no bound beside the number of attempts, nothing was hedged, and an entry sent on whatever callers sent.

Change: package caller has a budget of repeats for each owner and class (8% of requests, 20 repeats at most), an estimate of each service's 95th percentile for hedging, and a throttle for each owner and class that follows what sidecars take: 1.25 times that while they refuse some, growing by a quarter each 100 ms while they refuse none. Advice of when to repeat grows with the overload and is spread over three times its least value in whole seconds.

--- /dev/null
+++ b/caller/admission_test.go
@@ -0,0 +1,100 @@
+package caller_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
+)
+
+func TestRepeatsAreSafeAndPaidFor(t *testing.T) {
+	cases := map[string]struct {
+		request caller.Request
+		refusal *carobkeel.Error
+		may     bool
+	}{
+		"not run, not idempotent":       {caller.Request{}, carobkeel.NewError(carobkeel.CodeQueueFull, ""), true},
+		"not run, caller's fault":       {caller.Request{Idempotent: true}, carobkeel.NewError(carobkeel.CodeBodyTooLarge, ""), false},
+		"unknown, idempotent":           {caller.Request{Idempotent: true}, carobkeel.NewError(carobkeel.CodeUpstreamFailed, ""), true},
+		"unknown, not idempotent":       {caller.Request{}, carobkeel.NewError(carobkeel.CodeUpstreamFailed, ""), false},
+		"unknown, out of time":          {caller.Request{Idempotent: true}, carobkeel.NewError(carobkeel.CodeTimeoutUnknown, ""), false},
+		"body is gone":                  {caller.Request{Body: strings.NewReader("x")}, carobkeel.NewError(carobkeel.CodeDraining, ""), false},
+		"link lost, but surely not run": {caller.Request{}, carobkeel.NewError(carobkeel.CodeLinkLost, "").WithRan(carobkeel.RanNo), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			admission := caller.NewAdmission()
+			account := admission.Account(c.request.OwnerClass())
+			g.Expect(admission.MayRepeat(account, &c.request, c.refusal)).To(Equal(c.may))
+			for account.Spend() {
+			}
+			g.Expect(admission.MayRepeat(account, &c.request, c.refusal)).To(BeFalse(), "without a budget")
+		})
+	}
+}
+
+// learned returns an admission that knows a service's latency.
+func learned() *caller.Admission {
+	admission := caller.NewAdmission()
+	for range 200 {
+		admission.Tail("echo").Observe(20 * time.Millisecond)
+	}
+	return admission
+}
+
+func TestHedgesOnlyWhatIsHarmlessAndKnown(t *testing.T) {
+	g := NewWithT(t)
+	idempotent := &caller.Request{Service: "echo", Idempotent: true}
+	admission := learned()
+	g.Expect(admission.HedgeAfter(idempotent)).To(BeNumerically(">", 0))
+	g.Expect(admission.HedgeAfter(&caller.Request{Service: "echo"})).To(BeZero())
+	g.Expect(admission.HedgeAfter(&caller.Request{Service: "echo", Idempotent: true, Body: strings.NewReader("x")})).To(BeZero())
+	g.Expect(admission.HedgeAfter(&caller.Request{Service: "new", Idempotent: true})).To(BeZero())
+}
+
+func TestNothingIsHedgedInAFlood(t *testing.T) {
+	g := NewWithT(t)
+	admission := learned()
+	flood := admission.Account(carobkeel.OwnerClass{Owner: "flood", Class: carobkeel.ClassBatch})
+	random := rand.New(rand.NewPCG(5, 0))
+	request := &caller.Request{Service: "echo", Idempotent: true}
+	for range 10 {
+		offer(admission, flood, random, 1_000, 100)
+	}
+	g.Expect(admission.Flooded()).To(BeTrue())
+	g.Expect(admission.HedgeAfter(request)).To(BeZero())
+	for range 50 {
+		offer(admission, flood, random, 10, 100)
+	}
+	g.Expect(admission.Flooded()).To(BeFalse())
+	g.Expect(admission.HedgeAfter(request)).To(BeNumerically(">", 0))
+}
+
+func TestTailFindsThe95thPercentile(t *testing.T) {
+	g := NewWithT(t)
+	var tail caller.Tail
+	random := rand.New(rand.NewPCG(6, 0))
+	for range 20_000 {
+		tail.Observe(time.Duration(random.Float64() * float64(100*time.Millisecond)))
+	}
+	g.Expect(tail.HedgeAfter()).To(BeNumerically("~", 95*time.Millisecond, 5*time.Millisecond))
+}
+
+func TestOnlyRefusalsThatMayBeRepeatedGetAdvice(t *testing.T) {
+	g := NewWithT(t)
+	admission := caller.NewAdmission()
+	account := admission.Account(dispatch)
+	full := carobkeel.NewError(carobkeel.CodeQueueFull, "")
+	g.Expect(admission.Spread(account, full, 0.5).RetryAfter).To(Equal(2 * time.Second))
+	advised := full.WithRetryAfter(9 * time.Second)
+	g.Expect(admission.Spread(account, advised, 0.5).RetryAfter).To(Equal(9 * time.Second))
+	for _, code := range []carobkeel.Code{carobkeel.CodeLinkLost, carobkeel.CodeInvalidRequest} {
+		g.Expect(admission.Spread(account, carobkeel.NewError(code, ""), 0.5).RetryAfter).To(BeZero())
+	}
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -34,10 +34,18 @@
 	Digest carobkeel.Digest
 	// Idempotent says that running the request twice is harmless.
 	Idempotent bool
+	// Floor is the share of an upstream's slots, in 0..1, that the request's
+	// owner and class keeps while others flood it.
+	Floor float64
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
 
+// OwnerClass returns the owner and class that the request counts to.
+func (r *Request) OwnerClass() carobkeel.OwnerClass {
+	return carobkeel.OwnerClass{Owner: r.Owner, Class: r.Class}
+}
+
 // Repeatable reports whether the request can be sent a second time: its body is
 // still there.
 func (r *Request) Repeatable() bool { return r.Body == nil }
