--- a/caller/httpapi/handler.go
+++ b/caller/httpapi/handler.go
@@ -123,6 +123,7 @@
 	}
 	out.Owner = entry.Owner
 	out.Class = entry.Class
+	out.Floor = entry.Limits.Floor
 	out.Path = pathBelow(r)
 	out.Idempotent = caller.IsIdempotent(entry, r.Method)
 	asked, refusal := askedTimeout(r)
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -15,6 +15,8 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/balancer"
+	"github.com/carobkeel/carobkeel/caller"
+	"github.com/carobkeel/carobkeel/caller/admit"
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
@@ -100,10 +102,14 @@
 	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
 	self := newIncarnation()
 	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
+	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
+	sidecars.Admission = caller.NewAdmission()
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
 	store := claims.NewStore(claims.Direct{Table: tables}, tables)
 	keyed := claims.NewForwarder(store, p.forwarder, p.log)
-	handler := httpapi.New(self, p, keyed, p, httpapi.NewMetrics(scope))
+	admitted := admit.New(sidecars.Admission, keyed, admit.NewMetrics(scope))
+	go admitted.Run(ctx)
+	handler := httpapi.New(self, p, admitted, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
 		return nil, err
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -31,7 +31,7 @@
 
 // Loads tells the requests that run and wait at the sidecar.
 type Loads interface {
-	Load() (running, queued int)
+	Load() sidecar.Load
 }
 
 // Announcer announces one sidecar.
@@ -137,7 +137,10 @@
 	announcement := a.base
 	announcement.Sequence = a.sequence.Add(1)
 	announcement.State = a.State()
-	announcement.Running, announcement.Queued = a.loads.Load()
+	load := a.loads.Load()
+	announcement.Running = load.Running
+	announcement.Queued = load.Queued
+	announcement.UrgentQueued = load.UrgentQueued
 	payload, err := wire.EncodeAnnouncement(announcement)
 	if err != nil {
 		a.log.Error().Err(err).Msg("announcement not encoded")
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -31,40 +31,25 @@
 	}
 	ctx, cancel := context.WithDeadline(st.ctx, request.Deadline)
 	defer cancel()
-	if refusal := s.enter(ctx, request); refusal != nil {
+	held, refusal := s.enter(ctx, request)
+	if refusal != nil {
 		record.Refuse(refusal, time.Now())
 		s.metrics.refused(refusal.Code)
 		st.answer(record.Outcome())
 		return
 	}
-	defer s.gate.leave()
+	defer held.release()
 	if !record.Start() {
 		st.answer(record.Outcome())
 		return
 	}
 	s.metrics.started()
-	s.call(ctx, st, record, request)
-}
-
-// enter lets the request wait for a slot.
-func (s *Server) enter(ctx context.Context, r *caller.Request) *carobkeel.Error {
-	if s.draining.Load() {
-		return carobkeel.NewError(carobkeel.CodeDraining, "the upstream is shutting down")
-	}
-	refusal := s.gate.enter(ctx, entry.Waiting{Class: r.Class, Deadline: r.Deadline})
-	if refusal != nil {
-		return refusal
-	}
-	if ctx.Err() != nil {
-		s.gate.leave()
-		return carobkeel.NewError(carobkeel.CodeTimeoutNotRun, "the time ran out before a slot was free")
-	}
-	return nil
+	s.call(ctx, st, record, request, held)
 }
 
 // call sends a started request to the upstream and gives back its answer.
-func (s *Server) call(ctx context.Context, st *stream, record *entry.Record, r *caller.Request) {
-	answer, err := s.upstream.Do(ctx, r)
+func (s *Server) call(ctx context.Context, st *stream, record *entry.Record, r *caller.Request, held *hold) {
+	answer, err := held.do(ctx, s.upstream, r)
 	if err != nil {
 		s.finish(st, record, &entry.Outcome{Refusal: carobkeel.AsError(err)})
 		return
@@ -151,7 +136,8 @@
 		ID:         carobkeel.RequestID{Entry: carobkeel.Incarnation(o.EntryIncarnation), Sequence: o.Sequence},
 		Service:    carobkeel.Service(o.Service),
 		Owner:      carobkeel.Owner(o.Owner),
-		Class:      carobkeel.Class(o.Class),
+		Class:      classOf(o.Class),
+		Floor:      float64(o.Floor) / floorUnit,
 		Method:     o.Method,
 		Path:       o.Path,
 		Header:     wire.ToFields(o.Header),
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -13,6 +13,7 @@
 	"github.com/carobkeel/carobkeel/caller"
 	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/sidecar"
 )
 
 // Upstream carries out requests.
@@ -85,9 +86,7 @@
 }
 
 // Load returns the requests that run and that wait now.
-func (s *Server) Load() (running, queued int) {
-	return int(s.gate.running.Load()), int(s.gate.queued.Load())
-}
+func (s *Server) Load() sidecar.Load { return s.gate.load() }
 
 // Drain refuses new requests from now on and parks until those taken have
 // ended or ctx has.
--- a/entry/server/stream.go
+++ b/entry/server/stream.go
@@ -104,10 +104,11 @@
 }
 
 func (s *Server) load() wire.Load {
-	running, queued := s.Load()
+	load := s.Load()
 	return wire.Load{
-		Running: uint32(max(running, 0)),
-		Queued:  uint32(max(queued, 0)),
-		Limit:   uint32(s.gate.limit),
+		Running:      uint32(max(load.Running, 0)),
+		Queued:       uint32(max(load.Queued, 0)),
+		UrgentQueued: uint32(max(load.UrgentQueued, 0)),
+		Limit:        uint32(load.Limit),
 	}
 }
--- a/entry/wire/codec.go
+++ b/entry/wire/codec.go
@@ -53,6 +53,7 @@
 		Slots:         a.Slots,
 		Running:       a.Running,
 		Queued:        a.Queued,
+		UrgentQueued:  a.UrgentQueued,
 	}
 	payload, err := message.MarshalMsg(nil)
 	return payload, errors.Wrap(err, "encode announcement")
@@ -79,5 +80,7 @@
 		Slots:   m.Slots,
 		Running: m.Running,
 		Queued:  m.Queued,
+		// The urgent ones are among those queued.
+		UrgentQueued: m.UrgentQueued,
 	}, nil
 }
--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -35,4 +35,5 @@
 	Slots         int    `msg:"sl"`
 	Running       int    `msg:"r"`
 	Queued        int    `msg:"qd"`
+	UrgentQueued  int    `msg:"uq"`
 }
--- a/entry/wire/messages_gen.go
+++ b/entry/wire/messages_gen.go
@@ -96,6 +96,12 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+		case "uq":
+			z.UrgentQueued, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -109,9 +115,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Announcement) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
+	// map header, size 13
 	// write "i"
-	err = en.Append(0x8c, 0xa1, 0x69)
+	err = en.Append(0x8d, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -230,15 +236,25 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	// write "uq"
+	err = en.Append(0xa2, 0x75, 0x71)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.UrgentQueued)
+	if err != nil {
+		err = msgp.WrapError(err, "UrgentQueued")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Announcement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "i"
-	o = append(o, 0x8c, 0xa1, 0x69)
+	o = append(o, 0x8d, 0xa1, 0x69)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	// string "q"
 	o = append(o, 0xa1, 0x71)
@@ -273,6 +289,9 @@
 	// string "qd"
 	o = append(o, 0xa2, 0x71, 0x64)
 	o = msgp.AppendInt(o, z.Queued)
+	// string "uq"
+	o = append(o, 0xa2, 0x75, 0x71)
+	o = msgp.AppendInt(o, z.UrgentQueued)
 	return
 }
 
@@ -366,6 +385,12 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+		case "uq":
+			z.UrgentQueued, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -380,7 +405,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Announcement) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(z.Service) + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 3 + msgp.StringPrefixSize + len(z.Rack) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 3 + msgp.IntSize + 2 + msgp.IntSize + 3 + msgp.IntSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(z.Service) + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 3 + msgp.StringPrefixSize + len(z.Rack) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 3 + msgp.IntSize + 2 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.IntSize
 	return
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -56,6 +56,10 @@
 	// that the reading side reads no clock.
 	heard  atomic.Uint64
 	writer frame.Writer
+	// pinged is when the last ping was queued, in Unix nanoseconds.
+	pinged atomic.Int64
+	// roundTrip is the time from the last ping to its pong, in nanoseconds.
+	roundTrip atomic.Int64
 }
 
 // New returns a link over conn, which the link then owns.
@@ -92,6 +96,10 @@
 // RemoteAddr returns the peer's address.
 func (l *Link) RemoteAddr() string { return l.conn.RemoteAddr().String() }
 
+// RoundTrip returns the last measured time of a ping and its pong, zero before
+// the first.
+func (l *Link) RoundTrip() time.Duration { return time.Duration(l.roundTrip.Load()) }
+
 // Close ends the link.
 func (l *Link) Close() { l.end(ErrClosed) }
 
@@ -126,6 +134,7 @@
 		case frame.TypePing:
 			l.Send(frame.Frame{Type: frame.TypePong})
 		case frame.TypePong:
+			l.roundTrip.Store(time.Now().UnixNano() - l.pinged.Load())
 		default:
 			if err := handle(f); err != nil {
 				return err
@@ -193,6 +202,7 @@
 				l.end(ErrSilent)
 				return
 			}
+			l.pinged.Store(time.Now().UnixNano())
 			l.Send(frame.Frame{Type: frame.TypePing})
 		}
 	}
--- a/sidecar/client/ask.go
+++ b/sidecar/client/ask.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,14 +18,14 @@
 // Choose returns the sidecar for a request, passing over the addresses tried.
 // The third result is false where there is none.
 func (f *Forwarder) Choose(r *caller.Request, tried []string) (string, carobkeel.Incarnation, bool) {
-	serving := f.views.View().Serving(r.Service)
+	view := f.views.View()
 	var passed []*sidecar.Member
-	for _, member := range serving {
-		if slices.Contains(tried, member.Address) {
+	for _, address := range tried {
+		if member, ok := view.Member(address); ok {
 			passed = append(passed, member)
 		}
 	}
-	member := sidecar.Pick(serving, rand.Uint64(), passed)
+	member := f.pick(r, passed)
 	if member == nil {
 		return "", 0, false
 	}
--- a/sidecar/client/config.go
+++ b/sidecar/client/config.go
@@ -9,6 +9,8 @@
 	"net"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/settings"
 )
@@ -23,6 +25,10 @@
 	SilenceTimeout time.Duration
 	// Attempts is the most sidecars that one request is sent to.
 	Attempts int
+	// DataCentre is where the entry is.
+	DataCentre carobkeel.DataCentre
+	// Admission holds the budgets of repeats, new ones where it is nil.
+	Admission *caller.Admission
 	// Dial opens a connection to an address, by TCP where it is nil.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/sidecar/client/forwarder.go
+++ b/sidecar/client/forwarder.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -36,6 +37,9 @@
 	if config.Dial == nil {
 		config.Dial = dialTCP
 	}
+	if config.Admission == nil {
+		config.Admission = caller.NewAdmission()
+	}
 	return &Forwarder{
 		views:   views,
 		pool:    newPool(ctx, self, config),
@@ -57,34 +61,51 @@
 // Forward sends the request to a sidecar and returns the upstream's answer. Every
 // error is a *carobkeel.Error.
 func (f *Forwarder) Forward(ctx context.Context, r *caller.Request) (*caller.Answer, error) {
-	var tried []*sidecar.Member
+	account := f.config.Admission.Account(r.OwnerClass())
 	last := carobkeel.NewError(carobkeel.CodeNoUpstream, "no upstream of %s is announced", r.Service)
+	var tried []*sidecar.Member
 	for len(tried) < f.config.Attempts {
-		member := sidecar.Pick(f.views.View().Serving(r.Service), rand.Uint64(), tried)
+		member := f.pick(r, tried)
 		if member == nil {
 			return nil, last
 		}
-		if len(tried) > 0 {
-			f.metrics.retry()
-		}
-		answer, refusal := f.send(ctx, member, r)
-		if refusal == nil {
+		tried = append(tried, member)
+		var answer *caller.Answer
+		answer, tried, last = f.sendHedged(ctx, account, r, tried)
+		if last == nil {
 			return answer, nil
 		}
-		if ctx.Err() != nil || !caller.MayRetry(r, refusal) {
-			return nil, refusal
+		if ctx.Err() != nil || !f.config.Admission.MayRepeat(account, r, last) {
+			return nil, last
 		}
-		tried = append(tried, member)
-		last = refusal
+		f.metrics.retry()
 	}
 	return nil, last
 }
 
-// send carries one request to one sidecar.
+// pick chooses the sidecar for a request, nil where there is none.
+func (f *Forwarder) pick(r *caller.Request, tried []*sidecar.Member) *sidecar.Member {
+	return f.views.View().Pool(r.Service).Pick(sidecar.Choice{
+		From:   f.config.DataCentre,
+		Class:  r.Class,
+		Random: rand.Uint64(),
+		Now:    time.Now(),
+		Tried:  tried,
+	})
+}
+
+// send carries one request to one sidecar and notes how that went.
 func (f *Forwarder) send(ctx context.Context, m *sidecar.Member, r *caller.Request) (*caller.Answer, *carobkeel.Error) {
-	m.Live.InFlight.Add(1)
+	m.Live.Begin(r.Class)
 	started := time.Now()
-	release := func() { m.Live.InFlight.Add(-1) }
+	answer, refusal := f.carry(ctx, m, r, func() { m.Live.End(r.Class) })
+	f.observe(m, r, answer, refusal, time.Since(started))
+	return answer, refusal
+}
+
+// carry sends the request and waits for the beginning of the answer. release is
+// called once the request is over.
+func (f *Forwarder) carry(ctx context.Context, m *sidecar.Member, r *caller.Request, release func()) (*caller.Answer, *carobkeel.Error) {
 	c, err := f.pool.conn(ctx, m.Address)
 	if err == nil && c.incarnation() != m.Incarnation {
 		err = errReplaced
@@ -93,6 +114,7 @@
 		release()
 		return nil, carobkeel.NewError(carobkeel.CodeUpstreamUnreachable, "sidecar %s: %v", m.Address, err)
 	}
+	m.Live.RoundTripMicros.Store(c.link.RoundTrip().Microseconds())
 	s, ok := newStream(ctx, c, loadRecorder(m))
 	if !ok {
 		release()
@@ -114,7 +136,6 @@
 		release()
 		return nil, got.refusal
 	}
-	m.Live.Observe(time.Since(started))
 	return newAnswer(s, got.answer, release), nil
 }
 
@@ -154,7 +175,14 @@
 }
 
 func loadRecorder(m *sidecar.Member) func(wire.Load) {
-	return func(l wire.Load) { m.Live.Remote.Store(int64(l.Running) + int64(l.Queued)) }
+	return func(l wire.Load) {
+		m.Live.Report(sidecar.Load{
+			Running:      int(l.Running),
+			Queued:       int(l.Queued),
+			UrgentQueued: int(l.UrgentQueued),
+			Limit:        int(l.Limit),
+		})
+	}
 }
 
 func sendBody(ctx context.Context, s *stream, body io.Reader) {
@@ -171,6 +199,9 @@
 	s.conn.link.Send(frame.Frame{Type: wire.TypeBodyEnd, Stream: s.number})
 }
 
+// floorUnit is a floor of one in an Open message.
+const floorUnit = 1000
+
 // inlineBytes is the longest body that goes with the Open message.
 const inlineBytes = 64 << 10
 
@@ -192,6 +223,7 @@
 		Service:          string(r.Service),
 		Owner:            string(r.Owner),
 		Class:            uint8(r.Class),
+		Floor:            uint16(math.Round(r.Floor * floorUnit)),
 		Method:           r.Method,
 		Path:             r.Path,
 		Header:           wire.FromFields(r.Header),
--- a/sidecar/member.go
+++ b/sidecar/member.go
@@ -6,7 +6,6 @@
 package sidecar
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -48,11 +47,14 @@
 	Service  carobkeel.Service
 	Location carobkeel.Location
 	State    State
-	// Slots is the number of requests that the upstream serves at once.
+	// Slots is the most requests that the upstream serves at once. The sidecar's
+	// present limit may be lower; it tells that with its answers.
 	Slots int
-	// Running and Queued are the requests at the sidecar.
-	Running int
-	Queued  int
+	// Running and Queued are the requests at the sidecar, and UrgentQueued is
+	// how many of those queued are latency-critical.
+	Running      int
+	Queued       int
+	UrgentQueued int
 }
 
 // Member is one announced sidecar. It is never changed; Live alone moves.
@@ -62,41 +64,3 @@
 	// Live is shared by all states of one incarnation.
 	Live *Live
 }
-
-// Live counts what this entry has in flight at one sidecar. All fields are
-// changed atomically on the path of requests.
-type Live struct {
-	InFlight atomic.Int64
-	// sequence and heard are those of the last announcement.
-	sequence atomic.Uint64
-	heard    atomic.Int64
-	// Remote is the sidecar's own last word on what runs and waits there.
-	Remote atomic.Int64
-	// LatencyMicros is a moving average of the latency in microseconds.
-	LatencyMicros atomic.Int64
-}
-
-// Heard returns when the last announcement arrived.
-func (l *Live) Heard() time.Time { return time.Unix(0, l.heard.Load()) }
-
-// take notes an announcement's arrival and the load that it tells.
-func (l *Live) take(a Announcement, now time.Time) {
-	l.sequence.Store(a.Sequence)
-	l.heard.Store(now.UnixNano())
-	l.Remote.Store(int64(a.Running + a.Queued))
-}
-
-// latencyWeight is the inverse weight of a new sample in the moving average.
-const latencyWeight = 8
-
-// Observe adds one answer's latency to the moving average. Two answers at the
-// same moment may lose one sample, which the average bears.
-func (l *Live) Observe(latency time.Duration) {
-	sample := latency.Microseconds()
-	old := l.LatencyMicros.Load()
-	if old == 0 {
-		l.LatencyMicros.Store(max(sample, 1))
-		return
-	}
-	l.LatencyMicros.Store(max(old+(sample-old)/latencyWeight, 1))
-}
--- /dev/null
+++ b/sidecar/pick_test.go
@@ -0,0 +1,299 @@
+package sidecar_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/sidecar"
+)
+
+var start = time.Unix(1_000, 0)
+
+// settled is a time at which no member of fleet is in its slow start.
+var settled = start.Add(time.Hour)
+
+// fleet announces members, one for each data centre named.
+func fleet(dataCentres ...carobkeel.DataCentre) (*sidecar.View, []*sidecar.Member) {
+	view := sidecar.NewView()
+	for i, dataCentre := range dataCentres {
+		view, _ = view.Announce(sidecar.Announcement{
+			Incarnation: carobkeel.Incarnation(i + 1),
+			Sequence:    1,
+			Started:     start,
+			Address:     fmt.Sprintf("%03d", i),
+			Service:     "echo",
+			Location:    carobkeel.Location{DataCentre: dataCentre},
+			Slots:       4,
+		}, start)
+	}
+	return view, view.Serving("echo")
+}
+
+func near(count int) []carobkeel.DataCentre {
+	return slices.Repeat([]carobkeel.DataCentre{"near"}, count)
+}
+
+// shares returns which share of picks goes to each member, in their order.
+func shares(pool *sidecar.Pool, members []*sidecar.Member, now time.Time) []float64 {
+	const picks = 20_000
+	random := rand.New(rand.NewPCG(1, 0))
+	counts := make([]float64, len(members))
+	for range picks {
+		member := pool.Pick(sidecar.Choice{From: "near", Random: random.Uint64(), Now: now})
+		counts[slices.Index(members, member)] += 1.0 / picks
+	}
+	return counts
+}
+
+func TestPickPassesOverWhatTakesNoWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(0, 12).Draw(t, "members")
+		centres := make([]carobkeel.DataCentre, count)
+		for i := range centres {
+			centres[i] = rapid.SampledFrom([]carobkeel.DataCentre{"near", "far"}).Draw(t, "centre")
+		}
+		view, members := fleet(centres...)
+		pool := view.Pool("echo")
+		var tried []*sidecar.Member
+		usable := 0
+		draining := make(map[*sidecar.Member]bool)
+		for _, member := range members {
+			switch rapid.SampledFrom([]string{"free", "busy", "tried", "draining", "failing"}).Draw(t, "state") {
+			case "busy":
+				member.Live.Report(sidecar.Load{Running: 4, Queued: 9, UrgentQueued: 9})
+			case "tried":
+				tried = append(tried, member)
+				continue
+			case "draining":
+				member.Live.Drained()
+				draining[member] = true
+				continue
+			case "failing":
+				for range 20 {
+					pool.Fail(member, settled)
+				}
+			}
+			usable++
+		}
+		picked := pool.Pick(sidecar.Choice{From: "near", Random: rapid.Uint64().Draw(t, "random"), Now: settled, Tried: tried})
+		if (picked != nil) != (usable > 0) {
+			t.Fatalf("picked %v of %d usable members", picked, usable)
+		}
+		if picked != nil && (slices.Contains(tried, picked) || draining[picked]) {
+			t.Fatalf("picked member %s, which takes no work", picked.Address)
+		}
+	})
+}
+
+func TestNeverEjectsMoreThanHalf(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 9).Draw(t, "members")
+		view, members := fleet(near(count)...)
+		pool := view.Pool("echo")
+		now := settled
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 99), 1, 400).Draw(t, "steps") {
+			member := members[step%count]
+			if step >= 90 {
+				member.Live.Observe(time.Millisecond)
+			} else {
+				pool.Fail(member, now)
+			}
+			now = now.Add(time.Duration(step) * time.Millisecond)
+			ejected := 0
+			for _, each := range members {
+				if each.Live.IsEjected(now) {
+					ejected++
+				}
+			}
+			if 2*ejected > count {
+				t.Fatalf("%d of %d members are ejected", ejected, count)
+			}
+		}
+	})
+}
+
+func TestAnUpstreamThatFailsAtOnceAttractsNothing(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet(near(10)...)
+	pool := view.Pool("echo")
+	random := rand.New(rand.NewPCG(2, 0))
+	failed := 0
+	const picks = 10_000
+	for i := range picks {
+		now := settled.Add(time.Duration(i) * time.Millisecond)
+		member := pool.Pick(sidecar.Choice{From: "near", Random: random.Uint64(), Now: now})
+		if member == members[3] {
+			failed++
+			pool.Fail(member, now)
+			continue
+		}
+		member.Live.Begin(carobkeel.ClassLatencyCritical)
+		member.Live.Observe(20 * time.Millisecond)
+		member.Live.End(carobkeel.ClassLatencyCritical)
+	}
+	g.Expect(failed).To(BeNumerically("<", picks/100))
+	g.Expect(members[3].Live.IsEjected(settled.Add(picks * time.Millisecond))).To(BeTrue())
+}
+
+func TestEjectionEndsAndGrows(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet(near(4)...)
+	pool := view.Pool("echo")
+	fail := func(now time.Time) {
+		for range 5 {
+			pool.Fail(members[0], now)
+		}
+	}
+	fail(settled)
+	g.Expect(members[0].Live.IsEjected(settled.Add(4 * time.Second))).To(BeTrue())
+	again := settled.Add(6 * time.Second)
+	g.Expect(members[0].Live.IsEjected(again)).To(BeFalse())
+	pool.Fail(members[0], again)
+	g.Expect(members[0].Live.IsEjected(again.Add(9*time.Second))).To(BeTrue(), "one failure after an ejection is enough")
+	for range 20 {
+		again = again.Add(2 * time.Minute)
+		fail(again)
+	}
+	g.Expect(members[0].Live.IsEjected(again.Add(61 * time.Second))).To(BeFalse())
+}
+
+func TestWhereAllFailAlikeRequestsStillSpread(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet(near(4)...)
+	pool := view.Pool("echo")
+	for range 100 {
+		for _, member := range members {
+			pool.Fail(member, settled)
+		}
+	}
+	taken := 0
+	for _, share := range shares(pool, members, settled) {
+		if share > 0.2 {
+			taken++
+		}
+	}
+	g.Expect(taken).To(BeNumerically(">=", 2))
+}
+
+func TestShareOfRequestsByState(t *testing.T) {
+	at := func(low, high float64) [2]float64 { return [2]float64{low, high} }
+	cases := map[string]struct {
+		prepare func(first, second *sidecar.Live, pool *sidecar.Pool, members []*sidecar.Member)
+		// first is the range of the first member's share.
+		first [2]float64
+	}{
+		"alike": {func(_, _ *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {}, at(0.45, 0.55)},
+		"busier": {func(first, _ *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			first.Begin(carobkeel.ClassLatencyCritical)
+		}, at(0.2, 0.3)},
+		"busier by its own word": {func(first, _ *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			first.Report(sidecar.Load{Running: 2})
+		}, at(0.2, 0.3)},
+		"with less urgent requests waiting": {func(first, _ *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			first.Report(sidecar.Load{Queued: 50})
+		}, at(0.45, 0.55)},
+		"slower": {func(first, second *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			first.Observe(20 * time.Millisecond)
+			second.Observe(10 * time.Millisecond)
+		}, at(0.2, 0.3)},
+		"of unknown latency": {func(_, second *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			second.Observe(10 * time.Millisecond)
+		}, at(0.45, 0.55)},
+		"failing now and then": {func(_, _ *sidecar.Live, pool *sidecar.Pool, members []*sidecar.Member) {
+			pool.Fail(members[0], settled)
+		}, at(0.2, 0.3)},
+		"with a lower limit": {func(first, _ *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			first.Report(sidecar.Load{Limit: 2})
+		}, at(0.2, 0.3)},
+		"draining": {func(first, _ *sidecar.Live, _ *sidecar.Pool, _ []*sidecar.Member) {
+			first.Drained()
+		}, at(0, 0)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			view, members := fleet(near(2)...)
+			pool := view.Pool("echo")
+			c.prepare(members[0].Live, members[1].Live, pool, members)
+			g.Expect(shares(pool, members, settled)[0]).To(And(BeNumerically(">=", c.first[0]), BeNumerically("<=", c.first[1])))
+		})
+	}
+}
+
+func TestSlowStartOfANewMember(t *testing.T) {
+	g := NewWithT(t)
+	view, _ := fleet(near(2)...)
+	view, _ = view.Announce(sidecar.Announcement{
+		Incarnation: 99, Sequence: 1, Started: settled, Address: "new", Service: "echo",
+		Location: carobkeel.Location{DataCentre: "near"}, Slots: 4,
+	}, settled)
+	members, pool := view.Serving("echo"), view.Pool("echo")
+	for _, old := range members[:2] {
+		for range 3 {
+			old.Live.Begin(carobkeel.ClassLatencyCritical)
+		}
+	}
+	// The two that are busy have four requests each with the next one, so the
+	// new one is as cheap as they are at a weight of a quarter.
+	g.Expect(shares(pool, members, settled.Add(time.Second))[2]).To(BeNumerically("<", 0.2))
+	g.Expect(shares(pool, members, settled.Add(9*time.Second))[2]).To(BeNumerically(">", 0.5))
+}
+
+func TestSpillsToAnotherDataCentreOnlyWhereItPays(t *testing.T) {
+	cases := map[string]struct {
+		running, queued int
+		roundTrip       time.Duration
+		spills          bool
+	}{
+		"a slot is free here":      {3, 0, time.Millisecond, false},
+		"a long queue here":        {4, 20, 10 * time.Millisecond, true},
+		"the way is longer":        {4, 1, 100 * time.Millisecond, false},
+		"a short queue and way":    {4, 4, time.Millisecond, true},
+		"the gain is small":        {4, 0, 2 * time.Millisecond, false},
+		"the far one is not known": {4, 20, 0, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			view, members := fleet("near", "near", "far", "far")
+			for i, member := range members {
+				if i < 2 {
+					member.Live.Report(sidecar.Load{Running: c.running, Queued: c.queued, UrgentQueued: c.queued})
+				}
+				if i >= 2 && name != "the far one is not known" {
+					member.Live.RoundTripMicros.Store(c.roundTrip.Microseconds())
+					member.Live.Observe(20*time.Millisecond + c.roundTrip)
+				}
+				if i < 2 {
+					member.Live.Observe(20 * time.Millisecond)
+				}
+			}
+			far := shares(view.Pool("echo"), members, settled)
+			g.Expect(far[2]+far[3] > 0.2).To(Equal(c.spills))
+			g.Expect(far[2]+far[3] < 0.01).To(Equal(!c.spills))
+		})
+	}
+}
+
+func TestRequestsGoFarWhereNoMemberIsNear(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet("far")
+	picked := view.Pool("echo").Pick(sidecar.Choice{From: "near", Now: settled})
+	g.Expect(picked).To(BeIdenticalTo(members[0]))
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	g := NewWithT(t)
+	view, _ := fleet(near(100)...)
+	pool := view.Pool("echo")
+	g.Expect(testing.AllocsPerRun(1_000, func() {
+		pool.Pick(sidecar.Choice{From: "near", Random: rand.Uint64(), Now: settled})
+	})).To(BeZero())
+}
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -13,19 +13,26 @@
 type View struct {
 	// members holds every known member by address.
 	members map[string]*Member
-	// serving holds the members that take new work, by service, in the order
-	// of their addresses.
-	serving map[carobkeel.Service][]*Member
+	// serving holds the members that take new work, by service.
+	serving map[carobkeel.Service]*Pool
 }
 
 // NewView returns a view without members.
 func NewView() *View {
-	return &View{members: map[string]*Member{}, serving: map[carobkeel.Service][]*Member{}}
+	return &View{members: map[string]*Member{}, serving: map[carobkeel.Service]*Pool{}}
 }
 
 // Serving returns the members of the service that take new work. The slice must
 // not be changed.
-func (v *View) Serving(service carobkeel.Service) []*Member { return v.serving[service] }
+func (v *View) Serving(service carobkeel.Service) []*Member { return v.Pool(service).members }
+
+// Pool returns the members of the service that take new work, to choose from.
+func (v *View) Pool(service carobkeel.Service) *Pool {
+	if pool, ok := v.serving[service]; ok {
+		return pool
+	}
+	return emptyPool
+}
 
 // Member returns the member at the address.
 func (v *View) Member(address string) (*Member, bool) {
@@ -50,7 +57,7 @@
 	if ok && !supersedes(a, known) {
 		return v, false
 	}
-	live := &Live{}
+	live := newLive(now)
 	if ok && known.Incarnation == a.Incarnation {
 		live = known.Live
 	}
@@ -78,7 +85,7 @@
 
 // sameButLoad reports whether two announcements differ in load alone.
 func sameButLoad(a, b Announcement) bool {
-	a.Sequence, a.Running, a.Queued = b.Sequence, b.Running, b.Queued
+	a.Sequence, a.Running, a.Queued, a.UrgentQueued = b.Sequence, b.Running, b.Queued, b.UrgentQueued
 	return a == b
 }
 
@@ -119,6 +126,5 @@
 		delete(v.serving, service)
 		return
 	}
-	slices.SortFunc(serving, func(a, b *Member) int { return strings.Compare(a.Address, b.Address) })
-	v.serving[service] = serving
+	v.serving[service] = NewPool(serving)
 }
--- /dev/null
+++ b/sidecar/view_test.go
@@ -0,0 +1,68 @@
+package sidecar_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/sidecar"
+)
+
+func TestAnnouncementOfLoadKeepsTheView(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet("near")
+	a := members[0].Announcement
+	a.Sequence, a.Running, a.Queued, a.UrgentQueued = 2, 4, 7, 3
+	next, fresh := view.Announce(a, start.Add(time.Second))
+	g.Expect(fresh).To(BeTrue())
+	g.Expect(next).To(BeIdenticalTo(view))
+	_, fresh = view.Announce(a, start.Add(time.Second))
+	g.Expect(fresh).To(BeFalse())
+}
+
+func TestDrainingMemberLeavesThePoolAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet("near", "near")
+	a := members[0].Announcement
+	a.Sequence, a.State = 2, sidecar.StateDraining
+	next, _ := view.Announce(a, start)
+	g.Expect(next.Serving("echo")).To(Equal(members[1:]))
+	g.Expect(view.Serving("echo")).To(HaveLen(2), "the view before is not changed")
+	_, known := next.Member(a.Address)
+	g.Expect(known).To(BeTrue())
+}
+
+func TestRefusalOfADrainingMemberCountsUntilItsNextAnnouncement(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet("near")
+	pool := view.Pool("echo")
+	choice := sidecar.Choice{From: "near", Now: settled}
+	members[0].Live.Drained()
+	g.Expect(pool.Pick(choice)).To(BeNil())
+	a := members[0].Announcement
+	a.Sequence = 2
+	view.Announce(a, settled)
+	g.Expect(pool.Pick(choice)).To(BeIdenticalTo(members[0]))
+}
+
+func TestRestartedMemberBeginsAnew(t *testing.T) {
+	g := NewWithT(t)
+	view, members := fleet("near")
+	members[0].Live.Observe(time.Second)
+	a := members[0].Announcement
+	a.Incarnation, a.Sequence, a.Started = 77, 1, start.Add(time.Minute)
+	next, _ := view.Announce(a, start.Add(time.Minute))
+	g.Expect(next.Serving("echo")[0].Live.LatencyMicros.Load()).To(BeZero())
+	old := members[0].Announcement
+	old.Sequence = 9
+	_, fresh := next.Announce(old, start.Add(time.Minute))
+	g.Expect(fresh).To(BeFalse(), "the process before comes late")
+}
+
+func TestSilentMemberExpires(t *testing.T) {
+	g := NewWithT(t)
+	view, _ := fleet("near", "far")
+	g.Expect(view.Expire(start)).To(BeIdenticalTo(view))
+	g.Expect(view.Expire(start.Add(time.Nanosecond)).Members()).To(BeEmpty())
+}
--- a/sidecar/wire/messages.go
+++ b/sidecar/wire/messages.go
@@ -30,7 +30,10 @@
 	Service          string `msg:"sv"`
 	Owner            string `msg:"o"`
 	Class            uint8  `msg:"c"`
-	Method           string `msg:"m"`
+	// Floor is the share of the slots that the owner and class keeps, in
+	// thousandths.
+	Floor  uint16 `msg:"f"`
+	Method string `msg:"m"`
 	// Path is the path below the service's name, with the query.
 	Path   string  `msg:"p"`
 	Header []Field `msg:"h"`
@@ -54,7 +57,9 @@
 type Load struct {
 	Running uint32 `msg:"r"`
 	Queued  uint32 `msg:"q"`
-	Limit   uint32 `msg:"l"`
+	// UrgentQueued is how many of those queued are latency-critical.
+	UrgentQueued uint32 `msg:"u"`
+	Limit        uint32 `msg:"l"`
 }
 
 // Answer begins the upstream's answer. The body follows in AnswerBody frames
--- a/sidecar/wire/messages_gen.go
+++ b/sidecar/wire/messages_gen.go
@@ -97,46 +97,11 @@
 				return
 			}
 		case "l":
-			var zb0004 uint32
-			zb0004, err = dc.ReadMapHeader()
+			err = z.Load.DecodeMsg(dc)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Load")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Load.Running, err = dc.ReadUint32()
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Running")
-						return
-					}
-				case "q":
-					z.Load.Queued, err = dc.ReadUint32()
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Queued")
-						return
-					}
-				case "l":
-					z.Load.Limit, err = dc.ReadUint32()
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Limit")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Load")
-						return
-					}
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -229,35 +194,9 @@
 	if err != nil {
 		return
 	}
-	// map header, size 3
-	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
+	err = z.Load.EncodeMsg(en)
 	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Running)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Running")
-		return
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Queued)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Queued")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Limit)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Limit")
+		err = msgp.WrapError(err, "Load")
 		return
 	}
 	return
@@ -293,16 +232,11 @@
 	o = msgp.AppendBytes(o, z.Body)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
-	// map header, size 3
-	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
-	o = msgp.AppendUint32(o, z.Load.Running)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendUint32(o, z.Load.Queued)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendUint32(o, z.Load.Limit)
+	o, err = z.Load.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
 	return
 }
 
@@ -397,46 +331,11 @@
 				return
 			}
 		case "l":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Load.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Load")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Load.Running, bts, err = msgp.ReadUint32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Running")
-						return
-					}
-				case "q":
-					z.Load.Queued, bts, err = msgp.ReadUint32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Queued")
-						return
-					}
-				case "l":
-					z.Load.Limit, bts, err = msgp.ReadUint32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Limit")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -455,7 +354,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + z.Load.Msgsize()
 	return
 }
 
@@ -1001,6 +900,12 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+		case "u":
+			z.UrgentQueued, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
 		case "l":
 			z.Limit, err = dc.ReadUint32()
 			if err != nil {
@@ -1019,10 +924,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Load) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *Load) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
+	err = en.Append(0x84, 0xa1, 0x72)
 	if err != nil {
 		return
 	}
@@ -1041,6 +946,16 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	// write "u"
+	err = en.Append(0xa1, 0x75)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.UrgentQueued)
+	if err != nil {
+		err = msgp.WrapError(err, "UrgentQueued")
+		return
+	}
 	// write "l"
 	err = en.Append(0xa1, 0x6c)
 	if err != nil {
@@ -1055,15 +970,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
+	o = append(o, 0x84, 0xa1, 0x72)
 	o = msgp.AppendUint32(o, z.Running)
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendUint32(o, z.Queued)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendUint32(o, z.UrgentQueued)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendUint32(o, z.Limit)
@@ -1100,6 +1018,12 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+		case "u":
+			z.UrgentQueued, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
 		case "l":
 			z.Limit, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -1119,8 +1043,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Load) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+func (z *Load) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
 
@@ -1172,6 +1096,12 @@
 				err = msgp.WrapError(err, "Class")
 				return
 			}
+		case "f":
+			z.Floor, err = dc.ReadUint16()
+			if err != nil {
+				err = msgp.WrapError(err, "Floor")
+				return
+			}
 		case "m":
 			z.Method, err = dc.ReadString()
 			if err != nil {
@@ -1287,9 +1217,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 15
+	// map header, size 16
 	// write "e"
-	err = en.Append(0x8f, 0xa1, 0x65)
+	err = en.Append(0xde, 0x0, 0x10, 0xa1, 0x65)
 	if err != nil {
 		return
 	}
@@ -1338,6 +1268,16 @@
 		err = msgp.WrapError(err, "Class")
 		return
 	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint16(z.Floor)
+	if err != nil {
+		err = msgp.WrapError(err, "Floor")
+		return
+	}
 	// write "m"
 	err = en.Append(0xa1, 0x6d)
 	if err != nil {
@@ -1467,9 +1407,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "e"
-	o = append(o, 0x8f, 0xa1, 0x65)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.EntryIncarnation)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -1483,6 +1423,9 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendUint8(o, z.Class)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint16(o, z.Floor)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Method)
@@ -1573,6 +1516,12 @@
 				err = msgp.WrapError(err, "Class")
 				return
 			}
+		case "f":
+			z.Floor, bts, err = msgp.ReadUint16Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Floor")
+				return
+			}
 		case "m":
 			z.Method, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1689,7 +1638,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Open) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
@@ -1868,46 +1817,11 @@
 				return
 			}
 		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+			err = z.Load.DecodeMsg(dc)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Load")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Load.Running, err = dc.ReadUint32()
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Running")
-						return
-					}
-				case "q":
-					z.Load.Queued, err = dc.ReadUint32()
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Queued")
-						return
-					}
-				case "l":
-					z.Load.Limit, err = dc.ReadUint32()
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Limit")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Load")
-						return
-					}
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1967,35 +1881,9 @@
 	if err != nil {
 		return
 	}
-	// map header, size 3
-	// write "r"
-	err = en.Append(0x83, 0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Running)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Running")
-		return
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Queued)
-	if err != nil {
-		err = msgp.WrapError(err, "Load", "Queued")
-		return
-	}
-	// write "l"
-	err = en.Append(0xa1, 0x6c)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Load.Limit)
+	err = z.Load.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Load", "Limit")
+		err = msgp.WrapError(err, "Load")
 		return
 	}
 	return
@@ -2019,16 +1907,11 @@
 	o = msgp.AppendInt64(o, z.RetryAfterMillis)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
-	// map header, size 3
-	// string "r"
-	o = append(o, 0x83, 0xa1, 0x72)
-	o = msgp.AppendUint32(o, z.Load.Running)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendUint32(o, z.Load.Queued)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendUint32(o, z.Load.Limit)
+	o, err = z.Load.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Load")
+		return
+	}
 	return
 }
 
@@ -2075,46 +1958,11 @@
 				return
 			}
 		case "l":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			bts, err = z.Load.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Load")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Load")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "r":
-					z.Load.Running, bts, err = msgp.ReadUint32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Running")
-						return
-					}
-				case "q":
-					z.Load.Queued, bts, err = msgp.ReadUint32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Queued")
-						return
-					}
-				case "l":
-					z.Load.Limit, bts, err = msgp.ReadUint32Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load", "Limit")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Load")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2129,6 +1977,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Refused) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint16Size + 2 + msgp.StringPrefixSize + len(z.Detail) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s = 1 + 2 + msgp.Uint16Size + 2 + msgp.StringPrefixSize + len(z.Detail) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size + 2 + z.Load.Msgsize()
 	return
 }
