Measure choice and floods in a model with baselines

Cause: nothing showed what choice, queue and admission do under load.

Change: suites pick and flood.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -34,6 +34,8 @@
 		catalogueSuite(),
 		telemetrySuite(),
 		pathSuite(),
+		pickSuite(),
+		floodSuite(),
 	}
 }
 
