Decide how the catalogue is spread between processes

Cause: what the table service accepts has to be in force everywhere within seconds and must never revert, also with the service down.

Change: entry.Spread takes events (links, peers' words, reads of the table service, time) and returns typed actions. A process serves once all its peers and the table service have answered and it holds the newest it heard of, or after 2 s with what it has; with nothing it does not serve. A search of interleavings has an observer for falling revisions, states that were never accepted, and lost ones.

--- /dev/null
+++ b/entry/spread_test.go
@@ -0,0 +1,150 @@
+package entry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry"
+)
+
+// TestSpreadInterleavings searches random interleavings of accepted edits,
+// reads of the store, deliveries out of order, lost and repeated messages,
+// partitions, crashes, restarts and pauses. The observer is part of the world.
+func TestSpreadInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "entries"), rapid.IntRange(0, 2).Draw(t, "leaves"))
+		process := rapid.IntRange(0, len(w.processes)-1)
+		index := func() int { return rapid.IntRange(0, len(w.messages)-1).Draw(t, "message") }
+		withMessage := func(act func()) func(*rapid.T) {
+			return func(t *rapid.T) {
+				if len(w.messages) == 0 {
+					t.Skip("no message")
+				}
+				act()
+			}
+		}
+		deliver := withMessage(func() { w.deliver(index(), false) })
+		t.Repeat(map[string]func(*rapid.T){
+			"accept":       func(*rapid.T) { w.accept() },
+			"poll":         func(t *rapid.T) { w.poll(process.Draw(t, "process")) },
+			"deliver":      deliver,
+			"deliver more": deliver,
+			"duplicate":    withMessage(func() { w.deliver(index(), true) }),
+			"lose":         withMessage(func() { w.drop(index()) }),
+			"block": func(t *rapid.T) {
+				w.block(process.Draw(t, "a"), process.Draw(t, "b"), rapid.Bool().Draw(t, "blocked"))
+			},
+			"crash":   func(t *rapid.T) { w.crash(process.Draw(t, "process")) },
+			"restart": func(t *rapid.T) { w.start(process.Draw(t, "process")) },
+			"pause":   func(t *rapid.T) { w.processes[process.Draw(t, "process")].paused = true },
+			"resume":  func(t *rapid.T) { w.resume(process.Draw(t, "process")) },
+			"store":   func(*rapid.T) { w.storeDown = !w.storeDown },
+			"tick":    func(t *rapid.T) { w.tick(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
+			"": func(t *rapid.T) {
+				if len(w.violations) > 0 {
+					t.Fatal(w.violations)
+				}
+			},
+		})
+		w.resumeAll()
+		newest := w.newest()
+		w.storeDown = true
+		w.settle()
+		w.checkSettled(newest)
+		if len(w.violations) > 0 {
+			t.Fatal(w.violations)
+		}
+	})
+}
+
+// TestSpreadAfterStoreLoss lets one entry see an edit just before the store is
+// gone, at every process and with every single link blocked.
+func TestSpreadAfterStoreLoss(t *testing.T) {
+	for witness := range 3 {
+		for a := range 4 {
+			for b := a + 1; b < 4; b++ {
+				g := NewWithT(t)
+				w := newWorld(1, 3, 1)
+				w.settle()
+				w.accept()
+				w.poll(witness)
+				w.storeDown = true
+				w.block(a, b, true)
+				for range 20 {
+					for len(w.messages) > 0 {
+						w.deliver(0, false)
+					}
+					w.tick(time.Second)
+				}
+				w.checkSettled(1)
+				g.Expect(w.violations).To(BeEmpty(), "witness %d, no link between %d and %d", witness, a, b)
+			}
+		}
+	}
+}
+
+func TestSpreadRefusesAStoreThatWasSetBack(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 2, 0)
+	for range 5 {
+		w.accept()
+		w.poll(0)
+	}
+	w.settle()
+	w.head = 2
+	w.poll(0)
+	w.poll(1)
+	w.settle()
+	w.checkSettled(5)
+	g.Expect(w.violations).To(BeEmpty())
+	g.Expect(w.processes[0].reports).To(ContainElement(entry.StoreBehindAction{Held: 5, Store: 2}))
+
+	w.crash(1)
+	w.start(1)
+	w.poll(1)
+	w.settle()
+	g.Expect(w.processes[1].spread.Stamp().Revision).To(Equal(carobkeel.Revision(5)), "after a restart the peers' word counts")
+	g.Expect(w.violations).To(BeEmpty())
+}
+
+func TestSpreadServesWithoutPeersOnlyAfterTheTimeout(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	config := entry.DefaultSpreadConfig()
+	config.Peers, config.Store = 2, true
+	s := entry.NewSpread(config, rand.New(rand.NewPCG(1, 1)), now)
+	s.Step(entry.TickEvent{}, now.Add(time.Hour))
+	g.Expect(s.Serving()).To(BeFalse(), "a process that holds nothing does not serve")
+
+	s = entry.NewSpread(config, rand.New(rand.NewPCG(1, 1)), now)
+	c := (&carobkeel.Catalogue{}).With(7, carobkeel.Entry{Name: "desk"})
+	g.Expect(s.Step(entry.StoreCatalogueEvent{Catalogue: c}, now)).NotTo(ContainElement(BeAssignableToTypeOf(entry.ServeAction{})))
+	g.Expect(s.Step(entry.TickEvent{}, now.Add(config.JoinTimeout))).To(ContainElement(entry.ServeAction{Confirmed: false}))
+}
+
+func TestSpreadReportsAConflictOnceAndKeepsItsState(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := entry.NewSpread(entry.DefaultSpreadConfig(), rand.New(rand.NewPCG(1, 1)), now)
+	mine := (&carobkeel.Catalogue{}).With(3, carobkeel.Entry{Name: "desk"})
+	theirs := entry.StampOf((&carobkeel.Catalogue{}).With(3, carobkeel.Entry{Name: "gate"}))
+	s.Step(entry.StoreCatalogueEvent{Catalogue: mine}, now)
+	s.Step(entry.LinkUpEvent{Peer: "p"}, now)
+	conflict := entry.ConflictAction{Peer: "p", Held: entry.StampOf(mine), Theirs: theirs}
+	g.Expect(s.Step(entry.HaveEvent{Peer: "p", Stamp: theirs}, now)).To(ContainElement(conflict))
+	g.Expect(s.Step(entry.HaveEvent{Peer: "p", Stamp: theirs}, now)).NotTo(ContainElement(conflict))
+	g.Expect(s.Catalogue()).To(BeIdenticalTo(mine))
+}
+
+func TestSpreadRefusesASnapshotThatIsNotItsStamp(t *testing.T) {
+	g := NewWithT(t)
+	s := entry.NewSpread(entry.DefaultSpreadConfig(), rand.New(rand.NewPCG(1, 1)), time.Unix(1000, 0))
+	c := (&carobkeel.Catalogue{}).With(3, carobkeel.Entry{Name: "desk"})
+	s.Step(entry.SnapshotEvent{Peer: "p", Catalogue: c, Stamp: entry.Stamp{Revision: 3, Digest: 1}}, time.Unix(1000, 0))
+	g.Expect(s.Catalogue()).To(BeNil())
+}
