--- a/operator/store/edit.go
+++ b/operator/store/edit.go
@@ -49,7 +49,17 @@
 	}
 	result, err := s.edit(ctx, identified{edit, digest, fresh})
 	s.count(result, err)
-	return result, err
+	return result, withRepeatsInMind(err, fresh)
+}
+
+// withRepeatsInMind takes back the promise that nothing ran where the id came
+// from outside: an earlier request under it may have had its effect.
+func withRepeatsInMind(err error, fresh bool) error {
+	var coded *carobkeel.Error
+	if !fresh && errors.As(err, &coded) && coded.Code == carobkeel.CodeStoreUnavailable {
+		return coded.WithRan(carobkeel.RanUnknown)
+	}
+	return err
 }
 
 // Plan returns what the edit would change now, without taking it.
@@ -196,20 +206,20 @@
 }
 
 func (s *Store) count(result Result, err error) {
-	switch {
-	case err == nil && result.Repeated:
+	s.metrics.Edits.Inc(codeOf(err))
+	if result.Repeated {
 		s.metrics.EditsRepeated.Inc(1)
-	case err == nil && len(result.Change.Items) == 0:
-		s.metrics.EditsUnchanged.Inc(1)
-	case err == nil:
-		s.metrics.EditsAccepted.Inc(1)
-	case carobkeel.CodeOf(err) == carobkeel.CodeEditUnsettled:
-		s.metrics.EditsUnsettled.Inc(1)
-	default:
-		s.metrics.EditsRefused.Inc(1)
 	}
 }
 
+func codeOf(err error) carobkeel.Code {
+	var problems operator.Problems
+	if errors.As(err, &problems) {
+		return carobkeel.CodeInvalidEntry
+	}
+	return carobkeel.CodeOf(err)
+}
+
 // digestOf returns a digest of the edit's items, without its id.
 func digestOf(edit operator.Edit) (string, error) {
 	data, err := encode(edit.Items)
