--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -16,22 +16,15 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // serve carries one request from its arrival to its outcome.
-func (s *Server) serve(st *stream, open *wire.Open) {
+func (s *Server) serve(st *stream, request *caller.Request) {
 	defer st.close()
-	request := requestOf(open, time.Now())
-	st.idempotent.Store(request.Idempotent)
-	record, fresh := s.ledger.Begin(request.ID)
+	record, fresh := s.ledger.Begin(request.ID, request.Key != "")
 	if !fresh {
 		st.replay(record)
 		return
 	}
 	st.record.Store(record)
-	if st.body != nil {
-		request.Body = st.body
-	}
-	ctx, cancel := context.WithDeadline(st.ctx, request.Deadline)
-	defer cancel()
-	if refusal := s.enter(ctx, request); refusal != nil {
+	if refusal := s.enter(st.ctx, request); refusal != nil {
 		record.Refuse(refusal, time.Now())
 		s.metrics.refused(refusal.Code)
 		st.answer(record.Outcome())
@@ -43,7 +36,7 @@
 		return
 	}
 	s.metrics.started()
-	s.call(ctx, st, record, request)
+	s.call(st.ctx, st, record, request)
 }
 
 // enter lets the request wait for a slot.
@@ -82,13 +75,20 @@
 	s.finish(st, record, &entry.Outcome{Status: answer.Status, Header: answer.Header, Body: body})
 }
 
+// finish ends a request with an outcome and gives it to the entry.
 func (s *Server) finish(st *stream, record *entry.Record, o *entry.Outcome) {
-	record.Finish(o, time.Now())
+	kept := o
+	if !s.ledger.Keep(len(o.Body)) {
+		kept = &entry.Outcome{Refusal: carobkeel.NewError(carobkeel.CodeAnswerLost, "too many answers are kept")}
+	}
+	record.Finish(kept, time.Now())
 	st.answer(o)
 }
 
 // stream sends an answer that is too long to be kept, in pieces.
 func (s *Server) stream(st *stream, record *entry.Record, answer *caller.Answer) {
+	out := st.startPieces()
+	defer out.cancel(nil)
 	st.send(wire.Encode(wire.TypeAnswer, st.number, &wire.Answer{
 		Status:      answer.Status,
 		Header:      wire.FromFields(answer.Header),
@@ -97,7 +97,7 @@
 		Load:        s.load(),
 	}))
 	var sum uint32
-	length, err := st.outgoing.Send(st.linkCtx, answer.Body, func(data []byte) error {
+	length, err := out.sender.Send(out.ctx, answer.Body, func(data []byte) error {
 		sum = crc32.Update(sum, castagnoli, data)
 		if !st.send(frame.Frame{Type: wire.TypeAnswerBody, Stream: st.number, Payload: data}) {
 			return errLinkLost
@@ -105,7 +105,7 @@
 		return nil
 	})
 	lost := carobkeel.NewError(carobkeel.CodeAnswerLost, "the answer was too long to be kept")
-	if err != nil && st.linkCtx.Err() == nil {
+	if err != nil && out.ctx.Err() == nil {
 		lost = brokenOff(err)
 	}
 	record.Finish(&entry.Outcome{Refusal: lost}, time.Now())
@@ -127,11 +127,18 @@
 	st.replay(s.ledger.Query(id, time.Now()))
 }
 
+// replay gives the outcome of a request that was here before. Where nobody can
+// say whether it was, it says so.
 func (st *stream) replay(record *entry.Record) {
+	if record == nil {
+		st.refuse(carobkeel.NewError(carobkeel.CodeUnknownRequest, "the request may have been here and is forgotten"))
+		return
+	}
 	select {
 	case <-record.Done():
 		st.answer(record.Outcome())
-	case <-st.linkCtx.Done():
+	case <-st.session.linkCtx.Done():
+	case <-st.ctx.Done():
 	}
 }
 
