--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -50,6 +50,7 @@
 		stopCommand(),
 		statusCommand(),
 		loadCommand(),
+		standinTableCommand(),
 		versionCommand(),
 	}
 }
