Spread the catalogue over the event links

Cause: the decisions of entry.Spread need messages, links and a reader of the table service.

Event links have names, so that a message can go to one peer, and tell of links that come and go; one subscription can take several topics in order. The entry has -peers, -table and -catalogue-interval, takes its catalogue from the spread and is ready once it has joined; dev seeds a table in memory.

--- a/cmd/carobkeel/dev.go
+++ b/cmd/carobkeel/dev.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel/entry/server"
+	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
 	"github.com/carobkeel/carobkeel/operator/catalogfile"
+	"github.com/carobkeel/carobkeel/operator/store"
 	"github.com/carobkeel/carobkeel/sidecar/client"
 	"github.com/carobkeel/carobkeel/table/memory"
 )
@@ -18,6 +20,8 @@
 	devUpstreams  = 2
 	devDataCentre = "local"
 	devService    = "echo"
+	// devOperator is who the history names for the first catalogue.
+	devOperator = "dev"
 )
 
 // devConfig is the settings of the process that runs everything.
@@ -48,14 +52,21 @@
 // startDev starts everything on loopback.
 func startDev(c devConfig, logs *logging.Factory) (*devProcess, error) {
 	p := &devProcess{}
-	var err error
+	rows := memory.New()
+	seed := store.New(store.Config{Table: rows})
+	err := seed.Seed(context.Background(), catalogfile.DevCatalogue(), devOperator)
+	if err != nil {
+		return nil, err
+	}
 	p.entry, err = startEntry(entryConfig{
 		listen:         c.listen,
 		operatorListen: c.operatorListen,
 		linkListen:     "127.0.0.1:0",
 		dataCentre:     devDataCentre,
 		drainTimeout:   30 * time.Second,
-	}, client.DefaultConfig(), memory.New(), logs)
+
+		catalogueInterval: spreader.PollInterval,
+	}, client.DefaultConfig(), rows, logs)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +75,6 @@
 			return nil, err
 		}
 	}
-	p.entry.use(catalogfile.DevCatalogue().Catalogue(1))
 	return p, nil
 }
 
@@ -95,7 +105,7 @@
 func (p *devProcess) waitServing(ctx context.Context) error {
 	ticker := time.NewTicker(devPollInterval)
 	defer ticker.Stop()
-	for len(p.entry.members.View().Serving(devService)) < len(p.sidecars) {
+	for !p.entry.readiness.Ready() || len(p.entry.members.View().Serving(devService)) < len(p.sidecars) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -18,14 +18,17 @@
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
+	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
 	"github.com/carobkeel/carobkeel/internal/telemetry"
+	"github.com/carobkeel/carobkeel/operator/store"
 	"github.com/carobkeel/carobkeel/sidecar/client"
 	"github.com/carobkeel/carobkeel/sidecar/members"
 	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/httptable"
 	"github.com/carobkeel/carobkeel/table/memory"
 )
 
@@ -34,9 +37,14 @@
 	listen         string
 	operatorListen string
 	linkListen     string
+	peers          string
+	table          string
 	dataCentre     string
-	leaveTime      time.Duration
-	drainTimeout   time.Duration
+	// catalogueInterval is the mean time between two reads of the catalogue's
+	// head.
+	catalogueInterval time.Duration
+	leaveTime         time.Duration
+	drainTimeout      time.Duration
 }
 
 func registerEntryFlags(fs *flag.FlagSet) *entryConfig {
@@ -44,6 +52,9 @@
 	fs.StringVar(&c.listen, "listen", "127.0.0.1:8080", "address for callers")
 	fs.StringVar(&c.operatorListen, "operator-listen", "127.0.0.1:8081", "address for operators, metrics and health")
 	fs.StringVar(&c.linkListen, "link-listen", "127.0.0.1:8082", "address for the event links of sidecars and other entries")
+	fs.StringVar(&c.peers, "peers", "", "comma-separated addresses of other entries' event links")
+	fs.StringVar(&c.table, "table", "", "address of the table service; in memory where empty")
+	fs.DurationVar(&c.catalogueInterval, "catalogue-interval", spreader.PollInterval, "mean time between two reads of the catalogue's head")
 	fs.StringVar(&c.dataCentre, "data-centre", "", "data centre of this host")
 	fs.DurationVar(&c.leaveTime, "leave-time", 2*time.Second, "time between leaving the balancer and refusing requests")
 	fs.DurationVar(&c.drainTimeout, "drain-timeout", 30*time.Second, "longest time that requests in flight get at shutdown")
@@ -55,6 +66,13 @@
 	problems := checkAddress("listen", c.listen)
 	problems = append(problems, checkAddress("operator-listen", c.operatorListen)...)
 	problems = append(problems, checkAddress("link-listen", c.linkListen)...)
+	problems = append(problems, checkAddresses("peers", c.peers)...)
+	if c.table != "" {
+		problems = append(problems, checkAddress("table", c.table)...)
+	}
+	if c.catalogueInterval <= 0 {
+		problems = append(problems, settings.Problem{Name: "catalogue-interval", Reason: "must be above 0"})
+	}
 	if c.dataCentre == "" {
 		problems = append(problems, settings.Problem{Name: "data-centre", Reason: "must not be empty"})
 	}
@@ -74,6 +92,10 @@
 	catalogue atomic.Pointer[carobkeel.Catalogue]
 	members   *members.Members
 	links     *eventlink.Listener
+	peers     *eventlink.Dialer
+	spread    *spreader.Spreader
+	reader    *spreader.Reader
+	store     *store.Store
 	forwarder *client.Forwarder
 	callers   *http.Server
 	operators *http.Server
@@ -101,13 +123,17 @@
 	self := newIncarnation()
 	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
-	store := claims.NewStore(claims.Direct{Table: tables}, tables)
-	keyed := claims.NewForwarder(store, p.forwarder, p.log)
+	keyed := claims.NewForwarder(claims.NewStore(claims.Direct{Table: tables}, tables), p.forwarder, p.log)
+	p.store = store.New(store.Config{Table: tables, Metrics: store.NewMetrics(scope)})
 	handler := httpapi.New(self, p, keyed, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
 		return nil, err
 	}
+	if err := p.startSpread(ctx, scope); err != nil {
+		cancel()
+		return nil, err
+	}
 	if err := p.startServers(handler, metricsPage); err != nil {
 		cancel()
 		return nil, err
@@ -163,10 +189,19 @@
 	return router
 }
 
-// use puts a catalogue in force and makes the entry ready.
-func (p *entryProcess) use(c *carobkeel.Catalogue) {
-	p.catalogue.Store(c)
-	p.readiness.Advance(balancer.PhaseReady)
+// install puts a catalogue in force.
+func (p *entryProcess) install(c *carobkeel.Catalogue) { p.catalogue.Store(c) }
+
+// serve makes the entry ready once it has joined the spread of the catalogue.
+func (p *entryProcess) serve() { p.readiness.Advance(balancer.PhaseReady) }
+
+// openTable returns the table service at the address, one in memory where there
+// is none.
+func openTable(address string) table.Table {
+	if address == "" {
+		return memory.New()
+	}
+	return httptable.NewClient(address, nil)
 }
 
 // stop leaves the balancer, lets the requests in flight end and stops.
@@ -200,7 +235,7 @@
 			if code, ok := parse(fs, args, io, config, sidecars, logConfig); !ok {
 				return code
 			}
-			process, err := startEntry(*config, *sidecars, memory.New(), logging.NewFactory(*logConfig, io.err))
+			process, err := startEntry(*config, *sidecars, openTable(config.table), logging.NewFactory(*logConfig, io.err))
 			if err != nil {
 				return fail(io, err)
 			}
--- a/cmd/carobkeel/sidecar.go
+++ b/cmd/carobkeel/sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/carobkeel/carobkeel/entry/announcer"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/server"
+	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
@@ -79,6 +80,7 @@
 	server    *server.Server
 	announcer *announcer.Announcer
 	dialer    *eventlink.Dialer
+	spread    *spreader.Spreader
 	listener  net.Listener
 	admin     *http.Server
 	log       *log.Logger
@@ -113,6 +115,10 @@
 	p.admin = newHTTPServer(p.adminRouter(metricsPage))
 	go serveHTTP(p.admin, adminListener, p.log)
 	go func() { _ = p.server.Run(ctx, listener) }()
+	if err := p.startSpread(ctx, scope); err != nil {
+		cancel()
+		return nil, err
+	}
 	go p.dialer.Run(ctx)
 	go p.announcer.Run(ctx)
 	return p, nil
--- a/entry/eventlink/ends.go
+++ b/entry/eventlink/ends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -13,6 +14,9 @@
 
 const (
 	dialTimeout = time.Second
+	// Names of links begin with these.
+	acceptedPrefix = "in-"
+	dialledPrefix  = "out-"
 	// Links that are lost are opened again after a random time that grows
 	// between these two, so that the processes of a whole data centre do not
 	// come at once.
@@ -20,6 +24,9 @@
 	lastRetry  = 5 * time.Second
 )
 
+// IsDialled reports whether the named link was opened by this process.
+func IsDialled(peer string) bool { return strings.HasPrefix(peer, dialledPrefix) }
+
 // Listener is an entry's end of the event links.
 type Listener struct {
 	*hub
@@ -29,7 +36,7 @@
 
 // NewListener returns a listener. Run it to take links.
 func NewListener(timing link.Config, logger *log.Logger) *Listener {
-	return &Listener{hub: newHub(), timing: timing, log: logger}
+	return &Listener{hub: newHub(acceptedPrefix), timing: timing, log: logger}
 }
 
 // Run takes links from the listener until ctx ends.
@@ -45,7 +52,7 @@
 			return err
 		}
 		go func() {
-			err := l.run(ctx, link.New(conn, l.timing))
+			err := l.run(ctx, link.New(conn, l.timing), func() {})
 			l.log.Debug().Str("peer", conn.RemoteAddr().String()).Err(err).Msg("event link ended")
 		}()
 	}
@@ -58,14 +65,30 @@
 	log       *log.Logger
 	addresses []string
 	onConnect func()
+	dial      DialFunc
+}
+
+// DialFunc opens a connection to an entry.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // NewDialer returns a dialer of the entries at the addresses. onConnect is
 // called each time that a link has come up, on a goroutine of its own.
 func NewDialer(addresses []string, timing link.Config, logger *log.Logger, onConnect func()) *Dialer {
-	return &Dialer{hub: newHub(), timing: timing, log: logger, addresses: addresses, onConnect: onConnect}
+	return &Dialer{
+		hub: newHub(dialledPrefix), timing: timing, log: logger,
+		addresses: addresses, onConnect: onConnect, dial: dialTCP,
+	}
 }
 
+// UseDial makes the dialer open its connections in another way. Call it before
+// Run.
+func (d *Dialer) UseDial(dial DialFunc) { d.dial = dial }
+
 // Run keeps the links until ctx ends.
 func (d *Dialer) Run(ctx context.Context) {
 	done := make(chan struct{}, len(d.addresses))
@@ -99,17 +122,13 @@
 
 // connect holds one link until it ends. It returns false where none came up.
 func (d *Dialer) connect(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := d.dial(ctx, address)
 	if err != nil {
 		d.log.Debug().Str("entry", address).Err(err).Msg("no event link")
 		return false
 	}
 	l := link.New(conn, d.timing)
-	d.addLink(l)
-	defer d.removeLink(l)
-	go d.onConnect()
-	err = l.Run(ctx, d.handle)
+	err = d.run(ctx, l, func() { go d.onConnect() })
 	d.log.Debug().Str("entry", address).Err(err).Msg("event link ended")
 	return true
 }
--- a/entry/eventlink/hub.go
+++ b/entry/eventlink/hub.go
@@ -5,7 +5,10 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -18,13 +21,48 @@
 	"github.com/carobkeel/carobkeel/internal/mailbox"
 )
 
+// Metadata of messages.
+const (
+	// MetadataTo names the links that a published message goes to, separated
+	// by commas. Without it the message goes on every link.
+	MetadataTo = "to"
+	// MetadataPeer names the link that a received message came on. A link has
+	// a name of its own that is never used again in the process.
+	MetadataPeer = "peer"
+	// MetadataTopic is the topic of a received message.
+	MetadataTopic = "topic"
+	// MetadataState is StateUp or StateDown in a message of TopicLink.
+	MetadataState = "state"
+)
+
+// TopicLink carries a message for each link that comes up or is lost. It is
+// delivered in this process alone.
+const TopicLink = "link"
+
+// States of a link in a message of TopicLink.
+const (
+	StateUp   = "up"
+	StateDown = "down"
+)
+
+const listSeparator = ","
+
+// Topics returns the name under which Subscribe gives the messages of several
+// topics in the order of their arrival.
+func Topics(names ...string) string { return strings.Join(names, listSeparator) }
+
+// Recipients returns the MetadataTo of a message that goes on the named links.
+func Recipients(peers ...string) string { return strings.Join(peers, listSeparator) }
+
 // ErrClosed says that the publisher or subscriber was closed.
 var ErrClosed = errors.New("event links are closed")
 
 // hub is what both ends of event links share: the links, and the subscriptions
 // that their events go to. Both are immutable lists that are swapped.
 type hub struct {
-	links         atomic.Pointer[[]*link.Link]
+	prefix        string
+	last          atomic.Uint64 // number of the last link
+	links         atomic.Pointer[map[string]*link.Link]
 	subscriptions atomic.Pointer[map[string][]*subscription]
 	change        sync.Mutex // serializes changes of the two lists
 	closed        chan struct{}
@@ -33,14 +71,16 @@
 	sent          atomic.Int64
 }
 
-func newHub() *hub {
-	h := &hub{closed: make(chan struct{})}
-	h.links.Store(&[]*link.Link{})
+// newHub returns a hub whose links have names with the prefix.
+func newHub(prefix string) *hub {
+	h := &hub{prefix: prefix, closed: make(chan struct{})}
+	h.links.Store(&map[string]*link.Link{})
 	h.subscriptions.Store(&map[string][]*subscription{})
 	return h
 }
 
-// Publish implements message.Publisher: it sends the messages on every link.
+// Publish implements message.Publisher: it sends the messages on every link, or
+// on those that MetadataTo names. One that is gone by then is passed over.
 func (h *hub) Publish(topic string, messages ...*message.Message) error {
 	select {
 	case <-h.closed:
@@ -48,24 +88,44 @@
 	default:
 	}
 	for _, m := range messages {
-		f, err := wire.EncodeEvent(&wire.Event{Topic: topic, UUID: m.UUID, Metadata: m.Metadata, Payload: m.Payload})
+		f, err := wire.EncodeEvent(&wire.Event{Topic: topic, UUID: m.UUID, Payload: m.Payload})
 		if err != nil {
 			return err
 		}
-		for _, l := range *h.links.Load() {
-			if l.Send(f) {
-				h.sent.Add(1)
-			}
-		}
+		h.send(f, m.Metadata.Get(MetadataTo))
 	}
 	return nil
 }
 
-// Subscribe implements message.Subscriber. The channel is closed when ctx ends
-// or the hub is closed.
+func (h *hub) send(f frame.Frame, to string) {
+	links := *h.links.Load()
+	if to == "" {
+		for _, l := range links {
+			h.sendOn(l, f)
+		}
+		return
+	}
+	for name := range strings.SplitSeq(to, listSeparator) {
+		if l, ok := links[name]; ok {
+			h.sendOn(l, f)
+		}
+	}
+}
+
+func (h *hub) sendOn(l *link.Link, f frame.Frame) {
+	if l.Send(f) {
+		h.sent.Add(1)
+	}
+}
+
+// Subscribe implements message.Subscriber. The topic may be one that Topics
+// returns. The channel is closed when ctx ends or the hub is closed.
 func (h *hub) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
 	s := &subscription{events: mailbox.New[*wire.Event](), out: make(chan *message.Message)}
-	h.addSubscription(topic, s)
+	names := strings.Split(topic, listSeparator)
+	for _, name := range names {
+		h.addSubscription(name, s)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	go func() {
 		defer cancel()
@@ -77,7 +137,9 @@
 	go func() {
 		defer close(s.out)
 		s.deliver(ctx)
-		h.removeSubscription(topic, s)
+		for _, name := range names {
+			h.removeSubscription(name, s)
+		}
 	}()
 	return s.out, nil
 }
@@ -97,37 +159,53 @@
 // Received returns the number of events that arrived.
 func (h *hub) Received() int64 { return h.received.Load() }
 
-// run serves one link until it ends.
-func (h *hub) run(ctx context.Context, l *link.Link) error {
-	h.addLink(l)
-	defer h.removeLink(l)
-	return l.Run(ctx, h.handle)
+// run serves one link until it ends. It calls onUp once messages go on it.
+func (h *hub) run(ctx context.Context, l *link.Link, onUp func()) error {
+	name := h.addLink(l)
+	defer h.removeLink(name)
+	onUp()
+	return l.Run(ctx, func(f frame.Frame) error { return h.handle(name, f) })
 }
 
-func (h *hub) handle(f frame.Frame) error {
+func (h *hub) handle(peer string, f frame.Frame) error {
 	event, err := wire.DecodeEvent(f)
 	if err != nil {
 		return err
 	}
 	h.received.Add(1)
+	event.Metadata = map[string]string{MetadataPeer: peer}
+	h.dispatch(event)
+	return nil
+}
+
+func (h *hub) dispatch(event *wire.Event) {
 	for _, s := range (*h.subscriptions.Load())[event.Topic] {
 		s.events.Push(event)
 	}
-	return nil
 }
 
-func (h *hub) addLink(l *link.Link) {
+func (h *hub) addLink(l *link.Link) string {
 	h.change.Lock()
 	defer h.change.Unlock()
-	next := append(slices.Clone(*h.links.Load()), l)
+	name := h.prefix + strconv.FormatUint(h.last.Add(1), 10)
+	next := maps.Clone(*h.links.Load())
+	next[name] = l
 	h.links.Store(&next)
+	h.dispatchLink(name, StateUp)
+	return name
 }
 
-func (h *hub) removeLink(l *link.Link) {
+func (h *hub) removeLink(name string) {
 	h.change.Lock()
 	defer h.change.Unlock()
-	next := slices.DeleteFunc(slices.Clone(*h.links.Load()), func(o *link.Link) bool { return o == l })
+	next := maps.Clone(*h.links.Load())
+	delete(next, name)
 	h.links.Store(&next)
+	h.dispatchLink(name, StateDown)
+}
+
+func (h *hub) dispatchLink(name, state string) {
+	h.dispatch(&wire.Event{Topic: TopicLink, Metadata: map[string]string{MetadataPeer: name, MetadataState: state}})
 }
 
 func (h *hub) addSubscription(topic string, s *subscription) {
@@ -176,9 +254,9 @@
 
 func (s *subscription) hand(ctx context.Context, event *wire.Event) bool {
 	m := message.NewMessage(event.UUID, event.Payload)
-	if event.Metadata != nil {
-		m.Metadata = event.Metadata
-	}
+	// Several subscribers share the event, and each may change its message.
+	m.Metadata = maps.Clone(event.Metadata)
+	m.Metadata.Set(MetadataTopic, event.Topic)
 	m.SetContext(ctx)
 	select {
 	case s.out <- m:
--- a/entry/spread.go
+++ b/entry/spread.go
@@ -135,6 +135,8 @@
 		s.takeStoreChanges(e)
 	case StoreCatalogueEvent:
 		s.takeStoreCatalogue(e)
+	case AcceptedEvent:
+		s.takeAccepted(e.Catalogue)
 	case StoreBehindEvent:
 		s.storeAnswered = true
 		s.do(StoreBehindAction{Held: s.stamp.Revision, Store: e.Revision})
@@ -300,6 +302,18 @@
 	s.do(HaveAction{To: to, Stamp: s.stamp})
 }
 
+// Next returns when the next TickEvent is due.
+func (s *Spread) Next() time.Time {
+	next := s.nextDigest
+	if s.want.peer != "" && s.want.until.Before(next) {
+		next = s.want.until
+	}
+	if deadline := s.started.Add(s.config.JoinTimeout); !s.serving && s.catalogue != nil && deadline.Before(next) {
+		next = deadline
+	}
+	return next
+}
+
 // join lets the process serve once it holds the newest that anyone told of, or
 // once the time to join is over and it holds anything.
 func (s *Spread) join(now time.Time) {
--- a/entry/spread_event.go
+++ b/entry/spread_event.go
@@ -61,6 +61,10 @@
 // StoreCatalogueEvent brings the whole catalogue from the table service.
 type StoreCatalogueEvent struct{ Catalogue *carobkeel.Catalogue }
 
+// AcceptedEvent brings the newest catalogue that this process itself saw
+// accepted, while the table service does not answer.
+type AcceptedEvent struct{ Catalogue *carobkeel.Catalogue }
+
 // StoreBehindEvent says that the table service is at an older revision than one
 // that was seen.
 type StoreBehindEvent struct{ Revision carobkeel.Revision }
@@ -77,6 +81,7 @@
 func (SnapshotPieceEvent) spreadEvent()  {}
 func (StoreChangesEvent) spreadEvent()   {}
 func (StoreCatalogueEvent) spreadEvent() {}
+func (AcceptedEvent) spreadEvent()       {}
 func (StoreBehindEvent) spreadEvent()    {}
 func (TickEvent) spreadEvent()           {}
 
--- a/entry/spread_take.go
+++ b/entry/spread_take.go
@@ -86,8 +86,12 @@
 // takeStoreChanges applies what the table service accepted.
 func (s *Spread) takeStoreChanges(e StoreChangesEvent) {
 	s.storeAnswered = true
+	s.takeOwnChanges(e.Changes)
+}
+
+func (s *Spread) takeOwnChanges(changes []operator.Change) {
 	before := s.stamp
-	for _, change := range e.Changes {
+	for _, change := range changes {
 		s.heard = max(s.heard, change.Revision)
 		if change.Revision <= s.stamp.Revision {
 			continue
@@ -99,29 +103,32 @@
 	s.installed(before)
 }
 
-// takeStoreCatalogue takes the catalogue as the table service has it. Where it is
-// the next revision, the change that led to it is derived, so that the peers can
-// be sent that alone.
+// takeStoreCatalogue takes the catalogue as the table service has it.
 func (s *Spread) takeStoreCatalogue(e StoreCatalogueEvent) {
 	s.storeAnswered = true
-	if e.Catalogue == nil {
+	s.takeAccepted(e.Catalogue)
+}
+
+// takeAccepted takes a catalogue that the table service accepted. Where it is
+// the next revision, the change that led to it is derived, so that the peers can
+// be sent that alone.
+func (s *Spread) takeAccepted(c *carobkeel.Catalogue) {
+	if c == nil {
 		return
 	}
-	revision := e.Catalogue.Revision
-	s.heard = max(s.heard, revision)
+	s.heard = max(s.heard, c.Revision)
 	switch {
-	case s.catalogue == nil && revision == 0:
+	case s.catalogue == nil && c.Revision == 0:
 		// The first state of an empty catalogue has revision zero.
-		s.catalogue = e.Catalogue
-		s.do(InstallAction{Catalogue: s.catalogue})
-	case revision < s.stamp.Revision:
-		s.do(StoreBehindAction{Held: s.stamp.Revision, Store: revision})
-	case revision == s.stamp.Revision:
-	case revision == s.stamp.Revision+1 && s.catalogue != nil:
-		s.takeStoreChanges(StoreChangesEvent{Changes: []operator.Change{changeBetween(s.catalogue, e.Catalogue)}})
+		s.catalogue = c
+		s.do(InstallAction{Catalogue: c})
+	case c.Revision <= s.stamp.Revision:
+		// The read was under way while a peer brought something newer.
+	case c.Revision == s.stamp.Revision+1 && s.catalogue != nil:
+		s.takeOwnChanges([]operator.Change{changeBetween(s.catalogue, c)})
 	default:
 		before := s.stamp
-		s.replace(e.Catalogue, StampOf(e.Catalogue))
+		s.replace(c, StampOf(c))
 		s.installed(before)
 	}
 }
--- /dev/null
+++ b/entry/spreader/send.go
@@ -0,0 +1,87 @@
+package spreader
+
+import (
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"github.com/carobkeel/carobkeel/entry"
+	"github.com/carobkeel/carobkeel/entry/eventlink"
+	"github.com/carobkeel/carobkeel/entry/wire"
+)
+
+// carryOut does what the decisions want.
+func (s *Spreader) carryOut(action entry.SpreadAction) {
+	switch a := action.(type) {
+	case entry.HaveAction:
+		payload, err := wire.EncodeHave(a.Stamp, false)
+		s.send(wire.TopicHave, payload, err, a.To...)
+	case entry.WantAction:
+		payload, err := wire.EncodeHave(a.Stamp, a.Whole)
+		s.send(wire.TopicWant, payload, err, a.To)
+	case entry.ChangesAction:
+		payload, err := wire.EncodeChanges(a.Changes)
+		s.send(wire.TopicChanges, payload, err, a.To)
+		s.config.Metrics.changes.Inc(int64(len(a.Changes)))
+	case entry.SnapshotAction:
+		s.sendSnapshot(a)
+	case entry.InstallAction:
+		s.install(a)
+	case entry.ServeAction:
+		s.config.Log.Info().Bool("confirmed", a.Confirmed).Uint64("revision", uint64(s.Revision())).Msg("catalogue ready")
+		s.config.Serve(a.Confirmed)
+	case entry.ConflictAction:
+		s.config.Metrics.conflicts.Inc(1)
+		s.config.Log.Error().Str("peer", string(a.Peer)).Uint64("held", uint64(a.Held.Revision)).
+			Uint64("theirs", uint64(a.Theirs.Revision)).Msg("peer has another state of the catalogue under one revision")
+	case entry.StoreBehindAction:
+		s.reportBehind(a)
+	}
+}
+
+func (s *Spreader) install(a entry.InstallAction) {
+	s.current.Store(a.Catalogue)
+	s.config.Metrics.revision.Update(float64(a.Stamp.Revision))
+	s.config.Install(a.Catalogue)
+}
+
+func (s *Spreader) reportBehind(a entry.StoreBehindAction) {
+	s.config.Metrics.behind.Inc(1)
+	if skipped, ok := s.behind.Allow(time.Now()); ok {
+		s.config.Log.Error().Uint64("held", uint64(a.Held)).Uint64("store", uint64(a.Store)).Int64("skipped", skipped).
+			Msg("table service is older than the catalogue in force")
+	}
+}
+
+func (s *Spreader) sendSnapshot(a entry.SnapshotAction) {
+	if s.snapshot.payloads == nil || s.snapshot.stamp != a.Stamp {
+		payloads, err := wire.EncodeSnapshot(a.Catalogue, a.Stamp)
+		if err != nil {
+			s.config.Log.Error().Err(err).Msg("snapshot not encoded")
+			return
+		}
+		s.snapshot = encodedSnapshot{stamp: a.Stamp, payloads: payloads}
+	}
+	s.config.Metrics.snapshots.Inc(1)
+	for _, payload := range s.snapshot.payloads {
+		s.send(wire.TopicSnapshot, payload, nil, a.To)
+	}
+}
+
+func (s *Spreader) send(topic string, payload []byte, err error, to ...entry.PeerID) {
+	if err != nil {
+		s.config.Log.Error().Err(err).Str("topic", topic).Msg("message not encoded")
+		return
+	}
+	peers := make([]string, 0, len(to))
+	for _, peer := range to {
+		peers = append(peers, string(peer))
+	}
+	m := message.NewMessage("", payload)
+	m.Metadata.Set(eventlink.MetadataTo, eventlink.Recipients(peers...))
+	for _, publisher := range s.config.Publishers {
+		if err := publisher.Publish(topic, m); err != nil {
+			s.config.Log.Debug().Err(err).Str("topic", topic).Msg("message not sent")
+		}
+	}
+}
--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -9,13 +9,21 @@
 const (
 	// TopicAnnouncement carries an Announcement.
 	TopicAnnouncement = "announcement"
+	// TopicHave carries a Have: what a process holds of the catalogue.
+	TopicHave = "have"
+	// TopicWant carries a Have as a request for what follows on it.
+	TopicWant = "want"
+	// TopicChanges carries a Changes.
+	TopicChanges = "changes"
+	// TopicSnapshot carries a SnapshotPiece.
+	TopicSnapshot = "snapshot"
 )
 
 // Event is one message of a topic.
 type Event struct {
 	Topic    string            `msg:"t"`
-	UUID     string            `msg:"u"`
-	Metadata map[string]string `msg:"m"`
+	UUID     string            `msg:"u,omitempty"`
+	Metadata map[string]string `msg:"m,omitempty"`
 	Payload  []byte            `msg:"p"`
 }
 
--- a/entry/wire/messages_gen.go
+++ b/entry/wire/messages_gen.go
@@ -461,58 +461,82 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Event) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "t"
-	err = en.Append(0x84, 0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Topic)
-	if err != nil {
-		err = msgp.WrapError(err, "Topic")
-		return
-	}
-	// write "u"
-	err = en.Append(0xa1, 0x75)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.UUID == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteString(z.UUID)
-	if err != nil {
-		err = msgp.WrapError(err, "UUID")
-		return
+	if z.Metadata == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "m"
-	err = en.Append(0xa1, 0x6d)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteMapHeader(uint32(len(z.Metadata)))
-	if err != nil {
-		err = msgp.WrapError(err, "Metadata")
-		return
-	}
-	for za0001, za0002 := range z.Metadata {
-		err = en.WriteString(za0001)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "t"
+		err = en.Append(0xa1, 0x74)
 		if err != nil {
-			err = msgp.WrapError(err, "Metadata")
 			return
 		}
-		err = en.WriteString(za0002)
+		err = en.WriteString(z.Topic)
 		if err != nil {
-			err = msgp.WrapError(err, "Metadata", za0001)
+			err = msgp.WrapError(err, "Topic")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "u"
+			err = en.Append(0xa1, 0x75)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.UUID)
+			if err != nil {
+				err = msgp.WrapError(err, "UUID")
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteMapHeader(uint32(len(z.Metadata)))
+			if err != nil {
+				err = msgp.WrapError(err, "Metadata")
+				return
+			}
+			for za0001, za0002 := range z.Metadata {
+				err = en.WriteString(za0001)
+				if err != nil {
+					err = msgp.WrapError(err, "Metadata")
+					return
+				}
+				err = en.WriteString(za0002)
+				if err != nil {
+					err = msgp.WrapError(err, "Metadata", za0001)
+					return
+				}
+			}
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Payload)
+		if err != nil {
+			err = msgp.WrapError(err, "Payload")
 			return
 		}
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Payload)
-	if err != nil {
-		err = msgp.WrapError(err, "Payload")
-		return
 	}
 	return
 }
@@ -520,23 +544,44 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Event) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "t"
-	o = append(o, 0x84, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.Topic)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendString(o, z.UUID)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Metadata)))
-	for za0001, za0002 := range z.Metadata {
-		o = msgp.AppendString(o, za0001)
-		o = msgp.AppendString(o, za0002)
-	}
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendBytes(o, z.Payload)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.UUID == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Metadata == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Topic)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "u"
+			o = append(o, 0xa1, 0x75)
+			o = msgp.AppendString(o, z.UUID)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendMapHeader(o, uint32(len(z.Metadata)))
+			for za0001, za0002 := range z.Metadata {
+				o = msgp.AppendString(o, za0001)
+				o = msgp.AppendString(o, za0002)
+			}
+		}
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendBytes(o, z.Payload)
+	}
 	return
 }
 
