Hold shards under leases with epochs and drive workers by grants

Cause: work has to run in one place only, also while the table service is down, schedulers pause in the middle of a write, and workers fall silent.

--- /dev/null
+++ b/scheduler/runner/runner.go
@@ -0,0 +1,334 @@
+// Package runner is the loop in an entry process that tries to hold a shard,
+// and while it does, places its jobs and drives its workers.
+package runner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/objectstore"
+	"github.com/carobkeel/carobkeel/scheduler"
+	"github.com/carobkeel/carobkeel/scheduler/store"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/worker"
+)
+
+// Member is a worker of the shard.
+type Member struct {
+	ID       worker.ID
+	Location carobkeel.Location
+}
+
+// Workers reaches the workers of a shard.
+type Workers interface {
+	// Members lists the workers, the reachable ones and the others.
+	Members() []Member
+	// Exchange hands commands to a worker and returns its report. After an
+	// error the worker may have taken the commands.
+	Exchange(ctx context.Context, id worker.ID, commands []scheduler.Command) (scheduler.Report, error)
+}
+
+// Config is what a Runner works with.
+type Config struct {
+	Shard  scheduler.ShardID
+	Self   scheduler.HolderID
+	Timing scheduler.Timing
+	Table  table.Table
+	// Objects holds the checkpoints. It is nil where tasks have none.
+	Objects objectstore.Store
+	Workers Workers
+	// Now is the process's monotonic clock, Wall the time of day.
+	Now  func() scheduler.Instant
+	Wall func() time.Time
+	// Seed fixes where placements begin to search.
+	Seed uint64
+	// Round is the time between two rounds, which is also the time for which
+	// starts wait for each other to share a transaction.
+	Round time.Duration
+	// Heartbeat is the longest time between two exchanges with a worker.
+	Heartbeat time.Duration
+	// BatchRows bounds the rows of one transaction.
+	BatchRows int
+	// Placements bounds the placements of one round.
+	Placements int
+	Metrics    *Metrics
+	Log        *log.Logger
+}
+
+// Defaults of Config.
+const (
+	DefaultRound      = 200 * time.Millisecond
+	DefaultHeartbeat  = 2 * time.Second
+	DefaultBatchRows  = 256
+	DefaultPlacements = 256
+)
+
+// Status is what a Runner publishes about itself. It is never changed.
+type Status struct {
+	Held       bool
+	Epoch      carobkeel.Epoch
+	Holder     scheduler.HolderID
+	Unfinished int
+	Waiting    int
+	Fleet      *worker.Fleet
+}
+
+// Runner holds one shard, or waits for it. Step and Run are for one goroutine;
+// Status is safe for use by several.
+type Runner struct {
+	config Config
+	store  *store.Store
+	lease  *scheduler.Lease
+	status atomic.Pointer[Status]
+
+	// leaseTxn is the transaction of the lease write that is not settled.
+	leaseTxn   *table.Transaction
+	leaseWrite scheduler.LeaseWrite
+	releasing  bool
+
+	// What follows is set while the shard is held.
+	shard    *scheduler.Shard
+	registry *worker.Registry
+	batch    scheduler.Batch
+	batchTxn *table.Transaction
+	lazyAt   scheduler.Instant
+	// taken holds the inbox rows taken in under this epoch.
+	taken     map[string]struct{}
+	exchanged map[worker.ID]scheduler.Instant
+	rounds    uint64
+}
+
+// New returns a runner that does not hold its shard yet.
+func New(config Config) *Runner {
+	r := &Runner{
+		config: config,
+		store:  store.New(config.Table, config.Shard),
+		lease:  scheduler.NewLease(config.Self, config.Timing),
+	}
+	r.publish()
+	return r
+}
+
+// Status returns what the runner last published.
+func (r *Runner) Status() *Status { return r.status.Load() }
+
+// Run makes rounds until the context ends and then gives the shard up.
+func (r *Runner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(r.config.Round)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.Release(context.WithoutCancel(ctx))
+			return nil
+		case <-ticker.C:
+			r.Step(ctx)
+		}
+	}
+}
+
+// Step makes one round.
+func (r *Runner) Step(ctx context.Context) {
+	r.rounds++
+	r.stepLease(ctx)
+	if r.shard == nil && r.lease.IsHeld() {
+		r.takeOver(ctx)
+	}
+	if r.shard != nil {
+		r.writeBatch(ctx)
+	}
+	if r.shard != nil {
+		r.readInbox(ctx)
+		r.exchangeAll(ctx)
+		r.shard.Tick(r.config.Now())
+		r.settleFleet()
+		r.place(ctx)
+		r.writeBatch(ctx)
+	}
+	if r.shard != nil && r.shard.IsSuperseded() {
+		r.stepDown("a worker has seen a later epoch")
+	}
+	r.publish()
+}
+
+// Release gives the shard up so that another scheduler need not wait for the
+// lease to lapse.
+func (r *Runner) Release(ctx context.Context) {
+	if !r.lease.IsHeld() || r.leaseTxn != nil {
+		return
+	}
+	r.releasing = true
+	r.propose(r.lease.Release(r.config.Now()))
+	r.stepDown("released")
+	r.settleLease(ctx)
+	r.publish()
+}
+
+func (r *Runner) stepLease(ctx context.Context) {
+	if r.leaseTxn == nil && !r.lease.IsHeld() && !r.releasing {
+		rows, err := r.store.Lease(ctx)
+		if err != nil {
+			r.config.Metrics.storeErrors.Inc(1)
+			return
+		}
+		r.lease.Observe(r.config.Now(), rows)
+	}
+	if r.leaseTxn == nil && !r.releasing {
+		r.propose(r.lease.Next(r.config.Now()))
+	}
+	r.settleLease(ctx)
+}
+
+func (r *Runner) propose(write scheduler.LeaseWrite) {
+	if write.Step == scheduler.LeaseNone {
+		return
+	}
+	txn, err := r.store.LeaseTransaction(write)
+	if err != nil {
+		r.config.Log.Error().Err(err).Msg("Can't encode the lease")
+		return
+	}
+	r.leaseWrite, r.leaseTxn = write, &txn
+}
+
+// settleLease commits the pending lease write. One that stays unsettled is
+// committed again in the next round, with the same id.
+func (r *Runner) settleLease(ctx context.Context) {
+	if r.leaseTxn == nil {
+		return
+	}
+	outcome, err := r.store.Commit(ctx, *r.leaseTxn)
+	switch {
+	case err == nil:
+		r.leaseTxn = nil
+		r.lease.Settle(r.config.Now(), store.Versions(r.leaseWrite, outcome))
+	case errors.Is(err, store.ErrFenced):
+		r.leaseTxn = nil
+		r.lease.Refuse()
+		r.stepDown("the lease was taken over")
+	default:
+		r.config.Metrics.storeErrors.Inc(1)
+	}
+}
+
+func (r *Runner) takeOver(ctx context.Context) {
+	jobs, err := r.store.Jobs(ctx, "")
+	if err != nil {
+		r.config.Metrics.storeErrors.Inc(1)
+		return
+	}
+	r.shard = scheduler.NewShard(r.config.Shard, r.lease.Epoch(), r.lease.InheritedUntil(), r.config.Timing, jobs)
+	r.registry = worker.NewRegistry(nil)
+	r.batch, r.batchTxn = scheduler.Batch{}, nil
+	r.taken = make(map[string]struct{})
+	r.exchanged = make(map[worker.ID]scheduler.Instant)
+	r.config.Metrics.takeovers.Inc(1)
+	r.config.Log.Info().Str("shard", string(r.config.Shard)).Uint64("epoch", uint64(r.lease.Epoch())).
+		Int("jobs", len(jobs)).Msg("Shard taken over")
+}
+
+func (r *Runner) stepDown(reason string) {
+	if r.shard == nil {
+		return
+	}
+	r.shard, r.registry, r.batchTxn = nil, nil, nil
+	r.config.Metrics.stepDowns.Inc(1)
+	r.config.Log.Info().Str("shard", string(r.config.Shard)).Str("reason", reason).Msg("Shard given up")
+}
+
+// lazyInterval is the longest time for which changes that workers report again
+// stay unwritten.
+const lazyInterval = time.Second
+
+// writeBatch commits what has to be durable. Without an answer the same
+// transaction is committed again in the next round; nothing else is written
+// before it is settled.
+func (r *Runner) writeBatch(ctx context.Context) {
+	now := r.config.Now()
+	if r.batchTxn == nil {
+		r.batch = r.shard.NextBatch(r.config.BatchRows, now.Sub(r.lazyAt) >= lazyInterval)
+		if r.batch.IsEmpty() {
+			return
+		}
+		r.lazyAt = now
+		txn, err := r.store.BatchTransaction(r.batch, r.lease.EpochVersion())
+		if err != nil {
+			r.config.Log.Error().Err(err).Msg("Can't encode a batch")
+			r.stepDown("a batch can't be encoded")
+			return
+		}
+		r.batchTxn = &txn
+	}
+	_, err := r.store.Commit(ctx, *r.batchTxn)
+	switch {
+	case err == nil:
+		r.batchTxn = nil
+		r.shard.Committed(r.batch)
+		r.config.Metrics.transactions.Inc(1)
+		r.config.Metrics.rowsWritten.Inc(int64(len(r.batch.Jobs) + len(r.batch.Consumed)))
+	case errors.Is(err, store.ErrFenced):
+		r.lease.Refuse()
+		r.stepDown("a write was fenced")
+	default:
+		r.config.Metrics.storeErrors.Inc(1)
+	}
+}
+
+// readInbox takes in submissions first, then cancellations, so that a job is
+// known before its cancellation.
+func (r *Runner) readInbox(ctx context.Context) {
+	messages, err := r.store.Inbox(ctx)
+	if err != nil {
+		r.config.Metrics.storeErrors.Inc(1)
+		return
+	}
+	var fresh []scheduler.Inbox
+	for _, message := range messages {
+		if _, ok := r.taken[message.Key]; ok {
+			continue
+		}
+		if !r.submit(ctx, message) {
+			return
+		}
+		fresh = append(fresh, message)
+	}
+	for _, message := range fresh {
+		for _, id := range message.Cancelled {
+			// A job that is not known has ended.
+			_ = r.shard.Cancel(id)
+		}
+		r.taken[message.Key] = struct{}{}
+		r.shard.Consume(message.Key)
+	}
+}
+
+func (r *Runner) submit(ctx context.Context, message scheduler.Inbox) bool {
+	if message.Submitted == "" {
+		return true
+	}
+	jobs, err := r.store.Jobs(ctx, message.Submitted)
+	if err != nil {
+		r.config.Metrics.storeErrors.Inc(1)
+		return false
+	}
+	for _, job := range jobs {
+		r.shard.Submit(job)
+	}
+	return true
+}
+
+func (r *Runner) publish() {
+	status := &Status{Held: r.shard != nil, Epoch: r.lease.Epoch(), Holder: r.lease.Holder()}
+	if r.shard != nil {
+		status.Unfinished, status.Waiting = r.shard.Len()
+		status.Fleet = r.registry.Fleet()
+		r.config.Metrics.unfinished.Update(float64(status.Unfinished))
+		r.config.Metrics.waiting.Update(float64(status.Waiting))
+	}
+	r.status.Store(status)
+}
--- /dev/null
+++ b/scheduler/store/checkpoint.go
@@ -0,0 +1,81 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/objectstore"
+	"github.com/carobkeel/carobkeel/scheduler"
+)
+
+// A checkpoint is an envelope around what the task wrote: a magic word, the
+// payload's length, the payload's SHA-256 sum and the payload.
+const (
+	checkpointPrefix = "checkpoints/"
+	checkpointMagic  = "CKP1"
+	lengthBytes      = 8
+	headerBytes      = len(checkpointMagic) + lengthBytes + sha256.Size
+)
+
+// CheckpointName returns the name of a checkpoint. Names sort in the order of
+// generation and sequence, and no two copies of a task share one.
+func CheckpointName(ref scheduler.TaskRef, sequence uint64) string {
+	return fmt.Sprintf("%s%s/%016x-%016x", checkpointPrefix, ref.Task, ref.Generation, sequence)
+}
+
+// SealCheckpoint puts a payload into its envelope.
+func SealCheckpoint(payload []byte) []byte {
+	sum := sha256.Sum256(payload)
+	sealed := make([]byte, 0, headerBytes+len(payload))
+	sealed = append(sealed, checkpointMagic...)
+	sealed = binary.BigEndian.AppendUint64(sealed, uint64(len(payload)))
+	sealed = append(sealed, sum[:]...)
+	return append(sealed, payload...)
+}
+
+// OpenCheckpoint returns the payload of a whole checkpoint. A torn or foreign
+// one is an Error with CodeCheckpointInvalid.
+func OpenCheckpoint(sealed []byte) ([]byte, error) {
+	if len(sealed) < headerBytes || string(sealed[:len(checkpointMagic)]) != checkpointMagic {
+		return nil, carobkeel.NewError(carobkeel.CodeCheckpointInvalid, "the checkpoint has no whole header")
+	}
+	payload := sealed[headerBytes:]
+	length := binary.BigEndian.Uint64(sealed[len(checkpointMagic):])
+	if uint64(len(payload)) != length {
+		return nil, carobkeel.NewError(carobkeel.CodeCheckpointInvalid,
+			"the checkpoint has %d bytes of %d", len(payload), length)
+	}
+	sum := sha256.Sum256(payload)
+	if !bytes.Equal(sum[:], sealed[len(checkpointMagic)+lengthBytes:headerBytes]) {
+		return nil, carobkeel.NewError(carobkeel.CodeCheckpointInvalid, "the checkpoint's checksum does not match")
+	}
+	return payload, nil
+}
+
+// LastWholeCheckpoint returns the name of the newest whole checkpoint of a task,
+// empty if it has none. One that is not whole is passed over.
+func LastWholeCheckpoint(ctx context.Context, objects objectstore.Store, task carobkeel.TaskID) (string, error) {
+	names, err := objects.List(ctx, checkpointPrefix+string(task)+"/")
+	if err != nil {
+		return "", errors.Wrap(err, "list checkpoints")
+	}
+	for i := len(names) - 1; i >= 0; i-- {
+		sealed, err := objects.Get(ctx, names[i])
+		if errors.Is(err, objectstore.ErrNotFound) {
+			continue
+		}
+		if err != nil {
+			return "", errors.Wrap(err, "read checkpoint")
+		}
+		if _, err := OpenCheckpoint(sealed); err == nil {
+			return names[i], nil
+		}
+	}
+	return "", nil
+}
