--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -48,6 +48,7 @@
 		sampleEchoCommand(),
 		catalogueCommand(),
 		stopCommand(),
+		jobCommand(),
 		statusCommand(),
 		loadCommand(),
 		standinTableCommand(),
--- /dev/null
+++ b/scheduler/explorer_test.go
@@ -0,0 +1,550 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/worker"
+)
+
+// The explorer searches the interleavings of two schedulers, two workers and
+// the store, one message at a time. A pause or a late message is a message that
+// stays under way while time passes and others act.
+
+var explorerTiming = Timing{
+	ShardLease: 2 * time.Second, Renewal: time.Second, Keep: 6 * time.Second, Grant: 4 * time.Second,
+	CheckpointTimeout: time.Second,
+}
+
+const (
+	explorerStep    = time.Second
+	explorerHorizon = 10
+	explorerFaults  = 2
+	explorerSteps   = 2000
+)
+
+// rules are what a mutant breaks.
+type rules struct {
+	skipInheritedWait  bool
+	workerIgnoresEpoch bool
+	countFromAnswer    bool
+	unfencedWrites     bool
+	startBeforeDurable bool
+	releaseForgets     bool
+	grantFromSending   bool
+}
+
+type storeCall struct {
+	lease LeaseWrite
+	batch Batch
+	fence table.Version
+	// done says that the call took effect or was refused and the answer is
+	// under way.
+	done, applied bool
+	versions      LeaseRows
+}
+
+type link struct {
+	commands  []Command
+	report    *Report
+	repeated  *Report
+	duplicate []Command
+	// sentAt and sent count the exchanges begun since the clock last moved.
+	sentAt, sent int
+}
+
+// exchangesPerTick bounds the exchanges on one link between two ticks.
+const exchangesPerTick = 3
+
+type actor struct {
+	lease *Lease
+	shard *Shard
+	call  *storeCall
+	links [2]link
+}
+
+type world struct {
+	now     int
+	faults  int
+	version table.Version
+	rows    LeaseRows
+	job     Job
+	actors  [2]actor
+	agents  [2]*Agent
+	// released is set once a scheduler gave the shard up.
+	released bool
+	// cut is true where scheduler 1 can't reach worker 0.
+	cut   bool
+	trace []stepTaken
+}
+
+var explorerWorkers = [2]worker.ID{"w0", "w1"}
+
+func (w *world) clock(actor int) Instant {
+	return Instant(time.Duration(w.now) * explorerStep).Add(time.Duration(actor+1) * time.Hour)
+}
+
+// violation names an invariant that the state breaks.
+func (w *world) violation() string {
+	copies := 0
+	for i, agent := range w.agents {
+		agent.Expire(w.clock(2 + i))
+		copies += len(agent.running)
+	}
+	if copies > 1 {
+		return "two live copies of one task"
+	}
+	return ""
+}
+
+// channel is who or what has to move for an action to happen. A channel that is
+// held back stands for a paused process, a slow link or a store that is down.
+type channel uint8
+
+const (
+	// One for each scheduler.
+	channelScheduler channel = 0
+	channelStore     channel = 2
+	channelAnswer    channel = 4
+	// One for each worker of scheduler 0, then of scheduler 1.
+	channelLink     channel = 6
+	channelDelivery channel = 10
+
+	// One for each scheduler.
+	channelLease channel = 14
+
+	channelClock channel = 16
+	channelFault channel = 17
+	channelCount         = 18
+)
+
+// label names an action. It is written out only for a trace.
+type label struct {
+	format string
+	of     [2]int
+	length int
+}
+
+// String implements fmt.Stringer.
+func (l label) String() string {
+	switch l.length {
+	case 0:
+		return l.format
+	case 1:
+		return fmt.Sprintf(l.format, l.of[0])
+	}
+	return fmt.Sprintf(l.format, l.of[0], l.of[1])
+}
+
+// stepTaken is one step of a trace.
+type stepTaken struct {
+	at   int
+	what label
+}
+
+type action struct {
+	name    label
+	channel channel
+	do      func(w *world)
+}
+
+// actions lists what can happen next.
+func (w *world) actions(broken rules) []action {
+	var list []action
+	for i := range w.actors {
+		list = append(list, w.schedulerActions(i, broken)...)
+		list = append(list, w.storeActions(i, broken)...)
+		for k := range explorerWorkers {
+			list = append(list, w.linkActions(i, (i+k)%len(explorerWorkers), broken)...)
+		}
+	}
+	if w.faults > 0 {
+		for j := range explorerWorkers {
+			list = append(list, action{label{"restart worker %d", [2]int{j}, 1}, channelFault, func(w *world) { w.faults--; w.restart(j) }})
+		}
+	}
+	if w.now < explorerHorizon {
+		list = append(list, action{label{format: "tick"}, channelClock, func(w *world) { w.now++ }})
+	}
+	return list
+}
+
+func (w *world) restart(j int) {
+	old := w.agents[j]
+	w.agents[j] = NewAgent(old.id, old.incarnation+1, old.capacity, old.timing)
+}
+
+func (w *world) schedulerActions(i int, broken rules) []action {
+	var list []action
+	a := &w.actors[i]
+	if a.call != nil {
+		return nil
+	}
+	if !a.lease.held && a.lease.pending == nil && (!a.lease.seen || a.lease.rows != w.rows) {
+		list = append(list, action{label{"%d reads", [2]int{i}, 1}, channelScheduler + channel(i), func(w *world) {
+			w.actors[i].lease.Observe(w.clock(i), w.rows)
+			w.actors[i].dropLost()
+		}})
+	}
+	if probe := *a.lease; probe.Next(w.clock(i)).Step != LeaseNone {
+		list = append(list, action{label{"%d sends lease write", [2]int{i}, 1}, channelLease + channel(i), func(w *world) {
+			a := &w.actors[i]
+			a.call = &storeCall{lease: a.lease.Next(w.clock(i))}
+		}})
+	}
+	if a.shard == nil || a.shard.superseded {
+		return list
+	}
+	if !w.released && a.lease.pending == nil {
+		list = append(list, action{label{"%d releases", [2]int{i}, 1}, channelScheduler + channel(i), func(w *world) {
+			a := &w.actors[i]
+			w.released = true
+			write := a.lease.Release(w.clock(i))
+			if broken.releaseForgets {
+				write.Next.GrantsFor = 0
+				a.lease.pending.Next.GrantsFor = 0
+			}
+			a.call, a.shard = &storeCall{lease: write}, nil
+		}})
+	}
+	if len(a.shard.urgent) > 0 {
+		list = append(list, action{label{"%d sends batch", [2]int{i}, 1}, channelScheduler + channel(i), func(w *world) {
+			a := &w.actors[i]
+			batch := a.shard.NextBatch(8, false)
+			if broken.startBeforeDurable {
+				a.shard.Committed(batch)
+			}
+			a.call = &storeCall{batch: batch, fence: a.lease.EpochVersion()}
+		}})
+	}
+	if a.shard.queue.length > 0 && w.clock(i) < a.lease.LapsesAt() {
+		for k := range explorerWorkers {
+			// Each scheduler tries the worker with its own number first.
+			j := (i + k) % len(explorerWorkers)
+			id := explorerWorkers[j]
+			if v, ok := a.shard.workers[id]; ok && v.claimed && a.shard.isFresh(w.clock(i), v) {
+				list = append(list, action{label{"%d places on %d", [2]int{i, j}, 2}, channelScheduler + channel(i), func(w *world) {
+					shard := w.actors[i].shard
+					for _, job := range shard.Waiting(1) {
+						if shard.Place(w.clock(i), job.ID, id, "") != nil {
+							shard.Defer(job.ID)
+						}
+					}
+				}})
+			}
+		}
+	}
+	return list
+}
+
+func (a *actor) dropLost() {
+	if !a.lease.IsHeld() {
+		a.shard = nil
+	}
+}
+
+func (w *world) storeActions(i int, broken rules) []action {
+	a := &w.actors[i]
+	if a.call == nil {
+		return nil
+	}
+	if !a.call.done {
+		return []action{{label{"store takes write of %d", [2]int{i}, 1}, channelStore + channel(i), func(w *world) { w.takeEffect(w.actors[i].call, broken) }}}
+	}
+	return []action{{label{"%d gets answer", [2]int{i}, 1}, channelAnswer + channel(i), func(w *world) { w.answer(i, broken) }}}
+}
+
+func (w *world) takeEffect(call *storeCall, broken rules) {
+	call.done = true
+	w.version++
+	switch call.lease.Step {
+	case LeaseNone:
+		call.applied = call.fence == w.rows.EpochVersion || broken.unfencedWrites
+		if call.applied {
+			for _, job := range call.batch.Jobs {
+				w.job = job
+			}
+		}
+		return
+	case LeaseRenew, LeaseRelease:
+		call.applied = call.lease.Rows.EpochVersion == w.rows.EpochVersion
+	case LeaseAcquire:
+		call.applied = call.lease.Rows.EpochVersion == w.rows.EpochVersion &&
+			call.lease.Rows.RenewalVersion == w.rows.RenewalVersion
+	}
+	if !call.applied {
+		return
+	}
+	if call.lease.Step != LeaseRenew {
+		w.rows.Epoch, w.rows.EpochVersion = call.lease.Next, w.version
+	}
+	w.rows.RenewalVersion = w.version
+	call.versions = w.rows
+}
+
+func (w *world) answer(i int, broken rules) {
+	a := &w.actors[i]
+	call := a.call
+	a.call = nil
+	if call.lease.Step == LeaseNone {
+		if call.applied && a.shard != nil {
+			a.shard.Committed(call.batch)
+		} else if !call.applied {
+			a.shard = nil
+			a.lease.Refuse()
+		}
+		return
+	}
+	if !call.applied {
+		a.lease.Refuse()
+		a.shard = nil
+		return
+	}
+	a.lease.Settle(w.clock(i), call.versions)
+	if broken.countFromAnswer {
+		a.lease.renewedAt = w.clock(i)
+	}
+	if call.lease.Step == LeaseAcquire {
+		until := a.lease.InheritedUntil()
+		if broken.skipInheritedWait {
+			until = w.clock(i)
+		}
+		a.shard = NewShard("s", a.lease.Epoch(), until, explorerTiming, []Job{w.job})
+	}
+}
+
+func (w *world) linkActions(i, j int, broken rules) []action {
+	if w.cut && i == 1 && j == 0 {
+		return nil
+	}
+	a := &w.actors[i]
+	l := &a.links[j]
+	var list []action
+	if a.shard != nil && !a.shard.superseded && l.commands == nil && l.report == nil &&
+		(l.sentAt != w.now || l.sent < exchangesPerTick) {
+		list = append(list, action{label{"%d sends to worker %d", [2]int{i, j}, 2}, channelLink + channel(2*i+j), func(w *world) {
+			a := &w.actors[i]
+			a.shard.Tick(w.clock(i))
+			commands := a.shard.Commands(w.clock(i), explorerWorkers[j], a.lease.KeepUntil())
+			if broken.grantFromSending {
+				for k := range commands {
+					commands[k].Until += 2 * Instant(explorerTiming.Grant)
+				}
+			}
+			l := &a.links[j]
+			l.commands = append([]Command{}, commands...)
+			if l.sentAt != w.now {
+				l.sentAt, l.sent = w.now, 0
+			}
+			l.sent++
+		}})
+	}
+	if l.commands != nil {
+		list = append(list, action{label{"worker %d takes commands of %d", [2]int{j, i}, 2}, channelDelivery + channel(2*i+j), func(w *world) {
+			l := &w.actors[i].links[j]
+			l.report = w.deliver(j, l.commands, broken)
+			l.commands = nil
+		}})
+		if w.faults > 0 && l.duplicate == nil && len(l.commands) > 0 {
+			list = append(list, action{label{"network repeats commands of %d to %d", [2]int{i, j}, 2}, channelFault, func(w *world) {
+				w.faults--
+				l := &w.actors[i].links[j]
+				l.duplicate = l.commands
+			}})
+		}
+	}
+	if l.duplicate != nil {
+		list = append(list, action{label{"worker %d takes repeated commands of %d", [2]int{j, i}, 2}, channelDelivery + channel(2*i+j), func(w *world) {
+			l := &w.actors[i].links[j]
+			l.repeated = w.deliver(j, l.duplicate, broken)
+			l.duplicate = nil
+		}})
+	}
+	if l.report != nil {
+		list = append(list, action{label{"%d gets report of worker %d", [2]int{i, j}, 2}, channelLink + channel(2*i+j), func(w *world) {
+			a := &w.actors[i]
+			a.report(w.clock(i), a.links[j].report)
+			a.links[j].report = nil
+		}})
+		if w.faults > 0 {
+			list = append(list, action{label{"network loses report of %d to %d", [2]int{j, i}, 2}, channelFault, func(w *world) {
+				w.faults--
+				w.actors[i].links[j].report = nil
+			}})
+		}
+	}
+	if l.repeated != nil {
+		list = append(list, action{label{"%d gets repeated report of worker %d", [2]int{i, j}, 2}, channelLink + channel(2*i+j), func(w *world) {
+			a := &w.actors[i]
+			a.report(w.clock(i), a.links[j].repeated)
+			a.links[j].repeated = nil
+		}})
+	}
+	return list
+}
+
+func (a *actor) report(now Instant, r *Report) {
+	if a.shard != nil {
+		a.shard.Report(now, *r)
+	}
+}
+
+func (w *world) deliver(j int, commands []Command, broken rules) *Report {
+	agent := w.agents[j]
+	for _, c := range commands {
+		if broken.workerIgnoresEpoch {
+			agent.epoch = 0
+		}
+		agent.Handle(w.clock(2+j), c)
+	}
+	report := agent.Report(w.clock(2 + j))
+	return &report
+}
+
+// start says where a search begins: scheduler 0 holds the shard, and the task
+// waits, is placed on worker 0, or runs there.
+type start struct {
+	steps int
+	cut   bool
+}
+
+// startSteps are the lengths of the beginnings that searches start from.
+var startSteps = []int{10, 14, 17}
+
+// starts lists every beginning.
+func starts() []start {
+	var all []start
+	for _, steps := range startSteps {
+		all = append(all, start{steps, false}, start{steps, true})
+	}
+	return all
+}
+
+func startWorld(t *testing.T, from start) *world {
+	t.Helper()
+	w := &world{faults: explorerFaults, cut: from.cut}
+	demand := carobkeel.Resources{MilliCPU: 1000}
+	w.job = Job{ID: "s.1", Entry: "sample", Owner: "o", Class: carobkeel.ClassBatch, Demand: demand}
+	for i, id := range explorerWorkers {
+		w.actors[i].lease = NewLease(HolderID(fmt.Sprint("scheduler-", i)), explorerTiming)
+		w.agents[i] = NewAgent(id, carobkeel.Incarnation(10*(i+1)), demand, explorerTiming)
+	}
+	w.perform(t, "1 reads")
+	for _, name := range []string{
+		"0 reads", "0 sends lease write", "store takes write of 0", "0 gets answer",
+		"0 sends to worker 0", "worker 0 takes commands of 0", "0 gets report of worker 0",
+		"0 sends to worker 0", "worker 0 takes commands of 0", "0 gets report of worker 0",
+		"0 places on 0", "0 sends batch", "store takes write of 0", "0 gets answer",
+		"0 sends to worker 0", "worker 0 takes commands of 0", "0 gets report of worker 0",
+	}[:from.steps] {
+		w.perform(t, name)
+	}
+	w.trace = nil
+	return w
+}
+
+func (w *world) perform(t *testing.T, name string) {
+	t.Helper()
+	for _, a := range w.actions(rules{}) {
+		if a.name.String() == name {
+			a.do(w)
+			return
+		}
+	}
+	t.Fatalf("action %q is not possible", name)
+}
+
+// written returns the trace for people.
+func (w *world) written() []string {
+	lines := make([]string, 0, len(w.trace))
+	for _, step := range w.trace {
+		lines = append(lines, fmt.Sprintf("%d: %s", step.at, step.what))
+	}
+	return lines
+}
+
+// explore runs from the start world until nothing can happen any more, in the
+// order that choose gives. It returns the trace of the first violation.
+func explore(t *testing.T, from start, broken rules, choose func(w *world, list []action) *action) []string {
+	w := startWorld(t, from)
+	for {
+		if len(w.trace) > explorerSteps {
+			t.Fatalf("no end after %d steps:\n%s", explorerSteps, strings.Join(w.written()[:100], "\n"))
+		}
+		next := choose(w, w.actions(broken))
+		if next == nil {
+			return nil
+		}
+		next.do(w)
+		w.trace = append(w.trace, stepTaken{w.now, next.name})
+		if violation := w.violation(); violation != "" {
+			return append(w.written(), violation)
+		}
+	}
+}
+
+// hold keeps a set of channels from moving for some time.
+type hold struct {
+	channels    []channel
+	from, until int
+}
+
+func (h hold) blocks(c channel, now int) bool {
+	return now >= h.from && now < h.until && slices.Contains(h.channels, c)
+}
+
+// eager returns a choice that moves every channel that is not held as far as it
+// goes before the clock moves.
+func eager(holds []hold) func(*world, []action) *action {
+	return func(w *world, list []action) *action {
+		var tick *action
+		for k := range list {
+			a := &list[k]
+			if a.channel == channelClock {
+				tick = a
+			}
+			if a.channel >= channelClock || strings.HasSuffix(a.name.format, " releases") {
+				continue
+			}
+			if !slices.ContainsFunc(holds, func(h hold) bool { return h.blocks(a.channel, w.now) }) {
+				return a
+			}
+		}
+		return tick
+	}
+}
+
+// prioritized returns a choice by random priorities of the channels, which
+// change at random points: few changes suffice to reach most interleavings.
+func prioritized(seed uint64) func(*world, []action) *action {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var priority [channelCount]int
+	for i, p := range random.Perm(int(channelCount)) {
+		priority[i] = p
+	}
+	return func(_ *world, list []action) *action {
+		if random.IntN(priorityChange) == 0 {
+			priority[random.IntN(int(channelCount))] = random.IntN(2*int(channelCount)) - int(channelCount)/2
+		}
+		if len(list) == 0 {
+			return nil
+		}
+		random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		best := &list[0]
+		for k := range list {
+			if priority[list[k].channel] > priority[best.channel] {
+				best = &list[k]
+			}
+		}
+		return best
+	}
+}
+
+// priorityChange is the mean number of steps between two changes.
+const priorityChange = 12
--- a/scheduler/runner/world_test.go
+++ b/scheduler/runner/world_test.go
@@ -43,6 +43,7 @@
 // an object store, in virtual time.
 type world struct {
 	t       *testing.T
+	timing  scheduler.Timing
 	now     scheduler.Instant
 	rows    *memory.Table
 	objects objects
@@ -77,11 +78,13 @@
 	commands []scheduler.Command
 }
 
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, rows: memory.New(), objects: objects{}, record: standin.NewRecord()}
+func newWorld(t *testing.T) *world { return newWorldWith(t, testTiming()) }
+
+func newWorldWith(t *testing.T, timing scheduler.Timing) *world {
+	w := &world{t: t, timing: timing, rows: memory.New(), objects: objects{}, record: standin.NewRecord()}
 	for i := range 2 {
 		w.workers = append(w.workers, standin.New(standin.Config{
-			ID: worker.ID(fmt.Sprint("worker-", i)), Capacity: oneTask, Timing: testTiming(), Seed: uint64(i),
+			ID: worker.ID(fmt.Sprint("worker-", i)), Capacity: oneTask, Timing: timing, Seed: uint64(i),
 			Location: carobkeel.Location{DataCentre: "east", Rack: fmt.Sprint("rack-", i)},
 			Now:      w.clock(i + 2), Record: w.record, Checkpoint: w.checkpoint,
 		}))
@@ -95,7 +98,7 @@
 func (w *world) addSide(i int) {
 	s := &side{world: w}
 	s.runner = New(Config{
-		Shard: testShard, Self: scheduler.HolderID(fmt.Sprint("scheduler-", len(w.sides))), Timing: testTiming(),
+		Shard: testShard, Self: scheduler.HolderID(fmt.Sprint("scheduler-", len(w.sides))), Timing: w.timing,
 		Table: s, Objects: w.objects, Workers: s, Now: w.clock(i),
 		Wall:  func() time.Time { return time.Unix(0, 0).Add(time.Duration(w.now)) },
 		Round: testRound, Heartbeat: DefaultHeartbeat, BatchRows: DefaultBatchRows, Placements: DefaultPlacements,
--- /dev/null
+++ b/scheduler/store/store_test.go
@@ -0,0 +1,64 @@
+package store
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler"
+	"github.com/carobkeel/carobkeel/worker"
+)
+
+func TestJobRowsKeepEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := scheduler.Job{
+			ID: "s.1", Entry: rapid.String().Draw(t, "entry"), Owner: carobkeel.Owner(rapid.String().Draw(t, "owner")),
+			Class:  carobkeel.Class(rapid.IntRange(0, 1).Draw(t, "class")),
+			Demand: carobkeel.Resources{MilliCPU: rapid.Int64().Draw(t, "cpu"), MemoryBytes: 1, Accelerators: 2},
+			State:  scheduler.State(rapid.IntRange(0, 11).Draw(t, "state")), Reason: rapid.String().Draw(t, "reason"),
+			Code: carobkeel.CodeNeverFits, Generation: rapid.Uint64().Draw(t, "generation"),
+			Worker: "w", Incarnation: carobkeel.Incarnation(rapid.Uint64().Draw(t, "incarnation")),
+			Checkpoint: "c", Cancelling: rapid.Bool().Draw(t, "cancelling"), Failures: 3,
+			FailedOn: []worker.ID{"a", "b"},
+		}
+		data, err := encodeJob(&job)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := decodeJob(job.ID, "key", data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		NewWithT(t).Expect(decoded).To(Equal(job))
+	})
+}
+
+func TestRowOfANewerFormatIsRefused(t *testing.T) {
+	row := jobRow{Format: rowFormat + 1}
+	data, err := row.MarshalMsg(nil)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	_, err = decodeJob("s.1", "key", data)
+	NewWithT(t).Expect(err).To(MatchError(ContainSubstring("format 2")))
+}
+
+func TestOnlyWholeCheckpointsOpen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		payload := rapid.SliceOf(rapid.Byte()).Draw(t, "payload")
+		sealed := SealCheckpoint(payload)
+		opened, err := OpenCheckpoint(sealed)
+		if err != nil || string(opened) != string(payload) {
+			t.Fatalf("whole checkpoint refused: %v", err)
+		}
+		torn := sealed[:rapid.IntRange(0, len(sealed)-1).Draw(t, "length")]
+		if _, err := OpenCheckpoint(torn); carobkeel.CodeOf(err) != carobkeel.CodeCheckpointInvalid {
+			t.Fatalf("torn checkpoint: %v", err)
+		}
+		at := rapid.IntRange(0, len(sealed)-1).Draw(t, "at")
+		sealed[at] ^= 1
+		if _, err := OpenCheckpoint(sealed); carobkeel.CodeOf(err) != carobkeel.CodeCheckpointInvalid {
+			t.Fatalf("changed checkpoint: %v", err)
+		}
+	})
+}
