--- a/caller/jobs/jobs.go
+++ b/caller/jobs/jobs.go
@@ -34,7 +34,7 @@
 
 // Defaults of Config.
 const (
-	DefaultDelay        = 20 * time.Millisecond
+	DefaultDelay        = 100 * time.Millisecond
 	DefaultTimeout      = 5 * time.Second
 	DefaultMaxJobs      = 128
 	DefaultMaxCancelled = 2048
@@ -68,7 +68,7 @@
 // Submit makes a job of the catalogue's entry durable and returns it. Every
 // error is a *carobkeel.Error; one whose outcome is unknown says so.
 func (s *Service) Submit(ctx context.Context, entry *carobkeel.Entry) (scheduler.Job, error) {
-	shard := s.config.Shards[s.next.Add(1)%uint64(len(s.config.Shards))]
+	shard := s.nextShard()
 	job, err := scheduler.NewJob("", entry)
 	if err != nil {
 		return scheduler.Job{}, err
@@ -107,6 +107,13 @@
 	return w.enqueue(ctx, &request{cancel: id, done: make(chan error, 1)})
 }
 
+// nextShard spreads the jobs over the shards. Neighbours go to the same one, to
+// share a transaction.
+func (s *Service) nextShard() scheduler.ShardID {
+	turn := s.next.Add(1) / uint64(s.config.MaxJobs)
+	return s.config.Shards[turn%uint64(len(s.config.Shards))]
+}
+
 func unknown(id carobkeel.JobID) error {
 	return carobkeel.NewError(carobkeel.CodeUnknownJob, "there is no job %s", id)
 }
--- a/scheduler/runner/placing.go
+++ b/scheduler/runner/placing.go
@@ -79,13 +79,17 @@
 			})
 		}
 	})
-	// The fleet has changed: what fitted nowhere may fit now.
-	r.shard.Release(carobkeel.CodeNeverFits)
+	r.fleetChanged = true
 }
 
 // settleFleet takes tasks that have left their workers out of the fleet and
 // marks silent workers.
 func (r *Runner) settleFleet() {
+	if r.fleetChanged {
+		// What fitted nowhere may fit now.
+		r.shard.Release(carobkeel.CodeNeverFits)
+		r.fleetChanged = false
+	}
 	freed := r.shard.Freed()
 	now := r.config.Now()
 	var silent []worker.ID
--- a/scheduler/runner/runner.go
+++ b/scheduler/runner/runner.go
@@ -101,6 +101,8 @@
 	taken     map[string]struct{}
 	exchanged map[worker.ID]scheduler.Instant
 	rounds    uint64
+	// fleetChanged says that workers joined or changed since the last round.
+	fleetChanged bool
 }
 
 // New returns a runner that does not hold its shard yet.
@@ -139,7 +141,7 @@
 	if r.shard == nil && r.lease.IsHeld() {
 		r.takeOver(ctx)
 	}
-	if r.shard != nil {
+	if r.shard != nil && r.batchTxn != nil {
 		r.writeBatch(ctx)
 	}
 	if r.shard != nil {
--- a/scheduler/shard.go
+++ b/scheduler/shard.go
@@ -1,8 +1,6 @@
 package scheduler
 
 import (
-	"sort"
-
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker"
 )
@@ -20,7 +18,9 @@
 
 	tasks   map[carobkeel.TaskID]*task
 	workers map[worker.ID]*workerView
-	queue   queue
+	// held holds those of tasks that are in StateHeld.
+	held  map[carobkeel.TaskID]*task
+	queue queue
 
 	// urgent and lazy list the tasks whose rows have to be written. Lazy ones
 	// ride along where a batch has room.
@@ -106,6 +106,7 @@
 		inheritedUntil: inheritedUntil,
 		tasks:          make(map[carobkeel.TaskID]*task),
 		workers:        make(map[worker.ID]*workerView),
+		held:           make(map[carobkeel.TaskID]*task),
 	}
 	for i := range jobs {
 		s.load(jobs[i])
@@ -131,9 +132,11 @@
 		s.charge(t)
 		return
 	}
-	if t.State.IsWaiting() {
-		s.enqueue(t)
+	if t.State == StateHeld {
+		s.held[t.Ref().Task] = t
+		return
 	}
+	s.enqueue(t)
 }
 
 // Submit takes in a job that is durable. A job that is known already is left
@@ -186,9 +189,8 @@
 // Release puts held jobs with the given code back into the queue, for instance
 // those that fitted on no worker before the fleet changed.
 func (s *Shard) Release(code carobkeel.Code) {
-	for _, id := range s.sorted() {
-		t := s.tasks[id]
-		if t.State == StateHeld && t.Code == code {
+	for _, id := range sortedTasks(s.held) {
+		if t := s.held[id]; t.Code == code {
 			t.Reason, t.Code, t.FailedOn = "", carobkeel.CodeOK, nil
 			s.apply(t, EventReleased)
 		}
@@ -359,15 +361,6 @@
 	t.charged = 0
 }
 
-func (s *Shard) sorted() []carobkeel.TaskID {
-	ids := make([]carobkeel.TaskID, 0, len(s.tasks))
-	for id := range s.tasks {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 // apply changes a task's state by an event that its state allows and notes what
 // has to be written.
 func (s *Shard) apply(t *task, event Event) {
@@ -377,6 +370,10 @@
 	}
 	before := t.State
 	t.State = next
+	delete(s.held, t.Ref().Task)
+	if next == StateHeld {
+		s.held[t.Ref().Task] = t
+	}
 	switch {
 	case next.IsFinal() || next == StateHeld:
 		s.touch(t, true)
