--- a/cmd/benchmark/scheduler.go
+++ b/cmd/benchmark/scheduler.go
@@ -263,7 +263,7 @@
 		measured("starts-per-transaction", float64(len(f.started))/float64(committed), "starts"),
 		measured("table-refusals", float64(f.table.refused), "calls"),
 		targeted("start-delay-p99-virtual", f.started[len(f.started)*99/100], "s", atMost, urgentStart),
-		measured("start-processor-time", float64(spent.Microseconds())/float64(len(f.started)), "us"),
+		measured("start-elapsed", float64(spent.Microseconds())/float64(len(f.started)), "us"),
 	}, nil
 }
 
@@ -302,8 +302,8 @@
 		return nil, err
 	}
 	reads, died := f.table.got, f.now
-	before := liveHeapBytes()
 	s.runner = f.newRunner(o, s, "second")
+	before := liveHeapBytes()
 	var longest time.Duration
 	for !s.runner.Status().Held {
 		begun := time.Now()
--- /dev/null
+++ b/worker/standin/standin_test.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler"
+)
+
+const testWorker = "w"
+
+var oneCore = carobkeel.Resources{MilliCPU: 1000}
+
+func start(task carobkeel.TaskID, generation uint64, until scheduler.Instant) scheduler.Command {
+	return scheduler.Command{
+		Kind: scheduler.CommandStart, Worker: testWorker, Incarnation: 1, Demand: oneCore, Class: carobkeel.ClassBatch,
+		Ref: scheduler.TaskRef{Task: task, Generation: generation}, Until: until,
+	}
+}
+
+func TestRecordFindsBreaches(t *testing.T) {
+	g := NewWithT(t)
+	record := NewRecord()
+	copyOf := func(task carobkeel.TaskID, generation uint64) []scheduler.RunningCopy {
+		var c scheduler.RunningCopy
+		c.Ref, c.Demand = scheduler.TaskRef{Task: task, Generation: generation}, oneCore
+		return []scheduler.RunningCopy{c}
+	}
+	record.runs("a", copyOf("t", 1), oneCore)
+	g.Expect(record.Breaches()).To(BeEmpty())
+	record.runs("b", copyOf("t", 2), oneCore)
+	record.runs("c", append(copyOf("u", 1), copyOf("v", 1)...), oneCore)
+	record.Cancelled("x")
+	record.runs("d", copyOf("x", 1), oneCore)
+	record.finished(scheduler.TaskRef{Task: "y", Generation: 1})
+	record.runs("e", copyOf("y", 2), oneCore)
+	g.Expect(record.Breaches()).To(ConsistOf(
+		ContainSubstring("two copies of t"), ContainSubstring("over capacity"),
+		ContainSubstring("after it was cancelled"), ContainSubstring("after it had done its work"),
+	))
+}
+
+func TestWorkerStopsWhatLapsesAndRefusesWhatIsLate(t *testing.T) {
+	g := NewWithT(t)
+	var now scheduler.Instant
+	record := NewRecord()
+	w := New(Config{
+		ID: testWorker, Capacity: oneCore, Timing: scheduler.DefaultTiming(), Record: record,
+		Now: func() scheduler.Instant { return now }, Slowdown: 3, UsageLag: 30 * time.Second,
+	})
+	exchange := func(commands ...scheduler.Command) scheduler.Report {
+		report, err := w.Exchange(t.Context(), commands)
+		g.Expect(err).NotTo(HaveOccurred())
+		return report
+	}
+	until := scheduler.Instant(20 * time.Second)
+	g.Expect(exchange(start("t", 1, until)).Running).To(HaveLen(1))
+	g.Expect(exchange(start("u", 1, until)).Refused[0].Code).To(Equal(carobkeel.CodeHostFull))
+	g.Expect(w.ServiceSlowdown()).To(Equal(3.0))
+	w.Pause()
+	now = until
+	w.Resume()
+	g.Expect(record.Live("t")).To(BeZero())
+	report := exchange(start("t", 1, until+1))
+	g.Expect(report.Refused[0].Code).To(Equal(carobkeel.CodeJobFinished))
+	g.Expect(report.Ended[0].Outcome).To(Equal(scheduler.OutcomeLapsed))
+	g.Expect(exchange(start("u", 1, until)).Refused[0].Code).To(Equal(carobkeel.CodeLeaseExpired))
+	w.Restart()
+	g.Expect(exchange(start("u", 1, until+1)).Refused[0].Code).To(Equal(carobkeel.CodeStaleEpoch))
+	g.Expect(record.Breaches()).To(BeEmpty())
+}
+
+func TestShrunkWorkerShedsBatchWorkFirst(t *testing.T) {
+	g := NewWithT(t)
+	record := NewRecord()
+	w := New(Config{
+		ID: testWorker, Capacity: oneCore.Add(oneCore), Timing: scheduler.DefaultTiming(), Record: record,
+		Now: func() scheduler.Instant { return 0 },
+	})
+	service := start("service", 1, 1)
+	service.Class = carobkeel.ClassLatencyCritical
+	_, err := w.Exchange(t.Context(), []scheduler.Command{start("batch", 1, 1), service})
+	g.Expect(err).NotTo(HaveOccurred())
+	w.SetCapacity(oneCore)
+	g.Expect(record.Live("service")).To(Equal(1))
+	g.Expect(record.Live("batch")).To(BeZero())
+	g.Expect(record.Breaches()).To(BeEmpty())
+}
