Drain and finish stops only when no entry sees work

Cause: an entry that is cut off from the hosts of a stop sees no work there, and would have declared them drained, or brought them back into use.

Change: each entry that sees what a stop waits for notes the time in the stop's row, at most every 5 seconds. A stop is drained after 15 seconds without a note and done after a minute.

Measured: go test -race ./operator ./cmd/carobkeel and go test -race -run 'Stop|Upkeep' ./operator/store pass; the state machine's property holds the notes against the states.

Conclusion: one entry's partial view no longer ends a stop while another sees the hosts.

--- a/operator/stop.go
+++ b/operator/stop.go
@@ -80,8 +80,22 @@
 	// PlannedAt is when it was accepted, ChangedAt when its state last changed.
 	PlannedAt time.Time `json:"planned_at"`
 	ChangedAt time.Time `json:"changed_at"`
+	// SeenAt is when a process last saw work on the hosts of a stop that
+	// drains, or a host of one that is drained.
+	SeenAt time.Time `json:"seen_at,omitzero"`
 }
 
+const (
+	// StopQuietTime is how long no process may see work before a stop is
+	// drained.
+	StopQuietTime = 15 * time.Second
+	// StopGoneTime is how long no process may see a host before a drained stop
+	// is done.
+	StopGoneTime = time.Minute
+	// StopSeenInterval is the least time between two notes of what was seen.
+	StopSeenInterval = 5 * time.Second
+)
+
 // StopRequest is what an operator asks for.
 type StopRequest struct {
 	ID     StopID
@@ -161,19 +175,41 @@
 		return s.stepPlanned(fleet, others, now)
 	case StopDraining:
 		if work := fleet.workIn(s.Target); !work.isEmpty() {
-			return s.waiting(work.String())
+			return s.waiting(work.String()).seen(now)
 		}
-		return s.moved(StopDrained, now)
+		return s.quiet(StopDrained, StopQuietTime, now)
 	case StopDrained:
 		if fleet.hasHostIn(s.Target) {
-			return s.waiting("no work is left; the hosts may be switched off")
+			return s.waiting("no work is left; the hosts may be switched off").seen(now)
 		}
-		return s.moved(StopDone, now)
+		return s.quiet(StopDone, StopGoneTime, now)
 	default:
 		return s
 	}
 }
 
+// seen notes that there still is what the stop waits for.
+func (s Stop) seen(now time.Time) Stop {
+	if now.Sub(s.SeenAt) >= StopSeenInterval {
+		s.SeenAt = now
+	}
+	return s
+}
+
+// quiet moves the stop on once nobody has seen for the given time what it waits
+// for. A process that is cut off from the hosts sees nothing there; the notes of
+// the others keep it from taking that for the truth.
+func (s Stop) quiet(state StopState, wanted time.Duration, now time.Time) Stop {
+	last := s.ChangedAt
+	if s.SeenAt.After(last) {
+		last = s.SeenAt
+	}
+	if now.Sub(last) < wanted {
+		return s
+	}
+	return s.moved(state, now)
+}
+
 // stepPlanned starts a stop that is due, unless the fleet has changed so that it
 // would now leave a service without an instance.
 func (s Stop) stepPlanned(fleet Fleet, others []Stop, now time.Time) Stop {
--- a/operator/stop_test.go
+++ b/operator/stop_test.go
@@ -103,6 +103,9 @@
 	now   time.Time
 	fleet operator.Fleet
 	stops []operator.Stop
+	// seenAt is when a step of each stop was last taken on a view with work, or
+	// in which a host was there.
+	workSeen, hostSeen map[int]time.Time
 }
 
 func (m *stopMachine) drawFleet(t *rapid.T) {
@@ -172,16 +175,17 @@
 		t.Fatal("two processes that take one step differ")
 	}
 	m.stops[index] = next
+	busy, present := m.work(before.Target)
 	if next.State == before.State {
+		m.note(index, busy, present)
 		return
 	}
 	if !slices.Contains(transitions[before.State], next.State) {
 		t.Fatalf("%s became %s", before.State, next.State)
 	}
-	if m.now.Sub(m.fleet.At) > operator.FleetMaxAge || m.fleet.At.Sub(m.fleet.Since) < operator.FleetSettleTime {
+	if !m.settled() {
 		t.Fatalf("%s became %s on a snapshot that is not settled", before.State, next.State)
 	}
-	busy, present := m.work(before.Target)
 	switch next.State {
 	case operator.StopDraining:
 		if m.now.Before(before.Start) {
@@ -191,16 +195,33 @@
 			t.Fatal("the service was left with nothing")
 		}
 	case operator.StopDrained:
-		if busy {
+		if busy || m.now.Sub(m.workSeen[index]) < operator.StopQuietTime-operator.StopSeenInterval {
 			t.Fatal("drained with work left")
 		}
 	case operator.StopDone:
-		if present {
+		if present || m.now.Sub(m.hostSeen[index]) < operator.StopGoneTime-operator.StopSeenInterval {
 			t.Fatal("done with a host that is there")
 		}
 	}
 }
 
+func (m *stopMachine) settled() bool {
+	return m.now.Sub(m.fleet.At) <= operator.FleetMaxAge && m.fleet.At.Sub(m.fleet.Since) >= operator.FleetSettleTime
+}
+
+// note remembers what a step saw while it left the state as it was.
+func (m *stopMachine) note(index int, busy, present bool) {
+	if !m.settled() {
+		return
+	}
+	if busy && m.stops[index].State == operator.StopDraining {
+		m.workSeen[index] = m.now
+	}
+	if present && m.stops[index].State == operator.StopDrained {
+		m.hostSeen[index] = m.now
+	}
+}
+
 func (m *stopMachine) cancel(t *rapid.T, index int) {
 	before := m.stops[index]
 	next, err := before.Cancel("someone", m.now)
@@ -215,7 +236,7 @@
 
 func TestStopsFollowTheirStateMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &stopMachine{now: noon}
+		m := &stopMachine{now: noon, workSeen: make(map[int]time.Time), hostSeen: make(map[int]time.Time)}
 		m.drawFleet(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"plan":  m.plan,
--- a/operator/store/stops_test.go
+++ b/operator/store/stops_test.go
@@ -42,6 +42,7 @@
 	g, ctx := NewWithT(t), context.Background()
 	rows, fleet := memory.New(), &fixedFleet{fleet: dispatchOn("a", "b")}
 	now := start
+	pass := func(d time.Duration) { now, fleet.fleet.At = now.Add(d), now.Add(d) }
 	// Each step is taken by a process that has just started and then dies.
 	process := func() *store.Stops { return newStops(rows, fleet, func() time.Time { return now }) }
 	state := func() operator.StopState {
@@ -56,13 +57,25 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(process().Plan(ctx, request)).To(Equal(planned))
 	g.Expect(state()).To(Equal(operator.StopPlanned))
-	now = now.Add(time.Second)
+	pass(time.Second)
 	g.Expect(state()).To(Equal(operator.StopDraining))
+	pass(operator.StopQuietTime)
 	g.Expect(state()).To(Equal(operator.StopDraining))
+	// A process that is cut off from the host sees nothing there, and the last
+	// note of one that is not keeps the stop as it is.
+	connected := fleet.fleet
+	fleet.fleet = dispatchOn("b")
+	pass(operator.StopQuietTime - time.Second)
+	g.Expect(state()).To(Equal(operator.StopDraining))
+	fleet.fleet = connected
+	pass(0)
 	fleet.fleet.Instances[0].Serving, fleet.fleet.Instances[0].InFlight = false, 0
+	pass(time.Second)
 	g.Expect(state()).To(Equal(operator.StopDrained))
+	pass(operator.StopGoneTime)
 	g.Expect(state()).To(Equal(operator.StopDrained))
 	fleet.fleet = dispatchOn("b")
+	pass(operator.StopGoneTime)
 	g.Expect(state()).To(Equal(operator.StopDone))
 	_, err = process().Cancel(ctx, "s1", "test")
 	g.Expect(carobkeel.CodeOf(err)).To(Equal(carobkeel.CodeStopFinished))
