--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -37,6 +37,8 @@
 		linksSuite(),
 		pathSuite(),
 		placementSuite(),
+		pickSuite(),
+		floodSuite(),
 	}
 }
 
--- a/cmd/benchmark/placement.go
+++ b/cmd/benchmark/placement.go
@@ -43,13 +43,13 @@
 
 func placementFigures(o options, size int) []figure {
 	rng := rand.New(rand.NewPCG(o.seed, uint64(size)))
-	before := heapBytes()
+	before := liveHeapBytes()
 	empty := sampleFleet(rng, size)
-	perWorker := float64(heapBytes()-before) / float64(size)
-	before = heapBytes()
+	perWorker := float64(liveHeapBytes()-before) / float64(size)
+	before = liveHeapBytes()
 	registry := worker.NewRegistry(fillFleet(rng, empty, size))
 	tasks := countTasks(registry.Fleet())
-	perTask := float64(heapBytes()-before) / float64(tasks)
+	perTask := float64(liveHeapBytes()-before) / float64(tasks)
 
 	name := func(what string) string { return fmt.Sprintf("%s-%d-workers", what, size) }
 	figures := []figure{
