--- a/cmd/carobkeel/fleet.go
+++ b/cmd/carobkeel/fleet.go
@@ -44,7 +44,7 @@
 // inFlight returns what the sidecar says of itself, or what this entry has sent
 // to it where that is more.
 func inFlight(member *sidecar.Member) int {
-	return int(max(member.Live.Remote.Load(), member.Live.InFlight.Load()))
+	return int(max(member.Live.Reported(), member.Live.InFlight(carobkeel.ClassBatch)))
 }
 
 // Usage implements store.UsageSource. It counts the announced instances.
--- a/sidecar/live.go
+++ b/sidecar/live.go
@@ -93,6 +93,10 @@
 	}
 }
 
+// Reported returns the sidecar's own last word on the requests that run or wait
+// there, of all entries.
+func (l *Live) Reported() int64 { return l.reported[carobkeel.ClassBatch].Load() }
+
 // Begin counts a request of the class that is sent to the sidecar, End one that
 // is over.
 func (l *Live) Begin(class carobkeel.Class) { l.inFlight[class].Add(1) }
