Keep what an earlier attempt said of whether a request ran

Change: the statement of several attempts is joined, in retries and in hedges. Ruled out: a fault of the ledger; the sidecar's record was right.

--- a/caller/claims/faults_test.go
+++ b/caller/claims/faults_test.go
@@ -156,6 +156,7 @@
 			for e := effectNone; e <= effectStoreDown; e++ {
 				name := fmt.Sprintf("%s/%s/%s", k, s.name, effectNames[e])
 				t.Run(name, func(t *testing.T) {
+					t.Parallel()
 					inBubble(t, func(t *testing.T, ctx context.Context) { runFault(t, ctx, k, s, e) })
 				})
 			}
--- a/caller/retry.go
+++ b/caller/retry.go
@@ -26,3 +26,13 @@
 	}
 	return false
 }
+
+// Joined returns what a caller is told after several attempts at one request, of
+// which the last ended with last and the ones before with before, nil where
+// there were none. A request may have run at any of them.
+func Joined(before, last *carobkeel.Error) *carobkeel.Error {
+	if before == nil || before.Ran == carobkeel.RanNo || last.Ran == carobkeel.RanYes {
+		return last
+	}
+	return last.WithRan(before.Ran)
+}
--- a/sidecar/client/forwarder.go
+++ b/sidecar/client/forwarder.go
@@ -62,25 +62,27 @@
 // error is a *carobkeel.Error.
 func (f *Forwarder) Forward(ctx context.Context, r *caller.Request) (*caller.Answer, error) {
 	account := f.config.Admission.Account(r.OwnerClass())
-	last := carobkeel.NewError(carobkeel.CodeNoUpstream, "no upstream of %s is announced", r.Service)
+	refused := carobkeel.NewError(carobkeel.CodeNoUpstream, "no upstream of %s is announced", r.Service)
 	var tried []*sidecar.Member
 	for len(tried) < f.config.Attempts {
 		member := f.pick(r, tried)
 		if member == nil {
-			return nil, last
+			return nil, refused
 		}
 		tried = append(tried, member)
 		var answer *caller.Answer
+		var last *carobkeel.Error
 		answer, tried, last = f.sendHedged(ctx, account, r, tried)
 		if last == nil {
 			return answer, nil
 		}
+		refused = caller.Joined(refused, last)
 		if ctx.Err() != nil || !f.config.Admission.MayRepeat(account, r, last) {
-			return nil, last
+			return nil, refused
 		}
 		f.metrics.retry()
 	}
-	return nil, last
+	return nil, refused
 }
 
 // pick chooses the sidecar for a request, nil where there is none.
--- a/sidecar/client/hedge.go
+++ b/sidecar/client/hedge.go
@@ -68,6 +68,7 @@
 	run.start(ctx, first)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	var refused *carobkeel.Error
 	for {
 		select {
 		case <-timer.C:
@@ -84,8 +85,9 @@
 				return run.won(got), tried, nil
 			}
 			run.cancels[got.index]()
+			refused = caller.Joined(refused, got.refusal)
 			if run.running == 0 {
-				return nil, tried, got.refusal
+				return nil, tried, refused
 			}
 		}
 	}
