Serve the operators' interface from the entry

Cause: the catalogue, the planned stops and the status had no way in. Change: the entry mounts the operators' routes over the table service, spreads an edit at once, and needs -table.

--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -31,7 +31,6 @@
 	"github.com/carobkeel/carobkeel/sidecar/members"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/httptable"
-	"github.com/carobkeel/carobkeel/table/memory"
 )
 
 // entryConfig is the settings of the entry.
@@ -69,9 +68,7 @@
 	problems = append(problems, checkAddress("operator-listen", c.operatorListen)...)
 	problems = append(problems, checkAddress("link-listen", c.linkListen)...)
 	problems = append(problems, checkAddresses("peers", c.peers)...)
-	if c.table != "" {
-		problems = append(problems, checkAddress("table", c.table)...)
-	}
+	problems = append(problems, checkAddress("table", c.table)...)
 	if c.catalogueInterval <= 0 {
 		problems = append(problems, settings.Problem{Name: "catalogue-interval", Reason: "must be above 0"})
 	}
@@ -98,6 +95,9 @@
 	spread    *spreader.Spreader
 	reader    *spreader.Reader
 	store     *store.Store
+	stops     *store.Stops
+	upkeep    *store.Upkeep
+	fleet     *fleetSource
 	forwarder *client.Forwarder
 	callers   *http.Server
 	operators *http.Server
@@ -130,7 +130,7 @@
 	keyed := claims.NewForwarder(claims.NewStore(claims.Direct{Table: tables}, tables), p.forwarder, p.log)
 	admitted := admit.New(sidecars.Admission, keyed, admit.NewMetrics(scope))
 	go admitted.Run(ctx)
-	p.store = store.New(store.Config{Table: tables, Metrics: store.NewMetrics(scope)})
+	p.startOperators(ctx, scope, tables)
 	handler := httpapi.New(self, p, admitted, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
@@ -180,36 +180,12 @@
 	return nil
 }
 
-func (p *entryProcess) operatorRouter(metricsPage http.Handler) http.Handler {
-	router := chi.NewRouter()
-	router.Handle("/metrics", metricsPage)
-	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	router.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.readiness.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
-	mountPprof(router)
-	return router
-}
-
 // install puts a catalogue in force.
 func (p *entryProcess) install(c *carobkeel.Catalogue) { p.catalogue.Store(c) }
 
 // serve makes the entry ready once it has joined the spread of the catalogue.
 func (p *entryProcess) serve() { p.readiness.Advance(balancer.PhaseReady) }
 
-// openTable returns the table service at the address, one in memory where there
-// is none.
-func openTable(address string) table.Table {
-	if address == "" {
-		return memory.New()
-	}
-	return httptable.NewClient(address, nil)
-}
-
 // stop leaves the balancer, lets the requests in flight end and stops.
 func (p *entryProcess) stop() error {
 	p.log.Info().Msg("leaving the balancer")
@@ -241,7 +217,7 @@
 			if code, ok := parse(fs, args, io, config, sidecars, logConfig); !ok {
 				return code
 			}
-			process, err := startEntry(*config, *sidecars, openTable(config.table), logging.NewFactory(*logConfig, io.err))
+			process, err := startEntry(*config, *sidecars, httptable.NewClient(config.table, nil), logging.NewFactory(*logConfig, io.err))
 			if err != nil {
 				return fail(io, err)
 			}
--- /dev/null
+++ b/cmd/carobkeel/entry_operator.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator/httpapi"
+	"github.com/carobkeel/carobkeel/operator/store"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// startOperators builds what operators reach: the catalogue and the planned
+// stops in the table, and the state of the fleet.
+func (p *entryProcess) startOperators(ctx context.Context, scope tally.Scope, tables table.Table) {
+	metrics := store.NewMetrics(scope)
+	p.fleet = &fleetSource{
+		members:        p.members,
+		catalogue:      p.Catalogue,
+		location:       carobkeel.Location{DataCentre: carobkeel.DataCentre(p.config.dataCentre)},
+		since:          time.Now(),
+		storeAvailable: func() bool { return p.reader.StoreAvailable() },
+	}
+	p.store = store.New(store.Config{Table: tables, Usage: p.fleet, Metrics: metrics})
+	p.stops = store.NewStops(store.StopsConfig{Table: tables, Fleet: p.fleet, Metrics: metrics})
+	p.upkeep = store.NewUpkeep(p.store, p.stops, p.log)
+	go p.upkeep.Run(ctx)
+}
+
+// operatorRouter returns the routes of the operators' listener.
+func (p *entryProcess) operatorRouter(metricsPage http.Handler) http.Handler {
+	router := chi.NewRouter()
+	router.Handle("/metrics", metricsPage)
+	httpapi.MountHealth(router, p.readiness.Ready)
+	router.Group(func(edits chi.Router) {
+		edits.Use(p.spreadAfterEdit)
+		httpapi.NewHandler(httpapi.Config{Catalogue: p.store, Stops: p.stops, Status: p.fleet}).Mount(edits)
+	})
+	mountPprof(router)
+	return router
+}
+
+// spreadAfterEdit lets what an operator's edit may have changed go out at once, in
+// place of at the next read of the table service.
+func (p *entryProcess) spreadAfterEdit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r)
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			p.reader.Poke()
+		}
+	})
+}
--- a/entry/spreader/reader.go
+++ b/entry/spreader/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,8 @@
 	spreader *Spreader
 	interval time.Duration
 	poke     chan struct{}
+	// answered says whether the last read got an answer.
+	answered atomic.Bool
 }
 
 // NewReader returns a reader. The interval is the mean time between two reads.
@@ -49,6 +52,9 @@
 	return &Reader{source: source, spreader: spreader, interval: interval, poke: make(chan struct{}, 1)}
 }
 
+// StoreAvailable reports whether the table service answered the last read.
+func (r *Reader) StoreAvailable() bool { return r.answered.Load() }
+
 // Poke asks for a read at once, after this process has had an edit accepted.
 func (r *Reader) Poke() {
 	select {
@@ -85,8 +91,10 @@
 	}
 	loaded, err := r.source.Load(ctx)
 	var older *operator.OlderRevisionError
+	behind := errors.As(err, &older)
+	r.answered.Store(err == nil || behind)
 	switch {
-	case errors.As(err, &older):
+	case behind:
 		r.push(entry.StoreBehindEvent{Revision: older.Offered})
 	case err != nil:
 		r.spreader.config.Metrics.storeDown.Inc(1)
