Evict and throttle on request, and follow leases at a lower rate

Cause: the control of interference needs a way to the loop, and every entry read the lease of every shard five times a second. Conclusion: ten entries following 20 shards read 100 rows' ranges a second.

--- a/scheduler/runner/runner.go
+++ b/scheduler/runner/runner.go
@@ -86,6 +86,12 @@
 	lease  *scheduler.Lease
 	status atomic.Pointer[Status]
 
+	// asks holds what other goroutines want done with tasks.
+	asks chan ask
+
+	// readAt is when the lease was last read. Only those who wait read it.
+	readAt scheduler.Instant
+	read   bool
 	// leaseTxn is the transaction of the lease write that is not settled.
 	leaseTxn   *table.Transaction
 	leaseWrite scheduler.LeaseWrite
@@ -111,6 +117,7 @@
 		config: config,
 		store:  store.New(config.Table, config.Shard),
 		lease:  scheduler.NewLease(config.Self, config.Timing),
+		asks:   make(chan ask, asksKept),
 	}
 	r.publish()
 	return r
@@ -148,6 +155,7 @@
 		r.readInbox(ctx)
 		r.exchangeAll(ctx)
 		r.shard.Tick(r.config.Now())
+		r.answerAsks()
 		r.settleFleet()
 		r.place(ctx)
 		r.writeBatch(ctx)
@@ -172,13 +180,14 @@
 }
 
 func (r *Runner) stepLease(ctx context.Context) {
-	if r.leaseTxn == nil && !r.lease.IsHeld() && !r.releasing {
+	if r.leaseTxn == nil && !r.lease.IsHeld() && !r.releasing && r.isReadDue() {
 		rows, err := r.store.Lease(ctx)
 		if err != nil {
 			r.config.Metrics.storeErrors.Inc(1)
 			return
 		}
-		r.lease.Observe(r.config.Now(), rows)
+		r.readAt, r.read = r.config.Now(), true
+		r.lease.Observe(r.readAt, rows)
 	}
 	if r.leaseTxn == nil && !r.releasing {
 		r.propose(r.lease.Next(r.config.Now()))
@@ -186,6 +195,14 @@
 	r.settleLease(ctx)
 }
 
+// followInterval is the time between two reads of a lease that another
+// scheduler holds. Every entry reads the lease of every shard at this rate.
+const followInterval = 2 * time.Second
+
+func (r *Runner) isReadDue() bool {
+	return !r.read || r.config.Now().Sub(r.readAt) >= followInterval
+}
+
 func (r *Runner) propose(write scheduler.LeaseWrite) {
 	if write.Step == scheduler.LeaseNone {
 		return
