--- /dev/null
+++ b/table/client/commit.go
@@ -0,0 +1,177 @@
+package client
+
+import (
+	"context"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// Commit implements table.Table. It settles the transaction: on ErrUnsettled
+// the time ran out before its effect was known, and the caller may repeat it
+// with the same id through this client. An outcome that is not applied is
+// final.
+func (v *view) Commit(ctx context.Context, txn table.Transaction) (table.Outcome, error) {
+	c := v.client
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	defer cancel()
+	state, err := c.unsettled.begin(txn.ID)
+	if err != nil {
+		return table.Outcome{}, err
+	}
+	settler := &settler{view: v, txn: txn, delays: c.newBackoff()}
+	state, action := settler.run(ctx, state)
+	c.unsettled.end(txn.ID, state, action == table.ReportUnsettled)
+	c.generation.Add(1)
+	return settler.report(action)
+}
+
+// settler carries out the actions of one table.Settlement.
+type settler struct {
+	view    *view
+	txn     table.Transaction
+	delays  *backoff.ExponentialBackOff
+	outcome table.Outcome
+	// refused is the service's last answer to the transaction itself.
+	refused table.Outcome
+	// err is the last failure.
+	err error
+	// rejected says that err will not go away with a repeat.
+	rejected bool
+}
+
+func (s *settler) run(ctx context.Context, state table.Settlement) (table.Settlement, table.SettleAction) {
+	action := state.Start()
+	for !action.IsReport() {
+		event, failed := s.perform(ctx, action)
+		state, action = state.Next(event)
+		if s.rejected || (failed && pause(ctx, s.delays.NextBackOff()) != nil) {
+			state, action = state.Next(table.DeadlinePassed)
+		}
+	}
+	return state, action
+}
+
+// perform carries out one action. The second result says that it failed.
+func (s *settler) perform(ctx context.Context, action table.SettleAction) (table.SettleEvent, bool) {
+	switch action {
+	case table.SendFence:
+		return s.sendFence(ctx)
+	case table.ReadFenceRow:
+		return s.readFenceRow(ctx)
+	}
+	return s.sendCommit(ctx)
+}
+
+func (s *settler) sendCommit(ctx context.Context) (table.SettleEvent, bool) {
+	outcome, err := s.view.commitOnce(ctx, s.view.purpose, s.txn)
+	s.err = err
+	if errors.Is(err, table.ErrUnavailable) {
+		return table.CommitNotSent, true
+	}
+	if errors.Is(err, table.ErrInvalid) {
+		s.rejected = true
+		return table.CommitNotSent, true
+	}
+	if err != nil { // also an error of no known kind leaves the effect open
+		s.view.client.metrics.LostAnswers.Inc(1)
+		return table.CommitLost, true
+	}
+	s.outcome = outcome
+	if outcome.Applied {
+		return table.CommitApplied, false
+	}
+	s.refused = outcome
+	if table.IsRefusedForGood(s.txn, outcome) {
+		return table.CommitRefusedForGood, false
+	}
+	return table.CommitRefused, false
+}
+
+func (s *settler) sendFence(ctx context.Context) (table.SettleEvent, bool) {
+	s.view.client.metrics.Fences.Inc(1)
+	outcome, err := s.view.commitOnce(ctx, table.PurposeSettling, table.Fence(s.txn.ID))
+	s.err = err
+	if err != nil {
+		return table.FenceFailed, true
+	}
+	s.outcome = outcome
+	return table.FenceApplied, false
+}
+
+// readFenceRow reads past the shared reads: it has to begin after the fence.
+func (s *settler) readFenceRow(ctx context.Context) (table.SettleEvent, bool) {
+	key := table.FenceKey(s.txn.ID)
+	settling := &view{client: s.view.client, purpose: table.PurposeSettling}
+	result, err := readOnce(ctx, settling, func(ctx context.Context) (readResult, error) {
+		row, ok, err := s.view.client.raw.Get(ctx, key)
+		return readResult{row: row, ok: ok}, err
+	})
+	s.err = err
+	if err != nil {
+		return table.ReadFailed, true
+	}
+	if result.ok {
+		return table.FenceRowFound, false
+	}
+	return table.FenceRowAbsent, false
+}
+
+// report turns the last action into what the caller hears.
+func (s *settler) report(action table.SettleAction) (table.Outcome, error) {
+	metrics := s.view.client.metrics
+	switch action {
+	case table.ReportApplied:
+		metrics.Applied.Inc(1)
+		return s.outcome, nil
+	case table.ReportFenced:
+		metrics.Refused.Inc(1)
+		s.deleteFenceRow()
+		return s.refused, nil
+	case table.ReportRefused:
+		metrics.Refused.Inc(1)
+		return s.refused, nil
+	case table.ReportUnavailable:
+		metrics.Unavailable.Inc(1)
+		return table.Outcome{}, s.err
+	}
+	metrics.Unsettled.Inc(1)
+	return table.Outcome{}, errors.Wrapf(table.ErrUnsettled, "transaction %s: %v", s.txn.ID, s.err)
+}
+
+// deleteFenceRow removes the fence row, which has told what it was for. The
+// caller does not wait for it; a row that stays is harmless.
+func (s *settler) deleteFenceRow() {
+	v := s.view
+	drop := table.Transaction{
+		ID:     table.NewTransactionID(),
+		Writes: []table.Write{{Key: table.FenceKey(s.txn.ID), Delete: true}},
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), v.client.config.Timeout)
+		defer cancel()
+		delays := v.client.newBackoff()
+		for {
+			_, err := v.commitOnce(ctx, table.PurposeSettling, drop)
+			if err == nil || pause(ctx, delays.NextBackOff()) != nil {
+				return
+			}
+		}
+	}()
+}
+
+func (v *view) commitOnce(ctx context.Context, purpose table.Purpose, txn table.Transaction) (table.Outcome, error) {
+	c := v.client
+	done, err := c.admit(ctx, c.budgets[purpose].writes, c.commits)
+	if err != nil {
+		return table.Outcome{}, err
+	}
+	attempt, cancel := context.WithTimeout(ctx, c.config.AttemptTimeout)
+	defer cancel()
+	c.metrics.CommitCalls.Inc(1)
+	outcome, err := c.raw.Commit(attempt, txn)
+	done(cause(ctx, err))
+	return outcome, err
+}
