--- a/cmd/carobkeel/standin_table.go
+++ b/cmd/carobkeel/standin_table.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/objectstore/httpstore"
+	objectmemory "github.com/carobkeel/carobkeel/objectstore/memory"
 	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/httptable"
 	"github.com/carobkeel/carobkeel/table/memory"
@@ -72,6 +74,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(httptable.BasePath+"/", httptable.NewHandler(rows))
+	objects := httpstore.NewHandler(objectmemory.New())
+	mux.Handle(httpstore.BasePath, objects)
+	mux.Handle(httpstore.BasePath+"/", objects)
 	mux.Handle(faulty.AdminPath, faulty.NewAdminHandler(rows))
 	return mux, nil
 }
--- a/cmd/carobkeel/standin_table_test.go
+++ b/cmd/carobkeel/standin_table_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/objectstore/httpstore"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/httptable"
@@ -41,9 +42,13 @@
 	return strings.TrimPrefix(strings.TrimSpace(line), "ready table=")
 }
 
-func TestStandinTableServesTheTable(t *testing.T) {
+func TestStandinTableServesTheTableAndTheObjects(t *testing.T) {
 	g := NewWithT(t)
-	client := httptable.NewClient(startStandin(t), nil)
+	address := startStandin(t)
+	objects := httpstore.NewClient(address, nil)
+	g.Expect(objects.Put(context.Background(), "a/b", []byte("1"))).To(Succeed())
+	g.Expect(objects.List(context.Background(), "a/")).To(Equal([]string{"a/b"}))
+	client := httptable.NewClient(address, nil)
 	outcome, err := client.Commit(context.Background(), table.Transaction{
 		ID:     table.NewTransactionID(),
 		Writes: []table.Write{{Key: "k", Value: []byte("1")}},
--- /dev/null
+++ b/objectstore/memory/memory.go
@@ -0,0 +1,64 @@
+// Package memory is an object store in memory, for tests and for a process that
+// runs everything by itself. It keeps nothing.
+package memory
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/objectstore"
+)
+
+// Store is an object store in memory. Use New.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// New returns an empty store.
+func New() *Store { return &Store{objects: make(map[string][]byte)} }
+
+// Put implements objectstore.Store.
+func (s *Store) Put(_ context.Context, name string, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = slices.Clone(data)
+	return nil
+}
+
+// Get implements objectstore.Store.
+func (s *Store) Get(_ context.Context, name string) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	data, ok := s.objects[name]
+	if !ok {
+		return nil, errors.Wrap(objectstore.ErrNotFound, name)
+	}
+	return slices.Clone(data), nil
+}
+
+// List implements objectstore.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := []string{}
+	for name := range s.objects {
+		if strings.HasPrefix(name, prefix) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// Delete implements objectstore.Store. To delete what is absent is no error.
+func (s *Store) Delete(_ context.Context, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.objects, name)
+	return nil
+}
