Measure the client of the table service

Cause: the claims of 2,200 task starts a second have to fit the budget. Change: benchmark suite table.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -34,6 +34,7 @@
 		catalogueSuite(),
 		telemetrySuite(),
 		pathSuite(),
+		tableSuite(),
 	}
 }
 
