Pack a batch when its budget is there

Cause: a batch was packed and then waited for the budget, up to four at a time. Change: the Batcher takes a slot and the budget of one transaction first, and packs what has gathered by then. Conclusion: the wait for the budget no longer counts twice.

--- a/cmd/benchmark/table.go
+++ b/cmd/benchmark/table.go
@@ -115,9 +115,8 @@
 
 func newClaimLoad(ctx context.Context, service table.Table, prefix string) *claimLoad {
 	calls := &callCounter{Table: service}
-	claims := newTableClient(calls).For(table.PurposeClaims)
 	load := &claimLoad{
-		batcher: client.NewBatcher(claims, client.DefaultBatcherConfig(), client.NewMetrics(tally.NoopScope)),
+		batcher: client.NewBatcher(newTableClient(calls), table.PurposeClaims, client.DefaultBatcherConfig()),
 		calls:   calls,
 		prefix:  prefix,
 		delays:  hdrhistogram.New(1, microsecondsPerMinute, 3),
--- a/table/client/batcher.go
+++ b/table/client/batcher.go
@@ -33,9 +33,9 @@
 // Batcher carries independent changes in shared transactions. Changes gather
 // while transactions are under way, so there is no added delay when it is idle.
 type Batcher struct {
-	table   table.Table
+	client  *Client
+	purpose table.Purpose
 	config  BatcherConfig
-	metrics *Metrics
 	arrived *mailbox.Mailbox[*pendingChange]
 	pending atomic.Int64
 	stopped chan struct{}
@@ -65,13 +65,13 @@
 	err     error
 }
 
-// NewBatcher returns a batcher that commits to t, usually a purpose's view of a
-// Client. It does nothing until Run.
-func NewBatcher(t table.Table, config BatcherConfig, metrics *Metrics) *Batcher {
+// NewBatcher returns a batcher that commits through c, within the budget of the
+// purpose. It does nothing until Run.
+func NewBatcher(c *Client, purpose table.Purpose, config BatcherConfig) *Batcher {
 	return &Batcher{
-		table:   t,
+		client:  c,
+		purpose: purpose,
 		config:  config,
-		metrics: metrics,
 		arrived: mailbox.New[*pendingChange](),
 		stopped: make(chan struct{}),
 	}
@@ -139,9 +139,8 @@
 				return
 			}
 		}
-		select {
-		case slots <- struct{}{}:
-		case <-ctx.Done():
+		paid, err := b.waitForTurn(ctx, slots)
+		if err != nil {
 			return
 		}
 		waiting = b.arrived.TryTake(waiting)
@@ -149,11 +148,24 @@
 		group, waiting = b.pack(waiting)
 		running.Go(func() {
 			defer func() { <-slots }()
-			b.send(context.WithoutCancel(ctx), group)
+			b.send(context.WithoutCancel(ctx), group, paid)
 		})
 	}
 }
 
+// waitForTurn takes a slot and then the budget of one transaction, so that a
+// batch is packed only when it can be sent. It returns false where the purpose
+// has no budget for writes; the transaction will then be refused.
+func (b *Batcher) waitForTurn(ctx context.Context, slots chan<- struct{}) (paid bool, err error) {
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+	paid = b.client.budgets[b.purpose].writes.Wait(ctx) == nil
+	return paid, ctx.Err()
+}
+
 // batchGroup is a batch with the callers of its changes, in the same order.
 type batchGroup struct {
 	batch   *table.Batch
--- a/table/client/batcher_test.go
+++ b/table/client/batcher_test.go
@@ -17,8 +17,8 @@
 )
 
 // startBatcher runs a batcher until the returned function is called.
-func startBatcher(t table.Table, config client.BatcherConfig) (*client.Batcher, func()) {
-	batcher := client.NewBatcher(t, config, newMetrics())
+func startBatcher(c *client.Client, config client.BatcherConfig) (*client.Batcher, func()) {
+	batcher := client.NewBatcher(c, table.PurposeClaims, config)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -65,7 +65,7 @@
 			}
 		}
 		g.Expect(f.faults.Set(faulty.Faults{Delay: 5 * time.Millisecond})).To(Succeed())
-		batcher, stop := startBatcher(f.client.For(table.PurposeClaims), client.DefaultBatcherConfig())
+		batcher, stop := startBatcher(f.client, client.DefaultBatcherConfig())
 		defer stop()
 		for i, r := range submitAll(batcher, keys) {
 			g.Expect(r.err).NotTo(HaveOccurred())
@@ -83,7 +83,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newFixture(1)
-		batcher, stop := startBatcher(f.client.For(table.PurposeClaims), client.DefaultBatcherConfig())
+		batcher, stop := startBatcher(f.client, client.DefaultBatcherConfig())
 		defer stop()
 		won := 0
 		for _, r := range submitAll(batcher, []string{"k", "k", "k", "k", "k", "k"}) {
@@ -103,7 +103,7 @@
 				g := NewWithT(t)
 				f := newFixture(1)
 				g.Expect(f.faults.Set(faults)).To(Succeed())
-				batcher, stop := startBatcher(f.client.For(table.PurposeClaims), client.DefaultBatcherConfig())
+				batcher, stop := startBatcher(f.client, client.DefaultBatcherConfig())
 				defer stop()
 				var keys []string
 				for i := range 120 {
@@ -127,7 +127,7 @@
 		g.Expect(f.faults.Set(faulty.Faults{Delay: 500 * time.Millisecond})).To(Succeed())
 		config := client.DefaultBatcherConfig()
 		config.Parallel = 1
-		batcher, stop := startBatcher(f.client.For(table.PurposeClaims), config)
+		batcher, stop := startBatcher(f.client, config)
 		ctx, cancel := context.WithCancel(context.Background())
 		results := make(chan error, 2)
 		for _, key := range []string{"sent", "waiting"} {
@@ -154,13 +154,27 @@
 		f := newFixture(1)
 		config := client.DefaultBatcherConfig()
 		config.MaxPending = 0
-		full, stopFull := startBatcher(f.client.For(table.PurposeClaims), config)
+		full, stopFull := startBatcher(f.client, config)
 		_, err := full.Submit(context.Background(), asChange(create("k", "1")))
 		g.Expect(errors.Is(err, table.ErrUnavailable)).To(BeTrue())
 		stopFull()
-		batcher, stop := startBatcher(f.client.For(table.PurposeClaims), client.DefaultBatcherConfig())
+		batcher, stop := startBatcher(f.client, client.DefaultBatcherConfig())
 		stop()
 		_, err = batcher.Submit(context.Background(), asChange(create("k", "1")))
 		g.Expect(errors.Is(err, table.ErrUnavailable)).To(BeTrue())
 	})
 }
+
+func TestBatcherWithoutBudgetSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(1)
+		batcher := client.NewBatcher(f.client, table.PurposeStatus, client.DefaultBatcherConfig())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go batcher.Run(ctx)
+		_, err := batcher.Submit(ctx, asChange(create("k", "1")))
+		g.Expect(errors.Is(err, table.ErrUnavailable)).To(BeTrue())
+		g.Expect(f.calls.commits.Load()).To(BeZero())
+	})
+}
--- a/table/client/commit.go
+++ b/table/client/commit.go
@@ -5,6 +5,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/carobkeel/carobkeel/table"
 )
@@ -14,6 +15,11 @@
 // with the same id through this client. An outcome that is not applied is
 // final.
 func (v *view) Commit(ctx context.Context, txn table.Transaction) (table.Outcome, error) {
+	return v.settle(ctx, txn, false)
+}
+
+// settle is Commit, with the budget of the first attempt already paid or not.
+func (v *view) settle(ctx context.Context, txn table.Transaction, paid bool) (table.Outcome, error) {
 	c := v.client
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
@@ -21,7 +27,7 @@
 	if err != nil {
 		return table.Outcome{}, err
 	}
-	settler := &settler{view: v, txn: txn, delays: c.newBackoff()}
+	settler := &settler{view: v, txn: txn, paid: paid, delays: c.newBackoff()}
 	state, action := settler.run(ctx, state)
 	c.unsettled.end(txn.ID, state, action == table.ReportUnsettled)
 	c.generation.Add(1)
@@ -30,8 +36,10 @@
 
 // settler carries out the actions of one table.Settlement.
 type settler struct {
-	view    *view
-	txn     table.Transaction
+	view *view
+	txn  table.Transaction
+	// paid says that the budget of the next attempt has been taken.
+	paid    bool
 	delays  *backoff.ExponentialBackOff
 	outcome table.Outcome
 	// refused is the service's last answer to the transaction itself.
@@ -66,7 +74,11 @@
 }
 
 func (s *settler) sendCommit(ctx context.Context) (table.SettleEvent, bool) {
-	outcome, err := s.view.commitOnce(ctx, s.view.purpose, s.txn)
+	limiter := s.view.client.budgets[s.view.purpose].writes
+	if s.paid {
+		limiter, s.paid = unlimited, false
+	}
+	outcome, err := s.view.client.commitOnce(ctx, limiter, s.txn)
 	s.err = err
 	if errors.Is(err, table.ErrUnavailable) {
 		return table.CommitNotSent, true
@@ -92,7 +104,7 @@
 
 func (s *settler) sendFence(ctx context.Context) (table.SettleEvent, bool) {
 	s.view.client.metrics.Fences.Inc(1)
-	outcome, err := s.view.commitOnce(ctx, table.PurposeSettling, table.Fence(s.txn.ID))
+	outcome, err := s.view.client.commitOnce(ctx, s.view.client.settlingWrites(), table.Fence(s.txn.ID))
 	s.err = err
 	if err != nil {
 		return table.FenceFailed, true
@@ -144,17 +156,17 @@
 // deleteFenceRow removes the fence row, which has told what it was for. The
 // caller does not wait for it; a row that stays is harmless.
 func (s *settler) deleteFenceRow() {
-	v := s.view
+	c := s.view.client
 	drop := table.Transaction{
 		ID:     table.NewTransactionID(),
 		Writes: []table.Write{{Key: table.FenceKey(s.txn.ID), Delete: true}},
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), v.client.config.Timeout)
+		ctx, cancel := context.WithTimeout(context.Background(), c.config.Timeout)
 		defer cancel()
-		delays := v.client.newBackoff()
+		delays := c.newBackoff()
 		for {
-			_, err := v.commitOnce(ctx, table.PurposeSettling, drop)
+			_, err := c.commitOnce(ctx, c.settlingWrites(), drop)
 			if err == nil || pause(ctx, delays.NextBackOff()) != nil {
 				return
 			}
@@ -162,9 +174,13 @@
 	}()
 }
 
-func (v *view) commitOnce(ctx context.Context, purpose table.Purpose, txn table.Transaction) (table.Outcome, error) {
-	c := v.client
-	done, err := c.admit(ctx, c.budgets[purpose].writes, c.commits)
+// unlimited stands for a budget that has been taken before.
+var unlimited = rate.NewLimiter(rate.Inf, 0)
+
+func (c *Client) settlingWrites() *rate.Limiter { return c.budgets[table.PurposeSettling].writes }
+
+func (c *Client) commitOnce(ctx context.Context, limiter *rate.Limiter, txn table.Transaction) (table.Outcome, error) {
+	done, err := c.admit(ctx, limiter, c.commits)
 	if err != nil {
 		return table.Outcome{}, err
 	}
--- a/table/client/send.go
+++ b/table/client/send.go
@@ -9,15 +9,17 @@
 )
 
 // send carries out a group: as one transaction, and what was refused only for
-// the others' sake in further ones.
-func (b *Batcher) send(ctx context.Context, group *batchGroup) {
+// the others' sake in further ones. The budget of the first is paid or not.
+func (b *Batcher) send(ctx context.Context, group *batchGroup, paid bool) {
+	view := &view{client: b.client, purpose: b.purpose}
 	for group = b.take(group); len(group.members) > 0; {
-		outcome, err := b.table.Commit(ctx, group.batch.Transaction(table.NewTransactionID()))
+		outcome, err := view.settle(ctx, group.batch.Transaction(table.NewTransactionID()), paid)
+		paid = false
 		if err != nil {
 			b.fail(ctx, group, err)
 			return
 		}
-		b.metrics.BatchedChanges.Inc(int64(len(group.members)))
+		b.client.metrics.BatchedChanges.Inc(int64(len(group.members)))
 		if outcome.Applied {
 			group.answerAll(changeAnswer{outcome: outcome})
 			return
@@ -70,8 +72,9 @@
 
 // sendEach carries out each change in a transaction of its own.
 func (b *Batcher) sendEach(ctx context.Context, group *batchGroup) {
+	view := b.client.For(b.purpose)
 	for _, p := range group.members {
-		outcome, err := b.table.Commit(ctx, table.Transaction{
+		outcome, err := view.Commit(ctx, table.Transaction{
 			ID:         table.NewTransactionID(),
 			Conditions: p.change.Conditions,
 			Writes:     p.change.Writes,
