--- a/table/client/client_test.go
+++ b/table/client/client_test.go
@@ -153,6 +153,7 @@
 					for _, r := range results {
 						f.expectTrue(g, r)
 					}
+					t.Log(countReports(results))
 					g.Expect(results).To(HaveLen(96))
 					g.Expect(results).To(ContainElement(Satisfy(func(r told) bool { return r.outcome.Applied })))
 				})
@@ -161,6 +162,23 @@
 	}
 }
 
+func countReports(results []told) map[string]int {
+	counts := make(map[string]int)
+	for _, r := range results {
+		switch {
+		case r.err == nil && r.outcome.Applied:
+			counts["applied"]++
+		case r.err == nil:
+			counts["refused"]++
+		case errors.Is(r.err, table.ErrUnavailable):
+			counts["unavailable"]++
+		default:
+			counts["unsettled"]++
+		}
+	}
+	return counts
+}
+
 func TestRepeatOfAnUnsettledTransactionGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
