--- a/table/client/commit.go
+++ b/table/client/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
@@ -20,16 +21,17 @@
 
 // settle is Commit, with the budget of the first attempt already paid or not.
 func (v *view) settle(ctx context.Context, txn table.Transaction, paid bool) (table.Outcome, error) {
-	c := v.client
+	c, begin := v.client, time.Now()
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
-	state, err := c.unsettled.begin(txn.ID)
+	entry, err := c.unsettled.begin(txn.ID, begin)
 	if err != nil {
 		return table.Outcome{}, err
 	}
-	settler := &settler{view: v, txn: txn, paid: paid, delays: c.newBackoff()}
-	state, action := settler.run(ctx, state)
-	c.unsettled.end(txn.ID, state, action == table.ReportUnsettled)
+	defer func() { c.metrics.recordCommit(v.purpose, time.Since(begin)) }()
+	settler := &settler{view: v, txn: txn, since: entry.since, paid: paid, delays: c.newBackoff()}
+	state, action := settler.run(ctx, entry.state)
+	c.unsettled.end(txn.ID, ledgerEntry{state: state, since: entry.since}, action == table.ReportUnsettled)
 	c.generation.Add(1)
 	return settler.report(action)
 }
@@ -38,6 +40,8 @@
 type settler struct {
 	view *view
 	txn  table.Transaction
+	// since is when the first call for the transaction began.
+	since time.Time
 	// paid says that the budget of the next attempt has been taken.
 	paid    bool
 	delays  *backoff.ExponentialBackOff
@@ -104,7 +108,7 @@
 
 func (s *settler) sendFence(ctx context.Context) (table.SettleEvent, bool) {
 	s.view.client.metrics.Fences.Inc(1)
-	outcome, err := s.view.client.commitOnce(ctx, s.view.client.settlingWrites(), table.Fence(s.txn.ID))
+	outcome, err := s.view.client.commitOnce(ctx, s.view.client.settlingWrites(), table.Fence(s.txn.ID, time.Now()))
 	s.err = err
 	if err != nil {
 		return table.FenceFailed, true
@@ -128,9 +132,18 @@
 	if result.ok {
 		return table.FenceRowFound, false
 	}
+	if elapsed(s.since, time.Now()) > table.FenceTrust {
+		return table.DeadlinePassed, false // the row may have been swept
+	}
 	return table.FenceRowAbsent, false
 }
 
+// elapsed returns the time that has passed by the clock that says more: the
+// monotonic one stands still while a machine is suspended.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
 // report turns the last action into what the caller hears.
 func (s *settler) report(action table.SettleAction) (table.Outcome, error) {
 	metrics := s.view.client.metrics
--- a/table/client/ledger.go
+++ b/table/client/ledger.go
@@ -14,9 +14,6 @@
 	// that number it refuses further transactions, since it could not settle
 	// a repeat of them truly.
 	maxUnsettled = 16_384
-	// unsettledRetention is how long a caller has to repeat an unsettled
-	// transaction.
-	unsettledRetention = 10 * time.Minute
 )
 
 // ledger remembers the state of the transactions that callers were told are
@@ -31,6 +28,7 @@
 
 type ledgerEntry struct {
 	state table.Settlement
+	// since is when the first call for the transaction began.
 	since time.Time
 }
 
@@ -38,36 +36,45 @@
 	return &ledger{entries: make(map[table.TransactionID]ledgerEntry)}
 }
 
-// begin returns the state that the settlement of the transaction begins with.
-func (l *ledger) begin(id table.TransactionID) (table.Settlement, error) {
+// begin returns what is known of the transaction, or a fresh entry.
+func (l *ledger) begin(id table.TransactionID, now time.Time) (ledgerEntry, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	entry, known := l.entries[id]
-	if !known && len(l.entries)+l.running >= maxUnsettled {
-		l.expire(time.Now())
+	if known && elapsed(entry.since, now) > table.FenceTrust {
+		return ledgerEntry{}, errors.Wrap(table.ErrUnsettled, "too late to settle")
 	}
-	if !known && len(l.entries)+l.running >= maxUnsettled {
-		return table.Settlement{}, errors.Wrap(table.ErrUnavailable, "too many unsettled transactions")
+	if !known && l.isFull() {
+		l.expire(now)
+	}
+	if !known && l.isFull() {
+		return ledgerEntry{}, errors.Wrap(table.ErrUnavailable, "too many unsettled transactions")
+	}
+	if !known {
+		entry.since = now
 	}
 	l.running++
-	return entry.state, nil
+	return entry, nil
 }
 
+func (l *ledger) isFull() bool { return len(l.entries)+l.running >= maxUnsettled }
+
 // end notes how the settlement ended.
-func (l *ledger) end(id table.TransactionID, state table.Settlement, unsettled bool) {
+func (l *ledger) end(id table.TransactionID, entry ledgerEntry, unsettled bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.running--
 	if unsettled {
-		l.entries[id] = ledgerEntry{state: state, since: time.Now()}
+		l.entries[id] = entry
 		return
 	}
 	delete(l.entries, id)
 }
 
+// expire forgets what is too late to settle.
 func (l *ledger) expire(now time.Time) {
 	for id, entry := range l.entries {
-		if now.Sub(entry.since) > unsettledRetention {
+		if elapsed(entry.since, now) > table.FenceTrust {
 			delete(l.entries, id)
 		}
 	}
--- a/table/client/metrics.go
+++ b/table/client/metrics.go
@@ -1,6 +1,13 @@
 package client
 
-import "github.com/uber-go/tally/v4"
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel/internal/telemetry"
+	"github.com/carobkeel/carobkeel/table"
+)
 
 // Metrics counts what happens to transactions and reads.
 type Metrics struct {
@@ -25,12 +32,16 @@
 	BreakerRefusals tally.Counter
 	// BatchedChanges counts changes that batches carried.
 	BatchedChanges tally.Counter
+	// commitLatency is the time from a commit to its report, by purpose.
+	commitLatency []tally.Histogram
+	// readLatency is the time of a read with its retries, by purpose.
+	readLatency []tally.Histogram
 }
 
 // NewMetrics returns the metrics in the scope.
 func NewMetrics(root tally.Scope) *Metrics {
 	scope := root.SubScope("table")
-	return &Metrics{
+	m := &Metrics{
 		Applied:         scope.Counter("commits_applied"),
 		Refused:         scope.Counter("commits_refused"),
 		Unavailable:     scope.Counter("commits_unavailable"),
@@ -44,4 +55,18 @@
 		BreakerRefusals: scope.Counter("breaker_refusals"),
 		BatchedChanges:  scope.Counter("batched_changes"),
 	}
+	for _, purpose := range table.Purposes() {
+		tagged := scope.Tagged(map[string]string{"purpose": purpose.String()})
+		m.commitLatency = append(m.commitLatency, tagged.Histogram("commit_latency", telemetry.LatencyBuckets()))
+		m.readLatency = append(m.readLatency, tagged.Histogram("read_latency", telemetry.LatencyBuckets()))
+	}
+	return m
+}
+
+func (m *Metrics) recordCommit(p table.Purpose, took time.Duration) {
+	m.commitLatency[p].RecordDuration(took)
+}
+
+func (m *Metrics) recordRead(p table.Purpose, took time.Duration) {
+	m.readLatency[p].RecordDuration(took)
 }
--- a/table/client/read.go
+++ b/table/client/read.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -42,7 +43,8 @@
 // shareRead joins the running read of the key or starts one. The shared read
 // goes on when the one that started it leaves.
 func shareRead[T any](ctx context.Context, v *view, key string, read func(context.Context) (T, error)) (T, error) {
-	c := v.client
+	c, begin := v.client, time.Now()
+	defer func() { c.metrics.recordRead(v.purpose, time.Since(begin)) }()
 	key = strconv.FormatUint(c.generation.Load(), 10) + "\x00" + strconv.Itoa(int(v.purpose)) + "\x00" + key
 	c.metrics.Reads.Inc(1)
 	flight := c.flights.DoChan(key, func() (any, error) {
--- /dev/null
+++ b/table/client/sweep.go
@@ -0,0 +1,31 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// sweepPage is how many rows a sweep reads at once.
+const sweepPage = 256
+
+// SweepFences deletes the fence rows that clients which died have left. One
+// process calls it once in a while, an hour or longer apart.
+func (c *Client) SweepFences(ctx context.Context) error {
+	view := c.For(table.PurposeSettling)
+	for after := ""; ; {
+		rows, err := view.Range(ctx, table.FencePrefix, after, sweepPage)
+		if err != nil || len(rows) == 0 {
+			return err
+		}
+		after = rows[len(rows)-1].Key
+		txn, any := table.SweepFences(table.NewTransactionID(), rows, time.Now())
+		if !any {
+			continue
+		}
+		if _, err := view.Commit(ctx, txn); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/table/fence.go
@@ -0,0 +1,44 @@
+package table
+
+import (
+	"encoding/binary"
+	"time"
+)
+
+// FencePrefix begins the keys of the rows that fences write.
+const FencePrefix = "fence/"
+
+const (
+	// FenceTrust is how long after a settlement began its client may believe
+	// that an absent fence row was never written.
+	FenceTrust = 10 * time.Minute
+	// FenceRetention is how old a fence row is at least when it is swept. It
+	// exceeds FenceTrust by more than clocks differ.
+	FenceRetention = time.Hour
+)
+
+// FenceKey returns the key of the row that the fence of a transaction writes.
+func FenceKey(id TransactionID) string { return FencePrefix + id.String() }
+
+// Fence returns the fence of a transaction. Its row holds the time in seconds.
+func Fence(id TransactionID, now time.Time) Transaction {
+	value := binary.BigEndian.AppendUint64(nil, uint64(now.Unix()))
+	return Transaction{ID: id, Writes: []Write{{Key: FenceKey(id), Value: value}}}
+}
+
+// SweepFences returns a transaction that deletes the rows that are past
+// FenceRetention, which clients that died have left. The second result is false
+// where there are none.
+func SweepFences(id TransactionID, rows []Row, now time.Time) (Transaction, bool) {
+	txn := Transaction{ID: id}
+	for _, row := range rows {
+		if len(row.Value) != 8 {
+			continue
+		}
+		written := time.Unix(int64(binary.BigEndian.Uint64(row.Value)), 0)
+		if now.Sub(written) > FenceRetention {
+			txn.Writes = append(txn.Writes, Write{Key: row.Key, Delete: true})
+		}
+	}
+	return txn, len(txn.Writes) > 0
+}
--- a/table/settle.go
+++ b/table/settle.go
@@ -1,8 +1,5 @@
 package table
 
-// FencePrefix begins the keys of the rows that fences write.
-const FencePrefix = "fence/"
-
 // SettleEvent is what became of a step of a settlement.
 type SettleEvent uint8
 
@@ -143,11 +140,3 @@
 	}
 	return false
 }
-
-// FenceKey returns the key of the row that the fence of a transaction writes.
-func FenceKey(id TransactionID) string { return FencePrefix + id.String() }
-
-// Fence returns the fence of a transaction.
-func Fence(id TransactionID) Transaction {
-	return Transaction{ID: id, Writes: []Write{{Key: FenceKey(id)}}}
-}
