--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -33,8 +33,13 @@
 	return []suite{
 		catalogueSuite(),
 		telemetrySuite(),
+		sidecarsSuite(),
+		linksSuite(),
 		pathSuite(),
 		tableSuite(),
+		placementSuite(),
+		pickSuite(),
+		floodSuite(),
 	}
 }
 
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -16,55 +16,33 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // serve carries one request from its arrival to its outcome.
-func (s *Server) serve(st *stream, open *wire.Open) {
+func (s *Server) serve(st *stream, request *caller.Request) {
 	defer st.close()
-	request := requestOf(open, time.Now())
-	st.idempotent.Store(request.Idempotent)
 	record, fresh := s.ledger.Begin(request.ID, request.Key != "")
 	if !fresh {
 		st.replay(record)
 		return
 	}
 	st.record.Store(record)
-	if st.body != nil {
-		request.Body = st.body
-	}
-	ctx, cancel := context.WithDeadline(st.ctx, request.Deadline)
-	defer cancel()
-	if refusal := s.enter(ctx, request); refusal != nil {
+	held, refusal := s.enter(st.ctx, request)
+	if refusal != nil {
 		record.Refuse(refusal, time.Now())
 		s.metrics.refused(refusal.Code)
 		st.answer(record.Outcome())
 		return
 	}
-	defer s.gate.leave()
+	defer held.release()
 	if !record.Start() {
 		st.answer(record.Outcome())
 		return
 	}
 	s.metrics.started()
-	s.call(ctx, st, record, request)
-}
-
-// enter lets the request wait for a slot.
-func (s *Server) enter(ctx context.Context, r *caller.Request) *carobkeel.Error {
-	if s.draining.Load() {
-		return carobkeel.NewError(carobkeel.CodeDraining, "the upstream is shutting down")
-	}
-	refusal := s.gate.enter(ctx, entry.Waiting{Class: r.Class, Deadline: r.Deadline})
-	if refusal != nil {
-		return refusal
-	}
-	if ctx.Err() != nil {
-		s.gate.leave()
-		return carobkeel.NewError(carobkeel.CodeTimeoutNotRun, "the time ran out before a slot was free")
-	}
-	return nil
+	s.call(st.ctx, st, record, request, held)
 }
 
 // call sends a started request to the upstream and gives back its answer.
-func (s *Server) call(ctx context.Context, st *stream, record *entry.Record, r *caller.Request) {
-	answer, err := s.upstream.Do(ctx, r)
+func (s *Server) call(ctx context.Context, st *stream, record *entry.Record, r *caller.Request, held *hold) {
+	answer, err := held.do(ctx, s.upstream, r)
 	if err != nil {
 		s.finish(st, record, &entry.Outcome{Refusal: carobkeel.AsError(err)})
 		return
@@ -94,6 +72,8 @@
 
 // stream sends an answer that is too long to be kept, in pieces.
 func (s *Server) stream(st *stream, record *entry.Record, answer *caller.Answer) {
+	out := st.startPieces()
+	defer out.cancel(nil)
 	st.send(wire.Encode(wire.TypeAnswer, st.number, &wire.Answer{
 		Status:      answer.Status,
 		Header:      wire.FromFields(answer.Header),
@@ -102,7 +82,7 @@
 		Load:        s.load(),
 	}))
 	var sum uint32
-	length, err := st.outgoing.Send(st.linkCtx, answer.Body, func(data []byte) error {
+	length, err := out.sender.Send(out.ctx, answer.Body, func(data []byte) error {
 		sum = crc32.Update(sum, castagnoli, data)
 		if !st.send(frame.Frame{Type: wire.TypeAnswerBody, Stream: st.number, Payload: data}) {
 			return errLinkLost
@@ -110,7 +90,7 @@
 		return nil
 	})
 	lost := carobkeel.NewError(carobkeel.CodeAnswerLost, "the answer was too long to be kept")
-	if err != nil && st.linkCtx.Err() == nil {
+	if err != nil && out.ctx.Err() == nil {
 		lost = brokenOff(err)
 	}
 	record.Finish(&entry.Outcome{Refusal: lost}, time.Now())
@@ -142,7 +122,8 @@
 	select {
 	case <-record.Done():
 		st.answer(record.Outcome())
-	case <-st.linkCtx.Done():
+	case <-st.session.linkCtx.Done():
+	case <-st.ctx.Done():
 	}
 }
 
@@ -151,7 +132,8 @@
 		ID:         carobkeel.RequestID{Entry: carobkeel.Incarnation(o.EntryIncarnation), Sequence: o.Sequence},
 		Service:    carobkeel.Service(o.Service),
 		Owner:      carobkeel.Owner(o.Owner),
-		Class:      carobkeel.Class(o.Class),
+		Class:      classOf(o.Class),
+		Floor:      float64(o.Floor) / floorUnit,
 		Method:     o.Method,
 		Path:       o.Path,
 		Header:     wire.ToFields(o.Header),
--- a/sidecar/client/ask.go
+++ b/sidecar/client/ask.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,14 +18,14 @@
 // Choose returns the sidecar for a request, passing over the addresses tried.
 // The third result is false where there is none.
 func (f *Forwarder) Choose(r *caller.Request, tried []string) (string, carobkeel.Incarnation, bool) {
-	serving := f.views.View().Serving(r.Service)
+	view := f.views.View()
 	var passed []*sidecar.Member
-	for _, member := range serving {
-		if slices.Contains(tried, member.Address) {
+	for _, address := range tried {
+		if member, ok := view.Member(address); ok {
 			passed = append(passed, member)
 		}
 	}
-	member := sidecar.Pick(serving, rand.Uint64(), passed)
+	member := f.pick(r, passed)
 	if member == nil {
 		return "", 0, false
 	}
@@ -51,7 +49,7 @@
 // Ask returns the answer of a request that was sent to the sidecar before, or a
 // refusal that says whether it ran. Every error is a *carobkeel.Error.
 func (f *Forwarder) Ask(ctx context.Context, address string, home carobkeel.Incarnation, id carobkeel.RequestID) (*caller.Answer, error) {
-	s, got := f.query(ctx, address, home, id, func(wire.Load) {})
+	s, got := f.query(ctx, address, home, id, nil)
 	if got.refusal != nil {
 		return nil, got.refusal
 	}
@@ -60,14 +58,14 @@
 
 // query asks the sidecar over a living link what became of a request that was
 // sent on another one.
-func (f *Forwarder) query(ctx context.Context, address string, home carobkeel.Incarnation, id carobkeel.RequestID, load func(wire.Load)) (*stream, result) {
+func (f *Forwarder) query(ctx context.Context, address string, home carobkeel.Incarnation, id carobkeel.RequestID, m *sidecar.Member) (*stream, result) {
 	f.metrics.query()
 	unknown := carobkeel.NewError(carobkeel.CodeLinkLost, "sidecar %s can't be asked what became of the request", address)
 	c, err := f.reach(ctx, address)
 	if err != nil || c.incarnation() != home {
 		return nil, result{refusal: unknown}
 	}
-	s, ok := newStream(ctx, c, load)
+	s, ok := newStream(ctx, c, m, false)
 	if !ok {
 		return nil, result{refusal: unknown}
 	}
