Share the clock, and let claims go through the Batcher

Cause: two packages had the same parking wait; claims.Writer writes one row. Change: internal/clock; Batcher.Write has the form of claims.Writer. Conclusion: one wait in place of two.

--- a/cmd/benchmark/table.go
+++ b/cmd/benchmark/table.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/client"
 	"github.com/carobkeel/carobkeel/table/faulty"
@@ -56,7 +57,7 @@
 }
 
 func startTableService(seed uint64) (table.Table, func(), error) {
-	rows := faulty.New(memory.New(), seed, faulty.SystemClock{})
+	rows := faulty.New(memory.New(), seed, clock.System{})
 	limits := faulty.Faults{
 		Delay:           tableDelay,
 		WritesPerSecond: table.ServiceWritesPerSecond,
--- a/cmd/carobkeel/standin_table.go
+++ b/cmd/carobkeel/standin_table.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/objectstore/httpstore"
 	objectmemory "github.com/carobkeel/carobkeel/objectstore/memory"
 	"github.com/carobkeel/carobkeel/table/faulty"
@@ -68,7 +69,7 @@
 }
 
 func standinHandler(config faulty.Config) (http.Handler, error) {
-	rows := faulty.New(memory.New(), config.Seed, faulty.SystemClock{})
+	rows := faulty.New(memory.New(), config.Seed, clock.System{})
 	if err := rows.Set(config.Faults); err != nil {
 		return nil, err
 	}
--- a/table/client/batcher.go
+++ b/table/client/batcher.go
@@ -191,3 +191,8 @@
 	clear(waiting[len(rest):])
 	return group, rest
 }
+
+// Write is Submit for one write on one condition.
+func (b *Batcher) Write(ctx context.Context, condition table.Condition, write table.Write) (table.Outcome, error) {
+	return b.Submit(ctx, table.Change{Conditions: []table.Condition{condition}, Writes: []table.Write{write}})
+}
--- a/table/client/batcher_test.go
+++ b/table/client/batcher_test.go
@@ -11,11 +11,15 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/client"
 	"github.com/carobkeel/carobkeel/table/faulty"
 )
 
+// Claims of idempotency keys go through a Batcher.
+var _ claims.Writer = (*client.Batcher)(nil)
+
 // startBatcher runs a batcher until the returned function is called.
 func startBatcher(c *client.Client, config client.BatcherConfig) (*client.Batcher, func()) {
 	batcher := client.NewBatcher(c, table.PurposeClaims, config)
--- a/table/client/client.go
+++ b/table/client/client.go
@@ -140,18 +140,6 @@
 	return b
 }
 
-// pause parks until the next retry is due, or returns ctx's error.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // cause returns context.Canceled where the caller's time ended, which does not
 // count against the service, and err otherwise.
 func cause(ctx context.Context, err error) error {
--- a/table/client/client_test.go
+++ b/table/client/client_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/client"
 	"github.com/carobkeel/carobkeel/table/faulty"
@@ -45,7 +46,7 @@
 
 func newFixture(seed uint64) *fixture {
 	f := &fixture{rows: memory.New()}
-	f.faults = faulty.New(f.rows, seed, faulty.SystemClock{})
+	f.faults = faulty.New(f.rows, seed, clock.System{})
 	f.calls = &counted{Table: f.faults}
 	f.client = client.New(f.calls, client.DefaultConfig(), newMetrics())
 	return f
--- a/table/client/commit.go
+++ b/table/client/commit.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 )
 
@@ -59,7 +60,7 @@
 	for !action.IsReport() {
 		event, failed := s.perform(ctx, action)
 		state, action = state.Next(event)
-		if s.rejected || (failed && pause(ctx, s.delays.NextBackOff()) != nil) {
+		if s.rejected || (failed && clock.Sleep(ctx, s.delays.NextBackOff()) != nil) {
 			state, action = state.Next(table.DeadlinePassed)
 		}
 	}
@@ -180,7 +181,7 @@
 		delays := c.newBackoff()
 		for {
 			_, err := c.commitOnce(ctx, c.settlingWrites(), drop)
-			if err == nil || pause(ctx, delays.NextBackOff()) != nil {
+			if err == nil || clock.Sleep(ctx, delays.NextBackOff()) != nil {
 				return
 			}
 		}
--- a/table/client/read.go
+++ b/table/client/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 )
 
@@ -71,7 +72,7 @@
 		if err == nil || !errors.Is(err, table.ErrUnavailable) {
 			return result, err
 		}
-		if pause(ctx, delays.NextBackOff()) != nil {
+		if clock.Sleep(ctx, delays.NextBackOff()) != nil {
 			return result, err
 		}
 	}
--- a/table/faulty/faults.go
+++ b/table/faulty/faults.go
@@ -5,7 +5,6 @@
 package faulty
 
 import (
-	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,31 +60,3 @@
 	}
 	return nil
 }
-
-// Clock tells the time and waits. Tests put in one of their own.
-type Clock interface {
-	Now() time.Time
-	// Sleep returns ctx's error where ctx ends before d has passed.
-	Sleep(ctx context.Context, d time.Duration) error
-}
-
-// SystemClock is the clock of the process.
-type SystemClock struct{}
-
-// Now implements Clock.
-func (SystemClock) Now() time.Time { return time.Now() }
-
-// Sleep implements Clock.
-func (SystemClock) Sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/table/faulty/faulty.go
+++ b/table/faulty/faulty.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 )
 
@@ -16,7 +17,7 @@
 // when it began.
 type Table struct {
 	inner table.Table
-	clock Clock
+	clock clock.Clock
 	seed  uint64
 	calls atomic.Uint64
 	state atomic.Pointer[state]
@@ -30,8 +31,8 @@
 
 // New wraps inner with no faults. The order of calls and the seed fix every
 // random choice.
-func New(inner table.Table, seed uint64, clock Clock) *Table {
-	t := &Table{inner: inner, clock: clock, seed: seed}
+func New(inner table.Table, seed uint64, c clock.Clock) *Table {
+	t := &Table{inner: inner, clock: c, seed: seed}
 	t.state.Store(&state{})
 	return t
 }
--- a/table/faulty/faulty_test.go
+++ b/table/faulty/faulty_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/memory"
@@ -28,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		inner := memory.New()
-		outer := faulty.New(inner, 1, faulty.SystemClock{})
+		outer := faulty.New(inner, 1, clock.System{})
 		g.Expect(outer.Set(f)).To(Succeed())
 		test(g, outer, inner)
 	})
@@ -108,7 +109,7 @@
 func TestSeedFixesTheFaults(t *testing.T) {
 	g := NewWithT(t)
 	trace := func(seed uint64) (lost []bool) {
-		outer := faulty.New(memory.New(), seed, faulty.SystemClock{})
+		outer := faulty.New(memory.New(), seed, clock.System{})
 		g.Expect(outer.Set(faulty.Faults{LostAnswers: 0.5})).To(Succeed())
 		for range 64 {
 			_, err := outer.Commit(context.Background(), set("k", 0))
@@ -122,7 +123,7 @@
 
 func TestValuesOutOfRangeAreRefused(t *testing.T) {
 	g := NewWithT(t)
-	outer := faulty.New(memory.New(), 1, faulty.SystemClock{})
+	outer := faulty.New(memory.New(), 1, clock.System{})
 	g.Expect(outer.Set(faulty.Faults{Conflicts: 1.5})).NotTo(Succeed())
 	g.Expect(outer.Set(faulty.Faults{Delay: -1})).NotTo(Succeed())
 	g.Expect(outer.Faults()).To(Equal(faulty.Faults{}))
