--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -36,6 +36,7 @@
 		sidecarsSuite(),
 		linksSuite(),
 		pathSuite(),
+		tableSuite(),
 		placementSuite(),
 		pickSuite(),
 		floodSuite(),
--- a/table/httptable/httptable_test.go
+++ b/table/httptable/httptable_test.go
@@ -88,9 +88,9 @@
 	It("refuses what JSON would change and what the server can't read", func() {
 		client := serve(httptable.NewHandler(memory.New()))
 		_, err := client.Commit(ctx, set("\xff", "1", 0))
-		Expect(errors.Is(err, httptable.ErrInvalid)).To(BeTrue())
+		Expect(errors.Is(err, table.ErrInvalid)).To(BeTrue())
 		_, err = client.Range(ctx, "", "", -1)
-		Expect(errors.Is(err, httptable.ErrInvalid)).To(BeTrue())
+		Expect(errors.Is(err, table.ErrInvalid)).To(BeTrue())
 	})
 
 	It("calls a service that can't be reached unavailable", func() {
