Show how to embed the decisions, and give the soak a catalogue

Cause: others are to embed the decisions, and nothing showed how; the soak's entries need a catalogue.

The soak applies a catalogue by the operators' command and tells entries their peers.

Measured: go test -race -run Example . and ./cmd/soak: pass. make soak was not run: the entry takes neither -table nor edits yet.

Conclusion: the soak waits for these two.

--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -54,10 +54,13 @@
 	}
 	for range c.entries {
 		entry := &member{addresses: map[string]string{"caller": loopback, "operator": loopback, "link": loopback}}
+		f.entries = append(f.entries, entry)
 		if err := f.startEntry(ctx, entry); err != nil {
 			return f, err
 		}
-		f.entries = append(f.entries, entry)
+	}
+	if err = f.applyCatalogue(ctx); err != nil {
+		return f, err
 	}
 	for range c.sidecars {
 		if err := f.addSidecar(ctx); err != nil {
@@ -67,14 +70,16 @@
 	return f, f.waitServing(ctx)
 }
 
-// startEntry starts an entry at its addresses and keeps those that it got.
+// startEntry starts an entry at its addresses and keeps those that it got. Its
+// peers are the entries that have started before it.
 func (f *fleet) startEntry(ctx context.Context, entry *member) error {
 	started, err := startProcess(ctx, f.binary, f.logs, "entry",
 		"-listen", entry.addresses["caller"],
 		"-operator-listen", entry.addresses["operator"],
 		"-link-listen", entry.addresses["link"],
 		"-data-centre", soakDataCentre,
-		"-table", "http://"+f.table.process.ready["table"],
+		"-table", f.table.process.ready["table"],
+		"-peers", strings.Join(f.linksExcept(entry), ","),
 	)
 	if err != nil {
 		return err
@@ -83,6 +88,18 @@
 	return nil
 }
 
+// linksExcept returns the addresses of the event links of the other entries that
+// have started.
+func (f *fleet) linksExcept(self *member) []string {
+	var links []string
+	for _, entry := range f.entries {
+		if link := entry.addresses["link"]; entry != self && link != loopback {
+			links = append(links, link)
+		}
+	}
+	return links
+}
+
 // addSidecar starts an upstream in this process and a sidecar beside it.
 func (f *fleet) addSidecar(ctx context.Context) error {
 	listener, err := net.Listen("tcp", loopback)
@@ -101,13 +118,9 @@
 }
 
 func (f *fleet) startSidecar(ctx context.Context, sidecar *member) error {
-	var links []string
-	for _, entry := range f.entries {
-		links = append(links, entry.addresses["link"])
-	}
 	started, err := startProcess(ctx, f.binary, f.logs, "sidecar",
 		"-upstream", sidecar.upstream, "-service", soakService,
-		"-entries", strings.Join(links, ","), "-data-centre", soakDataCentre,
+		"-entries", strings.Join(f.linksExcept(nil), ","), "-data-centre", soakDataCentre,
 	)
 	sidecar.process = started
 	return err
--- /dev/null
+++ b/example_test.go
@@ -0,0 +1,66 @@
+package carobkeel_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/sidecar"
+)
+
+// A program that has its own transport can use the choice of a sidecar alone:
+// it hands announcements to a view, and picks from the view for each request.
+func Example_chooseSidecar() {
+	now := time.Unix(1_700_000_000, 0)
+	view := sidecar.NewView()
+	for i, address := range []string{"10.0.0.1:9000", "10.0.0.2:9000"} {
+		view, _ = view.Announce(sidecar.Announcement{
+			Incarnation: carobkeel.Incarnation(i + 1), Sequence: 1, Started: now,
+			Address: address, Service: "dispatch", State: sidecar.StateServing, Slots: 8,
+		}, now)
+	}
+	busy, _ := view.Member("10.0.0.1:9000")
+	busy.Live.InFlight.Add(6)
+
+	// The random number comes from the caller, so the choice can be repeated.
+	const random = 1 << 32
+	chosen := sidecar.Pick(view.Serving("dispatch"), random, nil)
+	fmt.Println(chosen.Address)
+
+	// A request that has to go elsewhere names the members it was sent to.
+	other := sidecar.Pick(view.Serving("dispatch"), random, []*sidecar.Member{chosen})
+	fmt.Println(other.Address)
+
+	// An announcement of the shutdown takes the member out of the next view.
+	leaving := chosen.Announcement
+	leaving.Sequence, leaving.State = 2, sidecar.StateDraining
+	view, _ = view.Announce(leaving, now)
+	fmt.Println(len(view.Serving("dispatch")))
+	// Output:
+	// 10.0.0.2:9000
+	// 10.0.0.1:9000
+	// 1
+}
+
+// Catalogues are immutable: a change makes the next one.
+func Example_changeCatalogue() {
+	first := (&carobkeel.Catalogue{}).With(1, carobkeel.Entry{
+		Name: "dispatch", Owner: "msaada", Class: carobkeel.ClassLatencyCritical,
+	})
+	second := first.Without(2, "dispatch")
+	_, before := first.Lookup("dispatch")
+	_, after := second.Lookup("dispatch")
+	fmt.Println(before, after, second.Revision)
+	// Output: true false 2
+}
+
+// Every failure that a caller sees has a code, and says whether the request
+// ran.
+func Example_resultCodes() {
+	err := carobkeel.NewError(carobkeel.CodeQueueFull, "64 requests wait").WithRetryAfter(time.Second)
+	fmt.Println(err)
+	fmt.Println(err.Ran, err.Code.Info().Retryable)
+	// Output:
+	// queue-full (202): 64 requests wait
+	// no true
+}
