--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -36,6 +36,9 @@
 		sidecarsSuite(),
 		linksSuite(),
 		pathSuite(),
+		placementSuite(),
+		pickSuite(),
+		floodSuite(),
 	}
 }
 
--- a/example_test.go
+++ b/example_test.go
@@ -20,16 +20,19 @@
 		}, now)
 	}
 	busy, _ := view.Member("10.0.0.1:9000")
-	busy.Live.InFlight.Add(6)
+	for range 6 {
+		busy.Live.Begin(carobkeel.ClassLatencyCritical)
+	}
 
-	// The random number comes from the caller, so the choice can be repeated.
-	const random = 1 << 32
-	chosen := sidecar.Pick(view.Serving("dispatch"), random, nil)
+	// The time and the random number come from the caller, so the choice can be
+	// repeated.
+	choice := sidecar.Choice{Class: carobkeel.ClassLatencyCritical, Random: 1 << 32, Now: now}
+	chosen := view.Pool("dispatch").Pick(choice)
 	fmt.Println(chosen.Address)
 
 	// A request that has to go elsewhere names the members it was sent to.
-	other := sidecar.Pick(view.Serving("dispatch"), random, []*sidecar.Member{chosen})
-	fmt.Println(other.Address)
+	choice.Tried = []*sidecar.Member{chosen}
+	fmt.Println(view.Pool("dispatch").Pick(choice).Address)
 
 	// An announcement of the shutdown takes the member out of the next view.
 	leaving := chosen.Announcement
--- a/sidecar/client/stream.go
+++ b/sidecar/client/stream.go
@@ -127,9 +127,15 @@
 }
 
 func (s *stream) load(l wire.Load) {
-	if s.member != nil {
-		s.member.Live.Remote.Store(int64(l.Running) + int64(l.Queued))
-	}
+	if s.member == nil {
+		return
+	}
+	s.member.Live.Report(sidecar.Load{
+		Running:      int(l.Running),
+		Queued:       int(l.Queued),
+		UrgentQueued: int(l.UrgentQueued),
+		Limit:        int(l.Limit),
+	})
 }
 
 func (s *stream) ended(end wire.AnswerEnd) {
