Run the soak against the table's stand-in

Cause: entries now take -table and follow the catalogue there.

Change: the soak writes its catalogue to the stand-in before it starts the entries; -fault-gap 0 runs it without faults.

--- a/cmd/soak/catalogue.go
+++ b/cmd/soak/catalogue.go
@@ -1,36 +1,26 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	_ "embed"
-	"os/exec"
-	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/operator/catalogfile"
+	"github.com/carobkeel/carobkeel/operator/store"
+	"github.com/carobkeel/carobkeel/table/httptable"
 )
 
 //go:embed catalogue.yaml
 var catalogueFile []byte
 
-// applyCatalogue makes the soak's service known, by the operators' command. An
-// entry that has just started may not take edits yet, so it is tried again.
-func (f *fleet) applyCatalogue(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	var last []byte
-	for ctx.Err() == nil {
-		command := exec.CommandContext(ctx, f.binary,
-			"catalogue", "apply", "-operator", f.entries[0].addresses["operator"], "-by", "soak", "-")
-		command.Stdin = bytes.NewReader(catalogueFile)
-		out, err := command.CombinedOutput()
-		if err == nil {
-			return nil
-		}
-		if len(out) > 0 {
-			last = out
-		}
-		park(ctx, time.Second)
+// seedCatalogue writes the soak's service to the table before the entries start.
+func seedCatalogue(ctx context.Context, tableAddress string) error {
+	document, err := catalogfile.Read(catalogueFile)
+	if err != nil {
+		return errors.Wrap(err, "read the catalogue")
 	}
-	return errors.Errorf("the catalogue was not taken: %s", last)
+	rows := httptable.NewClient(tableAddress, nil)
+	err = store.New(store.Config{Table: rows}).Seed(ctx, document, "soak")
+	return errors.Wrap(err, "write the catalogue")
 }
--- a/cmd/soak/fleet.go
+++ b/cmd/soak/fleet.go
@@ -52,6 +52,9 @@
 	if f.table.process, err = startProcess(ctx, f.binary, logs, "standin-table", "-listen", loopback); err != nil {
 		return f, err
 	}
+	if err := seedCatalogue(ctx, f.table.process.ready["table"]); err != nil {
+		return f, err
+	}
 	for range c.entries {
 		entry := &member{addresses: map[string]string{"caller": loopback, "operator": loopback, "link": loopback}}
 		f.entries = append(f.entries, entry)
@@ -59,9 +62,6 @@
 			return f, err
 		}
 	}
-	if err = f.applyCatalogue(ctx); err != nil {
-		return f, err
-	}
 	for range c.sidecars {
 		if err := f.addSidecar(ctx); err != nil {
 			return f, err
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -30,6 +30,7 @@
 	binary            string
 	seed              uint64
 	duration          time.Duration
+	faultGap          time.Duration
 	rate              float64
 	entries, sidecars int
 	out, logs, commit string
@@ -60,6 +61,7 @@
 	fs.StringVar(&c.binary, "binary", "", "binary of carobkeel; built from this module where empty")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of the faults and the load")
 	fs.DurationVar(&c.duration, "duration", time.Minute, "how long the load lasts")
+	fs.DurationVar(&c.faultGap, "fault-gap", defaultFaultGap, "mean time between two faults; no faults where 0")
 	fs.Float64Var(&c.rate, "rate", 200, "requests a second")
 	fs.IntVar(&c.entries, "entries", 2, "number of entries")
 	fs.IntVar(&c.sidecars, "sidecars", 3, "number of upstreams with a sidecar")
@@ -135,7 +137,7 @@
 	attempts := newAttempts()
 	load := c.load(f)
 	load.OnResult = attempts.add
-	faults := planFaults(c.seed, c.duration, c.entries, c.sidecars)
+	faults := planFaults(c.seed, c.duration, c.faultGap, c.entries, c.sidecars)
 	f.started = time.Now()
 	failures := make(chan []string, 1)
 	go func() { failures <- f.inflictAll(ctx, faults) }()
--- a/cmd/soak/schedule.go
+++ b/cmd/soak/schedule.go
@@ -39,21 +39,24 @@
 const (
 	// quietShare of the run at its start and its end has no faults.
 	quietShare = 0.15
-	// faultGap is the mean time between two faults.
-	faultGap = 4 * time.Second
-	minPause = 200 * time.Millisecond
-	maxPause = 6 * time.Second
+	// defaultFaultGap is the mean time between two faults.
+	defaultFaultGap = 4 * time.Second
+	minPause        = 200 * time.Millisecond
+	maxPause        = 6 * time.Second
 )
 
-// planFaults returns the faults of a run, in order. The same seed gives the same
-// faults.
-func planFaults(seed uint64, duration time.Duration, entries, sidecars int) []fault {
+// planFaults returns the faults of a run, in order, none where the gap is zero.
+// The same seed gives the same faults.
+func planFaults(seed uint64, duration, gap time.Duration, entries, sidecars int) []fault {
+	if gap <= 0 {
+		return nil
+	}
 	random := rand.New(rand.NewPCG(seed, uint64(len(faultKinds))))
 	quiet := time.Duration(float64(duration) * quietShare)
 	var faults []fault
 	at := quiet
 	for {
-		at += time.Duration(random.ExpFloat64() * float64(faultGap))
+		at += time.Duration(random.ExpFloat64() * float64(gap))
 		if at >= duration-quiet {
 			return faults
 		}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -15,9 +15,10 @@
 
 func TestFaultsAreOrderedAndFixedByTheSeed(t *testing.T) {
 	g := NewWithT(t)
-	faults := planFaults(7, 10*time.Minute, 2, 3)
-	g.Expect(planFaults(7, 10*time.Minute, 2, 3)).To(Equal(faults))
-	g.Expect(planFaults(8, 10*time.Minute, 2, 3)).NotTo(Equal(faults))
+	faults := planFaults(7, 10*time.Minute, defaultFaultGap, 2, 3)
+	g.Expect(planFaults(7, 10*time.Minute, defaultFaultGap, 2, 3)).To(Equal(faults))
+	g.Expect(planFaults(8, 10*time.Minute, defaultFaultGap, 2, 3)).NotTo(Equal(faults))
+	g.Expect(planFaults(7, 10*time.Minute, 0, 2, 3)).To(BeEmpty())
 	seen := make(map[faultKind]bool)
 	last := 90 * time.Second
 	for _, f := range faults {
