Count the store's calls for the capacity page

Cause: the page had no unit costs for the table service, the catalogue's memory and the sidecar's copy of the catalogue.

Change: the suite store counts transactions and reads of an edit, of a look for news and of a keyed request; the suite catalogue measures memory. The model reads them, takes the inverse of what shares a transaction, and lists what rate the store's limits carry where nobody gave one.

--- a/cmd/benchmark/catalogue.go
+++ b/cmd/benchmark/catalogue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -27,7 +28,10 @@
 		for _, size := range []int{100, 1_000, 10_000} {
 			name := fmt.Sprintf("apply-change-%d-entries", size)
 			cost := applyChangeCost(size)
-			figures = append(figures, targeted(name, cost, "us", atMost, budget))
+			memory := fmt.Sprintf("memory-%d-entries", size)
+			figures = append(figures,
+				targeted(name, cost, "us", atMost, budget),
+				targeted(memory, catalogueMemory(size), "KB", atMost, nodeMemoryKB))
 		}
 		return figures, nil
 	}}
@@ -48,3 +52,23 @@
 	}
 	return float64(time.Since(start).Microseconds()) / catalogueRounds
 }
+
+// catalogueMemory returns the KB that a catalogue takes.
+func catalogueMemory(size int) float64 {
+	before := liveHeapBytes()
+	entries := make(map[string]*carobkeel.Entry, size)
+	for i := range size {
+		name := fmt.Sprintf("service-%d", i)
+		entries[name] = &carobkeel.Entry{
+			Name: name, Owner: carobkeel.Owner(fmt.Sprintf("owner-%d", i%catalogueOwners)),
+			Limits: carobkeel.Limits{Timeout: time.Second, Concurrency: 8, Queue: 64, Floor: 0.5, BodyBytes: 1 << 20},
+		}
+	}
+	catalogue := &carobkeel.Catalogue{Revision: 1, Entries: entries}
+	kb := float64(liveHeapBytes()-before) / 1024
+	runtime.KeepAlive(catalogue)
+	return kb
+}
+
+// catalogueOwners is the number of owners of a sample catalogue.
+const catalogueOwners = 300
--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -35,6 +35,7 @@
 		telemetrySuite(),
 		sidecarsSuite(),
 		linksSuite(),
+		storeSuite(),
 		pathSuite(),
 		placementSuite(),
 		pickSuite(),
--- a/cmd/capacity/events.go
+++ b/cmd/capacity/events.go
@@ -42,7 +42,7 @@
 				serviceTasks.over(dataCentres).over(shards.quantity), urgentStart, "placement, spread over the other shards",
 			},
 			{
-				"write the new assignments", plain("table/writes-per-start"), serviceTasks.over(dataCentres), urgentStart,
+				"write the new assignments", batched("table/claims-per-transaction-at-peak"), serviceTasks.over(dataCentres), urgentStart,
 				"assignments in batches",
 			},
 		}},
@@ -60,7 +60,7 @@
 		}},
 		{"10,000 cancellations at once", []step{
 			{
-				"write them", plain("table/writes-per-cancellation"), cancellations, urgentStart, "cancellations in batches",
+				"write them", plain("store/writes-per-cancellation"), cancellations, urgentStart, "cancellations in batches",
 			},
 			{
 				"free the places of their tasks", at("placement/commit-N-workers", shardWorkers), cancellations.over(shards.quantity),
--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/carobkeel/carobkeel/entry/announcer"
+	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/internal/link"
 )
 
@@ -14,6 +15,7 @@
 	owners        = amount(300, "owners")
 	dataCentres   = amount(10, "data centres")
 	changesPerDay = amount(34_000, "changes a day")
+	jobsPerDay    = amount(120_000, "jobs a day")
 	replacedHosts = amount(3_200, "hosts restarted or replaced a day")
 	daySeconds    = amount(86_400, "s a day")
 	cancellations = amount(10_000, "cancellations")
@@ -50,6 +52,7 @@
 	changesPerSec   = changesPerDay.over(daySeconds)
 	announceSeconds = amount(announcer.HeartbeatInterval.Seconds(), "s between announcements")
 	pingSeconds     = amount(link.DefaultConfig().HeartbeatInterval.Seconds(), "s between pings")
+	pollSeconds     = amount(spreader.PollInterval.Seconds(), "s between reads")
 	pingAndPong     = amount(2, "frames")
 	bothWays        = amount(2, "directions")
 	checksPerSec    = amount(2, "looks a second")
--- a/cmd/capacity/line.go
+++ b/cmd/capacity/line.go
@@ -27,8 +27,11 @@
 	figure string
 	// size is where a slope is read off. It is unset for a plain figure.
 	size quantity
-	// isRate says that the figure counts units a second of one core.
-	isRate bool
+	// perUnit is set where the figure counts how many units one of its own
+	// measure carries; the cost of a unit is then the inverse, in this unit.
+	perUnit string
+	// each is the measure that the figure is a number for, in the unit perUnit.
+	each float64
 }
 
 // at returns the cost of a figure that was measured at several sizes.
@@ -39,9 +42,13 @@
 
 // rateAt returns the cost of one unit of a figure in units a second of a core.
 func rateAt(figure string, size quantity) cost {
-	return cost{figure: figure, size: size, isRate: true}
+	return cost{figure: figure, size: size, perUnit: "us", each: microsPerSecond}
 }
 
+// batched returns the cost of one unit of a figure that says how many share a
+// transaction.
+func batched(figure string) cost { return cost{figure: figure, perUnit: "writes", each: 1} }
+
 // line is one row of the page: how often something happens or is kept, and what
 // one of it takes. A result is cost × count.
 type line struct {
@@ -80,15 +87,19 @@
 		if !ok {
 			return unitCost{}, false
 		}
-		return unitCost{record.Value, record.Unit, source(record.Figure(), record.Commit)}, true
+		unit := unitCost{record.Value, record.Unit, source(record.Figure(), record.Commit)}
+		if c.perUnit != "" {
+			unit.value, unit.unit = c.each/record.Value, c.perUnit
+		}
+		return unit, true
 	}
 	series, ok := r.series[c.figure]
 	if !ok {
 		return unitCost{}, false
 	}
 	points, unit := series.Points, series.Unit
-	if c.isRate {
-		points, unit = inverse(points), "us"
+	if c.perUnit != "" {
+		points, unit = inverse(points, c.each), c.perUnit
 	}
 	fitted, err := measurement.Fit(points)
 	if err != nil {
@@ -107,11 +118,11 @@
 // noteworthyError is the relative distance from a line that the page mentions.
 const noteworthyError = 0.25
 
-func inverse(points []measurement.Point) []measurement.Point {
+func inverse(points []measurement.Point, each float64) []measurement.Point {
 	var inverted []measurement.Point
 	for _, p := range points {
 		if p.Value > 0 {
-			inverted = append(inverted, measurement.Point{Size: p.Size, Value: microsPerSecond / p.Value})
+			inverted = append(inverted, measurement.Point{Size: p.Size, Value: each / p.Value})
 		}
 	}
 	return inverted
--- a/cmd/capacity/page.go
+++ b/cmd/capacity/page.go
@@ -38,6 +38,7 @@
 	for _, role := range roles {
 		renderRole(&page, role, outcomes)
 	}
+	renderCarried(&page, r)
 	renderEvents(&page, r)
 	return page.String()
 }
@@ -135,6 +136,25 @@
 	return text
 }
 
+// renderCarried lists the rates that the store's limits carry where nothing else
+// uses it.
+func renderCarried(page *strings.Builder, r *results) {
+	page.WriteString("\n## What the store's limits carry\n\nNobody gave the rate of this work. If nothing else used the store, it would carry:\n\n")
+	page.WriteString("| what | resource | cost of one | carried a second, in all |\n|---|---|---|---|\n")
+	for _, c := range carriedWork() {
+		info := c.resource.info()
+		unit, rate := "not measured: `"+c.cost.figure+"`", "not measured"
+		if found, ok := r.lookup(c.cost); ok {
+			unit = fmt.Sprintf("%s %s (%s)", number(found.value), found.unit, found.source)
+			rate = "unbounded"
+			if found.value > 0 {
+				rate = number(info.limit / found.value)
+			}
+		}
+		fmt.Fprintf(page, "| %s | %s | %s | %s |\n", c.what, info.name, unit, rate)
+	}
+}
+
 func renderEvents(page *strings.Builder, r *results) {
 	page.WriteString("\n## Days that are not ordinary\n\nThe time on one core, or at the store's rate, against the time that it may take.\n")
 	page.WriteString("What is not a sum of work, such as the time until a loss is noticed, is not here.\n")
--- a/cmd/capacity/quantity.go
+++ b/cmd/capacity/quantity.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/carobkeel/carobkeel/table"
 )
 
 // quantity is a number with the text that says how it comes about. Products and
@@ -72,8 +74,8 @@
 	bytesPerMB = 1 << 20
 	bytesPerKB = 1 << 10
 	// storeWritesPerSecond reads "several hundred writes" at its lower end.
-	storeWritesPerSecond = 300
-	storeReadsPerSecond  = 2_000
+	storeWritesPerSecond = table.ServiceWritesPerSecond
+	storeReadsPerSecond  = table.ServiceReadsPerSecond
 )
 
 var resources = [resourceCount]resourceInfo{
--- a/cmd/capacity/roles.go
+++ b/cmd/capacity/roles.go
@@ -67,6 +67,18 @@
 			roleSidecar, memory, "event links to the entries", at("links/memory-N-links", entries), one,
 			everySidecarLinks, "framed TCP links with a reading buffer each",
 		},
+		{
+			roleSidecar, memory, "catalogue", at("catalogue/memory-N-entries", catalogueEntries.quantity), one,
+			wholeCatalogue, "an immutable catalogue, swapped at each change",
+		},
+		{
+			roleSidecar, processor, "catalogue changes", at("catalogue/apply-change-N-entries", catalogueEntries.quantity),
+			changesPerSec, wholeCatalogue, "a copy of the catalogue for each change",
+		},
+		{
+			roleSidecar, traffic, "catalogue changes", plain("spread/change-size"), changesPerSec,
+			"each change comes once", "events over the links to the entries",
+		},
 		{
 			roleSidecar, memory, "ledger of keyed requests", plain("path/ledger-memory"), one,
 			"the keyed requests of the retention time", "the sidecar's ledger",
@@ -114,24 +126,28 @@
 func storeLines() []line {
 	return []line{
 		{
-			roleTable, storeWrites, "task starts at the peak", plain("table/writes-per-start"), startsPerSec,
-			"every start is written before it is sent", "assignments in batches",
+			roleTable, storeWrites, "task starts at the peak", batched("table/claims-per-transaction-at-peak"), startsPerSec,
+			"every start is written before it is sent; one process fills the batches", "claims that share a transaction",
 		},
 		{
-			roleTable, storeWrites, "jobs accepted", plain("table/writes-per-job"), amount(120_000, "jobs a day").over(daySeconds),
+			roleTable, storeWrites, "jobs accepted", plain("store/writes-per-job"), jobsPerDay.over(daySeconds),
 			"a job is durable before it is accepted", "a row for each job",
 		},
 		{
-			roleTable, storeWrites, "catalogue changes", plain("table/writes-per-change"), changesPerSec,
-			"one conditional transaction for each change", "rows of entries with a head revision",
+			roleTable, storeWrites, "catalogue changes", plain("store/writes-per-change"), changesPerSec,
+			"no two edits race", "one conditional transaction for each change",
 		},
 		{
-			roleTable, storeWrites, "shard leases", plain("table/writes-per-renewal-second"), shards.quantity,
+			roleTable, storeReads, "catalogue changes", plain("store/reads-per-change"), changesPerSec,
+			"no two edits race", "the head revision, read before the edit",
+		},
+		{
+			roleTable, storeWrites, "shard leases", plain("store/writes-per-renewal-second"), shards.quantity,
 			"one holder for each shard", "leases with an epoch",
 		},
 		{
-			roleTable, storeReads, "entries that follow the catalogue", plain("table/reads-per-follow-second"), entries,
-			"each entry looks for news at the table", "the head revision, read before anything else",
+			roleTable, storeReads, "entries that look for news", plain("store/reads-per-poll"), entries.over(pollSeconds),
+			"every entry reads the head by itself", "the head revision; news go on over event links",
 		},
 		{
 			roleObjectStore, storeWrites, "checkpoints of evicted tasks", plain("objectstore/writes-per-checkpoint"),
@@ -156,3 +172,21 @@
 		},
 	}
 }
+
+// carried is work whose rate nobody gave. The page says what rate the store's
+// limit carries.
+type carried struct {
+	what     string
+	resource resource
+	cost     cost
+}
+
+func carriedWork() []carried {
+	return []carried{
+		{"requests with an idempotency key", storeWrites, plain("store/writes-per-keyed-request")},
+		{"requests with an idempotency key", storeReads, plain("store/reads-per-keyed-request")},
+		{"changes of the catalogue", storeWrites, plain("store/writes-per-change")},
+		{"changes of the catalogue", storeReads, plain("store/reads-per-change")},
+		{"task starts", storeWrites, batched("table/claims-per-transaction-at-peak")},
+	}
+}
