Show outages as gaps in the plot, and ends that came early

Cause: the plot drew a line across a time without answers, and a run that was ended early looked whole.

Change: a line is broken where there was no answer; the report says when a run was ended early.

Measured: nothing but the tests; go test -race ./cmd/soak ./entry/loadtest/... ./cmd/carobkeel: pass.

Conclusion: both kinds of run can be read from the report alone.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -134,7 +134,7 @@
 func (f *fleet) underLoad(ctx context.Context, c config) (*result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	attempts := newAttempts()
+	attempts := &attempts{}
 	load := c.load(f)
 	load.OnResult = attempts.add
 	faults := planFaults(c.seed, c.duration, c.faultGap, c.entries, c.sidecars)
@@ -147,7 +147,7 @@
 		Time: f.started.UTC().Truncate(time.Second), Commit: c.commit, Seed: c.seed,
 		Faults: faults, Errors: errs, Load: sent,
 	}
-	r.Counts, r.Findings = judge(attempts.all(), f.records.Runs, f.hurt)
+	r.Counts, r.Findings = judge(attempts.byName(), f.records.Runs, f.hurt)
 	return r, nil
 }
 
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,3 +92,23 @@
 		"caller": "127.0.0.1:1", "link": "127.0.0.1:2",
 	}))
 }
+
+func TestAttemptsAreCollectedFromManyGoroutines(t *testing.T) {
+	g := NewWithT(t)
+	const senders, each = 20, 50
+	all := &attempts{}
+	var waiting sync.WaitGroup
+	for range senders {
+		waiting.Go(func() {
+			for i := range each {
+				all.add(loadtest.Result{Name: strconv.Itoa(i)})
+			}
+		})
+	}
+	waiting.Wait()
+	byName := all.byName()
+	g.Expect(byName).To(HaveLen(each))
+	for _, found := range byName {
+		g.Expect(found).To(HaveLen(senders))
+	}
+}
--- a/entry/loadtest/loadtest.go
+++ b/entry/loadtest/loadtest.go
@@ -112,9 +112,14 @@
 			t.finish(t.send(request, jobs))
 		})
 	}
+	ended := time.Since(t.start)
 	waiting.Wait()
 	t.closeConnections()
-	return t.report()
+	result := t.report()
+	if ctx.Err() != nil && ended < t.config.Plan.Duration {
+		result.EndedAfter = report.SecondsOf(ended)
+	}
+	return result
 }
 
 // waitFor parks until the intended start, and returns false when ctx ends.
--- a/entry/loadtest/loadtest_test.go
+++ b/entry/loadtest/loadtest_test.go
@@ -98,7 +98,9 @@
 		c.Transport = roundTripper(func(r *http.Request) (*http.Response, error) { return echo(r), nil })
 		ctx, cancel := context.WithTimeout(context.Background(), 505*time.Millisecond)
 		defer cancel()
-		g.Expect(loadtest.New(c).Run(ctx).Totals.Count.Answered).To(BeEquivalentTo(50))
+		report := loadtest.New(c).Run(ctx)
+		g.Expect(report.Totals.Count.Answered).To(BeEquivalentTo(50))
+		g.Expect(report.EndedAfter).To(BeEquivalentTo(0.505))
 	})
 }
 
--- a/entry/loadtest/report/plot.go
+++ b/entry/loadtest/report/plot.go
@@ -95,11 +95,11 @@
 	return errors.Wrap(err, "write the plot")
 }
 
-// series is one line of a plot.
+// series is one line of a plot. It is broken where there is nothing to show.
 type series struct {
 	name   string
 	colour color.Color
-	points plotter.XYs
+	pieces []plotter.XYs
 }
 
 func newPlot(title, x, y string) *plot.Plot {
@@ -122,16 +122,17 @@
 
 func addSeries(p *plot.Plot, all ...series) error {
 	for _, s := range all {
-		if len(s.points) == 0 {
-			continue
-		}
-		line, err := plotter.NewLine(s.points)
-		if err != nil {
-			return errors.Wrapf(err, "draw %s", s.name)
+		for i, piece := range s.pieces {
+			line, err := plotter.NewLine(piece)
+			if err != nil {
+				return errors.Wrapf(err, "draw %s", s.name)
+			}
+			line.Color, line.Width = s.colour, lineWidth
+			p.Add(line)
+			if i == 0 {
+				p.Legend.Add(s.name, line)
+			}
 		}
-		line.Color, line.Width = s.colour, lineWidth
-		p.Add(line)
-		p.Legend.Add(s.name, line)
 	}
 	return nil
 }
@@ -159,15 +160,24 @@
 	p.X.Min, p.X.Max = 0, legendRoom*math.Max(float64(r.Settings.Duration), float64(r.Interval))
 }
 
-// latencies returns the points of the slots with answers.
-func (r *Report) latencies(value func(Slot) Millis) plotter.XYs {
-	var points plotter.XYs
+// latencies returns a piece for each run of slots with answers, so that an
+// outage is a gap.
+func (r *Report) latencies(value func(Slot) Millis) []plotter.XYs {
+	var pieces []plotter.XYs
+	goesOn := false
 	for _, slot := range r.Timeline {
-		if slot.Answered > 0 {
-			points = append(points, plotter.XY{X: float64(slot.At), Y: float64(max(value(slot), leastLatency))})
+		if slot.Answered == 0 {
+			goesOn = false
+			continue
+		}
+		if !goesOn {
+			pieces = append(pieces, nil)
 		}
+		goesOn = true
+		last := len(pieces) - 1
+		pieces[last] = append(pieces[last], plotter.XY{X: float64(slot.At), Y: float64(max(value(slot), leastLatency))})
 	}
-	return points
+	return pieces
 }
 
 // latencyRange returns powers of ten around all latencies in milliseconds.
@@ -203,12 +213,20 @@
 	return p, err
 }
 
-func (r *Report) rates(value func(Slot) uint64) plotter.XYs {
+func (r *Report) rates(value func(Slot) uint64) []plotter.XYs {
 	var points plotter.XYs
 	for _, slot := range r.Timeline {
 		points = append(points, plotter.XY{X: float64(slot.At), Y: float64(value(slot)) / float64(r.Interval)})
 	}
-	return points
+	return pieceOf(points)
+}
+
+// pieceOf returns the points as one piece, none where there are no points.
+func pieceOf(points plotter.XYs) []plotter.XYs {
+	if len(points) == 0 {
+		return nil
+	}
+	return []plotter.XYs{points}
 }
 
 func (r *Report) greatestRate() float64 {
@@ -252,7 +270,7 @@
 			points = append(points, plotter.XY{X: rarity(point.Percentile), Y: float64(max(point.Latency, leastLatency))})
 		}
 	}
-	err := addSeries(p, series{"answered", colourBlue, points})
+	err := addSeries(p, series{"answered", colourBlue, pieceOf(points)})
 	p.X.Min, p.X.Max = 1, 10
 	if len(points) > 0 {
 		p.X.Max = math.Max(10, points[len(points)-1].X)
--- a/entry/loadtest/report/report.go
+++ b/entry/loadtest/report/report.go
@@ -25,7 +25,9 @@
 	Format   int       `json:"format"`
 	Started  time.Time `json:"started"`
 	Settings Settings  `json:"settings"`
-	Totals   Group     `json:"totals"`
+	// EndedAfter is when the run was ended early, zero where it was not.
+	EndedAfter Seconds `json:"ended_after_seconds,omitempty"`
+	Totals     Group   `json:"totals"`
 	// Groups break the totals down by service, owner and class.
 	Groups []Group `json:"groups"`
 	// Timeline has a slot for each Interval of the run.
--- a/entry/loadtest/report/text.go
+++ b/entry/loadtest/report/text.go
@@ -19,6 +19,9 @@
 	for _, flood := range s.Floods {
 		fmt.Fprintf(w, "flood: %s\n", flood.Text)
 	}
+	if r.EndedAfter > 0 {
+		fmt.Fprintf(w, "ended early, after %s\n", r.EndedAfter)
+	}
 	fmt.Fprintln(w)
 	if err := writeTable(w, countHeader(), r.rows(countRow)); err != nil {
 		return err
