Keep the soak's results in the history

Cause: a promise that a later commit breaks has to be seen by commit.

Change: cmd/soak -history adds its counts to docs/MEASUREMENTS.md.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -98,7 +98,7 @@
 		}
 	}
 	if history != "" {
-		return addHistory(history, records)
+		return measurement.AddToPage(history, records)
 	}
 	return nil
 }
--- a/cmd/benchmark/output.go
+++ b/cmd/benchmark/output.go
@@ -40,13 +40,3 @@
 	}
 	return err
 }
-
-// addHistory adds the records to the page of all measurements.
-func addHistory(path string, records []measurement.Record) error {
-	page, err := os.ReadFile(path)
-	if err != nil && !os.IsNotExist(err) {
-		return errors.Wrap(err, "read the history")
-	}
-	history := measurement.ParseHistory(string(page)).Add(records)
-	return errors.Wrap(os.WriteFile(path, []byte(history.String()), 0o644), "write the history")
-}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,6 +22,7 @@
 	"github.com/carobkeel/carobkeel/entry/loadtest"
 	"github.com/carobkeel/carobkeel/entry/loadtest/plan"
 	"github.com/carobkeel/carobkeel/entry/loadtest/report"
+	"github.com/carobkeel/carobkeel/internal/measurement"
 	"github.com/carobkeel/carobkeel/internal/settings"
 )
 
@@ -34,6 +35,7 @@
 	rate              float64
 	entries, sidecars int
 	out, logs, commit string
+	history           string
 }
 
 // result is a run as it is written to a file.
@@ -66,6 +68,7 @@
 	fs.IntVar(&c.entries, "entries", 2, "number of entries")
 	fs.IntVar(&c.sidecars, "sidecars", 3, "number of upstreams with a sidecar")
 	fs.StringVar(&c.out, "out", "", "file for the result as JSON")
+	fs.StringVar(&c.history, "history", "", "page of measurements that the result is added to")
 	fs.StringVar(&c.logs, "logs", "", "file for the logs of the processes; none where empty")
 	fs.StringVar(&c.commit, "commit", "unknown", "commit that is tested")
 	if err := settings.Parse(fs, args); err != nil {
@@ -74,7 +77,7 @@
 	}
 	r, err := soak(ctx, c)
 	if err == nil {
-		err = r.write(c.out)
+		err = r.save(c)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
@@ -196,6 +199,17 @@
 	return errs
 }
 
+// save writes the result to the files that were asked for.
+func (r *result) save(c config) error {
+	if err := r.write(c.out); err != nil {
+		return err
+	}
+	if c.history == "" {
+		return nil
+	}
+	return measurement.AddToPage(c.history, r.records())
+}
+
 func (r *result) write(path string) error {
 	if path == "" {
 		return nil
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/entry/loadtest"
+	"github.com/carobkeel/carobkeel/entry/loadtest/report"
 )
 
 func TestFaultsAreOrderedAndFixedByTheSeed(t *testing.T) {
@@ -112,3 +115,14 @@
 		g.Expect(found).To(HaveLen(senders))
 	}
 }
+
+func TestARunIsAddedToTheHistory(t *testing.T) {
+	g := NewWithT(t)
+	page := filepath.Join(t.TempDir(), "MEASUREMENTS.md")
+	r := &result{Time: time.Unix(0, 0), Commit: "abc", Seed: 2, Counts: counts{Lost: 2}, Load: &report.Report{}}
+	g.Expect(r.save(config{history: page})).To(Succeed())
+	text, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).To(ContainSubstring("### soak/lost (requests)"))
+	g.Expect(string(text)).To(ContainSubstring("| abc | 2 | 2 | - | <=0 | miss |"))
+}
--- a/internal/measurement/history.go
+++ b/internal/measurement/history.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"os"
 	"regexp"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // worseBy is the relative change against the best earlier value from which a
@@ -19,7 +22,8 @@
 const historyHeader = `# Measurements
 
 Every figure by commit, as ` + "`make history`" + ` measured and appended it
-(` + "`go run ./cmd/benchmark -history docs/MEASUREMENTS.md`" + `). The change is
+(` + "`go run ./cmd/benchmark -history docs/MEASUREMENTS.md`" + `), and those of the
+soak as ` + "`go run ./cmd/soak -history docs/MEASUREMENTS.md`" + ` did. The change is
 against the line before. Figures vary from run to run and from host to host:
 compare lines of one host, and run again what looks worse.
 `
@@ -70,6 +74,17 @@
 	return history
 }
 
+// AddToPage adds the records to the page at a path. A page that is absent is
+// begun.
+func AddToPage(path string, records []Record) error {
+	page, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return errors.Wrap(err, "read the history")
+	}
+	history := ParseHistory(string(page)).Add(records)
+	return errors.Wrap(os.WriteFile(path, []byte(history.String()), 0o644), "write the history")
+}
+
 // Add appends the records, each to its figure.
 func (h History) Add(records []Record) History {
 	for _, record := range records {
