Measure the sample catalogues, and compare lines of one seed

Cause: the examples were not part of the benchmark, and the history compared lines of different seeds. Change: the suite examples reads and accepts both users' catalogues. The history's change and its list of what got worse look at lines of one seed.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -36,6 +36,7 @@
 		sidecarsSuite(),
 		linksSuite(),
 		storeSuite(),
+		examplesSuite(),
 		pathSuite(),
 		placementSuite(),
 		pickSuite(),
--- a/internal/measurement/history.go
+++ b/internal/measurement/history.go
@@ -24,7 +24,7 @@
 Every figure by commit, as ` + "`make history`" + ` measured and appended it
 (` + "`go run ./cmd/benchmark -history docs/MEASUREMENTS.md`" + `), and those of the
 soak as ` + "`go run ./cmd/soak -history docs/MEASUREMENTS.md`" + ` did. The change is
-against the line before. Figures vary from run to run and from host to host:
+against the line before with the same seed. Figures vary from run to run and from host to host:
 compare lines of one host, and run again what looks worse.
 `
 
@@ -156,17 +156,37 @@
 	page.WriteString("| date | commit | seed | value | change | target | verdict |\n|---|---|---|---|---|---|---|\n")
 	for i, row := range f.Rows {
 		change := "-"
-		if i > 0 && f.Rows[i-1].Value != 0 {
-			before := f.Rows[i-1].Value
-			change = fmt.Sprintf("%+.1f%%", 100*(row.Value-before)/before)
+		if before, ok := f.before(i); ok && before.Value != 0 {
+			change = fmt.Sprintf("%+.1f%%", 100*(row.Value-before.Value)/before.Value)
 		}
 		fmt.Fprintf(page, "| %s | %s | %d | %s | %s | %s | %s |\n", row.Date, row.Commit, row.Seed,
 			strconv.FormatFloat(row.Value, 'g', 5, 64), change, row.Target, row.Verdict)
 	}
 }
 
+// before returns the line before the given one that has its seed.
+func (f FigureHistory) before(index int) (HistoryRow, bool) {
+	for i := index - 1; i >= 0; i-- {
+		if f.Rows[i].Seed == f.Rows[index].Seed {
+			return f.Rows[i], true
+		}
+	}
+	return HistoryRow{}, false
+}
+
+// best returns the best line before the given one that has its seed.
+func (f FigureHistory) best(index int, higherIsBetter bool) (HistoryRow, bool) {
+	best, ok := f.before(index)
+	for _, row := range f.Rows[:index] {
+		if row.Seed == f.Rows[index].Seed && (row.Value > best.Value) == higherIsBetter {
+			best = row
+		}
+	}
+	return best, ok
+}
+
 // worse returns a line for each figure whose last value is worse than its best
-// earlier one. A figure with a lower bound is better when it is greater, every
+// earlier one with the same seed. A figure with a lower bound is better when it is greater, every
 // other one when it is less.
 func (h History) worse() []string {
 	var lines []string
@@ -175,21 +195,16 @@
 		if last < 1 {
 			continue
 		}
-		higherIsBetter := strings.HasPrefix(figure.Rows[last].Target, ">=")
-		best := figure.Rows[0].Value
-		for _, row := range figure.Rows[:last] {
-			if (row.Value > best) == higherIsBetter {
-				best = row.Value
-			}
-		}
-		value := figure.Rows[last].Value
-		isWorse := value > best*(1+worseBy)
+		row := figure.Rows[last]
+		higherIsBetter := strings.HasPrefix(row.Target, ">=")
+		best, ok := figure.best(last, higherIsBetter)
+		isWorse := row.Value > best.Value*(1+worseBy)
 		if higherIsBetter {
-			isWorse = value < best*(1-worseBy)
+			isWorse = row.Value < best.Value*(1-worseBy)
 		}
-		if isWorse {
+		if ok && isWorse {
 			lines = append(lines, fmt.Sprintf("- %s: %.5g %s at %s, best earlier line %.5g\n",
-				figure.Figure, value, figure.Unit, figure.Rows[last].Commit, best))
+				figure.Figure, row.Value, figure.Unit, row.Commit, best.Value))
 		}
 	}
 	return lines
--- a/internal/measurement/measurement_test.go
+++ b/internal/measurement/measurement_test.go
@@ -74,3 +74,12 @@
 	g.Expect(page).To(ContainSubstring("- catalogue/cost: 12 us at bbb, best earlier line 10"))
 	g.Expect(page).To(ContainSubstring("- catalogue/rate: 80 us at bbb, best earlier line 100"))
 }
+
+func TestLinesOfAnotherSeedAreNotCompared(t *testing.T) {
+	g := NewWithT(t)
+	other := record(60, "bbb", "cost", 50, "<=78")
+	other.Seed = 2
+	history := measurement.History(nil).Add([]measurement.Record{record(0, "aaa", "cost", 10, "<=78"), other})
+	g.Expect(history.String()).To(ContainSubstring("| bbb | 2 | 50 | - |"))
+	g.Expect(history.String()).To(ContainSubstring("None is more than 10% worse"))
+}
