--- a/internal/measurement/history.go
+++ b/internal/measurement/history.go
@@ -24,8 +24,8 @@
 Every figure by commit, as ` + "`make history`" + ` measured and appended it
 (` + "`go run ./cmd/benchmark -history docs/MEASUREMENTS.md`" + `), and those of the
 soak as ` + "`go run ./cmd/soak -history docs/MEASUREMENTS.md`" + ` did. The change is
-against the line before with the same seed. Figures vary from run to run and from host to host:
-compare lines of one host, and run again what looks worse.
+against the line before with the same seed. Figures vary from run to run and from
+host to host: compare lines of one host, and run again what looks worse.
 `
 
 // HistoryRow is one line of a figure's history.
