--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -35,6 +35,8 @@
 		telemetrySuite(),
 		sidecarsSuite(),
 		linksSuite(),
+		storeSuite(),
+		examplesSuite(),
 		pathSuite(),
 		tableSuite(),
 		placementSuite(),
@@ -98,7 +100,7 @@
 		}
 	}
 	if history != "" {
-		return addHistory(history, records)
+		return measurement.AddToPage(history, records)
 	}
 	return nil
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -22,6 +22,7 @@
 	"github.com/carobkeel/carobkeel/entry/loadtest"
 	"github.com/carobkeel/carobkeel/entry/loadtest/plan"
 	"github.com/carobkeel/carobkeel/entry/loadtest/report"
+	"github.com/carobkeel/carobkeel/internal/measurement"
 	"github.com/carobkeel/carobkeel/internal/settings"
 )
 
@@ -30,9 +31,11 @@
 	binary            string
 	seed              uint64
 	duration          time.Duration
+	faultGap          time.Duration
 	rate              float64
 	entries, sidecars int
 	out, logs, commit string
+	history           string
 }
 
 // result is a run as it is written to a file.
@@ -60,10 +63,12 @@
 	fs.StringVar(&c.binary, "binary", "", "binary of carobkeel; built from this module where empty")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of the faults and the load")
 	fs.DurationVar(&c.duration, "duration", time.Minute, "how long the load lasts")
+	fs.DurationVar(&c.faultGap, "fault-gap", defaultFaultGap, "mean time between two faults; no faults where 0")
 	fs.Float64Var(&c.rate, "rate", 200, "requests a second")
 	fs.IntVar(&c.entries, "entries", 2, "number of entries")
 	fs.IntVar(&c.sidecars, "sidecars", 3, "number of upstreams with a sidecar")
 	fs.StringVar(&c.out, "out", "", "file for the result as JSON")
+	fs.StringVar(&c.history, "history", "", "page of measurements that the result is added to")
 	fs.StringVar(&c.logs, "logs", "", "file for the logs of the processes; none where empty")
 	fs.StringVar(&c.commit, "commit", "unknown", "commit that is tested")
 	if err := settings.Parse(fs, args); err != nil {
@@ -72,7 +77,7 @@
 	}
 	r, err := soak(ctx, c)
 	if err == nil {
-		err = r.write(c.out)
+		err = r.save(c)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
@@ -132,10 +137,10 @@
 func (f *fleet) underLoad(ctx context.Context, c config) (*result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	attempts := newAttempts()
+	attempts := &attempts{}
 	load := c.load(f)
 	load.OnResult = attempts.add
-	faults := planFaults(c.seed, c.duration, c.entries, c.sidecars)
+	faults := planFaults(c.seed, c.duration, c.faultGap, c.entries, c.sidecars)
 	f.started = time.Now()
 	failures := make(chan []string, 1)
 	go func() { failures <- f.inflictAll(ctx, faults) }()
@@ -145,7 +150,7 @@
 		Time: f.started.UTC().Truncate(time.Second), Commit: c.commit, Seed: c.seed,
 		Faults: faults, Errors: errs, Load: sent,
 	}
-	r.Counts, r.Findings = judge(attempts.all(), f.records.Runs, f.hurt)
+	r.Counts, r.Findings = judge(attempts.byName(), f.records.Runs, f.hurt)
 	return r, nil
 }
 
@@ -194,6 +199,17 @@
 	return errs
 }
 
+// save writes the result to the files that were asked for.
+func (r *result) save(c config) error {
+	if err := r.write(c.out); err != nil {
+		return err
+	}
+	if c.history == "" {
+		return nil
+	}
+	return measurement.AddToPage(c.history, r.records())
+}
+
 func (r *result) write(path string) error {
 	if path == "" {
 		return nil
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -4,6 +4,10 @@
 	"bytes"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,13 +15,15 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/entry/loadtest"
+	"github.com/carobkeel/carobkeel/entry/loadtest/report"
 )
 
 func TestFaultsAreOrderedAndFixedByTheSeed(t *testing.T) {
 	g := NewWithT(t)
-	faults := planFaults(7, 10*time.Minute, 2, 3)
-	g.Expect(planFaults(7, 10*time.Minute, 2, 3)).To(Equal(faults))
-	g.Expect(planFaults(8, 10*time.Minute, 2, 3)).NotTo(Equal(faults))
+	faults := planFaults(7, 10*time.Minute, defaultFaultGap, 2, 3)
+	g.Expect(planFaults(7, 10*time.Minute, defaultFaultGap, 2, 3)).To(Equal(faults))
+	g.Expect(planFaults(8, 10*time.Minute, defaultFaultGap, 2, 3)).NotTo(Equal(faults))
+	g.Expect(planFaults(7, 10*time.Minute, 0, 2, 3)).To(BeEmpty())
 	seen := make(map[faultKind]bool)
 	last := 90 * time.Second
 	for _, f := range faults {
@@ -89,3 +95,34 @@
 		"caller": "127.0.0.1:1", "link": "127.0.0.1:2",
 	}))
 }
+
+func TestAttemptsAreCollectedFromManyGoroutines(t *testing.T) {
+	g := NewWithT(t)
+	const senders, each = 20, 50
+	all := &attempts{}
+	var waiting sync.WaitGroup
+	for range senders {
+		waiting.Go(func() {
+			for i := range each {
+				all.add(loadtest.Result{Name: strconv.Itoa(i)})
+			}
+		})
+	}
+	waiting.Wait()
+	byName := all.byName()
+	g.Expect(byName).To(HaveLen(each))
+	for _, found := range byName {
+		g.Expect(found).To(HaveLen(senders))
+	}
+}
+
+func TestARunIsAddedToTheHistory(t *testing.T) {
+	g := NewWithT(t)
+	page := filepath.Join(t.TempDir(), "MEASUREMENTS.md")
+	r := &result{Time: time.Unix(0, 0), Commit: "abc", Seed: 2, Counts: counts{Lost: 2}, Load: &report.Report{}}
+	g.Expect(r.save(config{history: page})).To(Succeed())
+	text, err := os.ReadFile(page)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(text)).To(ContainSubstring("### soak/lost (requests)"))
+	g.Expect(string(text)).To(ContainSubstring("| abc | 2 | 2 | - | <=0 | miss |"))
+}
