--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -33,7 +33,10 @@
 	return []suite{
 		catalogueSuite(),
 		telemetrySuite(),
+		sidecarsSuite(),
+		linksSuite(),
 		pathSuite(),
+		placementSuite(),
 		pickSuite(),
 		floodSuite(),
 	}
--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -46,7 +46,11 @@
 		entryCommand(),
 		sidecarCommand(),
 		sampleEchoCommand(),
+		catalogueCommand(),
+		stopCommand(),
+		statusCommand(),
 		loadCommand(),
+		standinTableCommand(),
 		versionCommand(),
 	}
 }
