Share by recent use and leave the wait out of a member's latency

An owner in a burst ran more requests than the flood's owner at that moment and waited for it to catch up; and the flood's own wait for slots made members look slow at random.

Change: within a class a slot goes to the owner with the least recent use, of which what runs now is a quarter. Answers tell how long the request waited for its slot, and the latency of a member leaves that out.

--- a/caller/request.go
+++ b/caller/request.go
@@ -56,6 +56,8 @@
 	Header []carobkeel.Field
 	// BodyLength is the length of the body in bytes, -1 where it is not known.
 	BodyLength int64
+	// Waited is how long the request waited for a slot at its sidecar.
+	Waited time.Duration
 	// Body yields the answer's body. It ends with an error, not with io.EOF,
 	// where the answer is not whole. It must be closed.
 	Body io.ReadCloser
--- a/cmd/benchmark/model_entry.go
+++ b/cmd/benchmark/model_entry.go
@@ -55,6 +55,9 @@
 	item    *entry.Item[*modelAttempt]
 	sent    time.Duration
 	delay   time.Duration
+	// arrived is when the request reached the sidecar, and waited how long it
+	// then waited for a slot.
+	arrived, waited time.Duration
 }
 
 const modelService = "model"
@@ -163,7 +166,7 @@
 	a.member.Live.End(r.stream.key.Class)
 	switch code {
 	case carobkeel.CodeOK:
-		a.member.Live.Observe(e.model.now - a.sent)
+		a.member.Live.Observe(e.model.now - a.sent - a.waited)
 		e.admission.Tail(modelService).Observe(e.model.now - a.sent)
 	case carobkeel.CodeUpstreamFailed:
 		e.view.Pool(modelService).Fail(a.member, e.model.clock())
--- a/cmd/benchmark/model_sidecar.go
+++ b/cmd/benchmark/model_sidecar.go
@@ -52,6 +52,7 @@
 func (s *modelSidecar) take(a *modelAttempt) {
 	s.model.attempts++
 	s.taken++
+	a.arrived = s.model.now
 	a.share = s.slots.Share(a.request.stream.key, a.request.stream.floor)
 	switch {
 	case s.model.config.unlimited:
@@ -105,6 +106,7 @@
 // start sends the request to the upstream.
 func (s *modelSidecar) start(a *modelAttempt) {
 	started := s.model.now
+	a.waited = started - a.arrived
 	finish := func(code carobkeel.Code) {
 		if !s.model.config.unlimited {
 			s.slots.Release(a.share, s.model.now-started)
--- a/entry/limit.go
+++ b/entry/limit.go
@@ -7,6 +7,8 @@
 	TickInterval = 100 * time.Millisecond
 	// demandWeight is the inverse weight of one tick in the demand.
 	demandWeight = 8
+	// meanWeight is the inverse weight of one tick in the mean of what runs.
+	meanWeight = 8
 	// serviceWeight is the inverse weight of one tick in the service time.
 	serviceWeight = 4
 	// baseRise is how much the base service time rises in a tick, so that an
@@ -76,7 +78,9 @@
 // tick takes in the share's service times and peak. It returns how many times
 // its base the service time was, and of how many requests.
 func (h *Share) tick() (ratio float64, count int64) {
-	peak := h.peak.Swap(h.running.Load())
+	running := h.running.Load()
+	h.mean += (float64(running) - h.mean) / meanWeight
+	peak := h.peak.Swap(running)
 	demand := h.demand.Load()
 	h.demand.Store(demand + (peak*thousandths-demand)/demandWeight)
 	count = h.work.count.Swap(0)
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -16,10 +16,10 @@
 }
 
 // Queue holds the requests that wait for a slot of one upstream. It is for use
-// by one goroutine.
+// by one goroutine, which also ticks the limiter of its slots.
 //
 // A free slot goes to a share that runs less than its floor, then to the most
-// urgent class, in it to the share that runs the least, and in that to the
+// urgent class, in it to the share that uses the least, and in that to the
 // request with the earliest deadline. A request that has less time left than the
 // service takes is refused in place of being started.
 type Queue[T any] struct {
@@ -185,8 +185,8 @@
 	if l.share.Class != other.share.Class {
 		return l.share.Class < other.share.Class
 	}
-	if running, others := l.share.Running(), other.share.Running(); running != others {
-		return running < others
+	if usage, others := l.share.usage(), other.share.usage(); usage != others {
+		return usage < others
 	}
 	if l.granted != other.granted {
 		return l.granted < other.granted
--- a/entry/server/gate.go
+++ b/entry/server/gate.go
@@ -72,11 +72,18 @@
 	}
 }
 
-// enter takes a slot, waiting until ctx ends.
-func (g *gate) enter(ctx context.Context, w entry.Waiting) *carobkeel.Error {
+// enter takes a slot, waiting until ctx ends, and returns how long it waited.
+func (g *gate) enter(ctx context.Context, w entry.Waiting) (time.Duration, *carobkeel.Error) {
 	if g.queued.Load() == 0 && g.slots.TryTake(w.Share) {
-		return nil
+		return 0, nil
 	}
+	arrived := time.Now()
+	refusal := g.wait(ctx, w)
+	return time.Since(arrived), refusal
+}
+
+// wait parks until there is a slot for the request or ctx ends.
+func (g *gate) wait(ctx context.Context, w entry.Waiting) *carobkeel.Error {
 	g.queued.Add(1)
 	mine := &waiter{Waiting: w, settled: make(chan struct{})}
 	g.events.Push(gateEvent{waiter: mine})
--- a/entry/server/gate_test.go
+++ b/entry/server/gate_test.go
@@ -29,6 +29,12 @@
 	return entry.Waiting{Share: share, Deadline: time.Now().Add(timeout)}
 }
 
+// refusal enters the gate with a caller that never goes away.
+func (g *gate) refusal(w entry.Waiting) *carobkeel.Error {
+	_, refusal := g.enter(context.Background(), w)
+	return refusal
+}
+
 func TestGateNeverRunsMoreThanItsSlots(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -41,7 +47,7 @@
 				for range rounds {
 					w := gate.waiting("a", carobkeel.Class(i%2), 40*time.Millisecond)
 					ctx, cancel := context.WithDeadline(context.Background(), w.Deadline)
-					refusal := gate.enter(ctx, w)
+					_, refusal := gate.enter(ctx, w)
 					cancel()
 					if refusal != nil {
 						g.Expect(refusal.Ran).To(Equal(carobkeel.RanNo))
@@ -74,17 +80,20 @@
 		g := NewWithT(t)
 		gate := startGate(t, 1, 1)
 		first := gate.waiting("a", carobkeel.ClassBatch, time.Second)
-		g.Expect(gate.enter(context.Background(), first)).To(BeNil())
+		g.Expect(gate.refusal(first)).To(BeNil())
 		ctx, cancel := context.WithCancel(context.Background())
 		gone := make(chan *carobkeel.Error, 1)
-		go func() { gone <- gate.enter(ctx, gate.waiting("a", carobkeel.ClassBatch, time.Second)) }()
+		go func() {
+			_, refusal := gate.enter(ctx, gate.waiting("a", carobkeel.ClassBatch, time.Second))
+			gone <- refusal
+		}()
 		synctest.Wait()
 		g.Expect(gate.load().Queued).To(Equal(1))
 		cancel()
 		g.Expect((<-gone).Code).To(Equal(carobkeel.CodeTimeoutNotRun))
 		granted := make(chan *carobkeel.Error, 1)
 		go func() {
-			granted <- gate.enter(context.Background(), gate.waiting("a", carobkeel.ClassBatch, time.Second))
+			granted <- gate.refusal(gate.waiting("a", carobkeel.ClassBatch, time.Second))
 		}()
 		synctest.Wait()
 		gate.leave(first.Share, time.Millisecond)
@@ -97,11 +106,11 @@
 		g := NewWithT(t)
 		gate := startGate(t, 1, 4)
 		first := gate.waiting("a", carobkeel.ClassBatch, time.Second)
-		g.Expect(gate.enter(context.Background(), first)).To(BeNil())
+		g.Expect(gate.refusal(first)).To(BeNil())
 		// The caller's own context lives on, as that of a slow reader does.
 		late := make(chan *carobkeel.Error, 1)
 		go func() {
-			late <- gate.enter(context.Background(), gate.waiting("a", carobkeel.ClassBatch, 50*time.Millisecond))
+			late <- gate.refusal(gate.waiting("a", carobkeel.ClassBatch, 50*time.Millisecond))
 		}()
 		time.Sleep(60 * time.Millisecond)
 		gate.leave(first.Share, 0)
@@ -116,12 +125,12 @@
 		g := NewWithT(t)
 		gate := startGate(t, 1, 8)
 		first := gate.waiting("a", carobkeel.ClassBatch, time.Second)
-		g.Expect(gate.enter(context.Background(), first)).To(BeNil())
+		g.Expect(gate.refusal(first)).To(BeNil())
 		order := make(chan carobkeel.Class, 3)
 		for _, class := range []carobkeel.Class{carobkeel.ClassBatch, carobkeel.ClassBatch, carobkeel.ClassLatencyCritical} {
 			go func() {
 				w := gate.waiting("a", class, time.Second)
-				if gate.enter(context.Background(), w) == nil {
+				if gate.refusal(w) == nil {
 					order <- class
 					gate.leave(w.Share, time.Millisecond)
 				}
--- a/entry/server/hold.go
+++ b/entry/server/hold.go
@@ -14,6 +14,8 @@
 type hold struct {
 	gate  *gate
 	share *entry.Share
+	// waited is how long the request waited for the slot.
+	waited time.Duration
 	// service is how long the upstream took to begin a good answer, zero where
 	// there is none.
 	service time.Duration
@@ -25,10 +27,11 @@
 		return nil, carobkeel.NewError(carobkeel.CodeDraining, "the upstream is shutting down")
 	}
 	share := s.gate.slots.Share(r.OwnerClass(), r.Floor)
-	if refusal := s.gate.enter(ctx, entry.Waiting{Share: share, Deadline: r.Deadline}); refusal != nil {
+	waited, refusal := s.gate.enter(ctx, entry.Waiting{Share: share, Deadline: r.Deadline})
+	if refusal != nil {
 		return nil, refusal
 	}
-	held := &hold{gate: s.gate, share: share}
+	held := &hold{gate: s.gate, share: share, waited: waited}
 	if ctx.Err() != nil {
 		held.release()
 		return nil, carobkeel.NewError(carobkeel.CodeTimeoutNotRun, "the time ran out before a slot was free")
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -32,6 +32,7 @@
 		return
 	}
 	defer held.release()
+	st.waited = held.waited
 	if !record.Start() {
 		st.answer(record.Outcome())
 		return
@@ -79,6 +80,7 @@
 		Header:      wire.FromFields(answer.Header),
 		BodyLength:  answer.BodyLength,
 		BodyFollows: true,
+		WaitMicros:  st.waited.Microseconds(),
 		Load:        s.load(),
 	}))
 	var sum uint32
--- a/entry/server/stream.go
+++ b/entry/server/stream.go
@@ -37,6 +37,9 @@
 	gone       atomic.Bool
 	record     atomic.Pointer[entry.Record]
 	idempotent bool
+	// waited is how long the request waited for a slot. The goroutine that
+	// serves it alone uses it.
+	waited time.Duration
 }
 
 // pieces is an answer's body on its way.
@@ -137,6 +140,7 @@
 		Header:     wire.FromFields(o.Header),
 		BodyLength: int64(len(o.Body)),
 		Body:       o.Body,
+		WaitMicros: st.waited.Microseconds(),
 		Load:       st.session.server.load(),
 	}))
 }
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -43,6 +43,9 @@
 	work samples
 	// serviceMicros is the recent mean service time in microseconds.
 	serviceMicros atomic.Int64
+	// mean is a moving average of the requests that run. The goroutine that
+	// ticks alone uses it.
+	mean float64
 	// baseMicros is the mean service time of an upstream that is not crowded.
 	// The goroutine that ticks alone uses it.
 	baseMicros float64
@@ -74,6 +77,16 @@
 // Running returns the number of requests of the share that run.
 func (h *Share) Running() int { return int(h.running.Load()) }
 
+// usage is what the share has of the slots by the measure of fairness: mostly its
+// recent mean, so that an owner that uses less than its part may have a burst
+// before one that uses more.
+func (h *Share) usage() float64 {
+	return h.mean + usageOfNow*float64(h.running.Load())
+}
+
+// usageOfNow is the weight of the requests that run now beside the recent mean.
+const usageOfNow = 0.25
+
 // ServiceTime returns the recent mean time that the upstream takes for a request
 // of the share, zero where nothing is known.
 func (h *Share) ServiceTime() time.Duration {
--- a/sidecar/client/forwarder.go
+++ b/sidecar/client/forwarder.go
@@ -237,6 +237,7 @@
 		Status:     a.Status,
 		Header:     wire.ToFields(a.Header),
 		BodyLength: a.BodyLength,
+		Waited:     time.Duration(a.WaitMicros) * time.Microsecond,
 	}
 	if a.BodyFollows {
 		answer.Body = &answerBody{stream: s, body: s.body.Load(), onEnd: release}
--- a/sidecar/client/hedge.go
+++ b/sidecar/client/hedge.go
@@ -15,7 +15,7 @@
 func (f *Forwarder) observe(m *sidecar.Member, r *caller.Request, answer *caller.Answer, refusal *carobkeel.Error, latency time.Duration) {
 	switch {
 	case refusal == nil && answer.Status < http.StatusInternalServerError:
-		m.Live.Observe(latency)
+		m.Live.Observe(latency - answer.Waited)
 		f.config.Admission.Tail(r.Service).Observe(latency)
 	case refusal == nil, isFault(refusal.Code):
 		f.views.View().Pool(r.Service).Fail(m, time.Now())
--- a/sidecar/live.go
+++ b/sidecar/live.go
@@ -21,8 +21,8 @@
 	// limit is the sidecar's own last word on how many requests it runs at
 	// once, zero before it has said so.
 	limit atomic.Int64
-	// LatencyMicros is a moving average of the latency in microseconds, zero
-	// before the first answer.
+	// LatencyMicros is a moving average of the latency in microseconds without
+	// the wait for a slot, zero before the first answer.
 	LatencyMicros atomic.Int64
 	// RoundTripMicros is the last round trip of a heartbeat to the sidecar in
 	// microseconds.
@@ -114,7 +114,9 @@
 // further one before its next announcement.
 func (l *Live) Drained() { l.draining.Store(true) }
 
-// Observe adds one answer's latency to the moving average. Two answers at the
+// Observe adds one answer's latency to the moving average. The time that the
+// request waited for a slot is left out: what waits there is counted apart, and
+// the next request may be of an owner that waits less. Two answers at the
 // same moment may lose one sample, which the average bears.
 func (l *Live) Observe(latency time.Duration) {
 	l.succeed()
--- a/sidecar/wire/messages.go
+++ b/sidecar/wire/messages.go
@@ -70,7 +70,9 @@
 	BodyLength  int64   `msg:"bl"`
 	BodyFollows bool    `msg:"bf"`
 	Body        []byte  `msg:"b"`
-	Load        Load    `msg:"l"`
+	// WaitMicros is how long the request waited for a slot, in microseconds.
+	WaitMicros int64 `msg:"w"`
+	Load       Load  `msg:"l"`
 }
 
 // AnswerEnd ends an answer whose body came in pieces.
--- a/sidecar/wire/messages_gen.go
+++ b/sidecar/wire/messages_gen.go
@@ -96,6 +96,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "w":
+			z.WaitMicros, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMicros")
+				return
+			}
 		case "l":
 			err = z.Load.DecodeMsg(dc)
 			if err != nil {
@@ -115,9 +121,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Answer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "s"
-	err = en.Append(0x86, 0xa1, 0x73)
+	err = en.Append(0x87, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -189,6 +195,16 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.WaitMicros)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMicros")
+		return
+	}
 	// write "l"
 	err = en.Append(0xa1, 0x6c)
 	if err != nil {
@@ -205,9 +221,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "s"
-	o = append(o, 0x86, 0xa1, 0x73)
+	o = append(o, 0x87, 0xa1, 0x73)
 	o = msgp.AppendInt(o, z.Status)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
@@ -230,6 +246,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.WaitMicros)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o, err = z.Load.MarshalMsg(o)
@@ -330,6 +349,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "w":
+			z.WaitMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMicros")
+				return
+			}
 		case "l":
 			bts, err = z.Load.UnmarshalMsg(bts)
 			if err != nil {
@@ -354,7 +379,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + z.Load.Msgsize()
+	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Int64Size + 2 + z.Load.Msgsize()
 	return
 }
 
