Start nothing that likely ends too late

Change: a request that has waited is started with 1.5 mean service times left at least. The benchmark has the flood of slow batch requests with floors of 0, 0.25 and 0.5 of a latency-critical owner.

--- a/cmd/benchmark/convergence.go
+++ b/cmd/benchmark/convergence.go
@@ -88,3 +88,30 @@
 	}
 	return figures
 }
+
+// slowBatchServiceTime is the service time of batch requests for which a
+// latency-critical one would wait long.
+const slowBatchServiceTime = time.Second
+
+// slowBatchFigures floods the fleet with slow batch requests and shows what the
+// floor of a latency-critical owner costs and brings.
+func slowBatchFigures(seed uint64) []figure {
+	var figures []figure
+	for _, floor := range []float64{0, 0.25, 0.5} {
+		critical := newStream(ownerDispatch, carobkeel.ClassLatencyCritical, 0.2, floor)
+		batch := newStream(ownerFlood, carobkeel.ClassBatch, 0, 0)
+		batch.service = slowBatchServiceTime
+		batch.perSec = perSecond(floodFactor, slowBatchServiceTime)
+		m := runModel(modelConfig{
+			seed: seed, entries: modelEntries, upstreams: fleet(), streams: []*stream{critical, batch},
+			link: flatLink, duration: modelDuration,
+		})
+		name := fmt.Sprintf("slow-batch-floor-%g-", floor)
+		figures = append(figures,
+			figure{Name: name + "critical-p99", Value: critical.result.p99(), Unit: "ms", Verdict: "-"},
+			figure{Name: name + "critical-in-time", Value: critical.result.inTimeShare(), Unit: "share", Verdict: "-"},
+			figure{Name: name + "goodput", Value: m.utilization(m.result(isAny).work), Unit: "share", Verdict: "-"},
+		)
+	}
+	return figures
+}
--- a/cmd/benchmark/flood.go
+++ b/cmd/benchmark/flood.go
@@ -59,6 +59,7 @@
 		figures = append(figures, mostUrgentFigures(o.seed)...)
 		figures = append(figures, stormFigures(o.seed)...)
 		figures = append(figures, convergenceFigures(o.seed)...)
+		figures = append(figures, slowBatchFigures(o.seed)...)
 		return append(figures, crowdedFigures(o.seed)...), nil
 	}}
 }
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -21,7 +21,7 @@
 // A free slot goes to a share that runs less than its floor, then to the most
 // urgent class, in it to the share that uses the least, and in that to the
 // request with the earliest deadline. A request that has less time left than the
-// service takes is refused in place of being started.
+// service likely takes is refused in place of being started.
 type Queue[T any] struct {
 	slots  *Slots
 	room   int
@@ -75,7 +75,7 @@
 // queue is full of requests that go before it. It returns nil for a refused one.
 func (q *Queue[T]) Push(w Waiting, value T, now time.Time) *Item[T] {
 	target := q.line(w.Share)
-	if wait := q.expectedWait(target); now.Add(wait + w.Share.ServiceTime()).After(w.Deadline) {
+	if wait := q.expectedWait(target); now.Add(wait + w.Share.neededTime()).After(w.Deadline) {
 		q.refuse(value, carobkeel.NewError(carobkeel.CodeOverloaded,
 			"the wait of about %s leaves too little time", wait.Round(time.Millisecond)))
 		return nil
@@ -123,7 +123,7 @@
 			return none, false
 		}
 		item := q.take(best, 0)
-		if !now.Add(best.share.ServiceTime()).After(item.Deadline) {
+		if !now.Add(best.share.neededTime()).After(item.Deadline) {
 			q.grants++
 			best.granted = q.grants
 			return item.value, true
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -93,6 +93,16 @@
 	return time.Duration(h.serviceMicros.Load()) * time.Microsecond
 }
 
+// neededTime is the time that a request which has waited must have left to be
+// started. Of the requests that wait those with the least time left go first, so
+// that without a margin over the mean half of them would end too late.
+func (h *Share) neededTime() time.Duration {
+	return time.Duration(neededFactor * float64(h.ServiceTime()))
+}
+
+// neededFactor is the margin over the mean service time.
+const neededFactor = 1.5
+
 // Share returns the share of an owner and class and notes its floor, the share
 // of the slots in 0..1 that it keeps while others flood the upstream.
 func (s *Slots) Share(key carobkeel.OwnerClass, floor float64) *Share {
