--- a/cmd/benchmark/pick.go
+++ b/cmd/benchmark/pick.go
@@ -200,7 +200,11 @@
 // spillFigures shows which share of requests goes to the other data centre.
 func spillFigures(seed uint64) []figure {
 	var figures []figure
-	for name, load := range map[string]float64{"quiet": spillQuiet, "busy": spillBusy} {
+	for _, each := range []struct {
+		name string
+		load float64
+	}{{"quiet", spillQuiet}, {"busy", spillBusy}} {
+		name, load := each.name, each.load
 		specs := fleet()
 		for i := modelUpstreams / 2; i < modelUpstreams; i++ {
 			specs[i].dataCentre = "b"
