Hold entries to their concurrency and queue at each sidecar

Cause: limits.concurrency and limits.queue of the catalogue were not enforced.

Change: they go with each request beside the floor, and a sidecar holds the owner and class to them. A line at its limit holds up nobody else.

Measured: go test -race of entry, entry/server, sidecar, caller, cmd/carobkeel and the root passes; property tests cover the two limits.

Conclusion: where several entries of one owner and class share an upstream, the limits that came last count for both.

--- a/caller/httpapi/handler.go
+++ b/caller/httpapi/handler.go
@@ -132,7 +132,7 @@
 	}
 	out.Owner = entry.Owner
 	out.Class = entry.Class
-	out.Floor = entry.Limits.Floor
+	out.Share = entry.Limits.Share()
 	out.Idempotent = caller.IsIdempotent(entry, r.Method)
 	asked, refusal := askedTimeout(r)
 	if refusal != nil {
--- a/caller/request.go
+++ b/caller/request.go
@@ -34,9 +34,8 @@
 	Digest carobkeel.Digest
 	// Idempotent says that running the request twice is harmless.
 	Idempotent bool
-	// Floor is the share of an upstream's slots, in 0..1, that the request's
-	// owner and class keeps while others flood it.
-	Floor float64
+	// Share bounds what the request's owner and class has of an upstream.
+	Share carobkeel.ShareLimits
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
--- a/catalogue.go
+++ b/catalogue.go
@@ -46,6 +46,30 @@
 	BodyBytes int64 `json:"body_bytes"`
 }
 
+// ShareLimits bounds what one owner and class may have of one upstream.
+type ShareLimits struct {
+	// Floor is the share of the slots, in 0..1, that it keeps while others
+	// flood the upstream.
+	Floor float64
+	// Concurrency is the most requests that run at once, zero for no limit.
+	Concurrency int
+	// Queue is the most requests that wait, zero for no limit and NoQueue where
+	// none may wait.
+	Queue int
+}
+
+// NoQueue is a ShareLimits.Queue under which no request waits.
+const NoQueue = -1
+
+// Share returns the part of the limits that a sidecar holds an entry to.
+func (l Limits) Share() ShareLimits {
+	share := ShareLimits{Floor: l.Floor, Concurrency: l.Concurrency, Queue: l.Queue}
+	if l.Queue == 0 {
+		share.Queue = NoQueue
+	}
+	return share
+}
+
 // Quota is what an owner may use of the fleet before it borrows.
 type Quota struct {
 	Owner Owner `json:"owner"`
--- a/entry/queue.go
+++ b/entry/queue.go
@@ -75,6 +75,10 @@
 // queue is full of requests that go before it. It returns nil for a refused one.
 func (q *Queue[T]) Push(w Waiting, value T, now time.Time) *Item[T] {
 	target := q.line(w.Share)
+	if !w.Share.mayQueue(len(target.items)) {
+		q.refuse(value, carobkeel.NewError(carobkeel.CodeQueueFull, "as many requests of this owner and class wait as may"))
+		return nil
+	}
 	if wait := q.expectedWait(target); now.Add(wait + w.Share.neededTime()).After(w.Deadline) {
 		q.refuse(value, carobkeel.NewError(carobkeel.CodeOverloaded,
 			"the wait of about %s leaves too little time", wait.Round(time.Millisecond)))
@@ -166,11 +170,14 @@
 	}
 }
 
-// due returns the line that the next slot goes to, nil where none waits.
+// due returns the line that the next slot goes to, nil where none may have it.
 func (q *Queue[T]) due() *line[T] {
 	var best *line[T]
 	limit := q.slots.limit.Load()
 	for _, each := range q.lines {
+		if each.share.isFull() {
+			continue
+		}
 		if best == nil || each.goesBefore(best, limit) {
 			best = each
 		}
--- a/entry/queue_test.go
+++ b/entry/queue_test.go
@@ -31,6 +31,9 @@
 	shares  map[int]*entry.Share
 }
 
+// floor returns limits of a share with a floor alone.
+func floor(share float64) carobkeel.ShareLimits { return carobkeel.ShareLimits{Floor: share} }
+
 func newBench(slots, room int) *bench {
 	b := &bench{
 		now: start, slots: entry.NewSlots(slots), limiter: entry.NewLimiter(slots), shares: make(map[int]*entry.Share),
@@ -74,9 +77,15 @@
 		limit := rapid.IntRange(1, 8).Draw(t, "limit")
 		b := newBench(limit, room)
 		var shares []*entry.Share
+		var limits []carobkeel.ShareLimits
 		for i := range 4 {
 			key := carobkeel.OwnerClass{Owner: carobkeel.Owner(fmt.Sprint(i)), Class: carobkeel.Class(i % 2)}
-			shares = append(shares, b.slots.Share(key, float64(rapid.IntRange(0, 2).Draw(t, "floor"))/10))
+			limits = append(limits, carobkeel.ShareLimits{
+				Floor:       float64(rapid.IntRange(0, 2).Draw(t, "floor")) / 10,
+				Concurrency: rapid.IntRange(0, 3).Draw(t, "concurrency"),
+				Queue:       rapid.IntRange(carobkeel.NoQueue, 5).Draw(t, "share of the queue"),
+			})
+			shares = append(shares, b.slots.Share(key, limits[i]))
 		}
 		deadlines := make(map[int]time.Time)
 		items := make(map[int]*entry.Item[int])
@@ -128,11 +137,27 @@
 				ended[id]++
 				delete(items, id)
 			}
+			checkShares(t, b, shares, limits, items)
 			checkQueue(t, b, room, limit, len(running), items, ended)
 		}
 	})
 }
 
+func checkShares(t *rapid.T, b *bench, shares []*entry.Share, limits []carobkeel.ShareLimits, items map[int]*entry.Item[int]) {
+	waiting := make(map[*entry.Share]int)
+	for id := range items {
+		waiting[b.shares[id]]++
+	}
+	for i, share := range shares {
+		if most := limits[i].Concurrency; most > 0 && share.Running() > most {
+			t.Fatalf("share %d runs %d requests of %d", i, share.Running(), most)
+		}
+		if room := limits[i].Queue; room != 0 && waiting[share] > max(room, 0) {
+			t.Fatalf("%d requests of share %d wait, %d may", waiting[share], i, room)
+		}
+	}
+}
+
 func checkQueue(t *rapid.T, b *bench, room, limit, running int, items map[int]*entry.Item[int], ended map[int]int) {
 	if b.queue.Len() > room {
 		t.Fatalf("%d requests wait in a room of %d", b.queue.Len(), room)
@@ -153,7 +178,7 @@
 func TestUrgentClassGoesFirst(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(4, 10)
-	low, high := b.slots.Share(batch, 0), b.slots.Share(critical, 0)
+	low, high := b.slots.Share(batch, floor(0)), b.slots.Share(critical, floor(0))
 	b.push(low, time.Second)
 	b.push(high, time.Minute)
 	b.push(low, time.Second)
@@ -163,7 +188,7 @@
 func TestFloorGoesBeforeClass(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(8, 100)
-	low, high := b.slots.Share(batch, 0.25), b.slots.Share(critical, 0)
+	low, high := b.slots.Share(batch, floor(0.25)), b.slots.Share(critical, floor(0))
 	for range 20 {
 		b.push(high, time.Second)
 		b.push(low, time.Second)
@@ -176,7 +201,7 @@
 func TestOwnersOfAClassShareAlike(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(8, 100)
-	few, many := b.slots.Share(critical, 0), b.slots.Share(other, 0)
+	few, many := b.slots.Share(critical, floor(0)), b.slots.Share(other, floor(0))
 	for range 40 {
 		b.push(many, time.Second)
 	}
@@ -191,7 +216,7 @@
 func TestEarliestDeadlineGoesFirstWithinAShare(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(1, 10)
-	share := b.slots.Share(critical, 0)
+	share := b.slots.Share(critical, floor(0))
 	late, _ := b.push(share, 2*time.Second)
 	early, _ := b.push(share, time.Second)
 	first, _ := b.queue.Next(b.now)
@@ -218,9 +243,9 @@
 			g := NewWithT(t)
 			b := newBench(1, 4)
 			for range 4 {
-				b.push(b.slots.Share(c.waits, 0), time.Second)
+				b.push(b.slots.Share(c.waits, floor(0)), time.Second)
 			}
-			id, item := b.push(b.slots.Share(c.comes, c.floor), time.Second)
+			id, item := b.push(b.slots.Share(c.comes, floor(c.floor)), time.Second)
 			g.Expect(b.codes).To(Equal([]carobkeel.Code{c.code}))
 			g.Expect(b.refused[0] == id).To(Equal(c.newRefused))
 			g.Expect(item == nil).To(Equal(c.newRefused))
@@ -233,9 +258,9 @@
 	g := NewWithT(t)
 	b := newBench(1, 4)
 	for range 4 {
-		b.push(b.slots.Share(critical, 0), time.Second)
+		b.push(b.slots.Share(critical, floor(0)), time.Second)
 	}
-	low := b.slots.Share(batch, 0)
+	low := b.slots.Share(batch, floor(0))
 	b.push(low, time.Second)
 	id, item := b.push(low, time.Second)
 	g.Expect(item).To(BeNil())
@@ -245,7 +270,7 @@
 func TestRefusesEarlyWhatComesTooLate(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(1, 100)
-	share := b.slots.Share(critical, 0)
+	share := b.slots.Share(critical, floor(0))
 	b.learn(share, 20*time.Millisecond)
 	for range 10 {
 		b.push(share, time.Second)
@@ -260,7 +285,7 @@
 func TestGrantsNothingThatHasTooLittleTimeLeft(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(1, 10)
-	share := b.slots.Share(critical, 0)
+	share := b.slots.Share(critical, floor(0))
 	b.push(share, 30*time.Millisecond)
 	b.learn(share, 20*time.Millisecond)
 	b.now = b.now.Add(15 * time.Millisecond)
@@ -269,3 +294,18 @@
 	g.Expect(b.codes).To(Equal([]carobkeel.Code{carobkeel.CodeTimeoutNotRun}))
 	g.Expect(b.slots.Running()).To(BeZero())
 }
+
+func TestOwnersOwnLimitHoldsUpNobodyElse(t *testing.T) {
+	g := NewWithT(t)
+	b := newBench(8, 100)
+	limited := b.slots.Share(critical, carobkeel.ShareLimits{Concurrency: 2, Queue: 3})
+	low := b.slots.Share(batch, floor(0))
+	for range 5 {
+		b.push(limited, time.Second)
+		b.push(low, time.Second)
+	}
+	g.Expect(b.codes).To(Equal([]carobkeel.Code{carobkeel.CodeQueueFull, carobkeel.CodeQueueFull}))
+	b.grant(8)
+	g.Expect(limited.Running()).To(Equal(2))
+	g.Expect(low.Running()).To(Equal(5))
+}
--- a/entry/server/gate_test.go
+++ b/entry/server/gate_test.go
@@ -25,7 +25,7 @@
 }
 
 func (g *gate) waiting(owner carobkeel.Owner, class carobkeel.Class, timeout time.Duration) entry.Waiting {
-	share := g.slots.Share(carobkeel.OwnerClass{Owner: owner, Class: class}, 0)
+	share := g.slots.Share(carobkeel.OwnerClass{Owner: owner, Class: class}, carobkeel.ShareLimits{})
 	return entry.Waiting{Share: share, Deadline: time.Now().Add(timeout)}
 }
 
--- a/entry/server/hold.go
+++ b/entry/server/hold.go
@@ -26,7 +26,7 @@
 	if s.draining.Load() {
 		return nil, carobkeel.NewError(carobkeel.CodeDraining, "the upstream is shutting down")
 	}
-	share := s.gate.slots.Share(r.OwnerClass(), r.Floor)
+	share := s.gate.slots.Share(r.OwnerClass(), r.Share)
 	waited, refusal := s.gate.enter(ctx, entry.Waiting{Share: share, Deadline: r.Deadline})
 	if refusal != nil {
 		return nil, refusal
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -135,7 +135,11 @@
 		Service:    carobkeel.Service(o.Service),
 		Owner:      carobkeel.Owner(o.Owner),
 		Class:      classOf(o.Class),
-		Floor:      float64(o.Floor) / floorUnit,
+		Share: carobkeel.ShareLimits{
+			Floor:       float64(o.Floor) / floorUnit,
+			Concurrency: int(o.Concurrency),
+			Queue:       int(o.Queue),
+		},
 		Method:     o.Method,
 		Path:       o.Path,
 		Header:     wire.ToFields(o.Header),
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -33,7 +33,11 @@
 type Share struct {
 	carobkeel.OwnerClass
 	// floor is the share of the slots that it keeps, in thousandths.
-	floor   atomic.Int64
+	floor atomic.Int64
+	// most is the number of requests that run at once at most, zero for no
+	// limit, and room that of those that wait, as ShareLimits has it.
+	most    atomic.Int64
+	room    atomic.Int64
 	running atomic.Int64
 	// peak is the most requests that ran at once since the last tick.
 	peak atomic.Int64
@@ -103,16 +107,31 @@
 // neededFactor is the margin over the mean service time.
 const neededFactor = 1.5
 
-// Share returns the share of an owner and class and notes its floor, the share
-// of the slots in 0..1 that it keeps while others flood the upstream.
-func (s *Slots) Share(key carobkeel.OwnerClass, floor float64) *Share {
+// Share returns the share of an owner and class and notes its limits. The limits
+// that came last count.
+func (s *Slots) Share(key carobkeel.OwnerClass, limits carobkeel.ShareLimits) *Share {
+	share := s.floored(key, limits.Floor)
+	if share.Owner == key.Owner {
+		storeChanged(&share.most, int64(limits.Concurrency))
+		storeChanged(&share.room, int64(limits.Queue))
+	}
+	return share
+}
+
+// storeChanged writes only what differs, so that the line of memory stays shared.
+func storeChanged(held *atomic.Int64, value int64) {
+	if held.Load() != value {
+		held.Store(value)
+	}
+}
+
+// floored returns the share of an owner and class with the floor.
+func (s *Slots) floored(key carobkeel.OwnerClass, floor float64) *Share {
 	wanted := int64(math.Round(min(max(floor, 0), 1) * thousandths))
 	for {
 		table := s.shares.Load()
 		if share, ok := table.byKey[key]; ok && (share.floor.Load() > 0) == (wanted > 0) {
-			if share.floor.Load() != wanted {
-				share.floor.Store(wanted)
-			}
+			storeChanged(&share.floor, wanted)
 			return share
 		}
 		if _, ok := table.byKey[key]; !ok && len(table.byKey) >= MaxShares {
@@ -159,19 +178,32 @@
 	return max(int64(math.Round(kept))-h.running.Load(), 0)
 }
 
-// TryTake takes a slot for the share unless none is free, or the free ones are
-// kept for others.
+// TryTake takes a slot for the share unless none is free, the free ones are kept
+// for others, or the share has as many as it may.
 func (s *Slots) TryTake(h *Share) bool {
+	if !h.start() {
+		return false
+	}
+	if !s.take(h) {
+		h.running.Add(-1)
+		return false
+	}
+	return true
+}
+
+// take takes a slot for a request that its share counts already.
+func (s *Slots) take(h *Share) bool {
 	for {
 		running, limit := s.running.Load(), s.limit.Load()
 		if running >= limit {
 			return false
 		}
-		if !h.isBelowFloor(limit) && limit-running <= s.reservedFor(h, limit) {
+		within := float64(h.running.Load()-1) < h.floorSlots(limit)
+		if !within && limit-running <= s.reservedFor(h, limit) {
 			return false
 		}
 		if s.running.CompareAndSwap(running, running+1) {
-			h.start()
+			h.notePeak()
 			return true
 		}
 	}
@@ -201,8 +233,34 @@
 // a slot without one being kept free.
 const reserveWait = 2
 
-func (h *Share) start() {
-	running := h.running.Add(1)
+// start counts a request unless the share runs as many as it may.
+func (h *Share) start() bool {
+	for {
+		running := h.running.Load()
+		if most := h.most.Load(); most > 0 && running >= most {
+			return false
+		}
+		if h.running.CompareAndSwap(running, running+1) {
+			return true
+		}
+	}
+}
+
+// isFull reports whether the share runs as many requests as it may.
+func (h *Share) isFull() bool {
+	most := h.most.Load()
+	return most > 0 && h.running.Load() >= most
+}
+
+// mayQueue reports whether one more request of the share may wait beside those
+// that do.
+func (h *Share) mayQueue(waiting int) bool {
+	room := h.room.Load()
+	return room == 0 || int64(waiting) < room
+}
+
+func (h *Share) notePeak() {
+	running := h.running.Load()
 	for {
 		peak := h.peak.Load()
 		if running <= peak || h.peak.CompareAndSwap(peak, running) {
--- a/entry/slots_test.go
+++ b/entry/slots_test.go
@@ -21,7 +21,7 @@
 	var group sync.WaitGroup
 	for i := range 8 {
 		group.Go(func() {
-			share := slots.Share(carobkeel.OwnerClass{Owner: carobkeel.Owner(fmt.Sprint(i % 4))}, 0.1)
+			share := slots.Share(carobkeel.OwnerClass{Owner: carobkeel.Owner(fmt.Sprint(i % 4))}, carobkeel.ShareLimits{Floor: 0.1, Concurrency: 2})
 			for range 2_000 {
 				if !slots.TryTake(share) {
 					continue
@@ -45,10 +45,10 @@
 	g := NewWithT(t)
 	slots := entry.NewSlots(1)
 	for i := range entry.MaxShares {
-		slots.Share(carobkeel.OwnerClass{Owner: carobkeel.Owner(fmt.Sprint(i))}, 0)
+		slots.Share(carobkeel.OwnerClass{Owner: carobkeel.Owner(fmt.Sprint(i))}, floor(0))
 	}
-	first := slots.Share(carobkeel.OwnerClass{Owner: "further"}, 1)
-	g.Expect(slots.Share(carobkeel.OwnerClass{Owner: "yet another"}, 0)).To(BeIdenticalTo(first))
+	first := slots.Share(carobkeel.OwnerClass{Owner: "further"}, floor(1))
+	g.Expect(slots.Share(carobkeel.OwnerClass{Owner: "yet another"}, floor(0))).To(BeIdenticalTo(first))
 	g.Expect(first.Owner).To(BeEmpty())
 }
 
@@ -65,7 +65,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			b := newBench(8, 10)
-			high, low := b.slots.Share(critical, 0.25), b.slots.Share(batch, 0)
+			high, low := b.slots.Share(critical, floor(0.25)), b.slots.Share(batch, floor(0))
 			b.learn(low, c.batchService)
 			for range 100 {
 				for range 2 {
@@ -88,8 +88,8 @@
 func TestUnusedFloorIsLent(t *testing.T) {
 	g := NewWithT(t)
 	b := newBench(8, 10)
-	b.slots.Share(critical, 0.5)
-	low := b.slots.Share(batch, 0)
+	b.slots.Share(critical, floor(0.5))
+	low := b.slots.Share(batch, floor(0))
 	b.learn(low, time.Second)
 	taken := 0
 	for b.slots.TryTake(low) {
@@ -103,7 +103,7 @@
 		most := rapid.IntRange(1, 32).Draw(t, "slots")
 		slots := entry.NewSlots(most)
 		limiter := entry.NewLimiter(most)
-		share := slots.Share(critical, 0)
+		share := slots.Share(critical, floor(0))
 		for _, millis := range rapid.SliceOfN(rapid.IntRange(1, 1_000), 1, 200).Draw(t, "service") {
 			for slots.TryTake(share) {
 			}
@@ -123,7 +123,7 @@
 	const most, capacity, base = 16, 4, 20 * time.Millisecond
 	slots := entry.NewSlots(most)
 	limiter := entry.NewLimiter(most)
-	share := slots.Share(critical, 0)
+	share := slots.Share(critical, floor(0))
 	run := func(ticks, wanted int) {
 		for range ticks {
 			for range 4 {
--- a/sidecar/wire/messages.go
+++ b/sidecar/wire/messages.go
@@ -32,7 +32,13 @@
 	Class            uint8  `msg:"c"`
 	// Floor is the share of the slots that the owner and class keeps, in
 	// thousandths.
-	Floor  uint16 `msg:"f"`
+	Floor uint16 `msg:"f"`
+	// Concurrency is the most requests of the owner and class that run at
+	// once, zero for no limit.
+	Concurrency uint32 `msg:"cc"`
+	// Queue is the most requests of the owner and class that wait, zero for no
+	// limit and -1 for none.
+	Queue  int32  `msg:"qr"`
 	Method string `msg:"m"`
 	// Path is the path below the service's name, with the query.
 	Path   string  `msg:"p"`
--- a/sidecar/wire/messages_gen.go
+++ b/sidecar/wire/messages_gen.go
@@ -1127,6 +1127,18 @@
 				err = msgp.WrapError(err, "Floor")
 				return
 			}
+		case "cc":
+			z.Concurrency, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Concurrency")
+				return
+			}
+		case "qr":
+			z.Queue, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
 		case "m":
 			z.Method, err = dc.ReadString()
 			if err != nil {
@@ -1242,9 +1254,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 16
+	// map header, size 18
 	// write "e"
-	err = en.Append(0xde, 0x0, 0x10, 0xa1, 0x65)
+	err = en.Append(0xde, 0x0, 0x12, 0xa1, 0x65)
 	if err != nil {
 		return
 	}
@@ -1303,6 +1315,26 @@
 		err = msgp.WrapError(err, "Floor")
 		return
 	}
+	// write "cc"
+	err = en.Append(0xa2, 0x63, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Concurrency)
+	if err != nil {
+		err = msgp.WrapError(err, "Concurrency")
+		return
+	}
+	// write "qr"
+	err = en.Append(0xa2, 0x71, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Queue)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
 	// write "m"
 	err = en.Append(0xa1, 0x6d)
 	if err != nil {
@@ -1432,9 +1464,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 18
 	// string "e"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x65)
+	o = append(o, 0xde, 0x0, 0x12, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.EntryIncarnation)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -1451,6 +1483,12 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint16(o, z.Floor)
+	// string "cc"
+	o = append(o, 0xa2, 0x63, 0x63)
+	o = msgp.AppendUint32(o, z.Concurrency)
+	// string "qr"
+	o = append(o, 0xa2, 0x71, 0x72)
+	o = msgp.AppendInt32(o, z.Queue)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Method)
@@ -1547,6 +1585,18 @@
 				err = msgp.WrapError(err, "Floor")
 				return
 			}
+		case "cc":
+			z.Concurrency, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Concurrency")
+				return
+			}
+		case "qr":
+			z.Queue, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
 		case "m":
 			z.Method, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1663,7 +1713,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Open) Msgsize() (s int) {
-	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size + 3 + msgp.Uint32Size + 3 + msgp.Int32Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
