Hedge only to sidecars with a free slot

Hedges came on top of a load that left no room for them, and count as a flood only once requests are refused.

Change: a hedge needs a second sidecar with a free slot. The pick suite compares p99 and requests sent with and without hedges at 50% and 95% of capacity.

--- a/cmd/benchmark/model.go
+++ b/cmd/benchmark/model.go
@@ -79,7 +79,9 @@
 	from     carobkeel.DataCentre
 	// start and end bound the time in which requests come.
 	start, end time.Duration
-	result     *streamResult
+	// total is the number of requests sent, counted or not.
+	total  int
+	result *streamResult
 }
 
 // streamResult is what became of a stream's requests.
@@ -194,6 +196,7 @@
 			work:    logNormal(random, s.service),
 			fails:   random.Float64() < s.failures,
 		}
+		s.total++
 		if m.counted(m.now) {
 			s.result.offered++
 		}
--- a/cmd/benchmark/model_entry.go
+++ b/cmd/benchmark/model_entry.go
@@ -111,8 +111,8 @@
 	e.send(r)
 	if wait := e.admission.HedgeAfter(r.request()); e.model.config.hedges && wait > 0 {
 		e.model.after(wait, func() {
-			if !r.ended && r.attempts == 1 && !e.admission.Flooded() && r.account.Spend() {
-				e.send(r)
+			if !r.ended && r.attempts == 1 {
+				e.hedge(r)
 			}
 		})
 	}
@@ -123,11 +123,25 @@
 	return &caller.Request{Service: modelService, Owner: r.stream.key.Owner, Class: r.stream.key.Class, Idempotent: true}
 }
 
-func (e *modelEntry) send(r *modelRequest) {
+func (e *modelEntry) send(r *modelRequest) { e.sendTo(r, e.pick(r)) }
+
+// hedge sends the request to a second sidecar that has a free slot.
+func (e *modelEntry) hedge(r *modelRequest) {
+	second := e.pick(r)
+	if second == nil || second.IsBusy(r.stream.key.Class) || e.admission.Flooded() || !r.account.Spend() {
+		return
+	}
+	e.sendTo(r, second)
+}
+
+func (e *modelEntry) pick(r *modelRequest) *sidecar.Member {
 	choice := sidecar.Choice{
 		From: r.stream.from, Class: r.stream.key.Class, Random: e.random.Uint64(), Now: e.model.clock(), Tried: r.tried,
 	}
-	member := e.choose(choice)
+	return e.choose(choice)
+}
+
+func (e *modelEntry) sendTo(r *modelRequest, member *sidecar.Member) {
 	if member == nil {
 		if r.pending == 0 {
 			e.end(r, carobkeel.CodeNoUpstream)
--- a/cmd/benchmark/pick.go
+++ b/cmd/benchmark/pick.go
@@ -33,6 +33,7 @@
 		figures := pickCostFigures(o.seed)
 		figures = append(figures, skewFigures(o.seed)...)
 		figures = append(figures, outlierFigures(o.seed)...)
+		figures = append(figures, hedgeFigures(o.seed)...)
 		return append(figures, spillFigures(o.seed)...), nil
 	}}
 }
@@ -244,3 +245,29 @@
 	}
 	return figures
 }
+
+// hedgeFigures shows what hedges do to the tail and to the number of requests
+// at upstreams with spare capacity and at those with hardly any.
+func hedgeFigures(seed uint64) []figure {
+	var figures []figure
+	for _, load := range []float64{0.5, 0.95} {
+		for _, hedges := range []bool{true, false} {
+			name := "without"
+			if hedges {
+				name = "with"
+			}
+			m := runModel(modelConfig{
+				seed: seed, entries: modelEntries, upstreams: fleet(), streams: []*stream{oneService(load)},
+				link: flatLink, hedges: hedges, duration: modelDuration,
+			})
+			result := m.config.streams[0].result
+			prefix := fmt.Sprintf("load-%g-%s-hedges-", load, name)
+			figures = append(figures,
+				figure{Name: prefix + "p99", Value: result.p99(), Unit: "ms", Verdict: "-"},
+				figure{Name: prefix + "in-time", Value: result.inTimeShare(), Unit: "share", Verdict: "-"},
+				figure{Name: prefix + "requests", Value: float64(m.attempts) / float64(m.config.streams[0].total), Unit: "ratio", Verdict: "-"},
+			)
+		}
+	}
+	return figures
+}
--- a/sidecar/client/hedge.go
+++ b/sidecar/client/hedge.go
@@ -73,7 +73,7 @@
 		select {
 		case <-timer.C:
 			second := f.pick(r, tried)
-			if second == nil || !f.mayHedge(account) {
+			if second == nil || second.IsBusy(r.Class) || !f.mayHedge(account) {
 				continue
 			}
 			f.metrics.hedge()
--- a/sidecar/client/hedge_test.go
+++ b/sidecar/client/hedge_test.go
@@ -177,6 +177,20 @@
 	})
 }
 
+func TestNothingIsHedgedToABusySidecar(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context, w *world) {
+		w.learn(g, ctx)
+		w.setDelay(slow, slow)
+		for _, member := range w.view.Members() {
+			member.Live.Report(sidecar.Load{Running: 8, Limit: 8})
+		}
+		before := w.upstreams["one"].runs.Load() + w.upstreams["two"].runs.Load()
+		_, _, err := w.get(ctx, true)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(w.upstreams["one"].runs.Load() + w.upstreams["two"].runs.Load()).To(Equal(before + 1))
+	})
+}
+
 func TestHedgeNeedsABudget(t *testing.T) {
 	run(t, func(g *WithT, ctx context.Context, w *world) {
 		w.learn(g, ctx)
--- a/sidecar/cost.go
+++ b/sidecar/cost.go
@@ -43,8 +43,8 @@
 	return max(m.Live.InFlight(class), m.Live.reported[class].Load())
 }
 
-// isBusy reports whether a new request of the class would wait for a slot.
-func (m *Member) isBusy(class carobkeel.Class) bool { return m.ahead(class) >= m.limit() }
+// IsBusy reports whether a new request of the class would wait for a slot.
+func (m *Member) IsBusy(class carobkeel.Class) bool { return m.ahead(class) >= m.limit() }
 
 // crowding is how many requests there are for each slot, with the new one.
 func (m *Member) crowding(class carobkeel.Class) float64 {
--- a/sidecar/pick.go
+++ b/sidecar/pick.go
@@ -35,7 +35,7 @@
 func (p *Pool) Pick(c Choice) *Member {
 	now := c.Now.UnixNano()
 	local := cheaperOfTwo(p.in(c.From), c, now)
-	if local != nil && !local.isBusy(c.Class) {
+	if local != nil && !local.IsBusy(c.Class) {
 		return local
 	}
 	c.Random = c.Random*spillMultiplier + 1
