Visit shares in a fixed order

Change: the table of shares keeps them in the order that they came in. Measured: go test -race ./entry ./entry/server passes. Conclusion: none further.

--- a/entry/limit.go
+++ b/entry/limit.go
@@ -49,7 +49,7 @@
 // Tick takes in what happened since the last tick and sets the limit. It is
 // called each TickInterval.
 func (l *Limiter) Tick(s *Slots) {
-	for _, share := range s.shares.Load().byKey {
+	for _, share := range s.shares.Load().all {
 		ratio, count := share.tick()
 		l.crowding += ratio * float64(count)
 		l.count += float64(count)
--- a/entry/slots.go
+++ b/entry/slots.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,8 @@
 // shareTable is an immutable state of the shares.
 type shareTable struct {
 	byKey map[carobkeel.OwnerClass]*Share
+	// all holds the shares in the order that they came in.
+	all []*Share
 	// floored holds the shares that have a floor.
 	floored []*Share
 }
@@ -146,14 +149,15 @@
 
 // with returns the table in which the key has a share with the floor.
 func (t *shareTable) with(key carobkeel.OwnerClass, floor int64) (*shareTable, *Share) {
-	next := &shareTable{byKey: maps.Clone(t.byKey)}
+	next := &shareTable{byKey: maps.Clone(t.byKey), all: slices.Clip(t.all)}
 	share, ok := next.byKey[key]
 	if !ok {
 		share = &Share{OwnerClass: key}
 		next.byKey[key] = share
+		next.all = append(next.all, share)
 	}
 	share.floor.Store(floor)
-	for _, each := range next.byKey {
+	for _, each := range next.all {
 		if each.floor.Load() > 0 {
 			next.floored = append(next.floored, each)
 		}
