--- a/entry/queue.go
+++ b/entry/queue.go
@@ -16,12 +16,12 @@
 }
 
 // Queue holds the requests that wait for a slot of one upstream. It is for use
-// by one goroutine.
+// by one goroutine, which also ticks the limiter of its slots.
 //
 // A free slot goes to a share that runs less than its floor, then to the most
-// urgent class, in it to the share that runs the least, and in that to the
+// urgent class, in it to the share that uses the least, and in that to the
 // request with the earliest deadline. A request that has less time left than the
-// service takes is refused in place of being started.
+// service likely takes is refused in place of being started.
 type Queue[T any] struct {
 	slots  *Slots
 	room   int
@@ -75,7 +75,11 @@
 // queue is full of requests that go before it. It returns nil for a refused one.
 func (q *Queue[T]) Push(w Waiting, value T, now time.Time) *Item[T] {
 	target := q.line(w.Share)
-	if wait := q.expectedWait(target); now.Add(wait + w.Share.ServiceTime()).After(w.Deadline) {
+	if !w.Share.mayQueue(len(target.items)) {
+		q.refuse(value, carobkeel.NewError(carobkeel.CodeQueueFull, "as many requests of this owner and class wait as may"))
+		return nil
+	}
+	if wait := q.expectedWait(target); now.Add(wait + w.Share.neededTime()).After(w.Deadline) {
 		q.refuse(value, carobkeel.NewError(carobkeel.CodeOverloaded,
 			"the wait of about %s leaves too little time", wait.Round(time.Millisecond)))
 		return nil
@@ -123,7 +127,7 @@
 			return none, false
 		}
 		item := q.take(best, 0)
-		if !now.Add(best.share.ServiceTime()).After(item.Deadline) {
+		if !now.Add(best.share.neededTime()).After(item.Deadline) {
 			q.grants++
 			best.granted = q.grants
 			return item.value, true
@@ -166,11 +170,14 @@
 	}
 }
 
-// due returns the line that the next slot goes to, nil where none waits.
+// due returns the line that the next slot goes to, nil where none may have it.
 func (q *Queue[T]) due() *line[T] {
 	var best *line[T]
 	limit := q.slots.limit.Load()
 	for _, each := range q.lines {
+		if each.share.isFull() {
+			continue
+		}
 		if best == nil || each.goesBefore(best, limit) {
 			best = each
 		}
@@ -185,8 +192,8 @@
 	if l.share.Class != other.share.Class {
 		return l.share.Class < other.share.Class
 	}
-	if running, others := l.share.Running(), other.share.Running(); running != others {
-		return running < others
+	if usage, others := l.share.usage(), other.share.usage(); usage != others {
+		return usage < others
 	}
 	if l.granted != other.granted {
 		return l.granted < other.granted
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -32,6 +32,7 @@
 		return
 	}
 	defer held.release()
+	st.waited = held.waited
 	if !record.Start() {
 		st.answer(record.Outcome())
 		return
@@ -79,6 +80,7 @@
 		Header:      wire.FromFields(answer.Header),
 		BodyLength:  answer.BodyLength,
 		BodyFollows: true,
+		WaitMicros:  st.waited.Microseconds(),
 		Load:        s.load(),
 	}))
 	var sum uint32
@@ -133,7 +135,11 @@
 		Service:    carobkeel.Service(o.Service),
 		Owner:      carobkeel.Owner(o.Owner),
 		Class:      classOf(o.Class),
-		Floor:      float64(o.Floor) / floorUnit,
+		Share: carobkeel.ShareLimits{
+			Floor:       float64(o.Floor) / floorUnit,
+			Concurrency: int(o.Concurrency),
+			Queue:       int(o.Queue),
+		},
 		Method:     o.Method,
 		Path:       o.Path,
 		Header:     wire.ToFields(o.Header),
