Learn which pairings hurt and throttle before evicting

Cause: batch tasks slow services by pair, as the load shifts, and reports lag by 30 s. Change: Pairings estimates for each service its latency alone, by load, and the effect of each batch entry, by a Kalman filter with covariance; a filter with a diagonal one laid half of an effect on the service's own latency. Placement keeps harmful pairs apart, Policy.ServicesPerWorker packs services so that some workers stay free for harmful batch work, and Controller gives speeds within a limit, to unknown pairings cautiously. It acts again only on a report whose window lies after the last action, and evicts a task after 5 minutes at the least speed, twice as long each time. PlaceFairly lets an owner try 8 requests that find no room before it gives way. cmd/benchmark has the suite interference.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -31,6 +31,7 @@
 	return []suite{
 		catalogueSuite(),
 		placementSuite(),
+		interferenceSuite(),
 	}
 }
 
--- a/worker/edit.go
+++ b/worker/edit.go
@@ -116,6 +116,11 @@
 	return e.changeTask(id, task, func(t *Task) { t.CheckpointedAt = at })
 }
 
+// Throttle sets the percentage of its processors that is withheld from a task.
+func (e *Edit) Throttle(id ID, task carobkeel.TaskID, percent uint8) bool {
+	return e.changeTask(id, task, func(t *Task) { t.Throttle = min(percent, 100) })
+}
+
 // Evicting marks a running task as being evicted. It keeps its reservation.
 func (e *Edit) Evicting(id ID, task carobkeel.TaskID) bool {
 	w, ok := e.Worker(id)
--- /dev/null
+++ b/worker/interference_test.go
@@ -0,0 +1,227 @@
+package worker_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker"
+)
+
+// effects is the true logarithm of the slowdown by entry.
+var effects = map[string]float64{"noisy": math.Log(3), "mild": 0.05, "quiet": 0}
+
+// reportOf returns what a worker would report of the service "s".
+func reportOf(rng *rand.Rand, at time.Time, load float64, neighbours ...worker.Neighbour) worker.ServiceReport {
+	log := math.Log(0.050*(1+0.5*load)) + 0.05*rng.NormFloat64()
+	for _, n := range neighbours {
+		log += effects[n.Entry] * n.Activity * load
+	}
+	return worker.ServiceReport{
+		Worker: "w0", Service: "s", P99: time.Duration(math.Exp(log) * float64(time.Second)),
+		Load: load, From: at.Add(-30 * time.Second), To: at, Neighbours: neighbours,
+	}
+}
+
+// learn feeds reports with random neighbours, so that no entry is ever seen
+// alone all the time.
+func learn(rng *rand.Rand, p *worker.Pairings, n int) {
+	for i := range n {
+		var neighbours []worker.Neighbour
+		for _, entry := range []string{"noisy", "mild", "quiet"} {
+			if rng.IntN(2) == 0 {
+				neighbours = append(neighbours, worker.Neighbour{Entry: entry, Activity: 0.1 + 0.9*rng.Float64()})
+			}
+		}
+		at := epoch.Add(time.Duration(i) * 30 * time.Second)
+		p.Observe(reportOf(rng, at, 0.3+0.6*rng.Float64(), neighbours...))
+	}
+}
+
+func TestPairingsFindTheHarmfulEntry(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		rng, p := rand.New(rand.NewPCG(seed, 0)), worker.NewPairings()
+		unknown := p.Effect("s", "noisy")
+		learn(rng, p, 120)
+		noisy := p.Effect("s", "noisy")
+		g.Expect(noisy.Mean).To(BeNumerically("~", math.Log(3), 0.3), "seed %d", seed)
+		g.Expect(noisy.Deviation).To(BeNumerically("<", unknown.Deviation/2))
+		g.Expect(p.Effect("s", "quiet").Mean).To(BeNumerically("<", 0.15), "seed %d", seed)
+		report := reportOf(rng, epoch, 0.8, worker.Neighbour{Entry: "noisy", Activity: 1})
+		g.Expect(p.Slowdown(report)).To(BeNumerically(">", 1.7))
+	}
+}
+
+// serviceHost returns a worker with the service and tasks of the given entries.
+func serviceHost(entries ...string) *worker.Worker {
+	edit := fleetOf(1, cores(16, 32)).Edit()
+	edit.Restore("w0", &worker.Task{ID: "s", Entry: "s", Reserved: cores(2, 2)})
+	for _, entry := range entries {
+		edit.Restore("w0", &worker.Task{ID: carobkeel.TaskID(entry), Entry: entry, Class: carobkeel.ClassBatch, Reserved: cores(2, 2)})
+	}
+	w, _ := edit.Worker("w0")
+	return w
+}
+
+func TestPenaltyKeepsHarmfulWorkFromServices(t *testing.T) {
+	g := NewWithT(t)
+	p := worker.NewPairings()
+	learn(rand.New(rand.NewPCG(1, 0)), p, 60)
+	noisy := worker.Request{Entry: "noisy", Class: carobkeel.ClassBatch}
+	quiet := worker.Request{Entry: "quiet", Class: carobkeel.ClassBatch}
+	empty, _ := fleetOf(1, cores(16, 32)).Worker("w0")
+	g.Expect(p.Penalty(&noisy, serviceHost())).To(BeNumerically(">", 0.3))
+	g.Expect(p.Penalty(&quiet, serviceHost())).To(BeNumerically("<", 0.1))
+	g.Expect(p.Penalty(&noisy, empty)).To(BeZero())
+	g.Expect(p.Penalty(&quiet, empty)).To(BeNumerically(">", p.Penalty(&quiet, serviceHost())))
+}
+
+func TestAnUnknownTaskStartsSlowlyAndAHarmlessOneDoesNot(t *testing.T) {
+	g := NewWithT(t)
+	p := worker.NewPairings()
+	learn(rand.New(rand.NewPCG(1, 0)), p, 200)
+	p.Observe(reportOf(rand.New(rand.NewPCG(2, 0)), epoch, 0.9))
+	c := worker.NewController(p, worker.DefaultControlPolicy())
+	start := func(entry string) uint8 {
+		return c.StartThrottle(&worker.Request{Entry: entry, Class: carobkeel.ClassBatch, Demand: cores(2, 2)}, serviceHost())
+	}
+	g.Expect(start("never-seen")).To(BeNumerically(">=", 10))
+	g.Expect(start("noisy")).To(BeNumerically(">=", 70))
+	g.Expect(start("quiet")).To(BeZero())
+}
+
+func TestTheHarmfulTaskIsThrottledBeforeItIsEvicted(t *testing.T) {
+	g := NewWithT(t)
+	rng, p := rand.New(rand.NewPCG(1, 0)), worker.NewPairings()
+	learn(rng, p, 200)
+	c := worker.NewController(p, worker.DefaultControlPolicy())
+	edit := worker.NewRegistry(nil)
+	edit.Update(func(e *worker.Edit) {
+		e.Join(*serviceHost("noisy", "noisy2", "quiet"))
+		for _, id := range []carobkeel.TaskID{"noisy", "noisy2"} {
+			e.Remove("w0", id)
+			e.Restore("w0", &worker.Task{ID: id, Entry: "noisy", Class: carobkeel.ClassBatch, Reserved: cores(2, 2)})
+		}
+	})
+	evictedAt, throttled := time.Duration(0), map[carobkeel.TaskID]bool{}
+	for at := time.Duration(0); at < 20*time.Minute && evictedAt == 0; at += 30 * time.Second {
+		w, _ := edit.Fleet().Worker("w0")
+		now := epoch.Add(at)
+		reports := []worker.ServiceReport{reportOf(rng, now.Add(-30*time.Second), 0.9, worker.Neighbour{Entry: "noisy", Activity: 2})}
+		for _, action := range c.Decide(w, reports, now) {
+			g.Expect(action.Task).NotTo(BeEquivalentTo("quiet"))
+			if action.Kind == worker.ActionEvict {
+				g.Expect(throttled[action.Task]).To(BeTrue())
+				evictedAt = at
+				continue
+			}
+			throttled[action.Task] = true
+			edit.Update(func(e *worker.Edit) { e.Throttle("w0", action.Task, action.Throttle) })
+		}
+	}
+	g.Expect(throttled).To(HaveLen(2))
+	g.Expect(evictedAt).To(BeNumerically(">=", worker.DefaultControlPolicy().Patience))
+}
+
+// loop is a small fleet with the service on each worker, whose reports lag by a
+// window of 30 seconds.
+type loop struct {
+	rng        *rand.Rand
+	pairings   *worker.Pairings
+	controller *worker.Controller
+	registry   *worker.Registry
+	lagging    map[worker.ID]worker.ServiceReport
+}
+
+// newLoop starts the tasks of the given entries on one worker after the other.
+func newLoop(seed uint64, mixes ...[]string) *loop {
+	p := worker.NewPairings()
+	l := &loop{
+		rng: rand.New(rand.NewPCG(seed, 0)), pairings: p, lagging: map[worker.ID]worker.ServiceReport{},
+		controller: worker.NewController(p, worker.DefaultControlPolicy()),
+		registry:   worker.NewRegistry(fleetOf(len(mixes), cores(16, 32))),
+	}
+	l.registry.Update(func(e *worker.Edit) {
+		for i, mix := range mixes {
+			e.Restore(workerID(i), &worker.Task{ID: carobkeel.TaskID(workerID(i)), Entry: "s", Reserved: cores(2, 2)})
+			for _, entry := range mix {
+				task := carobkeel.TaskID(entry) + carobkeel.TaskID(workerID(i))
+				request := worker.Request{Task: task, Entry: entry, Class: carobkeel.ClassBatch, Demand: cores(2, 2)}
+				w, _ := e.Worker(workerID(i))
+				request.Throttle = l.controller.StartThrottle(&request, w)
+				e.Apply(worker.Plan{At: epoch, Assignments: []worker.Assignment{{Request: request, Worker: w.ID}}})
+			}
+		}
+	})
+	return l
+}
+
+// step delivers the reports of the window before the last and draws new ones.
+func (l *loop) step(now time.Time, load float64) (throttles int) {
+	l.registry.Fleet().Each(func(w *worker.Worker) bool {
+		if report, ok := l.lagging[w.ID]; ok {
+			l.pairings.Observe(report)
+			for _, action := range l.controller.Decide(w, []worker.ServiceReport{report}, now) {
+				// An eviction is refused here: nothing else has room.
+				if action.Kind == worker.ActionThrottle {
+					throttles++
+					l.registry.Update(func(e *worker.Edit) { e.Throttle(w.ID, action.Task, action.Throttle) })
+				}
+			}
+		}
+		w, _ = l.registry.Fleet().Worker(w.ID)
+		report := reportOf(l.rng, now.Add(30*time.Second), load, neighbours(w)...)
+		report.Worker = w.ID
+		l.lagging[w.ID] = report
+		return true
+	})
+	return throttles
+}
+
+func neighbours(w *worker.Worker) []worker.Neighbour {
+	var list []worker.Neighbour
+	for _, task := range w.Tasks {
+		if task.Class == carobkeel.ClassBatch {
+			list = append(list, worker.Neighbour{Entry: task.Entry, Activity: task.Speed()})
+		}
+	}
+	return list
+}
+
+// slowdown returns the true slowdown of the service on the worker.
+func slowdown(w *worker.Worker, load float64) float64 {
+	sum := 0.0
+	for _, n := range neighbours(w) {
+		sum += effects[n.Entry] * n.Activity * load
+	}
+	return math.Exp(sum)
+}
+
+// TestTheControllerSettlesWithinTheTarget has one worker without batch tasks, as
+// mixes that never change can't be told from the service's own latency. Under a steady load the speeds come
+// to rest, although reports lag, and no service is slowed beyond 1.15 times.
+func TestTheControllerSettlesWithinTheTarget(t *testing.T) {
+	const load, steps, settled = 0.8, 120, 80
+	for seed := range uint64(10) {
+		g := NewWithT(t)
+		l := newLoop(seed, []string{"noisy", "mild", "quiet"}, []string{"quiet"}, []string{"mild", "quiet"}, []string{"noisy"}, nil)
+		late := 0
+		for i := range steps {
+			throttles := l.step(epoch.Add(time.Duration(i)*30*time.Second), load)
+			if i >= settled {
+				late += throttles
+			}
+		}
+		l.registry.Fleet().Each(func(w *worker.Worker) bool {
+			return g.Expect(slowdown(w, load)).To(BeNumerically("<=", 1.15), "seed %d, worker %s", seed, w.ID)
+		})
+		quiet, _ := l.registry.Fleet().Worker("w1")
+		g.Expect(quiet.Tasks[1].Speed()).To(BeNumerically(">=", 0.8), "seed %d", seed)
+		g.Expect(late).To(BeNumerically("<=", (steps-settled)/4), "seed %d: changes of speed at rest", seed)
+	}
+}
--- a/worker/request.go
+++ b/worker/request.go
@@ -30,6 +30,9 @@
 	RunTime time.Duration
 	// Evictions is how often the task has been evicted so far.
 	Evictions uint16
+	// Throttle is the percentage of its processors that is withheld from the
+	// task when it starts, 0 for none.
+	Throttle uint8
 	// Avoid is a worker that the task must not go back to, empty if none. It
 	// keeps an evicted task from the worker that it was evicted from.
 	Avoid ID
@@ -64,7 +67,7 @@
 func (r *Request) task(phase Phase, now time.Time) *Task {
 	return &Task{
 		ID: r.Task, Job: r.Job, Owner: r.Owner, Entry: r.Entry, Group: r.Group,
-		Class: r.Class, Urgency: r.Urgency, Phase: phase, Evictions: r.Evictions,
+		Class: r.Class, Urgency: r.Urgency, Phase: phase, Evictions: r.Evictions, Throttle: r.Throttle,
 		Reserved: r.Demand, StartedAt: now,
 	}
 }
--- a/worker/round.go
+++ b/worker/round.go
@@ -12,6 +12,11 @@
 	Head(owner carobkeel.Owner) (Request, bool)
 }
 
+// waitingPerOwner is the number of an owner's requests that may find no room in
+// a round before the owner gives way, so that one large request at the head does
+// not hold up the small ones behind it.
+const waitingPerOwner = 8
+
 // PlaceFairly makes a plan of at most limit decisions, in the order that the
 // ledger gives. An owner whose request finds no room gives way to the others
 // for the rest of the round, so a request that waits does not hold up the
@@ -24,6 +29,7 @@
 	policy.Fairness = ledger
 	overlay, decisions := fleet.Edit(), make([]Decision, 0, limit)
 	var blocked []carobkeel.Owner
+	waiting := map[carobkeel.Owner]int{}
 	for len(decisions) < limit {
 		owner, ok := ledger.Next()
 		if !ok {
@@ -40,7 +46,7 @@
 			ledger.chargeAssignment(overlay, &decision.Assignment)
 			overlay.Apply(Plan{At: now, Assignments: []Assignment{decision.Assignment}})
 			plan.Assignments = append(plan.Assignments, decision.Assignment)
-		} else if decision.Verdict == VerdictWaiting {
+		} else if waiting[owner]++; waiting[owner] >= waitingPerOwner {
 			ledger.SetWaiting(owner, false)
 			blocked = append(blocked, owner)
 		}
--- a/worker/select.go
+++ b/worker/select.go
@@ -33,6 +33,11 @@
 	// Fairness protects guarantees from urgent work and lets owners take back
 	// what others borrow. It may be nil.
 	Fairness *Fairness
+	// ServicesPerWorker is the number of services that are put on one worker
+	// before the next is used, so that other workers stay free of services for
+	// batch work that harms them. Rack spread goes first. Zero spreads services
+	// over all workers.
+	ServicesPerWorker int
 	// Interference predicts slowdowns. It may be nil.
 	Interference Interference
 	// MaxPenalty is the predicted slowdown from which a worker is rejected.
@@ -198,7 +203,7 @@
 	if !ok {
 		return
 	}
-	s.offer(w, score(s.request, w, penalty), nil)
+	s.offer(w, score(s.request, w, &s.policy, penalty), nil)
 }
 
 func (s *selection) weighReclaimable(w *Worker) {
--- a/worker/task.go
+++ b/worker/task.go
@@ -46,6 +46,9 @@
 	Class   carobkeel.Class
 	Urgency Urgency
 	Phase   Phase
+	// Throttle is the percentage of its processors that is withheld from the
+	// task, 0 for none.
+	Throttle uint8
 	// Evictions is how often the task has been evicted so far.
 	Evictions uint16
 	// Reserved is the share of the worker's capacity that the task holds.
@@ -56,6 +59,9 @@
 	CheckpointedAt time.Time
 }
 
+// Speed returns the share of its processors that the task may use, 0 to 1.
+func (t *Task) Speed() float64 { return 1 - float64(min(t.Throttle, 100))/100 }
+
 // Preemptible reports whether the task may be evicted for work of the given
 // class and urgency. Services are never preempted.
 func (t *Task) Preemptible(class carobkeel.Class, urgency Urgency) bool {
