Take nothing from an owner on account of an unsettled plan

Cause: the property test of guarantees found (rapid) that an owner lost running work below its guarantee: its new assignments in the same plan made it a borrower, and the commit then refused them because a worker had shrunk. Change: the ledger keeps apart what belongs to a plan that is not settled, and Lends does not count it. Settle also takes the zero Result of a dropped plan. Conclusion: partial acceptance can't push an owner below its guarantee.

--- a/worker/fairness.go
+++ b/worker/fairness.go
@@ -25,6 +25,10 @@
 	guaranteed carobkeel.Resources
 	weight     float64
 	usage      carobkeel.Resources
+	// planned is the part of usage that belongs to a plan that is not settled.
+	// Nothing is taken from the owner on its account, as the commit may refuse
+	// it.
+	planned carobkeel.Resources
 	// standing follows from the other fields and the fleet's total.
 	standing Standing
 	// index is the account's place in the heap, -1 where it is not waiting.
@@ -85,6 +89,23 @@
 	f.Charge(owner, carobkeel.Resources{}.Sub(amount))
 }
 
+// plan charges an amount on account of a plan.
+func (f *Fairness) plan(owner carobkeel.Owner, amount carobkeel.Resources) {
+	a := f.account(owner)
+	a.planned = a.planned.Add(amount)
+	f.Charge(owner, amount)
+}
+
+// settle ends the account of a planned amount, and takes the charge back where
+// it was not applied.
+func (f *Fairness) settle(owner carobkeel.Owner, amount carobkeel.Resources, applied bool) {
+	a := f.account(owner)
+	a.planned = a.planned.Sub(amount)
+	if !applied {
+		f.Release(owner, amount)
+	}
+}
+
 // SetWaiting tells whether the owner has work waiting.
 func (f *Fairness) SetWaiting(owner carobkeel.Owner, waiting bool) {
 	a := f.account(owner)
@@ -125,13 +146,13 @@
 func (f *Fairness) Lends(owner carobkeel.Owner, amount carobkeel.Resources) bool {
 	a := f.account(owner)
 	guarantee := f.guarantee(a)
-	excess := shortfall(a.usage, guarantee)
-	if excess.IsZero() {
+	holds := a.usage.Sub(a.planned)
+	if holds.FitsIn(guarantee) {
 		return false
 	}
-	return keeps(a.usage.MilliCPU, amount.MilliCPU, guarantee.MilliCPU) &&
-		keeps(a.usage.MemoryBytes, amount.MemoryBytes, guarantee.MemoryBytes) &&
-		keeps(a.usage.Accelerators, amount.Accelerators, guarantee.Accelerators)
+	return keeps(holds.MilliCPU, amount.MilliCPU, guarantee.MilliCPU) &&
+		keeps(holds.MemoryBytes, amount.MemoryBytes, guarantee.MemoryBytes) &&
+		keeps(holds.Accelerators, amount.Accelerators, guarantee.Accelerators)
 }
 
 // keeps reports whether a part that exceeds its guarantee still reaches it
--- a/worker/round.go
+++ b/worker/round.go
@@ -59,7 +59,7 @@
 
 // chargeAssignment charges the assignment's demand and releases its victims.
 func (f *Fairness) chargeAssignment(state State, a *Assignment) {
-	f.Charge(a.Request.Owner, a.Request.Demand)
+	f.plan(a.Request.Owner, a.Request.Demand)
 	w, ok := state.Worker(a.Worker)
 	if !ok {
 		return
@@ -73,17 +73,17 @@
 
 // Settle takes back what PlaceFairly charged and released for assignments that
 // the commit did not apply, and for victims that it did not evict. The fleet is
-// the one that the plan was made from.
+// the one that the plan was made from. A plan that was dropped is settled with
+// the zero Result. Each plan is settled once, before the next is made.
 func (f *Fairness) Settle(fleet *Fleet, plan Plan, result Result) {
 	evicted := make(map[carobkeel.TaskID]bool, len(result.Evicted))
 	for _, p := range result.Evicted {
 		evicted[p.Task] = true
 	}
-	for i, outcome := range result.Outcomes {
+	for i := range plan.Assignments {
 		a := &plan.Assignments[i]
-		if outcome.Err != nil {
-			f.Release(a.Request.Owner, a.Request.Demand)
-		}
+		applied := i < len(result.Outcomes) && result.Outcomes[i].Err == nil
+		f.settle(a.Request.Owner, a.Request.Demand, applied)
 		w, ok := fleet.Worker(a.Worker)
 		if !ok {
 			continue
