Make placement with learned interference fast, start nothing at a crawl

Change: the effects on a worker are worked out once for each of its versions and reports; a search scores its candidates first and makes the costly checks in that order until the next can't win. Controller.Penalty rejects a worker on which a task would get less than a quarter of its speed. Pairings keeps each entry's largest effect in place of searching all services. In the sample traces an eighth of the pairings now change at half time, which makes them harder.

--- a/cmd/benchmark/colocation.go
+++ b/cmd/benchmark/colocation.go
@@ -238,7 +238,7 @@
 func (c *colocation) finish(edit *worker.Edit, j *job) {
 	done := min(j.progress, j.duration).Seconds() * float64(j.demand.MilliCPU) / 1000
 	c.result.throughput += done
-	if c.trace.effects[j.entry] > math.Log(1.2) {
+	if c.trace.effect(j.entry, c.now) > math.Log(1.2) {
 		c.result.harmfulDone += done
 	}
 	edit.Remove(j.worker, j.id)
@@ -253,7 +253,7 @@
 		activity := map[string]float64{}
 		for _, task := range w.Tasks {
 			if j, ok := c.running[task.ID]; ok {
-				logSlowdown += math.Log(1 + (math.Exp(c.trace.effects[j.entry])-1)*load*task.Speed())
+				logSlowdown += math.Log(1 + (math.Exp(c.trace.effect(j.entry, c.now))-1)*load*task.Speed())
 				activity[task.Entry] += task.Speed()
 			}
 		}
--- a/cmd/benchmark/interference.go
+++ b/cmd/benchmark/interference.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -30,10 +32,34 @@
 		for _, s := range userShapes() {
 			figures = append(figures, interferenceFigures(o, s)...)
 		}
-		return figures, nil
+		return append(figures, learnerFigures()...), nil
 	}}
 }
 
+// learnerFigures measures the memory of one service's model with all batch
+// entries that it keeps, and what one report costs it.
+func learnerFigures() []figure {
+	const services, reports, entries, neighbours = 50, 200, 64, 16
+	before := heapBytes()
+	pairings := worker.NewPairings()
+	start := time.Now()
+	for i := range services * reports {
+		report := worker.ServiceReport{Service: fmt.Sprintf("service-%d", i%services), P99: serviceLatency, Load: 0.6}
+		for j := range neighbours {
+			entry := entryName((i/services*neighbours + j) % entries)
+			report.Neighbours = append(report.Neighbours, worker.Neighbour{Entry: entry, Activity: 1})
+		}
+		pairings.Observe(report)
+	}
+	cost := float64(time.Since(start).Nanoseconds()) / 1e3 / (services * reports)
+	memory := float64(heapBytes()-before) / services
+	runtime.KeepAlive(pairings)
+	return []figure{
+		measured("learner-memory-service", memory, "bytes"),
+		measured("learner-report", cost, "us"),
+	}
+}
+
 func interferenceFigures(o options, s shape) []figure {
 	var alone, none, fixed, packed, threshold, spread, ours outcome
 	for i := range uint64(interferenceTraces) {
@@ -159,12 +185,15 @@
 // servicesPerWorker is the density of services under the learned rule.
 const servicesPerWorker = 2
 
+// maxPenalty rejects only workers on which a job would start too slowly.
+const maxPenalty = 1_000
+
 // maxWait is how long a job waits for a worker on which it does no harm.
 const maxWait = 40 * time.Minute
 
 func (l *learnedRule) policy(waited time.Duration) worker.Policy {
 	policy := worker.DefaultPolicy()
-	policy.Interference = l.pairings
+	policy.Interference, policy.MaxPenalty = l.controller, maxPenalty
 	policy.ServicesPerWorker = l.density
 	if waited < maxWait {
 		policy.MaxPenalty = slowdownTarget - 1
--- a/cmd/benchmark/placement.go
+++ b/cmd/benchmark/placement.go
@@ -72,27 +72,53 @@
 	name    string
 	request func(rng *rand.Rand, id int) worker.Request
 	fleet   *worker.Fleet
+	policy  worker.Policy
 }
 
 func placementCases(registry *worker.Registry) []placementCase {
+	plain := worker.DefaultPolicy()
 	return []placementCase{
-		{"place", batchRequest, registry.Fleet()},
-		{"place-service", serviceRequest, registry.Fleet()},
-		{"place-nearly-full", batchRequest, fillUp(registry.Fleet(), 100)},
-		{"preempt-full", urgentRequest, fillUp(registry.Fleet(), 0)},
+		{"place", batchRequest, registry.Fleet(), plain},
+		{"place-service", serviceRequest, registry.Fleet(), plain},
+		{"place-interference", batchRequest, registry.Fleet(), learnedPolicy(registry.Fleet())},
+		{"place-nearly-full", batchRequest, fillUp(registry.Fleet(), 100), plain},
+		{"preempt-full", urgentRequest, fillUp(registry.Fleet(), 0), plain},
 	}
 }
 
+// learnedPolicy returns a policy with pairings learned from one report of each
+// instance of a service in the fleet.
+func learnedPolicy(fleet *worker.Fleet) worker.Policy {
+	pairings := worker.NewPairings()
+	for _, w := range workersOf(fleet) {
+		var neighbours []worker.Neighbour
+		for _, task := range w.Tasks {
+			if task.Class == carobkeel.ClassBatch {
+				neighbours = append(neighbours, worker.Neighbour{Entry: task.Entry, Activity: 1})
+			}
+		}
+		for _, task := range w.Tasks {
+			if task.Class == carobkeel.ClassLatencyCritical {
+				pairings.Observe(worker.ServiceReport{
+					Worker: w.ID, Service: task.Entry, P99: serviceLatency, Load: 0.6, Neighbours: neighbours,
+				})
+			}
+		}
+	}
+	policy := worker.DefaultPolicy()
+	policy.Interference, policy.MaxPenalty = worker.NewController(pairings, worker.DefaultControlPolicy()), maxPenalty
+	return policy
+}
+
 // timeDecisions returns the microseconds that each decision took, and the share
 // that found a worker.
 func timeDecisions(rng *rand.Rand, registry *worker.Registry, c placementCase) ([]float64, float64) {
 	times, placed := make([]float64, 0, placementRounds), 0
-	policy := worker.DefaultPolicy()
 	now := sampleTime
 	for i := range placementRounds {
 		request := c.request(rng, i)
 		start := time.Now()
-		decision := worker.Place(c.fleet, request, policy, uint64(i), now)
+		decision := worker.Place(c.fleet, request, c.policy, uint64(i), now)
 		times = append(times, float64(time.Since(start).Nanoseconds())/1e3)
 		if decision.Verdict <= worker.VerdictPreempting {
 			placed++
--- a/cmd/benchmark/trace.go
+++ b/cmd/benchmark/trace.go
@@ -50,17 +50,14 @@
 	// load is the load of the service by tick.
 	load []float64
 	// effects is the logarithm of the slowdown that one task of each batch
-	// entry causes at full speed and full load.
-	effects []float64
+	// entry causes at full speed and full load, in each half of the trace.
+	effects [2][]float64
 }
 
 func newTrace(s shape, seed uint64) *trace {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	t := &trace{shape: s, seed: seed}
-	for range batchEntries {
-		t.effects = append(t.effects, drawEffect(rng))
-	}
-	rng.Shuffle(batchEntries, func(i, j int) { t.effects[i], t.effects[j] = t.effects[j], t.effects[i] })
+	t.effects = drawEffects(rng)
 	noise := 0.0
 	for at := time.Duration(0); at < colocationLength; at += colocationTick {
 		noise = 0.9*noise + 0.03*rng.NormFloat64()
@@ -71,6 +68,25 @@
 	return t
 }
 
+// drawEffects returns the effects of the entries. In the second half of a trace
+// an eighth of the entries have changed theirs.
+func drawEffects(rng *rand.Rand) [2][]float64 {
+	var effects [2][]float64
+	for i := range batchEntries {
+		effects[0] = append(effects[0], drawEffect(rng))
+		effects[1] = append(effects[1], effects[0][i])
+		if rng.IntN(8) == 0 {
+			effects[1][i] = drawEffect(rng)
+		}
+	}
+	return effects
+}
+
+// effect returns the effect of an entry at a time.
+func (t *trace) effect(entry int, at time.Duration) float64 {
+	return t.effects[int(2*at/colocationLength)][entry]
+}
+
 // drawEffect makes 15 % of the pairings harmful, up to a slowdown of 2.5 times
 // by one task, 25 % noticeable and the rest harmless.
 func drawEffect(rng *rand.Rand) float64 {
--- a/worker/commit.go
+++ b/worker/commit.go
@@ -38,7 +38,8 @@
 // Fleet returns the current snapshot.
 func (r *Registry) Fleet() *Fleet { return r.current.Load() }
 
-// Update applies a change to the current snapshot and publishes the result.
+// Update applies a change to the current snapshot and publishes the result. The
+// function must not call Update, Commit or Locate.
 func (r *Registry) Update(apply func(*Edit)) *Fleet {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/worker/control.go
+++ b/worker/control.go
@@ -1,9 +1,8 @@
 package worker
 
 import (
-	"cmp"
 	"math"
-	"slices"
+	"sort"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -18,6 +17,8 @@
 	Caution float64
 	// MinSpeed is the speed below which a task is not throttled.
 	MinSpeed float64
+	// StartSpeed is the least speed at which a task is started beside a service.
+	StartSpeed float64
 	// Step is the least change of a speed that is worth an action.
 	Step float64
 	// Patience is how long a task stays at MinSpeed before it is evicted.
@@ -29,7 +30,7 @@
 // DefaultControlPolicy returns the policy for production.
 func DefaultControlPolicy() ControlPolicy {
 	return ControlPolicy{
-		Limit: 1.12, Caution: 0.5, MinSpeed: 0.05, Step: 0.15,
+		Limit: 1.12, Caution: 0.5, MinSpeed: 0.05, StartSpeed: 0.25, Step: 0.15,
 		Patience: 5 * time.Minute, EvictionGap: 2 * time.Minute,
 	}
 }
@@ -72,6 +73,9 @@
 	actedAt time.Time
 	// evictedAt is the time of the last eviction.
 	evictedAt time.Time
+	// effects is what the worker's tasks do to its services, as far as known at
+	// the last report.
+	effects *hostEffects
 	// slowSince tells since when a task has stood at the least speed.
 	slowSince map[carobkeel.TaskID]time.Time
 }
@@ -88,6 +92,7 @@
 // each service on it. The reports should have been observed by the pairings.
 func (c *Controller) Decide(w *Worker, reports []ServiceReport, now time.Time) []Action {
 	host := c.host(w.ID)
+	host.effects = nil
 	speeds := c.speeds(w)
 	actions := c.throttle(w, speeds, host.fresh(reports))
 	if evict, ok := c.evict(w, host, speeds, now); ok {
@@ -103,9 +108,27 @@
 // StartThrottle returns the throttle that a batch task should start with on the
 // worker: what is not known to be harmless starts slowly.
 func (c *Controller) StartThrottle(r *Request, w *Worker) uint8 {
-	joined := *w
-	joined.Tasks = append(w.Tasks[:len(w.Tasks):len(w.Tasks)], r.task(PhaseRunning, time.Time{}))
-	return throttleFor(c.speeds(&joined)[len(w.Tasks)])
+	host := c.effects(w)
+	harm, _ := host.join(r.Entry)
+	return throttleFor(c.startSpeed(host, harm, r.Demand.MilliCPU))
+}
+
+// Penalty implements Interference. It is that of the pairings, and infinite on a
+// worker on which the task would start too slowly: it would hold its room and
+// get nothing done.
+func (c *Controller) Penalty(r *Request, w *Worker) float64 {
+	if r.Class != carobkeel.ClassBatch {
+		return c.pairings.Penalty(r, w)
+	}
+	host := c.effects(w)
+	if len(host.services) == 0 {
+		return c.pairings.quietPenalty(r.Entry)
+	}
+	harm, slowdown := host.join(r.Entry)
+	if c.startSpeed(host, harm, r.Demand.MilliCPU) < c.policy.StartSpeed {
+		return math.Inf(1)
+	}
+	return slowdown - 1
 }
 
 func (c *Controller) host(id ID) *hostControl {
@@ -138,42 +161,62 @@
 	return false
 }
 
-// candidate is a batch task that speed is given to.
-type candidate struct {
-	index int
-	harm  Effect
-	price float64
-}
-
 // speeds gives out speeds to the worker's batch tasks, by index of the task:
 // the most processor time of batch work within the services' limit. Every task
 // has the least speed; the rest goes to tasks in the order of their harm for
 // the processors that they use.
 func (c *Controller) speeds(w *Worker) []float64 {
 	speeds := make([]float64, len(w.Tasks))
-	var candidates []candidate
-	sum := effectSum{caution: c.policy.Caution}
-	for i, task := range w.Tasks {
+	for i := range speeds {
 		speeds[i] = 1
-		harm := c.harm(w, task.Entry)
-		if !isRunningBatch(task) || harm.Mean+harm.Deviation == 0 {
-			continue
-		}
-		speeds[i] = c.policy.MinSpeed
-		sum.add(harm, speeds[i])
-		price := (harm.Mean + harm.Deviation) / max(float64(task.Reserved.MilliCPU), 1)
-		candidates = append(candidates, candidate{i, harm, price})
 	}
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.price, b.price) })
-	limit := math.Log(c.policy.Limit)
-	for _, k := range candidates {
-		sum.add(k.harm, -c.policy.MinSpeed)
-		speeds[k.index] = max(c.policy.MinSpeed, sum.room(k.harm, limit))
-		sum.add(k.harm, speeds[k.index])
+	for _, task := range c.effects(w).tasks {
+		speeds[task.index] = task.speed
 	}
 	return speeds
 }
 
+// giveAll gives out the speeds of a worker's tasks, the cheapest first.
+func (c *Controller) giveAll(host *hostEffects) {
+	sum := c.leastSum(host.tasks)
+	host.sums = append(make([]effectSum, 0, len(host.tasks)+1), sum)
+	for i := range host.tasks {
+		host.tasks[i].speed = c.give(&sum, host.tasks[i].harm)
+		host.sums = append(host.sums, sum)
+	}
+}
+
+// leastSum returns the sum of the effects with all tasks at the least speed.
+func (c *Controller) leastSum(tasks []taskEffect) effectSum {
+	sum := effectSum{caution: c.policy.Caution}
+	for _, task := range tasks {
+		sum.add(task.harm, c.policy.MinSpeed)
+	}
+	return sum
+}
+
+// give raises a task of the sum from the least speed as far as the limit allows
+// and returns its speed.
+func (c *Controller) give(sum *effectSum, harm Effect) float64 {
+	sum.add(harm, -c.policy.MinSpeed)
+	speed := max(c.policy.MinSpeed, sum.room(harm, math.Log(c.policy.Limit)))
+	sum.add(harm, speed)
+	return speed
+}
+
+// startSpeed returns the speed that a task of the given harm would be given
+// beside the tasks that the worker has: what the cheaper ones leave.
+func (c *Controller) startSpeed(host *hostEffects, harm Effect, milliCPU int64) float64 {
+	if harm.Mean+harm.Deviation == 0 {
+		return 1
+	}
+	price := priceOf(harm, milliCPU)
+	cheaper := sort.Search(len(host.tasks), func(i int) bool { return host.tasks[i].price > price })
+	sum := host.sums[cheaper]
+	sum.add(harm, c.policy.MinSpeed)
+	return c.give(&sum, harm)
+}
+
 // effectSum is the cautious sum of effects: their means and, as their errors
 // are independent, the root of the sum of their variances.
 type effectSum struct{ caution, mean, variance float64 }
@@ -189,32 +232,23 @@
 }
 
 // room returns the greatest speed, in steps, that keeps the sum within the
-// limit, zero if none does.
+// limit, zero if none does. The sum grows with the speed, so it searches by
+// halves.
 func (s *effectSum) room(e Effect, limit float64) float64 {
 	const steps = 20
-	for step := steps; step > 0; step-- {
-		if speed := float64(step) / steps; s.cautious(e, speed) <= limit {
-			return speed
-		}
+	if s.cautious(e, 1) <= limit {
+		return 1
 	}
-	return 0
-}
-
-// harm returns the effect of one task of the entry, at full speed and the load
-// of now, on the service of the worker that it slows most, zero where there is
-// no service.
-func (c *Controller) harm(w *Worker, entry string) Effect {
-	var worst Effect
-	for _, task := range w.Tasks {
-		if task.Class != carobkeel.ClassLatencyCritical || task.Phase != PhaseRunning {
-			continue
-		}
-		effect, load := c.pairings.Effect(task.Entry, entry), c.pairings.load(task.Entry)
-		if effect.Mean+effect.Deviation > 0 && (effect.Mean+effect.Deviation)*load > worst.Mean+worst.Deviation {
-			worst = Effect{effect.Mean * load, effect.Deviation * load}
+	fits, exceeds := 0, steps
+	for exceeds-fits > 1 {
+		middle := (fits + exceeds) / 2
+		if s.cautious(e, float64(middle)/steps) <= limit {
+			fits = middle
+		} else {
+			exceeds = middle
 		}
 	}
-	return worst
+	return float64(fits) / steps
 }
 
 // throttle returns the changes of speed that are worth an action. Speed is
@@ -227,7 +261,8 @@
 			continue
 		}
 		change := speeds[i] - task.Speed()
-		eases := -change*c.harm(w, task.Entry).Mean >= minEase
+		harm, _ := c.effects(w).join(task.Entry)
+		eases := -change*harm.Mean >= minEase
 		if (math.Abs(change) < c.policy.Step && !eases) || (change > 0 && !fresh) {
 			continue
 		}
@@ -262,7 +297,8 @@
 		if now.Sub(since) < c.patience(task) {
 			continue
 		}
-		cost := EvictionCost(task, now) / max(c.harm(w, task.Entry).Mean, minHarm)
+		harm, _ := c.effects(w).join(task.Entry)
+		cost := EvictionCost(task, now) / max(harm.Mean, minHarm)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/worker/pairings.go
+++ b/worker/pairings.go
@@ -39,14 +39,26 @@
 // Pairings learns, for each service, which batch entries slow it and by how
 // much, from lagging reports; serviceModel says how. A Pairings is used by one
 // goroutine at a time.
-type Pairings struct{ services map[string]*serviceModel }
+type Pairings struct {
+	services map[string]*serviceModel
+	// worst is the largest effect by batch entry.
+	worst map[string]worstEffect
+}
+
+// worstEffect is the service that a batch entry slows most.
+type worstEffect struct {
+	service string
+	effect  float64
+}
 
 // Effect is the learned effect of one batch entry on a service: the logarithm
 // of the slowdown that one task causes at full speed and full load.
 type Effect struct{ Mean, Deviation float64 }
 
 // NewPairings returns a Pairings that knows nothing.
-func NewPairings() *Pairings { return &Pairings{services: map[string]*serviceModel{}} }
+func NewPairings() *Pairings {
+	return &Pairings{services: map[string]*serviceModel{}, worst: map[string]worstEffect{}}
+}
 
 // Observe takes in a report.
 func (p *Pairings) Observe(r ServiceReport) {
@@ -59,16 +71,12 @@
 		p.services[r.Service] = m
 	}
 	m.observe(r)
+	p.noteWorst(r)
 }
 
 // Effect returns the effect of a batch entry on a service.
 func (p *Pairings) Effect(service, entry string) Effect {
-	if m := p.services[service]; m != nil {
-		if i, ok := m.slots[entry]; ok {
-			return Effect{m.mean[i], math.Sqrt(m.at(i, i))}
-		}
-	}
-	return Effect{priorEffect, priorDeviation}
+	return p.services[service].effect(entry)
 }
 
 // Slowdown returns the measured latency as a multiple of the one without
@@ -101,20 +109,29 @@
 		worst = max(worst, p.expected(task.Entry, w, joining))
 	}
 	if services == 0 && r.Class == carobkeel.ClassBatch {
-		return quietPenalty * max(0, 1-p.mostHarm(r.Entry)/quietHarm)
+		return p.quietPenalty(r.Entry)
 	}
 	return worst
 }
 
+// quietPenalty returns the penalty of a batch entry on a worker without services.
+func (p *Pairings) quietPenalty(entry string) float64 {
+	return quietPenalty * max(0, 1-p.mostHarm(entry)/quietHarm)
+}
+
 // mostHarm returns the largest effect that is known of the batch entry.
-func (p *Pairings) mostHarm(entry string) float64 {
-	most := 0.0
-	for _, m := range p.services {
-		if i, ok := m.slots[entry]; ok {
-			most = max(most, m.mean[i])
+func (p *Pairings) mostHarm(entry string) float64 { return p.worst[entry].effect }
+
+// noteWorst keeps the largest effect of each entry of a report up to date. It
+// follows the service that was hurt most; where that one recovers, another takes
+// its place with its next report.
+func (p *Pairings) noteWorst(r ServiceReport) {
+	for _, n := range r.Neighbours {
+		effect, known := p.Effect(r.Service, n.Entry).Mean, p.worst[n.Entry]
+		if known.service == r.Service || effect > known.effect {
+			p.worst[n.Entry] = worstEffect{r.Service, effect}
 		}
 	}
-	return most
 }
 
 // expected returns the slowdown, less 1, of a service on the worker with one
--- a/worker/select.go
+++ b/worker/select.go
@@ -1,7 +1,9 @@
 package worker
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -133,6 +135,12 @@
 	return reason
 }
 
+// ranked is a worker with its score before the costly checks.
+type ranked struct {
+	worker *Worker
+	score  float64
+}
+
 // selection is the search for one request's worker.
 type selection struct {
 	checker
@@ -143,9 +151,11 @@
 	examined   int
 	found      int
 	truncated  bool
-	best       *Worker
-	bestScore  float64
-	victims    []carobkeel.TaskID
+	// pool holds candidates that the costly checks are still to be made for.
+	pool      []ranked
+	best      *Worker
+	bestScore float64
+	victims   []carobkeel.TaskID
 }
 
 func newSelection(state State, r *Request, policy Policy, seed uint64, now time.Time) *selection {
@@ -162,6 +172,7 @@
 	return &selection{
 		checker: checker{state: state, request: r, now: now},
 		policy:  policy, eviction: newEviction(r, policy), seed: mixed,
+		pool: make([]ranked, 0, policy.Candidates),
 	}
 }
 
@@ -176,41 +187,75 @@
 	return s.sweep(filter{request: s.request, reclaim: true}, s.policy.PreemptCandidates, s.weighReclaimable)
 }
 
+// sweep weighs workers until there are enough candidates with a best one among
+// them, or the search has looked at as many workers as the policy allows.
 func (s *selection) sweep(by filter, candidates int, weigh func(*Worker)) bool {
-	s.examined, s.found = 0, 0
+	s.examined = 0
 	visit := func(w *Worker) bool {
 		s.examined++
 		weigh(w)
 		s.truncated = s.examined >= s.policy.Examined
-		return s.found < candidates && !s.truncated
+		if s.found < candidates {
+			return !s.truncated
+		}
+		s.choose()
+		s.found = 0
+		return s.best == nil && !s.truncated
 	}
 	if s.request.Home == "" {
-		s.state.search(by, s.seed, &s.rejections, visit)
-		return s.best != nil
+		return s.searchAll(by, visit)
 	}
 	by.home = true
-	s.state.search(by, s.seed, &s.rejections, visit)
-	if s.best != nil {
+	if s.searchAll(by, visit) {
 		return true
 	}
 	by.home, by.away = false, true
+	return s.searchAll(by, visit)
+}
+
+func (s *selection) searchAll(by filter, visit func(*Worker) bool) bool {
+	s.found = 0
 	s.state.search(by, s.seed, &s.rejections, visit)
+	s.choose()
 	return s.best != nil
 }
 
+// weighFree puts the worker into the pool.
 func (s *selection) weighFree(w *Worker) {
-	penalty, ok := s.admit(w)
-	if !ok {
+	if reason := s.permits(w); reason != ReasonNone {
+		s.rejections.Add(reason, 1)
 		return
 	}
-	s.offer(w, score(s.request, w, &s.policy, penalty), nil)
+	s.found++
+	s.pool = append(s.pool, ranked{w, score(s.request, w, &s.policy, 0)})
+}
+
+// choose empties the pool. It takes the workers in the order of their score and
+// ends where the next can't be better than the best so far, as the costly checks
+// that are left only add to a score.
+func (s *selection) choose() {
+	slices.SortFunc(s.pool, func(a, b ranked) int { return cmp.Compare(a.score, b.score) })
+	for _, candidate := range s.pool {
+		if s.best != nil && candidate.score >= s.bestScore {
+			break
+		}
+		if penalty, ok := s.penalty(candidate.worker); ok {
+			s.offer(candidate.worker, candidate.score+interferenceWeight*penalty, nil)
+		}
+	}
+	s.pool = s.pool[:0]
 }
 
 func (s *selection) weighReclaimable(w *Worker) {
-	penalty, ok := s.admit(w)
+	if reason := s.permits(w); reason != ReasonNone {
+		s.rejections.Add(reason, 1)
+		return
+	}
+	penalty, ok := s.penalty(w)
 	if !ok {
 		return
 	}
+	s.found++
 	victims, cost, ok := s.eviction.victims(w, s.now)
 	if !ok {
 		s.rejections.Add(lacks(s.request.Demand, w.Claimable()), 1)
@@ -219,12 +264,8 @@
 	s.offer(w, cost+interferenceWeight*penalty, victims)
 }
 
-// admit checks what the page's cells don't tell.
-func (s *selection) admit(w *Worker) (float64, bool) {
-	if reason := s.permits(w); reason != ReasonNone {
-		s.rejections.Add(reason, 1)
-		return 0, false
-	}
+// penalty returns the predicted slowdown, and false where it is too much.
+func (s *selection) penalty(w *Worker) (float64, bool) {
 	if s.policy.Interference == nil {
 		return 0, true
 	}
@@ -240,14 +281,12 @@
 // over racks costs most to check, so it is checked for these only.
 func (s *selection) offer(w *Worker, score float64, victims []carobkeel.TaskID) {
 	if s.best != nil && score >= s.bestScore {
-		s.found++
 		return
 	}
 	if s.crowdsRack(w) {
 		s.rejections.Add(ReasonRackSpread, 1)
 		return
 	}
-	s.found++
 	s.best, s.bestScore, s.victims = w, score, victims
 }
 
--- a/worker/service_model.go
+++ b/worker/service_model.go
@@ -74,6 +74,16 @@
 
 func (m *serviceModel) at(i, j int) float64 { return m.covariance[i*len(m.mean)+j] }
 
+// effect returns the effect of a batch entry. It may be asked of a nil model.
+func (m *serviceModel) effect(entry string) Effect {
+	if m != nil {
+		if i, ok := m.slots[entry]; ok {
+			return Effect{m.mean[i], math.Sqrt(m.at(i, i))}
+		}
+	}
+	return Effect{priorEffect, priorDeviation}
+}
+
 // alone returns the logarithm of the latency without interference at a load.
 func (m *serviceModel) alone(load float64) float64 {
 	i, f := knot(load)
