Test what changing a line by hand did not break

Cause: five changes of single lines, made by hand, passed the tests: a start on room that is still being released, a claim started without room, an unsettled plan counted as held, a speed raised on an old report, repeated failures of one job counted each. The growth of a reservation had no test. Change: a test for each. Conclusion: the invariants of starts and claims are tested directly as well as by random events.

--- a/worker/commit_test.go
+++ b/worker/commit_test.go
@@ -68,3 +68,36 @@
 	full := carobkeel.CodeHostFull
 	g.Expect(codes).To(Equal([]carobkeel.Code{0, full, full, 0, full, carobkeel.CodeInvalidEntry}))
 }
+
+func TestNothingStartsOnRoomThatIsNotFreeYet(t *testing.T) {
+	g := NewWithT(t)
+	registry := worker.NewRegistry(fleetOf(1, cores(4, 8)))
+	registry.Update(func(e *worker.Edit) {
+		e.Restore("w0", &worker.Task{ID: "old", Class: carobkeel.ClassBatch, Reserved: cores(4, 8)})
+		e.Evicting("w0", "old")
+	})
+	service := worker.Request{Task: "s", Class: carobkeel.ClassLatencyCritical, Demand: cores(2, 2)}
+	plan, decisions := worker.PlaceAll(registry.Fleet(), []worker.Request{service}, worker.DefaultPolicy(), 1, epoch)
+	g.Expect(decisions[0].Verdict).To(Equal(worker.VerdictPreempting))
+	g.Expect(decisions[0].Assignment.Victims).To(BeEmpty(), "an eviction is under way already")
+	g.Expect(registry.Commit(plan).Outcomes[0].Claimed).To(BeTrue())
+	registry.Update(func(e *worker.Edit) {
+		g.Expect(e.Started("w0", "s", epoch)).To(BeFalse(), "the old task still runs")
+		e.Remove("w0", "old")
+		g.Expect(e.Started("w0", "s", epoch)).To(BeTrue())
+	})
+}
+
+func TestAReservationGrowsOnlyIntoFreeRoom(t *testing.T) {
+	g := NewWithT(t)
+	registry := worker.NewRegistry(fleetOf(1, cores(4, 8)))
+	registry.Update(func(e *worker.Edit) {
+		e.Restore("w0", &worker.Task{ID: "a", Reserved: cores(1, 1)})
+		e.Restore("w0", &worker.Task{ID: "b", Reserved: cores(2, 2)})
+		g.Expect(e.Reserve("w0", "a", cores(3, 1))).To(BeFalse())
+		g.Expect(e.Reserve("w0", "a", cores(2, 6))).To(BeTrue())
+		g.Expect(e.Reserve("w0", "b", cores(1, 1))).To(BeTrue())
+	})
+	w, _ := registry.Fleet().Worker("w0")
+	g.Expect(w.Reserved).To(Equal(cores(3, 7)))
+}
--- a/worker/fairness_test.go
+++ b/worker/fairness_test.go
@@ -188,3 +188,18 @@
 	policy.Fairness = ledger
 	g.Expect(worker.Place(registry.Fleet(), urgent, policy, 1, epoch).Verdict).To(Equal(worker.VerdictWaiting))
 }
+
+func TestAPlanThatIsNotSettledIsNotHeld(t *testing.T) {
+	g := NewWithT(t)
+	fleet := fleetOf(1, cores(8, 16))
+	ledger := worker.NewFairness(fleet.Total())
+	ledger.SetQuota(carobkeel.Quota{Owner: "a", Guaranteed: cores(4, 8)})
+	ledger.Charge("a", cores(4, 4))
+	ledger.SetWaiting("a", true)
+	waiting := queues{"a": batchOf("a", 1, cores(2, 2))}
+	plan, _ := worker.PlaceFairly(fleet, ledger, waiting, 5, worker.DefaultPolicy(), 1, epoch)
+	g.Expect(ledger.Usage("a")).To(Equal(cores(6, 6)))
+	g.Expect(ledger.Lends("a", cores(1, 0))).To(BeFalse())
+	ledger.Settle(fleet, plan, worker.NewRegistry(fleet).Commit(plan))
+	g.Expect(ledger.Lends("a", cores(1, 0))).To(BeTrue())
+}
--- a/worker/interference_test.go
+++ b/worker/interference_test.go
@@ -225,3 +225,29 @@
 		g.Expect(late).To(BeNumerically("<=", (steps-settled)/4), "seed %d: changes of speed at rest", seed)
 	}
 }
+
+func TestAnOldReportDoesNotRaiseASpeed(t *testing.T) {
+	g := NewWithT(t)
+	p := worker.NewPairings()
+	learn(rand.New(rand.NewPCG(1, 0)), p, 200)
+	c := worker.NewController(p, worker.DefaultControlPolicy())
+	registry := worker.NewRegistry(nil)
+	registry.Update(func(e *worker.Edit) {
+		e.Join(*serviceHost("noisy", "quiet"))
+		e.Throttle("w0", "quiet", 90)
+	})
+	rng := rand.New(rand.NewPCG(2, 0))
+	decide := func(at time.Duration, lag time.Duration) (raised int) {
+		w, _ := registry.Fleet().Worker("w0")
+		now := epoch.Add(at)
+		for _, action := range c.Decide(w, []worker.ServiceReport{reportOf(rng, now.Add(-lag), 0.8, neighbours(w)...)}, now) {
+			if action.Task == "quiet" {
+				raised++
+			}
+		}
+		return raised
+	}
+	g.Expect(decide(0, 0)).To(Equal(1), "no action has been taken before")
+	g.Expect(decide(20*time.Second, 30*time.Second)).To(BeZero(), "the window began before the last action")
+	g.Expect(decide(90*time.Second, 30*time.Second)).To(Equal(1))
+}
--- a/worker/quarantine_test.go
+++ b/worker/quarantine_test.go
@@ -156,3 +156,16 @@
 	f.review()
 	g.Expect(f.aside).To(BeEmpty())
 }
+
+func TestRepeatedFailuresOfOneJobCountOnce(t *testing.T) {
+	g := NewWithT(t)
+	q := worker.NewQuarantine(worker.DefaultQuarantinePolicy())
+	q.Observe(worker.TaskOutcome{Worker: "w", Job: "j", Failed: true, At: epoch})
+	once, _ := q.WorkerEvidence("w", epoch)
+	for range 20 {
+		q.Observe(worker.TaskOutcome{Worker: "w", Job: "j", Failed: true, At: epoch})
+	}
+	often, jobs := q.WorkerEvidence("w", epoch)
+	g.Expect(often).To(Equal(once))
+	g.Expect(jobs).To(Equal(1))
+}
