Give no job up because of an outage

Cause: never-fits left lost workers out and answered for data centres without any known worker, so a job would have been told during an outage, or by a new shard holder, that no host can ever run it. Change: lost workers count, and where no worker is known the request waits. Measured: the new test passes; go test -race ./worker passes. Conclusion: never-fits is said only of a fleet that is known.

--- a/worker/feasible_test.go
+++ b/worker/feasible_test.go
@@ -119,3 +119,19 @@
 	host, _ = edit.Worker("w0")
 	g.Expect(worker.Shed(host, epoch)).To(HaveLen(2))
 }
+
+func TestAnOutageIsNoReasonToGiveAJobUp(t *testing.T) {
+	g := NewWithT(t)
+	verdict := func(fleet *worker.Fleet, demand carobkeel.Resources, dc carobkeel.DataCentre) worker.Verdict {
+		request := worker.Request{Task: "t", Class: carobkeel.ClassBatch, Demand: demand, DataCentres: []carobkeel.DataCentre{dc}}
+		return worker.Place(fleet, request, worker.DefaultPolicy(), 1, epoch).Verdict
+	}
+	edit := fleetOf(2, cores(4, 8)).Edit()
+	edit.SetStatus("w0", worker.StatusLost)
+	edit.SetStatus("w1", worker.StatusLost)
+	lost := edit.Publish()
+	g.Expect(verdict(lost, cores(2, 2), "dc0")).To(Equal(worker.VerdictWaiting))
+	g.Expect(verdict(lost, cores(5, 2), "dc0")).To(Equal(worker.VerdictNeverFits))
+	g.Expect(verdict(lost, cores(5, 2), "not-heard-of")).To(Equal(worker.VerdictWaiting))
+	g.Expect(verdict(&worker.Fleet{}, cores(2, 2), "dc0")).To(Equal(worker.VerdictWaiting))
+}
--- a/worker/page.go
+++ b/worker/page.go
@@ -12,7 +12,8 @@
 	dataCentre carobkeel.DataCentre
 	workers    []*Worker
 	// free, reclaimable and capacity are the largest amount, part by part,
-	// that any worker of the page has. The first two count ready workers only.
+	// that any worker of the page has. The first two count ready workers only;
+	// the last counts lost ones too, as they may come back.
 	free        carobkeel.Resources
 	reclaimable carobkeel.Resources
 	capacity    carobkeel.Resources
@@ -49,9 +50,7 @@
 			free = maxParts(free, c.free)
 			reclaimable = maxParts(reclaimable, c.reclaimable)
 		}
-		if c.status != StatusLost {
-			capacity = maxParts(capacity, w.Capacity)
-		}
+		capacity = maxParts(capacity, w.Capacity)
 	}
 	p.free, p.reclaimable, p.capacity = free, reclaimable, capacity
 }
--- a/worker/select.go
+++ b/worker/select.go
@@ -106,9 +106,15 @@
 }
 
 // NeverFits returns an Error with CodeNeverFits where the demand exceeds every
-// worker of the data centres that the request allows, nil otherwise.
+// worker of the data centres that the request allows, nil otherwise. Lost
+// workers count, as an outage is no reason to give a job up, and where no worker
+// is known in these data centres nothing is said. The answer is only as good as
+// the snapshot: ask once all workers have reported, and again when they change.
 func NeverFits(state State, r *Request) error {
 	largest := state.largest(r)
+	if largest.IsZero() {
+		return nil
+	}
 	reason := lacks(r.Demand, largest)
 	if reason == ReasonNone {
 		reason = lacksTogether(state, r)
@@ -127,7 +133,7 @@
 func lacksTogether(state State, r *Request) Reason {
 	reason := ReasonProcessors
 	state.Each(func(w *Worker) bool {
-		if w.Status != StatusLost && r.allows(w.Location.DataCentre) && r.Demand.FitsIn(w.Capacity) {
+		if r.allows(w.Location.DataCentre) && r.Demand.FitsIn(w.Capacity) {
 			reason = ReasonNone
 		}
 		return reason != ReasonNone
--- a/worker/state.go
+++ b/worker/state.go
@@ -21,7 +21,7 @@
 	// what the filter asks for, from the given page on.
 	search(f filter, from uint64, rejected *Rejections, visit func(*Worker) bool)
 	// largest returns the largest capacity, part by part, among the workers
-	// of the data centres that the request allows.
+	// of the data centres that the request allows, lost ones included.
 	largest(r *Request) carobkeel.Resources
 }
 
