Throttle on expected harm, not on possible harm

Cause: a controller without a past, as after a shard changed hands, would have throttled all batch work beside services because nothing was known of it, and evicted it five minutes later. Change: a running task's speed is cut only where the expected effects exceed the limit; caution still bounds starts and raises. Patience counts from the task's real speed. The prior of a pairing is 0.4 % so that 17 unknown tasks stay within the limit.

--- a/worker/control.go
+++ b/worker/control.go
@@ -95,7 +95,7 @@
 	host.effects = nil
 	speeds := c.speeds(w)
 	actions := c.throttle(w, speeds, host.fresh(reports))
-	if evict, ok := c.evict(w, host, speeds, now); ok {
+	if evict, ok := c.evict(w, host, now); ok {
 		actions = append(actions, evict)
 		host.evictedAt = now
 	}
@@ -252,18 +252,23 @@
 }
 
 // throttle returns the changes of speed that are worth an action. Speed is
-// raised only on a fresh report; it is cut at any time, as the model may have
-// learned from other workers.
+// raised only on a fresh report. It is cut only where the tasks at their speeds
+// are expected to exceed the limit, not where that is merely possible: a holder
+// that has yet to learn does not throttle a fleet that does well.
 func (c *Controller) throttle(w *Worker, speeds []float64, fresh bool) []Action {
 	var actions []Action
+	exceeds := c.expected(w) > math.Log(c.policy.Limit)
 	for i, task := range w.Tasks {
 		if !isRunningBatch(task) {
 			continue
 		}
 		change := speeds[i] - task.Speed()
+		if change > 0 && !fresh || change < 0 && !exceeds {
+			continue
+		}
 		harm, _ := c.effects(w).join(task.Entry)
 		eases := -change*harm.Mean >= minEase
-		if (math.Abs(change) < c.policy.Step && !eases) || (change > 0 && !fresh) {
+		if math.Abs(change) < c.policy.Step && !eases {
 			continue
 		}
 		actions = append(actions, Action{Kind: ActionThrottle, Worker: w.ID, Task: task.ID, Throttle: throttleFor(speeds[i])})
@@ -271,6 +276,16 @@
 	return actions
 }
 
+// expected returns the sum of the effects of the worker's tasks at their speeds,
+// without caution.
+func (c *Controller) expected(w *Worker) float64 {
+	sum := 0.0
+	for _, task := range c.effects(w).tasks {
+		sum += task.harm.Mean * w.Tasks[task.index].Speed()
+	}
+	return sum
+}
+
 func throttleFor(speed float64) uint8 { return uint8(math.Round(100 * (1 - speed))) }
 
 // patience returns how long the task stays at the least speed before it is
@@ -282,11 +297,11 @@
 
 // evict returns the eviction of the slowest task that has run out of patience,
 // the one with the least cost for its harm.
-func (c *Controller) evict(w *Worker, h *hostControl, speeds []float64, now time.Time) (Action, bool) {
+func (c *Controller) evict(w *Worker, h *hostControl, now time.Time) (Action, bool) {
 	best, bestCost := -1, 0.0
 	slow := map[carobkeel.TaskID]time.Time{}
 	for i, task := range w.Tasks {
-		if !isRunningBatch(task) || speeds[i] > 2*c.policy.MinSpeed {
+		if !isRunningBatch(task) || task.Speed() > 2*c.policy.MinSpeed {
 			continue
 		}
 		since, ok := h.slowSince[task.ID]
--- a/worker/interference_test.go
+++ b/worker/interference_test.go
@@ -1,6 +1,7 @@
 package worker_test
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -251,3 +252,26 @@
 	g.Expect(decide(20*time.Second, 30*time.Second)).To(BeZero(), "the window began before the last action")
 	g.Expect(decide(90*time.Second, 30*time.Second)).To(Equal(1))
 }
+
+// TestANewHolderLeavesAFleetAlone has tasks of 17 entries that nothing is known
+// of, found running at full speed by a controller without a past.
+func TestANewHolderLeavesAFleetAlone(t *testing.T) {
+	g := NewWithT(t)
+	edit := fleetOf(1, cores(64, 64)).Edit()
+	edit.Restore("w0", &worker.Task{ID: "s", Entry: "s", Reserved: cores(2, 2)})
+	for i := range 17 {
+		entry := fmt.Sprintf("entry-%d", i)
+		edit.Restore("w0", &worker.Task{ID: carobkeel.TaskID(entry), Entry: entry, Class: carobkeel.ClassBatch, Reserved: cores(2, 2)})
+	}
+	w, _ := edit.Worker("w0")
+	rng, p := rand.New(rand.NewPCG(1, 0)), worker.NewPairings()
+	c := worker.NewController(p, worker.DefaultControlPolicy())
+	actions := 0
+	for i := range 60 {
+		now := epoch.Add(time.Duration(i) * 30 * time.Second)
+		report := reportOf(rng, now, 0.9, neighbours(w)...)
+		p.Observe(report)
+		actions += len(c.Decide(w, []worker.ServiceReport{report}, now))
+	}
+	g.Expect(actions).To(BeZero())
+}
--- a/worker/service_model.go
+++ b/worker/service_model.go
@@ -8,7 +8,7 @@
 const (
 	// priorEffect and priorDeviation are what is assumed of a pairing that was
 	// never seen, as the logarithm of the slowdown at full load.
-	priorEffect    = 0.01
+	priorEffect    = 0.004
 	priorDeviation = 0.5
 	// reportDeviation is the noise of one report's logarithm of the latency.
 	reportDeviation = 0.08
