--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -42,6 +42,7 @@
 		placementSuite(),
 		pickSuite(),
 		floodSuite(),
+		interferenceSuite(),
 	}
 }
 
