--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -43,6 +43,7 @@
 		pickSuite(),
 		floodSuite(),
 		interferenceSuite(),
+		schedulerSuite(),
 	}
 }
 
