Relay the sidecars' announcements between entries

Cause: entries of other data centres did not learn of sidecars, and every heartbeat was treated alike.

Change: sidecar.Membership decides from direct and relayed words which sidecars are there. An entry relays a change that it heard itself at once and tells the others every 5 s, with jitter, which sidecars it hears; they ask for what they lack. A relayed word goes no further. A sidecar expires after 6 s without a word of its own and 15 s without one of another entry; a stopped one is kept for that time, so that a late word does not bring it back, then forgotten. Heartbeats come every 2 s. sidecar/members carries it out over the event links.

--- a/cmd/capacity/events.go
+++ b/cmd/capacity/events.go
@@ -1,6 +1,6 @@
 package main
 
-import "github.com/carobkeel/carobkeel/sidecar/members"
+import "github.com/carobkeel/carobkeel/sidecar"
 
 // step is one part of an event: how much has to be done, what one of it takes,
 // and how soon it has to be over.
@@ -20,7 +20,7 @@
 }
 
 func events() []event {
-	joined := amount(members.Expiry.Seconds(), "s until a silent sidecar expires")
+	joined := amount(sidecar.DirectExpiry.Seconds(), "s until a silent sidecar expires")
 	return []event{
 		{"A rack is lost", []step{
 			{
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -19,7 +19,6 @@
 	"github.com/carobkeel/carobkeel/caller/httpapi"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/spreader"
-	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
@@ -121,7 +120,9 @@
 	p := &entryProcess{config: c, readiness: &balancer.Readiness{}, log: logs.For("entry"), cancel: cancel}
 	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
 	self := newIncarnation()
-	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
+	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
+	p.peers = eventlink.NewDialer(splitList(c.peers), link.DefaultConfig(), p.log, func() {})
+	p.members = members.New(members.NewMetrics(scope), p.log, p.links, p.peers, func() { p.forwarder.Prune() })
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
 	keyed := claims.NewForwarder(claims.NewStore(claims.Direct{Table: tables}, tables), p.forwarder, p.log)
 	p.store = store.New(store.Config{Table: tables, Metrics: store.NewMetrics(scope)})
@@ -148,11 +149,11 @@
 		return err
 	}
 	p.linkAddress = listener.Addr()
-	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
 	go func() { _ = p.links.Run(ctx, listener) }()
 	go p.members.Run(ctx)
 	return runRouter(ctx, p.log, func(router *message.Router) {
-		router.AddConsumerHandler("members", wire.TopicAnnouncement, p.links, p.members.Handle)
+		router.AddConsumerHandler("members", members.AcceptedTopics, p.links, p.members.Handle)
+		router.AddConsumerHandler("members-dialled", members.DialledTopics, p.peers, p.members.Handle)
 	})
 }
 
--- a/cmd/carobkeel/spread.go
+++ b/cmd/carobkeel/spread.go
@@ -9,9 +9,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/entry"
-	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/spreader"
-	"github.com/carobkeel/carobkeel/internal/link"
 )
 
 // eventEnd is one end of event links.
@@ -47,11 +45,9 @@
 
 // startSpread joins the entry to the spread of the catalogue.
 func (p *entryProcess) startSpread(ctx context.Context, scope tally.Scope) error {
-	peers := splitList(p.config.peers)
-	p.peers = eventlink.NewDialer(peers, link.DefaultConfig(), p.log, func() {})
 	ends := map[string]eventEnd{"accepted": p.links, "dialled": p.peers}
 	config := entry.DefaultSpreadConfig()
-	config.Peers, config.Store = len(peers), true
+	config.Peers, config.Store = len(splitList(p.config.peers)), true
 	p.spread = newSpreader(config, ends, scope, p.log, p.install, func(bool) { p.serve() })
 	p.reader = spreader.NewReader(p.store, p.spread, p.config.catalogueInterval)
 	if err := runRouter(ctx, p.log, func(router *message.Router) { addSpread(router, p.spread, ends) }); err != nil {
--- a/entry/announcer/announcer.go
+++ b/entry/announcer/announcer.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/phuslu/log"
 
@@ -19,7 +18,7 @@
 const (
 	// HeartbeatInterval is the time between two announcements where nothing
 	// changes.
-	HeartbeatInterval = time.Second
+	HeartbeatInterval = 2 * time.Second
 	probeInterval     = 250 * time.Millisecond
 	probeTimeout      = time.Second
 )
@@ -143,7 +142,7 @@
 		a.log.Error().Err(err).Msg("announcement not encoded")
 		return
 	}
-	event := message.NewMessage(watermill.NewShortUUID(), payload)
+	event := message.NewMessage("", payload)
 	if err := a.publisher.Publish(wire.TopicAnnouncement, event); err != nil {
 		a.log.Debug().Err(err).Msg("announcement not sent")
 	}
--- a/entry/wire/codec.go
+++ b/entry/wire/codec.go
@@ -40,7 +40,13 @@
 
 // EncodeAnnouncement returns the payload of an announcement.
 func EncodeAnnouncement(a sidecar.Announcement) ([]byte, error) {
-	message := Announcement{
+	message := announcementMessage(a)
+	payload, err := message.MarshalMsg(nil)
+	return payload, errors.Wrap(err, "encode announcement")
+}
+
+func announcementMessage(a sidecar.Announcement) Announcement {
+	return Announcement{
 		Incarnation:   uint64(a.Incarnation),
 		Sequence:      a.Sequence,
 		StartedMicros: a.Started.UnixMicro(),
@@ -54,8 +60,6 @@
 		Running:       a.Running,
 		Queued:        a.Queued,
 	}
-	payload, err := message.MarshalMsg(nil)
-	return payload, errors.Wrap(err, "encode announcement")
 }
 
 // DecodeAnnouncement reads an announcement from its payload.
@@ -64,6 +68,10 @@
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return sidecar.Announcement{}, errors.Wrap(err, "decode announcement")
 	}
+	return announcementOf(m), nil
+}
+
+func announcementOf(m Announcement) sidecar.Announcement {
 	return sidecar.Announcement{
 		Incarnation: carobkeel.Incarnation(m.Incarnation),
 		Sequence:    m.Sequence,
@@ -79,5 +87,5 @@
 		Slots:   m.Slots,
 		Running: m.Running,
 		Queued:  m.Queued,
-	}, nil
+	}
 }
--- /dev/null
+++ b/entry/wire/membership_codec.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/sidecar"
+)
+
+// EncodeAnnouncements returns the payload of announcements that are passed on.
+func EncodeAnnouncements(list []sidecar.Announcement) ([]byte, error) {
+	var m Announcements
+	for _, a := range list {
+		m.Announcements = append(m.Announcements, announcementMessage(a))
+	}
+	payload, err := m.MarshalMsg(nil)
+	return payload, errors.Wrap(err, "encode announcements")
+}
+
+// DecodeAnnouncements reads what EncodeAnnouncements wrote.
+func DecodeAnnouncements(payload []byte) ([]sidecar.Announcement, error) {
+	var m Announcements
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, errors.Wrap(err, "decode announcements")
+	}
+	list := make([]sidecar.Announcement, 0, len(m.Announcements))
+	for _, message := range m.Announcements {
+		list = append(list, announcementOf(message))
+	}
+	return list, nil
+}
+
+// EncodePresences returns the payload of presences.
+func EncodePresences(list []sidecar.Presence) ([]byte, error) {
+	var m Presences
+	for _, p := range list {
+		m.Presences = append(m.Presences, Presence{
+			Incarnation: uint64(p.Incarnation),
+			Sequence:    p.Sequence,
+			Changed:     p.Changed,
+			Running:     p.Running,
+			Queued:      p.Queued,
+		})
+	}
+	payload, err := m.MarshalMsg(nil)
+	return payload, errors.Wrap(err, "encode presences")
+}
+
+// DecodePresences reads what EncodePresences wrote.
+func DecodePresences(payload []byte) ([]sidecar.Presence, error) {
+	var m Presences
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, errors.Wrap(err, "decode presences")
+	}
+	list := make([]sidecar.Presence, 0, len(m.Presences))
+	for _, p := range m.Presences {
+		list = append(list, sidecar.Presence{
+			Incarnation: carobkeel.Incarnation(p.Incarnation),
+			Sequence:    p.Sequence,
+			Changed:     p.Changed,
+			Running:     p.Running,
+			Queued:      p.Queued,
+		})
+	}
+	return list, nil
+}
+
+// EncodeWanted returns the payload of a request for announcements.
+func EncodeWanted(list []carobkeel.Incarnation) ([]byte, error) {
+	var m Wanted
+	for _, incarnation := range list {
+		m.Incarnations = append(m.Incarnations, uint64(incarnation))
+	}
+	payload, err := m.MarshalMsg(nil)
+	return payload, errors.Wrap(err, "encode wanted")
+}
+
+// DecodeWanted reads what EncodeWanted wrote.
+func DecodeWanted(payload []byte) ([]carobkeel.Incarnation, error) {
+	var m Wanted
+	if _, err := m.UnmarshalMsg(payload); err != nil {
+		return nil, errors.Wrap(err, "decode wanted")
+	}
+	list := make([]carobkeel.Incarnation, 0, len(m.Incarnations))
+	for _, incarnation := range m.Incarnations {
+		list = append(list, carobkeel.Incarnation(incarnation))
+	}
+	return list, nil
+}
--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -9,6 +9,12 @@
 const (
 	// TopicAnnouncement carries an Announcement.
 	TopicAnnouncement = "announcement"
+	// TopicRelay carries Announcements from one entry to another.
+	TopicRelay = "relay"
+	// TopicPresence carries the Presences of the sidecars that an entry hears.
+	TopicPresence = "presence"
+	// TopicWanted carries a Wanted, which is answered by a TopicRelay.
+	TopicWanted = "wanted"
 	// TopicHave carries a Have: what a process holds of the catalogue.
 	TopicHave = "have"
 	// TopicWant carries a Have as a request for what follows on it.
@@ -37,10 +43,10 @@
 	Address       string `msg:"a"`
 	Service       string `msg:"sv"`
 	DataCentre    string `msg:"dc"`
-	Rack          string `msg:"rk"`
-	Host          string `msg:"h"`
+	Rack          string `msg:"rk,omitempty"`
+	Host          string `msg:"h,omitempty"`
 	State         uint8  `msg:"s"`
 	Slots         int    `msg:"sl"`
-	Running       int    `msg:"r"`
-	Queued        int    `msg:"qd"`
+	Running       int    `msg:"r,omitempty"`
+	Queued        int    `msg:"qd,omitempty"`
 }
--- a/entry/wire/messages_gen.go
+++ b/entry/wire/messages_gen.go
@@ -109,126 +109,162 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Announcement) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 12
-	// write "i"
-	err = en.Append(0x8c, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Incarnation)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	// write "q"
-	err = en.Append(0xa1, 0x71)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Sequence)
-	if err != nil {
-		err = msgp.WrapError(err, "Sequence")
-		return
-	}
-	// write "st"
-	err = en.Append(0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.StartedMicros)
-	if err != nil {
-		err = msgp.WrapError(err, "StartedMicros")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Address)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
-		return
-	}
-	// write "sv"
-	err = en.Append(0xa2, 0x73, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Service)
-	if err != nil {
-		err = msgp.WrapError(err, "Service")
-		return
-	}
-	// write "dc"
-	err = en.Append(0xa2, 0x64, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.DataCentre)
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
-	}
-	// write "rk"
-	err = en.Append(0xa2, 0x72, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Rack)
-	if err != nil {
-		err = msgp.WrapError(err, "Rack")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Host)
-	if err != nil {
-		err = msgp.WrapError(err, "Host")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(z.State)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	// write "sl"
-	err = en.Append(0xa2, 0x73, 0x6c)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
+	_ = zb0001Mask
+	if z.Rack == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	err = en.WriteInt(z.Slots)
-	if err != nil {
-		err = msgp.WrapError(err, "Slots")
-		return
+	if z.Host == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
+	if z.Running == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
 	}
-	err = en.WriteInt(z.Running)
-	if err != nil {
-		err = msgp.WrapError(err, "Running")
-		return
+	if z.Queued == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
 	}
-	// write "qd"
-	err = en.Append(0xa2, 0x71, 0x64)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Queued)
-	if err != nil {
-		err = msgp.WrapError(err, "Queued")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "i"
+		err = en.Append(0xa1, 0x69)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Incarnation)
+		if err != nil {
+			err = msgp.WrapError(err, "Incarnation")
+			return
+		}
+		// write "q"
+		err = en.Append(0xa1, 0x71)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Sequence)
+		if err != nil {
+			err = msgp.WrapError(err, "Sequence")
+			return
+		}
+		// write "st"
+		err = en.Append(0xa2, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt64(z.StartedMicros)
+		if err != nil {
+			err = msgp.WrapError(err, "StartedMicros")
+			return
+		}
+		// write "a"
+		err = en.Append(0xa1, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Address)
+		if err != nil {
+			err = msgp.WrapError(err, "Address")
+			return
+		}
+		// write "sv"
+		err = en.Append(0xa2, 0x73, 0x76)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Service)
+		if err != nil {
+			err = msgp.WrapError(err, "Service")
+			return
+		}
+		// write "dc"
+		err = en.Append(0xa2, 0x64, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.DataCentre)
+		if err != nil {
+			err = msgp.WrapError(err, "DataCentre")
+			return
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "rk"
+			err = en.Append(0xa2, 0x72, 0x6b)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Rack)
+			if err != nil {
+				err = msgp.WrapError(err, "Rack")
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "h"
+			err = en.Append(0xa1, 0x68)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Host)
+			if err != nil {
+				err = msgp.WrapError(err, "Host")
+				return
+			}
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(z.State)
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		// write "sl"
+		err = en.Append(0xa2, 0x73, 0x6c)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Slots)
+		if err != nil {
+			err = msgp.WrapError(err, "Slots")
+			return
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Running)
+			if err != nil {
+				err = msgp.WrapError(err, "Running")
+				return
+			}
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// write "qd"
+			err = en.Append(0xa2, 0x71, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Queued)
+			if err != nil {
+				err = msgp.WrapError(err, "Queued")
+				return
+			}
+		}
 	}
 	return
 }
@@ -236,43 +272,76 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Announcement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
-	// string "i"
-	o = append(o, 0x8c, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendUint64(o, z.Sequence)
-	// string "st"
-	o = append(o, 0xa2, 0x73, 0x74)
-	o = msgp.AppendInt64(o, z.StartedMicros)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
-	// string "sv"
-	o = append(o, 0xa2, 0x73, 0x76)
-	o = msgp.AppendString(o, z.Service)
-	// string "dc"
-	o = append(o, 0xa2, 0x64, 0x63)
-	o = msgp.AppendString(o, z.DataCentre)
-	// string "rk"
-	o = append(o, 0xa2, 0x72, 0x6b)
-	o = msgp.AppendString(o, z.Rack)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Host)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint8(o, z.State)
-	// string "sl"
-	o = append(o, 0xa2, 0x73, 0x6c)
-	o = msgp.AppendInt(o, z.Slots)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt(o, z.Running)
-	// string "qd"
-	o = append(o, 0xa2, 0x71, 0x64)
-	o = msgp.AppendInt(o, z.Queued)
+	// check for omitted fields
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
+	_ = zb0001Mask
+	if z.Rack == "" {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.Host == "" {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Running == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	if z.Queued == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.Incarnation)
+		// string "q"
+		o = append(o, 0xa1, 0x71)
+		o = msgp.AppendUint64(o, z.Sequence)
+		// string "st"
+		o = append(o, 0xa2, 0x73, 0x74)
+		o = msgp.AppendInt64(o, z.StartedMicros)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Address)
+		// string "sv"
+		o = append(o, 0xa2, 0x73, 0x76)
+		o = msgp.AppendString(o, z.Service)
+		// string "dc"
+		o = append(o, 0xa2, 0x64, 0x63)
+		o = msgp.AppendString(o, z.DataCentre)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "rk"
+			o = append(o, 0xa2, 0x72, 0x6b)
+			o = msgp.AppendString(o, z.Rack)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendString(o, z.Host)
+		}
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint8(o, z.State)
+		// string "sl"
+		o = append(o, 0xa2, 0x73, 0x6c)
+		o = msgp.AppendInt(o, z.Slots)
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendInt(o, z.Running)
+		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "qd"
+			o = append(o, 0xa2, 0x71, 0x64)
+			o = msgp.AppendInt(o, z.Queued)
+		}
+	}
 	return
 }
 
--- a/entry/wire/spread_gen.go
+++ b/entry/wire/spread_gen.go
@@ -133,7 +133,7 @@
 				return
 			}
 			if cap(z.IdempotentMethods) >= int(zb0003) {
-				z.IdempotentMethods = z.IdempotentMethods[:zb0003]
+				z.IdempotentMethods = (z.IdempotentMethods)[:zb0003]
 			} else {
 				z.IdempotentMethods = make([]string, zb0003)
 			}
@@ -152,7 +152,7 @@
 				return
 			}
 			if cap(z.NonIdempotentMethods) >= int(zb0004) {
-				z.NonIdempotentMethods = z.NonIdempotentMethods[:zb0004]
+				z.NonIdempotentMethods = (z.NonIdempotentMethods)[:zb0004]
 			} else {
 				z.NonIdempotentMethods = make([]string, zb0004)
 			}
@@ -731,7 +731,7 @@
 				return
 			}
 			if cap(z.IdempotentMethods) >= int(zb0003) {
-				z.IdempotentMethods = z.IdempotentMethods[:zb0003]
+				z.IdempotentMethods = (z.IdempotentMethods)[:zb0003]
 			} else {
 				z.IdempotentMethods = make([]string, zb0003)
 			}
@@ -750,7 +750,7 @@
 				return
 			}
 			if cap(z.NonIdempotentMethods) >= int(zb0004) {
-				z.NonIdempotentMethods = z.NonIdempotentMethods[:zb0004]
+				z.NonIdempotentMethods = (z.NonIdempotentMethods)[:zb0004]
 			} else {
 				z.NonIdempotentMethods = make([]string, zb0004)
 			}
@@ -831,7 +831,7 @@
 				return
 			}
 			if cap(z.Items) >= int(zb0002) {
-				z.Items = z.Items[:zb0002]
+				z.Items = (z.Items)[:zb0002]
 			} else {
 				z.Items = make([]ChangeItem, zb0002)
 			}
@@ -957,7 +957,7 @@
 				return
 			}
 			if cap(z.Items) >= int(zb0002) {
-				z.Items = z.Items[:zb0002]
+				z.Items = (z.Items)[:zb0002]
 			} else {
 				z.Items = make([]ChangeItem, zb0002)
 			}
@@ -1286,7 +1286,7 @@
 				return
 			}
 			if cap(z.Changes) >= int(zb0002) {
-				z.Changes = z.Changes[:zb0002]
+				z.Changes = (z.Changes)[:zb0002]
 			} else {
 				z.Changes = make([]Change, zb0002)
 			}
@@ -1393,7 +1393,7 @@
 				return
 			}
 			if cap(z.Changes) >= int(zb0002) {
-				z.Changes = z.Changes[:zb0002]
+				z.Changes = (z.Changes)[:zb0002]
 			} else {
 				z.Changes = make([]Change, zb0002)
 			}
@@ -2242,7 +2242,7 @@
 				return
 			}
 			if cap(z.Entries) >= int(zb0002) {
-				z.Entries = z.Entries[:zb0002]
+				z.Entries = (z.Entries)[:zb0002]
 			} else {
 				z.Entries = make([]CatalogueEntry, zb0002)
 			}
@@ -2261,7 +2261,7 @@
 				return
 			}
 			if cap(z.Quotas) >= int(zb0003) {
-				z.Quotas = z.Quotas[:zb0003]
+				z.Quotas = (z.Quotas)[:zb0003]
 			} else {
 				z.Quotas = make([]Quota, zb0003)
 			}
@@ -2471,7 +2471,7 @@
 				return
 			}
 			if cap(z.Entries) >= int(zb0002) {
-				z.Entries = z.Entries[:zb0002]
+				z.Entries = (z.Entries)[:zb0002]
 			} else {
 				z.Entries = make([]CatalogueEntry, zb0002)
 			}
@@ -2490,7 +2490,7 @@
 				return
 			}
 			if cap(z.Quotas) >= int(zb0003) {
-				z.Quotas = z.Quotas[:zb0003]
+				z.Quotas = (z.Quotas)[:zb0003]
 			} else {
 				z.Quotas = make([]Quota, zb0003)
 			}
--- a/sidecar/members/members.go
+++ b/sidecar/members/members.go
@@ -1,25 +1,41 @@
 // Package members keeps an entry's view of the sidecars: it takes their
-// announcements from a watermill router and swaps in a new view at each change.
+// announcements and the word of other entries from a watermill router, swaps in
+// a new view at each change, and tells the other entries.
 package members
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/mailbox"
 	"github.com/carobkeel/carobkeel/sidecar"
 )
 
 const (
-	// Expiry is how long a sidecar counts as there without an announcement.
-	Expiry = 5 * time.Second
 	// expiryCheck is the time between two looks for sidecars that are gone.
 	expiryCheck = 500 * time.Millisecond
+	// presenceInterval is the mean time between two words to the other entries
+	// on which sidecars this one hears. Several fit in sidecar.RelayedExpiry.
+	presenceInterval = 5 * time.Second
+	// relayedAtOnce bounds the announcements in one message.
+	relayedAtOnce = 500
+)
+
+// Topics of the two ends of an entry's event links.
+var (
+	// AcceptedTopics come from sidecars and from entries that linked to this one.
+	AcceptedTopics = eventlink.Topics(wire.TopicAnnouncement, wire.TopicRelay, wire.TopicPresence)
+	// DialledTopics come from the entries that this one linked to.
+	DialledTopics = eventlink.Topics(wire.TopicRelay, wire.TopicWanted)
 )
 
 // Members holds the view. Reading it takes one atomic load.
@@ -29,17 +45,29 @@
 	metrics *Metrics
 	log     *log.Logger
 	changed func()
+	// accepted and dialled are the ends of links that other entries opened to
+	// this one, and that this one opened to them.
+	accepted message.Publisher
+	dialled  message.Publisher
 }
 
+// arrival is a message that came, one of the lists.
 type arrival struct {
-	announcement sidecar.Announcement
-	at           time.Time
+	announcements []sidecar.Announcement
+	hop           sidecar.Hop
+	presences     []sidecar.Presence
+	wanted        []carobkeel.Incarnation
+	peer          string
+	at            time.Time
 }
 
 // New returns members without any sidecar. changed is called after each swap of
-// the view.
-func New(metrics *Metrics, logger *log.Logger, changed func()) *Members {
-	m := &Members{pending: mailbox.New[arrival](), metrics: metrics, log: logger, changed: changed}
+// the view. Without publishers the other entries are told nothing.
+func New(metrics *Metrics, logger *log.Logger, accepted, dialled message.Publisher, changed func()) *Members {
+	m := &Members{
+		pending: mailbox.New[arrival](), metrics: metrics, log: logger, changed: changed,
+		accepted: accepted, dialled: dialled,
+	}
 	m.view.Store(sidecar.NewView())
 	return m
 }
@@ -47,21 +75,48 @@
 // View returns the present view.
 func (m *Members) View() *sidecar.View { return m.view.Load() }
 
-// Handle takes one announcement. It is a watermill handler.
+// Handle takes one message of AcceptedTopics or DialledTopics. It is a watermill
+// handler.
 func (m *Members) Handle(event *message.Message) error {
-	announcement, err := wire.DecodeAnnouncement(event.Payload)
+	a, err := decode(event)
 	if err != nil {
-		m.log.Warn().Err(err).Msg("announcement dropped")
+		m.log.Warn().Err(err).Msg("message dropped")
 		return nil
 	}
-	m.pending.Push(arrival{announcement: announcement, at: time.Now()})
+	a.at = time.Now()
+	m.pending.Push(a)
 	return nil
 }
 
-// Run applies announcements and drops sidecars that fell silent, until ctx ends.
+func decode(event *message.Message) (arrival, error) {
+	a := arrival{peer: event.Metadata.Get(eventlink.MetadataPeer)}
+	var err error
+	switch topic := event.Metadata.Get(eventlink.MetadataTopic); topic {
+	case wire.TopicAnnouncement:
+		var one sidecar.Announcement
+		one, err = wire.DecodeAnnouncement(event.Payload)
+		a.announcements = []sidecar.Announcement{one}
+	case wire.TopicRelay:
+		a.hop = sidecar.HopRelayed
+		a.announcements, err = wire.DecodeAnnouncements(event.Payload)
+	case wire.TopicPresence:
+		a.presences, err = wire.DecodePresences(event.Payload)
+	case wire.TopicWanted:
+		a.wanted, err = wire.DecodeWanted(event.Payload)
+	default:
+		err = errors.Errorf("topic %q is not of the membership", topic)
+	}
+	return a, err
+}
+
+// Run applies what comes, drops sidecars that fell silent and tells the other
+// entries, until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	ticker := time.NewTicker(expiryCheck)
 	defer ticker.Stop()
+	presence := time.NewTimer(presenceWait())
+	defer presence.Stop()
+	known := sidecar.NewMembership()
 	var batch []arrival
 	for {
 		select {
@@ -69,25 +124,45 @@
 			return
 		case <-m.pending.Signal():
 			batch = m.pending.TryTake(batch[:0])
-			m.apply(batch)
+			m.apply(known, batch)
+			clear(batch)
 		case now := <-ticker.C:
-			m.swap(m.View().Expire(now.Add(-Expiry)))
+			known.Expire(now)
+		case now := <-presence.C:
+			m.tell(known.Presences(now))
+			presence.Reset(presenceWait())
 		}
+		m.swap(known.View())
 	}
 }
 
-func (m *Members) apply(batch []arrival) {
-	view := m.View()
+// presenceWait returns a random time of half to one and a half of the interval.
+func presenceWait() time.Duration { return presenceInterval/2 + rand.N(presenceInterval) }
+
+func (m *Members) apply(known *sidecar.Membership, batch []arrival) {
+	var relayed []sidecar.Announcement
 	for _, a := range batch {
-		next, fresh := view.Announce(a.announcement, a.at)
-		m.metrics.announced(fresh)
-		if next != view {
-			m.log.Info().Str("address", a.announcement.Address).Str("service", string(a.announcement.Service)).
-				Str("state", a.announcement.State.String()).Msg("sidecar changed")
+		for _, announcement := range a.announcements {
+			fresh, relay := known.Announce(announcement, a.hop, a.at)
+			m.metrics.announced(fresh)
+			if relay {
+				m.logChange(announcement)
+				relayed = append(relayed, announcement)
+			}
+		}
+		if missing := known.Hear(a.presences, a.at); len(missing) > 0 {
+			m.ask(a.peer, missing)
+		}
+		if found := known.Lookup(a.wanted, a.at); len(found) > 0 {
+			m.relay(found, a.peer)
 		}
-		view = next
 	}
-	m.swap(view)
+	m.relay(relayed, "")
+}
+
+func (m *Members) logChange(a sidecar.Announcement) {
+	m.log.Info().Str("address", a.Address).Str("service", string(a.Service)).
+		Str("state", a.State.String()).Msg("sidecar changed")
 }
 
 func (m *Members) swap(next *sidecar.View) {
--- a/sidecar/members/metrics.go
+++ b/sidecar/members/metrics.go
@@ -4,17 +4,19 @@
 
 // Metrics counts announcements and sidecars.
 type Metrics struct {
-	taken tally.Counter
-	stale tally.Counter
-	known tally.Gauge
+	taken   tally.Counter
+	stale   tally.Counter
+	relayed tally.Counter
+	known   tally.Gauge
 }
 
 // NewMetrics returns metrics in the scope.
 func NewMetrics(scope tally.Scope) *Metrics {
 	return &Metrics{
-		taken: scope.Counter("announcements_taken"),
-		stale: scope.Counter("announcements_stale"),
-		known: scope.Gauge("sidecars_known"),
+		taken:   scope.Counter("announcements_taken"),
+		stale:   scope.Counter("announcements_stale"),
+		relayed: scope.Counter("announcements_relayed"),
+		known:   scope.Gauge("sidecars_known"),
 	}
 }
 
