--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -15,6 +15,8 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/balancer"
+	"github.com/carobkeel/carobkeel/caller"
+	"github.com/carobkeel/carobkeel/caller/admit"
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
@@ -123,10 +125,14 @@
 	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
 	p.peers = eventlink.NewDialer(splitList(c.peers), link.DefaultConfig(), p.log, func() {})
 	p.members = members.New(members.NewMetrics(scope), p.log, p.links, p.peers, func() { p.forwarder.Prune() })
+	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
+	sidecars.Admission = caller.NewAdmission()
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
 	keyed := claims.NewForwarder(claims.NewStore(claims.Direct{Table: tables}, tables), p.forwarder, p.log)
+	admitted := admit.New(sidecars.Admission, keyed, admit.NewMetrics(scope))
+	go admitted.Run(ctx)
 	p.store = store.New(store.Config{Table: tables, Metrics: store.NewMetrics(scope)})
-	handler := httpapi.New(self, p, keyed, p, httpapi.NewMetrics(scope))
+	handler := httpapi.New(self, p, admitted, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
 		return nil, err
--- a/entry/wire/codec.go
+++ b/entry/wire/codec.go
@@ -59,6 +59,7 @@
 		Slots:         a.Slots,
 		Running:       a.Running,
 		Queued:        a.Queued,
+		UrgentQueued:  a.UrgentQueued,
 	}
 }
 
@@ -87,5 +88,7 @@
 		Slots:   m.Slots,
 		Running: m.Running,
 		Queued:  m.Queued,
+		// The urgent ones are among those queued.
+		UrgentQueued: m.UrgentQueued,
 	}
 }
--- a/entry/wire/membership.go
+++ b/entry/wire/membership.go
@@ -16,11 +16,12 @@
 
 // Presence is an entry's word on one sidecar.
 type Presence struct {
-	Incarnation uint64
-	Sequence    uint64
-	Changed     uint64
-	Running     int
-	Queued      int
+	Incarnation  uint64
+	Sequence     uint64
+	Changed      uint64
+	Running      int
+	Queued       int
+	UrgentQueued int
 }
 
 // Wanted names sidecars whose announcements an entry lacks.
--- a/entry/wire/membership_codec.go
+++ b/entry/wire/membership_codec.go
@@ -35,11 +35,12 @@
 	var m Presences
 	for _, p := range list {
 		m.Presences = append(m.Presences, Presence{
-			Incarnation: uint64(p.Incarnation),
-			Sequence:    p.Sequence,
-			Changed:     p.Changed,
-			Running:     p.Running,
-			Queued:      p.Queued,
+			Incarnation:  uint64(p.Incarnation),
+			Sequence:     p.Sequence,
+			Changed:      p.Changed,
+			Running:      p.Running,
+			Queued:       p.Queued,
+			UrgentQueued: p.UrgentQueued,
 		})
 	}
 	payload, err := m.MarshalMsg(nil)
@@ -55,11 +56,12 @@
 	list := make([]sidecar.Presence, 0, len(m.Presences))
 	for _, p := range m.Presences {
 		list = append(list, sidecar.Presence{
-			Incarnation: carobkeel.Incarnation(p.Incarnation),
-			Sequence:    p.Sequence,
-			Changed:     p.Changed,
-			Running:     p.Running,
-			Queued:      p.Queued,
+			Incarnation:  carobkeel.Incarnation(p.Incarnation),
+			Sequence:     p.Sequence,
+			Changed:      p.Changed,
+			Running:      p.Running,
+			Queued:       p.Queued,
+			UrgentQueued: p.UrgentQueued,
 		})
 	}
 	return list, nil
--- a/entry/wire/membership_gen.go
+++ b/entry/wire/membership_gen.go
@@ -160,8 +160,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Incarnation, err = dc.ReadUint64()
@@ -189,13 +189,18 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	z.UrgentQueued, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "UrgentQueued")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presence) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -224,19 +229,25 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	err = en.WriteInt(z.UrgentQueued)
+	if err != nil {
+		err = msgp.WrapError(err, "UrgentQueued")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Presence) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendUint64(o, z.Changed)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendInt(o, z.Queued)
+	o = msgp.AppendInt(o, z.UrgentQueued)
 	return
 }
 
@@ -248,8 +259,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
@@ -277,13 +288,18 @@
 		err = msgp.WrapError(err, "Queued")
 		return
 	}
+	z.UrgentQueued, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "UrgentQueued")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Presence) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize + msgp.IntSize
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.IntSize
 	return
 }
 
--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -49,4 +49,5 @@
 	Slots         int    `msg:"sl"`
 	Running       int    `msg:"r,omitempty"`
 	Queued        int    `msg:"qd,omitempty"`
+	UrgentQueued  int    `msg:"uq,omitempty"`
 }
--- a/entry/wire/messages_gen.go
+++ b/entry/wire/messages_gen.go
@@ -96,6 +96,12 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+		case "uq":
+			z.UrgentQueued, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -110,8 +116,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *Announcement) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Rack == "" {
 		zb0001Len--
@@ -129,6 +135,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.UrgentQueued == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -265,6 +275,18 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// write "uq"
+			err = en.Append(0xa2, 0x75, 0x71)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.UrgentQueued)
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
+		}
 	}
 	return
 }
@@ -273,8 +295,8 @@
 func (z *Announcement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(12)
-	var zb0001Mask uint16 /* 12 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Rack == "" {
 		zb0001Len--
@@ -292,6 +314,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x800
 	}
+	if z.UrgentQueued == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -341,6 +367,11 @@
 			o = append(o, 0xa2, 0x71, 0x64)
 			o = msgp.AppendInt(o, z.Queued)
 		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "uq"
+			o = append(o, 0xa2, 0x75, 0x71)
+			o = msgp.AppendInt(o, z.UrgentQueued)
+		}
 	}
 	return
 }
@@ -435,6 +466,12 @@
 				err = msgp.WrapError(err, "Queued")
 				return
 			}
+		case "uq":
+			z.UrgentQueued, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UrgentQueued")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -449,7 +486,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Announcement) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(z.Service) + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 3 + msgp.StringPrefixSize + len(z.Rack) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 3 + msgp.IntSize + 2 + msgp.IntSize + 3 + msgp.IntSize
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 3 + msgp.StringPrefixSize + len(z.Service) + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 3 + msgp.StringPrefixSize + len(z.Rack) + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint8Size + 3 + msgp.IntSize + 2 + msgp.IntSize + 3 + msgp.IntSize + 3 + msgp.IntSize
 	return
 }
 
--- a/sidecar/membership.go
+++ b/sidecar/membership.go
@@ -37,8 +37,10 @@
 	// that changed more than the load.
 	Sequence uint64
 	Changed  uint64
-	Running  int
-	Queued   int
+	// Running, Queued and UrgentQueued are as in an Announcement.
+	Running      int
+	Queued       int
+	UrgentQueued int
 }
 
 // Membership decides which sidecars are there, from what they announce and what
@@ -144,11 +146,12 @@
 			continue
 		}
 		present = append(present, Presence{
-			Incarnation: held.last.Incarnation,
-			Sequence:    held.last.Sequence,
-			Changed:     held.changed,
-			Running:     held.last.Running,
-			Queued:      held.last.Queued,
+			Incarnation:  held.last.Incarnation,
+			Sequence:     held.last.Sequence,
+			Changed:      held.changed,
+			Running:      held.last.Running,
+			Queued:       held.last.Queued,
+			UrgentQueued: held.last.UrgentQueued,
 		})
 	}
 	slices.SortFunc(present, func(a, b Presence) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
@@ -168,7 +171,7 @@
 		held.relayed = now
 		if p.Sequence > held.last.Sequence {
 			a := held.last
-			a.Sequence, a.Running, a.Queued = p.Sequence, p.Running, p.Queued
+			a.Sequence, a.Running, a.Queued, a.UrgentQueued = p.Sequence, p.Running, p.Queued, p.UrgentQueued
 			m.view, _ = m.view.Announce(a, now)
 			held.last = a
 		}
