Measure the spread and cut the bytes of event links

Cause: a node may spend 2 KB a second on control, and each event link pinged both ways every second. Joins of many sidecars copied the view for each.

Change: event links use quiet heartbeats: one every 2 s where nothing else was sent, without an answer; a silent peer is noticed after 6 s. A pong that was not asked for no longer counts as a round trip. Changes of a view gather in a draft, so that a batch takes one copy.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -39,6 +39,7 @@
 		placementSuite(),
 		pickSuite(),
 		floodSuite(),
+		spreadSuite(),
 	}
 }
 
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -122,8 +122,8 @@
 	p := &entryProcess{config: c, readiness: &balancer.Readiness{}, log: logs.For("entry"), cancel: cancel}
 	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
 	self := newIncarnation()
-	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
-	p.peers = eventlink.NewDialer(splitList(c.peers), link.DefaultConfig(), p.log, func() {})
+	p.links = eventlink.NewListener(link.EventConfig(), p.log)
+	p.peers = eventlink.NewDialer(splitList(c.peers), link.EventConfig(), p.log, func() {})
 	p.members = members.New(members.NewMetrics(scope), p.log, p.links, p.peers, func() { p.forwarder.Prune() })
 	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
 	sidecars.Admission = caller.NewAdmission()
--- a/cmd/carobkeel/sidecar.go
+++ b/cmd/carobkeel/sidecar.go
@@ -103,7 +103,7 @@
 	up := client.New(c.upstream, c.healthPath)
 	p := &sidecarProcess{config: c, listener: listener, log: logs.For("sidecar"), cancel: cancel}
 	p.server = server.New(requests, self, up, server.NewMetrics(scope), p.log)
-	p.dialer = eventlink.NewDialer(splitList(c.entries), link.DefaultConfig(), p.log, func() { p.announcer.Poke() })
+	p.dialer = eventlink.NewDialer(splitList(c.entries), link.EventConfig(), p.log, func() { p.announcer.Poke() })
 	p.announcer = announcer.New(sidecar.Announcement{
 		Incarnation: self,
 		Started:     time.Now().Truncate(time.Microsecond),
--- a/entry/spreader/network_test.go
+++ b/entry/spreader/network_test.go
@@ -137,8 +137,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &node{stop: cancel}
 	logger := logging.Discard().For("test")
-	accepting := eventlink.NewListener(link.DefaultConfig(), logger)
-	dialling := eventlink.NewDialer(peers, link.DefaultConfig(), logger, func() {})
+	accepting := eventlink.NewListener(link.EventConfig(), logger)
+	dialling := eventlink.NewDialer(peers, link.EventConfig(), logger, func() {})
 	dialling.UseDial(n.dial(name))
 	config := entry.DefaultSpreadConfig()
 	config.Peers, config.Leaf, config.Store = len(peers), source == nil, source != nil
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -33,6 +33,9 @@
 	HeartbeatInterval time.Duration
 	// SilenceTimeout is how long the peer may send nothing.
 	SilenceTimeout time.Duration
+	// Quiet sends a heartbeat only after an interval in which nothing else was
+	// sent, and one that asks for no answer. Round trips are not measured.
+	Quiet bool
 }
 
 // DefaultConfig returns the timing that links have where settings do not say.
@@ -40,6 +43,12 @@
 	return Config{HeartbeatInterval: time.Second, SilenceTimeout: 3 * time.Second}
 }
 
+// EventConfig returns the timing of links that carry events, of which each node
+// has a few at all times. They cost little while nothing happens.
+func EventConfig() Config {
+	return Config{HeartbeatInterval: 2 * time.Second, SilenceTimeout: 6 * time.Second, Quiet: true}
+}
+
 // Handler is given each frame that arrives, in order, on the link's reading
 // goroutine. It must not wait. An error ends the link.
 type Handler func(f frame.Frame) error
@@ -54,7 +63,9 @@
 	cause    atomic.Pointer[error]
 	// heard counts frames received. The heartbeat compares it over time, so
 	// that the reading side reads no clock.
-	heard  atomic.Uint64
+	heard atomic.Uint64
+	// sent counts frames queued, for a quiet heartbeat.
+	sent   atomic.Uint64
 	writer frame.Writer
 	// pinged is when the last ping was queued, in Unix nanoseconds.
 	pinged atomic.Int64
@@ -78,6 +89,7 @@
 	if l.closed.Load() {
 		return false
 	}
+	l.sent.Add(1)
 	l.outgoing.Push(f)
 	return true
 }
@@ -134,7 +146,9 @@
 		case frame.TypePing:
 			l.Send(frame.Frame{Type: frame.TypePong})
 		case frame.TypePong:
-			l.roundTrip.Store(time.Now().UnixNano() - l.pinged.Load())
+			if pinged := l.pinged.Swap(0); pinged != 0 {
+				l.roundTrip.Store(time.Now().UnixNano() - pinged)
+			}
 		default:
 			if err := handle(f); err != nil {
 				return err
@@ -188,7 +202,7 @@
 func (l *Link) beat() {
 	ticker := time.NewTicker(l.config.HeartbeatInterval)
 	defer ticker.Stop()
-	var last uint64
+	var last, lastSent uint64
 	heardAt := time.Now()
 	for {
 		select {
@@ -202,8 +216,20 @@
 				l.end(ErrSilent)
 				return
 			}
-			l.pinged.Store(time.Now().UnixNano())
-			l.Send(frame.Frame{Type: frame.TypePing})
+			lastSent = l.heartbeat(lastSent)
 		}
 	}
 }
+
+// heartbeat sends what the timing wants after an interval and returns the number
+// of frames that were sent by then.
+func (l *Link) heartbeat(lastSent uint64) uint64 {
+	if !l.config.Quiet {
+		l.pinged.Store(time.Now().UnixNano())
+		l.Send(frame.Frame{Type: frame.TypePing})
+	} else if l.sent.Load() == lastSent {
+		// A pong that nobody asked for is dropped by the peer.
+		l.Send(frame.Frame{Type: frame.TypePong})
+	}
+	return l.sent.Load()
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -123,3 +123,29 @@
 		g.Expect(streams.Len()).To(Equal(len(live)))
 	})
 }
+
+func TestQuietLinkLivesOnHeartbeatsThatAskForNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		near, far := net.Pipe()
+		a, b := link.New(near, link.EventConfig()), link.New(far, link.EventConfig())
+		for _, end := range []*link.Link{a, b} {
+			go func() { _ = end.Run(t.Context(), func(frame.Frame) error { return nil }) }()
+		}
+		<-time.After(time.Minute)
+		g.Expect(a.Err()).NotTo(HaveOccurred())
+		g.Expect(b.Err()).NotTo(HaveOccurred())
+		g.Expect(a.RoundTrip()).To(BeZero(), "nothing was asked")
+		a.Close()
+		synctest.Wait()
+
+		near, far = net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		started := time.Now()
+		err := link.New(near, link.EventConfig()).Run(t.Context(), func(frame.Frame) error { return nil })
+		g.Expect(err).To(MatchError(link.ErrSilent))
+		config := link.EventConfig()
+		g.Expect(time.Since(started)).To(BeNumerically("<=", config.SilenceTimeout+config.HeartbeatInterval))
+		_ = far.Close()
+	})
+}
--- a/sidecar/membership.go
+++ b/sidecar/membership.go
@@ -48,7 +48,7 @@
 // makes are immutable. What is not heard of for RelayedExpiry is forgotten, so
 // that its size follows the fleet's.
 type Membership struct {
-	view          *View
+	draft         *draft
 	contacts      map[string]*contact
 	byIncarnation map[carobkeel.Incarnation]*contact
 }
@@ -68,14 +68,15 @@
 // NewMembership returns a membership without sidecars.
 func NewMembership() *Membership {
 	return &Membership{
-		view:          NewView(),
+		draft:         newDraft(NewView()),
 		contacts:      make(map[string]*contact),
 		byIncarnation: make(map[carobkeel.Incarnation]*contact),
 	}
 }
 
-// View returns the present view.
-func (m *Membership) View() *View { return m.view }
+// View returns the present view. All that came since the last call takes one
+// copy.
+func (m *Membership) View() *View { return m.draft.view() }
 
 // Announce takes an announcement. It returns whether it was newer than what was
 // known, and whether it is to be relayed to other entries at once.
@@ -84,12 +85,10 @@
 	if ok && held.last.Incarnation == a.Incarnation {
 		held.hear(hop, now)
 	}
-	next, fresh := m.view.Announce(a, now)
+	changed, fresh := m.draft.announce(a, now)
 	if !fresh {
 		return false, false
 	}
-	changed := next != m.view
-	m.view = next
 	if !ok || held.last.Incarnation != a.Incarnation {
 		held = m.replace(held, a)
 		held.hear(hop, now)
@@ -172,7 +171,7 @@
 		if p.Sequence > held.last.Sequence {
 			a := held.last
 			a.Sequence, a.Running, a.Queued, a.UrgentQueued = p.Sequence, p.Running, p.Queued, p.UrgentQueued
-			m.view, _ = m.view.Announce(a, now)
+			m.draft.announce(a, now)
 			held.last = a
 		}
 	}
@@ -194,36 +193,17 @@
 // Expire forgets the sidecars that nobody hears any more and returns how many
 // that were.
 func (m *Membership) Expire(now time.Time) int {
-	var gone []string
+	gone := 0
 	for address, held := range m.contacts {
 		if held.isForgotten(now) {
-			gone = append(gone, address)
+			gone++
+			m.draft.remove(address)
 			delete(m.byIncarnation, held.last.Incarnation)
 			delete(m.contacts, address)
 		}
 	}
-	m.view = m.view.without(gone)
-	return len(gone)
+	return gone
 }
 
 // Len returns the number of sidecars that are known of.
 func (m *Membership) Len() int { return len(m.contacts) }
-
-// without returns the view without the members at the addresses.
-func (v *View) without(addresses []string) *View {
-	if len(addresses) == 0 {
-		return v
-	}
-	next := v.clone()
-	services := make(map[carobkeel.Service]bool)
-	for _, address := range addresses {
-		if member, ok := next.members[address]; ok {
-			services[member.Service] = true
-			delete(next.members, address)
-		}
-	}
-	for service := range services {
-		next.rebuild(service)
-	}
-	return next
-}
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -53,25 +53,9 @@
 // is noted in the member and makes no new view. Only one goroutine may announce
 // and expire.
 func (v *View) Announce(a Announcement, now time.Time) (*View, bool) {
-	known, ok := v.members[a.Address]
-	if ok && !supersedes(a, known) {
-		return v, false
-	}
-	live := newLive(now)
-	if ok && known.Incarnation == a.Incarnation {
-		live = known.Live
-	}
-	live.take(a, now)
-	if ok && sameButLoad(a, known.Announcement) {
-		return v, true
-	}
-	next := v.clone()
-	next.members[a.Address] = &Member{Announcement: a, Live: live}
-	next.rebuild(a.Service)
-	if ok && known.Service != a.Service {
-		next.rebuild(known.Service)
-	}
-	return next, true
+	d := newDraft(v)
+	_, fresh := d.announce(a, now)
+	return d.view(), fresh
 }
 
 // supersedes reports whether a is later than what is known. Within one
@@ -100,31 +84,29 @@
 	if len(gone) == 0 {
 		return v
 	}
-	next := v.clone()
+	d := newDraft(v)
 	for _, member := range gone {
-		delete(next.members, member.Address)
+		d.remove(member.Address)
 	}
-	for _, member := range gone {
-		next.rebuild(member.Service)
-	}
-	return next
+	return d.view()
 }
 
 func (v *View) clone() *View {
 	return &View{members: maps.Clone(v.members), serving: maps.Clone(v.serving)}
 }
 
-// rebuild computes the serving members of one service anew.
-func (v *View) rebuild(service carobkeel.Service) {
-	var serving []*Member
+// rebuild computes the serving members of services anew, in one pass.
+func (v *View) rebuild(services map[carobkeel.Service]bool) {
+	serving := make(map[carobkeel.Service][]*Member)
 	for _, member := range v.members {
-		if member.Service == service && member.State == StateServing {
-			serving = append(serving, member)
+		if services[member.Service] && member.State == StateServing {
+			serving[member.Service] = append(serving[member.Service], member)
 		}
 	}
-	if len(serving) == 0 {
+	for service := range services {
 		delete(v.serving, service)
-		return
+		if list := serving[service]; len(list) > 0 {
+			v.serving[service] = NewPool(list)
+		}
 	}
-	v.serving[service] = NewPool(serving)
 }
