--- a/entry/spreader/reader.go
+++ b/entry/spreader/reader.go
@@ -16,7 +16,7 @@
 	// PollInterval is the mean time between two reads of the catalogue's head.
 	PollInterval = 500 * time.Millisecond
 	// pollTimeout is how long one read may take.
-	pollTimeout = 2 * time.Second
+	pollTimeout = time.Second
 	// readChanges is how many changes are read at once. A process that missed
 	// more loads the whole catalogue.
 	readChanges = 500
@@ -58,23 +58,36 @@
 }
 
 // Run reads until ctx ends. What the process itself saw accepted is spread at a
-// Poke without a further answer of the table service.
+// Poke.
 func (r *Reader) Run(ctx context.Context) {
+	r.Read(ctx)
 	for {
-		r.Read(ctx)
 		timer := time.NewTimer(r.interval/2 + rand.N(r.interval))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-timer.C:
+			r.Read(ctx)
 		case <-r.poke:
 			timer.Stop()
-			r.push(entry.AcceptedEvent{Catalogue: r.source.Seen()})
+			r.spreadSeen(ctx)
 		}
 	}
 }
 
+// spreadSeen spreads what the process itself saw accepted. Where changes between
+// that and the catalogue held are missing, they are read, so that the peers can
+// be sent them in place of a snapshot.
+func (r *Reader) spreadSeen(ctx context.Context) {
+	seen := r.source.Seen()
+	if seen != nil && seen.Revision > r.spreader.Revision()+1 {
+		r.Read(ctx)
+		return
+	}
+	r.push(entry.AcceptedEvent{Catalogue: seen})
+}
+
 // Read reads once and gives the spreader what is new.
 func (r *Reader) Read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
