Report each entry's revision to the others

Cause: status could not say which data centre is at which revision.

Change: an entry's word on its sidecars carries a report of itself: incarnation, data centre, revision. entry.Directory lists the last reports and drops an entry after a minute; status shows the lowest revision of each data centre and how long ago it was heard of. sidecar/members has tests over event links.

Conclusion: the revision in force is known of each data centre that has an entry.

--- a/cmd/benchmark/spread_fleet.go
+++ b/cmd/benchmark/spread_fleet.go
@@ -243,7 +243,13 @@
 	config.Peers, config.Store = len(peers), true
 	spread := f.newSpreader(p, config, accepting, dialling)
 	p.reader = spreader.NewReader(p.store, spread, spreader.PollInterval)
-	known := members.New(members.NewMetrics(tally.NoopScope), logger, accepting, dialling, func() {})
+	known := members.New(members.Config{
+		Metrics: members.NewMetrics(tally.NoopScope), Log: logger,
+		Accepted: accepting, Dialled: dialling, Changed: func() {},
+		Report: func() entry.Report {
+			return entry.Report{Incarnation: 1, DataCentre: "dar-es-salaam-1", Revision: spread.Revision()}
+		},
+	})
 	handlers := []handled{
 		{accepting, spreader.Topics, spread.Handle},
 		{dialling, spreader.Topics, spread.Handle},
--- a/cmd/benchmark/spread_members.go
+++ b/cmd/benchmark/spread_members.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"time"
 
+	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/sidecar"
 )
@@ -50,7 +51,7 @@
 		m.Announce(sampleAnnouncement(i, 2), sidecar.HopDirect, now)
 	}
 	beat = float64(time.Since(start).Nanoseconds()) / 1000 / float64(size)
-	word, _ := wire.EncodePresences(m.Presences(now))
+	word, _ := wire.EncodePresences(entry.Report{}, m.Presences(now))
 	runtime.KeepAlive(m)
 	return bytes, join, beat, float64(len(word))
 }
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -19,6 +19,7 @@
 	"github.com/carobkeel/carobkeel/caller/admit"
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
+	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/internal/link"
@@ -124,7 +125,12 @@
 	self := newIncarnation()
 	p.links = eventlink.NewListener(link.EventConfig(), p.log)
 	p.peers = eventlink.NewDialer(splitList(c.peers), link.EventConfig(), p.log, func() {})
-	p.members = members.New(members.NewMetrics(scope), p.log, p.links, p.peers, func() { p.forwarder.Prune() })
+	p.members = members.New(members.Config{
+		Metrics: members.NewMetrics(scope), Log: p.log,
+		Accepted: p.links, Dialled: p.peers,
+		Changed: func() { p.forwarder.Prune() },
+		Report:  func() entry.Report { return p.report(self) },
+	})
 	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
 	sidecars.Admission = caller.NewAdmission()
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
@@ -199,6 +205,15 @@
 // install puts a catalogue in force.
 func (p *entryProcess) install(c *carobkeel.Catalogue) { p.catalogue.Store(c) }
 
+// report returns what the entry tells the others of itself.
+func (p *entryProcess) report(self carobkeel.Incarnation) entry.Report {
+	report := entry.Report{Incarnation: self, DataCentre: carobkeel.DataCentre(p.config.dataCentre)}
+	if c := p.Catalogue(); c != nil {
+		report.Revision = c.Revision
+	}
+	return report
+}
+
 // serve makes the entry ready once it has joined the spread of the catalogue.
 func (p *entryProcess) serve() { p.readiness.Advance(balancer.PhaseReady) }
 
--- a/cmd/carobkeel/fleet.go
+++ b/cmd/carobkeel/fleet.go
@@ -79,13 +79,25 @@
 	return status, nil
 }
 
-// dataCentres counts what is announced from each data centre. The revision in
-// force is known of the entry's own only.
+// dataCentres counts what is announced from each data centre. Its revision is
+// the lowest that an entry there has reported. A data centre without an entry
+// that reports has none.
 func (s *fleetSource) dataCentres(all []*sidecar.Member, revision carobkeel.Revision, now time.Time) []operator.DataCentreStatus {
 	found := map[carobkeel.DataCentre]*operator.DataCentreStatus{
 		s.location.DataCentre: {Name: s.location.DataCentre, Revision: revision, Processes: 1},
 	}
 	heard := make(map[carobkeel.DataCentre]time.Time)
+	for _, listing := range s.members.Entries() {
+		name := listing.DataCentre
+		if found[name] == nil {
+			found[name] = &operator.DataCentreStatus{Name: name, Revision: listing.Revision}
+		}
+		found[name].Revision = min(found[name].Revision, listing.Revision)
+		found[name].Processes++
+		if listing.Heard.After(heard[name]) {
+			heard[name] = listing.Heard
+		}
+	}
 	for _, member := range all {
 		name := member.Location.DataCentre
 		if found[name] == nil {
--- a/entry/wire/membership.go
+++ b/entry/wire/membership.go
@@ -9,7 +9,11 @@
 
 // Presences are an entry's word on the sidecars that it hears.
 type Presences struct {
-	Presences []Presence `msg:"p"`
+	// Sender, DataCentre and Revision are the entry's report of itself.
+	Sender     uint64     `msg:"s"`
+	DataCentre string     `msg:"dc"`
+	Revision   uint64     `msg:"r"`
+	Presences  []Presence `msg:"p"`
 }
 
 //msgp:tuple Presence
--- a/entry/wire/membership_codec.go
+++ b/entry/wire/membership_codec.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/sidecar"
 )
 
@@ -30,9 +31,13 @@
 	return list, nil
 }
 
-// EncodePresences returns the payload of presences.
-func EncodePresences(list []sidecar.Presence) ([]byte, error) {
-	var m Presences
+// EncodePresences returns the payload of an entry's report and presences.
+func EncodePresences(report entry.Report, list []sidecar.Presence) ([]byte, error) {
+	m := Presences{
+		Sender:     uint64(report.Incarnation),
+		DataCentre: string(report.DataCentre),
+		Revision:   uint64(report.Revision),
+	}
 	for _, p := range list {
 		m.Presences = append(m.Presences, Presence{
 			Incarnation:  uint64(p.Incarnation),
@@ -48,10 +53,10 @@
 }
 
 // DecodePresences reads what EncodePresences wrote.
-func DecodePresences(payload []byte) ([]sidecar.Presence, error) {
+func DecodePresences(payload []byte) (entry.Report, []sidecar.Presence, error) {
 	var m Presences
 	if _, err := m.UnmarshalMsg(payload); err != nil {
-		return nil, errors.Wrap(err, "decode presences")
+		return entry.Report{}, nil, errors.Wrap(err, "decode presences")
 	}
 	list := make([]sidecar.Presence, 0, len(m.Presences))
 	for _, p := range m.Presences {
@@ -64,7 +69,12 @@
 			UrgentQueued: p.UrgentQueued,
 		})
 	}
-	return list, nil
+	report := entry.Report{
+		Incarnation: carobkeel.Incarnation(m.Sender),
+		DataCentre:  carobkeel.DataCentre(m.DataCentre),
+		Revision:    carobkeel.Revision(m.Revision),
+	}
+	return report, list, nil
 }
 
 // EncodeWanted returns the payload of a request for announcements.
--- a/entry/wire/membership_gen.go
+++ b/entry/wire/membership_gen.go
@@ -321,6 +321,24 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Sender, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sender")
+				return
+			}
+		case "dc":
+			z.DataCentre, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "r":
+			z.Revision, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
 		case "p":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -353,9 +371,39 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Presences) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 4
+	// write "s"
+	err = en.Append(0x84, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sender)
+	if err != nil {
+		err = msgp.WrapError(err, "Sender")
+		return
+	}
+	// write "dc"
+	err = en.Append(0xa2, 0x64, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
 	// write "p"
-	err = en.Append(0x81, 0xa1, 0x70)
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
@@ -377,9 +425,18 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Presences) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 4
+	// string "s"
+	o = append(o, 0x84, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sender)
+	// string "dc"
+	o = append(o, 0xa2, 0x64, 0x63)
+	o = msgp.AppendString(o, z.DataCentre)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.Revision)
 	// string "p"
-	o = append(o, 0x81, 0xa1, 0x70)
+	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Presences)))
 	for za0001 := range z.Presences {
 		o, err = z.Presences[za0001].MarshalMsg(o)
@@ -409,6 +466,24 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Sender, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sender")
+				return
+			}
+		case "dc":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "r":
+			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
 		case "p":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -442,7 +517,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Presences) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Presences {
 		s += z.Presences[za0001].Msgsize()
 	}
--- a/sidecar/members/members.go
+++ b/sidecar/members/members.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/mailbox"
@@ -38,17 +39,28 @@
 	DialledTopics = eventlink.Topics(wire.TopicRelay, wire.TopicWanted)
 )
 
-// Members holds the view. Reading it takes one atomic load.
+// Config is what Members need.
+type Config struct {
+	Metrics *Metrics
+	Log     *log.Logger
+	// Accepted and Dialled are the ends of links that other entries opened to
+	// this one, and that this one opened to them. Without them the others are
+	// told nothing.
+	Accepted message.Publisher
+	Dialled  message.Publisher
+	// Changed is called after each swap of the view.
+	Changed func()
+	// Report returns what this entry tells the others of itself.
+	Report func() entry.Report
+}
+
+// Members holds the view of the sidecars and the list of the other entries.
+// Reading either takes one atomic load.
 type Members struct {
+	config  Config
 	view    atomic.Pointer[sidecar.View]
+	entries atomic.Pointer[[]entry.Listing]
 	pending *mailbox.Mailbox[arrival]
-	metrics *Metrics
-	log     *log.Logger
-	changed func()
-	// accepted and dialled are the ends of links that other entries opened to
-	// this one, and that this one opened to them.
-	accepted message.Publisher
-	dialled  message.Publisher
 }
 
 // arrival is a message that came, one of the lists.
@@ -56,22 +68,23 @@
 	announcements []sidecar.Announcement
 	hop           sidecar.Hop
 	presences     []sidecar.Presence
+	report        entry.Report
 	wanted        []carobkeel.Incarnation
 	peer          string
 	at            time.Time
 }
 
-// New returns members without any sidecar. changed is called after each swap of
-// the view. Without publishers the other entries are told nothing.
-func New(metrics *Metrics, logger *log.Logger, accepted, dialled message.Publisher, changed func()) *Members {
-	m := &Members{
-		pending: mailbox.New[arrival](), metrics: metrics, log: logger, changed: changed,
-		accepted: accepted, dialled: dialled,
-	}
+// New returns members without any sidecar.
+func New(c Config) *Members {
+	m := &Members{config: c, pending: mailbox.New[arrival]()}
 	m.view.Store(sidecar.NewView())
+	m.entries.Store(&[]entry.Listing{})
 	return m
 }
 
+// Entries returns the other entries that were heard of.
+func (m *Members) Entries() []entry.Listing { return *m.entries.Load() }
+
 // View returns the present view.
 func (m *Members) View() *sidecar.View { return m.view.Load() }
 
@@ -80,7 +93,7 @@
 func (m *Members) Handle(event *message.Message) error {
 	a, err := decode(event)
 	if err != nil {
-		m.log.Warn().Err(err).Msg("message dropped")
+		m.config.Log.Warn().Err(err).Msg("message dropped")
 		return nil
 	}
 	a.at = time.Now()
@@ -100,7 +113,7 @@
 		a.hop = sidecar.HopRelayed
 		a.announcements, err = wire.DecodeAnnouncements(event.Payload)
 	case wire.TopicPresence:
-		a.presences, err = wire.DecodePresences(event.Payload)
+		a.report, a.presences, err = wire.DecodePresences(event.Payload)
 	case wire.TopicWanted:
 		a.wanted, err = wire.DecodeWanted(event.Payload)
 	default:
@@ -117,6 +130,7 @@
 	presence := time.NewTimer(presenceWait())
 	defer presence.Stop()
 	known := sidecar.NewMembership()
+	directory := entry.NewDirectory()
 	var batch []arrival
 	for {
 		select {
@@ -124,10 +138,12 @@
 			return
 		case <-m.pending.Signal():
 			batch = m.pending.TryTake(batch[:0])
-			m.apply(known, batch)
+			m.apply(known, directory, batch)
 			clear(batch)
 		case now := <-ticker.C:
 			known.Expire(now)
+			directory.Expire(now)
+			m.list(directory)
 		case now := <-presence.C:
 			m.tell(known.Presences(now))
 			presence.Reset(presenceWait())
@@ -139,12 +155,15 @@
 // presenceWait returns a random time of half to one and a half of the interval.
 func presenceWait() time.Duration { return presenceInterval/2 + rand.N(presenceInterval) }
 
-func (m *Members) apply(known *sidecar.Membership, batch []arrival) {
+func (m *Members) apply(known *sidecar.Membership, directory *entry.Directory, batch []arrival) {
 	var relayed []sidecar.Announcement
 	for _, a := range batch {
+		if a.report.Incarnation != 0 {
+			directory.Hear(a.report, a.at)
+		}
 		for _, announcement := range a.announcements {
 			fresh, relay := known.Announce(announcement, a.hop, a.at)
-			m.metrics.announced(fresh)
+			m.config.Metrics.announced(fresh)
 			if relay {
 				m.logChange(announcement)
 				relayed = append(relayed, announcement)
@@ -161,15 +180,20 @@
 }
 
 func (m *Members) logChange(a sidecar.Announcement) {
-	m.log.Info().Str("address", a.Address).Str("service", string(a.Service)).
+	m.config.Log.Info().Str("address", a.Address).Str("service", string(a.Service)).
 		Str("state", a.State.String()).Msg("sidecar changed")
 }
 
+func (m *Members) list(directory *entry.Directory) {
+	list := directory.List()
+	m.entries.Store(&list)
+}
+
 func (m *Members) swap(next *sidecar.View) {
 	if next == m.View() {
 		return
 	}
 	m.view.Store(next)
-	m.metrics.members(len(next.Members()))
-	m.changed()
+	m.config.Metrics.members(len(next.Members()))
+	m.config.Changed()
 }
--- /dev/null
+++ b/sidecar/members/members_test.go
@@ -0,0 +1,160 @@
+package members_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry"
+	"github.com/carobkeel/carobkeel/entry/announcer"
+	"github.com/carobkeel/carobkeel/entry/eventlink"
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/sidecar"
+	"github.com/carobkeel/carobkeel/sidecar/members"
+	"github.com/carobkeel/carobkeel/upstream"
+)
+
+// network is listeners in memory, by address.
+type network map[string]pipeListener
+
+// pipeListener gives the far ends of the pipes that are dialled.
+type pipeListener struct {
+	conns chan net.Conn
+	done  <-chan struct{}
+}
+
+func (l pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l pipeListener) Close() error   { return nil }
+func (l pipeListener) Addr() net.Addr { return &net.IPAddr{} }
+
+func (n network) dial(ctx context.Context, address string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case n[address].conns <- far:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+var logger = logging.Discard().For("test")
+
+func (n network) dialer(addresses []string, onConnect func()) *eventlink.Dialer {
+	d := eventlink.NewDialer(addresses, link.EventConfig(), logger, onConnect)
+	d.UseDial(n.dial)
+	return d
+}
+
+// startEntry runs the members of an entry that is linked to its peers.
+func (n network) startEntry(ctx context.Context, name string, peers []string, revision carobkeel.Revision) *members.Members {
+	accepted := eventlink.NewListener(link.EventConfig(), logger)
+	dialled := n.dialer(peers, func() {})
+	report := entry.Report{Incarnation: carobkeel.Incarnation(revision), DataCentre: carobkeel.DataCentre(name), Revision: revision}
+	m := members.New(members.Config{
+		Metrics: members.NewMetrics(tally.NoopScope), Log: logger,
+		Accepted: accepted, Dialled: dialled, Changed: func() {},
+		Report: func() entry.Report { return report },
+	})
+	handle(ctx, accepted, members.AcceptedTopics, m)
+	handle(ctx, dialled, members.DialledTopics, m)
+	go func() { _ = accepted.Run(ctx, n[name]) }()
+	go dialled.Run(ctx)
+	go m.Run(ctx)
+	return m
+}
+
+func handle(ctx context.Context, end message.Subscriber, topics string, m *members.Members) {
+	messages, err := end.Subscribe(ctx, topics)
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		for event := range messages {
+			_ = m.Handle(event)
+			event.Ack()
+		}
+	}()
+}
+
+type healthy struct{}
+
+func (healthy) Probe(context.Context) upstream.Probe { return upstream.ProbeOK }
+func (healthy) Load() sidecar.Load                   { return sidecar.Load{Running: 1} }
+
+func (n network) startSidecar(ctx context.Context, entries ...string) *announcer.Announcer {
+	var a *announcer.Announcer
+	dialled := n.dialer(entries, func() { a.Poke() })
+	a = announcer.New(sidecar.Announcement{
+		Incarnation: 7, Started: time.Now(), Address: "10.0.0.1:1", Service: "desk",
+	}, dialled, healthy{}, healthy{}, logger)
+	go dialled.Run(ctx)
+	go a.Run(ctx)
+	return a
+}
+
+// run starts an entry in each of two data centres and a sidecar that announces
+// itself to the first, on a clock of their own.
+func run(t *testing.T, test func(g Gomega, near, far *members.Members, a *announcer.Announcer, crash func())) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		n := network{}
+		for _, name := range []string{"near", "far"} {
+			n[name] = pipeListener{conns: make(chan net.Conn), done: ctx.Done()}
+		}
+		near := n.startEntry(ctx, "near", []string{"far"}, 4)
+		far := n.startEntry(ctx, "far", []string{"near"}, 5)
+		life, crash := context.WithCancel(ctx)
+		a := n.startSidecar(life, "near")
+		time.Sleep(10 * time.Second)
+		test(NewWithT(t), near, far, a, crash)
+		crash()
+		cancel()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+	})
+}
+
+func TestFarEntryLearnsOfASidecarAndOfTheOtherEntry(t *testing.T) {
+	run(t, func(g Gomega, near, far *members.Members, _ *announcer.Announcer, _ func()) {
+		g.Expect(near.View().Serving("desk")).To(HaveLen(1))
+		g.Expect(far.View().Serving("desk")).To(HaveLen(1))
+		g.Expect(far.Entries()).To(HaveLen(1))
+		g.Expect(far.Entries()[0].Report).To(Equal(entry.Report{Incarnation: 4, DataCentre: "near", Revision: 4}))
+	})
+}
+
+func TestShutdownReachesTheFarEntryWithinTwoSeconds(t *testing.T) {
+	run(t, func(g Gomega, near, far *members.Members, a *announcer.Announcer, _ func()) {
+		a.Leave()
+		time.Sleep(2 * time.Second)
+		g.Expect(near.View().Serving("desk")).To(BeEmpty())
+		g.Expect(far.View().Serving("desk")).To(BeEmpty())
+		g.Expect(far.View().Members()).To(HaveLen(1), "it finishes what it has")
+	})
+}
+
+func TestCrashedSidecarIsForgottenHopByHop(t *testing.T) {
+	run(t, func(g Gomega, near, far *members.Members, _ *announcer.Announcer, crash func()) {
+		crash()
+		time.Sleep(sidecar.DirectExpiry + time.Second)
+		g.Expect(near.View().Members()).To(BeEmpty())
+		time.Sleep(sidecar.RelayedExpiry)
+		g.Expect(far.View().Members()).To(BeEmpty())
+	})
+}
--- a/sidecar/members/tell.go
+++ b/sidecar/members/tell.go
@@ -11,11 +11,17 @@
 	"github.com/carobkeel/carobkeel/sidecar"
 )
 
-// tell sends the other entries which sidecars this one hears.
+// tell sends the other entries what this one reports of itself and which
+// sidecars it hears.
 func (m *Members) tell(present []sidecar.Presence) {
-	for part := range slices.Chunk(present, relayedAtOnce) {
-		payload, err := wire.EncodePresences(part)
-		m.publish(m.dialled, wire.TopicPresence, payload, err, "")
+	report := m.config.Report()
+	parts := slices.Collect(slices.Chunk(present, relayedAtOnce))
+	if len(parts) == 0 {
+		parts = [][]sidecar.Presence{nil}
+	}
+	for _, part := range parts {
+		payload, err := wire.EncodePresences(report, part)
+		m.publish(m.config.Dialled, wire.TopicPresence, payload, err, "")
 	}
 }
 
@@ -24,8 +30,8 @@
 func (m *Members) relay(list []sidecar.Announcement, to string) {
 	for part := range slices.Chunk(list, relayedAtOnce) {
 		payload, err := wire.EncodeAnnouncements(part)
-		m.publish(m.dialled, wire.TopicRelay, payload, err, to)
-		m.metrics.relayed.Inc(int64(len(part)))
+		m.publish(m.config.Dialled, wire.TopicRelay, payload, err, to)
+		m.config.Metrics.relayed.Inc(int64(len(part)))
 	}
 }
 
@@ -33,7 +39,7 @@
 func (m *Members) ask(peer string, missing []carobkeel.Incarnation) {
 	for part := range slices.Chunk(missing, relayedAtOnce) {
 		payload, err := wire.EncodeWanted(part)
-		m.publish(m.accepted, wire.TopicWanted, payload, err, peer)
+		m.publish(m.config.Accepted, wire.TopicWanted, payload, err, peer)
 	}
 }
 
@@ -47,6 +53,6 @@
 		err = end.Publish(topic, event)
 	}
 	if err != nil {
-		m.log.Warn().Err(err).Str("topic", topic).Msg("message not sent")
+		m.config.Log.Warn().Err(err).Str("topic", topic).Msg("message not sent")
 	}
 }
