Tell a table service that was set back from one that is away

Cause: the store's error hid the OlderRevisionError, so that the reader counted a table service that was set back as one that did not answer.

Change: the error keeps both. A test over links sets the table service back and restarts an entry: all keep the newer revision, and no edit is taken.

Measured: go test -race ./operator/store ./entry/spreader passes (13.6 s, 2.5 s).

--- a/entry/spreader/spreader_test.go
+++ b/entry/spreader/spreader_test.go
@@ -22,20 +22,29 @@
 type lossyTable struct {
 	*memory.Table
 	down atomic.Bool
+	// restored takes the place of the table where it is set.
+	restored atomic.Pointer[memory.Table]
+}
+
+func (t *lossyTable) current() *memory.Table {
+	if restored := t.restored.Load(); restored != nil {
+		return restored
+	}
+	return t.Table
 }
 
 func (t *lossyTable) Get(ctx context.Context, key string) (table.Row, bool, error) {
 	if t.down.Load() {
 		return table.Row{}, false, table.ErrUnavailable
 	}
-	return t.Table.Get(ctx, key)
+	return t.current().Get(ctx, key)
 }
 
 func (t *lossyTable) Range(ctx context.Context, prefix, after string, limit int) ([]table.Row, error) {
 	if t.down.Load() {
 		return nil, table.ErrUnavailable
 	}
-	return t.Table.Range(ctx, prefix, after, limit)
+	return t.current().Range(ctx, prefix, after, limit)
 }
 
 func edit(number, size int) operator.Edit {
@@ -177,6 +186,26 @@
 	})
 }
 
+func TestTableServiceThatWasSetBackIsRefused(t *testing.T) {
+	run(t, func(g Gomega, f *fleet) {
+		for range 3 {
+			f.edit(g, 1)
+		}
+		time.Sleep(4 * time.Second)
+		f.table.restored.Store(memory.New())
+		time.Sleep(4 * time.Second)
+		g.Expect(f.revisions()).To(Equal(all(3)))
+		f.nodes[1].stop()
+		time.Sleep(time.Second)
+		f.restart(1)
+		time.Sleep(4 * time.Second)
+		g.Expect(f.revisions()).To(Equal(all(3)))
+		g.Expect(f.nodes[1].serving.Load()).NotTo(BeNil())
+		_, err := f.stores[1].Edit(context.Background(), edit(9, 1))
+		g.Expect(carobkeel.CodeOf(err)).To(Equal(carobkeel.CodeStoreUnavailable), "no edit on a state that is older")
+	})
+}
+
 func TestProcessWithoutPeersOrTableServiceDoesNotServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/operator/store/store.go
+++ b/operator/store/store.go
@@ -136,7 +136,7 @@
 	if seen != nil {
 		if err := operator.AcceptRevision(seen.Revision, head.Revision); err != nil {
 			s.metrics.OlderStates.Inc(1)
-			return nil, 0, unavailable(errors.Wrap(err, "the table service was set back"))
+			return nil, 0, &setBackError{coded: unavailable(errors.Wrap(err, "the table service was set back")), older: err}
 		}
 	}
 	c := seen
@@ -153,6 +153,19 @@
 	return c, version, nil
 }
 
+// setBackError is a result for callers that keeps the OlderRevisionError it came
+// from.
+type setBackError struct {
+	coded *carobkeel.Error
+	older error
+}
+
+// Error implements error.
+func (e *setBackError) Error() string { return e.coded.Error() }
+
+// Unwrap lets errors.As find both.
+func (e *setBackError) Unwrap() []error { return []error{e.coded, e.older} }
+
 func (s *Store) readHead(ctx context.Context) (headRow, table.Version, error) {
 	row, found, err := s.table.Get(ctx, headKey)
 	if err != nil {
--- a/operator/store/store_test.go
+++ b/operator/store/store_test.go
@@ -94,6 +94,9 @@
 	restored.Observe(s.Seen())
 	_, err := restored.Load(ctx)
 	g.Expect(carobkeel.CodeOf(err)).To(Equal(carobkeel.CodeStoreUnavailable))
+	var older *operator.OlderRevisionError
+	g.Expect(errors.As(err, &older)).To(BeTrue())
+	g.Expect(*older).To(Equal(operator.OlderRevisionError{Seen: s.Seen().Revision, Offered: 0}))
 	_, err = restored.Edit(ctx, timeoutEdit(g, s, "e", time.Second, operator.ExpectAny()))
 	g.Expect(carobkeel.CodeOf(err)).To(Equal(carobkeel.CodeStoreUnavailable))
 }
