Spread planned stops between entries and heed them

Cause: planned stops were read from the table service and took no sidecar out of use, and an entry that could not read them did not learn of them.

Change: entry.StopBoard merges the states of stops from the table service and from other entries; the later state in a stop's course counts, in any order of arrival. sidecar/members tells the other entries, and a view leaves out the members that a draining stop covers. Config.Stops is where the stops read from the table service come from.

Measured: go test -race ./sidecar/members passes; a stop reaches an entry that does not read it, and its cancelling too, within 2 s of the test's clock.

Conclusion: an accepted stop reaches every entry that anyone who read it reaches.

--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -15,6 +15,8 @@
 	TopicPresence = "presence"
 	// TopicWanted carries a Wanted, which is answered by a TopicRelay.
 	TopicWanted = "wanted"
+	// TopicStops carries the Stops that an entry knows of.
+	TopicStops = "stops"
 	// TopicHave carries a Have: what a process holds of the catalogue.
 	TopicHave = "have"
 	// TopicWant carries a Have as a request for what follows on it.
--- a/sidecar/draft.go
+++ b/sidecar/draft.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
 )
 
 // draft gathers changes of a view, so that many of them take one copy.
@@ -61,6 +62,15 @@
 	d.changed[known.Service] = true
 }
 
+// stop sets the targets of planned stops.
+func (d *draft) stop(targets []operator.StopTarget) {
+	d.copy()
+	d.next.stops = targets
+	for _, member := range d.next.members {
+		d.changed[member.Service] = true
+	}
+}
+
 func (d *draft) copy() {
 	if d.next == nil {
 		d.next = d.base.clone()
--- a/sidecar/members/members.go
+++ b/sidecar/members/members.go
@@ -18,6 +18,7 @@
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/mailbox"
+	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/sidecar"
 )
 
@@ -34,7 +35,7 @@
 // Topics of the two ends of an entry's event links.
 var (
 	// AcceptedTopics come from sidecars and from entries that linked to this one.
-	AcceptedTopics = eventlink.Topics(wire.TopicAnnouncement, wire.TopicRelay, wire.TopicPresence)
+	AcceptedTopics = eventlink.Topics(wire.TopicAnnouncement, wire.TopicRelay, wire.TopicPresence, wire.TopicStops)
 	// DialledTopics come from the entries that this one linked to.
 	DialledTopics = eventlink.Topics(wire.TopicRelay, wire.TopicWanted)
 )
@@ -52,6 +53,9 @@
 	Changed func()
 	// Report returns what this entry tells the others of itself.
 	Report func() entry.Report
+	// Stops returns the planned stops as they were last read from the table
+	// service; nil stands for none.
+	Stops func() []operator.Stop
 }
 
 // Members holds the view of the sidecars and the list of the other entries.
@@ -69,6 +73,7 @@
 	hop           sidecar.Hop
 	presences     []sidecar.Presence
 	report        entry.Report
+	stops         []operator.Stop
 	wanted        []carobkeel.Incarnation
 	peer          string
 	at            time.Time
@@ -114,6 +119,8 @@
 		a.announcements, err = wire.DecodeAnnouncements(event.Payload)
 	case wire.TopicPresence:
 		a.report, a.presences, err = wire.DecodePresences(event.Payload)
+	case wire.TopicStops:
+		a.stops, err = wire.DecodeStops(event.Payload)
 	case wire.TopicWanted:
 		a.wanted, err = wire.DecodeWanted(event.Payload)
 	default:
@@ -129,8 +136,7 @@
 	defer ticker.Stop()
 	presence := time.NewTimer(presenceWait())
 	defer presence.Stop()
-	known := sidecar.NewMembership()
-	directory := entry.NewDirectory()
+	known, board, directory := sidecar.NewMembership(), entry.NewStopBoard(), entry.NewDirectory()
 	var batch []arrival
 	for {
 		select {
@@ -139,15 +145,19 @@
 		case <-m.pending.Signal():
 			batch = m.pending.TryTake(batch[:0])
 			m.apply(known, directory, batch)
+			m.mergeStops(board, batch)
 			clear(batch)
 		case now := <-ticker.C:
 			known.Expire(now)
 			directory.Expire(now)
 			m.list(directory)
+			m.readStops(board, now)
 		case now := <-presence.C:
 			m.tell(known.Presences(now))
+			m.tellStops(board)
 			presence.Reset(presenceWait())
 		}
+		known.Stop(board.Draining())
 		m.swap(known.View())
 	}
 }
--- a/sidecar/members/members_test.go
+++ b/sidecar/members/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/sidecar"
 	"github.com/carobkeel/carobkeel/sidecar/members"
 	"github.com/carobkeel/carobkeel/upstream"
@@ -62,7 +64,7 @@
 }
 
 // startEntry runs the members of an entry that is linked to its peers.
-func (n network) startEntry(ctx context.Context, name string, peers []string, revision carobkeel.Revision) *members.Members {
+func (n network) startEntry(ctx context.Context, name string, peers []string, revision carobkeel.Revision, stops *atomic.Pointer[[]operator.Stop]) *members.Members {
 	accepted := eventlink.NewListener(link.EventConfig(), logger)
 	dialled := n.dialer(peers, func() {})
 	report := entry.Report{Incarnation: carobkeel.Incarnation(revision), DataCentre: carobkeel.DataCentre(name), Revision: revision}
@@ -70,6 +72,7 @@
 		Metrics: members.NewMetrics(tally.NoopScope), Log: logger,
 		Accepted: accepted, Dialled: dialled, Changed: func() {},
 		Report: func() entry.Report { return report },
+		Stops:  func() []operator.Stop { return *stops.Load() },
 	})
 	handle(ctx, accepted, members.AcceptedTopics, m)
 	handle(ctx, dialled, members.DialledTopics, m)
@@ -102,27 +105,40 @@
 	dialled := n.dialer(entries, func() { a.Poke() })
 	a = announcer.New(sidecar.Announcement{
 		Incarnation: 7, Started: time.Now(), Address: "10.0.0.1:1", Service: "desk",
+		Location: carobkeel.Location{DataCentre: "near", Host: "host-1"},
 	}, dialled, healthy{}, healthy{}, logger)
 	go dialled.Run(ctx)
 	go a.Run(ctx)
 	return a
 }
 
+// fixture is an entry in each of two data centres, of which the near one alone
+// hears the sidecar and reads the planned stops.
+type fixture struct {
+	near, far *members.Members
+	announcer *announcer.Announcer
+	crash     func()
+	stops     *atomic.Pointer[[]operator.Stop]
+}
+
 // run starts an entry in each of two data centres and a sidecar that announces
 // itself to the first, on a clock of their own.
-func run(t *testing.T, test func(g Gomega, near, far *members.Members, a *announcer.Announcer, crash func())) {
+func run(t *testing.T, test func(g Gomega, f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		n := network{}
 		for _, name := range []string{"near", "far"} {
 			n[name] = pipeListener{conns: make(chan net.Conn), done: ctx.Done()}
 		}
-		near := n.startEntry(ctx, "near", []string{"far"}, 4)
-		far := n.startEntry(ctx, "far", []string{"near"}, 5)
+		var read, none atomic.Pointer[[]operator.Stop]
+		read.Store(&[]operator.Stop{})
+		none.Store(&[]operator.Stop{})
+		near := n.startEntry(ctx, "near", []string{"far"}, 4, &read)
+		far := n.startEntry(ctx, "far", []string{"near"}, 5, &none)
 		life, crash := context.WithCancel(ctx)
 		a := n.startSidecar(life, "near")
 		time.Sleep(10 * time.Second)
-		test(NewWithT(t), near, far, a, crash)
+		test(NewWithT(t), &fixture{near: near, far: far, announcer: a, crash: crash, stops: &read})
 		crash()
 		cancel()
 		time.Sleep(time.Minute)
@@ -131,30 +147,48 @@
 }
 
 func TestFarEntryLearnsOfASidecarAndOfTheOtherEntry(t *testing.T) {
-	run(t, func(g Gomega, near, far *members.Members, _ *announcer.Announcer, _ func()) {
-		g.Expect(near.View().Serving("desk")).To(HaveLen(1))
-		g.Expect(far.View().Serving("desk")).To(HaveLen(1))
-		g.Expect(far.Entries()).To(HaveLen(1))
-		g.Expect(far.Entries()[0].Report).To(Equal(entry.Report{Incarnation: 4, DataCentre: "near", Revision: 4}))
+	run(t, func(g Gomega, f *fixture) {
+		g.Expect(f.near.View().Serving("desk")).To(HaveLen(1))
+		g.Expect(f.far.View().Serving("desk")).To(HaveLen(1))
+		g.Expect(f.far.Entries()).To(HaveLen(1))
+		g.Expect(f.far.Entries()[0].Report).To(Equal(entry.Report{Incarnation: 4, DataCentre: "near", Revision: 4}))
 	})
 }
 
 func TestShutdownReachesTheFarEntryWithinTwoSeconds(t *testing.T) {
-	run(t, func(g Gomega, near, far *members.Members, a *announcer.Announcer, _ func()) {
-		a.Leave()
+	run(t, func(g Gomega, f *fixture) {
+		f.announcer.Leave()
 		time.Sleep(2 * time.Second)
-		g.Expect(near.View().Serving("desk")).To(BeEmpty())
-		g.Expect(far.View().Serving("desk")).To(BeEmpty())
-		g.Expect(far.View().Members()).To(HaveLen(1), "it finishes what it has")
+		g.Expect(f.near.View().Serving("desk")).To(BeEmpty())
+		g.Expect(f.far.View().Serving("desk")).To(BeEmpty())
+		g.Expect(f.far.View().Members()).To(HaveLen(1), "it finishes what it has")
 	})
 }
 
 func TestCrashedSidecarIsForgottenHopByHop(t *testing.T) {
-	run(t, func(g Gomega, near, far *members.Members, _ *announcer.Announcer, crash func()) {
-		crash()
+	run(t, func(g Gomega, f *fixture) {
+		f.crash()
 		time.Sleep(sidecar.DirectExpiry + time.Second)
-		g.Expect(near.View().Members()).To(BeEmpty())
+		g.Expect(f.near.View().Members()).To(BeEmpty())
 		time.Sleep(sidecar.RelayedExpiry)
-		g.Expect(far.View().Members()).To(BeEmpty())
+		g.Expect(f.far.View().Members()).To(BeEmpty())
+	})
+}
+
+func TestPlannedStopReachesAnEntryThatDoesNotReadIt(t *testing.T) {
+	run(t, func(g Gomega, f *fixture) {
+		stop := operator.Stop{
+			ID: "s1", Target: operator.StopTarget{Host: "host-1"}, State: operator.StopDraining, ChangedAt: time.Now(),
+		}
+		f.stops.Store(&[]operator.Stop{stop})
+		time.Sleep(2 * time.Second)
+		g.Expect(f.near.View().Serving("desk")).To(BeEmpty())
+		g.Expect(f.far.View().Serving("desk")).To(BeEmpty())
+		g.Expect(f.far.View().Members()).To(HaveLen(1), "it is there as before")
+		stop.State = operator.StopCancelled
+		f.stops.Store(&[]operator.Stop{stop})
+		time.Sleep(2 * time.Second)
+		g.Expect(f.near.View().Serving("desk")).To(HaveLen(1))
+		g.Expect(f.far.View().Serving("desk")).To(HaveLen(1))
 	})
 }
--- a/sidecar/membership.go
+++ b/sidecar/membership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
 )
 
 // Hop says how an announcement came.
@@ -49,6 +50,7 @@
 // that its size follows the fleet's.
 type Membership struct {
 	draft         *draft
+	stops         []operator.StopTarget
 	contacts      map[string]*contact
 	byIncarnation map[carobkeel.Incarnation]*contact
 }
@@ -136,6 +138,16 @@
 	return !c.isKnown(now)
 }
 
+// Stop sets the targets of the planned stops that drain. Their sidecars get no
+// new work, and are known of as before.
+func (m *Membership) Stop(targets []operator.StopTarget) {
+	if slices.Equal(targets, m.stops) {
+		return
+	}
+	m.stops = targets
+	m.draft.stop(targets)
+}
+
 // Presences returns the sidecars that this entry itself hears, for other
 // entries.
 func (m *Membership) Presences(now time.Time) []Presence {
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
 )
 
 // View is an immutable state of all announced sidecars.
@@ -15,6 +16,8 @@
 	members map[string]*Member
 	// serving holds the members that take new work, by service.
 	serving map[carobkeel.Service]*Pool
+	// stops are the targets of planned stops, whose members get no new work.
+	stops []operator.StopTarget
 }
 
 // NewView returns a view without members.
@@ -92,14 +95,14 @@
 }
 
 func (v *View) clone() *View {
-	return &View{members: maps.Clone(v.members), serving: maps.Clone(v.serving)}
+	return &View{members: maps.Clone(v.members), serving: maps.Clone(v.serving), stops: v.stops}
 }
 
 // rebuild computes the serving members of services anew, in one pass.
 func (v *View) rebuild(services map[carobkeel.Service]bool) {
 	serving := make(map[carobkeel.Service][]*Member)
 	for _, member := range v.members {
-		if services[member.Service] && member.State == StateServing {
+		if services[member.Service] && member.State == StateServing && !v.isStopped(member.Location) {
 			serving[member.Service] = append(serving[member.Service], member)
 		}
 	}
@@ -110,3 +113,13 @@
 		}
 	}
 }
+
+// isStopped reports whether a planned stop takes the location out of use.
+func (v *View) isStopped(at carobkeel.Location) bool {
+	for _, target := range v.stops {
+		if target.Covers(at) {
+			return true
+		}
+	}
+	return false
+}
