Show in status which instances an entry passes over

Cause: an entry that could not reach a sidecar did not use it, and nobody saw.

Conclusion: one-way reachability shows at the entry that has it.

--- a/cmd/carobkeel/fleet.go
+++ b/cmd/carobkeel/fleet.go
@@ -75,7 +75,7 @@
 	}
 	all := s.members.View().Members()
 	status.DataCentres = s.dataCentres(all, status.Revision, now)
-	status.Services = services(all, catalogue)
+	status.Services = services(all, catalogue, now)
 	return status, nil
 }
 
@@ -126,7 +126,7 @@
 }
 
 // services counts the instances of each service that is in the catalogue.
-func services(all []*sidecar.Member, catalogue *carobkeel.Catalogue) []operator.ServiceStatus {
+func services(all []*sidecar.Member, catalogue *carobkeel.Catalogue, now time.Time) []operator.ServiceStatus {
 	found := make(map[carobkeel.Service]*operator.ServiceStatus)
 	for _, entry := range operator.DocumentOf(catalogue).Entries {
 		if entry.Class == carobkeel.ClassLatencyCritical {
@@ -143,6 +143,9 @@
 		status.InFlight += inFlight(member)
 		if member.State == sidecar.StateServing {
 			status.Serving++
+			if member.Live.IsEjected(now) {
+				status.Ejected++
+			}
 		}
 	}
 	names := slices.Sorted(maps.Keys(found))
--- a/cmd/carobkeel/status.go
+++ b/cmd/carobkeel/status.go
@@ -55,10 +55,10 @@
 	for _, s := range status.Services {
 		rows = append(rows, []string{
 			string(s.Name), string(s.Owner), strconv.Itoa(s.Instances), strconv.Itoa(s.Serving),
-			strconv.Itoa(s.InFlight), strconv.Itoa(s.Queued),
+			strconv.Itoa(s.Ejected), strconv.Itoa(s.InFlight), strconv.Itoa(s.Queued),
 		})
 	}
-	if err := printTable(io.out, []string{"service", "owner", "instances", "serving", "in flight", "queued"}, rows); err != nil {
+	if err := printTable(io.out, []string{"service", "owner", "instances", "serving", "ejected", "in flight", "queued"}, rows); err != nil {
 		return err
 	}
 	if len(status.Batch) == 0 {
--- a/operator/status.go
+++ b/operator/status.go
@@ -40,7 +40,10 @@
 	Owner     carobkeel.Owner   `json:"owner"`
 	Instances int               `json:"instances"`
 	// Serving is the number of instances that take new requests.
-	Serving  int `json:"serving"`
+	Serving int `json:"serving"`
+	// Ejected is how many of those this entry passes over for now, because it
+	// can't reach them or they fail.
+	Ejected  int `json:"ejected"`
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
 }
