--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -44,6 +44,7 @@
 		floodSuite(),
 		interferenceSuite(),
 		schedulerSuite(),
+		spreadSuite(),
 	}
 }
 
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -19,9 +19,9 @@
 	"github.com/carobkeel/carobkeel/caller/admit"
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
+	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/spreader"
-	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
@@ -123,7 +123,14 @@
 	p := &entryProcess{config: c, readiness: &balancer.Readiness{}, log: logs.For("entry"), cancel: cancel}
 	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
 	self := newIncarnation()
-	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
+	p.links = eventlink.NewListener(link.EventConfig(), p.log)
+	p.peers = eventlink.NewDialer(splitList(c.peers), link.EventConfig(), p.log, func() {})
+	p.members = members.New(members.Config{
+		Metrics: members.NewMetrics(scope), Log: p.log,
+		Accepted: p.links, Dialled: p.peers,
+		Changed: func() { p.forwarder.Prune() },
+		Report:  func() entry.Report { return p.report(self) },
+	})
 	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
 	sidecars.Admission = caller.NewAdmission()
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
@@ -154,11 +161,11 @@
 		return err
 	}
 	p.linkAddress = listener.Addr()
-	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
 	go func() { _ = p.links.Run(ctx, listener) }()
 	go p.members.Run(ctx)
 	return runRouter(ctx, p.log, func(router *message.Router) {
-		router.AddConsumerHandler("members", wire.TopicAnnouncement, p.links, p.members.Handle)
+		router.AddConsumerHandler("members", members.AcceptedTopics, p.links, p.members.Handle)
+		router.AddConsumerHandler("members-dialled", members.DialledTopics, p.peers, p.members.Handle)
 	})
 }
 
@@ -183,6 +190,15 @@
 // install puts a catalogue in force.
 func (p *entryProcess) install(c *carobkeel.Catalogue) { p.catalogue.Store(c) }
 
+// report returns what the entry tells the others of itself.
+func (p *entryProcess) report(self carobkeel.Incarnation) entry.Report {
+	report := entry.Report{Incarnation: self, DataCentre: carobkeel.DataCentre(p.config.dataCentre)}
+	if c := p.Catalogue(); c != nil {
+		report.Revision = c.Revision
+	}
+	return report
+}
+
 // serve makes the entry ready once it has joined the spread of the catalogue.
 func (p *entryProcess) serve() { p.readiness.Advance(balancer.PhaseReady) }
 
--- a/cmd/carobkeel/fleet.go
+++ b/cmd/carobkeel/fleet.go
@@ -75,17 +75,29 @@
 	}
 	all := s.members.View().Members()
 	status.DataCentres = s.dataCentres(all, status.Revision, now)
-	status.Services = services(all, catalogue)
+	status.Services = services(all, catalogue, now)
 	return status, nil
 }
 
-// dataCentres counts what is announced from each data centre. The revision in
-// force is known of the entry's own only.
+// dataCentres counts what is announced from each data centre. Its revision is
+// the lowest that an entry there has reported. A data centre without an entry
+// that reports has none.
 func (s *fleetSource) dataCentres(all []*sidecar.Member, revision carobkeel.Revision, now time.Time) []operator.DataCentreStatus {
 	found := map[carobkeel.DataCentre]*operator.DataCentreStatus{
 		s.location.DataCentre: {Name: s.location.DataCentre, Revision: revision, Processes: 1},
 	}
 	heard := make(map[carobkeel.DataCentre]time.Time)
+	for _, listing := range s.members.Entries() {
+		name := listing.DataCentre
+		if found[name] == nil {
+			found[name] = &operator.DataCentreStatus{Name: name, Revision: listing.Revision}
+		}
+		found[name].Revision = min(found[name].Revision, listing.Revision)
+		found[name].Processes++
+		if listing.Heard.After(heard[name]) {
+			heard[name] = listing.Heard
+		}
+	}
 	for _, member := range all {
 		name := member.Location.DataCentre
 		if found[name] == nil {
@@ -114,7 +126,7 @@
 }
 
 // services counts the instances of each service that is in the catalogue.
-func services(all []*sidecar.Member, catalogue *carobkeel.Catalogue) []operator.ServiceStatus {
+func services(all []*sidecar.Member, catalogue *carobkeel.Catalogue, now time.Time) []operator.ServiceStatus {
 	found := make(map[carobkeel.Service]*operator.ServiceStatus)
 	for _, entry := range operator.DocumentOf(catalogue).Entries {
 		if entry.Class == carobkeel.ClassLatencyCritical {
@@ -131,6 +143,9 @@
 		status.InFlight += inFlight(member)
 		if member.State == sidecar.StateServing {
 			status.Serving++
+			if member.Live.IsEjected(now) {
+				status.Ejected++
+			}
 		}
 	}
 	names := slices.Sorted(maps.Keys(found))
--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -9,6 +9,16 @@
 const (
 	// TopicAnnouncement carries an Announcement.
 	TopicAnnouncement = "announcement"
+	// TopicRelay carries Announcements from one entry to another.
+	TopicRelay = "relay"
+	// TopicPresence carries the Presences of the sidecars that an entry hears.
+	TopicPresence = "presence"
+	// TopicWanted carries a Wanted, which is answered by a TopicRelay.
+	TopicWanted = "wanted"
+	// TopicAll asks an entry for its Presences and Stops at once. It is empty.
+	TopicAll = "all"
+	// TopicStops carries the Stops that an entry knows of.
+	TopicStops = "stops"
 	// TopicHave carries a Have: what a process holds of the catalogue.
 	TopicHave = "have"
 	// TopicWant carries a Have as a request for what follows on it.
@@ -37,11 +47,11 @@
 	Address       string `msg:"a"`
 	Service       string `msg:"sv"`
 	DataCentre    string `msg:"dc"`
-	Rack          string `msg:"rk"`
-	Host          string `msg:"h"`
+	Rack          string `msg:"rk,omitempty"`
+	Host          string `msg:"h,omitempty"`
 	State         uint8  `msg:"s"`
 	Slots         int    `msg:"sl"`
-	Running       int    `msg:"r"`
-	Queued        int    `msg:"qd"`
-	UrgentQueued  int    `msg:"uq"`
+	Running       int    `msg:"r,omitempty"`
+	Queued        int    `msg:"qd,omitempty"`
+	UrgentQueued  int    `msg:"uq,omitempty"`
 }
