Put the table client's budgets before the entry's writes and run jobs in dev

Cause: the entry wrote to the table service without budgets, settling or shared transactions, and dev had no jobs. Change: claims go through the batcher and old ones are swept; catalogue and stops have their budgets; dev runs a shard with two sample workers and takes jobs.

--- a/cmd/carobkeel/dev.go
+++ b/cmd/carobkeel/dev.go
@@ -4,8 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"net/http"
 	"time"
 
+	"github.com/carobkeel/carobkeel/caller/jobsapi"
 	"github.com/carobkeel/carobkeel/entry/server"
 	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/internal/logging"
@@ -13,6 +15,8 @@
 	"github.com/carobkeel/carobkeel/operator/catalogfile"
 	"github.com/carobkeel/carobkeel/operator/store"
 	"github.com/carobkeel/carobkeel/sidecar/client"
+	"github.com/carobkeel/carobkeel/table"
+	tableclient "github.com/carobkeel/carobkeel/table/client"
 	"github.com/carobkeel/carobkeel/table/memory"
 )
 
@@ -66,6 +70,10 @@
 		drainTimeout:   30 * time.Second,
 
 		catalogueInterval: spreader.PollInterval,
+		tableClient:       tableclient.DefaultConfig(),
+		jobs: func(ctx context.Context, rows table.Table, catalogues jobsapi.Catalogues) (http.Handler, error) {
+			return startDevJobs(ctx, rows, catalogues, logs)
+		},
 	}, client.DefaultConfig(), rows, logs)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/cmd/carobkeel/dev_jobs.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller/jobs"
+	"github.com/carobkeel/carobkeel/caller/jobsapi"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/scheduler"
+	"github.com/carobkeel/carobkeel/scheduler/runner"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/worker"
+	"github.com/carobkeel/carobkeel/worker/standin"
+
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	devShard      = scheduler.ShardID("local-0")
+	devWorkers    = 2
+	devRunTime    = 3 * time.Second
+	devWorkerCPU  = 4_000
+	devWorkerByte = 4 << 30
+)
+
+// startDevJobs runs one shard with sample workers in this process and returns
+// the routes of jobs.
+func startDevJobs(ctx context.Context, rows table.Table, catalogues jobsapi.Catalogues, logs *logging.Factory) (http.Handler, error) {
+	started := time.Now()
+	clock := func() scheduler.Instant { return scheduler.Instant(time.Since(started)) }
+	self := newIncarnation()
+	var workers []*standin.Worker
+	for i := range devWorkers {
+		workers = append(workers, standin.New(standin.Config{
+			ID:       worker.ID(fmt.Sprintf("worker-%d", i)),
+			Location: carobkeel.Location{DataCentre: devDataCentre, Rack: "rack-0"},
+			Capacity: carobkeel.Resources{MilliCPU: devWorkerCPU, MemoryBytes: devWorkerByte},
+			Timing:   scheduler.DefaultTiming(),
+			Seed:     uint64(i) + 1,
+			RunTime:  devRunTime,
+			Now:      clock,
+			Record:   standin.NewRecord(),
+		}))
+	}
+	shard := runner.New(runner.Config{
+		Shard:      devShard,
+		Self:       scheduler.HolderID(self.String()),
+		Timing:     scheduler.DefaultTiming(),
+		Table:      rows,
+		Workers:    runner.NewLocal(workers...),
+		Now:        clock,
+		Wall:       time.Now,
+		Seed:       1,
+		Round:      runner.DefaultRound,
+		Heartbeat:  runner.DefaultHeartbeat,
+		BatchRows:  runner.DefaultBatchRows,
+		Placements: runner.DefaultPlacements,
+		Metrics:    runner.NewMetrics(tally.NoopScope),
+		Log:        logs.For("scheduler"),
+	})
+	go func() { _ = shard.Run(ctx) }()
+	service, err := jobs.New(ctx, jobs.Config{
+		Table:        rows,
+		Self:         self,
+		Shards:       []scheduler.ShardID{devShard},
+		Delay:        jobs.DefaultDelay,
+		Timeout:      jobs.DefaultTimeout,
+		MaxJobs:      jobs.DefaultMaxJobs,
+		MaxCancelled: jobs.DefaultMaxCancelled,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return jobsapi.NewRouter(catalogues, service), nil
+}
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -19,6 +19,7 @@
 	"github.com/carobkeel/carobkeel/caller/admit"
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
+	"github.com/carobkeel/carobkeel/caller/jobsapi"
 	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/spreader"
@@ -30,6 +31,7 @@
 	"github.com/carobkeel/carobkeel/sidecar/client"
 	"github.com/carobkeel/carobkeel/sidecar/members"
 	"github.com/carobkeel/carobkeel/table"
+	tableclient "github.com/carobkeel/carobkeel/table/client"
 	"github.com/carobkeel/carobkeel/table/httptable"
 )
 
@@ -46,6 +48,11 @@
 	catalogueInterval time.Duration
 	leaveTime         time.Duration
 	drainTimeout      time.Duration
+
+	tableClient tableclient.Config
+	// jobs starts what runs jobs and returns its routes. It is nil where the
+	// process has no workers.
+	jobs func(ctx context.Context, rows table.Table, catalogues jobsapi.Catalogues) (http.Handler, error)
 }
 
 func registerEntryFlags(fs *flag.FlagSet) *entryConfig {
@@ -54,7 +61,7 @@
 	fs.StringVar(&c.operatorListen, "operator-listen", "127.0.0.1:8081", "address for operators, metrics and health")
 	fs.StringVar(&c.linkListen, "link-listen", "127.0.0.1:8082", "address for the event links of sidecars and other entries")
 	fs.StringVar(&c.peers, "peers", "", "comma-separated addresses of other entries' event links")
-	fs.StringVar(&c.table, "table", "", "address of the table service; in memory where empty")
+	fs.StringVar(&c.table, "table", "", "address of the table service")
 	fs.DurationVar(&c.catalogueInterval, "catalogue-interval", spreader.PollInterval, "mean time between two reads of the catalogue's head")
 	fs.StringVar(&c.dataCentre, "data-centre", "", "data centre of this host")
 	fs.DurationVar(&c.leaveTime, "leave-time", 2*time.Second, "time between leaving the balancer and refusing requests")
@@ -94,6 +101,7 @@
 	peers     *eventlink.Dialer
 	spread    *spreader.Spreader
 	reader    *spreader.Reader
+	table     *tableclient.Client
 	store     *store.Store
 	stops     *store.Stops
 	upkeep    *store.Upkeep
@@ -134,10 +142,11 @@
 	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
 	sidecars.Admission = caller.NewAdmission()
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
-	keyed := claims.NewForwarder(claims.NewStore(claims.Direct{Table: tables}, tables), p.forwarder, p.log)
+	p.startTable(ctx, tables, c.tableClient, scope)
+	keyed := claims.NewForwarder(p.startClaims(ctx), p.forwarder, p.log)
 	admitted := admit.New(sidecars.Admission, keyed, admit.NewMetrics(scope))
 	go admitted.Run(ctx)
-	p.startOperators(ctx, scope, tables)
+	p.startOperators(ctx, scope)
 	handler := httpapi.New(self, p, admitted, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
@@ -147,7 +156,7 @@
 		cancel()
 		return nil, err
 	}
-	if err := p.startServers(handler, metricsPage); err != nil {
+	if err := p.startServers(ctx, handler, metricsPage); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -169,7 +178,7 @@
 	})
 }
 
-func (p *entryProcess) startServers(handler *httpapi.Handler, metricsPage http.Handler) error {
+func (p *entryProcess) startServers(ctx context.Context, handler *httpapi.Handler, metricsPage http.Handler) error {
 	callerListener, err := listen(p.config.listen)
 	if err != nil {
 		return err
@@ -180,13 +189,26 @@
 	}
 	p.callerAddress = callerListener.Addr()
 	p.operatorAddress = operatorListener.Addr()
-	p.callers = newHTTPServer(handler.Over(chi.NewRouter()))
+	others, err := p.jobRoutes(ctx)
+	if err != nil {
+		return err
+	}
+	p.callers = newHTTPServer(handler.Over(others))
 	p.operators = newHTTPServer(p.operatorRouter(metricsPage))
 	go serveHTTP(p.callers, callerListener, p.log)
 	go serveHTTP(p.operators, operatorListener, p.log)
 	return nil
 }
 
+// jobRoutes returns the routes of callers beside those to services. Where the
+// entry has no workers to run jobs on, there are none.
+func (p *entryProcess) jobRoutes(ctx context.Context) (http.Handler, error) {
+	if p.config.jobs == nil {
+		return chi.NewRouter(), nil
+	}
+	return p.config.jobs(ctx, p.table.For(table.PurposeJobs), p)
+}
+
 // install puts a catalogue in force.
 func (p *entryProcess) install(c *carobkeel.Catalogue) { p.catalogue.Store(c) }
 
@@ -230,9 +252,11 @@
 			config := registerEntryFlags(fs)
 			sidecars := client.RegisterFlags(fs)
 			logConfig := logging.RegisterFlags(fs)
-			if code, ok := parse(fs, args, io, config, sidecars, logConfig); !ok {
+			tableConfig := tableclient.RegisterFlags(fs)
+			if code, ok := parse(fs, args, io, config, sidecars, tableConfig, logConfig); !ok {
 				return code
 			}
+			config.tableClient = *tableConfig
 			process, err := startEntry(*config, *sidecars, httptable.NewClient(config.table, nil), logging.NewFactory(*logConfig, io.err))
 			if err != nil {
 				return fail(io, err)
--- a/cmd/carobkeel/entry_operator.go
+++ b/cmd/carobkeel/entry_operator.go
@@ -16,7 +16,7 @@
 
 // startOperators builds what operators reach: the catalogue and the planned
 // stops in the table, and the state of the fleet.
-func (p *entryProcess) startOperators(ctx context.Context, scope tally.Scope, tables table.Table) {
+func (p *entryProcess) startOperators(ctx context.Context, scope tally.Scope) {
 	metrics := store.NewMetrics(scope)
 	p.fleet = &fleetSource{
 		members:        p.members,
@@ -25,8 +25,8 @@
 		since:          time.Now(),
 		storeAvailable: func() bool { return p.reader.StoreAvailable() },
 	}
-	p.store = store.New(store.Config{Table: tables, Usage: p.fleet, Metrics: metrics})
-	p.stops = store.NewStops(store.StopsConfig{Table: tables, Fleet: p.fleet, Metrics: metrics})
+	p.store = store.New(store.Config{Table: p.table.For(table.PurposeCatalogue), Usage: p.fleet, Metrics: metrics})
+	p.stops = store.NewStops(store.StopsConfig{Table: p.table.For(table.PurposeStops), Fleet: p.fleet, Metrics: metrics})
 	p.upkeep = store.NewUpkeep(p.store, p.stops, p.log)
 	go p.upkeep.Run(ctx)
 }
