--- a/cmd/benchmark/pick.go
+++ b/cmd/benchmark/pick.go
@@ -33,6 +33,7 @@
 		figures := pickCostFigures(o.seed)
 		figures = append(figures, skewFigures(o.seed)...)
 		figures = append(figures, outlierFigures(o.seed)...)
+		figures = append(figures, hedgeFigures(o.seed)...)
 		return append(figures, spillFigures(o.seed)...), nil
 	}}
 }
@@ -70,21 +71,29 @@
 	one, many := perThreads(1, func() { pick() }), perThreads(pickThreads, func() { pick() })
 	oneCounted, manyCounted := perThreads(1, count), perThreads(pickThreads, count)
 	return []figure{
-		targeted("pick-1000-upstreams", nanos(one), "ns", atMost, pickNanosTarget),
+		targeted("pick-1000-upstreams", nanos(one.perSecond), "ns", atMost, pickNanosTarget),
 		targeted("pick-1000-upstreams-allocations", testing.AllocsPerRun(1_000, func() { pick() }), "allocations", atMost, 0),
-		targeted("pick-throughput-10-threads-to-1", many/one, "ratio", atLeast, pickScaleTarget),
-		{Name: "pick-and-count-1000-upstreams", Value: nanos(oneCounted), Unit: "ns", Verdict: "-"},
-		{Name: "pick-and-count-throughput-10-threads-to-1", Value: manyCounted / oneCounted, Unit: "ratio", Verdict: "-"},
+		targeted("pick-throughput-10-threads-to-1", many.perSecond/one.perSecond, "ratio", atLeast, pickScaleTarget),
+		{Name: "pick-per-processor-second-10-threads-to-1", Value: many.perProcessorSecond / one.perProcessorSecond, Unit: "ratio", Verdict: "-"},
+		{Name: "pick-and-count-1000-upstreams", Value: nanos(oneCounted.perSecond), Unit: "ns", Verdict: "-"},
+		{Name: "pick-and-count-throughput-10-threads-to-1", Value: manyCounted.perSecond / oneCounted.perSecond, Unit: "ratio", Verdict: "-"},
 		{Name: "pick-processors", Value: float64(runtime.GOMAXPROCS(0)), Unit: "processors", Verdict: "-"},
 	}
 }
 
 func nanos(perSecond float64) float64 { return float64(time.Second.Nanoseconds()) / perSecond }
 
-// perThreads returns how many times in a second the threads run step together.
-func perThreads(threads int, step func()) float64 {
+// threadRate is how often threads ran a step together.
+type threadRate struct {
+	perSecond float64
+	// perProcessorSecond leaves out the time in which others had the processor.
+	perProcessorSecond float64
+}
+
+// perThreads lets the threads run step at once.
+func perThreads(threads int, step func()) threadRate {
 	var group sync.WaitGroup
-	start := time.Now()
+	start, used := time.Now(), processorTime()
 	for range threads {
 		group.Go(func() {
 			for range pickRounds {
@@ -93,7 +102,11 @@
 		})
 	}
 	group.Wait()
-	return float64(threads*pickRounds) / time.Since(start).Seconds()
+	steps := float64(threads * pickRounds)
+	return threadRate{
+		perSecond:          steps / time.Since(start).Seconds(),
+		perProcessorSecond: steps / (processorTime() - used).Seconds(),
+	}
 }
 
 const (
@@ -200,7 +213,11 @@
 // spillFigures shows which share of requests goes to the other data centre.
 func spillFigures(seed uint64) []figure {
 	var figures []figure
-	for name, load := range map[string]float64{"quiet": spillQuiet, "busy": spillBusy} {
+	for _, each := range []struct {
+		name string
+		load float64
+	}{{"quiet", spillQuiet}, {"busy", spillBusy}} {
+		name, load := each.name, each.load
 		specs := fleet()
 		for i := modelUpstreams / 2; i < modelUpstreams; i++ {
 			specs[i].dataCentre = "b"
@@ -228,3 +245,29 @@
 	}
 	return figures
 }
+
+// hedgeFigures shows what hedges do to the tail and to the number of requests
+// at upstreams with spare capacity and at those with hardly any.
+func hedgeFigures(seed uint64) []figure {
+	var figures []figure
+	for _, load := range []float64{0.5, 0.95} {
+		for _, hedges := range []bool{true, false} {
+			name := "without"
+			if hedges {
+				name = "with"
+			}
+			m := runModel(modelConfig{
+				seed: seed, entries: modelEntries, upstreams: fleet(), streams: []*stream{oneService(load)},
+				link: flatLink, hedges: hedges, duration: modelDuration,
+			})
+			result := m.config.streams[0].result
+			prefix := fmt.Sprintf("load-%g-%s-hedges-", load, name)
+			figures = append(figures,
+				figure{Name: prefix + "p99", Value: result.p99(), Unit: "ms", Verdict: "-"},
+				figure{Name: prefix + "in-time", Value: result.inTimeShare(), Unit: "share", Verdict: "-"},
+				figure{Name: prefix + "requests", Value: float64(m.attempts) / float64(m.config.streams[0].total), Unit: "ratio", Verdict: "-"},
+			)
+		}
+	}
+	return figures
+}
--- a/cmd/capacity/events.go
+++ b/cmd/capacity/events.go
@@ -1,6 +1,6 @@
 package main
 
-import "github.com/carobkeel/carobkeel/sidecar/members"
+import "github.com/carobkeel/carobkeel/sidecar"
 
 // step is one part of an event: how much has to be done, what one of it takes,
 // and how soon it has to be over.
@@ -20,7 +20,7 @@
 }
 
 func events() []event {
-	joined := amount(members.Expiry.Seconds(), "s until a silent sidecar expires")
+	joined := amount(sidecar.DirectExpiry.Seconds(), "s until a silent sidecar expires")
 	return []event{
 		{"A rack is lost", []step{
 			{
@@ -42,7 +42,7 @@
 				serviceTasks.over(dataCentres).over(shards.quantity), urgentStart, "placement, spread over the other shards",
 			},
 			{
-				"write the new assignments", plain("table/writes-per-start"), serviceTasks.over(dataCentres), urgentStart,
+				"write the new assignments", batched("table/claims-per-transaction-at-peak"), serviceTasks.over(dataCentres), urgentStart,
 				"assignments in batches",
 			},
 		}},
@@ -60,7 +60,7 @@
 		}},
 		{"10,000 cancellations at once", []step{
 			{
-				"write them", plain("table/writes-per-cancellation"), cancellations, urgentStart, "cancellations in batches",
+				"write them", plain("store/writes-per-cancellation"), cancellations, urgentStart, "cancellations in batches",
 			},
 			{
 				"free the places of their tasks", at("placement/commit-N-workers", shardWorkers), cancellations.over(shards.quantity),
--- a/sidecar/wire/messages_gen.go
+++ b/sidecar/wire/messages_gen.go
@@ -96,6 +96,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "w":
+			z.WaitMicros, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMicros")
+				return
+			}
 		case "l":
 			err = z.Load.DecodeMsg(dc)
 			if err != nil {
@@ -115,9 +121,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Answer) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "s"
-	err = en.Append(0x86, 0xa1, 0x73)
+	err = en.Append(0x87, 0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -189,6 +195,16 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.WaitMicros)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMicros")
+		return
+	}
 	// write "l"
 	err = en.Append(0xa1, 0x6c)
 	if err != nil {
@@ -205,9 +221,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Answer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "s"
-	o = append(o, 0x86, 0xa1, 0x73)
+	o = append(o, 0x87, 0xa1, 0x73)
 	o = msgp.AppendInt(o, z.Status)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
@@ -230,6 +246,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.WaitMicros)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o, err = z.Load.MarshalMsg(o)
@@ -330,6 +349,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "w":
+			z.WaitMicros, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitMicros")
+				return
+			}
 		case "l":
 			bts, err = z.Load.UnmarshalMsg(bts)
 			if err != nil {
@@ -354,7 +379,7 @@
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
-	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + z.Load.Msgsize()
+	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Int64Size + 2 + z.Load.Msgsize()
 	return
 }
 
@@ -1102,6 +1127,18 @@
 				err = msgp.WrapError(err, "Floor")
 				return
 			}
+		case "cc":
+			z.Concurrency, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Concurrency")
+				return
+			}
+		case "qr":
+			z.Queue, err = dc.ReadInt32()
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
 		case "m":
 			z.Method, err = dc.ReadString()
 			if err != nil {
@@ -1217,9 +1254,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Open) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 16
+	// map header, size 18
 	// write "e"
-	err = en.Append(0xde, 0x0, 0x10, 0xa1, 0x65)
+	err = en.Append(0xde, 0x0, 0x12, 0xa1, 0x65)
 	if err != nil {
 		return
 	}
@@ -1278,6 +1315,26 @@
 		err = msgp.WrapError(err, "Floor")
 		return
 	}
+	// write "cc"
+	err = en.Append(0xa2, 0x63, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Concurrency)
+	if err != nil {
+		err = msgp.WrapError(err, "Concurrency")
+		return
+	}
+	// write "qr"
+	err = en.Append(0xa2, 0x71, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt32(z.Queue)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
 	// write "m"
 	err = en.Append(0xa1, 0x6d)
 	if err != nil {
@@ -1407,9 +1464,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Open) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 18
 	// string "e"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x65)
+	o = append(o, 0xde, 0x0, 0x12, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.EntryIncarnation)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -1426,6 +1483,12 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendUint16(o, z.Floor)
+	// string "cc"
+	o = append(o, 0xa2, 0x63, 0x63)
+	o = msgp.AppendUint32(o, z.Concurrency)
+	// string "qr"
+	o = append(o, 0xa2, 0x71, 0x72)
+	o = msgp.AppendInt32(o, z.Queue)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendString(o, z.Method)
@@ -1522,6 +1585,18 @@
 				err = msgp.WrapError(err, "Floor")
 				return
 			}
+		case "cc":
+			z.Concurrency, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Concurrency")
+				return
+			}
+		case "qr":
+			z.Queue, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
 		case "m":
 			z.Method, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1638,7 +1713,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Open) Msgsize() (s int) {
-	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.Uint8Size + 2 + msgp.Uint16Size + 3 + msgp.Uint32Size + 3 + msgp.Int32Size + 2 + msgp.StringPrefixSize + len(z.Method) + 2 + msgp.StringPrefixSize + len(z.Path) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Header {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Name) + 2 + msgp.StringPrefixSize + len(z.Header[za0001].Value)
 	}
--- a/worker/round.go
+++ b/worker/round.go
@@ -12,6 +12,11 @@
 	Head(owner carobkeel.Owner) (Request, bool)
 }
 
+// waitingPerOwner is the number of an owner's requests that may find no room in
+// a round before the owner gives way, so that one large request at the head does
+// not hold up the small ones behind it.
+const waitingPerOwner = 8
+
 // PlaceFairly makes a plan of at most limit decisions, in the order that the
 // ledger gives. An owner whose request finds no room gives way to the others
 // for the rest of the round, so a request that waits does not hold up the
@@ -24,6 +29,7 @@
 	policy.Fairness = ledger
 	overlay, decisions := fleet.Edit(), make([]Decision, 0, limit)
 	var blocked []carobkeel.Owner
+	waiting := map[carobkeel.Owner]int{}
 	for len(decisions) < limit {
 		owner, ok := ledger.Next()
 		if !ok {
@@ -40,7 +46,7 @@
 			ledger.chargeAssignment(overlay, &decision.Assignment)
 			overlay.Apply(Plan{At: now, Assignments: []Assignment{decision.Assignment}})
 			plan.Assignments = append(plan.Assignments, decision.Assignment)
-		} else if decision.Verdict == VerdictWaiting {
+		} else if waiting[owner]++; waiting[owner] >= waitingPerOwner {
 			ledger.SetWaiting(owner, false)
 			blocked = append(blocked, owner)
 		}
@@ -53,7 +59,7 @@
 
 // chargeAssignment charges the assignment's demand and releases its victims.
 func (f *Fairness) chargeAssignment(state State, a *Assignment) {
-	f.Charge(a.Request.Owner, a.Request.Demand)
+	f.plan(a.Request.Owner, a.Request.Demand)
 	w, ok := state.Worker(a.Worker)
 	if !ok {
 		return
@@ -67,17 +73,17 @@
 
 // Settle takes back what PlaceFairly charged and released for assignments that
 // the commit did not apply, and for victims that it did not evict. The fleet is
-// the one that the plan was made from.
+// the one that the plan was made from. A plan that was dropped is settled with
+// the zero Result. Each plan is settled once, before the next is made.
 func (f *Fairness) Settle(fleet *Fleet, plan Plan, result Result) {
 	evicted := make(map[carobkeel.TaskID]bool, len(result.Evicted))
 	for _, p := range result.Evicted {
 		evicted[p.Task] = true
 	}
-	for i, outcome := range result.Outcomes {
+	for i := range plan.Assignments {
 		a := &plan.Assignments[i]
-		if outcome.Err != nil {
-			f.Release(a.Request.Owner, a.Request.Demand)
-		}
+		applied := i < len(result.Outcomes) && result.Outcomes[i].Err == nil
+		f.settle(a.Request.Owner, a.Request.Demand, applied)
 		w, ok := fleet.Worker(a.Worker)
 		if !ok {
 			continue
