Take the planned stops that were read into the membership

Cause: the membership heeds planned stops, and nothing gave it those read from the table service.

Change: the entry passes its upkeep's stops to sidecar/members.

Measured: go test -race ./cmd/carobkeel ./sidecar/members passes.

Conclusion: a planned stop takes its sidecars out of use at every entry.

--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -26,6 +26,7 @@
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
 	"github.com/carobkeel/carobkeel/internal/telemetry"
+	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/operator/store"
 	"github.com/carobkeel/carobkeel/sidecar/client"
 	"github.com/carobkeel/carobkeel/sidecar/members"
@@ -130,6 +131,7 @@
 		Accepted: p.links, Dialled: p.peers,
 		Changed: func() { p.forwarder.Prune() },
 		Report:  func() entry.Report { return p.report(self) },
+		Stops:   func() []operator.Stop { return p.upkeep.Current() },
 	})
 	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
 	sidecars.Admission = caller.NewAdmission()
