Let a planned stop drain where its sidecars go on serving

Cause: in a trial a stop waited for instances that serve for good, as its sidecars are not told of it and go on announcing that they serve.

Change: an entry counts an instance as serving where it still gives it new requests. Other entries that do not know of the stop yet see it serve and hold the stop up, as before.

--- a/cmd/carobkeel/fleet.go
+++ b/cmd/carobkeel/fleet.go
@@ -29,12 +29,13 @@
 // Fleet implements store.FleetSource.
 func (s *fleetSource) Fleet(context.Context) (operator.Fleet, error) {
 	fleet := operator.Fleet{Since: s.since, At: time.Now()}
-	for _, member := range s.members.View().Members() {
+	view := s.members.View()
+	for _, member := range view.Members() {
 		fleet.Hosts = append(fleet.Hosts, member.Location)
 		fleet.Instances = append(fleet.Instances, operator.Instance{
 			Service:  member.Service,
 			Location: member.Location,
-			Serving:  member.State == sidecar.StateServing,
+			Serving:  view.IsServing(member),
 			InFlight: inFlight(member),
 		})
 	}
@@ -73,16 +74,16 @@
 	if catalogue != nil {
 		status.Revision = catalogue.Revision
 	}
-	all := s.members.View().Members()
-	status.DataCentres = s.dataCentres(all, status.Revision, now)
-	status.Services = services(all, catalogue, now)
+	view := s.members.View()
+	status.DataCentres = s.dataCentres(view, status.Revision, now)
+	status.Services = services(view, catalogue, now)
 	return status, nil
 }
 
 // dataCentres counts what is announced from each data centre. Its revision is
 // the lowest that an entry there has reported. A data centre without an entry
 // that reports has none.
-func (s *fleetSource) dataCentres(all []*sidecar.Member, revision carobkeel.Revision, now time.Time) []operator.DataCentreStatus {
+func (s *fleetSource) dataCentres(view *sidecar.View, revision carobkeel.Revision, now time.Time) []operator.DataCentreStatus {
 	found := map[carobkeel.DataCentre]*operator.DataCentreStatus{
 		s.location.DataCentre: {Name: s.location.DataCentre, Revision: revision, Processes: 1},
 	}
@@ -98,14 +99,14 @@
 			heard[name] = listing.Heard
 		}
 	}
-	for _, member := range all {
+	for _, member := range view.Members() {
 		name := member.Location.DataCentre
 		if found[name] == nil {
 			found[name] = &operator.DataCentreStatus{Name: name}
 		}
 		found[name].Processes++
 		found[name].Upstreams++
-		if member.State != sidecar.StateServing {
+		if !view.IsServing(member) {
 			found[name].Draining++
 		}
 		if member.Live.Heard().After(heard[name]) {
@@ -126,7 +127,7 @@
 }
 
 // services counts the instances of each service that is in the catalogue.
-func services(all []*sidecar.Member, catalogue *carobkeel.Catalogue, now time.Time) []operator.ServiceStatus {
+func services(view *sidecar.View, catalogue *carobkeel.Catalogue, now time.Time) []operator.ServiceStatus {
 	found := make(map[carobkeel.Service]*operator.ServiceStatus)
 	for _, entry := range operator.DocumentOf(catalogue).Entries {
 		if entry.Class == carobkeel.ClassLatencyCritical {
@@ -134,14 +135,14 @@
 			found[name] = &operator.ServiceStatus{Name: name, Owner: entry.Owner}
 		}
 	}
-	for _, member := range all {
+	for _, member := range view.Members() {
 		status, known := found[member.Service]
 		if !known {
 			continue
 		}
 		status.Instances++
 		status.InFlight += inFlight(member)
-		if member.State == sidecar.StateServing {
+		if view.IsServing(member) {
 			status.Serving++
 			if member.Live.IsEjected(now) {
 				status.Ejected++
--- a/sidecar/membership_test.go
+++ b/sidecar/membership_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/sidecar"
 )
 
@@ -193,3 +194,23 @@
 		}
 	})
 }
+
+func TestPlannedStopTakesItsSidecarsOutOfUse(t *testing.T) {
+	g := NewWithT(t)
+	m := sidecar.NewMembership()
+	for host := range 2 {
+		a := announcement(host, 1, 1, sidecar.StateServing)
+		a.Location.Host = fmt.Sprint("host-", host)
+		m.Announce(a, sidecar.HopDirect, epoch)
+	}
+	m.Stop([]operator.StopTarget{{Host: "host-0"}})
+	view := m.View()
+	g.Expect(view.Serving("desk")).To(HaveLen(1))
+	g.Expect(view.IsServing(view.Members()[0])).To(BeFalse())
+	late := announcement(2, 1, 1, sidecar.StateServing)
+	late.Location.Host = "host-0"
+	m.Announce(late, sidecar.HopDirect, epoch)
+	g.Expect(m.View().Serving("desk")).To(HaveLen(1), "one that joins there gets none either")
+	m.Stop(nil)
+	g.Expect(m.View().Serving("desk")).To(HaveLen(3))
+}
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -102,7 +102,7 @@
 func (v *View) rebuild(services map[carobkeel.Service]bool) {
 	serving := make(map[carobkeel.Service][]*Member)
 	for _, member := range v.members {
-		if services[member.Service] && member.State == StateServing && !v.isStopped(member.Location) {
+		if services[member.Service] && v.IsServing(member) {
 			serving[member.Service] = append(serving[member.Service], member)
 		}
 	}
@@ -114,6 +114,12 @@
 	}
 }
 
+// IsServing reports whether the member takes new work: its upstream serves and no
+// planned stop takes it out of use.
+func (v *View) IsServing(member *Member) bool {
+	return member.State == StateServing && !v.isStopped(member.Location)
+}
+
 // isStopped reports whether a planned stop takes the location out of use.
 func (v *View) isStopped(at carobkeel.Location) bool {
 	for _, target := range v.stops {
