--- a/caller/request.go
+++ b/caller/request.go
@@ -34,9 +34,8 @@
 	Digest carobkeel.Digest
 	// Idempotent says that running the request twice is harmless.
 	Idempotent bool
-	// Floor is the share of an upstream's slots, in 0..1, that the request's
-	// owner and class keeps while others flood it.
-	Floor float64
+	// Share bounds what the request's owner and class has of an upstream.
+	Share carobkeel.ShareLimits
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
@@ -56,6 +55,8 @@
 	Header []carobkeel.Field
 	// BodyLength is the length of the body in bytes, -1 where it is not known.
 	BodyLength int64
+	// Waited is how long the request waited for a slot at its sidecar.
+	Waited time.Duration
 	// Body yields the answer's body. It ends with an error, not with io.EOF,
 	// where the answer is not whole. It must be closed.
 	Body io.ReadCloser
--- a/cmd/carobkeel/standin_table.go
+++ b/cmd/carobkeel/standin_table.go
@@ -9,6 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/objectstore/httpstore"
+	objectmemory "github.com/carobkeel/carobkeel/objectstore/memory"
 	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/httptable"
 	"github.com/carobkeel/carobkeel/table/memory"
@@ -66,12 +69,15 @@
 }
 
 func standinHandler(config faulty.Config) (http.Handler, error) {
-	rows := faulty.New(memory.New(), config.Seed, faulty.SystemClock{})
+	rows := faulty.New(memory.New(), config.Seed, clock.System{})
 	if err := rows.Set(config.Faults); err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle(httptable.BasePath+"/", httptable.NewHandler(rows))
+	objects := httpstore.NewHandler(objectmemory.New())
+	mux.Handle(httpstore.BasePath, objects)
+	mux.Handle(httpstore.BasePath+"/", objects)
 	mux.Handle(faulty.AdminPath, faulty.NewAdminHandler(rows))
 	return mux, nil
 }
--- a/sidecar/client/forwarder.go
+++ b/sidecar/client/forwarder.go
@@ -215,7 +215,9 @@
 		Service:          string(r.Service),
 		Owner:            string(r.Owner),
 		Class:            uint8(r.Class),
-		Floor:            uint16(math.Round(r.Floor * floorUnit)),
+		Floor:            uint16(math.Round(r.Share.Floor * floorUnit)),
+		Concurrency:      uint32(r.Share.Concurrency),
+		Queue:            int32(r.Share.Queue),
 		Method:           r.Method,
 		Path:             r.Path,
 		Header:           wire.FromFields(r.Header),
@@ -239,6 +241,7 @@
 		Status:     a.Status,
 		Header:     wire.ToFields(a.Header),
 		BodyLength: a.BodyLength,
+		Waited:     time.Duration(a.WaitMicros) * time.Microsecond,
 	}
 	if a.BodyFollows {
 		answer.Body = &answerBody{stream: s, body: s.body.Load(), onEnd: release}
--- a/sidecar/wire/messages.go
+++ b/sidecar/wire/messages.go
@@ -32,7 +32,13 @@
 	Class            uint8  `msg:"c"`
 	// Floor is the share of the slots that the owner and class keeps, in
 	// thousandths.
-	Floor  uint16 `msg:"f"`
+	Floor uint16 `msg:"f"`
+	// Concurrency is the most requests of the owner and class that run at
+	// once, zero for no limit.
+	Concurrency uint32 `msg:"cc"`
+	// Queue is the most requests of the owner and class that wait, zero for no
+	// limit and -1 for none.
+	Queue  int32  `msg:"qr"`
 	Method string `msg:"m"`
 	// Path is the path below the service's name, with the query.
 	Path   string  `msg:"p"`
@@ -70,7 +76,9 @@
 	BodyLength  int64   `msg:"bl"`
 	BodyFollows bool    `msg:"bf"`
 	Body        []byte  `msg:"b"`
-	Load        Load    `msg:"l"`
+	// WaitMicros is how long the request waited for a slot, in microseconds.
+	WaitMicros int64 `msg:"w"`
+	Load       Load  `msg:"l"`
 }
 
 // AnswerEnd ends an answer whose body came in pieces.
--- /dev/null
+++ b/table/client/commit.go
@@ -0,0 +1,207 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// Commit implements table.Table. It settles the transaction: on ErrUnsettled
+// the time ran out before its effect was known, and the caller may repeat it
+// with the same id through this client. An outcome that is not applied is
+// final.
+func (v *view) Commit(ctx context.Context, txn table.Transaction) (table.Outcome, error) {
+	return v.settle(ctx, txn, false)
+}
+
+// settle is Commit, with the budget of the first attempt already paid or not.
+func (v *view) settle(ctx context.Context, txn table.Transaction, paid bool) (table.Outcome, error) {
+	c, begin := v.client, time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	defer cancel()
+	entry, err := c.unsettled.begin(txn.ID, begin)
+	if err != nil {
+		return table.Outcome{}, err
+	}
+	defer func() { c.metrics.recordCommit(v.purpose, time.Since(begin)) }()
+	settler := &settler{view: v, txn: txn, since: entry.since, paid: paid, delays: c.newBackoff()}
+	state, action := settler.run(ctx, entry.state)
+	c.unsettled.end(txn.ID, ledgerEntry{state: state, since: entry.since}, action == table.ReportUnsettled)
+	c.generation.Add(1)
+	return settler.report(action)
+}
+
+// settler carries out the actions of one table.Settlement.
+type settler struct {
+	view *view
+	txn  table.Transaction
+	// since is when the first call for the transaction began.
+	since time.Time
+	// paid says that the budget of the next attempt has been taken.
+	paid    bool
+	delays  *backoff.ExponentialBackOff
+	outcome table.Outcome
+	// refused is the service's last answer to the transaction itself.
+	refused table.Outcome
+	// err is the last failure.
+	err error
+	// rejected says that err will not go away with a repeat.
+	rejected bool
+}
+
+func (s *settler) run(ctx context.Context, state table.Settlement) (table.Settlement, table.SettleAction) {
+	action := state.Start()
+	for !action.IsReport() {
+		event, failed := s.perform(ctx, action)
+		state, action = state.Next(event)
+		if s.rejected || (failed && clock.Sleep(ctx, s.delays.NextBackOff()) != nil) {
+			state, action = state.Next(table.DeadlinePassed)
+		}
+	}
+	return state, action
+}
+
+// perform carries out one action. The second result says that it failed.
+func (s *settler) perform(ctx context.Context, action table.SettleAction) (table.SettleEvent, bool) {
+	switch action {
+	case table.SendFence:
+		return s.sendFence(ctx)
+	case table.ReadFenceRow:
+		return s.readFenceRow(ctx)
+	}
+	return s.sendCommit(ctx)
+}
+
+func (s *settler) sendCommit(ctx context.Context) (table.SettleEvent, bool) {
+	limiter := s.view.client.budgets[s.view.purpose].writes
+	if s.paid {
+		limiter, s.paid = unlimited, false
+	}
+	outcome, err := s.view.client.commitOnce(ctx, limiter, s.txn)
+	s.err = err
+	if errors.Is(err, table.ErrUnavailable) {
+		return table.CommitNotSent, true
+	}
+	if errors.Is(err, table.ErrInvalid) {
+		s.rejected = true
+		return table.CommitNotSent, true
+	}
+	if err != nil { // also an error of no known kind leaves the effect open
+		s.view.client.metrics.LostAnswers.Inc(1)
+		return table.CommitLost, true
+	}
+	s.outcome = outcome
+	if outcome.Applied {
+		return table.CommitApplied, false
+	}
+	s.refused = outcome
+	if table.IsRefusedForGood(s.txn, outcome) {
+		return table.CommitRefusedForGood, false
+	}
+	return table.CommitRefused, false
+}
+
+func (s *settler) sendFence(ctx context.Context) (table.SettleEvent, bool) {
+	s.view.client.metrics.Fences.Inc(1)
+	outcome, err := s.view.client.commitOnce(ctx, s.view.client.settlingWrites(), table.Fence(s.txn.ID, time.Now()))
+	s.err = err
+	if err != nil {
+		return table.FenceFailed, true
+	}
+	s.outcome = outcome
+	return table.FenceApplied, false
+}
+
+// readFenceRow reads past the shared reads: it has to begin after the fence.
+func (s *settler) readFenceRow(ctx context.Context) (table.SettleEvent, bool) {
+	key := table.FenceKey(s.txn.ID)
+	settling := &view{client: s.view.client, purpose: table.PurposeSettling}
+	result, err := readOnce(ctx, settling, func(ctx context.Context) (readResult, error) {
+		row, ok, err := s.view.client.raw.Get(ctx, key)
+		return readResult{row: row, ok: ok}, err
+	})
+	s.err = err
+	if err != nil {
+		return table.ReadFailed, true
+	}
+	if result.ok {
+		return table.FenceRowFound, false
+	}
+	if elapsed(s.since, time.Now()) > table.FenceTrust {
+		return table.DeadlinePassed, false // the row may have been swept
+	}
+	return table.FenceRowAbsent, false
+}
+
+// elapsed returns the time that has passed by the clock that says more: the
+// monotonic one stands still while a machine is suspended.
+func elapsed(since, now time.Time) time.Duration {
+	return max(now.Sub(since), now.Round(0).Sub(since.Round(0)))
+}
+
+// report turns the last action into what the caller hears.
+func (s *settler) report(action table.SettleAction) (table.Outcome, error) {
+	metrics := s.view.client.metrics
+	switch action {
+	case table.ReportApplied:
+		metrics.Applied.Inc(1)
+		return s.outcome, nil
+	case table.ReportFenced:
+		metrics.Refused.Inc(1)
+		s.deleteFenceRow()
+		return s.refused, nil
+	case table.ReportRefused:
+		metrics.Refused.Inc(1)
+		return s.refused, nil
+	case table.ReportUnavailable:
+		metrics.Unavailable.Inc(1)
+		return table.Outcome{}, s.err
+	}
+	metrics.Unsettled.Inc(1)
+	return table.Outcome{}, errors.Wrapf(table.ErrUnsettled, "transaction %s: %v", s.txn.ID, s.err)
+}
+
+// deleteFenceRow removes the fence row, which has told what it was for. The
+// caller does not wait for it; a row that stays is harmless.
+func (s *settler) deleteFenceRow() {
+	c := s.view.client
+	drop := table.Transaction{
+		ID:     table.NewTransactionID(),
+		Writes: []table.Write{{Key: table.FenceKey(s.txn.ID), Delete: true}},
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), c.config.Timeout)
+		defer cancel()
+		delays := c.newBackoff()
+		for {
+			_, err := c.commitOnce(ctx, c.settlingWrites(), drop)
+			if err == nil || clock.Sleep(ctx, delays.NextBackOff()) != nil {
+				return
+			}
+		}
+	}()
+}
+
+// unlimited stands for a budget that has been taken before.
+var unlimited = rate.NewLimiter(rate.Inf, 0)
+
+func (c *Client) settlingWrites() *rate.Limiter { return c.budgets[table.PurposeSettling].writes }
+
+func (c *Client) commitOnce(ctx context.Context, limiter *rate.Limiter, txn table.Transaction) (table.Outcome, error) {
+	done, err := c.admit(ctx, limiter, c.commits)
+	if err != nil {
+		return table.Outcome{}, err
+	}
+	attempt, cancel := context.WithTimeout(ctx, c.config.AttemptTimeout)
+	defer cancel()
+	c.metrics.CommitCalls.Inc(1)
+	outcome, err := c.raw.Commit(attempt, txn)
+	done(cause(ctx, err))
+	return outcome, err
+}
--- a/table/httptable/client.go
+++ b/table/httptable/client.go
@@ -19,10 +19,6 @@
 	"github.com/carobkeel/carobkeel/table"
 )
 
-// ErrInvalid says that the service refused the request as malformed. Nothing
-// was written, and a repeat fails as well.
-var ErrInvalid = errors.New("invalid request to the table service")
-
 // Limits of the connections to the service.
 const (
 	maxIdleConns    = 64
@@ -127,7 +123,7 @@
 	}
 	switch failure.Kind {
 	case failureInvalid:
-		return errors.Wrap(ErrInvalid, failure.Detail)
+		return errors.Wrap(table.ErrInvalid, failure.Detail)
 	case failureUnavailable:
 		return errors.Wrap(table.ErrUnavailable, failure.Detail)
 	}
@@ -135,14 +131,14 @@
 }
 
 func readError(err error) error {
-	if errors.Is(err, ErrInvalid) || errors.Is(err, table.ErrUnavailable) {
+	if errors.Is(err, table.ErrInvalid) || errors.Is(err, table.ErrUnavailable) {
 		return err
 	}
 	return errors.Wrap(table.ErrUnavailable, err.Error())
 }
 
 func commitError(sent bool, err error) error {
-	if errors.Is(err, ErrInvalid) || errors.Is(err, table.ErrUnavailable) {
+	if errors.Is(err, table.ErrInvalid) || errors.Is(err, table.ErrUnavailable) {
 		return err
 	}
 	if !sent {
@@ -155,12 +151,12 @@
 func checkKeys(txn table.Transaction) error {
 	for _, c := range txn.Conditions {
 		if !utf8.ValidString(c.Key) {
-			return errors.Wrapf(ErrInvalid, "key %q is not UTF-8", c.Key)
+			return errors.Wrapf(table.ErrInvalid, "key %q is not UTF-8", c.Key)
 		}
 	}
 	for _, w := range txn.Writes {
 		if !utf8.ValidString(w.Key) {
-			return errors.Wrapf(ErrInvalid, "key %q is not UTF-8", w.Key)
+			return errors.Wrapf(table.ErrInvalid, "key %q is not UTF-8", w.Key)
 		}
 	}
 	return nil
