--- a/caller/httpapi/body.go
+++ b/caller/httpapi/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/caller"
@@ -57,6 +58,25 @@
 	return carobkeel.NewError(carobkeel.CodeInvalidRequest, "the body could not be read: %v", err)
 }
 
+const (
+	// discardBytes is how much of a refused request's body is read.
+	discardBytes = 512 << 10
+	// discardTime is how long that may take.
+	discardTime = 500 * time.Millisecond
+)
+
+// discardBody reads what a caller still sends of a refused request. A connection
+// that is closed with bytes unread is reset, and the refusal may be lost with it.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
+	_ = control.SetReadDeadline(time.Time{})
+}
+
 func tooLarge(limit int64) *carobkeel.Error {
 	return carobkeel.NewError(carobkeel.CodeBodyTooLarge, "the service takes at most %d bytes", limit)
 }
--- a/caller/httpapi/handler.go
+++ b/caller/httpapi/handler.go
@@ -74,6 +74,7 @@
 	// caller may take its time to send.
 	request.ID = carobkeel.RequestID{Entry: h.self, Sequence: h.sequence.Add(1)}
 	if refusal != nil {
+		discardBody(w, r)
 		h.refuse(w, request, refusal, started)
 		return
 	}
