Hedge from a timer

Cause: each idempotent request ran on a further goroutine, in case a hedge came.

Change: the first attempt runs on the request's own goroutine; a timer starts the second. An attempt that another sidecar overtook does not wait for its own sidecar's word.

Conclusion: kept for the goroutine and the channel it saves; to be measured on a quiet machine.

--- a/caller/retry_test.go
+++ b/caller/retry_test.go
@@ -16,9 +16,15 @@
 func TestJoinedNeverTakesBackThatARequestMayHaveRun(t *testing.T) {
 	const no, yes, unknown = carobkeel.RanNo, carobkeel.RanYes, carobkeel.RanUnknown
 	for _, c := range []struct{ before, last, want carobkeel.Ran }{
-		{no, no, no}, {no, unknown, unknown}, {no, yes, yes},
-		{unknown, no, unknown}, {unknown, unknown, unknown}, {unknown, yes, yes},
-		{yes, no, yes}, {yes, unknown, yes}, {yes, yes, yes},
+		{no, no, no},
+		{no, unknown, unknown},
+		{no, yes, yes},
+		{unknown, no, unknown},
+		{unknown, unknown, unknown},
+		{unknown, yes, yes},
+		{yes, no, yes},
+		{yes, unknown, yes},
+		{yes, yes, yes},
 	} {
 		got := caller.Joined(refusal(carobkeel.CodeLinkLost, c.before), refusal(carobkeel.CodeQueueFull, c.last))
 		NewWithT(t).Expect(got.Ran).To(Equal(c.want), "%s, then %s", c.before, c.last)
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -131,10 +131,10 @@
 
 func requestOf(o *wire.Open, now time.Time) *caller.Request {
 	r := &caller.Request{
-		ID:         carobkeel.RequestID{Entry: carobkeel.Incarnation(o.EntryIncarnation), Sequence: o.Sequence},
-		Service:    carobkeel.Service(o.Service),
-		Owner:      carobkeel.Owner(o.Owner),
-		Class:      classOf(o.Class),
+		ID:      carobkeel.RequestID{Entry: carobkeel.Incarnation(o.EntryIncarnation), Sequence: o.Sequence},
+		Service: carobkeel.Service(o.Service),
+		Owner:   carobkeel.Owner(o.Owner),
+		Class:   classOf(o.Class),
 		Share: carobkeel.ShareLimits{
 			Floor:       float64(o.Floor) / floorUnit,
 			Concurrency: int(o.Concurrency),
--- a/sidecar/client/forwarder.go
+++ b/sidecar/client/forwarder.go
@@ -156,6 +156,10 @@
 		return got
 	case <-ctx.Done():
 	}
+	if context.Cause(ctx) == errSuperseded {
+		s.abandon()
+		return result{refusal: outOfTime(ctx)}
+	}
 	s.conn.link.Send(frame.Frame{Type: wire.TypeCancel, Stream: s.number})
 	grace := time.NewTimer(refusalGrace)
 	defer grace.Stop()
--- a/sidecar/client/hedge.go
+++ b/sidecar/client/hedge.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/caller"
 	"github.com/carobkeel/carobkeel/sidecar"
@@ -35,28 +37,40 @@
 	return false
 }
 
-// attemptResult is how a request ended at one sidecar.
-type attemptResult struct {
-	// index numbers the attempts of one request.
-	index   int
+// errSuperseded ends an attempt whose request another sidecar has answered.
+var errSuperseded = errors.New("another sidecar answered first")
+
+// Attempts of a hedged request that its answer may come from.
+const (
+	winnerNone int32 = iota
+	winnerFirst
+	winnerSecond
+)
+
+// hedge is the second attempt of a request. The first runs on the request's own
+// goroutine, so that a request without a hedge costs a timer and no more.
+type hedge struct {
+	forwarder   *Forwarder
+	ctx         context.Context
+	request     *caller.Request
+	account     *caller.Account
+	tried       []*sidecar.Member
+	cancelFirst context.CancelCauseFunc
+
+	winner       atomic.Int32
+	cancelSecond atomic.Pointer[context.CancelFunc]
+	// done is closed at the end of the second attempt, or once it is clear that
+	// there is none. The fields below are set before.
+	done    chan struct{}
+	second  *sidecar.Member
 	answer  *caller.Answer
 	refusal *carobkeel.Error
 }
 
-// race is one request at several sidecars at once.
-type race struct {
-	forwarder *Forwarder
-	request   *caller.Request
-	// results has room for all attempts, so that none waits for the race.
-	results chan attemptResult
-	cancels []context.CancelFunc
-	// running is the number of attempts without a result.
-	running int
-}
-
 // sendHedged sends the request to the last of the members tried and, where that
 // takes unusually long and may be repeated, to a further one as well. The first
-// answer counts. It returns the members tried.
+// answer counts. It returns the members tried. What the attempts hold of ctx is
+// released when ctx ends.
 func (f *Forwarder) sendHedged(ctx context.Context, account *caller.Account, r *caller.Request, tried []*sidecar.Member) (*caller.Answer, []*sidecar.Member, *carobkeel.Error) {
 	first := tried[len(tried)-1]
 	wait := f.config.Admission.HedgeAfter(r)
@@ -64,33 +78,42 @@
 		answer, refusal := f.send(ctx, first, r)
 		return answer, tried, refusal
 	}
-	run := &race{forwarder: f, request: r, results: make(chan attemptResult, 2)}
-	run.start(ctx, first)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	var refused *carobkeel.Error
-	for {
-		select {
-		case <-timer.C:
-			second := f.pick(r, tried)
-			if second == nil || second.IsBusy(r.Class) || !f.mayHedge(account) {
-				continue
-			}
-			f.metrics.hedge()
-			tried = append(tried, second)
-			run.start(ctx, second)
-		case got := <-run.results:
-			run.running--
-			if got.refusal == nil {
-				return run.won(got), tried, nil
-			}
-			run.cancels[got.index]()
-			refused = caller.Joined(refused, got.refusal)
-			if run.running == 0 {
-				return nil, tried, refused
-			}
-		}
+	h := &hedge{forwarder: f, ctx: ctx, request: r, account: account, tried: tried, done: make(chan struct{})}
+	firstCtx, cancel := context.WithCancelCause(ctx)
+	h.cancelFirst = cancel
+	timer := time.AfterFunc(wait, h.run)
+	answer, refusal := f.send(firstCtx, first, r)
+	if timer.Stop() {
+		return answer, tried, refusal
 	}
+	return h.settle(answer, refusal)
+}
+
+// run makes the second attempt if it may.
+func (h *hedge) run() {
+	defer close(h.done)
+	f := h.forwarder
+	second := f.pick(h.request, h.tried)
+	if second == nil || second.IsBusy(h.request.Class) || !f.mayHedge(h.account) {
+		return
+	}
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.cancelSecond.Store(&cancel)
+	if h.winner.Load() != winnerNone {
+		cancel()
+		return
+	}
+	f.metrics.hedge()
+	h.second = second
+	h.answer, h.refusal = f.send(ctx, second, h.request)
+	if h.refusal != nil {
+		return
+	}
+	if h.winner.CompareAndSwap(winnerNone, winnerSecond) {
+		h.cancelFirst(errSuperseded)
+		return
+	}
+	_ = h.answer.Body.Close()
 }
 
 // mayHedge pays for a hedge, unless there is a flood by now.
@@ -98,46 +121,24 @@
 	return !f.config.Admission.Flooded() && account.Spend()
 }
 
-// start sends the request to a member on a goroutine of its own.
-func (run *race) start(ctx context.Context, m *sidecar.Member) {
-	ctx, cancel := context.WithCancel(ctx)
-	index := len(run.cancels)
-	run.cancels = append(run.cancels, cancel)
-	run.running++
-	go func() {
-		answer, refusal := run.forwarder.send(ctx, m, run.request)
-		run.results <- attemptResult{index: index, answer: answer, refusal: refusal}
-	}()
-}
-
-// won ends the other attempts and returns the answer, whose own attempt ends
-// when it is closed.
-func (run *race) won(winner attemptResult) *caller.Answer {
-	for index, cancel := range run.cancels {
-		if index != winner.index {
-			cancel()
+// settle returns the answer that counts, given how the first attempt ended.
+func (h *hedge) settle(answer *caller.Answer, refusal *carobkeel.Error) (*caller.Answer, []*sidecar.Member, *carobkeel.Error) {
+	if refusal == nil && h.winner.CompareAndSwap(winnerNone, winnerFirst) {
+		if cancel := h.cancelSecond.Load(); cancel != nil {
+			(*cancel)()
 		}
+		return answer, h.tried, nil
 	}
-	if run.running > 0 {
-		go func() {
-			if late := <-run.results; late.refusal == nil {
-				_ = late.answer.Body.Close()
-			}
-		}()
+	if refusal == nil {
+		_ = answer.Body.Close()
 	}
-	winner.answer.Body = &racedBody{ReadCloser: winner.answer.Body, cancel: run.cancels[winner.index]}
-	return winner.answer
-}
-
-// racedBody ends its attempt when the answer is closed.
-type racedBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b *racedBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.cancel()
-	return err
+	<-h.done
+	if h.second == nil {
+		return nil, h.tried, refusal
+	}
+	tried := append(h.tried, h.second)
+	if h.winner.Load() == winnerSecond {
+		return h.answer, tried, nil
+	}
+	return nil, tried, caller.Joined(refusal, h.refusal)
 }
--- a/sidecar/client/hedge_test.go
+++ b/sidecar/client/hedge_test.go
@@ -177,6 +177,20 @@
 	})
 }
 
+func TestFailureOfOneAttemptLeavesTheOther(t *testing.T) {
+	run(t, func(g *WithT, ctx context.Context, w *world) {
+		w.learn(g, ctx)
+		w.setDelay(slow/2, slow)
+		w.upstreams["one"].fails.Store(true)
+		for range 8 {
+			who, took, err := w.get(ctx, true)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(who).To(Equal("two"))
+			g.Expect(took).To(BeNumerically("<", 3*slow/2))
+		}
+	})
+}
+
 func TestNothingIsHedgedToABusySidecar(t *testing.T) {
 	run(t, func(g *WithT, ctx context.Context, w *world) {
 		w.learn(g, ctx)
