--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -35,10 +35,16 @@
 		telemetrySuite(),
 		sidecarsSuite(),
 		linksSuite(),
+		storeSuite(),
+		examplesSuite(),
 		pathSuite(),
+		tableSuite(),
 		placementSuite(),
 		pickSuite(),
 		floodSuite(),
+		interferenceSuite(),
+		schedulerSuite(),
+		spreadSuite(),
 	}
 }
 
@@ -97,7 +103,7 @@
 		}
 	}
 	if history != "" {
-		return addHistory(history, records)
+		return measurement.AddToPage(history, records)
 	}
 	return nil
 }
--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -19,17 +19,20 @@
 	"github.com/carobkeel/carobkeel/caller/admit"
 	"github.com/carobkeel/carobkeel/caller/claims"
 	"github.com/carobkeel/carobkeel/caller/httpapi"
+	"github.com/carobkeel/carobkeel/caller/jobsapi"
+	"github.com/carobkeel/carobkeel/entry"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/entry/spreader"
-	"github.com/carobkeel/carobkeel/entry/wire"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
 	"github.com/carobkeel/carobkeel/internal/telemetry"
+	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/operator/store"
 	"github.com/carobkeel/carobkeel/sidecar/client"
 	"github.com/carobkeel/carobkeel/sidecar/members"
 	"github.com/carobkeel/carobkeel/table"
+	tableclient "github.com/carobkeel/carobkeel/table/client"
 	"github.com/carobkeel/carobkeel/table/httptable"
 )
 
@@ -46,6 +49,11 @@
 	catalogueInterval time.Duration
 	leaveTime         time.Duration
 	drainTimeout      time.Duration
+
+	tableClient tableclient.Config
+	// jobs starts what runs jobs and returns its routes. It is nil where the
+	// process has no workers.
+	jobs func(ctx context.Context, rows table.Table, catalogues jobsapi.Catalogues) (http.Handler, error)
 }
 
 func registerEntryFlags(fs *flag.FlagSet) *entryConfig {
@@ -54,7 +62,7 @@
 	fs.StringVar(&c.operatorListen, "operator-listen", "127.0.0.1:8081", "address for operators, metrics and health")
 	fs.StringVar(&c.linkListen, "link-listen", "127.0.0.1:8082", "address for the event links of sidecars and other entries")
 	fs.StringVar(&c.peers, "peers", "", "comma-separated addresses of other entries' event links")
-	fs.StringVar(&c.table, "table", "", "address of the table service; in memory where empty")
+	fs.StringVar(&c.table, "table", "", "address of the table service")
 	fs.DurationVar(&c.catalogueInterval, "catalogue-interval", spreader.PollInterval, "mean time between two reads of the catalogue's head")
 	fs.StringVar(&c.dataCentre, "data-centre", "", "data centre of this host")
 	fs.DurationVar(&c.leaveTime, "leave-time", 2*time.Second, "time between leaving the balancer and refusing requests")
@@ -94,6 +102,7 @@
 	peers     *eventlink.Dialer
 	spread    *spreader.Spreader
 	reader    *spreader.Reader
+	table     *tableclient.Client
 	store     *store.Store
 	stops     *store.Stops
 	upkeep    *store.Upkeep
@@ -123,14 +132,23 @@
 	p := &entryProcess{config: c, readiness: &balancer.Readiness{}, log: logs.For("entry"), cancel: cancel}
 	scope, metricsPage, _ := telemetry.New(telemetry.Config{})
 	self := newIncarnation()
-	p.members = members.New(members.NewMetrics(scope), p.log, func() { p.forwarder.Prune() })
+	p.links = eventlink.NewListener(link.EventConfig(), p.log)
+	p.peers = eventlink.NewDialer(splitList(c.peers), link.EventConfig(), p.log, func() {})
+	p.members = members.New(members.Config{
+		Metrics: members.NewMetrics(scope), Log: p.log,
+		Accepted: p.links, Dialled: p.peers,
+		Changed: func() { p.forwarder.Prune() },
+		Report:  func() entry.Report { return p.report(self) },
+		Stops:   func() []operator.Stop { return p.upkeep.Current() },
+	})
 	sidecars.DataCentre = carobkeel.DataCentre(c.dataCentre)
 	sidecars.Admission = caller.NewAdmission()
 	p.forwarder = client.NewForwarder(ctx, self, p.members, sidecars, client.NewMetrics(scope))
-	keyed := claims.NewForwarder(claims.NewStore(claims.Direct{Table: tables}, tables), p.forwarder, p.log)
+	p.startTable(ctx, tables, c.tableClient, scope)
+	keyed := claims.NewForwarder(p.startClaims(ctx), p.forwarder, p.log)
 	admitted := admit.New(sidecars.Admission, keyed, admit.NewMetrics(scope))
 	go admitted.Run(ctx)
-	p.startOperators(ctx, scope, tables)
+	p.startOperators(ctx, scope)
 	handler := httpapi.New(self, p, admitted, p, httpapi.NewMetrics(scope))
 	if err := p.startEvents(ctx); err != nil {
 		cancel()
@@ -140,7 +158,7 @@
 		cancel()
 		return nil, err
 	}
-	if err := p.startServers(handler, metricsPage); err != nil {
+	if err := p.startServers(ctx, handler, metricsPage); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -154,15 +172,15 @@
 		return err
 	}
 	p.linkAddress = listener.Addr()
-	p.links = eventlink.NewListener(link.DefaultConfig(), p.log)
 	go func() { _ = p.links.Run(ctx, listener) }()
 	go p.members.Run(ctx)
 	return runRouter(ctx, p.log, func(router *message.Router) {
-		router.AddConsumerHandler("members", wire.TopicAnnouncement, p.links, p.members.Handle)
+		router.AddConsumerHandler("members", members.AcceptedTopics, p.links, p.members.Handle)
+		router.AddConsumerHandler("members-dialled", members.DialledTopics, p.peers, p.members.Handle)
 	})
 }
 
-func (p *entryProcess) startServers(handler *httpapi.Handler, metricsPage http.Handler) error {
+func (p *entryProcess) startServers(ctx context.Context, handler *httpapi.Handler, metricsPage http.Handler) error {
 	callerListener, err := listen(p.config.listen)
 	if err != nil {
 		return err
@@ -173,16 +191,38 @@
 	}
 	p.callerAddress = callerListener.Addr()
 	p.operatorAddress = operatorListener.Addr()
-	p.callers = newHTTPServer(handler.Over(chi.NewRouter()))
+	others, err := p.jobRoutes(ctx)
+	if err != nil {
+		return err
+	}
+	p.callers = newHTTPServer(handler.Over(others))
 	p.operators = newHTTPServer(p.operatorRouter(metricsPage))
 	go serveHTTP(p.callers, callerListener, p.log)
 	go serveHTTP(p.operators, operatorListener, p.log)
 	return nil
 }
 
+// jobRoutes returns the routes of callers beside those to services. Where the
+// entry has no workers to run jobs on, there are none.
+func (p *entryProcess) jobRoutes(ctx context.Context) (http.Handler, error) {
+	if p.config.jobs == nil {
+		return chi.NewRouter(), nil
+	}
+	return p.config.jobs(ctx, p.table.For(table.PurposeJobs), p)
+}
+
 // install puts a catalogue in force.
 func (p *entryProcess) install(c *carobkeel.Catalogue) { p.catalogue.Store(c) }
 
+// report returns what the entry tells the others of itself.
+func (p *entryProcess) report(self carobkeel.Incarnation) entry.Report {
+	report := entry.Report{Incarnation: self, DataCentre: carobkeel.DataCentre(p.config.dataCentre)}
+	if c := p.Catalogue(); c != nil {
+		report.Revision = c.Revision
+	}
+	return report
+}
+
 // serve makes the entry ready once it has joined the spread of the catalogue.
 func (p *entryProcess) serve() { p.readiness.Advance(balancer.PhaseReady) }
 
@@ -214,9 +254,11 @@
 			config := registerEntryFlags(fs)
 			sidecars := client.RegisterFlags(fs)
 			logConfig := logging.RegisterFlags(fs)
-			if code, ok := parse(fs, args, io, config, sidecars, logConfig); !ok {
+			tableConfig := tableclient.RegisterFlags(fs)
+			if code, ok := parse(fs, args, io, config, sidecars, tableConfig, logConfig); !ok {
 				return code
 			}
+			config.tableClient = *tableConfig
 			process, err := startEntry(*config, *sidecars, httptable.NewClient(config.table, nil), logging.NewFactory(*logConfig, io.err))
 			if err != nil {
 				return fail(io, err)
--- a/entry/wire/codec.go
+++ b/entry/wire/codec.go
@@ -40,7 +40,13 @@
 
 // EncodeAnnouncement returns the payload of an announcement.
 func EncodeAnnouncement(a sidecar.Announcement) ([]byte, error) {
-	message := Announcement{
+	message := announcementMessage(a)
+	payload, err := message.MarshalMsg(nil)
+	return payload, errors.Wrap(err, "encode announcement")
+}
+
+func announcementMessage(a sidecar.Announcement) Announcement {
+	return Announcement{
 		Incarnation:   uint64(a.Incarnation),
 		Sequence:      a.Sequence,
 		StartedMicros: a.Started.UnixMicro(),
@@ -55,8 +61,6 @@
 		Queued:        a.Queued,
 		UrgentQueued:  a.UrgentQueued,
 	}
-	payload, err := message.MarshalMsg(nil)
-	return payload, errors.Wrap(err, "encode announcement")
 }
 
 // DecodeAnnouncement reads an announcement from its payload.
@@ -65,6 +69,10 @@
 	if _, err := m.UnmarshalMsg(payload); err != nil {
 		return sidecar.Announcement{}, errors.Wrap(err, "decode announcement")
 	}
+	return announcementOf(m), nil
+}
+
+func announcementOf(m Announcement) sidecar.Announcement {
 	return sidecar.Announcement{
 		Incarnation: carobkeel.Incarnation(m.Incarnation),
 		Sequence:    m.Sequence,
@@ -82,5 +90,5 @@
 		Queued:  m.Queued,
 		// The urgent ones are among those queued.
 		UrgentQueued: m.UrgentQueued,
-	}, nil
+	}
 }
--- a/table/table.go
+++ b/table/table.go
@@ -22,6 +22,10 @@
 // that it may have taken effect or may still do so.
 var ErrUnsettled = errors.New("table transaction unsettled")
 
+// ErrInvalid says that the service refused the request as malformed. Nothing
+// was written, and a repeat is refused as well.
+var ErrInvalid = errors.New("invalid request to the table service")
+
 // Version numbers the writes of one row. Zero stands for an absent row.
 type Version uint64
 
