Keep one network in memory for the tests of links

Cause: two packages' tests had a network of pipes each.

Change: internal/link/impair has one, with delays and ways that can be blocked.

Measured: go test -race -count=2 ./entry/spreader ./sidecar/members passes.

--- a/entry/spreader/spreader_test.go
+++ b/entry/spreader/spreader_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/link/impair"
 	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/operator/store"
 	"github.com/carobkeel/carobkeel/table"
@@ -64,7 +65,7 @@
 
 // fleet is three entries, the first of which takes edits, and two leaves.
 type fleet struct {
-	network *network
+	network *impair.Network
 	table   *lossyTable
 	stores  []*store.Store
 	nodes   []*node
@@ -74,7 +75,7 @@
 var entryNames = []string{"e0", "e1", "e2"}
 
 func newFleet() *fleet {
-	f := &fleet{network: newNetwork(60 * time.Millisecond), table: &lossyTable{Table: memory.New()}}
+	f := &fleet{network: impair.NewNetwork(impair.Config{Delay: 60 * time.Millisecond}), table: &lossyTable{Table: memory.New()}}
 	for i := range entryNames {
 		f.stores = append(f.stores, nil)
 		f.nodes = append(f.nodes, nil)
@@ -157,10 +158,10 @@
 
 func TestChangeSpreadsAroundABlockedWay(t *testing.T) {
 	run(t, func(g Gomega, f *fleet) {
-		f.network.block("e0", "e1", true)
-		f.network.block("e1", "e0", true)
-		f.network.block("s0", "e0", true)
-		f.network.block("s0", "e2", true)
+		f.network.Block("e0", "e1", true)
+		f.network.Block("e1", "e0", true)
+		f.network.Block("s0", "e0", true)
+		f.network.Block("s0", "e2", true)
 		f.edit(g, 1)
 		f.table.down.Store(true)
 		f.nodes[0].reader.Poke()
@@ -209,7 +210,7 @@
 func TestProcessWithoutPeersOrTableServiceDoesNotServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		n := start(newNetwork(0), "s", entryNames, nil, 1)
+		n := start(impair.NewNetwork(impair.Config{}), "s", entryNames, nil, 1)
 		time.Sleep(time.Hour)
 		g.Expect(n.serving.Load()).To(BeNil())
 		n.stop()
--- a/sidecar/members/members_test.go
+++ b/sidecar/members/members_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -17,6 +16,7 @@
 	"github.com/carobkeel/carobkeel/entry/announcer"
 	"github.com/carobkeel/carobkeel/entry/eventlink"
 	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/link/impair"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/operator"
 	"github.com/carobkeel/carobkeel/sidecar"
@@ -24,49 +24,18 @@
 	"github.com/carobkeel/carobkeel/upstream"
 )
 
-// network is listeners in memory, by address.
-type network map[string]pipeListener
-
-// pipeListener gives the far ends of the pipes that are dialled.
-type pipeListener struct {
-	conns chan net.Conn
-	done  <-chan struct{}
-}
-
-func (l pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l pipeListener) Close() error   { return nil }
-func (l pipeListener) Addr() net.Addr { return &net.IPAddr{} }
-
-func (n network) dial(ctx context.Context, address string) (net.Conn, error) {
-	near, far := net.Pipe()
-	select {
-	case n[address].conns <- far:
-		return near, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 var logger = logging.Discard().For("test")
 
-func (n network) dialer(addresses []string, onConnect func()) *eventlink.Dialer {
+func newDialer(n *impair.Network, from string, addresses []string, onConnect func()) *eventlink.Dialer {
 	d := eventlink.NewDialer(addresses, link.EventConfig(), logger, onConnect)
-	d.UseDial(n.dial)
+	d.UseDial(n.Dialer(from))
 	return d
 }
 
 // startEntry runs the members of an entry that is linked to its peers.
-func (n network) startEntry(ctx context.Context, name string, peers []string, revision carobkeel.Revision, stops *atomic.Pointer[[]operator.Stop]) *members.Members {
+func startEntry(ctx context.Context, n *impair.Network, name string, peers []string, revision carobkeel.Revision, stops *atomic.Pointer[[]operator.Stop]) *members.Members {
 	accepted := eventlink.NewListener(link.EventConfig(), logger)
-	dialled := n.dialer(peers, func() {})
+	dialled := newDialer(n, name, peers, func() {})
 	report := entry.Report{Incarnation: carobkeel.Incarnation(revision), DataCentre: carobkeel.DataCentre(name), Revision: revision}
 	m := members.New(members.Config{
 		Metrics: members.NewMetrics(tally.NoopScope), Log: logger,
@@ -76,7 +45,7 @@
 	})
 	handle(ctx, accepted, members.AcceptedTopics, m)
 	handle(ctx, dialled, members.DialledTopics, m)
-	go func() { _ = accepted.Run(ctx, n[name]) }()
+	go func() { _ = accepted.Run(ctx, n.Listen(name)) }()
 	go dialled.Run(ctx)
 	go m.Run(ctx)
 	return m
@@ -100,9 +69,9 @@
 func (healthy) Probe(context.Context) upstream.Probe { return upstream.ProbeOK }
 func (healthy) Load() sidecar.Load                   { return sidecar.Load{Running: 1} }
 
-func (n network) startSidecar(ctx context.Context, entries ...string) *announcer.Announcer {
+func startSidecar(ctx context.Context, n *impair.Network, entries ...string) *announcer.Announcer {
 	var a *announcer.Announcer
-	dialled := n.dialer(entries, func() { a.Poke() })
+	dialled := newDialer(n, "sidecar", entries, func() { a.Poke() })
 	a = announcer.New(sidecar.Announcement{
 		Incarnation: 7, Started: time.Now(), Address: "10.0.0.1:1", Service: "desk",
 		Location: carobkeel.Location{DataCentre: "near", Host: "host-1"},
@@ -128,23 +97,20 @@
 func run(t *testing.T, test func(g Gomega, f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		n := network{}
-		for _, name := range []string{"near", "far"} {
-			n[name] = pipeListener{conns: make(chan net.Conn), done: ctx.Done()}
-		}
+		n := impair.NewNetwork(impair.Config{})
 		var read, none atomic.Pointer[[]operator.Stop]
 		read.Store(&[]operator.Stop{})
 		none.Store(&[]operator.Stop{})
-		near := n.startEntry(ctx, "near", []string{"far"}, 4, &read)
+		near := startEntry(ctx, n, "near", []string{"far"}, 4, &read)
 		farLife, crashFar := context.WithCancel(ctx)
-		far := n.startEntry(farLife, "far", []string{"near"}, 5, &none)
+		far := startEntry(farLife, n, "far", []string{"near"}, 5, &none)
 		restartFar := func() *members.Members {
 			crashFar()
 			time.Sleep(time.Second)
-			return n.startEntry(ctx, "far", []string{"near"}, 6, &none)
+			return startEntry(ctx, n, "far", []string{"near"}, 6, &none)
 		}
 		life, crash := context.WithCancel(ctx)
-		a := n.startSidecar(life, "near")
+		a := startSidecar(life, n, "near")
 		time.Sleep(10 * time.Second)
 		test(NewWithT(t), &fixture{near: near, far: far, announcer: a, crash: crash, stops: &read, restartFar: restartFar})
 		crash()
