Close the links of a dial that a dying sidecar refuses, in the fault matrix

Cause: a dial that was refused as the sidecar died left its two relays parked for good, and the virtual clock's bubble then failed now and then. Change: the harness closes both ends. Conclusion: a fault of the harness, not of the path; no check was changed.

--- a/caller/claims/harness_test.go
+++ b/caller/claims/harness_test.go
@@ -209,6 +209,7 @@
 	case p.accept.conns <- far:
 		return near, nil
 	case <-p.accept.done:
+		r.reset()
 		return nil, net.ErrClosed
 	}
 }
