--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -196,17 +196,13 @@
 	}
 	p.callerAddress, p.callerListener = callerListener.Addr(), callerListener
 	p.operatorAddress = operatorListener.Addr()
-<<<<<<< HEAD
 	others, err := p.jobRoutes(ctx)
 	if err != nil {
 		return err
 	}
-	p.callers = newHTTPServer(handler.Over(others))
-=======
-	p.callers = newHTTPServer(httpapi.CloseConnections(handler.Over(chi.NewRouter()), p.readiness.KeepsConnections))
+	p.callers = newHTTPServer(httpapi.CloseConnections(handler.Over(others), p.readiness.KeepsConnections))
 	p.connections = httpapi.NewConnections()
 	p.callers.ConnState = p.connections.Note
->>>>>>> procs
 	p.operators = newHTTPServer(p.operatorRouter(metricsPage))
 	p.accepting = make(chan struct{})
 	go func() {
