--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -38,6 +38,7 @@
 		storeSuite(),
 		examplesSuite(),
 		pathSuite(),
+		queueSuite(),
 		tableSuite(),
 		placementSuite(),
 		pickSuite(),
