Bound what a frame can make its reader allocate

The golden session of a time-out, whose two ends race, gives way to a test in virtual time that holds each caller's answer against the upstream's record. Ruled out: a lower bound of lists, which the generator applies to bytes as well; a test keeps long bodies whole.

--- a/caller/claims/faults_test.go
+++ b/caller/claims/faults_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/entry/server"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/sidecar/wire"
 )
@@ -262,3 +264,38 @@
 		}
 	}
 }
+
+// TestTimeRunsOut tells apart requests whose time ran out at the upstream from
+// those that still waited for a slot.
+func TestTimeRunsOut(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		const waiting = 3
+		g := NewWithT(t)
+		w := newWorld(t, ctx, small)
+		slots := server.DefaultConfig().Slots
+		short, cancel := context.WithTimeout(ctx, workTime/2)
+		defer cancel()
+		results := make([]told, slots+waiting)
+		content := func(i int) string { return fmt.Sprintf("request %d", i) }
+		var sending sync.WaitGroup
+		for i := range results {
+			e := w.startEntry(carobkeel.Incarnation(i + 1))
+			sending.Go(func() { results[i] = e.send(short, false, "", content(i)) })
+		}
+		sending.Wait()
+		<-time.After(time.Minute)
+		notRun := 0
+		for i, o := range results {
+			ran := w.record.count(content(i))
+			g.Expect(o.err).To(HaveOccurred())
+			if o.err.Ran == carobkeel.RanNo {
+				notRun++
+				g.Expect(ran).To(BeZero(), "%s", o)
+				continue
+			}
+			g.Expect(o.err.Code).To(Equal(carobkeel.CodeTimeoutUnknown))
+			g.Expect(ran).To(Equal(1), "%s", o)
+		}
+		g.Expect(notRun).To(Equal(waiting))
+	})
+}
--- a/caller/claims/row.go
+++ b/caller/claims/row.go
@@ -16,6 +16,10 @@
 
 //go:generate go tool msgp -file row.go -o row_gen.go -tests=false -unexported
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // Prefix begins the keys of all claim rows.
 const Prefix = "claims/"
 
--- a/caller/claims/row_gen.go
+++ b/caller/claims/row_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zbb5cdfddlimitArrays = 262144
+	zbb5cdfddlimitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *row) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -49,7 +59,10 @@
 				return
 			}
 		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, zbb5cdfddlimitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -85,6 +98,10 @@
 				err = msgp.WrapError(err, "Header")
 				return
 			}
+			if zb0002 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Header) >= int(zb0002) {
 				z.Header = (z.Header)[:zb0002]
 			} else {
@@ -98,7 +115,10 @@
 				}
 			}
 		case "bd":
-			z.Body, err = dc.ReadBytes(z.Body)
+			z.Body, err = dc.ReadBytesLimit(z.Body, zbb5cdfddlimitArrays)
+			if err == nil && z.Body == nil {
+				z.Body = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
@@ -290,6 +310,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -323,11 +347,27 @@
 				return
 			}
 		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0002 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0002 {
+				z.Digest = make([]byte, zb0002)
+			} else {
+				z.Digest = z.Digest[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "b":
 			z.BornMicros, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -353,16 +393,20 @@
 				return
 			}
 		case "hd":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Header")
 				return
 			}
-			if cap(z.Header) >= int(zb0002) {
-				z.Header = (z.Header)[:zb0002]
+			if zb0003 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Header) >= int(zb0003) {
+				z.Header = (z.Header)[:zb0003]
 			} else {
-				z.Header = make([]string, zb0002)
+				z.Header = make([]string, zb0003)
 			}
 			for za0001 := range z.Header {
 				z.Header[za0001], bts, err = msgp.ReadStringBytes(bts)
@@ -372,11 +416,27 @@
 				}
 			}
 		case "bd":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0004 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0004 {
+				z.Body = make([]byte, zb0004)
+			} else {
+				z.Body = z.Body[:zb0004]
+			}
+			if uint32(len(bts)) < zb0004 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0004])
+			bts = bts[zb0004:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/caller/httpapi/session_test.go
+++ b/caller/httpapi/session_test.go
@@ -251,7 +251,6 @@
 		"large-answer":    {request("GET /services/echo/?size=70000", "")},
 		"body-too-large":  {request("POST /services/echo/", strings.Repeat("x", sessionBodyLimit+1))},
 		"wrong-timeout":   {request("GET /services/echo/", "", "Carobkeel-Timeout: soon")},
-		"time-runs-out":   {request("POST /services/echo/?delay=2s", "x", "Carobkeel-Timeout: 100ms")},
 		"key": {
 			request("POST /services/echo/book", "one", "Idempotency-Key: k1"),
 			request("POST /services/echo/book", "other", "Idempotency-Key: k1"),
--- a/entry/wire/membership.go
+++ b/entry/wire/membership.go
@@ -2,6 +2,10 @@
 
 //go:generate go tool msgp -file membership.go -o membership_gen.go -tests=false
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // Announcements are announcements that an entry passes on to others.
 type Announcements struct {
 	Announcements []Announcement `msg:"a"`
--- a/entry/wire/membership_gen.go
+++ b/entry/wire/membership_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z95c7bd96limitArrays = 262144
+	z95c7bd96limitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Announcements) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -31,6 +41,10 @@
 				err = msgp.WrapError(err, "Announcements")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Announcements) >= int(zb0002) {
 				z.Announcements = (z.Announcements)[:zb0002]
 			} else {
@@ -104,6 +118,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -119,6 +137,10 @@
 				err = msgp.WrapError(err, "Announcements")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Announcements) >= int(zb0002) {
 				z.Announcements = (z.Announcements)[:zb0002]
 			} else {
@@ -160,6 +182,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -313,6 +339,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -346,6 +376,10 @@
 				err = msgp.WrapError(err, "Presences")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Presences) >= int(zb0002) {
 				z.Presences = (z.Presences)[:zb0002]
 			} else {
@@ -458,6 +492,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -491,6 +529,10 @@
 				err = msgp.WrapError(err, "Presences")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Presences) >= int(zb0002) {
 				z.Presences = (z.Presences)[:zb0002]
 			} else {
@@ -534,6 +576,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -549,6 +595,10 @@
 				err = msgp.WrapError(err, "Incarnations")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Incarnations) >= int(zb0002) {
 				z.Incarnations = (z.Incarnations)[:zb0002]
 			} else {
@@ -618,6 +668,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z95c7bd96limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -633,6 +687,10 @@
 				err = msgp.WrapError(err, "Incarnations")
 				return
 			}
+			if zb0002 > z95c7bd96limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Incarnations) >= int(zb0002) {
 				z.Incarnations = (z.Incarnations)[:zb0002]
 			} else {
--- a/entry/wire/messages.go
+++ b/entry/wire/messages.go
@@ -5,6 +5,10 @@
 
 //go:generate go tool msgp -file messages.go -o messages_gen.go -tests=false
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // Topics of events.
 const (
 	// TopicAnnouncement carries an Announcement.
--- a/entry/wire/messages_gen.go
+++ b/entry/wire/messages_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z2c18a699limitArrays = 262144
+	z2c18a699limitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Announcement) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -386,6 +396,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -500,6 +514,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -527,6 +545,10 @@
 				err = msgp.WrapError(err, "Metadata")
 				return
 			}
+			if zb0002 > z2c18a699limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Metadata == nil {
 				z.Metadata = make(map[string]string, zb0002)
 			} else if len(z.Metadata) > 0 {
@@ -549,7 +571,10 @@
 				z.Metadata[za0001] = za0002
 			}
 		case "p":
-			z.Payload, err = dc.ReadBytes(z.Payload)
+			z.Payload, err = dc.ReadBytesLimit(z.Payload, z2c18a699limitArrays)
+			if err == nil && z.Payload == nil {
+				z.Payload = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
@@ -701,6 +726,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -728,6 +757,10 @@
 				err = msgp.WrapError(err, "Metadata")
 				return
 			}
+			if zb0002 > z2c18a699limitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if z.Metadata == nil {
 				z.Metadata = make(map[string]string, zb0002)
 			} else if len(z.Metadata) > 0 {
@@ -750,11 +783,27 @@
 				z.Metadata[za0001] = za0002
 			}
 		case "p":
-			z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
+			if zb0003 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Payload == nil || uint32(cap(z.Payload)) < zb0003 {
+				z.Payload = make([]byte, zb0003)
+			} else {
+				z.Payload = z.Payload[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Payload, bts[:zb0003])
+			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
--- a/entry/wire/spread.go
+++ b/entry/wire/spread.go
@@ -2,6 +2,10 @@
 
 //go:generate go tool msgp -file spread.go -o spread_gen.go -tests=false
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // Have is what a process holds of the catalogue.
 type Have struct {
 	Revision uint64 `msg:"r"`
--- a/entry/wire/spread_gen.go
+++ b/entry/wire/spread_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z2d1cfc6elimitArrays = 262144
+	z2d1cfc6elimitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *CatalogueEntry) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -85,6 +95,10 @@
 				err = msgp.WrapError(err, "Demand")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -132,6 +146,10 @@
 				err = msgp.WrapError(err, "IdempotentMethods")
 				return
 			}
+			if zb0003 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.IdempotentMethods) >= int(zb0003) {
 				z.IdempotentMethods = (z.IdempotentMethods)[:zb0003]
 			} else {
@@ -151,6 +169,10 @@
 				err = msgp.WrapError(err, "NonIdempotentMethods")
 				return
 			}
+			if zb0004 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.NonIdempotentMethods) >= int(zb0004) {
 				z.NonIdempotentMethods = (z.NonIdempotentMethods)[:zb0004]
 			} else {
@@ -614,6 +636,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -683,6 +709,10 @@
 				err = msgp.WrapError(err, "Demand")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -730,6 +760,10 @@
 				err = msgp.WrapError(err, "IdempotentMethods")
 				return
 			}
+			if zb0003 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.IdempotentMethods) >= int(zb0003) {
 				z.IdempotentMethods = (z.IdempotentMethods)[:zb0003]
 			} else {
@@ -749,6 +783,10 @@
 				err = msgp.WrapError(err, "NonIdempotentMethods")
 				return
 			}
+			if zb0004 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.NonIdempotentMethods) >= int(zb0004) {
 				z.NonIdempotentMethods = (z.NonIdempotentMethods)[:zb0004]
 			} else {
@@ -803,6 +841,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -830,6 +872,10 @@
 				err = msgp.WrapError(err, "Items")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Items) >= int(zb0002) {
 				z.Items = (z.Items)[:zb0002]
 			} else {
@@ -929,6 +975,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -956,6 +1006,10 @@
 				err = msgp.WrapError(err, "Items")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Items) >= int(zb0002) {
 				z.Items = (z.Items)[:zb0002]
 			} else {
@@ -999,6 +1053,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1171,6 +1229,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1264,6 +1326,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1285,6 +1351,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0002) {
 				z.Changes = (z.Changes)[:zb0002]
 			} else {
@@ -1371,6 +1441,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1392,6 +1466,10 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Changes) >= int(zb0002) {
 				z.Changes = (z.Changes)[:zb0002]
 			} else {
@@ -1435,6 +1513,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1586,6 +1668,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1646,6 +1732,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1673,6 +1763,10 @@
 				err = msgp.WrapError(err, "Guaranteed")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
@@ -1891,6 +1985,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1918,6 +2016,10 @@
 				err = msgp.WrapError(err, "Guaranteed")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitMaps {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1986,6 +2088,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2142,6 +2248,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2196,6 +2306,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2241,6 +2355,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Entries) >= int(zb0002) {
 				z.Entries = (z.Entries)[:zb0002]
 			} else {
@@ -2260,6 +2378,10 @@
 				err = msgp.WrapError(err, "Quotas")
 				return
 			}
+			if zb0003 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Quotas) >= int(zb0003) {
 				z.Quotas = (z.Quotas)[:zb0003]
 			} else {
@@ -2425,6 +2547,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2d1cfc6elimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -2470,6 +2596,10 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
+			if zb0002 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Entries) >= int(zb0002) {
 				z.Entries = (z.Entries)[:zb0002]
 			} else {
@@ -2489,6 +2619,10 @@
 				err = msgp.WrapError(err, "Quotas")
 				return
 			}
+			if zb0003 > z2d1cfc6elimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Quotas) >= int(zb0003) {
 				z.Quotas = (z.Quotas)[:zb0003]
 			} else {
--- a/entry/wire/stops.go
+++ b/entry/wire/stops.go
@@ -11,6 +11,10 @@
 
 //go:generate go tool msgp -file stops.go -o stops_gen.go -tests=false
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // Stops are the planned stops that an entry knows of.
 type Stops struct {
 	Stops []Stop `msg:"s"`
--- a/entry/wire/stops_gen.go
+++ b/entry/wire/stops_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z1b4f8ab3limitArrays = 262144
+	z1b4f8ab3limitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Stop) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1b4f8ab3limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -248,6 +258,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1b4f8ab3limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -326,6 +340,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1b4f8ab3limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -341,6 +359,10 @@
 				err = msgp.WrapError(err, "Stops")
 				return
 			}
+			if zb0002 > z1b4f8ab3limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Stops) >= int(zb0002) {
 				z.Stops = (z.Stops)[:zb0002]
 			} else {
@@ -414,6 +436,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z1b4f8ab3limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -429,6 +455,10 @@
 				err = msgp.WrapError(err, "Stops")
 				return
 			}
+			if zb0002 > z1b4f8ab3limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Stops) >= int(zb0002) {
 				z.Stops = (z.Stops)[:zb0002]
 			} else {
--- a/scheduler/store/row.go
+++ b/scheduler/store/row.go
@@ -10,6 +10,10 @@
 
 //go:generate go tool msgp -file row.go -o row_gen.go -tests=false -unexported
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // rowFormat is the newest format of rows that this release reads. A row of a
 // newer one is refused, never guessed at.
 const rowFormat = 1
--- a/scheduler/store/row_gen.go
+++ b/scheduler/store/row_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zbb5cdfddlimitArrays = 262144
+	zbb5cdfddlimitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *epochRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -153,6 +163,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -219,6 +233,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -246,6 +264,10 @@
 				err = msgp.WrapError(err, "Cancelled")
 				return
 			}
+			if zb0002 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancelled) >= int(zb0002) {
 				z.Cancelled = (z.Cancelled)[:zb0002]
 			} else {
@@ -386,6 +408,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -413,6 +439,10 @@
 				err = msgp.WrapError(err, "Cancelled")
 				return
 			}
+			if zb0002 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Cancelled) >= int(zb0002) {
 				z.Cancelled = (z.Cancelled)[:zb0002]
 			} else {
@@ -456,6 +486,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -561,6 +595,10 @@
 				err = msgp.WrapError(err, "FailedOn")
 				return
 			}
+			if zb0002 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.FailedOn) >= int(zb0002) {
 				z.FailedOn = (z.FailedOn)[:zb0002]
 			} else {
@@ -961,6 +999,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > zbb5cdfddlimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1066,6 +1108,10 @@
 				err = msgp.WrapError(err, "FailedOn")
 				return
 			}
+			if zb0002 > zbb5cdfddlimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.FailedOn) >= int(zb0002) {
 				z.FailedOn = (z.FailedOn)[:zb0002]
 			} else {
--- a/sidecar/wire/codec_test.go
+++ b/sidecar/wire/codec_test.go
@@ -37,6 +37,8 @@
 	f.Add(byte(wire.TypeOpen), wire.Encode(wire.TypeOpen, 1, &wire.Open{
 		Service: "echo", Header: []wire.Field{{Name: "Accept", Value: "*/*"}}, Body: []byte("body"),
 	}).Payload)
+	// A message that states far more header fields than it has bytes.
+	f.Add(byte(wire.TypeAnswer), []byte("\x8f\xa1h\xdd\xff\xff\x7f0"))
 	f.Fuzz(func(t *testing.T, kind byte, payload []byte) {
 		make, known := messages()[frame.Type(kind)]
 		if !known {
@@ -56,3 +58,16 @@
 		}
 	})
 }
+
+// A long body is no list: the bound of lists does not hold for it.
+func TestLongBodiesDecode(t *testing.T) {
+	const bodyBytes = 64 << 10
+	sent := wire.Open{Body: bytes.Repeat([]byte("x"), bodyBytes)}
+	var got wire.Open
+	if err := wire.Decode(wire.Encode(wire.TypeOpen, 1, &sent), &got); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got.Body, sent.Body) {
+		t.Fatalf("%d bytes came back", len(got.Body))
+	}
+}
--- a/sidecar/wire/messages.go
+++ b/sidecar/wire/messages.go
@@ -4,6 +4,10 @@
 
 //go:generate go tool msgp -file messages.go -o messages_gen.go -tests=false
 
+// No list, map or string of bytes is longer than a frame.
+//
+//msgp:limit arrays:262144 maps:262144
+
 // Version is the version of the protocol. Two processes with different versions
 // do not talk to each other.
 const Version = 1
--- a/sidecar/wire/messages_gen.go
+++ b/sidecar/wire/messages_gen.go
@@ -6,6 +6,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z2c18a699limitArrays = 262144
+	z2c18a699limitMaps   = 262144
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Answer) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -16,6 +22,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -37,6 +47,10 @@
 				err = msgp.WrapError(err, "Header")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Header) >= int(zb0002) {
 				z.Header = (z.Header)[:zb0002]
 			} else {
@@ -49,6 +63,10 @@
 					err = msgp.WrapError(err, "Header", za0001)
 					return
 				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -91,7 +109,10 @@
 				return
 			}
 		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
+			z.Body, err = dc.ReadBytesLimit(z.Body, z2c18a699limitArrays)
+			if err == nil && z.Body == nil {
+				z.Body = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
@@ -269,6 +290,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -290,6 +315,10 @@
 				err = msgp.WrapError(err, "Header")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Header) >= int(zb0002) {
 				z.Header = (z.Header)[:zb0002]
 			} else {
@@ -302,6 +331,10 @@
 					err = msgp.WrapError(err, "Header", za0001)
 					return
 				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -344,11 +377,27 @@
 				return
 			}
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0004 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0004 {
+				z.Body = make([]byte, zb0004)
+			} else {
+				z.Body = z.Body[:zb0004]
+			}
+			if uint32(len(bts)) < zb0004 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0004])
+			bts = bts[zb0004:]
 		case "w":
 			z.WaitMicros, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -393,6 +442,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -473,6 +526,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -521,6 +578,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -582,6 +643,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -624,6 +689,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -704,6 +773,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -752,6 +825,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -851,6 +928,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -905,6 +986,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1023,6 +1108,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1083,6 +1172,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1158,6 +1251,10 @@
 				err = msgp.WrapError(err, "Header")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Header) >= int(zb0002) {
 				z.Header = (z.Header)[:zb0002]
 			} else {
@@ -1170,6 +1267,10 @@
 					err = msgp.WrapError(err, "Header", za0001)
 					return
 				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, err = dc.ReadMapKeyPtr()
@@ -1218,7 +1319,10 @@
 				return
 			}
 		case "d":
-			z.Digest, err = dc.ReadBytes(z.Digest)
+			z.Digest, err = dc.ReadBytesLimit(z.Digest, z2c18a699limitArrays)
+			if err == nil && z.Digest == nil {
+				z.Digest = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
@@ -1236,7 +1340,10 @@
 				return
 			}
 		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
+			z.Body, err = dc.ReadBytesLimit(z.Body, z2c18a699limitArrays)
+			if err == nil && z.Body == nil {
+				z.Body = []byte{}
+			}
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
@@ -1541,6 +1648,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1616,6 +1727,10 @@
 				err = msgp.WrapError(err, "Header")
 				return
 			}
+			if zb0002 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Header) >= int(zb0002) {
 				z.Header = (z.Header)[:zb0002]
 			} else {
@@ -1628,6 +1743,10 @@
 					err = msgp.WrapError(err, "Header", za0001)
 					return
 				}
+				if zb0003 > z2c18a699limitMaps {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1676,11 +1795,27 @@
 				return
 			}
 		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+			if zb0004 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Digest == nil || uint32(cap(z.Digest)) < zb0004 {
+				z.Digest = make([]byte, zb0004)
+			} else {
+				z.Digest = z.Digest[:zb0004]
+			}
+			if uint32(len(bts)) < zb0004 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Digest, bts[:zb0004])
+			bts = bts[zb0004:]
 		case "bl":
 			z.BodyLength, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -1694,11 +1829,27 @@
 				return
 			}
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+			if zb0005 > z2c18a699limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Body == nil || uint32(cap(z.Body)) < zb0005 {
+				z.Body = make([]byte, zb0005)
+			} else {
+				z.Body = z.Body[:zb0005]
+			}
+			if uint32(len(bts)) < zb0005 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Body, bts[:zb0005])
+			bts = bts[zb0005:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1731,6 +1882,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -1811,6 +1966,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -1859,6 +2018,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, err = dc.ReadMapKeyPtr()
@@ -2000,6 +2163,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z2c18a699limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
