Take event links as they are into the capacity page

Cause: the page assumed that each sidecar links to each entry with a ping a second, which the spread no longer does. Change: a sidecar links to the entries that its settings name; the intervals come from the code; presence and changes between entries have lines of their own.

--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -4,6 +4,7 @@
 	"github.com/carobkeel/carobkeel/entry/announcer"
 	"github.com/carobkeel/carobkeel/entry/spreader"
 	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/sidecar/members"
 )
 
 // The size to design for, from DEVELOPERS.md.
@@ -31,6 +32,7 @@
 
 var (
 	entriesPerCentre = assumption{amount(10, "entries a data centre"), "\"a few thin entry hosts\" for each of ten data centres"}
+	entriesLinked    = assumption{amount(3, "entries a sidecar links to"), "its settings name a few entries of its own data centre, of which any one is enough"}
 	catalogueEntries = assumption{amount(10_000, "catalogue entries"), "3,500 services of ten instances, and the batch tasks of 300 teams"}
 	rackWorkers      = assumption{amount(20, "workers a rack"), "twelve thousand workers in some sixty racks a data centre"}
 	apartSeconds     = assumption{amount(600, "s apart"), "regions lose each other for minutes"}
@@ -40,18 +42,21 @@
 
 func assumptions() []assumption {
 	return []assumption{
-		entriesPerCentre, catalogueEntries, rackWorkers, apartSeconds, reportInterval, shards,
+		entriesPerCentre, entriesLinked, catalogueEntries, rackWorkers, apartSeconds, reportInterval, shards,
 	}
 }
 
 // What follows from the sizes, the assumptions and the code's own constants.
 var (
-	one             = amount(1, "process")
-	sidecars        = serviceTasks.named("sidecars")
-	entries         = entriesPerCentre.quantity.times(dataCentres)
+	one      = amount(1, "process")
+	sidecars = serviceTasks.named("sidecars")
+	entries  = entriesPerCentre.quantity.times(dataCentres)
+	// linkedSidecars are those that hold an event link to one entry.
+	linkedSidecars  = sidecars.times(entriesLinked.quantity).over(entries)
 	changesPerSec   = changesPerDay.over(daySeconds)
 	announceSeconds = amount(announcer.HeartbeatInterval.Seconds(), "s between announcements")
-	pingSeconds     = amount(link.DefaultConfig().HeartbeatInterval.Seconds(), "s between pings")
+	pingSeconds     = amount(link.EventConfig().HeartbeatInterval.Seconds(), "s between pings")
+	presenceSeconds = amount(members.PresenceInterval.Seconds(), "s between words of presence")
 	pollSeconds     = amount(spreader.PollInterval.Seconds(), "s between reads")
 	pingAndPong     = amount(2, "frames")
 	bothWays        = amount(2, "directions")
--- a/cmd/capacity/roles.go
+++ b/cmd/capacity/roles.go
@@ -12,8 +12,9 @@
 }
 
 const (
-	everySidecarLinks = "every sidecar holds an event link to every entry, as the setting -entries asks today"
-	wholeCatalogue    = "each process holds the whole catalogue"
+	fewEntriesLinked = "a sidecar holds event links to the entries that its settings name, all of its own data centre"
+	entriesLinkedAll = "entries hold event links to all other entries"
+	wholeCatalogue   = "each process holds the whole catalogue"
 )
 
 func entryLines() []line {
@@ -23,8 +24,8 @@
 			"one sidecar for each latency-critical task", "an immutable view, swapped at each change",
 		},
 		{
-			roleEntry, memory, "event links of the sidecars", at("links/memory-N-links", sidecars), one,
-			everySidecarLinks, "framed TCP links with a reading buffer each",
+			roleEntry, memory, "event links of the sidecars", at("links/memory-N-links", linkedSidecars), one,
+			fewEntriesLinked, "framed TCP links with a reading buffer each",
 		},
 		{
 			roleEntry, memory, "metrics by owner and class", at("telemetry/memory-N-owners", owners), one,
@@ -36,7 +37,7 @@
 		},
 		{
 			roleEntry, processor, "heartbeats of the sidecars", at("sidecars/heartbeat-N-sidecars", sidecars),
-			sidecars.over(announceSeconds), everySidecarLinks, "the load is noted in place, without a new view",
+			linkedSidecars.over(announceSeconds), fewEntriesLinked, "the load is noted in place, without a new view",
 		},
 		{
 			roleEntry, processor, "sidecars that join or leave", at("sidecars/join-N-sidecars", sidecars), joinsPerSec,
@@ -51,12 +52,20 @@
 			changesPerSec, wholeCatalogue, "a copy of the catalogue for each change",
 		},
 		{
-			roleEntry, traffic, "announcements", plain("sidecars/announcement-size"), sidecars.over(announceSeconds),
-			everySidecarLinks, "one event for each sidecar and interval",
+			roleEntry, traffic, "announcements", plain("sidecars/announcement-size"), linkedSidecars.over(announceSeconds),
+			fewEntriesLinked, "one event for each sidecar and interval",
 		},
 		{
 			roleEntry, traffic, "heartbeats of links", plain("links/ping-size"),
-			sidecars.times(pingAndPong).times(bothWays).over(pingSeconds), everySidecarLinks, "pings in both directions of each link",
+			linkedSidecars.times(pingAndPong).times(bothWays).over(pingSeconds), fewEntriesLinked, "pings in both directions of each link",
+		},
+		{
+			roleEntry, traffic, "presence of all sidecars", plain("spread/membership-presence-slope"),
+			sidecars.times(bothWays).over(presenceSeconds), entriesLinkedAll, "a word of presence from each entry for its own sidecars",
+		},
+		{
+			roleEntry, traffic, "catalogue changes to its sidecars", plain("spread/message-change"),
+			changesPerSec.times(linkedSidecars), fewEntriesLinked, "each change goes out on each event link",
 		},
 	}
 }
@@ -64,8 +73,8 @@
 func sidecarLines() []line {
 	return []line{
 		{
-			roleSidecar, memory, "event links to the entries", at("links/memory-N-links", entries), one,
-			everySidecarLinks, "framed TCP links with a reading buffer each",
+			roleSidecar, memory, "event links to the entries", at("links/memory-N-links", entriesLinked.quantity), one,
+			fewEntriesLinked, "framed TCP links with a reading buffer each",
 		},
 		{
 			roleSidecar, memory, "catalogue", at("catalogue/memory-N-entries", catalogueEntries.quantity), one,
@@ -76,20 +85,20 @@
 			changesPerSec, wholeCatalogue, "a copy of the catalogue for each change",
 		},
 		{
-			roleSidecar, traffic, "catalogue changes", plain("spread/change-size"), changesPerSec,
-			"each change comes once", "events over the links to the entries",
+			roleSidecar, traffic, "catalogue changes", plain("spread/message-change"), changesPerSec.times(entriesLinked.quantity),
+			"each change comes once over each link", "events over the links to the entries",
 		},
 		{
 			roleSidecar, memory, "ledger of keyed requests", plain("path/ledger-memory"), one,
 			"the keyed requests of the retention time", "the sidecar's ledger",
 		},
 		{
-			roleSidecar, traffic, "announcements", plain("sidecars/announcement-size"), entries.over(announceSeconds),
-			everySidecarLinks, "one event for each entry and interval",
+			roleSidecar, traffic, "announcements", plain("sidecars/announcement-size"), entriesLinked.quantity.over(announceSeconds),
+			fewEntriesLinked, "one event for each entry and interval",
 		},
 		{
 			roleSidecar, traffic, "heartbeats of links", plain("links/ping-size"),
-			entries.times(pingAndPong).times(bothWays).over(pingSeconds), everySidecarLinks, "pings in both directions of each link",
+			entriesLinked.quantity.times(pingAndPong).times(bothWays).over(pingSeconds), fewEntriesLinked, "pings in both directions of each link",
 		},
 	}
 }
--- a/sidecar/members/members.go
+++ b/sidecar/members/members.go
@@ -25,9 +25,9 @@
 const (
 	// expiryCheck is the time between two looks for sidecars that are gone.
 	expiryCheck = 500 * time.Millisecond
-	// presenceInterval is the mean time between two words to the other entries
+	// PresenceInterval is the mean time between two words to the other entries
 	// on which sidecars this one hears. Several fit in sidecar.RelayedExpiry.
-	presenceInterval = 5 * time.Second
+	PresenceInterval = 5 * time.Second
 	// relayedAtOnce bounds the announcements in one message.
 	relayedAtOnce = 500
 )
@@ -175,7 +175,7 @@
 }
 
 // presenceWait returns a random time of half to one and a half of the interval.
-func presenceWait() time.Duration { return presenceInterval/2 + rand.N(presenceInterval) }
+func presenceWait() time.Duration { return PresenceInterval/2 + rand.N(PresenceInterval) }
 
 func (m *Members) apply(known *sidecar.Membership, directory *entry.Directory, batch []arrival) {
 	var relayed []sidecar.Announcement
