--- a/caller/claim.go
+++ b/caller/claim.go
@@ -44,8 +44,9 @@
 	ClaimReplay
 	// ClaimConflict refuses: the key came with another body.
 	ClaimConflict
-	// ClaimAnswerLost says that the request ran and its answer is gone.
-	ClaimAnswerLost
+	// ClaimFetch asks the claim's sidecar for an answer that was too long to
+	// be kept with the claim.
+	ClaimFetch
 )
 
 // NextClaimStep returns what to do with a request whose digest is given, where
@@ -60,7 +61,7 @@
 	case held.Ended && held.Answer != nil:
 		return ClaimReplay
 	case held.Ended:
-		return ClaimAnswerLost
+		return ClaimFetch
 	}
 	return ClaimAsk
 }
--- a/caller/claims/faults_test.go
+++ b/caller/claims/faults_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller"
 	"github.com/carobkeel/carobkeel/entry/server"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/sidecar/wire"
@@ -299,3 +300,20 @@
 		g.Expect(notRun).To(Equal(waiting))
 	})
 }
+
+// TestRepeatGetsAnAnswerTooLongForItsClaim repeats a request whose answer its
+// sidecar keeps and its claim does not.
+func TestRepeatGetsAnAnswerTooLongForItsClaim(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		g := NewWithT(t)
+		w := newWorld(t, ctx, 2*caller.MaxKeptAnswer)
+		content := strings.Repeat("y", 2*caller.MaxKeptAnswer)
+		for entry := range 3 {
+			got := w.startEntry(carobkeel.Incarnation(entry+1)).send(ctx, false, "key", content)
+			<-time.After(time.Second)
+			g.Expect(got.err).NotTo(HaveOccurred())
+			g.Expect(got.body == content).To(BeTrue())
+		}
+		g.Expect(w.record.count(content)).To(Equal(1))
+	})
+}
--- a/caller/claims/forwarder.go
+++ b/caller/claims/forwarder.go
@@ -69,8 +69,8 @@
 			return nil, carobkeel.NewError(carobkeel.CodeKeyConflict, "the key came before with another method, path or body")
 		case caller.ClaimReplay:
 			return replayed(held.Answer), nil
-		case caller.ClaimAnswerLost:
-			return nil, carobkeel.NewError(carobkeel.CodeAnswerLost, "the answer was too long to be kept")
+		case caller.ClaimFetch:
+			return f.fetch(ctx, held)
 		}
 		answer, asked := f.ask(ctx, held)
 		if asked == nil {
@@ -93,6 +93,15 @@
 	return f.keep(held, answer)
 }
 
+// fetch gives the answer of a request that has ended, from its sidecar.
+func (f *Forwarder) fetch(ctx context.Context, held *Held) (*caller.Answer, error) {
+	answer, err := f.sidecars.Ask(ctx, held.Address, held.Home, held.Request)
+	if err != nil {
+		return nil, carobkeel.NewError(carobkeel.CodeAnswerLost, "the answer is not kept any more: %v", err)
+	}
+	return answer, nil
+}
+
 // run sends a request whose claim is this entry's own. While the request surely
 // has not run, the claim moves with it to another sidecar.
 func (f *Forwarder) run(ctx context.Context, held *Held, r *caller.Request) (*caller.Answer, error) {
