Lower an upstream's limit only where it was reached

Cause: the limit of concurrent requests shrank whenever the service time was twice the least one seen. For requests of 50 us the scheduling of threads alone does that, and the limit fell far below what ran, to one at the least. Change: a limit that was not reached stays; a rise below 2 ms does not count; the limit keeps a quarter of the slots; the peak since the last tick, not the moment of the tick, says whether it was reached; the base rises more slowly, since with the true peak it let the limit of a crowded upstream drift from 8 to 12. Ruled out as the cause of the path's p99: the limit, and the garbage collector's target; its spikes are spread over the whole run.

--- a/entry/limit.go
+++ b/entry/limit.go
@@ -13,7 +13,7 @@
 	serviceWeight = 4
 	// baseRise is how much the base service time rises in a tick, so that an
 	// upstream that became slower for good is not held down for ever.
-	baseRise = 1.002
+	baseRise = 1.0005
 	// limitTicks is the number of ticks between two changes of the limit.
 	limitTicks = 5
 	// limitSamples is the fewest service times that the limit is changed on.
@@ -23,6 +23,13 @@
 	crowdedFactor = 2.0
 	// limitShrink is what is left of the limit after it shrinks.
 	limitShrink = 0.9
+	// leastLimit is the share of the upstream's slots that the limit never
+	// goes below, also where the upstream became slower for good.
+	leastLimit = 0.25
+	// noticeableMicros is the least rise of the service time, in microseconds,
+	// that can come from too many requests. Below it the scheduling of
+	// threads alone doubles the time of a quick request.
+	noticeableMicros = 2000
 )
 
 // Limiter adapts the number of requests that run at once to the service time. It
@@ -49,12 +56,14 @@
 // Tick takes in what happened since the last tick and sets the limit. It is
 // called each TickInterval.
 func (l *Limiter) Tick(s *Slots) {
+	var peak int64
 	for _, share := range s.shares.Load().all {
-		ratio, count := share.tick()
-		l.crowding += ratio * float64(count)
-		l.count += float64(count)
+		seen := share.tick()
+		l.crowding += seen.crowding * float64(seen.count)
+		l.count += float64(seen.count)
+		peak += seen.peak
 	}
-	l.full = l.full || s.running.Load() >= s.limit.Load()
+	l.full = l.full || peak >= s.limit.Load()
 	if l.ticks++; l.ticks < limitTicks || l.count < limitSamples {
 		return
 	}
@@ -63,34 +72,44 @@
 	l.ticks, l.crowding, l.count, l.full = 0, 0, 0, false
 }
 
-// nextLimit shrinks the limit of a crowded upstream and lets that of another one
-// grow by one where it was used in full.
+// nextLimit changes a limit that was used in full: it shrinks that of a crowded
+// upstream and lets that of another one grow by one. A limit that was not
+// reached is not what made an upstream slow.
 func nextLimit(current, crowding float64, full bool, most int) float64 {
 	switch {
+	case !full:
+		return current
 	case crowding >= crowdedFactor:
-		return max(current*limitShrink, 1)
-	case full:
-		return min(current+1, float64(most))
+		return max(current*limitShrink, leastLimit*float64(most), 1)
 	}
-	return current
+	return min(current+1, float64(most))
 }
 
-// tick takes in the share's service times and peak. It returns how many times
-// its base the service time was, and of how many requests.
-func (h *Share) tick() (ratio float64, count int64) {
+// shareTick is what happened at a share since the tick before.
+type shareTick struct {
+	// crowding is how many times its base the service time was.
+	crowding float64
+	// count is the number of requests that ended.
+	count int64
+	// peak is the most requests that ran at once.
+	peak int64
+}
+
+// tick takes in the share's service times and peak.
+func (h *Share) tick() shareTick {
 	running := h.running.Load()
 	h.mean += (float64(running) - h.mean) / meanWeight
-	peak := h.peak.Swap(running)
+	seen := shareTick{peak: h.peak.Swap(running)}
 	demand := h.demand.Load()
-	h.demand.Store(demand + (peak*thousandths-demand)/demandWeight)
-	count = h.work.count.Swap(0)
+	h.demand.Store(demand + (seen.peak*thousandths-demand)/demandWeight)
+	seen.count = h.work.count.Swap(0)
 	sum := h.work.sum.Swap(0)
-	if count == 0 {
-		return 0, 0
+	if seen.count == 0 {
+		return seen
 	}
-	mean := float64(sum) / float64(count)
-	h.noteService(mean)
-	return h.crowding(), count
+	h.noteService(float64(sum) / float64(seen.count))
+	seen.crowding = h.crowding()
+	return seen
 }
 
 func (h *Share) noteService(mean float64) {
@@ -111,5 +130,8 @@
 		return 1
 	}
 	h.baseMicros *= baseRise
+	if recent-h.baseMicros < noticeableMicros {
+		return 1
+	}
 	return recent / h.baseMicros
 }
--- /dev/null
+++ b/entry/limit_test.go
@@ -0,0 +1,53 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/entry"
+)
+
+// runLimiter lets the limiter see ticks in which so many requests run at once,
+// each of which takes the given time.
+func runLimiter(slots *entry.Slots, limiter *entry.Limiter, ticks, wanted int, took time.Duration) {
+	share := slots.Share(critical, floor(0))
+	for range ticks {
+		running := 0
+		for running < wanted && slots.TryTake(share) {
+			running++
+		}
+		for range running {
+			slots.Release(share, took)
+		}
+		limiter.Tick(slots)
+	}
+}
+
+func TestLimitStaysWhereItIsNotReached(t *testing.T) {
+	g := NewWithT(t)
+	const slots = 64
+	s, limiter := entry.NewSlots(slots), entry.NewLimiter(slots)
+	runLimiter(s, limiter, 20, slots/2, 10*time.Millisecond)
+	runLimiter(s, limiter, 500, slots/2, 100*time.Millisecond)
+	g.Expect(s.Limit()).To(Equal(slots))
+}
+
+func TestLimitPassesOverTheJitterOfQuickRequests(t *testing.T) {
+	g := NewWithT(t)
+	const slots = 64
+	s, limiter := entry.NewSlots(slots), entry.NewLimiter(slots)
+	runLimiter(s, limiter, 20, slots, 50*time.Microsecond)
+	runLimiter(s, limiter, 500, slots, time.Millisecond)
+	g.Expect(s.Limit()).To(Equal(slots))
+}
+
+func TestLimitKeepsAPartOfTheSlots(t *testing.T) {
+	g := NewWithT(t)
+	const slots = 64
+	s, limiter := entry.NewSlots(slots), entry.NewLimiter(slots)
+	runLimiter(s, limiter, 20, slots, 10*time.Millisecond)
+	runLimiter(s, limiter, 500, slots, time.Second)
+	g.Expect(s.Limit()).To(Equal(slots / 4))
+}
