Give dev an object store for the checkpoints of its tasks

Cause: dev was to have an object store in memory, and its tasks could not be checkpointed. Change: sample workers write sealed checkpoints to a store in memory, which the shard reads. Measured: by hand, a submitted job ran from queued to succeeded.

--- a/cmd/carobkeel/dev_jobs.go
+++ b/cmd/carobkeel/dev_jobs.go
@@ -6,44 +6,51 @@
 	"net/http"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/caller/jobs"
 	"github.com/carobkeel/carobkeel/caller/jobsapi"
 	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/objectstore/memory"
 	"github.com/carobkeel/carobkeel/scheduler"
 	"github.com/carobkeel/carobkeel/scheduler/runner"
+	"github.com/carobkeel/carobkeel/scheduler/store"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/worker"
 	"github.com/carobkeel/carobkeel/worker/standin"
-
-	"github.com/uber-go/tally/v4"
 )
 
 const (
-	devShard      = scheduler.ShardID("local-0")
-	devWorkers    = 2
-	devRunTime    = 3 * time.Second
-	devWorkerCPU  = 4_000
-	devWorkerByte = 4 << 30
+	devShard          = scheduler.ShardID("local-0")
+	devWorkers        = 2
+	devRunTime        = 3 * time.Second
+	devWorkerMilliCPU = 4_000
+	devWorkerBytes    = 4 << 30
 )
 
-// startDevJobs runs one shard with sample workers in this process and returns
-// the routes of jobs.
+// startDevJobs runs one shard with sample workers and an object store in this
+// process and returns the routes of jobs.
 func startDevJobs(ctx context.Context, rows table.Table, catalogues jobsapi.Catalogues, logs *logging.Factory) (http.Handler, error) {
 	started := time.Now()
 	clock := func() scheduler.Instant { return scheduler.Instant(time.Since(started)) }
 	self := newIncarnation()
+	objects := memory.New()
 	var workers []*standin.Worker
 	for i := range devWorkers {
 		workers = append(workers, standin.New(standin.Config{
 			ID:       worker.ID(fmt.Sprintf("worker-%d", i)),
 			Location: carobkeel.Location{DataCentre: devDataCentre, Rack: "rack-0"},
-			Capacity: carobkeel.Resources{MilliCPU: devWorkerCPU, MemoryBytes: devWorkerByte},
+			Capacity: carobkeel.Resources{MilliCPU: devWorkerMilliCPU, MemoryBytes: devWorkerBytes},
 			Timing:   scheduler.DefaultTiming(),
 			Seed:     uint64(i) + 1,
 			RunTime:  devRunTime,
 			Now:      clock,
 			Record:   standin.NewRecord(),
+			Checkpoint: func(ref scheduler.TaskRef, sequence uint64) (string, error) {
+				name := store.CheckpointName(ref, sequence)
+				return name, objects.Put(ctx, name, store.SealCheckpoint([]byte(name)))
+			},
 		}))
 	}
 	shard := runner.New(runner.Config{
@@ -51,6 +58,7 @@
 		Self:       scheduler.HolderID(self.String()),
 		Timing:     scheduler.DefaultTiming(),
 		Table:      rows,
+		Objects:    objects,
 		Workers:    runner.NewLocal(workers...),
 		Now:        clock,
 		Wall:       time.Now,
