Keep the answer of a keyed request whose upstream does not state its length

Its upstream sends answers in chunks, and a body of unknown length was streamed and not kept, however short. Change: for a request with a key the sidecar reads up to the inline bound; what ends within it is kept. Without a key nothing is held back.

--- a/caller/claims/faults_test.go
+++ b/caller/claims/faults_test.go
@@ -301,6 +301,26 @@
 	})
 }
 
+// TestRepeatGetsAnAnswerOfUnknownLength repeats a request whose upstream does not
+// say how long its answer is.
+func TestRepeatGetsAnAnswerOfUnknownLength(t *testing.T) {
+	for _, size := range []int{small, caller.MaxKeptAnswer, 2 * caller.MaxKeptAnswer} {
+		inBubble(t, func(t *testing.T, ctx context.Context) {
+			g := NewWithT(t)
+			w := newWorld(t, ctx, size)
+			w.record.unknownLength = true
+			content := strings.Repeat("z", size)
+			for entry := range 2 {
+				got := w.startEntry(carobkeel.Incarnation(entry+1)).send(ctx, false, "key", content)
+				<-time.After(time.Second)
+				g.Expect(got.err).NotTo(HaveOccurred())
+				g.Expect(got.body == content).To(BeTrue())
+			}
+			g.Expect(w.record.count(content)).To(Equal(1))
+		})
+	}
+}
+
 // TestRepeatGetsAnAnswerTooLongForItsClaim repeats a request whose answer its
 // sidecar keeps and its claim does not.
 func TestRepeatGetsAnAnswerTooLongForItsClaim(t *testing.T) {
--- a/caller/claims/harness_test.go
+++ b/caller/claims/harness_test.go
@@ -38,6 +38,8 @@
 	runs map[string]int
 	// size is the length of the answers; they repeat the request's content.
 	size int
+	// unknownLength leaves the length of the answers open.
+	unknownLength bool
 	// onStart and onFinish are called as a request starts and has been done.
 	onStart, onFinish func()
 }
@@ -67,7 +69,11 @@
 		return nil, carobkeel.NewError(carobkeel.CodeUpstreamFailed, "%v", ctx.Err())
 	}
 	u.onFinish()
-	return &caller.Answer{Status: 200, BodyLength: int64(u.size), Body: io.NopCloser(repeat(content, u.size))}, nil
+	length := int64(u.size)
+	if u.unknownLength {
+		length = -1
+	}
+	return &caller.Answer{Status: 200, BodyLength: length, Body: io.NopCloser(repeat(content, u.size))}, nil
 }
 
 // repeat returns a reader of size bytes that repeat content.
--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"hash/crc32"
 	"io"
@@ -49,18 +50,42 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if answer.BodyLength < 0 || answer.BodyLength > s.config.InlineBytes {
+	if answer.BodyLength > s.config.InlineBytes || answer.BodyLength < 0 && r.Key == "" {
 		s.stream(st, record, answer)
 		return
 	}
-	body := make([]byte, answer.BodyLength)
-	if _, err := io.ReadFull(answer.Body, body); err != nil {
+	body, whole, err := readInline(answer, s.config.InlineBytes)
+	if err != nil {
 		s.finish(st, record, &entry.Outcome{Refusal: brokenOff(err)})
 		return
 	}
+	if !whole {
+		answer.Body = &resumedBody{Reader: io.MultiReader(bytes.NewReader(body), answer.Body), Closer: answer.Body}
+		s.stream(st, record, answer)
+		return
+	}
 	s.finish(st, record, &entry.Outcome{Status: answer.Status, Header: answer.Header, Body: body})
 }
 
+// readInline reads the answer's body up to limit bytes, and one more where its
+// length is not known. whole says that the body ended there. Of a request without
+// a key an answer of unknown length is not held back: it may come slowly.
+func readInline(answer *caller.Answer, limit int64) (body []byte, whole bool, err error) {
+	if answer.BodyLength >= 0 {
+		body = make([]byte, answer.BodyLength)
+		_, err = io.ReadFull(answer.Body, body)
+		return body, true, err
+	}
+	body, err = io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	return body, int64(len(body)) <= limit, err
+}
+
+// resumedBody is a body of which a part was read already.
+type resumedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // finish ends a request with an outcome and gives it to the entry.
 func (s *Server) finish(st *stream, record *entry.Record, o *entry.Outcome) {
 	kept := o
