Prove lost answers of the table and slow readers on the path of a request

Cause: the fault matrix left out answers that the table loses after the effect and callers that read slowly. Change: two tests in virtual time: a lost answer to the claim or to its end, with a repeat through another entry; a large answer read late beside a small request on the same link. Measured: both pass under -race; no fault found.

--- a/caller/claims/faults_test.go
+++ b/caller/claims/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -337,3 +338,50 @@
 		g.Expect(w.record.count(content)).To(Equal(1))
 	})
 }
+
+// TestLostAnswersOfTheTable loses the table's answer to one write of a keyed
+// request, after its effect, and repeats the request through another entry.
+func TestLostAnswersOfTheTable(t *testing.T) {
+	const claimWrite, endWrite = 1, 2
+	for _, write := range []int{claimWrite, endWrite} {
+		t.Run(fmt.Sprintf("write %d", write), func(t *testing.T) {
+			inBubble(t, func(t *testing.T, ctx context.Context) {
+				g := NewWithT(t)
+				w := newWorld(t, ctx, small)
+				w.table.loseAnswer = write
+				content := strings.Repeat("l", small)
+				first := w.startEntry(1).send(ctx, false, "key", content)
+				<-time.After(time.Minute)
+				if write == claimWrite {
+					g.Expect(first.err).To(HaveOccurred())
+					g.Expect(first.err.Ran).To(Equal(carobkeel.RanNo))
+					g.Expect(w.record.count(content)).To(BeZero(), "a refusal that says not run")
+				}
+				second := w.startEntry(2).send(ctx, false, "key", content)
+				g.Expect(second.err).NotTo(HaveOccurred())
+				g.Expect(second.body == content).To(BeTrue())
+				g.Expect(w.record.count(content)).To(Equal(1))
+			})
+		})
+	}
+}
+
+// TestSlowReaderHoldsUpNobodyElse reads one large answer a little at a time beside
+// a small request on the same link.
+func TestSlowReaderHoldsUpNobodyElse(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context) {
+		g := NewWithT(t)
+		w := newWorld(t, ctx, large)
+		e := w.startEntry(1)
+		slow, err := e.forward(ctx, true, "", "slow")
+		g.Expect(err).NotTo(HaveOccurred())
+		<-time.After(time.Second) // the window is full and the sidecar waits
+		w.record.size = small
+		started := time.Now()
+		g.Expect(e.send(ctx, true, "", strings.Repeat("q", small)).err).NotTo(HaveOccurred())
+		g.Expect(time.Since(started)).To(Equal(workTime), "on the bubble's clock")
+		body, err := io.ReadAll(slow.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body).To(HaveLen(large))
+	})
+}
--- a/caller/claims/harness_test.go
+++ b/caller/claims/harness_test.go
@@ -253,17 +253,22 @@
 	return fmt.Sprintf("answer of %d bytes", len(o.body))
 }
 
-// send carries one request of a caller through the entry.
-func (e *entryProcess) send(ctx context.Context, idempotent bool, key, content string) told {
+// forward carries one request of a caller through the entry until its answer
+// begins.
+func (e *entryProcess) forward(ctx context.Context, idempotent bool, key, content string) (*caller.Answer, error) {
 	e.sequence++
-	r := &caller.Request{
+	return e.forwarder.Forward(ctx, &caller.Request{
 		ID: carobkeel.RequestID{Entry: e.id, Sequence: e.sequence}, Service: service, Owner: owner,
 		Method: "POST", Path: "/", Content: []byte(content), BodyLength: int64(len(content)),
 		Key: key, Idempotent: idempotent, Deadline: time.Now().Add(callerTimeout),
-	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	})
+}
+
+// send carries one request through the entry and reads its answer.
+func (e *entryProcess) send(ctx context.Context, idempotent bool, key, content string) told {
+	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
-	answer, err := e.forwarder.Forward(ctx, r)
+	answer, err := e.forward(ctx, idempotent, key, content)
 	if err != nil {
 		return told{err: carobkeel.AsError(err)}
 	}
