Measure queue wait and upstream time by owner and class

Cause: only the whole latency of a request was measured, so a queue at a sidecar did not show. Change: two histograms at the sidecar.

--- a/entry/server/serve.go
+++ b/entry/server/serve.go
@@ -38,7 +38,7 @@
 		st.answer(record.Outcome())
 		return
 	}
-	s.metrics.started()
+	s.metrics.started(request.OwnerClass(), held.waited)
 	s.call(st.ctx, st, record, request, held)
 }
 
@@ -50,6 +50,7 @@
 		return
 	}
 	defer func() { _ = answer.Body.Close() }()
+	s.metrics.answered(r.OwnerClass(), held.service)
 	if answer.BodyLength > s.config.InlineBytes || answer.BodyLength < 0 && r.Key == "" {
 		s.stream(st, record, answer)
 		return
