Share what the stores of catalogue and stops have alike

Cause: two constructors filled in the same four defaults. Change: base holds the settler, metrics, clock and ids, and sets the defaults.

--- a/operator/store/stops.go
+++ b/operator/store/stops.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/operator"
@@ -46,31 +45,20 @@
 // process may carry on any stop: a step is a conditional write, and one taken
 // twice has one effect. All methods are safe for use by several goroutines.
 type Stops struct {
-	settler
-	fleet   FleetSource
-	metrics *Metrics
-	now     func() time.Time
-	newID   func() table.TransactionID
+	base
+	fleet FleetSource
 }
 
 // NewStops returns stops in the table service. It reads nothing yet.
 func NewStops(c StopsConfig) *Stops {
 	s := &Stops{
-		settler: settler{table: c.Table, wait: c.Wait},
-		fleet:   c.Fleet, metrics: c.Metrics, now: c.Now, newID: c.NewID,
-	}
-	if s.wait == nil {
-		s.wait = Backoff
-	}
-	if s.metrics == nil {
-		s.metrics = NewMetrics(tally.NoopScope)
-	}
-	if s.now == nil {
-		s.now = time.Now
-	}
-	if s.newID == nil {
-		s.newID = table.NewTransactionID
+		base: base{
+			settler: settler{table: c.Table, wait: c.Wait},
+			metrics: c.Metrics, now: c.Now, newID: c.NewID,
+		},
+		fleet: c.Fleet,
 	}
+	s.setDefaults()
 	return s
 }
 
--- a/operator/store/store.go
+++ b/operator/store/store.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/operator"
@@ -39,32 +38,21 @@
 // Store reads and edits the catalogue in the table service. All methods are
 // safe for use by several goroutines.
 type Store struct {
-	settler
-	usage   UsageSource
-	metrics *Metrics
-	now     func() time.Time
-	newID   func() table.TransactionID
-	seen    atomic.Pointer[carobkeel.Catalogue]
+	base
+	usage UsageSource
+	seen  atomic.Pointer[carobkeel.Catalogue]
 }
 
 // New returns a store on the table service. It reads nothing yet.
 func New(c Config) *Store {
 	s := &Store{
-		settler: settler{table: c.Table, wait: c.Wait},
-		usage:   c.Usage, metrics: c.Metrics, now: c.Now, newID: c.NewID,
-	}
-	if s.wait == nil {
-		s.wait = Backoff
-	}
-	if s.metrics == nil {
-		s.metrics = NewMetrics(tally.NoopScope)
-	}
-	if s.now == nil {
-		s.now = time.Now
-	}
-	if s.newID == nil {
-		s.newID = table.NewTransactionID
+		base: base{
+			settler: settler{table: c.Table, wait: c.Wait},
+			metrics: c.Metrics, now: c.Now, newID: c.NewID,
+		},
+		usage: c.Usage,
 	}
+	s.setDefaults()
 	return s
 }
 
