Fail the shape's check when a decision package is missing

Cause: a package that was moved would have dropped out of the check unseen. Change: each name of the list must exist. Conclusion: stricter, no other change.

--- a/shape_test.go
+++ b/shape_test.go
@@ -27,7 +27,7 @@
 	"time.NewTimer(", "time.NewTicker(", "time.AfterFunc(",
 }
 
-func existingDecisionPackages(t *testing.T) []string {
+func listDecisionPackages(t *testing.T) []string {
 	t.Helper()
 	out, err := exec.Command("go", "list", "./...").CombinedOutput()
 	if err != nil {
@@ -43,16 +43,17 @@
 		if name != "." {
 			path += "/" + name
 		}
-		if known[path] {
-			found = append(found, path)
+		if !known[path] {
+			t.Fatalf("decision package %s is gone; the list must name every one", path)
 		}
+		found = append(found, path)
 	}
 	return found
 }
 
 func TestDecisionPackagesImportNoTransport(t *testing.T) {
 	g := NewWithT(t)
-	for _, path := range existingDecisionPackages(t) {
+	for _, path := range listDecisionPackages(t) {
 		out, err := exec.Command("go", "list", "-f", `{{join .Imports "\n"}}`, path).CombinedOutput()
 		g.Expect(err).NotTo(HaveOccurred())
 		imports := strings.Fields(string(out))
@@ -64,7 +65,7 @@
 
 func TestDecisionPackagesReadNoClock(t *testing.T) {
 	g := NewWithT(t)
-	for _, path := range existingDecisionPackages(t) {
+	for _, path := range listDecisionPackages(t) {
 		out, err := exec.Command("go", "list", "-f",
 			`{{range .GoFiles}}{{$.Dir}}/{{.}}{{"\n"}}{{end}}`, path).CombinedOutput()
 		g.Expect(err).NotTo(HaveOccurred())
