--- a/cmd/carobkeel/entry.go
+++ b/cmd/carobkeel/entry.go
@@ -278,6 +278,9 @@
 		name:    "entry",
 		summary: "run the process that callers and operators reach",
 		run: func(ctx context.Context, args []string, io streams) int {
+			if isHosted(args) {
+				return runHostedEntry(ctx, args, io)
+			}
 			fs := newFlagSet("entry", io)
 			config := registerEntryFlags(fs)
 			sidecars := client.RegisterFlags(fs)
--- /dev/null
+++ b/cmd/carobkeel/hosted.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/internal/settings"
+	"github.com/carobkeel/carobkeel/platform"
+)
+
+const (
+	// nodeFileVariable names the settings file of the platform that a process
+	// is hosted on. It is also the variable of the flag -node-file.
+	nodeFileVariable = settings.EnvironmentPrefix + "_NODE_FILE"
+	// shard is the part of the tables that all hosts belong to at today's size.
+	shard = "shard-0"
+	// workerLease is how long a worker's lease runs from a ping of its sidecar:
+	// longer than a takeover with its detection, shorter than lost work may wait.
+	workerLease = 3500 * time.Millisecond
+	// memoryShare is the part of a host's memory that the runtime keeps to.
+	memoryShare = 0.7
+)
+
+// hostedConfig is the settings of a process on the users' platform.
+type hostedConfig struct {
+	nodeFile string
+}
+
+func registerHostedFlags(fs *flag.FlagSet) *hostedConfig {
+	c := &hostedConfig{}
+	fs.StringVar(&c.nodeFile, "node-file", "", "settings file of the platform that hosts this process")
+	return c
+}
+
+// Check implements settings.Checker.
+func (c *hostedConfig) Check() []settings.Problem {
+	if c.nodeFile == "" {
+		return []settings.Problem{{Name: "node-file", Reason: "must not be empty"}}
+	}
+	return nil
+}
+
+// isHosted reports whether a command is to run on the users' platform.
+func isHosted(args []string) bool {
+	for _, arg := range args {
+		if arg == "-node-file" || arg == "--node-file" {
+			return true
+		}
+	}
+	return os.Getenv(nodeFileVariable) != ""
+}
+
+// hosted is what the processes on the platform have alike.
+type hosted struct {
+	settings    platform.Settings
+	incarnation carobkeel.Incarnation
+	store       *platform.Store
+	logs        *logging.Factory
+	log         *log.Logger
+}
+
+// startHosted reads the settings. Where it returns false the command ends with
+// the exit code.
+func startHosted(name string, args []string, io streams) (*hosted, int, bool) {
+	fs := newFlagSet(name, io)
+	config := registerHostedFlags(fs)
+	logConfig := logging.RegisterFlags(fs)
+	if code, ok := parse(fs, args, io, config, logConfig); !ok {
+		return nil, code, false
+	}
+	s, err := platform.ReadSettings(config.nodeFile)
+	if err != nil {
+		return nil, fail(io, err), false
+	}
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	logConfig.JSON = true
+	logs := logging.NewBoundedFactory(*logConfig, io.out)
+	h := &hosted{
+		settings:    s,
+		incarnation: newIncarnation(),
+		store:       platform.NewStore(s.Store),
+		logs:        logs,
+		log:         logs.For(name),
+	}
+	version, err := buildVersion()
+	if err != nil {
+		return nil, fail(io, err), false
+	}
+	h.log.Info().Str("host", s.Host).Str("data_centre", string(s.DataCentre)).
+		Stringer("incarnation", h.incarnation).Str("version", version).Msg("started")
+	return h, exitOK, true
+}
+
+// seedAddresses returns the addresses of the links of the seeds.
+func (h *hosted) seedAddresses() []string {
+	var addresses []string
+	for _, host := range h.settings.SeedHosts {
+		addresses = append(addresses, h.settings.LinkAddress(host))
+	}
+	return addresses
+}
+
+// serve serves HTTP on an address until ctx ends.
+func (h *hosted) serve(ctx context.Context, address string, handler http.Handler) (*http.Server, error) {
+	listener, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	server := newHTTPServer(handler)
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go serveHTTP(server, listener, h.log)
+	return server, nil
+}
+
+// listenLinks opens the listener for links of other processes.
+func (h *hosted) listenLinks() (net.Listener, error) {
+	return listen(h.settings.LinkAddress(h.settings.IP))
+}
+
--- /dev/null
+++ b/cmd/carobkeel/hosted_sidecar.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+
+	"github.com/carobkeel/carobkeel/platform"
+	"github.com/carobkeel/carobkeel/scheduler/directory"
+	"github.com/carobkeel/carobkeel/sidecar/agent"
+)
+
+// runHostedSidecar runs the process beside a worker on the users' platform until
+// ctx ends.
+func runHostedSidecar(ctx context.Context, args []string, io streams) int {
+	h, code, ok := startHosted("sidecar", args, io)
+	if !ok {
+		return code
+	}
+	s := &h.settings
+	a := agent.New(agent.Config{
+		Host: s.Host, Incarnation: h.incarnation, Seeds: h.seedAddresses(), WorkerLease: min(workerLease, s.Bounds.MaxLease),
+	}, platform.NewWorker(s.WorkerAddress), func(ctx context.Context) ([]string, error) {
+		return directory.Addresses(ctx, h.store)
+	}, h.log)
+	if _, err := h.serve(ctx, s.RegistryAddress, platform.NewRegistry(s.Service, a, h.log)); err != nil {
+		return fail(io, err)
+	}
+	a.Run(ctx)
+	h.log.Info().Msg("stopped")
+	return exitOK
+}
--- a/cmd/carobkeel/sidecar.go
+++ b/cmd/carobkeel/sidecar.go
@@ -170,6 +170,9 @@
 		name:    "sidecar",
 		summary: "run the process beside an upstream",
 		run: func(ctx context.Context, args []string, io streams) int {
+			if isHosted(args) {
+				return runHostedSidecar(ctx, args, io)
+			}
 			fs := newFlagSet("sidecar", io)
 			config := registerSidecarFlags(fs)
 			requests := server.RegisterFlags(fs)
--- a/cmd/carobkeel/version.go
+++ b/cmd/carobkeel/version.go
@@ -18,16 +18,24 @@
 			if code, ok := parse(newFlagSet("version", io), args, io); !ok {
 				return code
 			}
-			info, ok := debug.ReadBuildInfo()
-			if !ok {
-				return fail(io, errors.New("the binary carries no build information"))
-			}
-			version := info.Main.Version
-			if version == "" {
-				version = "devel"
+			version, err := buildVersion()
+			if err != nil {
+				return fail(io, err)
 			}
 			fmt.Fprintf(io.out, "carobkeel %s %s\n", version, runtime.Version())
 			return exitOK
 		},
 	}
 }
+
+// buildVersion returns the module's version, "devel" for one that has none.
+func buildVersion() (string, error) {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "", errors.New("the binary carries no build information")
+	}
+	if info.Main.Version == "" {
+		return "devel", nil
+	}
+	return info.Main.Version, nil
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -54,6 +54,17 @@
 	return f
 }
 
+// bufferedLines is how many lines may wait for a slow reader of the output.
+const bufferedLines = 4096
+
+// NewBoundedFactory returns a factory whose loggers never wait: lines that a slow
+// reader leaves no room for are dropped.
+func NewBoundedFactory(c Config, out io.Writer) *Factory {
+	f := NewFactory(c, out)
+	f.writer = &log.AsyncWriter{ChannelSize: bufferedLines, DiscardOnFull: true, Writer: f.writer}
+	return f
+}
+
 // Default returns a factory that writes text at level info to standard error.
 func Default() *Factory { return NewFactory(Config{Level: "info"}, os.Stderr) }
 
--- /dev/null
+++ b/scheduler/dispatch/health.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+const (
+	// suspectFailures is how many runs of different jobs have to fail in a row
+	// on one worker before it is set aside. Half a percent of sound runs fail,
+	// and jobs that can't be done fail on every worker.
+	suspectFailures = 3
+	// quarantineTime is how long a suspect worker gets no tasks but one trial.
+	quarantineTime = 4 * time.Second
+	// refusalPause is how long a worker that refused a start gets no other.
+	refusalPause = 300 * time.Millisecond
+)
+
+// health is what a worker's ends say of it.
+type health struct {
+	// failedJobs are the jobs whose runs failed since the last run that was done.
+	failedJobs map[string]bool
+	// excludedUntil is when the worker gets tasks again.
+	excludedUntil time.Duration
+}
+
+// learn takes in how a run ended, as evidence on its worker and its image.
+func (c *Core) learn(r *liveRun, outcome runs.Outcome) {
+	h := &r.worker.health
+	switch outcome {
+	case runs.OutcomeDone:
+		h.failedJobs = nil
+		h.excludedUntil = 0
+		c.learnDuration(r)
+	case runs.OutcomeFailed:
+		if h.failedJobs == nil {
+			h.failedJobs = make(map[string]bool)
+		}
+		h.failedJobs[string(r.name.Job)] = true
+		if len(h.failedJobs) >= suspectFailures {
+			h.excludedUntil = c.now.Steady + quarantineTime
+			c.note(Decision{Kind: "worker set aside", Host: r.worker.host, Detail: "runs of several jobs failed"})
+		}
+	}
+}
+
+func (c *Core) noteRefusal(w *workerState, result runs.Result) {
+	switch result {
+	case runs.ResultUnhealthy, runs.ResultNoRoom, runs.ResultDraining:
+		w.health.excludedUntil = max(w.health.excludedUntil, c.now.Steady+refusalPause)
+	}
+}
+
+// imageStats is what is known of the tasks of one queue, step and image.
+type imageStats struct {
+	// ratio is the mean of measured to declared duration.
+	ratio float64
+	count int
+}
+
+// learnDuration compares a run's duration with the declared one.
+func (c *Core) learnDuration(r *liveRun) {
+	if r.task == nil || r.task.step.spec.Estimate <= 0 {
+		return
+	}
+	key := string(r.task.job().spec.Queue.Name) + "/" + r.task.step.spec.Image
+	s := c.images[key]
+	if s == nil {
+		s = &imageStats{}
+		c.images[key] = s
+	}
+	s.count++
+	ratio := float64(c.now.Steady-r.started) / float64(r.task.step.spec.Estimate)
+	s.ratio += (ratio - s.ratio) / float64(min(s.count, ratioWindow))
+}
+
+// ratioWindow is over how many runs durations are averaged.
+const ratioWindow = 50
--- /dev/null
+++ b/scheduler/dispatch/place.go
@@ -0,0 +1,245 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+)
+
+// pass is one round of placing. It holds what a round has set aside for tasks
+// that come first.
+type pass struct {
+	workers []*workerState
+	// held is what waits on a worker for a task that comes first.
+	held map[*workerState]carobkeel.Resources
+}
+
+// schedule starts what can start, in the order of urgency.
+func (c *Core) schedule() {
+	c.leaveDrainingWorkers()
+	steps := c.waitingSteps()
+	if len(steps) == 0 {
+		return
+	}
+	p := &pass{workers: c.usableWorkers(), held: make(map[*workerState]carobkeel.Resources)}
+	for _, s := range steps {
+		if s.spec.Gang {
+			c.placeGang(p, s)
+			continue
+		}
+		c.placeStep(p, s)
+	}
+}
+
+// usableWorkers returns the workers that take tasks, ordered by host.
+func (c *Core) usableWorkers() []*workerState {
+	var usable []*workerState
+	for _, w := range c.workers {
+		if w.reachable && w.listed && w.recorded && !w.description.Draining && c.now.Steady < w.lapse {
+			usable = append(usable, w)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *workerState) int { return cmp.Compare(a.host, b.host) })
+	return usable
+}
+
+// waitingSteps returns the steps that have tasks to start, the most urgent one
+// first. Jobs that have ended leave the list of active ones.
+func (c *Core) waitingSteps() []*stepState {
+	var steps []*stepState
+	c.active = slices.DeleteFunc(c.active, func(j *job) bool {
+		if c.isFinal(j) {
+			return true
+		}
+		steps = c.appendWaiting(steps, j)
+		return false
+	})
+	slices.SortStableFunc(steps, c.compareUrgency)
+	return steps
+}
+
+func (c *Core) appendWaiting(steps []*stepState, j *job) []*stepState {
+	if j.inherited && len(c.unreported) > 0 {
+		return steps
+	}
+	for _, o := range j.runs {
+		for _, s := range o.steps {
+			if s.done < len(s.tasks) && s.hasWaiting() && c.isReady(s) {
+				steps = append(steps, s)
+			}
+		}
+	}
+	return steps
+}
+
+func (s *stepState) hasWaiting() bool {
+	for i := range s.tasks {
+		if s.tasks[i].waits() {
+			return true
+		}
+	}
+	return false
+}
+
+// compareUrgency orders steps: by the queue's priority, perpetual ones first,
+// and by the time of acceptance.
+func (c *Core) compareUrgency(a, b *stepState) int {
+	ja, jb := a.occurrence.job, b.occurrence.job
+	return cmp.Or(
+		cmp.Compare(c.queueOf(ja).Priority, c.queueOf(jb).Priority),
+		compareFalseFirst(!a.spec.Perpetual, !b.spec.Perpetual),
+		cmp.Compare(a.since(), b.since()),
+	)
+}
+
+func compareFalseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// since is when the step's job was accepted, or its occurrence became due.
+func (s *stepState) since() time.Duration {
+	if !s.occurrence.due.IsZero() {
+		return s.occurrence.steps[0].readyAt
+	}
+	return s.occurrence.job.accepted
+}
+
+// placeStep starts the waiting tasks of a step where there is room.
+func (c *Core) placeStep(p *pass, s *stepState) {
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if !t.waits() {
+			continue
+		}
+		if w := c.best(p, t); w != nil {
+			c.start(t, w, "")
+			continue
+		}
+		if !c.makeRoom(p, t) {
+			return // the other tasks of the step are alike
+		}
+	}
+}
+
+// best returns the worker that suits a task best, nil where none has room.
+func (c *Core) best(p *pass, t *task) *workerState {
+	var best *workerState
+	var bestScore float64
+	for _, w := range p.workers {
+		if !c.isAllowed(t, w) || !t.step.spec.Reserved().FitsIn(w.free().Sub(p.held[w])) {
+			continue
+		}
+		if score := c.score(t, w); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// isAllowed reports whether a task may run on a worker, whatever its room.
+func (c *Core) isAllowed(t *task, w *workerState) bool {
+	s := t.step
+	if w.description.Service != c.queueOf(t.job()).Service || c.now.Steady < w.health.excludedUntil {
+		return false
+	}
+	if s.spec.RequiredLabel != "" && !w.description.HasLabel(s.spec.RequiredLabel) {
+		return false
+	}
+	return s.spec.MaxPerWorker <= 0 || w.countOf(s) < s.spec.MaxPerWorker
+}
+
+// countOf returns how many runs of a step hold room on the worker.
+func (w *workerState) countOf(s *stepState) int {
+	n := 0
+	for _, r := range w.copies {
+		if r.task != nil && r.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Weights of a worker's score, in shares of a whole worker's processors.
+const (
+	// sameStepPenalty spreads the tasks of a perpetual step over workers, so that
+	// the loss of one takes few of them.
+	sameStepPenalty = 0.5
+	// remotePenalty keeps tasks near their data: away from it they take longer.
+	remotePenalty = 1.0
+	// avoidPenalty sends a task to another worker than the one it failed on.
+	avoidPenalty = 2.0
+	// servingPenalty keeps filling tasks away from serving ones.
+	servingPenalty = 1.5
+)
+
+// score says how well a worker suits a task; higher is better.
+func (c *Core) score(t *task, w *workerState) float64 {
+	s := t.step.spec
+	capacity := float64(max(1, w.description.Capacity.MilliCPU))
+	load := w.load()
+	score := (capacity - float64(load.reserved)) / capacity
+	if s.Fills {
+		score = (capacity - float64(load.reserved+load.filling)) / capacity
+		score -= servingPenalty * float64(min(load.serving, 1))
+	}
+	if s.LatencyTarget > 0 {
+		score -= float64(load.filling) / capacity
+	}
+	if s.Perpetual {
+		score -= sameStepPenalty * float64(w.countOf(t.step))
+	}
+	if s.DataRack != "" && !w.description.HasLabel(s.DataRack) {
+		score -= remotePenalty
+	}
+	if t.avoid == w.host {
+		score -= avoidPenalty
+	}
+	return score
+}
+
+// load is what runs on a worker.
+type load struct {
+	// reserved and filling are thousandths of a core.
+	reserved, filling int64
+	// serving counts tasks with a latency target.
+	serving int
+}
+
+func (w *workerState) load() load {
+	l := load{reserved: w.used.MilliCPU}
+	for _, r := range w.copies {
+		if r.task == nil {
+			continue
+		}
+		if r.task.step.spec.Fills {
+			l.filling += r.task.step.spec.Demand.MilliCPU
+		}
+		if r.task.step.spec.LatencyTarget > 0 {
+			l.serving++
+		}
+	}
+	return l
+}
+
+// leaveDrainingWorkers stops perpetual tasks on workers that end soon, so that
+// they start elsewhere before.
+func (c *Core) leaveDrainingWorkers() {
+	for _, w := range c.workers {
+		if !w.description.Draining || !w.listed {
+			continue
+		}
+		for _, r := range w.copies {
+			if r.task != nil && r.task.step.spec.Perpetual {
+				c.stop(r, "worker drains")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/dispatch/worker.go
@@ -0,0 +1,273 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// runPhase is how far a run is known to be.
+type runPhase uint8
+
+const (
+	// runOrdered runs have an order that was not answered yet.
+	runOrdered runPhase = iota
+	// runConfirmed runs have begun.
+	runConfirmed
+)
+
+// liveRun is a run that may be alive on a worker, and holds its resources.
+type liveRun struct {
+	// task is nil for a run that belongs to no task that is known.
+	task   *task
+	name   carobkeel.TaskName
+	run    int
+	worker *workerState
+	// reserved is what the run holds of the worker.
+	reserved carobkeel.Resources
+	phase    runPhase
+	started  time.Duration
+	// confirmedAt is the listing in progress when the order was answered: only
+	// a later listing can say that the run is not there.
+	confirmedAt uint64
+	stopping    bool
+	// stopAnswered says that the worker will not begin the run any more, and
+	// stopAnsweredAt is the listing in progress at that time.
+	stopAnswered   bool
+	stopAnsweredAt uint64
+	percent        int
+	figure         int
+	pace           int
+	ticket         string
+}
+
+type runKey struct {
+	task carobkeel.TaskName
+	run  int
+}
+
+// workerState is the worker of one host.
+type workerState struct {
+	host        string
+	description runs.Description
+	// reachable says that the sidecar is linked and reaches its worker.
+	reachable bool
+	linked    bool
+	// listed says that the worker has listed its runs under this epoch.
+	listed bool
+	// lapse is when the worker's lease surely has lapsed.
+	lapse  time.Duration
+	copies map[runKey]*liveRun
+	used   carobkeel.Resources
+	// endsTaken is the last end taken in, endsStored the last one whose effect
+	// is durable.
+	endsTaken, endsStored uint64
+	// recorded says that a later holder will know of this life. No task starts
+	// on it before.
+	recorded bool
+	health   health
+	control  control
+}
+
+func (w *workerState) free() carobkeel.Resources { return w.description.Capacity.Sub(w.used) }
+
+func (c *Core) worker(host string) *workerState {
+	w := c.workers[host]
+	if w == nil {
+		w = &workerState{host: host, copies: make(map[runKey]*liveRun)}
+		c.workers[host] = w
+	}
+	return w
+}
+
+// HostLinked says that the sidecar of a host has a new link.
+func (c *Core) HostLinked(host string) {
+	w := c.worker(host)
+	w.linked = true
+	w.listed = false
+	w.reachable = false
+}
+
+// HostPinged says that the sidecar of a host was heard, and may extend the
+// worker's lease.
+func (c *Core) HostPinged(host string) {
+	w := c.worker(host)
+	w.lapse = max(w.lapse, c.now.Steady+leaseBound(c.config.WorkerLease))
+}
+
+// HostLost says that the link of a host has ended.
+func (c *Core) HostLost(host string) {
+	w := c.worker(host)
+	w.linked, w.reachable, w.listed = false, false, false
+	c.note(Decision{Kind: "link to host lost", Host: host, Waited: w.lapse - c.now.Steady})
+}
+
+// WorkerSilent says that the sidecar of a host does not reach its worker, whose
+// lease lapses after remaining.
+func (c *Core) WorkerSilent(host string, remaining time.Duration) {
+	w := c.worker(host)
+	if !w.reachable {
+		return
+	}
+	w.reachable, w.listed = false, false
+	w.lapse = c.now.Steady + leaseBound(remaining)
+	c.note(Decision{Kind: "worker does not answer", Host: host, Waited: remaining})
+}
+
+// DescribeWorker takes in what a worker says of itself. Another life than the
+// one before runs nothing of it.
+func (c *Core) DescribeWorker(host string, d runs.Description) {
+	w := c.worker(host)
+	if w.description.Life != d.Life {
+		c.replaceLife(w, d)
+		return
+	}
+	if d.Sequence < w.description.Sequence {
+		return
+	}
+	if d.Draining && !w.description.Draining {
+		c.note(Decision{Kind: "worker drains", Host: host, Waited: d.Remaining})
+	}
+	w.description = d
+}
+
+func (c *Core) replaceLife(w *workerState, d runs.Description) {
+	if w.description.ID != "" {
+		c.note(Decision{Kind: "worker began anew", Host: w.host, Detail: d.ID})
+		c.loseRuns(w, "worker began anew")
+		c.oldLives = append(c.oldLives, w.description.Life)
+	}
+	c.forgetUnreported(w.host, d.Life)
+	w.description = d
+	w.listed = false
+	w.recorded = c.knownLives[d.Life]
+	w.endsTaken, w.endsStored = 0, 0
+	w.health = health{}
+	w.control = control{}
+}
+
+// forgetUnreported drops lives of a host that another life has followed.
+func (c *Core) forgetUnreported(host string, life runs.Life) {
+	for old, at := range c.unreported {
+		if at == host && old != life {
+			delete(c.unreported, old)
+			c.oldLives = append(c.oldLives, old)
+		}
+	}
+}
+
+// WorkerLeft says that a worker has ended in an orderly way.
+func (c *Core) WorkerLeft(host string, life runs.Life) {
+	w := c.workers[host]
+	if w == nil || w.description.Life != life {
+		return
+	}
+	c.note(Decision{Kind: "worker left", Host: host, Detail: life.ID})
+	w.description.Draining = true
+	w.reachable, w.listed = false, false
+	w.lapse = min(w.lapse, c.now.Steady+leaveSlack)
+}
+
+// leaveSlack is how long a worker may take to end after it has said so.
+const leaveSlack = 500 * time.Millisecond
+
+// expireLeases gives up the runs of workers whose lease has lapsed.
+func (c *Core) expireLeases() {
+	for _, w := range c.workers {
+		if w.reachable || len(w.copies) == 0 || c.now.Steady < w.lapse {
+			continue
+		}
+		c.note(Decision{Kind: "worker's lease lapsed", Host: w.host})
+		c.loseRuns(w, "lease lapsed")
+	}
+}
+
+// loseRuns says that nothing of what ran on a worker runs any more.
+func (c *Core) loseRuns(w *workerState, reason string) {
+	for _, r := range w.copies {
+		c.release(r, reason)
+	}
+}
+
+// release frees what a run held. Its task waits again, unless it is done.
+func (c *Core) release(r *liveRun, reason string) {
+	w := r.worker
+	delete(w.copies, runKey{r.name, r.run})
+	w.used = w.used.Sub(r.reserved)
+	if r.task == nil {
+		return
+	}
+	t := r.task
+	for i, other := range t.copies {
+		if other == r {
+			t.copies = append(t.copies[:i], t.copies[i+1:]...)
+			break
+		}
+	}
+	if t.waits() {
+		t.waitingSince = c.now.Steady
+	}
+	c.note(Decision{Kind: "run over", Task: r.name, Run: r.run, Host: w.host, Detail: reason, Waited: c.now.Steady - r.started})
+}
+
+// reserve counts a run on a worker.
+func (c *Core) reserve(w *workerState, t *task, name carobkeel.TaskName, run int) *liveRun {
+	r := &liveRun{task: t, name: name, run: run, worker: w, started: c.now.Steady, pace: fullPace}
+	if t != nil {
+		r.reserved = t.step.spec.Reserved()
+		t.copies = append(t.copies, r)
+	}
+	w.copies[runKey{name, run}] = r
+	w.used = w.used.Add(r.reserved)
+	return r
+}
+
+// stop orders the end of a run.
+func (c *Core) stop(r *liveRun, reason string) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	c.note(Decision{Kind: "run stopped", Task: r.name, Run: r.run, Host: r.worker.host, Detail: reason})
+	c.orderStop(r)
+}
+
+func (c *Core) orderStop(r *liveRun) {
+	if !r.worker.listed {
+		return
+	}
+	c.orders = append(c.orders, Order{
+		Host: r.worker.host, Life: r.worker.description.Life, Kind: OrderStop, Task: r.name, Run: r.run,
+	})
+}
+
+// start begins a run of a task on a worker.
+func (c *Core) start(t *task, w *workerState, ticket string) {
+	r := c.reserve(w, t, t.name(), c.nextRun(t))
+	r.ticket = ticket
+	t.job().begun = true
+	c.orderStart(r)
+	c.note(Decision{
+		Kind: "run started", Task: r.name, Run: r.run, Host: w.host,
+		Waited: c.now.Steady - max(t.waitingSince, t.step.readyAt),
+	})
+	if t.job().shown == carobkeel.JobPending {
+		c.show(t.job(), carobkeel.JobActive)
+	}
+}
+
+func (c *Core) orderStart(r *liveRun) {
+	c.orders = append(c.orders, Order{
+		Host: r.worker.host, Life: r.worker.description.Life, Kind: OrderStart, Task: r.name, Run: r.run,
+		Payload: r.task.job().spec.Payload, Saved: r.task.saved, Ticket: r.ticket,
+	})
+}
+
+// recordLife makes sure that a later holder knows of the worker.
+func (c *Core) recordLife(w *workerState) {
+	if w.recorded {
+		return
+	}
+	c.newLives = append(c.newLives, WorkerRecord{Life: w.description.Life, Host: w.host})
+}
--- /dev/null
+++ b/scheduler/holder/peer.go
@@ -0,0 +1,294 @@
+package holder
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+const (
+	// pingInterval is the time between two pings to the holder.
+	pingInterval = 250 * time.Millisecond
+	// linkSilence is how long a peer may be silent: three pings.
+	linkSilence = 900 * time.Millisecond
+)
+
+func linkConfig() link.Config {
+	return link.Config{HeartbeatInterval: pingInterval, SilenceTimeout: linkSilence, Quiet: true}
+}
+
+// peer is a process that has dialled this node.
+type peer struct {
+	node *Node
+	link *link.Link
+	// role and host are set by the hello, which is the first frame.
+	role int
+	host string
+	// pinged is the sequence number of the peer's last ping.
+	pinged atomic.Uint64
+	// holderAge is how long ago the peer heard the holder, in milliseconds, at
+	// the time of its last ping, which came at heardAt.
+	holderAge, heardAt atomic.Int64
+}
+
+// Serve takes links from other processes until ctx ends.
+func (n *Node) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "links")
+		}
+		p := &peer{node: n, link: link.New(conn, linkConfig())}
+		go p.run(ctx)
+	}
+}
+
+func (p *peer) run(ctx context.Context) {
+	err := p.link.Run(ctx, p.handle)
+	n := p.node
+	if p.role != wire.RoleSidecar || !n.sidecars.CompareAndDelete(p.host, p) {
+		return
+	}
+	n.log.Info().Str("host", p.host).Err(err).Msg("sidecar's link ended")
+	n.events.Push(func(l *loop) {
+		if l.core != nil {
+			l.core.HostLost(p.host)
+		}
+	})
+}
+
+func (p *peer) send(kind frame.Type, message msgp.Marshaler) {
+	f, err := wire.Encode(kind, message)
+	if err != nil {
+		p.node.log.Error().Err(err).Msg("message not encoded")
+		return
+	}
+	p.link.Send(f)
+}
+
+func (p *peer) handle(f frame.Frame) error {
+	if p.role == 0 && f.Type != wire.TypeHello {
+		return errors.Errorf("frame of type %d before the hello", f.Type)
+	}
+	switch f.Type {
+	case wire.TypeHello:
+		return p.takeHello(f)
+	case wire.TypePing:
+		return p.takePing(f)
+	case wire.TypeQuery:
+		return p.takeQuery(f)
+	case wire.TypeJob:
+		return p.takeJob(f)
+	case wire.TypeDescription, wire.TypeListing, wire.TypeAnswer, wire.TypeSilent, wire.TypeLeft:
+		return p.takeReport(f)
+	}
+	return nil
+}
+
+func (p *peer) takeHello(f frame.Frame) error {
+	var hello wire.Hello
+	if err := wire.Decode(f, &hello); err != nil {
+		return err
+	}
+	p.role, p.host = hello.Role, hello.Host
+	if p.role != wire.RoleSidecar {
+		return nil
+	}
+	if old, had := p.node.sidecars.Swap(p.host, p); had {
+		old.(*peer).link.Close()
+	}
+	p.push(func(l *loop) {
+		l.core.HostLinked(p.host)
+		l.core.HostPinged(p.host)
+	})
+	return nil
+}
+
+// push hands an event to the core, if the node leads and the link is the host's
+// newest.
+func (p *peer) push(handle event) {
+	p.node.events.Push(func(l *loop) {
+		if current, ok := p.node.sidecars.Load(p.host); l.core != nil && ok && current == p {
+			handle(l)
+		}
+	})
+}
+
+func (p *peer) takePing(f frame.Frame) error {
+	var ping wire.Ping
+	if err := wire.Decode(f, &ping); err != nil {
+		return err
+	}
+	p.holderAge.Store(ping.HolderAge)
+	p.heardAt.Store(int64(clock.Boottime()))
+	p.pinged.Store(ping.Sequence)
+	n := p.node
+	if s := n.standing.Load(); s != nil && s.Leading && ping.Epoch > s.Row.Epoch {
+		n.events.Push(func(l *loop) {
+			if s := l.node.standing.Load(); l.core != nil && s.Row.Epoch < ping.Epoch {
+				l.stepDown("a sidecar knows a later epoch")
+			}
+		})
+	}
+	if p.role == wire.RoleSidecar && n.Leading() {
+		p.push(func(l *loop) { l.core.HostPinged(p.host) })
+	}
+	p.pong()
+	return nil
+}
+
+// pong tells the peer who holds the shard.
+func (p *peer) pong() {
+	n := p.node
+	pong := &wire.Pong{
+		Sequence:      p.pinged.Load(),
+		StoreAge:      n.StoreAge().Milliseconds(),
+		ConfigVersion: uint64(n.queues.Load().Version),
+	}
+	if s := n.standing.Load(); s != nil {
+		pong.Leads, pong.Epoch = s.Leading, s.Row.Epoch
+	}
+	p.send(wire.TypePong, pong)
+}
+
+// tellPeers tells all sidecars at once who holds the shard.
+func (n *Node) tellPeers() {
+	n.sidecars.Range(func(_, value any) bool {
+		value.(*peer).pong()
+		return true
+	})
+}
+
+// hearsHolder reports whether the peer heard the holder a short time ago.
+func (p *peer) hearsHolder(now time.Duration) bool {
+	age := p.holderAge.Load()
+	if age < 0 {
+		return false
+	}
+	return now-time.Duration(p.heardAt.Load())+time.Duration(age)*time.Millisecond < silenceLimit
+}
+
+// takeReport hands what a sidecar says of its worker to the core.
+func (p *peer) takeReport(f frame.Frame) error {
+	handle, err := p.decodeReport(f)
+	if err != nil {
+		return err
+	}
+	if handle != nil {
+		p.push(handle)
+	}
+	return nil
+}
+
+func (p *peer) decodeReport(f frame.Frame) (event, error) {
+	switch f.Type {
+	case wire.TypeDescription:
+		var d wire.Description
+		if err := wire.Decode(f, &d); err != nil {
+			return nil, err
+		}
+		return func(l *loop) { l.core.DescribeWorker(p.host, d.Decoded()) }, nil
+	case wire.TypeListing:
+		return p.decodeListing(f)
+	case wire.TypeAnswer:
+		var a wire.Answer
+		if err := wire.Decode(f, &a); err != nil {
+			return nil, err
+		}
+		answer, err := a.Decoded(p.host)
+		return func(l *loop) {
+			if l.node.standing.Load().Row.Epoch == a.Epoch {
+				l.core.TakeAnswer(answer)
+			}
+		}, err
+	case wire.TypeSilent:
+		var s wire.Silent
+		if err := wire.Decode(f, &s); err != nil {
+			return nil, err
+		}
+		return func(l *loop) {
+			l.core.WorkerSilent(p.host, time.Duration(s.Remaining)*time.Millisecond)
+		}, nil
+	}
+	var left wire.Left
+	if err := wire.Decode(f, &left); err != nil {
+		return nil, err
+	}
+	return func(l *loop) { l.core.WorkerLeft(p.host, runs.Life(left.Life)) }, nil
+}
+
+func (p *peer) decodeListing(f frame.Frame) (event, error) {
+	var listing wire.Listing
+	if err := wire.Decode(f, &listing); err != nil {
+		return nil, err
+	}
+	decoded, err := listing.Decoded(p.host)
+	return func(l *loop) {
+		if l.node.standing.Load().Row.Epoch == listing.Epoch {
+			l.core.TakeListing(decoded)
+		}
+	}, err
+}
+
+// takeQuery answers a question of another entry.
+func (p *peer) takeQuery(f frame.Frame) error {
+	var query wire.Query
+	if err := wire.Decode(f, &query); err != nil {
+		return err
+	}
+	reply := &wire.Reply{Number: query.Number, Leads: p.node.Leading()}
+	if reply.Leads {
+		p.node.answer(&query, reply)
+	}
+	p.send(wire.TypeReply, reply)
+	return nil
+}
+
+func (n *Node) answer(query *wire.Query, reply *wire.Reply) {
+	switch query.Kind {
+	case wire.QueryWaiting:
+		reply.Known = true
+		reply.Waiting = (*n.waiting.Load())[carobkeel.QueueName(query.Queue)]
+		return
+	case wire.QueryCancel:
+		n.cancelHere(carobkeel.JobID(query.Job))
+	}
+	if state, ok := n.states.Load(carobkeel.JobID(query.Job)); ok {
+		reply.Known = true
+		reply.State = uint8(state.(carobkeel.JobState))
+	}
+}
+
+func (n *Node) cancelHere(job carobkeel.JobID) {
+	n.events.Push(func(l *loop) {
+		if l.core != nil {
+			l.core.Cancel(job)
+		}
+	})
+}
+
+// takeJob takes in a job that another entry has stored.
+func (p *peer) takeJob(f frame.Frame) error {
+	var stored wire.StoredJob
+	if err := wire.Decode(f, &stored); err != nil {
+		return err
+	}
+	p.node.jobStored(&stored)
+	return nil
+}
--- /dev/null
+++ b/scheduler/wire/convert.go
@@ -0,0 +1,218 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+func toMillis(d time.Duration) int64   { return d.Milliseconds() }
+func fromMillis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// FromDescription encodes what a worker says of itself.
+func FromDescription(d runs.Description) *Description {
+	return &Description{
+		Life:       Life(d.Life),
+		Service:    string(d.Service),
+		DataCentre: string(d.DataCentre),
+		MilliCPU:   d.Capacity.MilliCPU,
+		Memory:     d.Capacity.MemoryBytes,
+		GPUs:       d.Capacity.Accelerators,
+		Labels:     d.Labels,
+		Rack:       d.Rack,
+		Draining:   d.Draining,
+		Remaining:  toMillis(d.Remaining),
+		Sequence:   d.Sequence,
+	}
+}
+
+// Decoded returns what the message says.
+func (d *Description) Decoded() runs.Description {
+	return runs.Description{
+		Life:       runs.Life(d.Life),
+		Service:    carobkeel.Service(d.Service),
+		DataCentre: carobkeel.DataCentre(d.DataCentre),
+		Capacity:   carobkeel.Resources{MilliCPU: d.MilliCPU, MemoryBytes: d.Memory, Accelerators: d.GPUs},
+		Labels:     d.Labels,
+		Rack:       d.Rack,
+		Draining:   d.Draining,
+		Remaining:  fromMillis(d.Remaining),
+		Sequence:   d.Sequence,
+	}
+}
+
+// FromListing encodes a listing.
+func FromListing(l dispatch.WorkerListing, epoch carobkeel.Epoch) *Listing {
+	wire := &Listing{Life: Life(l.Life), Number: l.Number, Epoch: uint64(epoch), Whole: l.Whole}
+	for _, r := range l.Running {
+		wire.Running = append(wire.Running, Running{
+			Task: r.Task.String(), Run: r.Run, Saved: r.Saved, Percent: r.Percent, Figure: r.Figure,
+		})
+	}
+	for _, e := range l.Ends {
+		wire.Ends = append(wire.Ends, End{
+			Number: e.Number, Task: e.Task.String(), Run: e.Run, Outcome: uint8(e.Outcome), Saved: e.Saved,
+		})
+	}
+	return wire
+}
+
+// Decoded returns what the message says of the worker of a host.
+func (l *Listing) Decoded(host string) (dispatch.WorkerListing, error) {
+	listing := dispatch.WorkerListing{Host: host, Life: runs.Life(l.Life), Number: l.Number, Whole: l.Whole}
+	for _, r := range l.Running {
+		name, err := carobkeel.ParseTaskName(r.Task)
+		if err != nil {
+			return listing, err
+		}
+		listing.Running = append(listing.Running, runs.Running{
+			Task: name, Run: r.Run, Saved: r.Saved, Percent: r.Percent, Figure: r.Figure,
+		})
+	}
+	for _, e := range l.Ends {
+		name, err := carobkeel.ParseTaskName(e.Task)
+		if err != nil {
+			return listing, err
+		}
+		listing.Ends = append(listing.Ends, runs.End{
+			Number: e.Number, Task: name, Run: e.Run, Outcome: runs.Outcome(e.Outcome), Saved: e.Saved,
+		})
+	}
+	return listing, nil
+}
+
+// FromAnswer encodes the answer to an order.
+func FromAnswer(a dispatch.Answered, epoch carobkeel.Epoch) *Answer {
+	return &Answer{
+		Life: Life(a.Life), Kind: uint8(a.Kind), Task: a.Task.String(), Run: a.Run,
+		Result: uint8(a.Result), Listing: a.Listing, Epoch: uint64(epoch),
+	}
+}
+
+// Decoded returns what the message says of the worker of a host.
+func (a *Answer) Decoded(host string) (dispatch.Answered, error) {
+	name, err := carobkeel.ParseTaskName(a.Task)
+	return dispatch.Answered{
+		Host: host, Life: runs.Life(a.Life), Kind: dispatch.OrderKind(a.Kind), Task: name, Run: a.Run,
+		Result: runs.Result(a.Result), Listing: a.Listing,
+	}, err
+}
+
+// FromOrder encodes an order.
+func FromOrder(o dispatch.Order) Order {
+	wire := Order{
+		Life: Life(o.Life), Kind: uint8(o.Kind), Run: o.Run, Payload: o.Payload, Saved: o.Saved,
+		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged,
+	}
+	if o.Kind != dispatch.OrderAcknowledge {
+		wire.Task = o.Task.String()
+	}
+	return wire
+}
+
+// Decoded returns the order.
+func (o *Order) Decoded() (dispatch.Order, error) {
+	order := dispatch.Order{
+		Life: runs.Life(o.Life), Kind: dispatch.OrderKind(o.Kind), Run: o.Run, Payload: o.Payload, Saved: o.Saved,
+		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged,
+	}
+	if order.Kind == dispatch.OrderAcknowledge {
+		return order, nil
+	}
+	var err error
+	order.Task, err = carobkeel.ParseTaskName(o.Task)
+	return order, err
+}
+
+// FromJob encodes an accepted job.
+func FromJob(j *carobkeel.JobSpec) *JobRow {
+	row := &JobRow{
+		Queue:       string(j.Queue.Name),
+		QueueHost:   j.Queue.Host,
+		QueuePrefix: j.Queue.PathPrefix,
+		Service:     string(j.Queue.Service),
+		Priority:    j.Queue.Priority,
+		MaxAttempts: j.Queue.MaxAttempts,
+		Stretch:     j.Queue.Stretch,
+		Objective:   toMillis(j.Queue.Objective),
+		Payload:     j.Payload,
+		Repeats:     j.Repeats,
+		Period:      toMillis(j.Period),
+	}
+	if j.Repeats > 0 {
+		row.First = j.First.UnixMilli()
+	}
+	for i := range j.Steps {
+		row.Steps = append(row.Steps, fromStep(&j.Steps[i]))
+	}
+	return row
+}
+
+func fromStep(s *carobkeel.Step) Step {
+	return Step{
+		Count: s.Count, MilliCPU: s.Demand.MilliCPU, Memory: s.Demand.MemoryBytes, GPUs: s.Demand.Accelerators,
+		Estimate: toMillis(s.Estimate), After: s.After, SavesProgress: s.SavesProgress, Gang: s.Gang,
+		SameRack: s.SameRack, RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, MaxPerWorker: s.MaxPerWorker,
+		AllowsDuplicates: s.AllowsDuplicates, Perpetual: s.Perpetual, Image: s.Image,
+		LatencyTarget: toMillis(s.LatencyTarget), Fills: s.Fills, MayMiss: s.MayMiss,
+	}
+}
+
+// Decoded returns the job of a row.
+func (r *JobRow) Decoded(id carobkeel.JobID) *carobkeel.JobSpec {
+	j := &carobkeel.JobSpec{
+		ID: id,
+		Queue: carobkeel.Queue{
+			Name: carobkeel.QueueName(r.Queue), Host: r.QueueHost, PathPrefix: r.QueuePrefix,
+			Service: carobkeel.Service(r.Service), Priority: r.Priority, MaxAttempts: r.MaxAttempts,
+			Stretch: r.Stretch, Objective: fromMillis(r.Objective),
+		},
+		Payload: r.Payload,
+		Repeats: r.Repeats,
+		Period:  fromMillis(r.Period),
+	}
+	if r.Repeats > 0 {
+		j.First = time.UnixMilli(r.First)
+	}
+	for i := range r.Steps {
+		j.Steps = append(j.Steps, r.Steps[i].decoded())
+	}
+	return j
+}
+
+func (s *Step) decoded() carobkeel.Step {
+	return carobkeel.Step{
+		Count:    s.Count,
+		Demand:   carobkeel.Resources{MilliCPU: s.MilliCPU, MemoryBytes: s.Memory, Accelerators: s.GPUs},
+		Estimate: fromMillis(s.Estimate), After: s.After, SavesProgress: s.SavesProgress, Gang: s.Gang,
+		SameRack: s.SameRack, RequiredLabel: s.RequiredLabel, DataRack: s.DataRack, MaxPerWorker: s.MaxPerWorker,
+		AllowsDuplicates: s.AllowsDuplicates, Perpetual: s.Perpetual, Image: s.Image,
+		LatencyTarget: fromMillis(s.LatencyTarget), Fills: s.Fills, MayMiss: s.MayMiss,
+	}
+}
+
+// FromProgress encodes how far a job is.
+func FromProgress(p *dispatch.Progress) *ProgressRow {
+	row := &ProgressRow{State: uint8(p.State)}
+	for _, t := range p.Tasks {
+		row.Tasks = append(row.Tasks, TaskProgress{
+			Occurrence: t.Task.Occurrence, Step: t.Task.Step, Index: t.Task.Index,
+			Done: t.Done, Failures: t.Failures, Saved: t.Saved,
+		})
+	}
+	return row
+}
+
+// Decoded returns how far a job is.
+func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
+	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State)}
+	for _, t := range r.Tasks {
+		p.Tasks = append(p.Tasks, dispatch.TaskProgress{
+			Task: carobkeel.TaskName{Job: id, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index},
+			Done: t.Done, Failures: t.Failures, Saved: t.Saved,
+		})
+	}
+	return p
+}
--- /dev/null
+++ b/scheduler/wire/rows.go
@@ -0,0 +1,86 @@
+package wire
+
+//go:generate go tool msgp -file rows.go -o rows_gen.go -tests=false -io=false
+
+//msgp:limit arrays:65536 maps:65536
+//msgp:tuple Step TaskProgress
+
+// HolderRow is the record of who holds a shard.
+type HolderRow struct {
+	Epoch uint64 `msg:"e"`
+	Host  string `msg:"h"`
+	// Incarnation is the start of the process that holds it.
+	Incarnation uint64 `msg:"i"`
+	// Address is where its links are.
+	Address string `msg:"a"`
+}
+
+// EntryRow is the record of a running entry.
+type EntryRow struct {
+	Host        string `msg:"h"`
+	Incarnation uint64 `msg:"i"`
+	Address     string `msg:"a"`
+}
+
+// WorkerRow is the record of a life that orders are given to.
+type WorkerRow struct {
+	Host string `msg:"h"`
+	ID   string `msg:"i"`
+	Born int64  `msg:"b"`
+}
+
+// JobRow is an accepted job.
+type JobRow struct {
+	Queue       string  `msg:"q"`
+	QueueHost   string  `msg:"qh"`
+	QueuePrefix string  `msg:"qp"`
+	Service     string  `msg:"s"`
+	Priority    int     `msg:"p"`
+	MaxAttempts int     `msg:"m"`
+	Stretch     float64 `msg:"st"`
+	// Objective and Period are in milliseconds, First in Unix milliseconds.
+	Objective int64  `msg:"ob"`
+	Payload   string `msg:"pl"`
+	Steps     []Step `msg:"steps"`
+	Repeats   int    `msg:"r"`
+	First     int64  `msg:"f"`
+	Period    int64  `msg:"pe"`
+}
+
+// Step is a carobkeel.Step. Times are in milliseconds.
+type Step struct {
+	Count            int
+	MilliCPU         int64
+	Memory           int64
+	GPUs             int64
+	Estimate         int64
+	After            []int
+	SavesProgress    bool
+	Gang             bool
+	SameRack         bool
+	RequiredLabel    string
+	DataRack         string
+	MaxPerWorker     int
+	AllowsDuplicates bool
+	Perpetual        bool
+	Image            string
+	LatencyTarget    int64
+	Fills            bool
+	MayMiss          int
+}
+
+// ProgressRow is a dispatch.Progress.
+type ProgressRow struct {
+	State uint8          `msg:"s"`
+	Tasks []TaskProgress `msg:"t"`
+}
+
+// TaskProgress is a dispatch.TaskProgress.
+type TaskProgress struct {
+	Occurrence int
+	Step       int
+	Index      int
+	Done       bool
+	Failures   int
+	Saved      string
+}
--- /dev/null
+++ b/sidecar/agent/orders.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+const (
+	// executors is how many orders are carried out at a time. Each keeps one
+	// connection to the worker.
+	executors = 3
+	// orderTimeout is how long a worker on the same host may take to answer.
+	orderTimeout = 400 * time.Millisecond
+	// orderAttempts is how often an order is sent that got no answer. A worker
+	// carries it out once, however often it comes.
+	orderAttempts = 4
+)
+
+// carryOut carries out orders as they come.
+func (a *Agent) carryOut(ctx context.Context) {
+	free := make(chan struct{}, executors)
+	var batch []orderUnder
+	var err error
+	for {
+		if batch, err = a.orders.Take(ctx, batch[:0]); err != nil {
+			return
+		}
+		for _, o := range batch {
+			if o.order.Kind == dispatch.OrderAcknowledge {
+				a.acknowledge(o.order)
+				continue
+			}
+			select {
+			case free <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			go func() {
+				defer func() { <-free }()
+				a.execute(ctx, o)
+			}()
+		}
+	}
+}
+
+func (a *Agent) acknowledge(o dispatch.Order) {
+	a.acknowledged.Store(&acknowledgement{life: o.Life, upTo: o.Acknowledged})
+	a.wake()
+}
+
+// execute carries out one order and answers it.
+func (a *Agent) execute(ctx context.Context, o orderUnder) {
+	result := runs.ResultUnknown
+	for attempt := 0; attempt < orderAttempts && ctx.Err() == nil; attempt++ {
+		if result = a.admit(o); result != runs.ResultOK {
+			break
+		}
+		if a.uplink.Load() != o.link {
+			return // the holder asks again over the new link
+		}
+		if result = a.attempt(ctx, o); result != runs.ResultUnknown {
+			break
+		}
+	}
+	a.log.Info().Stringer("task", o.order.Task).Int("run", o.order.Run).Uint8("order", uint8(o.order.Kind)).
+		Uint64("epoch", uint64(o.epoch)).Stringer("result", result).Msg("order")
+	if o.order.Kind == dispatch.OrderPace {
+		return
+	}
+	o.link.send(wire.TypeAnswer, wire.FromAnswer(dispatch.Answered{
+		Life: o.order.Life, Kind: o.order.Kind, Task: o.order.Task, Run: o.order.Run,
+		Result: result, Listing: a.listing.Load(),
+	}, o.epoch))
+}
+
+// admit decides whether an order is sent to the worker at all.
+func (a *Agent) admit(o orderUnder) runs.Result {
+	result := gate.AdmitStart(*a.holder.Load(), o.epoch, a.described.Load(), o.order.Life)
+	if result == runs.ResultDraining && o.order.Kind != dispatch.OrderStart {
+		return runs.ResultOK
+	}
+	return result
+}
+
+// attempt sends an order once.
+func (a *Agent) attempt(ctx context.Context, o orderUnder) runs.Result {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	envelope := a.envelope(o.order.Life, o.epoch)
+	sent := clock.Boottime()
+	var answer runs.Answer
+	var err error
+	switch o.order.Kind {
+	case dispatch.OrderStart:
+		answer, err = a.worker.Start(ctx, envelope, runs.Start{
+			Task: o.order.Task, Run: o.order.Run, Payload: o.order.Payload, Saved: o.order.Saved, Ticket: o.order.Ticket,
+		})
+	case dispatch.OrderStop:
+		answer, err = a.worker.Stop(ctx, envelope, runs.Stop{Task: o.order.Task, Run: o.order.Run})
+	case dispatch.OrderPace:
+		answer, err = a.worker.Pace(ctx, envelope, runs.Pace{Task: o.order.Task, Run: o.order.Run, Percent: o.order.Percent})
+	}
+	if err != nil {
+		a.log.Warn().Stringer("task", o.order.Task).Int("run", o.order.Run).Err(err).Msg("order without an answer")
+		return runs.ResultUnknown
+	}
+	a.observeClock(o.order.Life, answer, sent)
+	return answer.Result
+}
--- /dev/null
+++ b/table/rows.go
@@ -0,0 +1,123 @@
+package table
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrHistoryLost says that changes after the asked version are no longer kept,
+// so that the table has to be read anew.
+var ErrHistoryLost = errors.New("history of the table is lost")
+
+// RowID names a row of a service that has several tables, each in parts. A
+// transaction stays in one part.
+type RowID struct {
+	Table, Part, Key string
+}
+
+// VersionedRow is a row of a service with one version counter for all rows.
+type VersionedRow struct {
+	RowID
+	Value   []byte
+	Version Version
+	// Deleted is set on a change that removed the row.
+	Deleted bool
+}
+
+// RowCondition holds when the row has the version. Zero stands for no row.
+type RowCondition struct {
+	RowID
+	Version Version
+}
+
+// RowWrite sets or deletes a row.
+type RowWrite struct {
+	RowID
+	Value  []byte
+	Delete bool
+}
+
+// RowTransaction is a set of writes that take effect together where every
+// condition holds. The service keeps no ids of transactions: one whose answer
+// was lost is sent again with the same conditions, which hold only once.
+type RowTransaction struct {
+	Conditions []RowCondition
+	Writes     []RowWrite
+}
+
+// RowOutcome is the answer to a RowTransaction.
+type RowOutcome struct {
+	Applied bool
+	// Version is the version of the written rows.
+	Version Version
+	// Current holds the rows named by the conditions, where these did not hold.
+	// A row that is absent is left out.
+	Current []VersionedRow
+}
+
+// CurrentVersion returns the version that the answer gave for a row, zero where
+// the row is absent.
+func (o *RowOutcome) CurrentVersion(id RowID) Version {
+	for i := range o.Current {
+		if o.Current[i].RowID == id {
+			return o.Current[i].Version
+		}
+	}
+	return 0
+}
+
+// RowScan is one page of a table's part as of one moment.
+type RowScan struct {
+	Rows []VersionedRow
+	// Version is the newest version of the whole service at that moment.
+	Version Version
+	// More says that the part has rows after the last one here.
+	More bool
+}
+
+// RowChanges are changes of a table in the order of their versions.
+type RowChanges struct {
+	Rows []VersionedRow
+	// Next is the version to follow from in the next call.
+	Next Version
+}
+
+// Rows is a transactional service with several tables, parts and a feed of
+// changes. All methods are safe for use by several goroutines. Errors are
+// ErrUnavailable where nothing was done, ErrUnsettled where a transaction may
+// have or may still take effect, ErrInvalid, and ErrHistoryLost.
+type Rows interface {
+	// Get reads one row. The second result is false where it is absent.
+	Get(ctx context.Context, id RowID) (VersionedRow, bool, error)
+	// Scan reads the rows of a part from a key on.
+	Scan(ctx context.Context, table, part, from string) (RowScan, error)
+	// Transact carries out a transaction.
+	Transact(ctx context.Context, txn RowTransaction) (RowOutcome, error)
+	// Follow returns the changes of a table after a version. It waits for at
+	// most wait until there is one.
+	Follow(ctx context.Context, table string, after Version, wait time.Duration) (RowChanges, error)
+}
+
+// ScanAll reads all rows of a part. The version is that of the first page, so
+// that following from it misses nothing.
+func ScanAll(ctx context.Context, rows Rows, tableName, part string) ([]VersionedRow, Version, error) {
+	var all []VersionedRow
+	var version Version
+	from := ""
+	for {
+		page, err := rows.Scan(ctx, tableName, part, from)
+		if err != nil {
+			return nil, 0, err
+		}
+		if from == "" {
+			version = page.Version
+		}
+		all = append(all, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return all, version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
