Control the pace of filling tasks by learned pairs of images

Cause: pace was set by the worst tail alone: to 0 above the target, slowly up again. roster-build lost 27 of 31 jobs, serving tasks were over for 193 s.

Ruled out: lack of processors (filling tasks at full pace use what they ask).

Change: worker/pressure learns the pairs; filling tasks start only where their predicted pace is 60% or more; tasks with a reservation fill one worker after the other.

--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -125,4 +125,3 @@
 func (h *hosted) listenLinks() (net.Listener, error) {
 	return listen(h.settings.LinkAddress(h.settings.IP))
 }
-
--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -1,103 +1,118 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/carobkeel/carobkeel/worker/pressure"
+)
 
 const (
 	// fullPace is the share at which a run begins to work, in percent.
-	fullPace = 100
-	// slowAbove is the tail latency, as a share of the target, above which
-	// filling tasks are slowed down.
-	slowAbove = 0.85
-	// hastenBelow is the share below which they are sped up again. The gap keeps
-	// the pace from swinging.
-	hastenBelow = 0.6
-	// slowFactor is what the pace is multiplied by, hastenStep what is added to
-	// it, in percent.
-	slowFactor = 0.4
-	hastenStep = 15
-	// minPace is the least pace above a standstill, in percent.
-	minPace = 10
-	// controlInterval is the time between two changes of a worker's pace: a
+	fullPace = pressure.FullPace
+	// paceStep is the least change of a pace that is worth an order, in percent.
+	paceStep = 8
+	// controlInterval is the time between two changes of a worker's paces: a
 	// figure covers half a second, and a pace works after 100 ms.
-	controlInterval = 600 * time.Millisecond
+	controlInterval = 450 * time.Millisecond
+	// startPace is the least pace at which a filling task is worth a start.
+	startPace = 60
 )
 
-// control is the pace of filling tasks on one worker.
+// control is what is known of the tasks that share one worker.
 type control struct {
-	// slow is how far the pace is below the full one, in percent.
-	slow int
-	// changed is when the pace was last set.
+	// budget is what the serving tasks bear by the last listing.
+	budget  pressure.Budget
 	changed time.Duration
 }
 
-// controlInterference slows filling tasks down where a serving task beside them
-// comes near its target, and speeds them up where there is room.
-func (c *Core) controlInterference() {
-	for _, w := range c.workers {
-		if !w.listed || !w.hasFilling() {
-			continue
-		}
-		c.controlWorker(w)
-	}
+// observeSharing learns from a whole listing.
+func (c *Core) observeSharing(w *workerState) {
+	serving, filling, _ := w.sharing()
+	c.pressure.Observe(w.host, serving, filling)
+	w.control.budget = c.pressure.Budget(serving, filling)
 }
 
-func (w *workerState) hasFilling() bool {
+// sharing returns the serving and the filling tasks of a worker, and the runs of
+// the latter, the oldest job first.
+func (w *workerState) sharing() ([]pressure.Serving, []pressure.Filling, []*liveRun) {
+	var serving []pressure.Serving
+	var fillers []*liveRun
 	for _, r := range w.copies {
-		if r.task != nil && r.task.step.spec.Fills {
-			return true
+		if r.task == nil || r.stopping {
+			continue
+		}
+		spec := r.task.step.spec
+		if spec.LatencyTarget > 0 {
+			ratio := float64(r.figure) / float64(max(1, spec.LatencyTarget.Milliseconds()))
+			serving = append(serving, pressure.Serving{Task: r.name.String(), Image: spec.Image, Ratio: ratio})
 		}
+		if spec.Fills {
+			fillers = append(fillers, r)
+		}
+	}
+	slices.SortFunc(fillers, func(a, b *liveRun) int {
+		return cmp.Or(cmp.Compare(a.task.job().accepted, b.task.job().accepted), cmp.Compare(a.name.String(), b.name.String()))
+	})
+	var filling []pressure.Filling
+	for _, r := range fillers {
+		f := w.fillingOf(r.task)
+		f.Share = float64(r.figure) / float64(max(1, w.description.Capacity.MilliCPU))
+		filling = append(filling, f)
 	}
-	return false
+	return serving, filling, fillers
 }
 
-func (c *Core) controlWorker(w *workerState) {
-	if c.now.Steady-w.control.changed >= controlInterval {
-		pace := nextPace(fullPace-w.control.slow, w.worstTail())
-		if pace != fullPace-w.control.slow {
-			w.control.changed = c.now.Steady
-			w.control.slow = fullPace - pace
-		}
+// fillingOf returns what a filling task would be on a worker.
+func (w *workerState) fillingOf(t *task) pressure.Filling {
+	spec := t.step.spec
+	capacity := float64(max(1, w.description.Capacity.MilliCPU))
+	return pressure.Filling{Image: spec.Image, FullShare: float64(spec.Demand.MilliCPU) / capacity}
+}
+
+// paceOn returns the pace that a filling task would have on a worker, beside
+// those that are there.
+func (c *Core) paceOn(t *task, w *workerState) int {
+	_, filling, _ := w.sharing()
+	budget := w.control.budget.Clone()
+	for _, f := range filling {
+		c.pressure.Take(&budget, f)
 	}
-	pace := fullPace - w.control.slow
-	for _, r := range w.copies {
-		if r.task == nil || !r.task.step.spec.Fills || r.stopping || r.phase != runConfirmed || r.pace == pace {
-			continue
+	return c.pressure.Take(&budget, w.fillingOf(t))
+}
+
+// controlInterference sets the pace of filling tasks, so that the serving tasks
+// beside them stay below their targets.
+func (c *Core) controlInterference() {
+	for _, w := range c.workers {
+		if w.listed && c.now.Steady-w.control.changed >= controlInterval {
+			c.controlWorker(w)
 		}
-		r.pace = pace
-		c.orders = append(c.orders, Order{
-			Host: w.host, Life: w.description.Life, Kind: OrderPace, Task: r.name, Run: r.run, Percent: pace,
-		})
-		c.note(Decision{Kind: "pace set", Task: r.name, Run: r.run, Host: w.host})
 	}
 }
 
-// worstTail returns the highest tail latency of the worker's serving tasks, as a
-// share of their targets. Zero means that none serves.
-func (w *workerState) worstTail() float64 {
-	worst := 0.0
-	for _, r := range w.copies {
-		if r.task == nil || r.task.step.spec.LatencyTarget <= 0 {
-			continue
-		}
-		target := float64(r.task.step.spec.LatencyTarget.Milliseconds())
-		worst = max(worst, float64(r.figure)/max(1, target))
+func (c *Core) controlWorker(w *workerState) {
+	_, filling, fillers := w.sharing()
+	budget := w.control.budget.Clone()
+	for i, r := range fillers {
+		c.setPace(w, r, c.pressure.Take(&budget, filling[i]))
 	}
-	return worst
 }
 
-// nextPace returns the pace after one that led to a tail latency.
-func nextPace(pace int, tail float64) int {
-	switch {
-	case tail > 1:
-		return 0
-	case tail > slowAbove:
-		pace = int(float64(pace) * slowFactor)
-		if pace < minPace {
-			return 0
-		}
-		return pace
-	case tail < hastenBelow:
-		return min(fullPace, pace+hastenStep)
+func (c *Core) setPace(w *workerState, r *liveRun, pace int) {
+	change := pace - r.pace
+	if r.phase != runConfirmed || change == 0 {
+		return
+	}
+	if change > -paceStep && change < paceStep && pace != 0 && pace != fullPace {
+		return
 	}
-	return pace
+	r.pace = pace
+	w.control.changed = c.now.Steady
+	c.orders = append(c.orders, Order{
+		Host: w.host, Life: w.description.Life, Kind: OrderPace, Task: r.name, Run: r.run, Percent: pace,
+	})
+	c.note(Decision{Kind: "pace set", Task: r.name, Run: r.run, Host: w.host, Detail: strconv.Itoa(pace)})
 }
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/pressure"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -91,6 +92,7 @@
 	oldLives  []runs.Life
 	wake      time.Duration
 	images    map[string]*imageStats
+	pressure  *pressure.Model
 }
 
 // View is what callers are told of a job.
@@ -120,6 +122,7 @@
 		knownLives: make(map[runs.Life]bool),
 		dirty:      make(map[carobkeel.JobID]*job),
 		images:     make(map[string]*imageStats),
+		pressure:   pressure.New(),
 	}
 	for _, w := range workers {
 		c.unreported[w.Life] = w.Host
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -36,6 +36,7 @@
 		seen[runKey{running.Task, running.Run}] = true
 		c.takeRunning(w, running)
 	}
+	c.observeSharing(w)
 	first := !w.listed
 	w.listed = true
 	c.dropMissing(w, l.Number, seen, first)
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -137,6 +137,9 @@
 		if !c.isAllowed(t, w) || !t.step.spec.Reserved().FitsIn(w.free().Sub(p.held[w])) {
 			continue
 		}
+		if t.step.spec.Fills && !c.mayFill(t, w) {
+			continue
+		}
 		if score := c.score(t, w); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -178,6 +181,9 @@
 	avoidPenalty = 2.0
 	// servingPenalty keeps filling tasks away from serving ones.
 	servingPenalty = 1.5
+	// wholeWorker is the size by which free processors are weighed, in
+	// thousandths of a core.
+	wholeWorker = 32000
 )
 
 // score says how well a worker suits a task; higher is better.
@@ -185,14 +191,13 @@
 	s := t.step.spec
 	capacity := float64(max(1, w.description.Capacity.MilliCPU))
 	load := w.load()
-	score := (capacity - float64(load.reserved)) / capacity
+	// Tasks with a reservation fill one worker after the other, the smaller ones
+	// first, so that some stay free of serving tasks for those that fill.
+	score := -float64(w.free().MilliCPU) / wholeWorker
 	if s.Fills {
-		score = (capacity - float64(load.reserved+load.filling)) / capacity
+		score = (capacity - float64(load.using+load.filling)) / capacity
 		score -= servingPenalty * float64(min(load.serving, 1))
 	}
-	if s.LatencyTarget > 0 {
-		score -= float64(load.filling) / capacity
-	}
 	if s.Perpetual {
 		score -= sameStepPenalty * float64(w.countOf(t.step))
 	}
@@ -207,28 +212,46 @@
 
 // load is what runs on a worker.
 type load struct {
-	// reserved and filling are thousandths of a core.
-	reserved, filling int64
+	// using and filling are thousandths of a core: what tasks with a reservation
+	// use, and what filling tasks would use.
+	using, filling int64
 	// serving counts tasks with a latency target.
 	serving int
 }
 
 func (w *workerState) load() load {
-	l := load{reserved: w.used.MilliCPU}
+	var l load
 	for _, r := range w.copies {
 		if r.task == nil {
 			continue
 		}
-		if r.task.step.spec.Fills {
-			l.filling += r.task.step.spec.Demand.MilliCPU
-		}
-		if r.task.step.spec.LatencyTarget > 0 {
+		spec := r.task.step.spec
+		switch {
+		case spec.Fills:
+			l.filling += spec.Demand.MilliCPU
+		case spec.LatencyTarget > 0:
 			l.serving++
+			l.using += int64(float64(spec.Demand.MilliCPU) * servingUse)
+		default:
+			l.using += spec.Demand.MilliCPU
 		}
 	}
 	return l
 }
 
+// servingUse is the part of its reservation that a serving task uses.
+const servingUse = 0.6
+
+// mayFill reports whether a filling task would get the processors that it wants
+// on a worker, and could use them without harm to serving tasks.
+func (c *Core) mayFill(t *task, w *workerState) bool {
+	l := w.load()
+	if l.using+l.filling+t.step.spec.Demand.MilliCPU > w.description.Capacity.MilliCPU {
+		return false
+	}
+	return l.serving == 0 || c.paceOn(t, w) >= startPace
+}
+
 // leaveDrainingWorkers stops perpetual tasks on workers that end soon, so that
 // they start elsewhere before.
 func (c *Core) leaveDrainingWorkers() {
--- /dev/null
+++ b/worker/pressure/pressure.go
@@ -0,0 +1,210 @@
+// Package pressure is about tasks that share a worker: how much filling tasks
+// raise the tail latency of serving ones, learned by pair of images, and the
+// pace at which they may work so that the latency stays below its target.
+//
+// A serving task is taken as a queue whose tail latency is that of an idle task
+// divided by what its utilization leaves. Filling tasks add to the utilization in
+// proportion to the processors that they use.
+//
+// The package is pure.
+package pressure
+
+const (
+	// idleShare is the tail latency of an idle task as a share of its target,
+	// until a lower one is seen.
+	idleShare = 1 / 4.5
+	// idleMargin is the least latency seen that an idle task is assumed to have.
+	idleMargin = 0.9
+	// priorSensitivity is the assumed rise of the utilization for a filling image
+	// that uses a whole worker.
+	priorSensitivity = 1.0
+	// maxSensitivity bounds what is learned from noisy figures.
+	maxSensitivity = 8.0
+	// learningRate is how far one pair of figures moves a sensitivity.
+	learningRate = 0.2
+	// leastChange is the least change of use, as a share of a worker, that
+	// figures are learned from.
+	leastChange = 0.02
+	// headroom is the tail latency to aim at, as a share of the target: figures
+	// are half a second old, and the load moves within seconds.
+	headroom = 0.72
+	// maxUtilization stands for a queue that grows.
+	maxUtilization = 0.98
+)
+
+// FullPace is the pace of a task that is not slowed down, in percent.
+const FullPace = 100
+
+// Serving is a figure of a serving task.
+type Serving struct {
+	// Task tells the serving tasks of a worker apart.
+	Task  string
+	Image string
+	// Ratio is its tail latency as a share of its target. Zero is no figure.
+	Ratio float64
+}
+
+// Filling is a filling task.
+type Filling struct {
+	Image string
+	// Share is the part of the worker's processors that the task used while the
+	// figures were taken.
+	Share float64
+	// FullShare is the part that it would use at full pace.
+	FullShare float64
+}
+
+// pair is a serving and a filling image.
+type pair struct{ serving, filling string }
+
+// sample is what was seen of one worker.
+type sample struct {
+	utilization map[string]float64
+	use         map[string]float64
+}
+
+// Model is what was learned of the images. Use New.
+type Model struct {
+	sensitivity map[pair]float64
+	// idle is the tail latency of an idle task by image, as a share of the target.
+	idle map[string]float64
+	// last holds the two newest samples of each worker, the older one first.
+	last map[string][2]sample
+}
+
+// New returns a model that has learned nothing.
+func New() *Model {
+	return &Model{
+		sensitivity: make(map[pair]float64),
+		idle:        make(map[string]float64),
+		last:        make(map[string][2]sample),
+	}
+}
+
+// Sensitivity returns how much a filling image that uses a whole worker raises
+// the utilization of a serving one.
+func (m *Model) Sensitivity(serving, filling string) float64 {
+	if s, known := m.sensitivity[pair{serving, filling}]; known {
+		return s
+	}
+	return priorSensitivity
+}
+
+// utilization returns the utilization that a tail latency shows.
+func (m *Model) utilization(s Serving) float64 {
+	return min(maxUtilization, max(0, 1-m.idleOf(s.Image)/s.Ratio))
+}
+
+func (m *Model) idleOf(image string) float64 {
+	if idle, known := m.idle[image]; known {
+		return idle
+	}
+	return idleShare
+}
+
+// Observe learns from the figures of one worker over one span of time.
+func (m *Model) Observe(worker string, serving []Serving, filling []Filling) {
+	now := sample{utilization: make(map[string]float64), use: make(map[string]float64)}
+	for _, f := range filling {
+		now.use[f.Image] += f.Share
+	}
+	for _, s := range serving {
+		if s.Ratio <= 0 {
+			continue
+		}
+		m.idle[s.Image] = min(m.idleOf(s.Image), idleMargin*s.Ratio)
+		now.utilization[s.Task] = m.utilization(s)
+	}
+	// The spans of two samples in a row overlap, so that a change shows in part.
+	samples := m.last[worker]
+	m.last[worker] = [2]sample{samples[1], now}
+	if samples[0].use != nil {
+		m.learn(serving, samples[0], now)
+	}
+}
+
+// Forget drops what was seen last of a worker.
+func (m *Model) Forget(worker string) { delete(m.last, worker) }
+
+// learn compares the change of each utilization with the change of use.
+func (m *Model) learn(serving []Serving, before, now sample) {
+	change := make(map[string]float64)
+	for image, use := range now.use {
+		change[image] = use - before.use[image]
+	}
+	for image, use := range before.use {
+		change[image] = now.use[image] - use
+	}
+	squares := 0.0
+	for _, d := range change {
+		squares += d * d
+	}
+	if squares < leastChange*leastChange {
+		return
+	}
+	for _, s := range serving {
+		was, seen := before.utilization[s.Task]
+		is, sees := now.utilization[s.Task]
+		if seen && sees {
+			m.correct(s.Image, change, is-was, squares)
+		}
+	}
+}
+
+func (m *Model) correct(serving string, change map[string]float64, rise, squares float64) {
+	for image, d := range change {
+		rise -= m.Sensitivity(serving, image) * d
+	}
+	for image, d := range change {
+		s := m.Sensitivity(serving, image) + learningRate*rise*d/(squares+leastChange*leastChange)
+		m.sensitivity[pair{serving, image}] = min(maxSensitivity, max(0, s))
+	}
+}
+
+// Budget is how much more utilization each serving task of a worker bears,
+// beside that of its own load.
+type Budget struct {
+	images []string
+	left   []float64
+}
+
+// Budget returns what the serving tasks of a worker bear, given their figures
+// and what filled at that time.
+func (m *Model) Budget(serving []Serving, filling []Filling) Budget {
+	var b Budget
+	for _, s := range serving {
+		aim := 1 - m.idleOf(s.Image)/headroom
+		own := 0.0
+		if s.Ratio > 0 {
+			own = m.utilization(s)
+			for _, f := range filling {
+				own -= m.Sensitivity(s.Image, f.Image) * f.Share
+			}
+		}
+		b.images = append(b.images, s.Image)
+		b.left = append(b.left, aim-max(0, own))
+	}
+	return b
+}
+
+// Take returns the pace at which a filling task keeps within the budget, and
+// takes what it needs at that pace.
+func (m *Model) Take(b *Budget, f Filling) int {
+	pace := 1.0
+	for i, image := range b.images {
+		need := m.Sensitivity(image, f.Image) * f.FullShare
+		if need > 0 {
+			pace = min(pace, max(0, b.left[i])/need)
+		}
+	}
+	for i, image := range b.images {
+		b.left[i] -= pace * m.Sensitivity(image, f.Image) * f.FullShare
+	}
+	return int(FullPace * pace)
+}
+
+// Clone returns a copy that can be taken from.
+func (b Budget) Clone() Budget {
+	b.left = append([]float64(nil), b.left...)
+	return b
+}
