Keep an earlier holder from starting jobs of a later epoch; bear SIGHUP

Sidecars ended with code 129 on SIGHUP. A waiting job with room had nothing running for 3 s, since no worker offered the pace it wanted.

Change: a takeover writes a row among the jobs too, so that a holder that follows the jobs learns of its successor first; entries do not hand jobs over beside the feed any more. Settings are read again on SIGHUP and every 2 s. A job that waited 1.5 s with nothing running starts where it fits.

--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -33,7 +33,6 @@
 type Scheduler interface {
 	State(ctx context.Context, job carobkeel.JobID) (carobkeel.JobState, bool, error)
 	Waiting(ctx context.Context, queue carobkeel.QueueName) (int, error)
-	Submitted(job carobkeel.JobID, row []byte, version table.Version)
 	Cancelled(job carobkeel.JobID)
 	StoreAge() time.Duration
 	Queues() *carobkeel.QueueConfig
@@ -77,30 +76,12 @@
 		return errors.Wrap(err, "job")
 	}
 	id := s.jobRow(job.ID)
-	outcome, err := s.transact(ctx, table.RowTransaction{
+	// Where the row is there already, an earlier try or request has stored it.
+	_, err = s.transact(ctx, table.RowTransaction{
 		Conditions: []table.RowCondition{{RowID: id}},
 		Writes:     []table.RowWrite{{RowID: id, Value: value}},
 	})
-	if err != nil {
-		return err
-	}
-	version := outcome.Version
-	if !outcome.Applied {
-		// An earlier try, or the caller's earlier request, has stored it.
-		version = outcome.CurrentVersion(id)
-		value = currentValue(&outcome, id)
-	}
-	s.scheduler.Submitted(job.ID, value, version)
-	return nil
-}
-
-func currentValue(outcome *table.RowOutcome, id table.RowID) []byte {
-	for i := range outcome.Current {
-		if outcome.Current[i].RowID == id {
-			return outcome.Current[i].Value
-		}
-	}
-	return nil
+	return err
 }
 
 // transact carries a transaction out, and repeats it until its effect is known
--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -26,6 +28,8 @@
 	// workerLease is how long a worker's lease runs from a ping of its sidecar:
 	// longer than a takeover with its detection, shorter than lost work may wait.
 	workerLease = 3500 * time.Millisecond
+	// settingsInterval is how often the settings file is looked at.
+	settingsInterval = 2 * time.Second
 	// memoryShare is the part of a host's memory that the runtime keeps to.
 	memoryShare = 0.7
 )
@@ -61,6 +65,7 @@
 
 // hosted is what the processes on the platform have alike.
 type hosted struct {
+	path        string
 	settings    platform.Settings
 	incarnation carobkeel.Incarnation
 	store       *platform.Store
@@ -85,6 +90,7 @@
 	logConfig.JSON = true
 	logs := logging.NewBoundedFactory(*logConfig, io.out)
 	h := &hosted{
+		path:        config.nodeFile,
 		settings:    s,
 		incarnation: newIncarnation(),
 		store:       platform.NewStore(s.Store),
@@ -100,11 +106,25 @@
 	return h, exitOK, true
 }
 
+// watchSettings follows changes of the settings file until ctx ends. SIGHUP
+// tells of one; it may also come without.
+func (h *hosted) watchSettings(ctx context.Context, changed func(platform.Settings)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	platform.Watch(ctx, h.path, settingsInterval, signals, func(s platform.Settings) {
+		h.log.Info().Int("seeds", len(s.SeedHosts)).Msg("settings reloaded")
+		changed(s)
+	}, func(err error) {
+		h.log.Error().Err(err).Msg("settings stay as they are")
+	})
+}
+
 // seedAddresses returns the addresses of the links of the seeds.
-func (h *hosted) seedAddresses() []string {
+func seedAddresses(s *platform.Settings) []string {
 	var addresses []string
-	for _, host := range h.settings.SeedHosts {
-		addresses = append(addresses, h.settings.LinkAddress(host))
+	for _, host := range s.SeedHosts {
+		addresses = append(addresses, s.LinkAddress(host))
 	}
 	return addresses
 }
--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -70,6 +70,8 @@
 	}()
 	go e.node.Run(ctx)
 	go e.followConfig(ctx)
+	// Addresses stay for the life of a process, and the seeds matter to sidecars.
+	go e.watchSettings(ctx, func(platform.Settings) {})
 	go directory.Register(ctx, e.store, s.Host, e.incarnation, address, e.log)
 	jobs := submission.New(shard, e.store, e.node, e.log)
 	if e.callers, err = e.serve(ctx, s.CallerAddress, platform.NewCallerHandler(jobs, e.log)); err != nil {
--- a/cmd/carobkeel/hosted_sidecar.go
+++ b/cmd/carobkeel/hosted_sidecar.go
@@ -17,13 +17,14 @@
 	}
 	s := &h.settings
 	a := agent.New(agent.Config{
-		Host: s.Host, Incarnation: h.incarnation, Seeds: h.seedAddresses(), WorkerLease: min(workerLease, s.Bounds.MaxLease),
+		Host: s.Host, Incarnation: h.incarnation, Seeds: seedAddresses(s), WorkerLease: min(workerLease, s.Bounds.MaxLease),
 	}, platform.NewWorker(s.WorkerAddress), func(ctx context.Context) ([]string, error) {
 		return directory.Addresses(ctx, h.store)
 	}, h.log)
 	if _, err := h.serve(ctx, s.RegistryAddress, platform.NewRegistry(s.Service, a, h.log)); err != nil {
 		return fail(io, err)
 	}
+	go h.watchSettings(ctx, func(changed platform.Settings) { a.SetSeeds(seedAddresses(&changed)) })
 	a.Run(ctx)
 	h.log.Info().Msg("stopped")
 	return exitOK
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -172,6 +172,20 @@
 	}
 }
 
+// hasRuns reports whether some run of the job may be alive.
+func (j *job) hasRuns() bool {
+	for _, o := range j.runs {
+		for _, s := range o.steps {
+			for i := range s.tasks {
+				if len(s.tasks[i].copies) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // isFinal reports whether the job has ended, stored or not.
 func (c *Core) isFinal(j *job) bool { return j.cancelled || j.failed || j.remaining == 0 }
 
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -245,6 +245,9 @@
 // mayFill reports whether a filling task would get the processors that it wants
 // on a worker, and could use them without harm to serving tasks.
 func (c *Core) mayFill(t *task, w *workerState) bool {
+	if c.isStarved(t) {
+		return true
+	}
 	l := w.load()
 	if l.using+l.filling+t.step.spec.Demand.MilliCPU > w.description.Capacity.MilliCPU {
 		return false
@@ -252,6 +255,20 @@
 	return l.serving == 0 || c.paceOn(t, w) >= startPace
 }
 
+// starvationLimit is how long a job that has room may have nothing running: the
+// platform allows 3 s.
+const starvationLimit = 1500 * time.Millisecond
+
+// isStarved reports whether nothing of the task's job runs for long.
+func (c *Core) isStarved(t *task) bool {
+	since := max(t.waitingSince, t.step.readyAt)
+	if c.now.Steady-since < starvationLimit {
+		c.wakeAt(since + starvationLimit)
+		return false
+	}
+	return !t.job().hasRuns()
+}
+
 // leaveDrainingWorkers stops perpetual tasks on workers that end soon, so that
 // they start elsewhere before.
 func (c *Core) leaveDrainingWorkers() {
--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -16,7 +16,6 @@
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
-	"github.com/carobkeel/carobkeel/table"
 )
 
 const (
@@ -194,28 +193,3 @@
 		up.send(wire.TypeQuery, &wire.Query{Kind: wire.QueryCancel, Job: string(job)})
 	}
 }
-
-// Submitted tells the holder of a job that is stored. It also hears of it from
-// the table service.
-func (n *Node) Submitted(job carobkeel.JobID, row []byte, version table.Version) {
-	stored := &wire.StoredJob{Job: string(job), Row: row, Version: uint64(version)}
-	if n.Leading() {
-		n.jobStored(stored)
-		return
-	}
-	if up := n.upstream.Load(); up != nil {
-		up.send(wire.TypeJob, stored)
-	}
-}
-
-func (n *Node) jobStored(stored *wire.StoredJob) {
-	n.events.Push(func(l *loop) {
-		s := l.node.standing.Load()
-		if l.core == nil {
-			return
-		}
-		row := table.VersionedRow{Value: stored.Row, Version: table.Version(stored.Version)}
-		row.Key = stored.Job
-		l.takeJob(row, row.Version < s.Version)
-	})
-}
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -30,6 +30,10 @@
 // holderKey is the key of the row that names the holder.
 const holderKey = "holder"
 
+// epochKey is the key of the row among the jobs that is written with it. Ids of
+// jobs do not begin with a dash.
+const epochKey = "-epoch"
+
 // CancelSuffix marks the row of a cancellation, beside that of its job.
 const CancelSuffix = ".cancel"
 
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -93,8 +93,6 @@
 		return p.takePing(f)
 	case wire.TypeQuery:
 		return p.takeQuery(f)
-	case wire.TypeJob:
-		return p.takeJob(f)
 	case wire.TypeDescription, wire.TypeListing, wire.TypeAnswer, wire.TypeSilent, wire.TypeLeft:
 		return p.takeReport(f)
 	}
@@ -282,13 +280,3 @@
 		}
 	})
 }
-
-// takeJob takes in a job that another entry has stored.
-func (p *peer) takeJob(f frame.Frame) error {
-	var stored wire.StoredJob
-	if err := wire.Decode(f, &stored); err != nil {
-		return err
-	}
-	p.node.jobStored(&stored)
-	return nil
-}
--- a/scheduler/holder/store.go
+++ b/scheduler/holder/store.go
@@ -154,6 +154,13 @@
 	return table.RowID{Table: TableHolders, Part: n.config.Shard, Key: holderKey}
 }
 
+// epochRow is written with the holder's row, among the jobs. So a holder that
+// follows the jobs learns of its successor before it learns of any job that was
+// accepted later.
+func (n *Node) epochRow() table.RowID {
+	return table.RowID{Table: TableJobs, Part: n.config.Shard, Key: epochKey}
+}
+
 func (n *Node) progressRow(job carobkeel.JobID) table.RowID {
 	return table.RowID{Table: TableProgress, Part: n.config.Shard, Key: string(job)}
 }
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -153,7 +153,10 @@
 	t := &taken{asked: clock.Boottime()}
 	outcome, err := n.rows.Transact(ctx, table.RowTransaction{
 		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old.Version}},
-		Writes:     []table.RowWrite{{RowID: n.holderRow(), Value: mustEncode(&row)}},
+		Writes: []table.RowWrite{
+			{RowID: n.holderRow(), Value: mustEncode(&row)},
+			{RowID: n.epochRow(), Value: mustEncode(&row)},
+		},
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "row of the holder")
@@ -274,10 +277,17 @@
 }
 
 // takeJobRows takes in rows of jobs and of cancellations. Jobs from before the
-// epoch may have runs that an earlier holder began.
+// epoch may have runs that an earlier holder began. Later ones do not: the
+// earlier holder saw the row of this epoch before them, in the same table.
 func (l *loop) takeJobRows(rows []table.VersionedRow, epochVersion table.Version) {
 	for _, row := range rows {
-		if row.Deleted || strings.HasSuffix(row.Key, CancelSuffix) {
+		if row.Key == epochKey && row.Version > epochVersion {
+			l.stepDown("the jobs' table names a later holder")
+			return
+		}
+	}
+	for _, row := range rows {
+		if row.Deleted || row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
 			continue
 		}
 		l.takeJob(row, row.Version < epochVersion)
--- a/scheduler/wire/doc.go
+++ b/scheduler/wire/doc.go
@@ -26,7 +26,6 @@
 	// Between entries.
 	TypeQuery
 	TypeReply
-	TypeJob
 )
 
 // Encode returns a frame with a message.
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -5,7 +5,7 @@
 // No list, map or string of bytes is longer than a frame.
 //
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Hello Ping Pong Life Description Running End Listing Answer Silent Left Order Query Reply StoredJob
+//msgp:tuple Hello Ping Pong Life Description Running End Listing Answer Silent Left Order Query Reply
 
 // Roles of the peer that dials.
 const (
@@ -162,11 +162,3 @@
 	State   uint8
 	Waiting int
 }
-
-// StoredJob is a job that an entry has stored.
-type StoredJob struct {
-	Job string
-	// Row is the encoded JobRow, Version that of the row.
-	Row     []byte
-	Version uint64
-}
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -43,6 +43,7 @@
 	holder    atomic.Pointer[gate.Holder]
 	described atomic.Pointer[runs.Description]
 	clock     atomic.Pointer[gate.Clock]
+	seeds     atomic.Pointer[[]string]
 	// uplink is the link to the holder, nil while none is known.
 	uplink atomic.Pointer[uplink]
 	// deadline is the latest lease that was asked for, on the worker's clock.
@@ -82,12 +83,16 @@
 		orders:  mailbox.New[orderUnder](),
 		changed: make(chan struct{}, 1),
 	}
+	a.SetSeeds(config.Seeds)
 	a.holder.Store(&gate.Holder{})
 	a.clock.Store(&gate.Clock{})
 	a.acknowledged.Store(&acknowledgement{})
 	return a
 }
 
+// SetSeeds puts other addresses of entries in place of the seeds.
+func (a *Agent) SetSeeds(seeds []string) { a.seeds.Store(&seeds) }
+
 // Run keeps links, lists and carries out orders until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	go a.carryOut(ctx)
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -73,7 +73,7 @@
 
 func (a *Agent) updateLinks(ctx context.Context, running map[string]context.CancelFunc) {
 	wanted := make(map[string]bool)
-	for _, address := range a.config.Seeds {
+	for _, address := range *a.seeds.Load() {
 		wanted[address] = true
 	}
 	found, err := a.find(ctx)
