Give a new holder time to read the shard; drop a takeover that was overtaken

Cause: a holder that was still reading the shard said that it does not lead, and another entry took that for a resignation. The first one then began from rows that named its successor, and ended with a nil pointer (code 2).

Change: a holder's 'does not lead' counts a second after its row was written; a takeover whose rows name a later one is dropped.

--- a/scheduler/holder/election.go
+++ b/scheduler/holder/election.go
@@ -18,6 +18,8 @@
 	// ownStoreSteady is how long it has to have reached it without a failure
 	// before it takes over from a holder that does not.
 	ownStoreSteady = 1200 * time.Millisecond
+	// settleTime is how long a new holder may take to read the shard.
+	settleTime = time.Second
 	// aloneDelay holds a candidate back that no sidecar is linked to.
 	aloneDelay = 1500 * time.Millisecond
 	// authority is how long a holder goes on without proof that it still holds
@@ -83,7 +85,7 @@
 		return "", false
 	}
 	if !o.leads {
-		return "holder resigned", true
+		return "holder resigned", o.now-o.rowSince > settleTime
 	}
 	if o.holderStoreAge > storeSilenceLimit && o.now-o.storeSince > ownStoreSteady {
 		return "holder is cut from the table service", true
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -184,6 +184,16 @@
 	return group.Wait()
 }
 
+// superseded reports whether a later holder showed while the shard was read.
+func (t *taken) superseded() bool {
+	for _, row := range t.jobs {
+		if row.Key == epochKey && row.Version > t.standing.Version {
+			return true
+		}
+	}
+	return false
+}
+
 // tookOver begins to schedule.
 func (l *loop) tookOver(t *taken, err error) {
 	l.takingOver = false
@@ -196,6 +206,10 @@
 		n.log.Warn().Str("holder", s.Row.Host).Msg("taken over by another meanwhile")
 		return
 	}
+	if t.superseded() {
+		n.log.Warn().Msg("taken over by another while the shard was read")
+		return
+	}
 	l.begin(t)
 	n.standing.Store(&t.standing)
 	n.log.Info().Uint64("epoch", t.standing.Row.Epoch).Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
