Search orders of faults of the dispatching core, with five broken rules

Change: a world in virtual time with holders, sidecars, workers that keep to the protocol, late and lost orders, cuts, crashes, freezes and outages of the table. The workers' record is the judge.

--- /dev/null
+++ b/scheduler/dispatch/world_test.go
@@ -0,0 +1,421 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
+	"github.com/carobkeel/carobkeel/worker/runs"
+	"github.com/carobkeel/carobkeel/worker/runs/standin"
+)
+
+const (
+	testService   = carobkeel.Service("desk")
+	testLease     = 3 * time.Second
+	testAuthority = 4 * time.Second
+	testMaxLease  = 10 * time.Second
+	testStopGrace = 400 * time.Millisecond
+	tick          = 50 * time.Millisecond
+)
+
+// world is a shard in virtual time: holders, sidecars, workers, and the durable
+// records. The workers' record says what really happened.
+type world struct {
+	now     time.Duration
+	record  *standin.Record
+	workers map[string]*host
+	hosts   []string
+	// store is what is durable.
+	store struct {
+		epoch    carobkeel.Epoch
+		jobs     []*carobkeel.JobSpec
+		accepted map[carobkeel.JobID]carobkeel.Epoch
+		progress map[carobkeel.JobID]dispatch.Progress
+		workers  map[runs.Life]string
+		cancel   map[carobkeel.JobID]bool
+		away     bool
+	}
+	holders []*holder
+	// late are orders that are carried out some time after they were sent.
+	late []lateOrder
+	// lose decides whether the next order gets no answer, and is late.
+	lose  func() (lost bool, late time.Duration)
+	shown map[carobkeel.JobID]carobkeel.JobState
+	work  func(task carobkeel.TaskName, run int) standin.Work
+	// trace is told of each decision, if set.
+	trace  func(string)
+	broken broken
+}
+
+// broken are rules that a test breaks on purpose.
+type broken struct {
+	// forgetInherited lets a new holder start at once what an unreachable worker
+	// may run.
+	forgetInherited bool
+	// shortLease lets a holder give up runs before their lease lapses.
+	shortLease bool
+	// trustSilence takes an order without an answer as refused.
+	trustSilence bool
+	// earlyAcknowledge acknowledges ends before they are stored.
+	earlyAcknowledge bool
+	// noFence sends the orders of every holder under the newest epoch.
+	noFence bool
+}
+
+type lateOrder struct {
+	at   time.Duration
+	send func()
+}
+
+// host is a worker with its sidecar.
+type host struct {
+	name    string
+	worker  *standin.Worker
+	holder  gate.Holder
+	clock   gate.Clock
+	life    runs.Life
+	listing uint64
+	acked   map[runs.Life]uint64
+	cut     bool
+	linked  *holder
+	// unlinkedAt is when the holder notices that the link is gone.
+	unlinkedAt time.Duration
+	// dropped says that the link has lost an order.
+	dropped bool
+}
+
+// holder is a process that holds, or believes that it holds, the shard.
+type holder struct {
+	epoch carobkeel.Epoch
+	core  *dispatch.Core
+	proof time.Duration
+	taken map[carobkeel.JobID]bool
+	// frozen holders do nothing, and cut ones reach no store.
+	frozen, cut, dead bool
+	pending           *dispatch.Batch
+}
+
+func newWorld(capacities ...int64) *world {
+	w := &world{
+		now:     time.Hour,
+		record:  standin.NewRecord(),
+		workers: make(map[string]*host),
+		shown:   make(map[carobkeel.JobID]carobkeel.JobState),
+		lose:    func() (bool, time.Duration) { return false, 0 },
+		work: func(carobkeel.TaskName, int) standin.Work {
+			return standin.Work{Duration: time.Second, Outcome: runs.OutcomeDone}
+		},
+	}
+	w.store.accepted = make(map[carobkeel.JobID]carobkeel.Epoch)
+	w.store.progress = make(map[carobkeel.JobID]dispatch.Progress)
+	w.store.workers = make(map[runs.Life]string)
+	w.store.cancel = make(map[carobkeel.JobID]bool)
+	for i, cpu := range capacities {
+		name := fmt.Sprintf("host-%d", i)
+		w.hosts = append(w.hosts, name)
+		w.workers[name] = &host{
+			name:  name,
+			acked: make(map[runs.Life]uint64),
+			worker: standin.New(standin.Config{
+				Description: runs.Description{
+					Life:     runs.Life{ID: "w-" + name, Born: 1},
+					Service:  testService,
+					Capacity: carobkeel.Resources{MilliCPU: cpu, MemoryBytes: 64 << 30},
+					Labels:   []string{"a", fmt.Sprintf("r%d", i/2)},
+					Rack:     fmt.Sprintf("r%d", i/2),
+					Sequence: 1,
+				},
+				MaxLease: testMaxLease, StopGrace: testStopGrace, Record: w.record,
+				Work: func(task carobkeel.TaskName, run int) standin.Work { return w.work(task, run) },
+			}),
+		}
+	}
+	return w
+}
+
+func (w *world) time() dispatch.Now {
+	return dispatch.Now{Steady: w.now, Wall: time.Unix(1_000_000, 0).Add(w.now)}
+}
+
+func testQueue(priority, attempts int) carobkeel.Queue {
+	return carobkeel.Queue{Name: carobkeel.QueueName(fmt.Sprintf("q%d", priority)), Service: testService, Priority: priority, MaxAttempts: attempts}
+}
+
+// accept makes a job durable; the holders hear of it in the order of the store.
+func (w *world) accept(spec *carobkeel.JobSpec) {
+	w.store.jobs = append(w.store.jobs, spec)
+	w.store.accepted[spec.ID] = w.store.epoch
+}
+
+// takeOver makes a new holder.
+func (w *world) takeOver() *holder {
+	w.store.epoch++
+	var records []dispatch.WorkerRecord
+	for life, name := range w.store.workers {
+		records = append(records, dispatch.WorkerRecord{Life: life, Host: name})
+	}
+	h := &holder{epoch: w.store.epoch, proof: w.now, taken: make(map[carobkeel.JobID]bool)}
+	config := dispatch.Config{
+		Epoch: h.epoch, WorkerLease: testLease, InheritedLease: testAuthority + testLease, RemoteFactor: 1.5,
+		InterferenceLimit: 4 * time.Second,
+	}
+	if w.broken.forgetInherited {
+		records = nil
+	}
+	if w.broken.shortLease {
+		config.WorkerLease = 0
+	}
+	h.core = dispatch.New(config, w.time(), records)
+	w.feed(h)
+	for _, p := range w.store.progress {
+		h.core.Restore(p)
+	}
+	w.holders = append(w.holders, h)
+	return h
+}
+
+// feed tells a holder of the jobs that it may hear of. One that was replaced
+// learns of that before it learns of later jobs.
+func (w *world) feed(h *holder) {
+	for _, spec := range w.store.jobs {
+		if !h.taken[spec.ID] && w.store.accepted[spec.ID] <= h.epoch {
+			h.taken[spec.ID] = true
+			h.core.AddJob(spec, w.store.accepted[spec.ID] < h.epoch)
+		}
+		if w.store.cancel[spec.ID] {
+			h.core.Cancel(spec.ID)
+		}
+	}
+}
+
+// step lets one tick pass.
+func (w *world) step() {
+	w.now += tick
+	for _, name := range w.hosts {
+		w.workers[name].worker.Advance(tick)
+	}
+	due := slices.IndexFunc(w.late, func(l lateOrder) bool { return l.at <= w.now })
+	for due >= 0 {
+		send := w.late[due].send
+		w.late = slices.Delete(w.late, due, due+1)
+		send()
+		due = slices.IndexFunc(w.late, func(l lateOrder) bool { return l.at <= w.now })
+	}
+	for _, h := range w.holders {
+		if !h.frozen && !h.dead {
+			w.runHolder(h)
+		}
+	}
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.step()
+	}
+}
+
+func (w *world) runHolder(h *holder) {
+	if !h.cut && !w.store.away {
+		if w.store.epoch != h.epoch {
+			h.dead = true // the feed names a successor
+			return
+		}
+		h.proof = w.now
+		w.feed(h)
+	}
+	if w.now-h.proof > testAuthority {
+		h.dead = true
+		return
+	}
+	h.core.Advance(w.time())
+	for _, name := range w.hosts {
+		w.exchange(h, w.workers[name])
+	}
+	out := h.core.Finish()
+	w.finish(h, out)
+	w.persist(h)
+}
+
+// exchange is the traffic between a holder and the sidecar of a host.
+func (w *world) exchange(h *holder, s *host) {
+	if s.cut || s.holder.Epoch > h.epoch {
+		if s.linked == h && s.unlinkedAt == 0 {
+			s.unlinkedAt = w.now + time.Second
+		}
+		if s.linked == h && w.now >= s.unlinkedAt {
+			s.linked, s.unlinkedAt = nil, 0
+			h.core.HostLost(s.name)
+		}
+		return
+	}
+	if s.linked != h || s.dropped {
+		// An order that was lost has taken its link with it.
+		s.linked, s.unlinkedAt, s.dropped = h, 0, false
+		h.core.HostLinked(s.name)
+	}
+	h.core.HostPinged(s.name)
+	s.holder = s.holder.Confirm(h.epoch, w.now)
+	d := s.worker.Description()
+	if s.life != d.Life {
+		s.life, s.clock = d.Life, gate.Clock{}
+	}
+	h.core.DescribeWorker(s.name, d)
+	s.listing++
+	listing, answer, err := s.worker.List(context.Background(), s.envelope(h.epoch), s.acked[d.Life], 0)
+	if err != nil || answer.Result != runs.ResultOK {
+		return
+	}
+	if n := len(listing.Ends); n > 0 && w.broken.earlyAcknowledge {
+		s.acked[d.Life] = listing.Ends[n-1].Number
+	}
+	s.clock = gate.Clock{Reading: answer.Clock, Sent: w.now, Received: w.now, Known: true}
+	h.core.TakeListing(dispatch.WorkerListing{
+		Host: s.name, Life: d.Life, Number: s.listing, Whole: true, Running: listing.Running, Ends: listing.Ends,
+	})
+}
+
+func (s *host) envelope(epoch carobkeel.Epoch) runs.Envelope {
+	return runs.Envelope{
+		Life: s.worker.Description().Life, Epoch: epoch, Deadline: gate.Deadline(s.holder, s.clock, testLease),
+	}
+}
+
+func (w *world) finish(h *holder, out dispatch.Output) {
+	if w.trace != nil {
+		for _, d := range out.Decisions {
+			w.trace(fmt.Sprintf("%v e%d %s %s %s run %d %s %s", w.now-time.Hour, h.epoch, d.Kind, d.Job, d.Task, d.Run, d.Host, d.Detail))
+		}
+	}
+	for _, v := range out.Views {
+		w.shown[v.Job] = v.State
+	}
+	for _, o := range out.Orders {
+		w.order(h, o)
+	}
+}
+
+// order carries an order out, at once, late, or both.
+func (w *world) order(h *holder, o dispatch.Order) {
+	s := w.workers[o.Host]
+	if s.cut || (s.holder.Epoch > h.epoch && !w.broken.noFence) {
+		s.dropped = true
+		return
+	}
+	if o.Kind == dispatch.OrderAcknowledge {
+		s.acked[o.Life] = o.Acknowledged
+		return
+	}
+	if o.Kind == dispatch.OrderStart {
+		d := s.worker.Description()
+		known := s.holder
+		if w.broken.noFence {
+			known.Epoch = h.epoch
+		}
+		if result := gate.AdmitStart(known, h.epoch, &d, o.Life); result != runs.ResultOK {
+			w.answer(h, s, o, result)
+			return
+		}
+	}
+	envelope := s.envelope(h.epoch)
+	envelope.Life = o.Life
+	if w.broken.noFence {
+		envelope.Epoch = w.store.epoch
+	}
+	send := func() runs.Answer {
+		var answer runs.Answer
+		if o.Kind == dispatch.OrderStart {
+			answer, _ = s.worker.Start(context.Background(), envelope, runs.Start{Task: o.Task, Run: o.Run, Payload: o.Payload, Saved: o.Saved})
+		} else if o.Kind == dispatch.OrderStop {
+			answer, _ = s.worker.Stop(context.Background(), envelope, runs.Stop{Task: o.Task, Run: o.Run})
+		}
+		return answer
+	}
+	if lost, late := w.lose(); lost {
+		w.late = append(w.late, lateOrder{at: w.now + late, send: func() { send() }})
+		if w.broken.trustSilence {
+			w.answer(h, s, o, runs.ResultUnhealthy)
+			return
+		}
+		w.answer(h, s, o, runs.ResultUnknown)
+		return
+	}
+	w.answer(h, s, o, send().Result)
+}
+
+func (w *world) answer(h *holder, s *host, o dispatch.Order, result runs.Result) {
+	h.core.TakeAnswer(dispatch.Answered{
+		Host: s.name, Life: o.Life, Kind: o.Kind, Task: o.Task, Run: o.Run, Result: result, Listing: s.listing,
+	})
+}
+
+// persist stores one batch, a tick after it was taken.
+func (w *world) persist(h *holder) {
+	if h.cut || w.store.away {
+		return
+	}
+	if h.pending != nil {
+		for _, p := range h.pending.Progress {
+			w.store.progress[p.Job] = p
+		}
+		for _, r := range h.pending.Workers {
+			w.store.workers[r.Life] = r.Host
+		}
+		for _, life := range h.pending.Forgotten {
+			delete(w.store.workers, life)
+		}
+		h.core.Stored(*h.pending)
+		h.pending = nil
+		w.finish(h, h.core.Finish())
+	}
+	if h.core.HasBatch() {
+		batch := h.core.TakeBatch(45)
+		h.pending = &batch
+	}
+}
+
+// settleAll ends all faults and lets the shard come to rest.
+func (w *world) settleAll(limit time.Duration) {
+	w.lose = func() (bool, time.Duration) { return false, 0 }
+	w.store.away = false
+	for _, s := range w.workers {
+		s.cut = false
+	}
+	for _, h := range w.holders {
+		h.frozen, h.cut = false, false
+	}
+	w.run(200 * time.Millisecond)
+	if !slices.ContainsFunc(w.holders, func(h *holder) bool { return !h.dead }) {
+		w.takeOver()
+	}
+	w.run(limit)
+}
+
+// drawer draws a number between low and high, both included.
+type drawer func(label string, low, high int) int
+
+// drawJob draws a job of up to three steps.
+func drawJob(draw drawer, n int) *carobkeel.JobSpec {
+	spec := &carobkeel.JobSpec{
+		ID:      carobkeel.JobID(fmt.Sprintf("%016x", n)),
+		Queue:   testQueue(2*draw("priority", 0, 1), 3),
+		Payload: "payload",
+	}
+	for i := range draw("steps", 1, 3) {
+		step := carobkeel.Step{
+			Count:    draw("count", 1, 5),
+			Demand:   carobkeel.Resources{MilliCPU: int64(draw("cpu", 1, 4)) * 1000, MemoryBytes: 1 << 30},
+			Estimate: time.Second,
+		}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		step.Gang = draw("gang", 0, 9) == 0
+		step.Fills = draw("fills", 0, 3) == 0
+		spec.Steps = append(spec.Steps, step)
+	}
+	return spec
+}
--- /dev/null
+++ b/worker/runs/standin/standin.go
@@ -0,0 +1,218 @@
+// Package standin is a worker in memory that keeps to the protocol of package
+// runs: epochs, leases, numbered ends, and orders that are carried out late. It
+// has no clock of its own; a test moves its time.
+//
+// It keeps a record of what really ran, by which a test judges schedulers.
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// ErrNoAnswer says that an order got no answer, carried out or not.
+var ErrNoAnswer = errors.New("no answer from the worker")
+
+// Work is what a run of a task does.
+type Work struct {
+	Duration time.Duration
+	Outcome  runs.Outcome
+	// Endless runs end only when they are stopped.
+	Endless bool
+}
+
+// Config describes a stand-in.
+type Config struct {
+	Description runs.Description
+	// MaxLease is the longest lease that it takes.
+	MaxLease time.Duration
+	// StopGrace is how long a stopped run takes to end.
+	StopGrace time.Duration
+	// Work tells what a run of a task does.
+	Work func(task carobkeel.TaskName, run int) Work
+	// Record is told what runs. Several stand-ins share one.
+	Record *Record
+}
+
+// live is a run on the worker.
+type live struct {
+	task    carobkeel.TaskName
+	run     int
+	ends    time.Duration
+	outcome runs.Outcome
+	endless bool
+}
+
+type key struct {
+	task carobkeel.TaskName
+	run  int
+}
+
+// Worker is a stand-in. It is used by one goroutine.
+type Worker struct {
+	config Config
+	// now is the worker's steady clock.
+	now      time.Duration
+	epoch    carobkeel.Epoch
+	deadline time.Duration
+	running  map[key]*live
+	ends     []runs.End
+	lastEnd  uint64
+	// refused holds the highest run of each task that ended or was stopped.
+	refused map[carobkeel.TaskName]int
+}
+
+// New returns a worker that runs nothing.
+func New(config Config) *Worker {
+	w := &Worker{config: config}
+	w.reset()
+	return w
+}
+
+func (w *Worker) reset() {
+	w.now = time.Second
+	w.epoch, w.deadline, w.lastEnd = 0, 0, 0
+	w.running = make(map[key]*live)
+	w.refused = make(map[carobkeel.TaskName]int)
+	w.ends = nil
+}
+
+// Description returns what the worker says of itself.
+func (w *Worker) Description() runs.Description { return w.config.Description }
+
+// Drain makes the worker say that it drains.
+func (w *Worker) Drain(remaining time.Duration) {
+	w.config.Description.Draining = true
+	w.config.Description.Remaining = remaining
+	w.config.Description.Sequence++
+}
+
+// Crash ends everything unseen, and starts another life under the same id.
+func (w *Worker) Crash() {
+	for k := range w.running {
+		w.config.Record.ended(k.task, k.run, w.config.Description.Life)
+	}
+	w.config.Description.Born++
+	w.config.Description.Sequence = 1
+	w.config.Description.Draining = false
+	w.reset()
+}
+
+// Advance lets time pass.
+func (w *Worker) Advance(d time.Duration) {
+	w.now += d
+	if len(w.running) > 0 && w.now > w.deadline {
+		for _, l := range w.running {
+			w.end(l, runs.OutcomeLapsed)
+		}
+	}
+	for _, l := range w.running {
+		if !l.endless && w.now >= l.ends {
+			w.end(l, l.outcome)
+		}
+	}
+}
+
+func (w *Worker) end(l *live, outcome runs.Outcome) {
+	delete(w.running, key{l.task, l.run})
+	w.refused[l.task] = max(w.refused[l.task], l.run)
+	w.lastEnd++
+	w.ends = append(w.ends, runs.End{Number: w.lastEnd, Task: l.task, Run: l.run, Outcome: outcome})
+	w.config.Record.ended(l.task, l.run, w.config.Description.Life)
+}
+
+// admit checks what every order carries. ResultOK lets it through.
+func (w *Worker) admit(e runs.Envelope) runs.Answer {
+	answer := runs.Answer{Clock: w.now}
+	switch {
+	case e.Life.ID != w.config.Description.ID || e.Life.Born != w.config.Description.Born:
+		return runs.Answer{Result: runs.ResultOtherLife}
+	case e.Epoch < w.epoch:
+		answer.Result = runs.ResultStaleEpoch
+		return answer
+	}
+	w.epoch = e.Epoch
+	w.deadline = max(w.deadline, min(e.Deadline, w.now+w.config.MaxLease))
+	return answer
+}
+
+// Start implements runs.Client.
+func (w *Worker) Start(_ context.Context, e runs.Envelope, order runs.Start) (runs.Answer, error) {
+	answer := w.admit(e)
+	if answer.Result != runs.ResultOK {
+		return answer, nil
+	}
+	if _, there := w.running[key{order.Task, order.Run}]; there {
+		return answer, nil
+	}
+	switch {
+	case order.Run <= w.refused[order.Task]:
+		answer.Result = runs.ResultOldRun
+	case e.Deadline <= w.now:
+		answer.Result = runs.ResultLate
+	default:
+		w.begin(order)
+	}
+	return answer, nil
+}
+
+func (w *Worker) begin(order runs.Start) {
+	work := w.config.Work(order.Task, order.Run)
+	w.running[key{order.Task, order.Run}] = &live{
+		task: order.Task, run: order.Run, ends: w.now + work.Duration, outcome: work.Outcome, endless: work.Endless,
+	}
+	w.config.Record.started(order.Task, order.Run, w.config.Description.Life)
+}
+
+// Stop implements runs.Client.
+func (w *Worker) Stop(_ context.Context, e runs.Envelope, order runs.Stop) (runs.Answer, error) {
+	e.Deadline = 0
+	answer := w.admit(e)
+	if answer.Result != runs.ResultOK {
+		return answer, nil
+	}
+	w.refused[order.Task] = max(w.refused[order.Task], order.Run)
+	if l, there := w.running[key{order.Task, order.Run}]; there {
+		l.endless = false
+		l.outcome = runs.OutcomeStopped
+		l.ends = w.now + w.config.StopGrace
+	}
+	return answer, nil
+}
+
+// Pace implements runs.Client.
+func (w *Worker) Pace(_ context.Context, e runs.Envelope, _ runs.Pace) (runs.Answer, error) {
+	e.Deadline = 0
+	return w.admit(e), nil
+}
+
+// List implements runs.Client. It does not wait.
+func (w *Worker) List(_ context.Context, e runs.Envelope, acknowledged uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
+	answer := w.admit(e)
+	if answer.Result != runs.ResultOK {
+		return runs.Listing{}, answer, nil
+	}
+	for len(w.ends) > 0 && w.ends[0].Number <= acknowledged {
+		w.config.Record.acknowledged(w.ends[0], w.config.Description.Life)
+		w.ends = w.ends[1:]
+	}
+	listing := runs.Listing{Born: w.config.Description.Born, Ends: append([]runs.End(nil), w.ends...)}
+	for _, l := range w.running {
+		listing.Running = append(listing.Running, runs.Running{Task: l.task, Run: l.run})
+	}
+	return listing, answer, nil
+}
+
+// Tasks returns the tasks that run.
+func (w *Worker) Tasks() []carobkeel.TaskName {
+	var tasks []carobkeel.TaskName
+	for k := range w.running {
+		tasks = append(tasks, k.task)
+	}
+	return tasks
+}
