Learn pairs by a Kalman filter; keep serving tasks of one image together

Cause: filling images press some serving images hard and others not at all; with serving images mixed on every worker each filling image hurt some task. Tasks that had just ended still showed in the figures and were not counted.

Change: serving tasks of one image share workers; filling tasks that are held back move to a worker that lets them work; jobs that can't be in time any more come last; ended filling tasks count while figures cover them.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/pressure"
 )
 
@@ -26,11 +27,49 @@
 	// budget is what the serving tasks bear by the last listing.
 	budget  pressure.Budget
 	changed time.Duration
+	// ended are filling tasks that ended a short time ago.
+	ended []endedFiller
+}
+
+// endedFiller is a filling task that still shows in figures.
+type endedFiller struct {
+	filling pressure.Filling
+	at      time.Duration
+}
+
+// figureSpan is the time that the figures of running tasks cover.
+const figureSpan = 500 * time.Millisecond
+
+// noteEndedFiller keeps what an ended run has used.
+func (c *Core) noteEndedFiller(r *liveRun) {
+	if r.task == nil || !r.task.step.spec.Fills || r.figure == 0 {
+		return
+	}
+	f := r.worker.fillingOf(r.task)
+	f.Share = float64(r.figure) / float64(max(1, r.worker.description.Capacity.MilliCPU))
+	f.FullShare = 0
+	r.worker.control.ended = append(r.worker.control.ended, endedFiller{filling: f, at: c.now.Steady})
+}
+
+// endedFillers returns what runs that have ended used in the span of the newest
+// figures.
+func (c *Core) endedFillers(w *workerState) []pressure.Filling {
+	var filling []pressure.Filling
+	w.control.ended = slices.DeleteFunc(w.control.ended, func(e endedFiller) bool {
+		return c.now.Steady-e.at >= figureSpan
+	})
+	for _, e := range w.control.ended {
+		f := e.filling
+		f.Share *= 1 - float64(c.now.Steady-e.at)/float64(figureSpan)
+		filling = append(filling, f)
+	}
+	return filling
 }
 
 // observeSharing learns from a whole listing.
 func (c *Core) observeSharing(w *workerState) {
 	serving, filling, _ := w.sharing()
+	filling = append(filling, c.endedFillers(w)...)
 	c.pressure.Observe(w.host, serving, filling)
 	w.control.budget = c.pressure.Budget(serving, filling)
 }
@@ -73,14 +112,15 @@
 }
 
 // paceOn returns the pace that a filling task would have on a worker, beside
-// those that are there.
-func (c *Core) paceOn(t *task, w *workerState) int {
+// those that are there, and the least utilization that it would leave.
+func (c *Core) paceOn(t *task, w *workerState) (int, float64) {
 	_, filling, _ := w.sharing()
 	budget := w.control.budget.Clone()
 	for _, f := range filling {
 		c.pressure.Take(&budget, f)
 	}
-	return c.pressure.Take(&budget, w.fillingOf(t))
+	pace := c.pressure.Take(&budget, w.fillingOf(t))
+	return pace, budget.Least()
 }
 
 // controlInterference sets the pace of filling tasks, so that the serving tasks
@@ -109,6 +149,11 @@
 	if change > -paceStep && change < paceStep && pace != 0 && pace != fullPace {
 		return
 	}
+	if pace >= startPace {
+		r.slowSince = 0
+	} else if r.slowSince == 0 {
+		r.slowSince = c.now.Steady
+	}
 	r.pace = pace
 	w.control.changed = c.now.Steady
 	c.orders = append(c.orders, Order{
@@ -116,3 +161,57 @@
 	})
 	c.note(Decision{Kind: "pace set", Task: r.name, Run: r.run, Host: w.host, Detail: strconv.Itoa(pace)})
 }
+
+const (
+	// slowLimit is how long a filling task may be slow before it moves.
+	slowLimit = 1200 * time.Millisecond
+	// movePace is the least pace elsewhere that is worth a move: a stop and a
+	// resumption take half a second.
+	movePace = 90
+)
+
+// moveSlowFillers stops filling tasks that are held back for long and that save
+// their progress, where another worker lets them work.
+func (c *Core) moveSlowFillers() {
+	var p *pass
+	for _, w := range c.workers {
+		for _, r := range w.copies {
+			if r.slowSince == 0 || r.stopping || r.task == nil || !r.task.step.spec.SavesProgress {
+				continue
+			}
+			if c.now.Steady-r.slowSince < slowLimit {
+				c.wakeAt(r.slowSince + slowLimit)
+				continue
+			}
+			if p == nil {
+				p = &pass{workers: c.usableWorkers(), held: make(map[*workerState]carobkeel.Resources)}
+			}
+			if c.hasFasterPlace(p, r) {
+				c.stop(r, "works faster elsewhere")
+			}
+		}
+	}
+}
+
+// hasFasterPlace reports whether another worker lets a filling task work, and
+// keeps its room there.
+func (c *Core) hasFasterPlace(p *pass, r *liveRun) bool {
+	demand := r.task.step.spec.Reserved()
+	for _, w := range p.workers {
+		if w == r.worker || !c.isAllowed(r.task, w) || !demand.FitsIn(w.free().Sub(p.held[w])) {
+			continue
+		}
+		if p.held[w] != (carobkeel.Resources{}) {
+			continue // one move to a worker at a time, since it changes its budget
+		}
+		l := w.load()
+		if l.using+l.filling+r.task.step.spec.Demand.MilliCPU > w.description.Capacity.MilliCPU {
+			continue
+		}
+		if pace, _ := c.paceOn(r.task, w); pace >= movePace {
+			p.held[w] = demand
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -171,6 +171,7 @@
 // returns what is to be done.
 func (c *Core) Finish() Output {
 	c.wake = 0
+	c.moveSlowFillers()
 	c.schedule()
 	c.controlInterference()
 	c.planWake()
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -84,16 +84,48 @@
 }
 
 // compareUrgency orders steps: by the queue's priority, perpetual ones first,
-// and by the time of acceptance.
+// those that can still be in time before the late ones, and by when they are due.
 func (c *Core) compareUrgency(a, b *stepState) int {
 	ja, jb := a.occurrence.job, b.occurrence.job
 	return cmp.Or(
 		cmp.Compare(c.queueOf(ja).Priority, c.queueOf(jb).Priority),
 		compareFalseFirst(!a.spec.Perpetual, !b.spec.Perpetual),
+		compareFalseFirst(c.isLate(a), c.isLate(b)),
+		cmp.Compare(c.dueAt(a), c.dueAt(b)),
 		cmp.Compare(a.since(), b.since()),
 	)
 }
 
+// dueAt is when the step's job should be complete: Stretch times its longest
+// chain of work after it began to wait, and Objective more.
+func (c *Core) dueAt(s *stepState) time.Duration {
+	q := c.queueOf(s.occurrence.job)
+	return s.since() + time.Duration(q.Stretch*float64(s.occurrence.chain(0))) + q.Objective
+}
+
+// isLate reports whether the job can't be in time any more, even if nothing
+// holds it up.
+func (c *Core) isLate(s *stepState) bool {
+	return c.now.Steady+s.occurrence.chain(s.index)/2 > c.dueAt(s)
+}
+
+// chain returns the longest chain of declared work from a step on.
+func (o *occurrence) chain(from int) time.Duration {
+	if o.chains == nil {
+		o.chains = make([]time.Duration, len(o.steps)+1)
+		for i := len(o.steps) - 1; i >= 0; i-- {
+			longest := time.Duration(0)
+			for j := i + 1; j < len(o.steps); j++ {
+				if slices.Contains(o.steps[j].spec.After, i) {
+					longest = max(longest, o.chains[j])
+				}
+			}
+			o.chains[i] = o.steps[i].spec.Estimate + longest
+		}
+	}
+	return o.chains[from]
+}
+
 func compareFalseFirst(a, b bool) int {
 	switch {
 	case a == b:
@@ -174,13 +206,20 @@
 const (
 	// sameStepPenalty spreads the tasks of a perpetual step over workers, so that
 	// the loss of one takes few of them.
-	sameStepPenalty = 0.5
+	sameStepPenalty = 0.05
 	// remotePenalty keeps tasks near their data: away from it they take longer.
 	remotePenalty = 1.0
 	// avoidPenalty sends a task to another worker than the one it failed on.
 	avoidPenalty = 2.0
-	// servingPenalty keeps filling tasks away from serving ones.
-	servingPenalty = 1.5
+	// servingPenalty keeps filling tasks away from serving ones: it outweighs a
+	// full pace and a whole budget.
+	servingPenalty = 2.0
+	// imageWeight keeps serving tasks of one image together: images differ in which
+	// filling tasks they bear, and a worker bears what all of its tasks bear.
+	imageWeight = 1.5
+	// fillerRoom weighs the free processors for a filling task beside the
+	// utilization that it leaves to serving ones.
+	fillerRoom = 0.3
 	// wholeWorker is the size by which free processors are weighed, in
 	// thousandths of a core.
 	wholeWorker = 32000
@@ -195,8 +234,14 @@
 	// first, so that some stay free of serving tasks for those that fill.
 	score := -float64(w.free().MilliCPU) / wholeWorker
 	if s.Fills {
-		score = (capacity - float64(load.using+load.filling)) / capacity
-		score -= servingPenalty * float64(min(load.serving, 1))
+		score = fillerRoom * (capacity - float64(load.using+load.filling)) / capacity
+		if load.serving > 0 {
+			pace, left := c.paceOn(t, w)
+			score += left + float64(pace)/fullPace - servingPenalty
+		}
+	}
+	if s.LatencyTarget > 0 {
+		score += imageWeight * w.imageShare(s.Image)
 	}
 	if s.Perpetual {
 		score -= sameStepPenalty * float64(w.countOf(t.step))
@@ -210,6 +255,25 @@
 	return score
 }
 
+// imageShare says how far the serving tasks of a worker run an image: 1 where
+// all of them do, -1 where none does, 0 where none serves.
+func (w *workerState) imageShare(image string) float64 {
+	same, all := 0.0, 0.0
+	for _, r := range w.copies {
+		if r.task == nil || r.task.step.spec.LatencyTarget <= 0 {
+			continue
+		}
+		all++
+		if r.task.step.spec.Image == image {
+			same++
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return 2*same/all - 1
+}
+
 // load is what runs on a worker.
 type load struct {
 	// using and filling are thousandths of a core: what tasks with a reservation
@@ -252,7 +316,11 @@
 	if l.using+l.filling+t.step.spec.Demand.MilliCPU > w.description.Capacity.MilliCPU {
 		return false
 	}
-	return l.serving == 0 || c.paceOn(t, w) >= startPace
+	if l.serving == 0 {
+		return true
+	}
+	pace, _ := c.paceOn(t, w)
+	return pace >= startPace
 }
 
 // starvationLimit is how long a job that has room may have nothing running: the
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -39,7 +39,9 @@
 	percent        int
 	figure         int
 	pace           int
-	ticket         string
+	// slowSince is when the run was last slowed down, zero while it is not.
+	slowSince time.Duration
+	ticket    string
 }
 
 type runKey struct {
@@ -194,6 +196,7 @@
 // release frees what a run held. Its task waits again, unless it is done.
 func (c *Core) release(r *liveRun, reason string) {
 	w := r.worker
+	c.noteEndedFiller(r)
 	delete(w.copies, runKey{r.name, r.run})
 	w.used = w.used.Sub(r.reserved)
 	if r.task == nil {
--- a/worker/pressure/pressure.go
+++ b/worker/pressure/pressure.go
@@ -16,18 +16,22 @@
 	// idleMargin is the least latency seen that an idle task is assumed to have.
 	idleMargin = 0.9
 	// priorSensitivity is the assumed rise of the utilization for a filling image
-	// that uses a whole worker.
+	// that uses a whole worker, and priorVariance how sure that is.
 	priorSensitivity = 1.0
+	priorVariance    = 0.8
 	// maxSensitivity bounds what is learned from noisy figures.
 	maxSensitivity = 8.0
-	// learningRate is how far one pair of figures moves a sensitivity.
-	learningRate = 0.2
+	// loadVariance is how far the own load of a serving task moves between two
+	// figures that are compared, as a variance of its utilization.
+	loadVariance = 0.006
+	// driftVariance is how far a sensitivity moves in that time.
+	driftVariance = 0.003
 	// leastChange is the least change of use, as a share of a worker, that
 	// figures are learned from.
 	leastChange = 0.02
 	// headroom is the tail latency to aim at, as a share of the target: figures
 	// are half a second old, and the load moves within seconds.
-	headroom = 0.72
+	headroom = 0.7
 	// maxUtilization stands for a queue that grows.
 	maxUtilization = 0.98
 )
@@ -54,8 +58,57 @@
 	FullShare float64
 }
 
-// pair is a serving and a filling image.
-type pair struct{ serving, filling string }
+// estimate is what is known of how one serving image reacts to filling ones: the
+// state of a Kalman filter, with a mean for each filling image and a covariance
+// for each pair of them.
+type estimate struct {
+	index      map[string]int
+	mean       []float64
+	covariance [][]float64
+}
+
+// of returns the index of a filling image, which joins with the prior.
+func (e *estimate) of(image string) int {
+	if i, known := e.index[image]; known {
+		return i
+	}
+	i := len(e.mean)
+	e.index[image] = i
+	e.mean = append(e.mean, priorSensitivity)
+	for row := range e.covariance {
+		e.covariance[row] = append(e.covariance[row], 0)
+	}
+	e.covariance = append(e.covariance, make([]float64, i+1))
+	e.covariance[i][i] = priorVariance
+	return i
+}
+
+// correct takes in that changes of use came with a rise of the utilization.
+func (e *estimate) correct(change map[string]float64, rise float64) {
+	for image := range change {
+		e.of(image)
+	}
+	x := make([]float64, len(e.mean))
+	for image, d := range change {
+		x[e.index[image]] = d
+	}
+	gain := make([]float64, len(x))
+	scale := loadVariance
+	for i := range x {
+		for j := range x {
+			gain[i] += e.covariance[i][j] * x[j]
+		}
+		scale += x[i] * gain[i]
+		rise -= x[i] * e.mean[i]
+	}
+	for i := range x {
+		e.mean[i] = min(maxSensitivity, max(0, e.mean[i]+gain[i]*rise/scale))
+		for j := range x {
+			e.covariance[i][j] -= gain[i] * gain[j] / scale
+		}
+		e.covariance[i][i] = min(priorVariance, e.covariance[i][i]+driftVariance)
+	}
+}
 
 // sample is what was seen of one worker.
 type sample struct {
@@ -65,7 +118,7 @@
 
 // Model is what was learned of the images. Use New.
 type Model struct {
-	sensitivity map[pair]float64
+	estimates map[string]*estimate
 	// idle is the tail latency of an idle task by image, as a share of the target.
 	idle map[string]float64
 	// last holds the two newest samples of each worker, the older one first.
@@ -75,19 +128,33 @@
 // New returns a model that has learned nothing.
 func New() *Model {
 	return &Model{
-		sensitivity: make(map[pair]float64),
-		idle:        make(map[string]float64),
-		last:        make(map[string][2]sample),
+		estimates: make(map[string]*estimate),
+		idle:      make(map[string]float64),
+		last:      make(map[string][2]sample),
 	}
 }
 
 // Sensitivity returns how much a filling image that uses a whole worker raises
 // the utilization of a serving one.
 func (m *Model) Sensitivity(serving, filling string) float64 {
-	if s, known := m.sensitivity[pair{serving, filling}]; known {
-		return s
+	e := m.estimates[serving]
+	if e == nil {
+		return priorSensitivity
 	}
-	return priorSensitivity
+	i, known := e.index[filling]
+	if !known {
+		return priorSensitivity
+	}
+	return e.mean[i]
+}
+
+func (m *Model) estimate(serving string) *estimate {
+	e := m.estimates[serving]
+	if e == nil {
+		e = &estimate{index: make(map[string]int)}
+		m.estimates[serving] = e
+	}
+	return e
 }
 
 // utilization returns the utilization that a tail latency shows.
@@ -146,21 +213,11 @@
 		was, seen := before.utilization[s.Task]
 		is, sees := now.utilization[s.Task]
 		if seen && sees {
-			m.correct(s.Image, change, is-was, squares)
+			m.estimate(s.Image).correct(change, is-was)
 		}
 	}
 }
 
-func (m *Model) correct(serving string, change map[string]float64, rise, squares float64) {
-	for image, d := range change {
-		rise -= m.Sensitivity(serving, image) * d
-	}
-	for image, d := range change {
-		s := m.Sensitivity(serving, image) + learningRate*rise*d/(squares+leastChange*leastChange)
-		m.sensitivity[pair{serving, image}] = min(maxSensitivity, max(0, s))
-	}
-}
-
 // Budget is how much more utilization each serving task of a worker bears,
 // beside that of its own load.
 type Budget struct {
@@ -203,6 +260,16 @@
 	return int(FullPace * pace)
 }
 
+// Least returns the least utilization that is left to a serving task, 1 where
+// none serves.
+func (b Budget) Least() float64 {
+	least := 1.0
+	for _, left := range b.left {
+		least = min(least, left)
+	}
+	return least
+}
+
 // Clone returns a copy that can be taken from.
 func (b Budget) Clone() Budget {
 	b.left = append([]float64(nil), b.left...)
