Let learned sensitivities settle

Cause: the filter's drift was so large that estimates of static pairs moved with every swing of the serving load (an image's effect was taken as 0 while it raised the utilization to 0.97). Change: drift variance 0.003 to 0.00002, load variance 0.006 to 0.012.

--- a/worker/pressure/pressure.go
+++ b/worker/pressure/pressure.go
@@ -23,9 +23,9 @@
 	maxSensitivity = 8.0
 	// loadVariance is how far the own load of a serving task moves between two
 	// figures that are compared, as a variance of its utilization.
-	loadVariance = 0.006
+	loadVariance = 0.012
 	// driftVariance is how far a sensitivity moves in that time.
-	driftVariance = 0.003
+	driftVariance = 0.00002
 	// leastChange is the least change of use, as a share of a worker, that
 	// figures are learned from.
 	leastChange = 0.02
