Count each failed run once, in whatever order workers list ends

Its progress held the failure, the holder changed before the end was acknowledged, and the next holder counted it again. A first mend, the highest failed run, lost failures that another worker listed later: found by the random order of faults.

Change: progress keeps the set of failed runs. Filling tasks count at their pace when the processors of a worker are shared out.

Ruled out: a wrong end of the worker (its list named three ends in all).

Judged by runs that ended failed, acknowledged or not, as the rule has it.

--- a/scheduler/dispatch/faults_test.go
+++ b/scheduler/dispatch/faults_test.go
@@ -63,8 +63,16 @@
 	for i := range durations {
 		durations[i] = time.Duration(draw("duration", 1, 40)) * 100 * time.Millisecond
 	}
-	w.work = func(task carobkeel.TaskName, _ int) standin.Work {
-		return standin.Work{Duration: durations[(task.Index+task.Step*3)%len(durations)], Outcome: runs.OutcomeDone}
+	failing := 0
+	if w.failures {
+		failing = draw("failing", 2, 12)
+	}
+	w.work = func(task carobkeel.TaskName, run int) standin.Work {
+		work := standin.Work{Duration: durations[(task.Index+task.Step*3)%len(durations)], Outcome: runs.OutcomeDone}
+		if failing > 0 && (run+task.Index)%failing == 0 {
+			work.Outcome = runs.OutcomeFailed
+		}
+		return work
 	}
 	w.takeOver()
 	w.run(time.Second)
@@ -118,6 +126,17 @@
 	return jobs
 }
 
+// mostFailures returns how often the task of a job failed that failed most.
+func (w *world) mostFailures(spec *carobkeel.JobSpec) int {
+	most := 0
+	for task, n := range w.record.FailedRuns {
+		if task.Job == spec.ID {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // Whatever fails and in whatever order: no task runs in two places, none starts
 // before its predecessors or after its last attempt, no worker is filled beyond
 // its capacity, and once the faults are over every job ends.
@@ -125,11 +144,15 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(8000, 8000, 12000, 16000)
 		w.trace = func(line string) { t.Log(line) }
+		w.failures = true
 		play(w, func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) })
 		NewWithT(t).Expect(w.record.Wrong).To(BeEmpty())
 		for _, spec := range w.store.jobs {
 			state := w.store.progress[spec.ID].State
 			NewWithT(t).Expect(state.IsFinal()).To(BeTrue(), "job %s is %s", spec.ID, state)
+			if state == carobkeel.JobFailed {
+				NewWithT(t).Expect(w.mostFailures(spec)).To(BeNumerically(">=", spec.Queue.MaxAttempts), "job %s", spec.ID)
+			}
 			if state == carobkeel.JobCancelled {
 				NewWithT(t).Expect(w.store.cancel[spec.ID]).To(BeTrue())
 			}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -56,9 +57,11 @@
 	index int
 	done  bool
 	// lastRun is the highest number of a run that was given out.
-	lastRun  int
-	failures int
-	saved    string
+	lastRun int
+	// failedRuns are the runs that failed. A worker lists an end to the next holder
+	// too, until it is acknowledged, and workers list in any order.
+	failedRuns []int
+	saved      string
 	// copies are the runs that may be alive.
 	copies []*liveRun
 	// waitingSince is when the task last began to wait.
@@ -243,13 +246,20 @@
 }
 
 // failTask counts a failed run. The job has failed with its last attempt.
-func (c *Core) failTask(t *task, host string) {
+func (c *Core) failTask(t *task, run int, host string) {
 	j := t.job()
-	t.failures++
+	if slices.Contains(t.failedRuns, run) {
+		return
+	}
+	t.failedRuns = append(t.failedRuns, run)
 	t.avoid = host
 	limit := c.queueOf(j).MaxAttempts
 	c.markDirty(j)
-	if t.step.spec.Perpetual || limit == 0 || t.failures < limit || j.failed {
+	if t.step.spec.Perpetual {
+		t.failedRuns = nil // these have no limit
+		return
+	}
+	if limit == 0 || len(t.failedRuns) < limit || j.failed {
 		return
 	}
 	j.failed = true
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -69,7 +69,7 @@
 		c.takeDone(t)
 	case runs.OutcomeFailed:
 		if !t.done {
-			c.failTask(t, w.host)
+			c.failTask(t, end.Run, w.host)
 		}
 	}
 }
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -292,7 +292,7 @@
 		spec := r.task.step.spec
 		switch {
 		case spec.Fills:
-			l.filling += spec.Demand.MilliCPU
+			l.filling += spec.Demand.MilliCPU * int64(r.pace) / fullPace
 		case spec.LatencyTarget > 0:
 			l.serving++
 			l.using += int64(float64(spec.Demand.MilliCPU) * servingUse)
@@ -304,7 +304,7 @@
 }
 
 // servingUse is the part of its reservation that a serving task uses.
-const servingUse = 0.6
+const servingUse = 0.5
 
 // mayFill reports whether a filling task would get the processors that it wants
 // on a worker, and could use them without harm to serving tasks.
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -15,10 +17,11 @@
 
 // TaskProgress is the durable record of one task.
 type TaskProgress struct {
-	Task     carobkeel.TaskName
-	Done     bool
-	Failures int
-	Saved    string
+	Task carobkeel.TaskName
+	Done bool
+	// FailedRuns are the runs that failed.
+	FailedRuns []int
+	Saved      string
 }
 
 // Batch is a set of records to store in one go, and what its storing allows.
@@ -152,8 +155,10 @@
 		for _, s := range o.steps {
 			for i := range s.tasks {
 				t := &s.tasks[i]
-				if t.done || t.failures > 0 || t.saved != "" {
-					p.Tasks = append(p.Tasks, TaskProgress{Task: t.name(), Done: t.done, Failures: t.failures, Saved: t.saved})
+				if t.done || len(t.failedRuns) > 0 || t.saved != "" {
+					p.Tasks = append(p.Tasks, TaskProgress{
+						Task: t.name(), Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Saved: t.saved,
+					})
 				}
 			}
 		}
@@ -178,7 +183,7 @@
 		if t == nil {
 			continue
 		}
-		t.failures, t.saved = tp.Failures, tp.Saved
+		t.failedRuns, t.saved = tp.FailedRuns, tp.Saved
 		if tp.Done && !t.done {
 			t.done = true
 			t.step.done++
--- a/scheduler/dispatch/world_test.go
+++ b/scheduler/dispatch/world_test.go
@@ -49,6 +49,8 @@
 	// trace is told of each decision, if set.
 	trace  func(string)
 	broken broken
+	// failures lets some runs fail.
+	failures bool
 }
 
 // broken are rules that a test breaks on purpose.
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -199,7 +199,7 @@
 	for _, t := range p.Tasks {
 		row.Tasks = append(row.Tasks, TaskProgress{
 			Occurrence: t.Task.Occurrence, Step: t.Task.Step, Index: t.Task.Index,
-			Done: t.Done, Failures: t.Failures, Saved: t.Saved,
+			Done: t.Done, FailedRuns: t.FailedRuns, Saved: t.Saved,
 		})
 	}
 	return row
@@ -211,7 +211,7 @@
 	for _, t := range r.Tasks {
 		p.Tasks = append(p.Tasks, dispatch.TaskProgress{
 			Task: carobkeel.TaskName{Job: id, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index},
-			Done: t.Done, Failures: t.Failures, Saved: t.Saved,
+			Done: t.Done, FailedRuns: t.FailedRuns, Saved: t.Saved,
 		})
 	}
 	return p
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -81,6 +81,6 @@
 	Step       int
 	Index      int
 	Done       bool
-	Failures   int
+	FailedRuns []int
 	Saved      string
 }
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -620,7 +620,10 @@
 	o = msgp.AppendInt(o, z.Step)
 	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendBool(o, z.Done)
-	o = msgp.AppendInt(o, z.Failures)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.FailedRuns)))
+	for za0001 := range z.FailedRuns {
+		o = msgp.AppendInt(o, z.FailedRuns[za0001])
+	}
 	o = msgp.AppendString(o, z.Saved)
 	return
 }
@@ -657,11 +660,28 @@
 		err = msgp.WrapError(err, "Done")
 		return
 	}
-	z.Failures, bts, err = msgp.ReadIntBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Failures")
+		err = msgp.WrapError(err, "FailedRuns")
+		return
+	}
+	if zb0002 > zd41d09belimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
+	if cap(z.FailedRuns) >= int(zb0002) {
+		z.FailedRuns = (z.FailedRuns)[:zb0002]
+	} else {
+		z.FailedRuns = make([]int, zb0002)
+	}
+	for za0001 := range z.FailedRuns {
+		z.FailedRuns[za0001], bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "FailedRuns", za0001)
+			return
+		}
+	}
 	z.Saved, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Saved")
@@ -673,7 +693,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskProgress) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Saved)
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.FailedRuns) * (msgp.IntSize)) + msgp.StringPrefixSize + len(z.Saved)
 	return
 }
 
--- a/worker/runs/standin/record.go
+++ b/worker/runs/standin/record.go
@@ -14,6 +14,8 @@
 	Done map[carobkeel.TaskName]int
 	// Failed counts acknowledged ends of runs that failed.
 	Failed map[carobkeel.TaskName]int
+	// FailedRuns counts runs that failed, acknowledged or not.
+	FailedRuns map[carobkeel.TaskName]int
 	// Starts counts runs.
 	Starts map[carobkeel.TaskName]int
 	// Wrong lists what broke a promise.
@@ -28,7 +30,9 @@
 		alive:  make(map[carobkeel.TaskName]int),
 		Done:   make(map[carobkeel.TaskName]int),
 		Failed: make(map[carobkeel.TaskName]int),
-		Starts: make(map[carobkeel.TaskName]int),
+
+		FailedRuns: make(map[carobkeel.TaskName]int),
+		Starts:     make(map[carobkeel.TaskName]int),
 	}
 }
 
@@ -46,9 +50,14 @@
 	}
 }
 
-func (r *Record) ended(task carobkeel.TaskName, _ int, _ runs.Life) { r.alive[task]-- }
+func (r *Record) ended(task carobkeel.TaskName, outcome runs.Outcome) {
+	r.alive[task]--
+	if outcome == runs.OutcomeFailed {
+		r.FailedRuns[task]++
+	}
+}
 
-func (r *Record) acknowledged(end runs.End, _ runs.Life) {
+func (r *Record) acknowledged(end runs.End) {
 	switch end.Outcome {
 	case runs.OutcomeDone:
 		r.Done[end.Task]++
--- a/worker/runs/standin/standin.go
+++ b/worker/runs/standin/standin.go
@@ -95,7 +95,7 @@
 // Crash ends everything unseen, and starts another life under the same id.
 func (w *Worker) Crash() {
 	for k := range w.running {
-		w.config.Record.ended(k.task, k.run, w.config.Description.Life)
+		w.config.Record.ended(k.task, runs.OutcomeLapsed)
 	}
 	w.config.Description.Born++
 	w.config.Description.Sequence = 1
@@ -123,7 +123,7 @@
 	w.refused[l.task] = max(w.refused[l.task], l.run)
 	w.lastEnd++
 	w.ends = append(w.ends, runs.End{Number: w.lastEnd, Task: l.task, Run: l.run, Outcome: outcome})
-	w.config.Record.ended(l.task, l.run, w.config.Description.Life)
+	w.config.Record.ended(l.task, outcome)
 }
 
 // admit checks what every order carries. ResultOK lets it through.
@@ -198,7 +198,7 @@
 		return runs.Listing{}, answer, nil
 	}
 	for len(w.ends) > 0 && w.ends[0].Number <= acknowledged {
-		w.config.Record.acknowledged(w.ends[0], w.config.Description.Life)
+		w.config.Record.acknowledged(w.ends[0])
 		w.ends = w.ends[1:]
 	}
 	listing := runs.Listing{Born: w.config.Description.Born, Ends: append([]runs.End(nil), w.ends...)}
