Count a worker's lease from when its clock was received

Cause: the sidecar took the clock in an answer as that of the moment of asking. A listing waits up to 500 ms, so a lease could run that much longer than the holder assumed, and a task could start elsewhere while it ran.

Change: the clock counts from when the answer came.

--- a/scheduler/dispatch/world_test.go
+++ b/scheduler/dispatch/world_test.go
@@ -274,7 +274,7 @@
 	if n := len(listing.Ends); n > 0 && w.broken.earlyAcknowledge {
 		s.acked[d.Life] = listing.Ends[n-1].Number
 	}
-	s.clock = gate.Clock{Reading: answer.Clock, Sent: w.now, Received: w.now, Known: true}
+	s.clock = gate.Clock{Reading: answer.Clock, Received: w.now, Known: true}
 	h.core.TakeListing(dispatch.WorkerListing{
 		Host: s.name, Life: d.Life, Number: s.listing, Whole: true, Running: listing.Running, Ends: listing.Ends,
 	})
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -175,10 +175,10 @@
 }
 
 // observeClock takes in the worker's clock from an answer.
-func (a *Agent) observeClock(life runs.Life, answer runs.Answer, sent time.Duration) {
+func (a *Agent) observeClock(life runs.Life, answer runs.Answer) {
 	d := a.described.Load()
 	if answer.Clock == 0 || d == nil || d.Life != life {
 		return
 	}
-	a.clock.Store(&gate.Clock{Reading: answer.Clock, Sent: sent, Received: clock.Boottime(), Known: true})
+	a.clock.Store(&gate.Clock{Reading: answer.Clock, Received: clock.Boottime(), Known: true})
 }
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -72,7 +72,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+listTimeout)
 	defer cancel()
-	sent := clock.Boottime()
 	epoch := a.holder.Load().Epoch
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Life, epoch), a.acknowledgedOf(d.Life), wait)
 	if err != nil || answer.Result != runs.ResultOK {
@@ -87,7 +86,7 @@
 		a.park(ctx, retryPause) // another life, whose heartbeat will tell
 		return
 	}
-	a.observeClock(d.Life, answer, sent)
+	a.observeClock(d.Life, answer)
 	l.pass(d, number, epoch, listing)
 	if len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedOf(d.Life) {
 		a.park(ctx, acknowledgeWait)
@@ -104,12 +103,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	number := a.listing.Add(1)
-	sent := clock.Boottime()
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Life, up.epoch()), a.acknowledgedOf(d.Life), 0)
 	if err != nil || answer.Result != runs.ResultOK || (listing.Born != 0 && listing.Born != d.Born) {
 		return // the lister's next round tells
 	}
-	a.observeClock(d.Life, answer, sent)
+	a.observeClock(d.Life, answer)
 	up.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Life: d.Life, Number: number, Whole: true, Running: listing.Running, Ends: listing.Ends,
 	}, up.epoch()))
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
@@ -93,7 +92,6 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	envelope := a.envelope(o.order.Life, o.epoch)
-	sent := clock.Boottime()
 	var answer runs.Answer
 	var err error
 	switch o.order.Kind {
@@ -110,6 +108,6 @@
 		a.log.Warn().Stringer("task", o.order.Task).Int("run", o.order.Run).Err(err).Msg("order without an answer")
 		return runs.ResultUnknown
 	}
-	a.observeClock(o.order.Life, answer, sent)
+	a.observeClock(o.order.Life, answer)
 	return answer.Result
 }
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -37,21 +37,23 @@
 
 // Clock maps the sidecar's time to that of the worker.
 type Clock struct {
-	// Reading is what the worker's clock showed between Sent and Received.
-	Reading        time.Duration
-	Sent, Received time.Duration
-	Known          bool
+	// Reading is what the worker's clock showed in an answer that came at Received.
+	Reading, Received time.Duration
+	Known             bool
 }
 
 // workerClockDrift is how much slower than true a worker's clock may be: 2%.
 const workerClockDrift = 0.02
 
-// Latest returns an upper bound of the worker's clock at a time.
-func (c Clock) Latest(at time.Duration) time.Duration { return c.Reading + at - c.Sent }
+// at returns what the worker's clock shows at a time, if it is true. The reading
+// was taken at Received or before, so that a lease that is counted from it ends
+// in time.
+func (c Clock) at(t time.Duration) time.Duration { return c.Reading + t - c.Received }
 
-// Earliest returns a lower bound of the worker's clock at a time after Received.
-func (c Clock) Earliest(at time.Duration) time.Duration {
-	passed := at - c.Received
+// earliest returns a lower bound of what the worker's clock shows at a time after
+// Received.
+func (c Clock) earliest(t time.Duration) time.Duration {
+	passed := t - c.Received
 	return c.Reading + passed - time.Duration(float64(passed)*workerClockDrift)
 }
 
@@ -62,7 +64,7 @@
 	if !h.Known || !c.Known {
 		return 0
 	}
-	return max(0, c.Latest(h.Confirmed)+duration)
+	return max(0, c.at(h.Confirmed)+duration)
 }
 
 // Remaining returns how long a lease with the deadline may still run.
@@ -70,7 +72,7 @@
 	if !c.Known {
 		return 0
 	}
-	return max(0, deadline-c.Earliest(now))
+	return max(0, deadline-c.earliest(now))
 }
 
 // AdmitStart decides about a start under an epoch, for a life. ResultOK lets it
--- /dev/null
+++ b/table/faulty/rows.go
@@ -0,0 +1,134 @@
+package faulty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// Rows wraps a table.Rows and makes it fail at a test's word. All methods are
+// safe for use by several goroutines.
+type Rows struct {
+	rows table.Rows
+	mu   sync.Mutex
+	down bool
+	// loseAnswers is how many of the next transactions are carried out and not
+	// answered, delayed how many are kept back and not answered.
+	loseAnswers, delay int
+	late               []table.RowTransaction
+}
+
+// NewRows returns a service without faults.
+func NewRows(rows table.Rows) *Rows { return &Rows{rows: rows} }
+
+// SetDown makes every call fail, or ends that.
+func (r *Rows) SetDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+}
+
+// LoseAnswers lets the next n transactions take effect without an answer.
+func (r *Rows) LoseAnswers(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loseAnswers = n
+}
+
+// Delay keeps the next n transactions back, without an answer, until ReleaseLate.
+func (r *Rows) Delay(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = n
+}
+
+// ReleaseLate carries out what was kept back, where its conditions still hold,
+// and returns how many transactions took effect.
+func (r *Rows) ReleaseLate(ctx context.Context) (int, error) {
+	r.mu.Lock()
+	late := r.late
+	r.late = nil
+	r.mu.Unlock()
+	applied := 0
+	for _, txn := range late {
+		outcome, err := r.rows.Transact(ctx, txn)
+		if err != nil {
+			return applied, err
+		}
+		if outcome.Applied {
+			applied++
+		}
+	}
+	return applied, nil
+}
+
+func (r *Rows) isDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.down
+}
+
+// fate decides what becomes of a transaction.
+func (r *Rows) fate(txn table.RowTransaction) (carryOut, answer bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.loseAnswers > 0:
+		r.loseAnswers--
+		return true, false
+	case r.delay > 0:
+		r.delay--
+		r.late = append(r.late, txn)
+		return false, false
+	}
+	return true, true
+}
+
+// Transact implements table.Rows.
+func (r *Rows) Transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
+	if r.isDown() {
+		return table.RowOutcome{}, table.ErrUnavailable
+	}
+	carryOut, answer := r.fate(txn)
+	var outcome table.RowOutcome
+	var err error
+	if carryOut {
+		outcome, err = r.rows.Transact(ctx, txn)
+	}
+	if !answer {
+		return table.RowOutcome{}, errors.Wrap(table.ErrUnsettled, "the answer is lost")
+	}
+	return outcome, err
+}
+
+// Get implements table.Rows.
+func (r *Rows) Get(ctx context.Context, id table.RowID) (table.VersionedRow, bool, error) {
+	if r.isDown() {
+		return table.VersionedRow{}, false, table.ErrUnavailable
+	}
+	return r.rows.Get(ctx, id)
+}
+
+// Scan implements table.Rows.
+func (r *Rows) Scan(ctx context.Context, tableName, part, from string) (table.RowScan, error) {
+	if r.isDown() {
+		return table.RowScan{}, table.ErrUnavailable
+	}
+	return r.rows.Scan(ctx, tableName, part, from)
+}
+
+// Follow implements table.Rows.
+func (r *Rows) Follow(ctx context.Context, tableName string, after table.Version, wait time.Duration) (table.RowChanges, error) {
+	if r.isDown() {
+		return table.RowChanges{}, table.ErrUnavailable
+	}
+	changes, err := r.rows.Follow(ctx, tableName, after, wait)
+	if r.isDown() {
+		return table.RowChanges{}, table.ErrUnavailable
+	}
+	return changes, err
+}
--- /dev/null
+++ b/table/memory/rows_test.go
@@ -0,0 +1,66 @@
+package memory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/memory"
+)
+
+func rowID(key string) table.RowID { return table.RowID{Table: "t", Part: "p", Key: key} }
+
+func write(t *testing.T, rows table.Rows, key, value string, condition table.Version) table.RowOutcome {
+	t.Helper()
+	outcome, err := rows.Transact(context.Background(), table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: rowID(key), Version: condition}},
+		Writes:     []table.RowWrite{{RowID: rowID(key), Value: []byte(value)}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return outcome
+}
+
+func TestRowsKeepConditions(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	first := write(t, rows, "a", "1", 0)
+	g.Expect(first.Applied).To(BeTrue())
+	second := write(t, rows, "a", "2", 0)
+	g.Expect(second.Applied).To(BeFalse())
+	g.Expect(second.CurrentVersion(rowID("a"))).To(Equal(first.Version))
+	g.Expect(write(t, rows, "a", "2", first.Version).Applied).To(BeTrue())
+}
+
+func TestScanAllReadsEveryPage(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	var writes []table.RowWrite
+	for i := range 1200 {
+		writes = append(writes, table.RowWrite{RowID: rowID(string(rune('a'+i%26)) + string(rune(0x100+i)))})
+	}
+	_, err := rows.Transact(context.Background(), table.RowTransaction{Writes: writes})
+	g.Expect(err).NotTo(HaveOccurred())
+	all, version, err := table.ScanAll(context.Background(), rows, "t", "p")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(all).To(HaveLen(1200))
+	g.Expect(version).To(BeNumerically(">", 0))
+}
+
+func TestFeedTellsChangesInOrderAndLosesItsHistory(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	start := write(t, rows, "a", "1", 0).Version
+	write(t, rows, "b", "2", 0)
+	changes, err := rows.Follow(context.Background(), "t", start, time.Minute)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changes.Rows).To(HaveLen(1))
+	g.Expect(changes.Rows[0].Key).To(Equal("b"))
+	rows.ForgetHistory()
+	_, err = rows.Follow(context.Background(), "t", start, time.Minute)
+	g.Expect(err).To(MatchError(table.ErrHistoryLost))
+}
