Test the path from submission to completion through holders and sidecars

Change: nodes, agents and stand-in workers on loopback, with a table that fails: any entry, repeats, takeover, resignation, outage, unsettled submission, lost history, cancellation.

--- /dev/null
+++ b/scheduler/holder/path_test.go
@@ -0,0 +1,318 @@
+package holder_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller/submission"
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/scheduler/directory"
+	"github.com/carobkeel/carobkeel/scheduler/holder"
+	"github.com/carobkeel/carobkeel/sidecar/agent"
+	"github.com/carobkeel/carobkeel/table/faulty"
+	"github.com/carobkeel/carobkeel/table/memory"
+	"github.com/carobkeel/carobkeel/worker/runs"
+	"github.com/carobkeel/carobkeel/worker/runs/standin"
+)
+
+const (
+	testShard   = "shard"
+	testService = carobkeel.Service("desk")
+	// patience bounds how long a test waits for what should come in a moment.
+	patience = 20 * time.Second
+)
+
+// liveWorker lets a stand-in follow real time, for use by several goroutines.
+type liveWorker struct {
+	mu     *sync.Mutex
+	worker *standin.Worker
+	moved  time.Duration
+}
+
+func (w *liveWorker) advance() {
+	now := clock.Boottime()
+	w.worker.Advance(now - w.moved)
+	w.moved = now
+}
+
+func (w *liveWorker) Start(ctx context.Context, e runs.Envelope, order runs.Start) (runs.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.worker.Start(ctx, e, order)
+}
+
+func (w *liveWorker) Stop(ctx context.Context, e runs.Envelope, order runs.Stop) (runs.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.worker.Stop(ctx, e, order)
+}
+
+func (w *liveWorker) Pace(ctx context.Context, e runs.Envelope, order runs.Pace) (runs.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.worker.Pace(ctx, e, order)
+}
+
+func (w *liveWorker) List(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
+	if err := clock.Sleep(ctx, min(wait, 20*time.Millisecond)); err != nil {
+		return runs.Listing{}, runs.Answer{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return w.worker.List(ctx, e, acknowledged, 0)
+}
+
+// entry is a node with its listener and what it offers to callers.
+type entry struct {
+	node *holder.Node
+	jobs *submission.Service
+	stop context.CancelFunc
+}
+
+// fleet is some entries and sidecars on loopback with a table in memory.
+type fleet struct {
+	rows    *faulty.Rows
+	memory  *memory.Rows
+	record  *standin.Record
+	mu      sync.Mutex
+	entries []*entry
+	agents  []*agent.Agent
+	config  *carobkeel.QueueConfig
+	logs    *log.Logger
+}
+
+func startFleet(t *testing.T, entries, workers int) *fleet {
+	t.Helper()
+	f := &fleet{
+		memory: memory.NewRows(),
+		record: standin.NewRecord(),
+		logs:   logging.Discard().For("test"),
+		config: &carobkeel.QueueConfig{Version: 1, Queues: []carobkeel.Queue{{
+			Name: "quotes", Host: "desk.example", PathPrefix: "/q/", Service: testService, MaxAttempts: 3, Stretch: 2,
+		}}},
+	}
+	f.rows = faulty.NewRows(f.memory)
+	for range entries {
+		f.startEntry(t)
+	}
+	for i := range workers {
+		f.startWorker(t, fmt.Sprintf("host-%d", i))
+	}
+	return f
+}
+
+func (f *fleet) startEntry(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := fmt.Sprintf("entry-%d", len(f.entries))
+	node := holder.New(holder.Config{
+		Host: host, Incarnation: carobkeel.Incarnation(len(f.entries) + 1), Address: listener.Addr().String(),
+		Shard: testShard, WorkerLease: 3 * time.Second, RemoteFactor: 1.5,
+	}, f.rows, f.logs)
+	go func() {
+		if err := node.Serve(ctx, listener); err != nil {
+			t.Error(err)
+		}
+	}()
+	go node.Run(ctx)
+	node.SetQueues(f.config)
+	directory.Register(ctx, f.rows, host, 1, listener.Addr().String(), f.logs)
+	NewWithT(t).Eventually(node.StoreAge, patience).Should(BeNumerically("<", time.Second))
+	f.entries = append(f.entries, &entry{node: node, jobs: submission.New(testShard, f.rows, node, f.logs), stop: cancel})
+}
+
+func (f *fleet) startWorker(t *testing.T, host string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	worker := standin.New(standin.Config{
+		Description: runs.Description{
+			Life: runs.Life{ID: "w-" + host, Born: 1}, Service: testService, Rack: "r1", Labels: []string{"a", "r1"},
+			Capacity: carobkeel.Resources{MilliCPU: 8000, MemoryBytes: 32 << 30}, Sequence: 1,
+		},
+		MaxLease: 10 * time.Second, StopGrace: 100 * time.Millisecond, Record: f.record,
+		Work: func(carobkeel.TaskName, int) standin.Work {
+			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone}
+		},
+	})
+	live := &liveWorker{mu: &f.mu, worker: worker, moved: clock.Boottime()}
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, live, func(ctx context.Context) ([]string, error) {
+		return directory.Addresses(ctx, f.rows)
+	}, f.logs)
+	a.Heartbeat(worker.Description())
+	go a.Run(ctx)
+	f.agents = append(f.agents, a)
+}
+
+// leader returns the entry that holds the shard, nil while none does.
+func (f *fleet) leader() *entry {
+	for _, e := range f.entries {
+		if e.node.Leading() {
+			return e
+		}
+	}
+	return nil
+}
+
+func testJob(n int) *carobkeel.JobSpec {
+	step := carobkeel.Step{Count: 3, Demand: carobkeel.Resources{MilliCPU: 1000, MemoryBytes: 1 << 30}, Estimate: 100 * time.Millisecond}
+	second := step
+	second.After = []int{0}
+	return &carobkeel.JobSpec{
+		ID: carobkeel.JobID(fmt.Sprintf("%016x", n)), Payload: "payload",
+		Queue: carobkeel.Queue{Name: "quotes", Service: testService, MaxAttempts: 3, Stretch: 2},
+		Steps: []carobkeel.Step{step, second},
+	}
+}
+
+func (f *fleet) submit(g Gomega, e *entry, n int) carobkeel.JobID {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	job := testJob(n)
+	g.Expect(e.jobs.Submit(ctx, job)).To(Succeed())
+	return job.ID
+}
+
+func state(e *entry, job carobkeel.JobID) func() (carobkeel.JobState, error) {
+	return func() (carobkeel.JobState, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		return e.jobs.State(ctx, job)
+	}
+}
+
+func (f *fleet) wrong() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.Wrong
+}
+
+func TestJobCompletesThroughAnyEntry(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 2, 2)
+	for n, e := range f.entries {
+		job := f.submit(g, e, n)
+		for _, other := range f.entries {
+			g.Eventually(state(other, job), patience).Should(Equal(carobkeel.JobCompleted))
+		}
+	}
+	g.Expect(f.wrong()).To(BeEmpty())
+}
+
+func TestSameJobAgainIsOneJob(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 2, 1)
+	f.rows.LoseAnswers(1)
+	job := f.submit(g, f.entries[0], 7)
+	f.submit(g, f.entries[1], 7)
+	g.Eventually(state(f.entries[1], job), patience).Should(Equal(carobkeel.JobCompleted))
+	f.submit(g, f.entries[0], 7)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for task, starts := range f.record.Starts {
+		g.Expect(starts).To(Equal(1), task.String())
+	}
+}
+
+func TestAnotherEntryTakesOverAndFinishes(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 3, 2)
+	g.Eventually(f.leader, patience).ShouldNot(BeNil())
+	old := f.leader()
+	var jobs []carobkeel.JobID
+	var survivor *entry
+	for n, e := range f.entries {
+		if e != old {
+			survivor = e
+			jobs = append(jobs, f.submit(g, e, n))
+		}
+	}
+	old.stop()
+	for _, job := range jobs {
+		g.Eventually(state(survivor, job), patience).Should(Equal(carobkeel.JobCompleted))
+	}
+	jobs = append(jobs, f.submit(g, survivor, 100))
+	g.Eventually(state(survivor, jobs[len(jobs)-1]), patience).Should(Equal(carobkeel.JobCompleted))
+	g.Expect(f.wrong()).To(BeEmpty())
+}
+
+func TestHolderThatResignsIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 2, 1)
+	g.Eventually(f.leader, patience).ShouldNot(BeNil())
+	old := f.leader()
+	old.node.Resign()
+	g.Eventually(func() bool { next := f.leader(); return next != nil && next != old }, patience).Should(BeTrue())
+}
+
+func TestAcceptedJobsOutliveAnOutageOfTheTable(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 2, 1)
+	job := f.submit(g, f.entries[0], 1)
+	g.Eventually(f.leader, patience).ShouldNot(BeNil())
+	f.rows.SetDown(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	err := f.entries[0].jobs.Submit(ctx, testJob(2))
+	g.Expect(carobkeel.AsError(err).Ran).To(Equal(carobkeel.RanNo), "a service that is down stores nothing")
+	f.rows.SetDown(false)
+	g.Eventually(state(f.entries[1], job), patience).Should(Equal(carobkeel.JobCompleted))
+}
+
+func TestSubmissionWithoutAnAnswerIsNotRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 1, 1)
+	g.Eventually(f.leader, patience).ShouldNot(BeNil())
+	f.rows.Delay(1000)
+	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+	defer cancel()
+	err := f.entries[0].jobs.Submit(ctx, testJob(2))
+	g.Expect(carobkeel.AsError(err).Ran).To(Equal(carobkeel.RanUnknown), "it may be stored yet")
+	f.rows.Delay(0)
+	applied, err := f.rows.ReleaseLate(context.Background())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(applied).To(BeNumerically(">=", 1), "its late repeats have no second effect")
+	g.Eventually(state(f.entries[0], testJob(2).ID), patience).Should(Equal(carobkeel.JobCompleted))
+}
+
+func TestJobsAreHeardOfAfterTheHistoryIsLost(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 1, 1)
+	g.Eventually(f.leader, patience).ShouldNot(BeNil())
+	f.memory.ForgetHistory()
+	job := f.submit(g, f.entries[0], 1)
+	f.memory.ForgetHistory()
+	g.Eventually(state(f.entries[0], job), patience).Should(Equal(carobkeel.JobCompleted))
+}
+
+func TestCancelledJobIsShownAsCancelled(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 2, 0)
+	job := f.submit(g, f.entries[0], 1)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	g.Expect(f.entries[1].jobs.Cancel(ctx, job)).To(Succeed())
+	for _, e := range f.entries {
+		g.Eventually(state(e, job), patience).Should(Equal(carobkeel.JobCancelled))
+	}
+	err := f.entries[0].jobs.Cancel(ctx, "ffffffffffffffff")
+	g.Expect(carobkeel.AsError(err).Code).To(Equal(carobkeel.CodeUnknownJob))
+}
