Let the lease of a silent worker lapse while its sidecar pings

Ruled out: a lost notice of the sidecar (it is in the log, with 3.2 s left).

Change: pings of a sidecar that does not reach its worker extend nothing; a sidecar that does not know the worker's clock says so.

--- a/scheduler/dispatch/faults_test.go
+++ b/scheduler/dispatch/faults_test.go
@@ -91,7 +91,7 @@
 func (w *world) disturb(draw drawer, jobs int) int {
 	s := w.workers[w.hosts[draw("host", 0, len(w.hosts)-1)]]
 	newest := w.holders[len(w.holders)-1]
-	switch draw("event", 0, 10) {
+	switch draw("event", 0, w.events) {
 	case 0, 1, 2:
 		w.accept(drawJob(draw, jobs))
 		return jobs + 1
@@ -115,6 +115,8 @@
 		share := draw("share", 1, 4)
 		n := 0
 		w.lose = func() (bool, time.Duration) { n++; return n%share == 0, late }
+	case 11:
+		s.deaf = !s.deaf
 	case 10:
 		for _, h := range w.holders {
 			h.frozen = false
@@ -145,6 +147,7 @@
 		w := newWorld(8000, 8000, 12000, 16000)
 		w.trace = func(line string) { t.Log(line) }
 		w.failures = true
+		w.events = 11
 		play(w, func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) })
 		NewWithT(t).Expect(w.record.Wrong).To(BeEmpty())
 		for _, spec := range w.store.jobs {
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -25,6 +25,10 @@
 		return
 	}
 	w.reachable = w.linked
+	if w.silent {
+		w.silent = false
+		c.HostPinged(w.host)
+	}
 	for _, end := range l.Ends {
 		c.takeEnd(w, end)
 	}
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -85,6 +85,28 @@
 	g.Expect(w.record.Wrong).To(BeEmpty())
 }
 
+func TestTasksOfASilentWorkerStartElsewhereWhenItsLeaseHasLapsed(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(8000, 8000)
+	w.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Endless: true} }
+	w.takeOver()
+	w.run(time.Second)
+	w.accept(perpetualJob())
+	w.run(time.Second)
+	for _, name := range w.hosts {
+		w.workers[name].deaf = len(w.workers[name].worker.Tasks()) > 0
+	}
+	w.run(testLease + 700*time.Millisecond)
+	running := 0
+	for _, name := range w.hosts {
+		if s := w.workers[name]; !s.deaf {
+			running += len(s.worker.Tasks())
+		}
+	}
+	g.Expect(running).To(Equal(1))
+	g.Expect(w.record.Wrong).To(BeEmpty())
+}
+
 func TestRecordOfALostWorkerIsDropped(t *testing.T) {
 	g := NewWithT(t)
 	w := newWorld(8000, 8000)
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -56,6 +56,9 @@
 	// reachable says that the sidecar is linked and reaches its worker.
 	reachable bool
 	linked    bool
+	// silent says that the sidecar has said that it does not reach its worker,
+	// whose lease it does not extend then.
+	silent bool
 	// listed says that the worker has listed its runs under this epoch.
 	listed bool
 	// lapse is when the worker's lease surely has lapsed.
@@ -87,15 +90,16 @@
 func (c *Core) HostLinked(host string) {
 	w := c.worker(host)
 	w.linked = true
-	w.listed = false
-	w.reachable = false
+	w.listed, w.reachable, w.silent = false, false, false
 }
 
 // HostPinged says that the sidecar of a host was heard, and may extend the
 // worker's lease.
 func (c *Core) HostPinged(host string) {
 	w := c.worker(host)
-	w.lapse = max(w.lapse, c.now.Steady+leaseBound(c.config.WorkerLease))
+	if !w.silent {
+		w.lapse = max(w.lapse, c.now.Steady+leaseBound(c.config.WorkerLease))
+	}
 }
 
 // HostLost says that the link of a host has ended.
@@ -106,14 +110,16 @@
 }
 
 // WorkerSilent says that the sidecar of a host does not reach its worker, whose
-// lease lapses after remaining.
+// lease lapses after remaining. A negative time is one that it does not know.
 func (c *Core) WorkerSilent(host string, remaining time.Duration) {
 	w := c.worker(host)
-	if !w.reachable {
+	if w.silent {
 		return
 	}
-	w.reachable, w.listed = false, false
-	w.lapse = c.now.Steady + leaseBound(remaining)
+	w.reachable, w.listed, w.silent = false, false, true
+	if remaining >= 0 {
+		w.lapse = min(w.lapse, c.now.Steady+leaseBound(remaining))
+	}
 	c.note(Decision{Kind: "worker does not answer", Host: host, Waited: remaining})
 }
 
--- a/scheduler/dispatch/world_test.go
+++ b/scheduler/dispatch/world_test.go
@@ -51,6 +51,8 @@
 	broken broken
 	// failures lets some runs fail.
 	failures bool
+	// events is the number of the last kind of event that is drawn.
+	events int
 }
 
 // broken are rules that a test breaks on purpose.
@@ -86,6 +88,10 @@
 	linked  *holder
 	// unlinkedAt is when the holder notices that the link is gone.
 	unlinkedAt time.Duration
+	// deaf says that the sidecar does not reach the worker. asked is the latest
+	// lease that it has asked for.
+	deaf  bool
+	asked time.Duration
 	// dropped says that the link has lost an order.
 	dropped bool
 }
@@ -105,6 +111,7 @@
 	w := &world{
 		now:     time.Hour,
 		record:  standin.NewRecord(),
+		events:  10,
 		workers: make(map[string]*host),
 		shown:   make(map[carobkeel.JobID]carobkeel.JobState),
 		lose:    func() (bool, time.Duration) { return false, 0 },
@@ -261,9 +268,13 @@
 	}
 	h.core.HostPinged(s.name)
 	s.holder = s.holder.Confirm(h.epoch, w.now)
+	if s.deaf {
+		h.core.WorkerSilent(s.name, gate.Remaining(s.clock, s.asked, w.now))
+		return
+	}
 	d := s.worker.Description()
 	if s.life != d.Life {
-		s.life, s.clock = d.Life, gate.Clock{}
+		s.life, s.clock, s.asked = d.Life, gate.Clock{}, 0
 	}
 	h.core.DescribeWorker(s.name, d)
 	s.listing++
@@ -281,9 +292,9 @@
 }
 
 func (s *host) envelope(epoch carobkeel.Epoch) runs.Envelope {
-	return runs.Envelope{
-		Life: s.worker.Description().Life, Epoch: epoch, Deadline: gate.Deadline(s.holder, s.clock, testLease),
-	}
+	deadline := gate.Deadline(s.holder, s.clock, testLease)
+	s.asked = max(s.asked, deadline)
+	return runs.Envelope{Life: s.worker.Description().Life, Epoch: epoch, Deadline: deadline}
 }
 
 func (w *world) finish(h *holder, out dispatch.Output) {
@@ -307,6 +318,12 @@
 		s.dropped = true
 		return
 	}
+	if s.deaf {
+		if o.Kind != dispatch.OrderAcknowledge {
+			w.answer(h, s, o, runs.ResultUnknown)
+		}
+		return
+	}
 	if o.Kind == dispatch.OrderAcknowledge {
 		s.acked[o.Life] = o.Acknowledged
 		return
@@ -384,7 +401,7 @@
 	w.lose = func() (bool, time.Duration) { return false, 0 }
 	w.store.away = false
 	for _, s := range w.workers {
-		s.cut = false
+		s.cut, s.deaf = false, false
 	}
 	for _, h := range w.holders {
 		h.frozen, h.cut = false, false
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -107,7 +107,8 @@
 
 // Silent says that the sidecar does not reach its worker.
 type Silent struct {
-	// Remaining is how long the worker's lease still runs, in milliseconds.
+	// Remaining is how long the worker's lease still runs, in milliseconds. It is
+	// negative where the sidecar does not know.
 	Remaining int64
 }
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -151,7 +151,10 @@
 func (l *lister) tellSilent(d *runs.Description, err error) {
 	a := l.agent
 	first := !a.silent.Swap(true)
-	remaining := gate.Remaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
+	remaining := -time.Millisecond
+	if c := a.clock.Load(); c.Known {
+		remaining = gate.Remaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
+	}
 	if first {
 		a.log.Warn().Str("worker", d.ID).Dur("lease_left", remaining).Err(err).Msg("worker does not answer")
 	}
