--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -51,29 +51,3 @@
 		w.health.excludedUntil = max(w.health.excludedUntil, c.now.Steady+refusalPause)
 	}
 }
-
-// imageStats is what is known of the tasks of one queue, step and image.
-type imageStats struct {
-	// ratio is the mean of measured to declared duration.
-	ratio float64
-	count int
-}
-
-// learnDuration compares a run's duration with the declared one.
-func (c *Core) learnDuration(r *liveRun) {
-	if r.task == nil || r.task.step.spec.Estimate <= 0 {
-		return
-	}
-	key := string(r.task.job().spec.Queue.Name) + "/" + r.task.step.spec.Image
-	s := c.images[key]
-	if s == nil {
-		s = &imageStats{}
-		c.images[key] = s
-	}
-	s.count++
-	ratio := float64(c.now.Steady-r.started) / float64(r.task.step.spec.Estimate)
-	s.ratio += (ratio - s.ratio) / float64(min(s.count, ratioWindow))
-}
-
-// ratioWindow is over how many runs durations are averaged.
-const ratioWindow = 50
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -41,7 +41,9 @@
 	pace           int
 	// slowSince is when the run was last slowed down, zero while it is not.
 	slowSince time.Duration
-	ticket    string
+	// everSlow says that the run was held back at some time.
+	everSlow bool
+	ticket   string
 }
 
 type runKey struct {
--- a/worker/pressure/pressure.go
+++ b/worker/pressure/pressure.go
@@ -31,7 +31,7 @@
 	leastChange = 0.02
 	// headroom is the tail latency to aim at, as a share of the target: figures
 	// are half a second old, and the load moves within seconds.
-	headroom = 0.8
+	headroom = 0.85
 	// maxUtilization stands for a queue that grows.
 	maxUtilization = 0.98
 )
