Serve counters and histograms of scheduling by queue and class

Change: metrics of the holder, of submissions and of the sidecar's agent, on -metrics-port; kinds of decisions are named constants, counted and logged alike.

--- /dev/null
+++ b/caller/submission/metrics.go
@@ -0,0 +1,44 @@
+package submission
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/telemetry"
+)
+
+// Metrics measures submissions, by queue and class.
+type Metrics struct {
+	series *telemetry.ByOwner[series]
+}
+
+// series is the metrics of one queue and class.
+type series struct {
+	latency tally.Histogram
+	results *telemetry.CodeCounters
+}
+
+// NewMetrics returns metrics in the scope.
+func NewMetrics(root tally.Scope) *Metrics {
+	scope := root.SubScope("submission")
+	return &Metrics{series: telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries)}
+}
+
+func newSeries(scope tally.Scope) series {
+	return series{
+		latency: scope.Histogram("latency", telemetry.LatencyBuckets()),
+		results: telemetry.NewCodeCounters(scope, "results"),
+	}
+}
+
+func (m *Metrics) answered(queue carobkeel.Queue, code carobkeel.Code, took time.Duration) {
+	class := carobkeel.ClassBatch
+	if queue.Priority == 0 {
+		class = carobkeel.ClassLatencyCritical
+	}
+	s := m.series.For(carobkeel.Owner(queue.Name), class)
+	s.latency.RecordDuration(took)
+	s.results.Inc(code)
+}
--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -43,12 +43,13 @@
 	shard     string
 	rows      table.Rows
 	scheduler Scheduler
+	metrics   *Metrics
 	log       *log.Logger
 }
 
 // New returns a service that stores jobs in a shard.
-func New(shard string, rows table.Rows, scheduler Scheduler, logger *log.Logger) *Service {
-	return &Service{shard: shard, rows: rows, scheduler: scheduler, log: logger}
+func New(shard string, rows table.Rows, scheduler Scheduler, metrics *Metrics, logger *log.Logger) *Service {
+	return &Service{shard: shard, rows: rows, scheduler: scheduler, metrics: metrics, log: logger}
 }
 
 // Queues returns the configuration in force. Its version is zero before the
@@ -67,6 +68,17 @@
 // entry, and stays one job. An error's Ran says whether the job may have been
 // stored all the same.
 func (s *Service) Submit(ctx context.Context, job *carobkeel.JobSpec) error {
+	begin := time.Now()
+	err := s.submit(ctx, job)
+	code := carobkeel.CodeOK
+	if err != nil {
+		code = carobkeel.AsError(err).Code
+	}
+	s.metrics.answered(job.Queue, code, time.Since(begin))
+	return err
+}
+
+func (s *Service) submit(ctx context.Context, job *carobkeel.JobSpec) error {
 	if s.scheduler.StoreAge() > storeOutage {
 		return carobkeel.NewError(carobkeel.CodeStoreUnavailable, "the table service does not answer").
 			WithRetryAfter(retryAfterOutage)
--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -8,14 +8,17 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/settings"
+	"github.com/carobkeel/carobkeel/internal/telemetry"
 	"github.com/carobkeel/carobkeel/platform"
 )
 
@@ -28,6 +31,10 @@
 	// workerLease is how long a worker's lease runs from a ping of its sidecar:
 	// longer than a takeover with its detection, shorter than lost work may wait.
 	workerLease = 3500 * time.Millisecond
+	// metricsInterval is how often metrics are copied to their page: as often as
+	// the platform reads it.
+	metricsInterval = 5 * time.Second
+	maxPort         = 65535
 	// settingsInterval is how often the settings file is looked at.
 	settingsInterval = 2 * time.Second
 	// memoryShare is the part of a host's memory that the runtime keeps to.
@@ -37,20 +44,28 @@
 // hostedConfig is the settings of a process on the users' platform.
 type hostedConfig struct {
 	nodeFile string
+	// metricsPort is the port of the host's own address at which metrics are
+	// served.
+	metricsPort int
 }
 
 func registerHostedFlags(fs *flag.FlagSet) *hostedConfig {
 	c := &hostedConfig{}
 	fs.StringVar(&c.nodeFile, "node-file", "", "settings file of the platform that hosts this process")
+	fs.IntVar(&c.metricsPort, "metrics-port", 9464, "port of the host's address for /metrics")
 	return c
 }
 
 // Check implements settings.Checker.
 func (c *hostedConfig) Check() []settings.Problem {
+	var problems []settings.Problem
 	if c.nodeFile == "" {
-		return []settings.Problem{{Name: "node-file", Reason: "must not be empty"}}
+		problems = append(problems, settings.Problem{Name: "node-file", Reason: "must not be empty"})
 	}
-	return nil
+	if c.metricsPort < 1 || c.metricsPort > maxPort {
+		problems = append(problems, settings.Problem{Name: "metrics-port", Reason: "must be from 1 to 65535"})
+	}
+	return problems
 }
 
 // isHosted reports whether a command is to run on the users' platform.
@@ -71,6 +86,10 @@
 	store       *platform.Store
 	logs        *logging.Factory
 	log         *log.Logger
+	// metrics is the scope of all metrics, metricsPage serves them.
+	metrics        tally.Scope
+	metricsPage    http.Handler
+	metricsAddress string
 }
 
 // startHosted reads the settings. Where it returns false the command ends with
@@ -89,13 +108,17 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	logConfig.JSON = true
 	logs := logging.NewBoundedFactory(*logConfig, io.out)
+	scope, page, _ := telemetry.New(telemetry.Config{Interval: metricsInterval})
 	h := &hosted{
-		path:        config.nodeFile,
-		settings:    s,
-		incarnation: newIncarnation(),
-		store:       platform.NewStore(s.Store),
-		logs:        logs,
-		log:         logs.For(name),
+		metrics:        scope,
+		metricsPage:    page,
+		metricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(config.metricsPort)),
+		path:           config.nodeFile,
+		settings:       s,
+		incarnation:    newIncarnation(),
+		store:          platform.NewStore(s.Store),
+		logs:           logs,
+		log:            logs.For(name),
 	}
 	version, err := buildVersion()
 	if err != nil {
@@ -141,6 +164,14 @@
 	return server, nil
 }
 
+// serveMetrics serves /metrics until ctx ends.
+func (h *hosted) serveMetrics(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", h.metricsPage)
+	_, err := h.serve(ctx, h.metricsAddress, mux)
+	return err
+}
+
 // listenLinks opens the listener for links of other processes.
 func (h *hosted) listenLinks() (net.Listener, error) {
 	return listen(h.settings.LinkAddress(h.settings.IP))
--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -58,7 +58,7 @@
 	e.node = holder.New(holder.Config{
 		Host: s.Host, Incarnation: e.incarnation, Address: address, Shard: shard,
 		WorkerLease: workerLease, InterferenceLimit: s.Bounds.InterferenceLimit, RemoteFactor: s.RemoteFactor,
-	}, e.store, e.logs.For("scheduler"))
+	}, e.store, holder.NewMetrics(e.metrics), e.logs.For("scheduler"))
 	listener, err := e.listenLinks()
 	if err != nil {
 		return err
@@ -73,7 +73,10 @@
 	// Addresses stay for the life of a process, and the seeds matter to sidecars.
 	go e.watchSettings(ctx, func(platform.Settings) {})
 	go directory.Register(ctx, e.store, s.Host, e.incarnation, address, e.log)
-	jobs := submission.New(shard, e.store, e.node, e.log)
+	jobs := submission.New(shard, e.store, e.node, submission.NewMetrics(e.metrics), e.log)
+	if err := e.serveMetrics(ctx); err != nil {
+		return err
+	}
 	if e.callers, err = e.serve(ctx, s.CallerAddress, platform.NewCallerHandler(jobs, e.log)); err != nil {
 		return err
 	}
--- a/cmd/carobkeel/hosted_sidecar.go
+++ b/cmd/carobkeel/hosted_sidecar.go
@@ -20,7 +20,10 @@
 		Host: s.Host, Incarnation: h.incarnation, Seeds: seedAddresses(s), WorkerLease: min(workerLease, s.Bounds.MaxLease),
 	}, platform.NewWorker(s.WorkerAddress), func(ctx context.Context) ([]string, error) {
 		return directory.Addresses(ctx, h.store)
-	}, h.log)
+	}, agent.NewMetrics(h.metrics), h.log)
+	if err := h.serveMetrics(ctx); err != nil {
+		return fail(io, err)
+	}
 	if _, err := h.serve(ctx, s.RegistryAddress, platform.NewRegistry(s.Service, a, h.log)); err != nil {
 		return fail(io, err)
 	}
--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -160,7 +160,7 @@
 	c.orders = append(c.orders, Order{
 		Host: w.host, Life: w.description.Life, Kind: OrderPace, Task: r.name, Run: r.run, Percent: pace,
 	})
-	c.note(Decision{Kind: "pace set", Task: r.name, Run: r.run, Host: w.host, Detail: strconv.Itoa(pace)})
+	c.note(Decision{Kind: DecidedPaceSet, Task: r.name, Run: r.run, Host: w.host, Detail: strconv.Itoa(pace)})
 }
 
 const (
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -204,7 +204,7 @@
 // no lease is extended any more but by this one.
 func (c *Core) PredecessorGone() {
 	c.inheritedUntil = min(c.inheritedUntil, c.now.Steady+leaseBound(c.config.WorkerLease))
-	c.note(Decision{Kind: "holder before has ended", Waited: c.inheritedUntil - c.now.Steady})
+	c.note(Decision{Kind: DecidedPredecessorEnded, Waited: c.inheritedUntil - c.now.Steady})
 }
 
 func (c *Core) releaseInherited() {
@@ -212,7 +212,7 @@
 		return
 	}
 	for life, host := range c.unreported {
-		c.note(Decision{Kind: "inherited lease lapsed", Host: host, Detail: life.ID})
+		c.note(Decision{Kind: DecidedInheritedLapsed, Host: host, Detail: life.ID})
 		c.oldLives = append(c.oldLives, life)
 	}
 	c.unreported = make(map[runs.Life]string)
--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -40,7 +40,7 @@
 		h.failedJobs[string(r.name.Job)] = true
 		if len(h.failedJobs) >= suspectFailures {
 			h.excludedUntil = c.now.Steady + quarantineTime
-			c.note(Decision{Kind: "worker set aside", Host: r.worker.host, Detail: "runs of several jobs failed"})
+			c.note(Decision{Kind: DecidedWorkerSetAside, Host: r.worker.host, Detail: "runs of several jobs failed"})
 		}
 	}
 }
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -113,7 +113,7 @@
 	c.jobs[spec.ID] = j
 	c.active = append(c.active, j)
 	c.show(j, carobkeel.JobPending)
-	c.note(Decision{Kind: "job taken in", Job: spec.ID, Detail: string(spec.Queue.Name)})
+	c.note(Decision{Kind: DecidedJobTaken, Job: spec.ID, Detail: string(spec.Queue.Name)})
 }
 
 func newOccurrence(j *job, index int, now time.Duration) *occurrence {
@@ -161,7 +161,7 @@
 		return
 	}
 	j.cancelled = true
-	c.note(Decision{Kind: "job cancelled", Job: id})
+	c.note(Decision{Kind: DecidedJobCancelled, Job: id})
 	c.stopAll(j)
 	c.markDirty(j)
 }
@@ -243,7 +243,7 @@
 	c.markDirty(j)
 	if j.remaining == 0 {
 		j.finished = c.now.Steady
-		c.note(Decision{Kind: "job done", Job: j.spec.ID, Waited: c.now.Steady - j.accepted})
+		c.note(Decision{Kind: DecidedJobDone, Job: j.spec.ID, Waited: c.now.Steady - j.accepted})
 	}
 }
 
@@ -266,6 +266,6 @@
 	}
 	j.failed = true
 	j.finished = c.now.Steady
-	c.note(Decision{Kind: "job failed", Job: j.spec.ID, Task: t.name(), Host: host, Waited: c.now.Steady - j.accepted})
+	c.note(Decision{Kind: DecidedJobFailedAttempts, Job: j.spec.ID, Task: t.name(), Host: host, Waited: c.now.Steady - j.accepted})
 	c.stopAll(j)
 }
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -129,7 +129,7 @@
 			c.show(t.job(), carobkeel.JobActive)
 		}
 	}
-	c.note(Decision{Kind: "run found", Task: running.Task, Run: running.Run, Host: w.host})
+	c.note(Decision{Kind: DecidedRunFound, Task: running.Task, Run: running.Run, Host: w.host})
 	if !wanted {
 		c.stop(r, "not wanted")
 	}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -108,7 +108,7 @@
 func (c *Core) HostLost(host string) {
 	w := c.worker(host)
 	w.linked, w.reachable, w.listed = false, false, false
-	c.note(Decision{Kind: "link to host lost", Host: host, Waited: w.lapse - c.now.Steady})
+	c.note(Decision{Kind: DecidedLinkLost, Host: host, Waited: w.lapse - c.now.Steady})
 }
 
 // WorkerSilent says that the sidecar of a host does not reach its worker, whose
@@ -122,7 +122,7 @@
 	if remaining >= 0 {
 		w.lapse = min(w.lapse, c.now.Steady+leaseBound(remaining))
 	}
-	c.note(Decision{Kind: "worker does not answer", Host: host, Waited: remaining})
+	c.note(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
 
 // DescribeWorker takes in what a worker says of itself. Another life than the
@@ -137,14 +137,14 @@
 		return
 	}
 	if d.Draining && !w.description.Draining {
-		c.note(Decision{Kind: "worker drains", Host: host, Waited: d.Remaining})
+		c.note(Decision{Kind: DecidedWorkerDrains, Host: host, Waited: d.Remaining})
 	}
 	w.description = d
 }
 
 func (c *Core) replaceLife(w *workerState, d runs.Description) {
 	if w.description.ID != "" {
-		c.note(Decision{Kind: "worker began anew", Host: w.host, Detail: d.ID})
+		c.note(Decision{Kind: DecidedWorkerReplaced, Host: w.host, Detail: d.ID})
 		c.loseRuns(w, "worker began anew")
 		c.oldLives = append(c.oldLives, w.description.Life)
 	}
@@ -178,7 +178,7 @@
 	if w == nil || w.description.Life != life {
 		return
 	}
-	c.note(Decision{Kind: "worker left", Host: host, Detail: life.ID})
+	c.note(Decision{Kind: DecidedWorkerGone, Host: host, Detail: life.ID})
 	w.description.Draining = true
 	w.reachable, w.listed = false, false
 	w.lapse = min(w.lapse, c.now.Steady+leaveSlack)
@@ -193,7 +193,7 @@
 		if w.reachable || w.listed || c.now.Steady < w.lapse || (len(w.copies) == 0 && !w.recorded) {
 			continue
 		}
-		c.note(Decision{Kind: "worker's lease lapsed", Host: w.host})
+		c.note(Decision{Kind: DecidedLeaseLapsed, Host: w.host})
 		c.loseRuns(w, "lease lapsed")
 		c.forgetLife(w)
 	}
@@ -235,7 +235,7 @@
 	if t.waits() {
 		t.waitingSince = c.now.Steady
 	}
-	c.note(Decision{Kind: "run over", Task: r.name, Run: r.run, Host: w.host, Detail: reason, Waited: c.now.Steady - r.started})
+	c.note(Decision{Kind: DecidedRunOver, Task: r.name, Run: r.run, Host: w.host, Detail: reason, Waited: c.now.Steady - r.started})
 }
 
 // reserve counts a run on a worker.
@@ -256,7 +256,7 @@
 		return
 	}
 	r.stopping = true
-	c.note(Decision{Kind: "run stopped", Task: r.name, Run: r.run, Host: r.worker.host, Detail: reason})
+	c.note(Decision{Kind: DecidedRunStopped, Task: r.name, Run: r.run, Host: r.worker.host, Detail: reason})
 	c.orderStop(r)
 }
 
@@ -276,7 +276,7 @@
 	t.job().begun = true
 	c.orderStart(r)
 	c.note(Decision{
-		Kind: "run started", Task: r.name, Run: r.run, Host: w.host,
+		Kind: DecidedRunStarted, Task: r.name, Run: r.run, Host: w.host,
 		Waited: c.now.Steady - max(t.waitingSince, t.step.readyAt),
 	})
 	if t.job().shown == carobkeel.JobPending {
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -39,7 +39,9 @@
 	// storing says that a batch is under way, storedAt when the last one ended.
 	storing  bool
 	storedAt time.Duration
-	versions map[carobkeel.JobID]table.Version
+	// storingSince is when the batch under way was taken.
+	storingSince time.Duration
+	versions     map[carobkeel.JobID]table.Version
 	// pending are the jobs of each queue that have not begun.
 	pending map[carobkeel.JobID]carobkeel.QueueName
 	wake    time.Duration
@@ -121,12 +123,16 @@
 	epoch := l.node.standing.Load().Row.Epoch
 	for i := range decisions {
 		d := &decisions[i]
+		l.node.metrics.decided(d)
 		line := l.node.log.Info().Uint64("epoch", epoch)
 		if d.Task.Job != "" {
 			line = line.Str("job", string(d.Task.Job)).Stringer("task", d.Task).Int("run", d.Run)
 		} else if d.Job != "" {
 			line = line.Str("job", string(d.Job))
 		}
+		if d.Queue != "" {
+			line = line.Str("queue", string(d.Queue))
+		}
 		if d.Host != "" {
 			line = line.Str("host", d.Host)
 		}
@@ -136,7 +142,7 @@
 		if d.Detail != "" {
 			line = line.Str("detail", d.Detail)
 		}
-		line.Msg(d.Kind)
+		line.Msg(string(d.Kind))
 	}
 }
 
@@ -163,6 +169,7 @@
 // stepDown gives the shard up.
 func (l *loop) stepDown(reason string) {
 	l.node.log.Warn().Str("reason", reason).Msg("shard given up")
+	l.node.metrics.StepDowns.Inc(1)
 	l.core = nil
 	l.wake = 0
 	l.endTerm()
--- /dev/null
+++ b/scheduler/holder/metrics.go
@@ -0,0 +1,86 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/telemetry"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+)
+
+// Metrics measures what a node decides while it holds the shard.
+type Metrics struct {
+	Takeovers, StepDowns tally.Counter
+	// StoreLatency is the time until a batch of records was stored.
+	StoreLatency tally.Histogram
+	series       *telemetry.ByOwner[series]
+	workers      map[dispatch.DecisionKind]tally.Counter
+}
+
+// series is the metrics of one queue and class.
+type series struct {
+	// startDelay is the time that a task waited for its start, jobTime that from
+	// acceptance to a job's end.
+	startDelay, jobTime tally.Histogram
+	jobs                map[dispatch.DecisionKind]tally.Counter
+}
+
+// NewMetrics returns metrics in the scope.
+func NewMetrics(root tally.Scope) *Metrics {
+	scope := root.SubScope("scheduler")
+	return &Metrics{
+		Takeovers:    scope.Counter("takeovers"),
+		StepDowns:    scope.Counter("step_downs"),
+		StoreLatency: scope.Histogram("store_latency", telemetry.LatencyBuckets()),
+		series:       telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
+		workers: map[dispatch.DecisionKind]tally.Counter{
+			dispatch.DecidedLinkLost:          scope.Counter("links_lost"),
+			dispatch.DecidedWorkerUnreachable: scope.Counter("workers_unreachable"),
+			dispatch.DecidedWorkerReplaced:    scope.Counter("workers_replaced"),
+			dispatch.DecidedWorkerSetAside:    scope.Counter("workers_set_aside"),
+			dispatch.DecidedWorkerDrains:      scope.Counter("workers_draining"),
+			dispatch.DecidedLeaseLapsed:       scope.Counter("leases_lapsed"),
+		},
+	}
+}
+
+func newSeries(scope tally.Scope) series {
+	return series{
+		startDelay: scope.Histogram("start_delay", telemetry.LatencyBuckets()),
+		jobTime:    scope.Histogram("job_time", telemetry.LatencyBuckets()),
+		jobs: map[dispatch.DecisionKind]tally.Counter{
+			dispatch.DecidedJobTaken:          scope.Counter("jobs_taken"),
+			dispatch.DecidedJobDone:           scope.Counter("jobs_done"),
+			dispatch.DecidedJobFailedAttempts: scope.Counter("jobs_failed"),
+			dispatch.DecidedJobCancelled:      scope.Counter("jobs_cancelled"),
+			dispatch.DecidedRunStarted:        scope.Counter("runs_started"),
+			dispatch.DecidedRunStopped:        scope.Counter("runs_stopped"),
+			dispatch.DecidedRunFound:          scope.Counter("runs_found"),
+			dispatch.DecidedRunOver:           scope.Counter("runs_over"),
+			dispatch.DecidedPaceSet:           scope.Counter("paces_set"),
+		},
+	}
+}
+
+// decided counts a decision.
+func (m *Metrics) decided(d *dispatch.Decision) {
+	if counter, known := m.workers[d.Kind]; known {
+		counter.Inc(1)
+		return
+	}
+	s := m.series.For(carobkeel.Owner(d.Queue), d.Class)
+	if counter, known := s.jobs[d.Kind]; known {
+		counter.Inc(1)
+	}
+	switch d.Kind {
+	case dispatch.DecidedRunStarted:
+		s.startDelay.RecordDuration(max(0, d.Waited))
+	case dispatch.DecidedJobDone:
+		s.jobTime.RecordDuration(d.Waited)
+	}
+}
+
+// recordStore records how long a batch took to be stored.
+func (m *Metrics) recordStore(took time.Duration) { m.StoreLatency.RecordDuration(took) }
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -68,10 +68,11 @@
 
 // Node is an entry's part in scheduling. Use New, then Run.
 type Node struct {
-	config Config
-	rows   table.Rows
-	log    *log.Logger
-	events *mailbox.Mailbox[event]
+	config  Config
+	rows    table.Rows
+	log     *log.Logger
+	metrics *Metrics
+	events  *mailbox.Mailbox[event]
 
 	// Snapshots that are read on the path of a request.
 	standing atomic.Pointer[Standing]
@@ -92,9 +93,10 @@
 }
 
 // New returns a node that does not hold the shard.
-func New(config Config, rows table.Rows, logger *log.Logger) *Node {
+func New(config Config, rows table.Rows, metrics *Metrics, logger *log.Logger) *Node {
 	n := &Node{
 		config:  config,
+		metrics: metrics,
 		log:     logger,
 		events:  mailbox.New[event](),
 		started: clock.Boottime(),
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -10,6 +10,7 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/caller/submission"
@@ -126,7 +127,7 @@
 	node := holder.New(holder.Config{
 		Host: host, Incarnation: carobkeel.Incarnation(len(f.entries) + 1), Address: listener.Addr().String(),
 		Shard: testShard, WorkerLease: 3 * time.Second, RemoteFactor: 1.5,
-	}, f.rows, f.logs)
+	}, f.rows, holder.NewMetrics(tally.NoopScope), f.logs)
 	go func() {
 		if err := node.Serve(ctx, listener); err != nil {
 			t.Error(err)
@@ -136,7 +137,7 @@
 	node.SetQueues(f.config)
 	directory.Register(ctx, f.rows, host, 1, listener.Addr().String(), f.logs)
 	NewWithT(t).Eventually(node.StoreAge, patience).Should(BeNumerically("<", time.Second))
-	f.entries = append(f.entries, &entry{node: node, jobs: submission.New(testShard, f.rows, node, f.logs), stop: cancel})
+	f.entries = append(f.entries, &entry{node: node, jobs: submission.New(testShard, f.rows, node, submission.NewMetrics(tally.NoopScope), f.logs), stop: cancel})
 }
 
 func (f *fleet) startWorker(t *testing.T, host string) {
@@ -156,7 +157,7 @@
 	live := &liveWorker{mu: &f.mu, worker: worker, moved: clock.Boottime()}
 	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, live, func(ctx context.Context) ([]string, error) {
 		return directory.Addresses(ctx, f.rows)
-	}, f.logs)
+	}, agent.NewMetrics(tally.NoopScope), f.logs)
 	a.Heartbeat(worker.Description())
 	go a.Run(ctx)
 	f.agents = append(f.agents, a)
--- a/scheduler/holder/store.go
+++ b/scheduler/holder/store.go
@@ -46,6 +46,7 @@
 		return
 	}
 	l.storing = true
+	l.storingSince = clock.Boottime()
 	writer := &batchWriter{
 		node:     l.node,
 		holder:   *l.node.standing.Load(),
@@ -69,6 +70,7 @@
 	}
 	l.storing = false
 	l.storedAt = clock.Boottime()
+	l.node.metrics.recordStore(l.storedAt - l.storingSince)
 	if err != nil {
 		l.core.Returned(batch)
 		if errors.Is(err, errDeposed) {
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -213,6 +213,7 @@
 	}
 	l.begin(t)
 	n.standing.Store(&t.standing)
+	n.metrics.Takeovers.Inc(1)
 	n.log.Info().Uint64("epoch", t.standing.Row.Epoch).Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
 		Msg("shard taken over")
 	n.tellPeers()
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -34,10 +34,11 @@
 
 // Agent is the sidecar's side. Use New, then Run.
 type Agent struct {
-	config Config
-	worker runs.Client
-	find   Finder
-	log    *log.Logger
+	config  Config
+	worker  runs.Client
+	find    Finder
+	metrics *Metrics
+	log     *log.Logger
 
 	// holder, described and clock are snapshots that are swapped whole.
 	holder    atomic.Pointer[gate.Holder]
@@ -76,9 +77,10 @@
 }
 
 // New returns an agent for the worker.
-func New(config Config, worker runs.Client, find Finder, logger *log.Logger) *Agent {
+func New(config Config, worker runs.Client, find Finder, metrics *Metrics, logger *log.Logger) *Agent {
 	a := &Agent{
 		config:  config,
+		metrics: metrics,
 		worker:  worker,
 		find:    find,
 		log:     logger,
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -187,6 +187,7 @@
 	}
 	changed := u.term.Swap(pong.Epoch) != pong.Epoch
 	if old := a.uplink.Swap(u); old != u || changed {
+		a.metrics.HoldersFound.Inc(1)
 		a.log.Info().Str("entry", u.address).Uint64("epoch", pong.Epoch).Msg("holder found")
 		a.sendDescription(u)
 		if life := a.left.Load(); life != nil {
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -137,6 +137,7 @@
 func (l *lister) failed(ctx context.Context, d *runs.Description, answer runs.Answer, err error) {
 	a := l.agent
 	l.failures++
+	a.metrics.ListingsFailed.Inc(1)
 	l.wholeLink = nil
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -55,9 +55,11 @@
 
 // execute carries out one order and answers it.
 func (a *Agent) execute(ctx context.Context, o orderUnder) {
+	begin := time.Now()
 	result := runs.ResultUnknown
 	for attempt := 0; attempt < orderAttempts && ctx.Err() == nil; attempt++ {
 		if result = a.admit(o); result != runs.ResultOK {
+			a.metrics.Refused.Inc(1)
 			break
 		}
 		if a.uplink.Load() != o.link {
@@ -67,6 +69,7 @@
 			break
 		}
 	}
+	a.count(result, time.Since(begin))
 	a.log.Info().Stringer("task", o.order.Task).Int("run", o.order.Run).Uint8("order", uint8(o.order.Kind)).
 		Uint64("epoch", uint64(o.epoch)).Stringer("result", result).Msg("order")
 	if o.order.Kind == dispatch.OrderPace {
@@ -78,6 +81,15 @@
 	}, o.epoch))
 }
 
+func (a *Agent) count(result runs.Result, took time.Duration) {
+	a.metrics.OrderLatency.RecordDuration(took)
+	if result == runs.ResultUnknown {
+		a.metrics.Unanswered.Inc(1)
+		return
+	}
+	a.metrics.Orders.Inc(1)
+}
+
 // admit decides whether an order is sent to the worker at all.
 func (a *Agent) admit(o orderUnder) runs.Result {
 	result := gate.AdmitStart(*a.holder.Load(), o.epoch, a.described.Load(), o.order.Life)
