Send each attempt to a worker that has not failed the task; trace ids in logs

Cause: a third attempt went back to the first worker that had failed the task, so a worker that fails everything could use up a sound job's attempts. Change: all hosts of failed runs are passed over while others have room. carobkeel trace follows an id through logs. A refusal names the age of the store's answer.

--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -79,8 +79,8 @@
 }
 
 func (s *Service) submit(ctx context.Context, job *carobkeel.JobSpec) error {
-	if s.scheduler.StoreAge() > storeOutage {
-		return carobkeel.NewError(carobkeel.CodeStoreUnavailable, "the table service does not answer").
+	if age := s.scheduler.StoreAge(); age > storeOutage {
+		return carobkeel.NewError(carobkeel.CodeStoreUnavailable, "the table service has not answered for %d ms", age.Milliseconds()).
 			WithRetryAfter(retryAfterOutage)
 	}
 	value, err := wire.FromJob(job).MarshalMsg(nil)
--- a/cmd/carobkeel/main.go
+++ b/cmd/carobkeel/main.go
@@ -50,6 +50,7 @@
 		stopCommand(),
 		jobCommand(),
 		statusCommand(),
+		traceCommand(),
 		loadCommand(),
 		standinTableCommand(),
 		versionCommand(),
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -68,8 +68,8 @@
 	copies []*liveRun
 	// waitingSince is when the task last began to wait.
 	waitingSince time.Duration
-	// avoid is the host where the last run failed.
-	avoid string
+	// avoid are the hosts where runs failed.
+	avoid []string
 }
 
 func (t *task) name() carobkeel.TaskName {
@@ -254,11 +254,13 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, run)
-	t.avoid = host
+	t.avoid = append(t.avoid, host)
 	limit := c.queueOf(j).MaxAttempts
 	c.markDirty(j)
 	if t.step.spec.Perpetual {
-		t.failedRuns = nil // these have no limit
+		// These have no limit; only the last failure says something of a host.
+		t.failedRuns = nil
+		t.avoid = []string{host}
 		return
 	}
 	if limit == 0 || len(t.failedRuns) < limit || j.failed {
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -216,7 +216,7 @@
 	sameStepPenalty = 0.05
 	// remotePenalty keeps tasks near their data: away from it they take longer.
 	remotePenalty = 1.0
-	// avoidPenalty sends a task to another worker than the one it failed on.
+	// avoidPenalty sends a task to another worker than those it failed on.
 	avoidPenalty = 2.0
 	// servingPenalty keeps filling tasks away from serving ones: it outweighs a
 	// full pace and a whole budget.
@@ -256,7 +256,7 @@
 	if s.DataRack != "" && !w.description.HasLabel(s.DataRack) {
 		score -= remotePenalty
 	}
-	if t.avoid == w.host {
+	if slices.Contains(t.avoid, w.host) {
 		score -= avoidPenalty
 	}
 	return score
