--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -154,7 +154,6 @@
 	} else if r.slowSince == 0 {
 		r.slowSince = c.now.Steady
 	}
-	r.everSlow = r.everSlow || pace < fullPace
 	r.pace = pace
 	w.control.changed = c.now.Steady
 	c.orders = append(c.orders, Order{
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -93,7 +93,6 @@
 	newLives  []WorkerRecord
 	oldLives  []runs.Life
 	wake      time.Duration
-	durations map[carobkeel.QueueName]durations
 	pressure  *pressure.Model
 }
 
@@ -123,7 +122,6 @@
 		unreported:     make(map[runs.Life]string),
 		knownLives:     make(map[runs.Life]bool),
 		dirty:          make(map[carobkeel.JobID]*job),
-		durations:      make(map[carobkeel.QueueName]durations),
 		pressure:       pressure.New(),
 	}
 	for _, w := range workers {
--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -32,7 +32,6 @@
 	case runs.OutcomeDone:
 		h.failedJobs = nil
 		h.excludedUntil = 0
-		c.learnDuration(r)
 	case runs.OutcomeFailed:
 		if h.failedJobs == nil {
 			h.failedJobs = make(map[string]bool)
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -35,10 +35,8 @@
 	// due is the time of day of a timed occurrence, zero for at once.
 	due   time.Time
 	steps []*stepState
-	// chains holds the longest chain of expected work from each step on, as of
-	// chainedAt.
-	chains    []time.Duration
-	chainedAt time.Duration
+	// chains holds the longest chain of declared work from each step on.
+	chains []time.Duration
 }
 
 // stepState is a step of an occurrence.
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -100,26 +100,23 @@
 // chain of work after it began to wait, and Objective more.
 func (c *Core) dueAt(s *stepState) time.Duration {
 	q := c.queueOf(s.occurrence.job)
-	return s.since() + time.Duration(q.Stretch*float64(c.chain(s.occurrence, 0))) + q.Objective
+	return s.since() + time.Duration(q.Stretch*float64(s.occurrence.chain(0))) + q.Objective
 }
 
 // isLate reports whether the job can't be in time any more, even if nothing
 // holds it up.
 func (c *Core) isLate(s *stepState) bool {
-	return c.now.Steady+time.Duration(surelyLeft*float64(c.chain(s.occurrence, s.index))) > c.dueAt(s)
+	return c.now.Steady+time.Duration(surelyLeft*float64(s.occurrence.chain(s.index))) > c.dueAt(s)
 }
 
 // surelyLeft is the part of the expected work that is assumed to be left before a
 // job counts as late: declared durations are up to 90% off.
 const surelyLeft = 0.5
 
-// chain returns the longest chain of expected work from a step on. It is worked
-// out anew each second, as more is learned.
-func (c *Core) chain(o *occurrence, from int) time.Duration {
-	if o.chains == nil || c.now.Steady-o.chainedAt > time.Second {
-		o.chainedAt = c.now.Steady
+// chain returns the longest chain of declared work from a step on.
+func (o *occurrence) chain(from int) time.Duration {
+	if o.chains == nil {
 		o.chains = make([]time.Duration, len(o.steps))
-		queue := o.job.spec.Queue.Name
 		for i := len(o.steps) - 1; i >= 0; i-- {
 			longest := time.Duration(0)
 			for j := i + 1; j < len(o.steps); j++ {
@@ -127,7 +124,7 @@
 					longest = max(longest, o.chains[j])
 				}
 			}
-			o.chains[i] = c.expected(queue, o.steps[i].spec.Estimate) + longest
+			o.chains[i] = o.steps[i].spec.Estimate + longest
 		}
 	}
 	return o.chains[from]
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -41,9 +41,7 @@
 	pace           int
 	// slowSince is when the run was last slowed down, zero while it is not.
 	slowSince time.Duration
-	// everSlow says that the run was held back at some time.
-	everSlow bool
-	ticket   string
+	ticket    string
 }
 
 type runKey struct {
