Hold filling tasks back by the trend of the load; light images first

Cause: with the budget used up by heavy images, light ones got a pace of 0 though they press hardly; a saturated tail latency was read as a low own load, and new serving tasks as idle. Tests on a model with known pairs: 33 of 76 possible units of filling work were done, and a pace of 65% was given beside a task far over its target; both failed first.

Change: light images take first; a saturated figure holds all back; a rise of the own load is expected to go on; a task without a figure counts as loaded.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -116,11 +116,8 @@
 func (c *Core) paceOn(t *task, w *workerState) (int, float64) {
 	_, filling, _ := w.sharing()
 	budget := w.control.budget.Clone()
-	for _, f := range filling {
-		c.pressure.Take(&budget, f)
-	}
-	pace := c.pressure.Take(&budget, w.fillingOf(t))
-	return pace, budget.Least()
+	paces := c.pressure.TakeAll(&budget, append(filling, w.fillingOf(t)))
+	return paces[len(paces)-1], budget.Least()
 }
 
 // controlInterference sets the pace of filling tasks, so that the serving tasks
@@ -136,8 +133,9 @@
 func (c *Core) controlWorker(w *workerState) {
 	_, filling, fillers := w.sharing()
 	budget := w.control.budget.Clone()
+	paces := c.pressure.TakeAll(&budget, filling)
 	for i, r := range fillers {
-		c.setPace(w, r, c.pressure.Take(&budget, filling[i]))
+		c.setPace(w, r, paces[i])
 	}
 }
 
--- a/worker/pressure/pressure.go
+++ b/worker/pressure/pressure.go
@@ -32,6 +32,18 @@
 	// headroom is the tail latency to aim at, as a share of the target: figures
 	// are half a second old, and the load moves within seconds.
 	headroom = 0.85
+	// priorLoad is the assumed utilization by its own load of a serving task without
+	// a figure.
+	priorLoad = 0.45
+	// maxTrend bounds the rise of an own load that is expected until the next
+	// figure.
+	maxTrend = 0.1
+	// saturated is the utilization above which a tail latency does not tell how much
+	// of it filling tasks add.
+	saturated = 0.92
+	// lightSensitivity is the sensitivity below which a filling image counts as
+	// one that hardly presses.
+	lightSensitivity = 0.35
 	// maxUtilization stands for a queue that grows.
 	maxUtilization = 0.98
 )
@@ -123,6 +135,8 @@
 	idle map[string]float64
 	// last holds the two newest samples of each worker, the older one first.
 	last map[string][2]sample
+	// own is the utilization of each serving task by its own load, as seen last.
+	own map[string]float64
 }
 
 // New returns a model that has learned nothing.
@@ -131,6 +145,7 @@
 		estimates: make(map[string]*estimate),
 		idle:      make(map[string]float64),
 		last:      make(map[string][2]sample),
+		own:       make(map[string]float64),
 	}
 }
 
@@ -184,6 +199,11 @@
 	}
 	// The spans of two samples in a row overlap, so that a change shows in part.
 	samples := m.last[worker]
+	for task := range samples[1].utilization {
+		if _, still := now.utilization[task]; !still {
+			delete(m.own, task)
+		}
+	}
 	m.last[worker] = [2]sample{samples[1], now}
 	if samples[0].use != nil {
 		m.learn(serving, samples[0], now)
@@ -191,7 +211,12 @@
 }
 
 // Forget drops what was seen last of a worker.
-func (m *Model) Forget(worker string) { delete(m.last, worker) }
+func (m *Model) Forget(worker string) {
+	for task := range m.last[worker][1].utilization {
+		delete(m.own, task)
+	}
+	delete(m.last, worker)
+}
 
 // learn compares the change of each utilization with the change of use.
 func (m *Model) learn(serving []Serving, before, now sample) {
@@ -231,19 +256,60 @@
 	var b Budget
 	for _, s := range serving {
 		aim := 1 - m.idleOf(s.Image)/headroom
-		own := 0.0
-		if s.Ratio > 0 {
-			own = m.utilization(s)
-			for _, f := range filling {
-				own -= m.Sensitivity(s.Image, f.Image) * f.Share
-			}
-		}
 		b.images = append(b.images, s.Image)
-		b.left = append(b.left, aim-max(0, own))
+		b.left = append(b.left, aim-m.expectedLoad(s, filling))
 	}
 	return b
 }
 
+// expectedLoad returns the utilization of a serving task by its own load at the
+// time of the next figure: as it is now, and a rise goes on.
+func (m *Model) expectedLoad(s Serving, filling []Filling) float64 {
+	if s.Ratio <= 0 {
+		return priorLoad
+	}
+	own := m.utilization(s)
+	if own > saturated {
+		return maxUtilization
+	}
+	for _, f := range filling {
+		own -= m.Sensitivity(s.Image, f.Image) * f.Share
+	}
+	own = max(0, own)
+	before, known := m.own[s.Task]
+	m.own[s.Task] = own
+	if !known {
+		return own
+	}
+	return own + min(maxTrend, max(0, own-before))
+}
+
+// IsLight reports whether a filling image hardly presses any serving task of a
+// worker.
+func (m *Model) IsLight(b *Budget, image string) bool {
+	for _, serving := range b.images {
+		if m.Sensitivity(serving, image) >= lightSensitivity {
+			return false
+		}
+	}
+	return true
+}
+
+// TakeAll returns the paces at which filling tasks together keep within the
+// budget, and takes what they need. Those that hardly press come first, the others
+// in the order given.
+func (m *Model) TakeAll(b *Budget, filling []Filling) []int {
+	paces := make([]int, len(filling))
+	for _, light := range []bool{true, false} {
+		for i, f := range filling {
+			if m.IsLight(b, f.Image) == light {
+				paces[i] = m.Take(b, f)
+			}
+		}
+	}
+	return paces
+}
+
 // Take returns the pace at which a filling task keeps within the budget, and
 // takes what it needs at that pace.
 func (m *Model) Take(b *Budget, f Filling) int {
