Count young filling tasks before their first figure

Cause: serving tasks went over their targets while no filling task showed in the figures: a run has no figure in its first half second, and presses all the same. Change: a run without a figure counts at its pace and age; figures in a row are compared.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -40,6 +40,19 @@
 // figureSpan is the time that the figures of running tasks cover.
 const figureSpan = 500 * time.Millisecond
 
+// youngSpan is the age up to which a run may have no figure yet.
+const youngSpan = time.Second
+
+// youngShare returns what a run has probably used in the span of the newest
+// figures that is too young to have one.
+func (c *Core) youngShare(r *liveRun, full float64) float64 {
+	age := c.now.Steady - r.started
+	if r.figure > 0 || age > youngSpan {
+		return 0
+	}
+	return full * float64(r.pace) / fullPace * min(1, float64(age)/float64(figureSpan))
+}
+
 // noteEndedFiller keeps what an ended run has used.
 func (c *Core) noteEndedFiller(r *liveRun) {
 	if r.task == nil || !r.task.step.spec.Fills || r.figure == 0 {
@@ -68,7 +81,10 @@
 
 // observeSharing learns from a whole listing.
 func (c *Core) observeSharing(w *workerState) {
-	serving, filling, _ := w.sharing()
+	serving, filling, fillers := w.sharing()
+	for i, r := range fillers {
+		filling[i].Share = max(filling[i].Share, c.youngShare(r, filling[i].FullShare))
+	}
 	filling = append(filling, c.endedFillers(w)...)
 	c.pressure.Observe(w.host, serving, filling)
 	w.control.budget = c.pressure.Budget(serving, filling)
--- a/worker/pressure/pressure.go
+++ b/worker/pressure/pressure.go
@@ -133,8 +133,8 @@
 	estimates map[string]*estimate
 	// idle is the tail latency of an idle task by image, as a share of the target.
 	idle map[string]float64
-	// last holds the two newest samples of each worker, the older one first.
-	last map[string][2]sample
+	// last holds the newest sample of each worker.
+	last map[string]sample
 	// own is the utilization of each serving task by its own load, as seen last.
 	own map[string]float64
 }
@@ -144,7 +144,7 @@
 	return &Model{
 		estimates: make(map[string]*estimate),
 		idle:      make(map[string]float64),
-		last:      make(map[string][2]sample),
+		last:      make(map[string]sample),
 		own:       make(map[string]float64),
 	}
 }
@@ -197,22 +197,21 @@
 		m.idle[s.Image] = min(m.idleOf(s.Image), idleMargin*s.Ratio)
 		now.utilization[s.Task] = m.utilization(s)
 	}
-	// The spans of two samples in a row overlap, so that a change shows in part.
-	samples := m.last[worker]
-	for task := range samples[1].utilization {
+	before := m.last[worker]
+	for task := range before.utilization {
 		if _, still := now.utilization[task]; !still {
 			delete(m.own, task)
 		}
 	}
-	m.last[worker] = [2]sample{samples[1], now}
-	if samples[0].use != nil {
-		m.learn(serving, samples[0], now)
+	m.last[worker] = now
+	if before.use != nil {
+		m.learn(serving, before, now)
 	}
 }
 
 // Forget drops what was seen last of a worker.
 func (m *Model) Forget(worker string) {
-	for task := range m.last[worker][1].utilization {
+	for task := range m.last[worker].utilization {
 		delete(m.own, task)
 	}
 	delete(m.last, worker)
