Take no start as refused that may be carried out yet

In the same way a sidecar reported a refusal after an attempt that had no answer.

Ruled out: a late order of the worker (both runs were ordered by one sidecar within 15 ms).

Change: a refusal of a start that was ordered twice leads to a stop; a sidecar says 'unknown' where an earlier attempt had no answer, and sends no start without a lease.

--- a/scheduler/dispatch/faults_test.go
+++ b/scheduler/dispatch/faults_test.go
@@ -117,6 +117,8 @@
 		w.lose = func() (bool, time.Duration) { n++; return n%share == 0, late }
 	case 11:
 		s.deaf = !s.deaf
+	case 12:
+		w.delay = time.Duration(draw("delay", 0, 4)) * tick
 	case 10:
 		for _, h := range w.holders {
 			h.frozen = false
@@ -147,7 +149,7 @@
 		w := newWorld(8000, 8000, 12000, 16000)
 		w.trace = func(line string) { t.Log(line) }
 		w.failures = true
-		w.events = 11
+		w.events = 12
 		play(w, func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) })
 		NewWithT(t).Expect(w.record.Wrong).To(BeEmpty())
 		for _, spec := range w.store.jobs {
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -208,6 +208,10 @@
 		c.orderStart(r)
 	default:
 		c.noteRefusal(r.worker, a.Result)
+		if r.startOrders > 1 {
+			c.stop(r, "start refused, and ordered twice: "+a.Result.String())
+			return
+		}
 		c.release(r, "start refused: "+a.Result.String())
 	}
 }
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -120,3 +120,24 @@
 	w.run(time.Second)
 	g.Expect(w.store.workers).To(HaveKey(runs.Life{ID: "w-host-0", Born: 1}))
 }
+
+// A start that was sent twice may be refused once and carried out once.
+func TestRefusalOfARepeatedStartIsNotConclusive(t *testing.T) {
+	g := NewWithT(t)
+	w := startedWorld(8000, 8000)
+	w.work = func(carobkeel.TaskName, int) standin.Work {
+		return standin.Work{Duration: 3 * time.Second, Outcome: runs.OutcomeDone}
+	}
+	w.delay = 3 * tick
+	w.submit(1, 0, step(1, 1000))
+	w.step() // the order is sent
+	for _, deaf := range []bool{true, false, true, false, false, false, false} {
+		for _, name := range w.hosts {
+			w.workers[name].deaf = deaf
+		}
+		w.step()
+	}
+	w.run(testLease + 5*time.Second)
+	g.Expect(w.record.Wrong).To(BeEmpty())
+	g.Expect(w.shown["0000000000000001"]).To(Equal(carobkeel.JobCompleted))
+}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -27,6 +27,9 @@
 	// reserved is what the run holds of the worker.
 	reserved carobkeel.Resources
 	phase    runPhase
+	// startOrders is how often the start was ordered. Where it was more than once,
+	// a refusal of one order says nothing of the others.
+	startOrders int
 	started  time.Duration
 	// confirmedAt is the listing in progress when the order was answered: only
 	// a later listing can say that the run is not there.
@@ -283,6 +286,7 @@
 }
 
 func (c *Core) orderStart(r *liveRun) {
+	r.startOrders++
 	c.orders = append(c.orders, Order{
 		Host: r.worker.host, Life: r.worker.description.Life, Kind: OrderStart, Task: r.name, Run: r.run,
 		Payload: r.task.job().spec.Payload, Saved: r.task.saved, Ticket: r.ticket,
--- a/scheduler/dispatch/world_test.go
+++ b/scheduler/dispatch/world_test.go
@@ -46,6 +46,8 @@
 	lose  func() (lost bool, late time.Duration)
 	shown map[carobkeel.JobID]carobkeel.JobState
 	work  func(task carobkeel.TaskName, run int) standin.Work
+	// delay is how long an order takes to reach its sidecar.
+	delay time.Duration
 	// trace is told of each decision, if set.
 	trace  func(string)
 	broken broken
@@ -318,9 +320,27 @@
 		s.dropped = true
 		return
 	}
+	if w.delay == 0 {
+		w.carryOut(h, s, o)
+		return
+	}
+	w.late = append(w.late, lateOrder{at: w.now + w.delay, send: func() {
+		if s.linked == h && !h.dead {
+			w.carryOut(h, s, o)
+		}
+	}})
+}
+
+// carryOut is what a sidecar does with an order.
+func (w *world) carryOut(h *holder, s *host, o dispatch.Order) {
 	if s.deaf {
+		// The worker's lease is not extended now, so that nothing is started.
+		result := runs.ResultUnknown
+		if o.Kind == dispatch.OrderStart {
+			result = runs.ResultUnhealthy
+		}
 		if o.Kind != dispatch.OrderAcknowledge {
-			w.answer(h, s, o, runs.ResultUnknown)
+			w.answer(h, s, o, result)
 		}
 		return
 	}
@@ -400,6 +420,7 @@
 func (w *world) settleAll(limit time.Duration) {
 	w.lose = func() (bool, time.Duration) { return false, 0 }
 	w.store.away = false
+	w.delay = 0
 	for _, s := range w.workers {
 		s.cut, s.deaf = false, false
 	}
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -56,18 +56,9 @@
 // execute carries out one order and answers it.
 func (a *Agent) execute(ctx context.Context, o orderUnder) {
 	begin := time.Now()
-	result := runs.ResultUnknown
-	for attempt := 0; attempt < orderAttempts && ctx.Err() == nil; attempt++ {
-		if result = a.admit(o); result != runs.ResultOK {
-			a.metrics.Refused.Inc(1)
-			break
-		}
-		if a.uplink.Load() != o.link {
-			return // the holder asks again over the new link
-		}
-		if result = a.attempt(ctx, o); result != runs.ResultUnknown {
-			break
-		}
+	result, current := a.repeat(ctx, o)
+	if !current {
+		return // the holder asks again over the new link
 	}
 	a.count(result, time.Since(begin))
 	a.log.Info().Stringer("task", o.order.Task).Int("run", o.order.Run).Uint8("order", uint8(o.order.Kind)).
@@ -81,6 +72,31 @@
 	}, o.epoch))
 }
 
+// repeat sends an order until it has an answer. The second result is false where
+// another link has taken the place of the order's.
+func (a *Agent) repeat(ctx context.Context, o orderUnder) (runs.Result, bool) {
+	for attempt := 0; attempt < orderAttempts && ctx.Err() == nil; attempt++ {
+		if a.uplink.Load() != o.link {
+			return runs.ResultUnknown, false
+		}
+		result := a.admit(o)
+		if result == runs.ResultOK {
+			result = a.attempt(ctx, o)
+		} else {
+			a.metrics.Refused.Inc(1)
+		}
+		if result == runs.ResultUnknown {
+			continue
+		}
+		if result != runs.ResultOK && attempt > 0 {
+			// An earlier attempt without an answer may be carried out yet.
+			return runs.ResultUnknown, true
+		}
+		return result, true
+	}
+	return runs.ResultUnknown, true
+}
+
 func (a *Agent) count(result runs.Result, took time.Duration) {
 	a.metrics.OrderLatency.RecordDuration(took)
 	if result == runs.ResultUnknown {
@@ -104,6 +120,9 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	envelope := a.envelope(o.order.Life, o.epoch)
+	if envelope.Deadline == 0 && o.order.Kind == dispatch.OrderStart {
+		return runs.ResultUnhealthy // there is no lease to start under; nothing was sent
+	}
 	var answer runs.Answer
 	var err error
 	switch o.order.Kind {
