--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
@@ -47,6 +49,12 @@
 
 var testLife = runs.Life{ID: "w", Born: 1}
 
+// newUplink returns a link on which what is sent waits.
+func newUplink(a *Agent) *uplink {
+	conn, _ := net.Pipe()
+	return &uplink{agent: a, link: link.New(conn, link.DefaultConfig())}
+}
+
 // linkedAgent returns an agent whose holder has confirmed its ping just now.
 func linkedAgent(worker runs.Client) (*Agent, orderUnder) {
 	a := New(Config{Host: "h", WorkerLease: 3 * time.Second}, worker, nil, NewMetrics(tally.NoopScope), logging.Discard().For("test"))
@@ -55,7 +63,7 @@
 	a.clock.Store(&gate.Clock{Reading: time.Minute, Received: now, Known: true})
 	holder := gate.Holder{}.Confirm(3, now)
 	a.holder.Store(&holder)
-	up := &uplink{agent: a}
+	up := newUplink(a)
 	a.uplink.Store(up)
 	order := dispatch.Order{Life: testLife, Kind: dispatch.OrderStart, Task: carobkeel.TaskName{Job: "j"}, Run: 1}
 	return a, orderUnder{order: order, epoch: 3, link: up}
@@ -96,7 +104,7 @@
 	g := NewWithT(t)
 	worker := &scripted{}
 	a, order := linkedAgent(worker)
-	a.uplink.Store(&uplink{agent: a})
+	a.uplink.Store(newUplink(a))
 	_, current := a.repeat(context.Background(), order)
 	g.Expect(current).To(BeFalse())
 	g.Expect(worker.starts).To(BeEmpty())
