--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -30,7 +30,7 @@
 	// startOrders is how often the start was ordered. Where it was more than once,
 	// a refusal of one order says nothing of the others.
 	startOrders int
-	started  time.Duration
+	started     time.Duration
 	// confirmedAt is the listing in progress when the order was answered: only
 	// a later listing can say that the run is not there.
 	confirmedAt uint64
