--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -94,12 +94,9 @@
 }
 
 func (h *holderLink) send(kind frame.Type, message msgp.Marshaler) {
-	f, err := wire.Encode(kind, message)
-	if err != nil {
+	if err := wire.Send(h.link, kind, message); err != nil {
 		h.node.log.Error().Err(err).Msg("message not encoded")
-		return
 	}
-	h.link.Send(f)
 }
 
 func (h *holderLink) handle(f frame.Frame) error {
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -74,12 +74,9 @@
 }
 
 func (p *peer) send(kind frame.Type, message msgp.Marshaler) {
-	f, err := wire.Encode(kind, message)
-	if err != nil {
+	if err := wire.Send(p.link, kind, message); err != nil {
 		p.node.log.Error().Err(err).Msg("message not encoded")
-		return
 	}
-	p.link.Send(f)
 }
 
 func (p *peer) handle(f frame.Frame) error {
--- a/scheduler/wire/doc.go
+++ b/scheduler/wire/doc.go
@@ -7,6 +7,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/internal/link"
 )
 
 // Types of frames. The peer that dials a link sends a Hello first.
@@ -37,6 +38,16 @@
 	return frame.Frame{Type: kind, Payload: payload}, nil
 }
 
+// Send queues a message on a link. It never waits; a link that has ended drops it.
+func Send(l *link.Link, kind frame.Type, message msgp.Marshaler) error {
+	f, err := Encode(kind, message)
+	if err != nil {
+		return err
+	}
+	l.Send(f)
+	return nil
+}
+
 // Decode reads the message of a frame.
 func Decode(f frame.Frame, message msgp.Unmarshaler) error {
 	_, err := message.UnmarshalMsg(f.Payload)
--- /dev/null
+++ b/scheduler/wire/wire_test.go
@@ -0,0 +1,157 @@
+package wire_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
+	"pgregory.net/rapid"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+func millis(t *rapid.T, label string) time.Duration {
+	return time.Duration(rapid.IntRange(0, 1<<20).Draw(t, label)) * time.Millisecond
+}
+
+func drawStep(t *rapid.T) carobkeel.Step {
+	return carobkeel.Step{
+		Count: rapid.IntRange(1, 50).Draw(t, "count"),
+		Demand: carobkeel.Resources{
+			MilliCPU:     rapid.Int64Range(0, 1<<40).Draw(t, "cpu"),
+			MemoryBytes:  rapid.Int64Range(0, 1<<50).Draw(t, "memory"),
+			Accelerators: rapid.Int64Range(0, 8).Draw(t, "accelerators"),
+		},
+		Estimate:         millis(t, "estimate"),
+		After:            rapid.SliceOfN(rapid.IntRange(0, 9), 1, 3).Draw(t, "after"),
+		SavesProgress:    rapid.Bool().Draw(t, "saves"),
+		Gang:             rapid.Bool().Draw(t, "gang"),
+		SameRack:         rapid.Bool().Draw(t, "rack"),
+		RequiredLabel:    rapid.String().Draw(t, "label"),
+		DataRack:         rapid.String().Draw(t, "data"),
+		MaxPerWorker:     rapid.IntRange(0, 9).Draw(t, "apart"),
+		AllowsDuplicates: rapid.Bool().Draw(t, "duplicates"),
+		Perpetual:        rapid.Bool().Draw(t, "perpetual"),
+		Image:            rapid.String().Draw(t, "image"),
+		LatencyTarget:    millis(t, "target"),
+		Fills:            rapid.Bool().Draw(t, "fills"),
+		MayMiss:          rapid.IntRange(0, 9).Draw(t, "miss"),
+	}
+}
+
+var drawTask = rapid.Custom(func(t *rapid.T) carobkeel.TaskName {
+	return carobkeel.TaskName{
+		Job:        carobkeel.JobID(rapid.StringMatching(`[0-9a-f]{16}`).Draw(t, "job")),
+		Occurrence: rapid.IntRange(0, 99).Draw(t, "occurrence"),
+		Step:       rapid.IntRange(0, 99).Draw(t, "step"),
+		Index:      rapid.IntRange(0, 99).Draw(t, "index"),
+	}
+})
+
+func drawLife(t *rapid.T) runs.Life {
+	return runs.Life{ID: rapid.String().Draw(t, "id"), Born: rapid.Int64().Draw(t, "born")}
+}
+
+// pass encodes a message and decodes it into another.
+func pass(t *rapid.T, from msgp.Marshaler, into msgp.Unmarshaler) {
+	f, err := wire.Encode(wire.TypeHello, from)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(wire.Decode(f, into)).To(Succeed())
+}
+
+func TestJobsComeBackAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		job := &carobkeel.JobSpec{
+			ID: "5c0e7a21d94b36f8",
+			Queue: carobkeel.Queue{
+				Name: "q", Host: "h", PathPrefix: "/p/", Service: "s", Priority: rapid.IntRange(0, 9).Draw(t, "priority"),
+				MaxAttempts: rapid.IntRange(0, 9).Draw(t, "attempts"), Stretch: 1.5, Objective: millis(t, "objective"),
+			},
+			Payload: rapid.String().Draw(t, "payload"),
+			Repeats: rapid.IntRange(0, 9).Draw(t, "repeats"),
+			Period:  millis(t, "period"),
+		}
+		if job.Repeats > 0 {
+			job.First = time.UnixMilli(rapid.Int64Range(0, 1<<42).Draw(t, "first"))
+		}
+		for range rapid.IntRange(1, 4).Draw(t, "steps") {
+			job.Steps = append(job.Steps, drawStep(t))
+		}
+		var row wire.JobRow
+		pass(t, wire.FromJob(job), &row)
+		NewWithT(t).Expect(row.Decoded(job.ID)).To(Equal(job))
+	})
+}
+
+func TestProgressComesBackAsItWas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := dispatch.Progress{Job: "5c0e7a21d94b36f8", State: carobkeel.JobState(rapid.IntRange(0, 4).Draw(t, "state"))}
+		for range rapid.IntRange(1, 5).Draw(t, "tasks") {
+			task := drawTask.Draw(t, "task")
+			task.Job = p.Job
+			p.Tasks = append(p.Tasks, dispatch.TaskProgress{
+				Task: task, Done: rapid.Bool().Draw(t, "done"), Saved: rapid.String().Draw(t, "saved"),
+				FailedRuns: rapid.SliceOfN(rapid.IntRange(1, 1<<20), 1, 3).Draw(t, "failed"),
+			})
+		}
+		var row wire.ProgressRow
+		pass(t, wire.FromProgress(&p), &row)
+		NewWithT(t).Expect(row.Decoded(p.Job)).To(Equal(p))
+	})
+}
+
+func TestListingsOrdersAndAnswersComeBackAsTheyWere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		listing := dispatch.WorkerListing{
+			Host: "h", Life: drawLife(t), Number: rapid.Uint64().Draw(t, "number"), Whole: rapid.Bool().Draw(t, "whole"),
+			Running: []runs.Running{{Task: drawTask.Draw(t, "task"), Run: 1, Saved: "s", Percent: 41, Figure: 7}},
+			Ends:    []runs.End{{Number: 3, Task: drawTask.Draw(t, "ended"), Run: 2, Outcome: runs.OutcomeBroken, Saved: "x"}},
+		}
+		var wireListing wire.Listing
+		pass(t, wire.FromListing(listing, 3), &wireListing)
+		decoded, err := wireListing.Decoded("h")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(decoded).To(Equal(listing))
+
+		order := dispatch.Order{
+			Life: drawLife(t), Kind: dispatch.OrderStart, Task: drawTask.Draw(t, "ordered"), Run: rapid.IntRange(1, 1<<20).Draw(t, "run"),
+			Payload: rapid.String().Draw(t, "payload"), Saved: "s", Ticket: "t", Percent: 5,
+		}
+		wireOrder := wire.FromOrder(order)
+		var back wire.Order
+		pass(t, &wireOrder, &back)
+		g.Expect(back.Decoded()).To(Equal(order))
+
+		answer := dispatch.Answered{
+			Host: "h", Life: order.Life, Kind: dispatch.OrderStop, Task: order.Task, Run: order.Run,
+			Result: runs.ResultLate, Listing: listing.Number,
+		}
+		var wireAnswer wire.Answer
+		pass(t, wire.FromAnswer(answer, 3), &wireAnswer)
+		g.Expect(wireAnswer.Decoded("h")).To(Equal(answer))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	first, err := (&wire.Ping{Sequence: 1, HolderAge: -1, Epoch: 7}).MarshalMsg(nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(first)
+	f.Add([]byte{0xdc, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		message := frame.Frame{Payload: data}
+		for _, into := range []msgp.Unmarshaler{
+			&wire.Hello{}, &wire.Ping{}, &wire.Pong{}, &wire.Description{}, &wire.Listing{}, &wire.Answer{}, &wire.Orders{},
+			&wire.Query{}, &wire.Reply{}, &wire.JobRow{}, &wire.ProgressRow{}, &wire.HolderRow{},
+		} {
+			_ = wire.Decode(message, into) // an error is fine; a panic is not
+		}
+	})
+}
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -129,12 +129,9 @@
 }
 
 func (u *uplink) send(kind frame.Type, message msgp.Marshaler) {
-	f, err := wire.Encode(kind, message)
-	if err != nil {
+	if err := wire.Send(u.link, kind, message); err != nil {
 		u.agent.log.Error().Err(err).Msg("message not encoded")
-		return
 	}
-	u.link.Send(f)
 }
 
 // ping pings until ctx ends.
