--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -85,7 +85,9 @@
 	// knownLives are lives that the store has a record of.
 	knownLives map[runs.Life]bool
 	// active lists the jobs that have not ended, in the order of acceptance.
-	active    []*job
+	active []*job
+	// ended lists the jobs that have ended, in the order of their end.
+	ended     []*job
 	orders    []Order
 	decisions []Decision
 	views     []View
@@ -101,6 +103,8 @@
 	Job   carobkeel.JobID
 	Queue carobkeel.QueueName
 	State carobkeel.JobState
+	// Gone says that nothing is known of the job any more.
+	Gone bool
 }
 
 // WorkerRecord is the durable record of a life that orders were given to.
@@ -196,6 +200,9 @@
 	if len(c.unreported) > 0 {
 		c.wakeAt(c.inheritedUntil)
 	}
+	if len(c.ended) > 0 {
+		c.wakeAt(max(c.ended[0].finished+retention, c.now.Steady+time.Second))
+	}
 }
 
 // PredecessorGone says that the process of the holder before has ended, so that
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -25,6 +25,9 @@
 	shown carobkeel.JobState
 	// revision counts changes of the progress, storedRevision those stored.
 	revision uint64
+	// ended says that the job is among those whose records expire.
+	ended bool
+	// finished is when the job ended, or when this holder learned that it had.
 	finished time.Duration
 }
 
@@ -159,6 +162,7 @@
 		return
 	}
 	j.cancelled = true
+	c.noteEnded(j)
 	c.note(Decision{Kind: DecidedJobCancelled, Job: id})
 	c.stopAll(j)
 	c.markDirty(j)
@@ -240,7 +244,7 @@
 	j.begun = true
 	c.markDirty(j)
 	if j.remaining == 0 {
-		j.finished = c.now.Steady
+		c.noteEnded(j)
 		c.note(Decision{Kind: DecidedJobDone, Job: j.spec.ID, Waited: c.now.Steady - j.accepted})
 	}
 }
@@ -265,7 +269,7 @@
 		return
 	}
 	j.failed = true
-	j.finished = c.now.Steady
+	c.noteEnded(j)
 	c.note(Decision{Kind: DecidedJobFailedAttempts, Job: j.spec.ID, Task: t.name(), Host: host, Waited: c.now.Steady - j.accepted})
 	c.stopAll(j)
 }
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -30,6 +30,8 @@
 	Workers  []WorkerRecord
 	// Forgotten are lives whose records are not needed any more.
 	Forgotten []runs.Life
+	// Expired are jobs whose records are removed.
+	Expired []carobkeel.JobID
 	// revisions are the jobs' revisions that the batch holds.
 	revisions map[carobkeel.JobID]uint64
 	states    map[carobkeel.JobID]carobkeel.JobState
@@ -59,7 +61,7 @@
 
 // HasBatch reports whether there is something to store or to acknowledge.
 func (c *Core) HasBatch() bool {
-	if len(c.dirty)+len(c.newLives)+len(c.oldLives) > 0 {
+	if len(c.dirty)+len(c.newLives)+len(c.oldLives) > 0 || len(c.expiredJobs(0)) > 0 {
 		return true
 	}
 	for _, w := range c.workers {
@@ -94,6 +96,7 @@
 		b.revisions[id] = j.revision
 		b.states[id] = j.state()
 	}
+	b.Expired = c.expiredJobs(len(b.Progress) + len(b.Workers) + len(b.Forgotten))
 	if len(b.Progress) < len(c.dirty) {
 		return b // ends are acknowledged with the last batch that they need
 	}
@@ -111,7 +114,9 @@
 }
 
 // IsEmpty reports whether the batch has nothing to write.
-func (b *Batch) IsEmpty() bool { return len(b.Progress)+len(b.Workers)+len(b.Forgotten) == 0 }
+func (b *Batch) IsEmpty() bool {
+	return len(b.Progress)+len(b.Workers)+len(b.Forgotten)+len(b.Expired) == 0
+}
 
 // Stored says that a batch is durable. Ends that it holds are acknowledged, and
 // callers may see the states.
@@ -126,6 +131,7 @@
 		}
 	}
 	c.rememberLives(b)
+	c.forgetJobs(b.Expired)
 	for host, ends := range b.ends {
 		w := c.workers[host]
 		if w == nil || w.description.Life != ends.life {
@@ -200,6 +206,9 @@
 			j.remaining--
 		}
 	}
+	if c.isFinal(j) {
+		c.noteEnded(j)
+	}
 	c.show(j, p.State)
 }
 
--- a/scheduler/dispatch/world_test.go
+++ b/scheduler/dispatch/world_test.go
@@ -181,10 +181,11 @@
 		config.WorkerLease = 0
 	}
 	h.core = dispatch.New(config, w.time(), records)
-	w.feed(h)
+	w.feedJobs(h)
 	for _, p := range w.store.progress {
 		h.core.Restore(p)
 	}
+	w.feed(h)
 	w.holders = append(w.holders, h)
 	return h
 }
@@ -192,14 +193,20 @@
 // feed tells a holder of the jobs that it may hear of. One that was replaced
 // learns of that before it learns of later jobs.
 func (w *world) feed(h *holder) {
+	w.feedJobs(h)
+	for _, spec := range w.store.jobs {
+		if w.store.cancel[spec.ID] {
+			h.core.Cancel(spec.ID)
+		}
+	}
+}
+
+func (w *world) feedJobs(h *holder) {
 	for _, spec := range w.store.jobs {
 		if !h.taken[spec.ID] && w.store.accepted[spec.ID] <= h.epoch {
 			h.taken[spec.ID] = true
 			h.core.AddJob(spec, w.store.accepted[spec.ID] < h.epoch)
 		}
-		if w.store.cancel[spec.ID] {
-			h.core.Cancel(spec.ID)
-		}
 	}
 }
 
@@ -306,6 +313,10 @@
 		}
 	}
 	for _, v := range out.Views {
+		if v.Gone {
+			delete(w.shown, v.Job)
+			continue
+		}
 		w.shown[v.Job] = v.State
 	}
 	for _, o := range out.Orders {
@@ -406,6 +417,11 @@
 		for _, life := range h.pending.Forgotten {
 			delete(w.store.workers, life)
 		}
+		for _, job := range h.pending.Expired {
+			delete(w.store.progress, job)
+			delete(w.store.cancel, job)
+			w.store.jobs = slices.DeleteFunc(w.store.jobs, func(s *carobkeel.JobSpec) bool { return s.ID == job })
+		}
 		h.core.Stored(*h.pending)
 		h.pending = nil
 		w.finish(h, h.core.Finish())
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -152,6 +152,10 @@
 		return
 	}
 	for _, v := range views {
+		if v.Gone {
+			l.node.states.Delete(v.Job)
+			continue
+		}
 		l.node.states.Store(v.Job, v.State)
 		if v.State == carobkeel.JobPending {
 			l.pending[v.Job] = v.Queue
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -18,7 +18,9 @@
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/directory"
 	"github.com/carobkeel/carobkeel/scheduler/holder"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/agent"
+	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/faulty"
 	"github.com/carobkeel/carobkeel/table/memory"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -317,3 +319,25 @@
 	err := f.entries[0].jobs.Cancel(ctx, "ffffffffffffffff")
 	g.Expect(carobkeel.AsError(err).Code).To(Equal(carobkeel.CodeUnknownJob))
 }
+
+func TestCancellationThatCameLateLeavesACompletedJobAsItEnded(t *testing.T) {
+	g := NewWithT(t)
+	f := startFleet(t, 2, 1)
+	g.Eventually(f.leader, patience).ShouldNot(BeNil())
+	old := f.leader()
+	job := f.submit(g, old, 1)
+	g.Eventually(state(old, job), patience).Should(Equal(carobkeel.JobCompleted))
+	marker := table.RowID{Table: holder.TableJobs, Part: testShard, Key: string(job) + holder.CancelSuffix}
+	_, err := f.memory.Transact(context.Background(), table.RowTransaction{Writes: []table.RowWrite{{RowID: marker}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	old.node.Resign()
+	g.Eventually(func() bool { next := f.leader(); return next != nil && next != old }, patience).Should(BeTrue())
+	g.Consistently(state(f.leader(), job), "500ms").Should(Equal(carobkeel.JobCompleted))
+	row, found, err := f.memory.Get(context.Background(), table.RowID{Table: holder.TableProgress, Part: testShard, Key: string(job)})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(found).To(BeTrue())
+	var progress wire.ProgressRow
+	_, err = progress.UnmarshalMsg(row.Value)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(carobkeel.JobState(progress.State)).To(Equal(carobkeel.JobCompleted))
+}
--- a/scheduler/holder/store.go
+++ b/scheduler/holder/store.go
@@ -56,6 +56,9 @@
 	for _, p := range batch.Progress {
 		writer.versions[p.Job] = l.versions[p.Job]
 	}
+	for _, job := range batch.Expired {
+		writer.versions[job] = l.versions[job]
+	}
 	term := l.term
 	go func() {
 		outcome, err := writer.run(term)
@@ -81,6 +84,9 @@
 	for _, p := range batch.Progress {
 		l.versions[p.Job] = outcome.Version
 	}
+	for _, job := range batch.Expired {
+		delete(l.versions, job)
+	}
 	l.core.Stored(batch)
 }
 
@@ -146,6 +152,12 @@
 		row := wire.WorkerRow{Host: record.Host, ID: record.Life.ID, Born: record.Life.Born}
 		txn.Writes = append(txn.Writes, table.RowWrite{RowID: n.workerRow(record.Life), Value: mustEncode(&row)})
 	}
+	for _, job := range w.batch.Expired {
+		txn.Conditions = append(txn.Conditions, table.RowCondition{RowID: n.progressRow(job), Version: w.versions[job]})
+		for _, id := range []table.RowID{n.jobRow(job), n.cancelRow(job), n.progressRow(job)} {
+			txn.Writes = append(txn.Writes, table.RowWrite{RowID: id, Delete: true})
+		}
+	}
 	for _, life := range w.batch.Forgotten {
 		txn.Writes = append(txn.Writes, table.RowWrite{RowID: n.workerRow(life), Delete: true})
 	}
@@ -163,6 +175,14 @@
 	return table.RowID{Table: TableJobs, Part: n.config.Shard, Key: epochKey}
 }
 
+func (n *Node) jobRow(job carobkeel.JobID) table.RowID {
+	return table.RowID{Table: TableJobs, Part: n.config.Shard, Key: string(job)}
+}
+
+func (n *Node) cancelRow(job carobkeel.JobID) table.RowID {
+	return table.RowID{Table: TableJobs, Part: n.config.Shard, Key: string(job) + CancelSuffix}
+}
+
 func (n *Node) progressRow(job carobkeel.JobID) table.RowID {
 	return table.RowID{Table: TableProgress, Part: n.config.Shard, Key: string(job)}
 }
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -237,10 +237,11 @@
 	}, l.now(), n.decodeWorkers(t.workers))
 	l.core.SetQueues(n.queues.Load())
 	slices.SortFunc(t.jobs, func(a, b table.VersionedRow) int { return cmp.Compare(a.Version, b.Version) })
-	l.takeJobRows(t.jobs, t.standing.Version)
+	l.takeJobs(t.jobs, t.standing.Version)
 	for _, row := range t.progress {
 		l.restore(row)
 	}
+	l.takeCancellations(t.jobs) // a job that had ended by then stays as it ended
 	n.sidecars.Range(func(host, value any) bool {
 		l.core.HostLinked(host.(string))
 		l.core.HostPinged(host.(string))
@@ -321,12 +322,20 @@
 			return
 		}
 	}
+	l.takeJobs(rows, epochVersion)
+	l.takeCancellations(rows)
+}
+
+func (l *loop) takeJobs(rows []table.VersionedRow, epochVersion table.Version) {
 	for _, row := range rows {
 		if row.Deleted || row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
 			continue
 		}
 		l.takeJob(row, row.Version < epochVersion)
 	}
+}
+
+func (l *loop) takeCancellations(rows []table.VersionedRow) {
 	for _, row := range rows {
 		if job, isCancel := strings.CutSuffix(row.Key, CancelSuffix); isCancel && !row.Deleted {
 			l.core.Cancel(carobkeel.JobID(job))
