--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -218,8 +218,7 @@
 		if p.held[w] != (carobkeel.Resources{}) {
 			continue // one move to a worker at a time, since it changes its budget
 		}
-		l := w.load()
-		if l.using+l.filling+r.task.step.spec.Demand.MilliCPU > w.description.Capacity.MilliCPU {
+		if !w.load().hasProcessorsFor(r.task.step.spec.Demand.MilliCPU, w.description.Capacity.MilliCPU) {
 			continue
 		}
 		if pace, _ := c.paceOn(r.task, w); pace >= movePace {
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -287,6 +287,12 @@
 	serving int
 }
 
+// hasProcessorsFor reports whether the processors that others leave suffice for
+// one more filling task.
+func (l load) hasProcessorsFor(demand, capacity int64) bool {
+	return float64(l.filling+demand) <= fillerOvercommit*float64(capacity-l.using)
+}
+
 func (w *workerState) load() load {
 	var l load
 	for _, r := range w.copies {
@@ -307,8 +313,13 @@
 	return l
 }
 
-// servingUse is the part of its reservation that a serving task uses.
-const servingUse = 0.5
+const (
+	// servingUse is the part of its reservation that a serving task uses on average.
+	servingUse = 0.42
+	// fillerOvercommit is how far filling tasks may want more than the processors
+	// that others leave: they share them, and none stays idle.
+	fillerOvercommit = 1.25
+)
 
 // mayFill reports whether a filling task would get the processors that it wants
 // on a worker, and could use them without harm to serving tasks.
@@ -317,7 +328,7 @@
 		return true
 	}
 	l := w.load()
-	if l.using+l.filling+t.step.spec.Demand.MilliCPU > w.description.Capacity.MilliCPU {
+	if !l.hasProcessorsFor(t.step.spec.Demand.MilliCPU, w.description.Capacity.MilliCPU) {
 		return false
 	}
 	if l.serving == 0 {
