--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -57,7 +57,7 @@
 	address := s.LinkAddress(s.IP)
 	e.node = holder.New(holder.Config{
 		Host: s.Host, Incarnation: e.incarnation, Address: address, Shard: shard,
-		WorkerLease: workerLease, InterferenceLimit: s.Bounds.InterferenceLimit, RemoteFactor: s.RemoteFactor,
+		WorkerLease: workerLease,
 	}, e.store, holder.NewMetrics(e.metrics), e.logs.For("scheduler"))
 	listener, err := e.listenLinks()
 	if err != nil {
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -17,10 +17,6 @@
 	// InheritedLease is how long runs may go on, from the beginning of this
 	// epoch, that the holder before may have started on workers out of reach.
 	InheritedLease time.Duration
-	// InterferenceLimit is how long a serving task may stay over its target.
-	InterferenceLimit time.Duration
-	// RemoteFactor is how much longer tasks take away from their data.
-	RemoteFactor float64
 }
 
 // clockDrift is how much slower than ours a worker's clock may run: 2%.
--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -46,7 +46,7 @@
 
 func (c *Core) noteRefusal(w *workerState, result runs.Result) {
 	switch result {
-	case runs.ResultUnhealthy, runs.ResultNoRoom, runs.ResultDraining:
+	case runs.ResultUnhealthy, runs.ResultNoRoom, runs.ResultDraining, runs.ResultNoTicket, runs.ResultInvalid:
 		w.health.excludedUntil = max(w.health.excludedUntil, c.now.Steady+refusalPause)
 	}
 }
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -109,7 +109,7 @@
 	if r.phase == runOrdered {
 		r.phase = runConfirmed
 	}
-	r.percent, r.figure = running.Percent, running.Figure
+	r.figure = running.Figure
 	if t := r.task; t != nil && running.Saved != "" && !t.done {
 		t.saved = running.Saved
 	}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -39,7 +39,6 @@
 	// stopAnsweredAt is the listing in progress at that time.
 	stopAnswered   bool
 	stopAnsweredAt uint64
-	percent        int
 	figure         int
 	pace           int
 	// slowSince is when the run was last slowed down, zero while it is not.
--- a/scheduler/dispatch/world_test.go
+++ b/scheduler/dispatch/world_test.go
@@ -171,8 +171,7 @@
 	}
 	h := &holder{epoch: w.store.epoch, proof: w.now, taken: make(map[carobkeel.JobID]bool)}
 	config := dispatch.Config{
-		Epoch: h.epoch, WorkerLease: testLease, InheritedLease: testAuthority + testLease, RemoteFactor: 1.5,
-		InterferenceLimit: 4 * time.Second,
+		Epoch: h.epoch, WorkerLease: testLease, InheritedLease: testAuthority + testLease,
 	}
 	if w.broken.forgetInherited {
 		records = nil
--- a/scheduler/holder/election.go
+++ b/scheduler/holder/election.go
@@ -54,8 +54,6 @@
 	storeHeard, storeSince time.Duration
 	// sidecars are linked to this process; hearing of them hear the holder.
 	sidecars, hearing int
-	// started is when this process started.
-	started time.Duration
 }
 
 // shouldTakeOver decides whether this process should become the holder, and
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
@@ -47,10 +48,6 @@
 	Shard string
 	// WorkerLease is how long a worker's lease runs from a ping.
 	WorkerLease time.Duration
-	// InterferenceLimit is how long a serving task may stay over its target.
-	InterferenceLimit time.Duration
-	// RemoteFactor is how much longer tasks take away from their data.
-	RemoteFactor float64
 }
 
 // Standing is who holds the shard, as this process knows it.
@@ -82,12 +79,11 @@
 	// states holds the state of each job, by its id, while this node leads.
 	states sync.Map
 
-	// storeHeard is when the table service last answered, storeFailed when it
-	// last did not, and storeSince since when it always has.
+	// storeHeard is when the table service last answered, storeSince when it last
+	// did not.
 	storeHeard, storeSince atomic.Int64
 	// refused says that the holder's address refuses connections.
 	refused  atomic.Bool
-	started  time.Duration
 	leaving  atomic.Bool
 	sidecars sync.Map
 }
@@ -99,7 +95,6 @@
 		metrics: metrics,
 		log:     logger,
 		events:  mailbox.New[event](),
-		started: clock.Boottime(),
 	}
 	n.rows = &heardRows{rows: rows, node: n}
 	n.queues.Store(&carobkeel.QueueConfig{})
@@ -142,9 +137,6 @@
 	return s != nil && s.Leading
 }
 
-// Known reports whether some holder is known and answers.
-func (n *Node) Known() bool { return n.Leading() || n.upstream.Load() != nil }
-
 // StoreAge returns how long ago the table service last answered.
 func (n *Node) StoreAge() time.Duration { return clock.Boottime() - time.Duration(n.storeHeard.Load()) }
 
@@ -166,7 +158,7 @@
 
 func (h *heardRows) note(err error) {
 	now := int64(clock.Boottime())
-	if err == nil || err == table.ErrHistoryLost {
+	if err == nil || errors.Is(err, table.ErrHistoryLost) {
 		h.node.storeHeard.Store(now)
 		return
 	}
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -128,7 +128,7 @@
 	host := fmt.Sprintf("entry-%d", len(f.entries))
 	node := holder.New(holder.Config{
 		Host: host, Incarnation: carobkeel.Incarnation(len(f.entries) + 1), Address: listener.Addr().String(),
-		Shard: testShard, WorkerLease: 3 * time.Second, RemoteFactor: 1.5,
+		Shard: testShard, WorkerLease: 3 * time.Second,
 	}, f.rows, holder.NewMetrics(tally.NoopScope), f.logs)
 	go func() {
 		if err := node.Serve(ctx, listener); err != nil {
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -113,7 +113,6 @@
 		now:        clock.Boottime(),
 		storeHeard: time.Duration(n.storeHeard.Load()),
 		storeSince: time.Duration(n.storeSince.Load()),
-		started:    n.started,
 		refused:    n.refused.Load(),
 	}
 	if s := n.standing.Load(); s != nil {
@@ -229,11 +228,9 @@
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
 	l.core = dispatch.New(dispatch.Config{
-		Epoch:             carobkeel.Epoch(t.standing.Row.Epoch),
-		WorkerLease:       n.config.WorkerLease,
-		InheritedLease:    l.inheritedLease(),
-		InterferenceLimit: n.config.InterferenceLimit,
-		RemoteFactor:      n.config.RemoteFactor,
+		Epoch:          carobkeel.Epoch(t.standing.Row.Epoch),
+		WorkerLease:    n.config.WorkerLease,
+		InheritedLease: l.inheritedLease(),
 	}, l.now(), n.decodeWorkers(t.workers))
 	l.core.SetQueues(n.queues.Load())
 	slices.SortFunc(t.jobs, func(a, b table.VersionedRow) int { return cmp.Compare(a.Version, b.Version) })
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -13,7 +13,6 @@
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
-	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -42,7 +41,6 @@
 	// pinged holds when the last pings were sent, by sequence number.
 	pinged   [pingWindow]atomic.Int64
 	sequence atomic.Uint64
-	leads    atomic.Bool
 	term     atomic.Uint64
 }
 
@@ -173,7 +171,6 @@
 // takePong takes in who holds the shard.
 func (u *uplink) takePong(pong *wire.Pong) {
 	a := u.agent
-	u.leads.Store(pong.Leads)
 	if !pong.Leads || u.sequence.Load()-pong.Sequence >= pingWindow {
 		return
 	}
@@ -231,6 +228,3 @@
 		u.send(wire.TypeLeft, &wire.Left{Life: wire.Life(life)})
 	}
 }
-
-// Holder returns what the sidecar knows of the holder.
-func (a *Agent) Holder() gate.Holder { return *a.holder.Load() }
--- a/steps.go
+++ b/steps.go
@@ -30,10 +30,8 @@
 	Stretch   float64
 	Objective time.Duration
 	// NeedsAdvice says that only workers named by the advice service may run the
-	// queue's steps.
+	// queue's steps. Such jobs are refused: no part asks that service yet.
 	NeedsAdvice bool
-	// AdviceValidity is how long an advice holds.
-	AdviceValidity time.Duration
 }
 
 // WorkerPool is what the configuration says of the workers of one service.
