Log entries' rows that can't be read; name two intervals; simplify expiry

Cause: a reading of the whole change: an unreadable row of an entry was passed over without a line, two times had no name, and expired jobs were collected twice over. Change: as said; nothing else changes. Measured: tests of dispatch, holder and agent passed.

--- a/scheduler/directory/directory.go
+++ b/scheduler/directory/directory.go
@@ -43,7 +43,7 @@
 func rowOf(host string) table.RowID { return table.RowID{Table: tableName, Key: host} }
 
 // Addresses returns the addresses of the links of the entries that are listed.
-func Addresses(ctx context.Context, rows table.Rows) ([]string, error) {
+func Addresses(ctx context.Context, rows table.Rows, logger *log.Logger) ([]string, error) {
 	found, _, err := table.ScanAll(ctx, rows, tableName, "")
 	if err != nil {
 		return nil, err
@@ -52,7 +52,9 @@
 	for _, row := range found {
 		var entry wire.EntryRow
 		if _, err := entry.UnmarshalMsg(row.Value); err != nil {
-			continue // a row of another version of the program
+			// Another version of the program may have written it; the others hold.
+			logger.Warn().Err(err).Str("host", row.Key).Msg("row of an entry is not readable")
+			continue
 		}
 		addresses = append(addresses, entry.Address)
 	}
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -197,7 +197,7 @@
 		c.wakeAt(c.inheritedUntil)
 	}
 	if len(c.ended) > 0 {
-		c.wakeAt(max(c.ended[0].finished+retention, c.now.Steady+time.Second))
+		c.wakeAt(max(c.ended[0].finished+retention, c.now.Steady+expireInterval))
 	}
 }
 
--- a/scheduler/dispatch/retention.go
+++ b/scheduler/dispatch/retention.go
@@ -14,6 +14,8 @@
 	// expiredPerBatch bounds the jobs whose records one batch removes, of which
 	// each has up to three rows.
 	expiredPerBatch = 10
+	// expireInterval is the least time between two looks for such jobs.
+	expireInterval = time.Second
 	// expireBelow is the number of other records in a batch up to which it removes
 	// some.
 	expireBelow = 15
@@ -24,20 +26,16 @@
 	if records > expireBelow {
 		return nil
 	}
-	var expired []*job
+	var expired []carobkeel.JobID
 	for _, j := range c.ended {
 		if c.now.Steady-j.finished < retention || len(expired) == expiredPerBatch {
 			break
 		}
 		if c.dirty[j.spec.ID] == nil && j.shown.IsFinal() && !j.hasRuns() {
-			expired = append(expired, j)
+			expired = append(expired, j.spec.ID)
 		}
 	}
-	var ids []carobkeel.JobID
-	for _, j := range expired {
-		ids = append(ids, j.spec.ID)
-	}
-	return ids
+	return expired
 }
 
 // noteEnded puts a job that has ended into the order in which records expire.
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -158,7 +158,7 @@
 	})
 	live := &liveWorker{mu: &f.mu, worker: worker, moved: clock.Boottime()}
 	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, live, func(ctx context.Context) ([]string, error) {
-		return directory.Addresses(ctx, f.rows)
+		return directory.Addresses(ctx, f.rows, f.logs)
 	}, agent.NewMetrics(tally.NoopScope), f.logs)
 	a.Heartbeat(worker.Description())
 	go a.Run(ctx)
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -26,6 +26,9 @@
 	acknowledgeWait = 60 * time.Millisecond
 	// retryPause is the time between two listings that failed.
 	retryPause = 150 * time.Millisecond
+	// noWorkerPause is the time between two looks for a worker that has not
+	// announced itself; an announcement ends it.
+	noWorkerPause = time.Second
 	// silentAfter is how many listings in a row may fail.
 	silentAfter = 2
 )
@@ -44,7 +47,7 @@
 	for ctx.Err() == nil {
 		d := a.described.Load()
 		if d == nil {
-			a.park(ctx, time.Second)
+			a.park(ctx, noWorkerPause)
 			continue
 		}
 		l.once(ctx, d)
