Log why tasks wait, jobs held back at a takeover, and slow scheduling steps

Cause: a long-running task stayed without a run although a worker had room, and the logs can't tell the hypotheses apart: starts, ends and stops are logged, but not why a ready task is not started.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -110,6 +110,9 @@
 	// start.
 	workerChanges uint64
 	interference  *interference.Model
+	// waitReportedAt is when waiting tasks were last reported, and
+	// heldBackReportedAt when jobs that wait for unreported workers were.
+	waitReportedAt, heldBackReportedAt time.Duration
 	// learnedStoredAt is when the model's records were last handed over to be
 	// stored.
 	learnedStoredAt time.Duration
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -43,6 +43,11 @@
 	// DecidedWorkerQuarantined quarantines a worker: it gets no tasks for some
 	// time.
 	DecidedWorkerQuarantined DecisionKind = "worker quarantined"
+	// DecidedTaskWaiting reports a task that could not be started for a while.
+	DecidedTaskWaiting DecisionKind = "task waiting"
+	// DecidedJobsHeldBack reports jobs of an earlier epoch that wait for worker
+	// incarnations that have not reported yet.
+	DecidedJobsHeldBack DecisionKind = "inherited jobs held back"
 	// DecidedAdviceReceived applies the advice service's answer for a step.
 	DecidedAdviceReceived DecisionKind = "advice received"
 	// DecidedLeaseExpired releases the runs of a worker whose lease has expired.
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -32,6 +32,7 @@
 func (c *Core) schedule() {
 	c.stopOnDrainingWorkers()
 	steps := c.waitingSteps()
+	c.reportHeldBack()
 	if len(steps) == 0 && !c.hasSpeculationCandidate() {
 		return
 	}
@@ -45,6 +46,7 @@
 		c.placeStep(p, s)
 	}
 	c.startSpeculativeRuns(p)
+	c.reportWaiting(p, steps)
 }
 
 // usableWorkers returns the workers that accept tasks, ordered by host.
--- /dev/null
+++ b/scheduler/dispatch/waiting.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// minReportedWait is how long a task must have waited to be reported.
+	minReportedWait = time.Second
+	// waitReportInterval is the least time between two reports, and
+	// maxWaitReports bounds the steps in each of them.
+	waitReportInterval = time.Second
+	maxWaitReports     = 5
+)
+
+// reportWaiting records why the most urgent steps that still have tasks to
+// start could not start them.
+func (c *Core) reportWaiting(p *pass, steps []*stepState) {
+	if c.now.Monotonic-c.waitReportedAt < waitReportInterval {
+		return
+	}
+	reports := 0
+	for _, s := range steps {
+		t := s.longestWaiting()
+		if t == nil || reports == maxWaitReports {
+			continue
+		}
+		waited := c.now.Monotonic - max(t.waitingSince, s.readyAt)
+		if waited < minReportedWait {
+			continue
+		}
+		reports++
+		c.recordDecision(Decision{Kind: DecidedTaskWaiting, Task: t.name(), Waited: waited, Detail: c.countWorkers(p, t).String()})
+	}
+	if reports > 0 {
+		c.waitReportedAt = c.now.Monotonic
+	}
+}
+
+// reportHeldBack records how many jobs wait for worker incarnations that the
+// previous holder used and that have not reported yet, and one of their hosts.
+func (c *Core) reportHeldBack() {
+	if len(c.unreportedWorkers) == 0 || c.now.Monotonic-c.heldBackReportedAt < waitReportInterval {
+		return
+	}
+	jobs := 0
+	for _, j := range c.active {
+		if j.inherited {
+			jobs++
+		}
+	}
+	for _, host := range c.unreportedWorkers {
+		c.heldBackReportedAt = c.now.Monotonic
+		c.recordDecision(Decision{
+			Kind: DecidedJobsHeldBack, Host: host, Waited: c.inheritedExpiry - c.now.Monotonic,
+			Detail: fmt.Sprintf("jobs=%d unreported=%d", jobs, len(c.unreportedWorkers)),
+		})
+		return
+	}
+}
+
+// longestWaiting returns the waiting task of a step that has waited the longest,
+// nil if none waits.
+func (s *stepState) longestWaiting() *task {
+	var longest *task
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.isWaiting() && (longest == nil || t.waitingSince < longest.waitingSince) {
+			longest = t
+		}
+	}
+	return longest
+}
+
+// workerCounts counts the workers of a shard by the first reason for which a
+// waiting task can't start on them.
+type workerCounts struct {
+	unlinked, unresponsive, unlisted, unrecorded, draining, expired, excluded int
+	// notAllowed counts the workers that the step's requirements exclude.
+	notAllowed int
+	// full counts the workers without room, of which afterStops have room once
+	// the runs that are being stopped have ended.
+	full, afterStops int
+	// reserved counts the workers whose room is reserved for other tasks.
+	reserved int
+	// unchanged counts the workers with room that were not looked at, since they
+	// have not changed since the last pass.
+	unchanged int
+	// room counts the workers with room that were looked at.
+	room int
+}
+
+// String returns the counts in the order in which a worker is checked.
+func (n workerCounts) String() string {
+	return fmt.Sprintf("unlinked=%d unresponsive=%d unlisted=%d unrecorded=%d draining=%d expired=%d excluded=%d "+
+		"not_allowed=%d full=%d after_stops=%d reserved=%d unchanged=%d room=%d",
+		n.unlinked, n.unresponsive, n.unlisted, n.unrecorded, n.draining, n.expired, n.excluded,
+		n.notAllowed, n.full, n.afterStops, n.reserved, n.unchanged, n.room)
+}
+
+func (c *Core) countWorkers(p *pass, t *task) workerCounts {
+	var n workerCounts
+	for _, w := range c.workers {
+		if counter := c.unusableReason(w, &n); counter != nil {
+			*counter++
+			continue
+		}
+		c.countUsable(p, t, w, &n)
+	}
+	return n
+}
+
+// unusableReason returns the counter for the reason why a worker accepts no
+// tasks, nil if it accepts them.
+func (c *Core) unusableReason(w *workerState, n *workerCounts) *int {
+	switch {
+	case w.unresponsive:
+		return &n.unresponsive
+	case !w.reachable && !w.linked:
+		return &n.unlinked
+	case !w.reachable || !w.listed:
+		return &n.unlisted
+	case !w.recorded:
+		return &n.unrecorded
+	case w.description.Draining:
+		return &n.draining
+	case c.now.Monotonic >= w.leaseExpiry:
+		return &n.expired
+	case c.now.Monotonic < w.health.excludedUntil:
+		return &n.excluded
+	}
+	return nil
+}
+
+func (c *Core) countUsable(p *pass, t *task, w *workerState, n *workerCounts) {
+	demand := t.step.spec.Reserved()
+	switch {
+	case !c.isAllowed(t, w):
+		n.notAllowed++
+	case !demand.FitsIn(w.free()):
+		n.full++
+		if demand.FitsIn(w.freeAfterStops()) {
+			n.afterStops++
+		}
+	case !demand.FitsIn(w.free().Sub(p.reservations[w])):
+		n.reserved++
+	case w.lastChange <= t.step.noRoomAt:
+		n.unchanged++
+	default:
+		n.room++
+	}
+}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -25,6 +25,8 @@
 	// delay, and maxBatchDelay bounds the delay: a start is due within 300 ms.
 	minBatchedWork = 500 * time.Microsecond
 	maxBatchDelay  = 25 * time.Millisecond
+	// slowStep is the duration from which a step is logged.
+	slowStep = 100 * time.Millisecond
 )
 
 // loop is the state of a node's event loop, which runs in one goroutine.
@@ -79,15 +81,25 @@
 		for _, handle := range batch {
 			handle(l)
 		}
+		events := len(batch)
 		clear(batch)
 		l.step()
-		if clock.Sleep(ctx, batchDelay(clock.Boottime()-start)) != nil {
+		work := clock.Boottime() - start
+		l.logSlowStep(work, events)
+		if clock.Sleep(ctx, batchDelay(work)) != nil {
 			return
 		}
 		timer.Reset(l.nextTimeout())
 	}
 }
 
+// logSlowStep logs a step of the holder that delayed the events after it.
+func (l *loop) logSlowStep(work time.Duration, events int) {
+	if l.core != nil && work >= slowStep {
+		l.node.log.Warn().Int64("ms", work.Milliseconds()).Int("events", events).Msg("slow scheduling step")
+	}
+}
+
 // batchDelay returns how long events may accumulate after a step of the given
 // duration.
 func batchDelay(work time.Duration) time.Duration {
