--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -149,6 +149,9 @@
 	return o
 }
 
+// maxWake bounds the time to the next call of Advance.
+const maxWake = 24 * time.Hour
+
 // isReady reports whether the step may start: its occurrence is due and all
 // earlier steps are done.
 func (c *Core) isReady(s *stepState) bool {
@@ -157,7 +160,7 @@
 	}
 	due := s.occurrence.due
 	if !due.IsZero() && c.now.Wall.Before(due) {
-		c.wakeAt(c.now.Monotonic + due.Sub(c.now.Wall))
+		c.wakeAt(c.now.Monotonic + min(due.Sub(c.now.Wall), maxWake))
 		return false
 	}
 	for _, earlier := range s.spec.After {
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -9,8 +9,16 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
-func toMillis(d time.Duration) int64   { return d.Milliseconds() }
-func fromMillis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxDuration is the longest duration that a message can state. Longer ones count as
+// this one, so that sums of a few durations don't overflow.
+const maxDuration time.Duration = 1 << 60
+
+func toMillis(d time.Duration) int64 { return d.Milliseconds() }
+
+func fromMillis(n int64) time.Duration {
+	const limit = int64(maxDuration / time.Millisecond)
+	return time.Duration(min(limit, max(-limit, n))) * time.Millisecond
+}
 
 // FromDescription returns the message for a worker's description.
 func FromDescription(d runs.Description) *Description {
