Leave out job rows that no holder can run

A job of 10^12 tasks was accepted by one POST; each holder ended with a panic, and so did each process that took over after it, since the row stays. Cause: the holder allocated what the row states, and indexed steps by the row's numbers, without validation. Submissions were validated for empty and later steps only. Change: JobSpec.Validate bounds the tasks of all occurrences (2^17), demands, durations and the schedule; the holder validates each row and the key, and leaves out and logs a row that fails. Evidence: TestOddJobRowsDoNotEndTheHolder failed before: "panic: runtime error: makeslice: len out of range" (too many tasks, negative number of tasks), "index out of range [7] with length 2" (step after an unknown one), timed out while memory grew (too many occurrences), a task of negative demand was started.

--- a/ids.go
+++ b/ids.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -17,6 +18,9 @@
 // JobID identifies one submitted job of a batch entry.
 type JobID string
 
+// IsValid reports whether the ID can be part of the name of a task.
+func (id JobID) IsValid() bool { return id != "" && !strings.Contains(string(id), taskNameSeparator) }
+
 // TaskID identifies one task, an instance of a service or a part of a job.
 type TaskID string
 
--- a/job.go
+++ b/job.go
@@ -1,6 +1,7 @@
 package carobkeel
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -150,21 +151,57 @@
 // Occurrences returns how many times the steps run.
 func (j *JobSpec) Occurrences() int { return max(1, j.Repeats) }
 
+const (
+	// MaxJobTasks is the maximum number of tasks of a job, in all its occurrences.
+	MaxJobTasks = 1 << 17
+	// maxDemand bounds each component of a task's demand, so that sums of demands
+	// don't overflow.
+	maxDemand = 1 << 50
+)
+
 // Validate returns an error if the job can't be run.
 func (j *JobSpec) Validate() error {
 	if len(j.Steps) == 0 {
 		return NewError(CodeInvalidRequest, "a job needs at least one step")
 	}
+	tasks := 0
 	for i := range j.Steps {
-		if j.Steps[i].Count <= 0 {
-			return NewError(CodeInvalidRequest, "step %d has no tasks", i)
+		if err := j.Steps[i].validate(i); err != nil {
+			return err
+		}
+		tasks = min(MaxJobTasks+1, tasks+j.Steps[i].Count)
+	}
+	if j.Repeats < 0 || tasks > MaxJobTasks/j.Occurrences() {
+		return NewError(CodeInvalidRequest, "%d occurrences of %d tasks or more, at most %d tasks are allowed", j.Repeats, tasks, MaxJobTasks)
+	}
+	if j.Period < 0 || j.Period > math.MaxInt64/time.Duration(j.Occurrences()) {
+		return NewError(CodeInvalidRequest, "period %v is out of range", j.Period)
+	}
+	return nil
+}
+
+// validate returns an error if the step, which is the one with the given number, can't
+// be run.
+func (s *Step) validate(number int) error {
+	if s.Count <= 0 {
+		return NewError(CodeInvalidRequest, "step %d has no tasks", number)
+	}
+	if s.Count > MaxJobTasks {
+		return NewError(CodeInvalidRequest, "step %d has %d tasks, at most %d are allowed", number, s.Count, MaxJobTasks)
+	}
+	for _, earlier := range s.After {
+		if earlier < 0 || earlier >= number {
+			return NewError(CodeInvalidRequest, "step %d waits for step %d, which is not an earlier one", number, earlier)
 		}
-		for _, earlier := range j.Steps[i].After {
-			if earlier < 0 || earlier >= i {
-				return NewError(CodeInvalidRequest, "step %d waits for step %d, which is not an earlier one", i, earlier)
-			}
+	}
+	for _, n := range []int64{s.Demand.MilliCPU, s.Demand.MemoryBytes, s.Demand.Accelerators} {
+		if n < 0 || n > maxDemand {
+			return NewError(CodeInvalidRequest, "step %d has a demand of %d, which is out of range", number, n)
 		}
 	}
+	if s.Estimate < 0 || s.LatencyTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+		return NewError(CodeInvalidRequest, "step %d has a negative duration or limit", number)
+	}
 	return nil
 }
 
@@ -184,12 +221,15 @@
 	return string(t.Job) + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
 }
 
-// taskNameParts is how many parts the text form of a TaskName has.
-const taskNameParts = 4
+const (
+	// taskNameParts is how many parts the text form of a TaskName has.
+	taskNameParts     = 4
+	taskNameSeparator = "."
+)
 
 // ParseTaskName parses the form that String returns.
 func ParseTaskName(text string) (TaskName, error) {
-	parts := strings.Split(text, ".")
+	parts := strings.Split(text, taskNameSeparator)
 	if len(parts) != taskNameParts {
 		return TaskName{}, errors.Errorf("task name %q does not have %d parts", text, taskNameParts)
 	}
--- /dev/null
+++ b/scheduler/holder/odd_rows_test.go
@@ -0,0 +1,85 @@
+package holder_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/holder"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// maxRowBytes is the largest value that the table service stores.
+const maxRowBytes = 64 << 10
+
+// deeplyNested returns a row of one unknown field, which is as deeply nested as a row
+// can be.
+func deeplyNested() []byte {
+	return append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, maxRowBytes-3)...)
+}
+
+func encode(t *testing.T, row msgp.Marshaler) []byte {
+	t.Helper()
+	value, err := row.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// write puts a row of another writer into a table of the shard.
+func (f *cluster) write(g Gomega, tableName, key string, value []byte) {
+	id := table.RowID{Table: tableName, Part: testShard, Key: key}
+	_, err := f.memory.Transact(context.Background(), table.RowTransaction{Writes: []table.RowWrite{{RowID: id, Value: value}}})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// oddJob returns a row of a job that change makes odd.
+func oddJob(t *testing.T, change func(*wire.JobRow)) []byte {
+	t.Helper()
+	row := wire.FromJob(testJob(1))
+	change(row)
+	return encode(t, row)
+}
+
+func TestOddJobRowsDoNotEndTheHolder(t *testing.T) {
+	const oddID = "0dd0dd0dd0dd0dd0"
+	for _, c := range []struct {
+		name, key string
+		value     []byte
+	}{
+		{"not a job", oddID, []byte{0xc1}},
+		{"deeply nested", oddID, deeplyNested()},
+		{"list longer than the row", oddID, []byte{0x81, 0xa5, 's', 't', 'e', 'p', 's', 0xdd, 0xff, 0xff, 0xff, 0xff}},
+		{"too many tasks", oddID, oddJob(t, func(r *wire.JobRow) { r.Steps[0].Count = 1 << 60 })},
+		{"negative number of tasks", oddID, oddJob(t, func(r *wire.JobRow) { r.Steps[0].Count = -1 })},
+		{"too many occurrences", oddID, oddJob(t, func(r *wire.JobRow) { r.Repeats = 1 << 60 })},
+		{"step after an unknown one", oddID, oddJob(t, func(r *wire.JobRow) { r.Steps[0].After = []int{7} })},
+		{"step after itself", oddID, oddJob(t, func(r *wire.JobRow) { r.Steps[0].After = []int{0} })},
+		{"negative demand", oddID, oddJob(t, func(r *wire.JobRow) { r.Steps[0].MilliCPU = -1 << 40 })},
+		{"key that is no job ID", "0dd.0.0", oddJob(t, func(*wire.JobRow) {})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := startCluster(t, 2, 1)
+			g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
+			f.write(g, holder.TableJobs, c.key, c.value)
+			job := f.submit(g, f.entries[0], 7)
+			g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+			old := f.leader()
+			old.node.Resign()
+			g.Eventually(func() bool { next := f.leader(); return next != nil && next != old }, waitTimeout).Should(BeTrue())
+			job = f.submit(g, f.leader(), 8)
+			g.Eventually(state(f.leader(), job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+			g.Expect(f.violations()).To(BeEmpty())
+			for task := range f.record.Starts {
+				g.Expect(task.Job).NotTo(BeElementOf(carobkeel.JobID(oddID), carobkeel.JobID("0dd")))
+			}
+		})
+	}
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -359,10 +359,24 @@
 }
 
 func (l *loop) addJob(row table.VersionedRow, inherited bool) {
-	var job wire.JobRow
-	if _, err := job.UnmarshalMsg(row.Value); err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row could not be decoded")
+	job, err := decodeJob(row)
+	if err != nil {
+		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row left out")
 		return
 	}
-	l.core.AddJob(job.Decoded(carobkeel.JobID(row.Key)), inherited)
+	l.core.AddJob(job, inherited)
+}
+
+// decodeJob decodes a row of a job. It returns an error if the job can't be run.
+func decodeJob(row table.VersionedRow) (*carobkeel.JobSpec, error) {
+	id := carobkeel.JobID(row.Key)
+	if !id.IsValid() {
+		return nil, errors.New("key is not a job ID")
+	}
+	var encoded wire.JobRow
+	if _, err := encoded.UnmarshalMsg(row.Value); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	job := encoded.Decoded(id)
+	return job, job.Validate()
 }
