Ignore learned sensitivities that are no numbers

A row of learned sensitivities with NaN made every later estimate of that image NaN, and the next record that is stored as well. Cause: min and max return NaN for NaN, so the bounds did not hold it back. Change: such a pair keeps the prior. Evidence: TestOddRecordsDoNotSpoilTheModel failed before: "Expected NaN to be >= 0". Measured: go test ./worker/interference passed.

--- a/worker/interference/interference_test.go
+++ b/worker/interference/interference_test.go
@@ -170,3 +170,24 @@
 		g.Expect(r.Pairs).To(ContainElement(HaveField("BestEffort", "filling-99")))
 	}
 }
+
+func TestOddRecordsDoNotSpoilTheModel(t *testing.T) {
+	g := NewWithT(t)
+	odd := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 1e300}
+	var records []interference.ImageRecord
+	for i, n := range odd {
+		records = append(records, interference.ImageRecord{Image: fmt.Sprintf("image-%d", i), Idle: n, Pairs: []interference.PairRecord{
+			{BestEffort: "heavy", Sensitivity: n, Variance: 0.5}, {BestEffort: "light", Sensitivity: 0.5, Variance: n},
+		}})
+	}
+	m := interference.New()
+	m.Restore(records)
+	for _, record := range m.Export() {
+		g.Expect(record.Idle).To(BeNumerically(">", 0))
+		g.Expect(record.Pairs).To(HaveLen(2))
+		for _, p := range record.Pairs {
+			g.Expect(p.Sensitivity).To(BeNumerically(">=", 0))
+			g.Expect(p.Variance).To(BeNumerically(">=", 0))
+		}
+	}
+}
--- a/worker/interference/record.go
+++ b/worker/interference/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -63,6 +64,9 @@
 		f := m.filter(r.Image)
 		for _, p := range r.Pairs {
 			i := f.sensitivity(p.BestEffort)
+			if math.IsNaN(p.Sensitivity) || math.IsNaN(p.Variance) {
+				continue
+			}
 			f.mean[i] = min(maxSensitivity, max(0, p.Sensitivity))
 			f.cov[i][i] = min(priorSensitivityVariance, max(0, p.Variance))
 		}
