Leave out progress rows of unknown states, and tasks of negative numbers

Cause: task indexed by negative numbers; any state of 2 or more counted as final. Change: the core takes a task with a negative number as unknown; a row of an unknown state is left out and logged, as one that can't be decoded; without the holder, such a job is shown as active.

--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -159,12 +159,11 @@
 	if !found {
 		return s.pendingUnlessCancelled(ctx, id)
 	}
-	var progress wire.ProgressRow
-	if _, err := progress.UnmarshalMsg(row.Value); err != nil {
-		return 0, errors.Wrap(err, "progress")
-	}
-	if state := carobkeel.JobState(progress.State); state.IsFinal() {
-		return state, nil
+	progress, err := wire.DecodeProgress(row.Value, id)
+	if err != nil {
+		s.log.Error().Err(err).Str("job", string(id)).Msg("progress row left out")
+	} else if progress.State.IsFinal() {
+		return progress.State, nil
 	}
 	return s.unlessCancelled(ctx, id, carobkeel.JobActive)
 }
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -241,14 +241,18 @@
 // task returns the named task, nil if there is none.
 func (c *Core) task(name carobkeel.TaskName) *task {
 	j := c.jobs[name.Job]
-	if j == nil || name.Occurrence >= len(j.occurrences) {
+	if j == nil || name.Occurrence < 0 || name.Occurrence >= len(j.occurrences) {
 		return nil
 	}
-	o := j.occurrences[name.Occurrence]
-	if name.Step >= len(o.steps) || name.Index >= len(o.steps[name.Step].tasks) {
+	steps := j.occurrences[name.Occurrence].steps
+	if name.Step < 0 || name.Step >= len(steps) {
 		return nil
 	}
-	return &o.steps[name.Step].tasks[name.Index]
+	tasks := steps[name.Step].tasks
+	if name.Index < 0 || name.Index >= len(tasks) {
+		return nil
+	}
+	return &tasks[name.Index]
 }
 
 // finishTask marks a task as done.
--- a/scheduler/holder/odd_rows_test.go
+++ b/scheduler/holder/odd_rows_test.go
@@ -83,3 +83,36 @@
 		})
 	}
 }
+
+func TestOddProgressRowsDoNotEndTheHolder(t *testing.T) {
+	task := wire.TaskProgress{Done: true}
+	negativeIndex, negativeStep, negativeOccurrence := task, task, task
+	negativeIndex.Index, negativeStep.Step, negativeOccurrence.Occurrence = -1, -1, -1
+	for _, c := range []struct {
+		name  string
+		value []byte
+	}{
+		{"not a progress", []byte{0xc1}},
+		{"deeply nested", deeplyNested()},
+		{"list longer than the row", []byte{0x81, 0xa1, 't', 0xdd, 0, 0, 0xff, 0xff}},
+		{"negative index", encode(t, &wire.ProgressRow{State: 1, Tasks: []wire.TaskProgress{negativeIndex}})},
+		{"negative step", encode(t, &wire.ProgressRow{State: 1, Tasks: []wire.TaskProgress{negativeStep}})},
+		{"negative occurrence", encode(t, &wire.ProgressRow{State: 1, Tasks: []wire.TaskProgress{negativeOccurrence}})},
+		{"unknown task", encode(t, &wire.ProgressRow{State: 1, Tasks: []wire.TaskProgress{{Index: 1 << 60, Done: true}}})},
+		{"unknown state", encode(t, &wire.ProgressRow{State: 200})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := startCluster(t, 2, 1)
+			g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
+			old := f.leader()
+			old.node.Resign()
+			f.write(g, holder.TableJobs, string(testJob(9).ID), encode(t, wire.FromJob(testJob(9))))
+			f.write(g, holder.TableProgress, string(testJob(9).ID), c.value)
+			g.Eventually(func() bool { next := f.leader(); return next != nil && next != old }, waitTimeout).Should(BeTrue())
+			job := f.submit(g, f.leader(), 8)
+			g.Eventually(state(f.leader(), job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+			g.Eventually(state(f.leader(), testJob(9).ID), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+		})
+	}
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -276,12 +276,12 @@
 func (l *loop) restore(row table.VersionedRow) {
 	job := carobkeel.JobID(row.Key)
 	l.versions[job] = row.Version
-	var progress wire.ProgressRow
-	if _, err := progress.UnmarshalMsg(row.Value); err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row could not be decoded")
+	progress, err := wire.DecodeProgress(row.Value, job)
+	if err != nil {
+		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row left out")
 		return
 	}
-	l.core.Restore(progress.Decoded(job))
+	l.core.Restore(progress)
 }
 
 func (l *loop) restoreInterference(rows []table.VersionedRow) {
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/interference"
@@ -222,6 +224,18 @@
 	return row
 }
 
+// DecodeProgress decodes a row of the progress of the job with the given id.
+func DecodeProgress(value []byte, id carobkeel.JobID) (dispatch.Progress, error) {
+	var row ProgressRow
+	if _, err := row.UnmarshalMsg(value); err != nil {
+		return dispatch.Progress{}, errors.Wrap(err, "decode progress")
+	}
+	if carobkeel.JobState(row.State) > carobkeel.JobCancelled {
+		return dispatch.Progress{}, errors.Errorf("decode progress: unknown state %d", row.State)
+	}
+	return row.Decoded(id), nil
+}
+
 // Decoded returns the progress of the job with the given id.
 func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
 	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State)}
