Split orders that don't fit in one frame

Seen: a job of 100 small tasks with a payload of 4,000 bytes never ended, and with it nothing else on that host: its link ended each time. Cause: all orders of one step of the loop for one host were one message. Above 256 KB the frame is refused, which ended the link; the sidecar dialled again, and the holder repeated the same orders in one message. Change: SplitOrders makes messages that fit. A message that is too large is an error of Encode, which the callers log; it no longer ends the link.

--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -147,10 +147,14 @@
 	for _, order := range out.Orders {
 		byHost[order.Host] = append(byHost[order.Host], wire.FromOrder(order))
 	}
-	epoch := l.node.holderState.Load().Row.Epoch
+	epoch := carobkeel.Epoch(l.node.holderState.Load().Row.Epoch)
 	for host, orders := range byHost {
-		if p, ok := l.node.sidecars.Load(host); ok {
-			p.(*peer).send(wire.TypeOrders, &wire.Orders{Epoch: epoch, Orders: orders})
+		p, ok := l.node.sidecars.Load(host)
+		if !ok {
+			continue
+		}
+		for _, message := range wire.SplitOrders(epoch, orders) {
+			p.(*peer).send(wire.TypeOrders, message)
 		}
 	}
 }
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/interference"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -123,6 +124,22 @@
 	return message
 }
 
+// SplitOrders returns messages that each fit in a frame and together hold the orders, in
+// their order.
+func SplitOrders(epoch carobkeel.Epoch, orders []Order) []*Orders {
+	var messages []*Orders
+	size := frame.MaxPayload
+	for _, order := range orders {
+		if size += order.Msgsize(); size > frame.MaxPayload {
+			messages = append(messages, &Orders{Epoch: uint64(epoch)})
+			size = messages[len(messages)-1].Msgsize() + order.Msgsize()
+		}
+		last := messages[len(messages)-1]
+		last.Orders = append(last.Orders, order)
+	}
+	return messages
+}
+
 // Decoded returns the order in the message.
 func (o *Order) Decoded() (dispatch.Order, error) {
 	order := dispatch.Order{
--- a/scheduler/wire/doc.go
+++ b/scheduler/wire/doc.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return frame.Frame{}, errors.Wrapf(err, "encode message of type %d", kind)
 	}
+	if len(payload) > frame.MaxPayload {
+		return frame.Frame{}, errors.Errorf("encode message of type %d: %d bytes don't fit in a frame", kind, len(payload))
+	}
 	return frame.Frame{Type: kind, Payload: payload}, nil
 }
 
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -142,6 +143,31 @@
 	})
 }
 
+func TestSplitOrdersFitInFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var orders, sent []wire.Order
+		for i := range rapid.IntRange(0, 300).Draw(t, "orders") {
+			payload := strings.Repeat("x", rapid.IntRange(0, 64<<10).Draw(t, "bytes"))
+			orders = append(orders, wire.FromOrder(dispatch.Order{Task: carobkeel.TaskName{Job: "j", Index: i}, Run: 1, Payload: payload}))
+		}
+		for _, message := range wire.SplitOrders(7, orders) {
+			f, err := wire.Encode(wire.TypeOrders, message)
+			g.Expect(err).NotTo(HaveOccurred())
+			var decoded wire.Orders
+			g.Expect(wire.Decode(f, &decoded)).To(Succeed())
+			g.Expect(decoded.Epoch).To(Equal(uint64(7)))
+			sent = append(sent, decoded.Orders...)
+		}
+		g.Expect(sent).To(Equal(orders))
+	})
+}
+
+func TestMessageLargerThanAFrameIsNotSent(t *testing.T) {
+	_, err := wire.Encode(wire.TypeHello, &wire.Hello{Host: strings.Repeat("x", frame.MaxPayload)})
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
+
 func FuzzDecode(f *testing.F) {
 	first, err := (&wire.Ping{Sequence: 1, HolderAge: -1, Epoch: 7}).MarshalMsg(nil)
 	if err != nil {
