Leave out odd orders and rows of a message instead of ending the link

With one row "0dd.0.0" among the jobs, all tasks of the host that got its start were delayed: the link ended each time, was dialled again, and the holder repeated the order. A job beside it took 9 s. Cause: an order, an answer or a row of a listing whose task can't be decoded was an error of the link. An order of an unknown kind was answered as carried out. A frame that can't be decoded at all still ends the link. Evidence: TestOddOrdersDoNotEndTheLink failed before: 'Expected success, but got an error: task name "a.b.0.0.0" does not have 4 parts'.

--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -13,6 +13,7 @@
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -41,6 +42,8 @@
 	// holderAge is how long before its last ping the peer had last received a
 	// pong of the holder, in milliseconds. That ping was received at pingedAt.
 	holderAge, pingedAt atomic.Int64
+	// leftOut limits the log lines about entries left out of messages.
+	leftOut logging.RateLimit
 }
 
 // Serve accepts links from other processes until ctx ends.
@@ -217,11 +220,15 @@
 			return nil, err
 		}
 		answer, err := a.Decoded(p.host)
+		if err != nil {
+			p.logLeftOut("answer to an order", 1)
+			return nil, nil
+		}
 		return func(l *loop) {
 			if l.node.holderState.Load().Row.Epoch == a.Epoch {
 				l.core.ApplyAnswer(answer)
 			}
-		}, err
+		}, nil
 	case wire.TypeWorkerUnreachable:
 		var s wire.WorkerUnreachable
 		if err := wire.Decode(f, &s); err != nil {
@@ -238,17 +245,29 @@
 	return func(l *loop) { l.core.WorkerShutDown(p.host, runs.Incarnation(left.Incarnation)) }, nil
 }
 
+// logLeftOut logs entries of a message that can't be used.
+func (p *peer) logLeftOut(what string, entries int) {
+	if entries == 0 {
+		return
+	}
+	if skipped, ok := p.leftOut.Allow(time.Now()); ok {
+		p.node.log.Warn().Str("host", p.host).Str("what", what).Int("entries", entries).Int64("skipped", skipped).
+			Msg("entries left out of a message")
+	}
+}
+
 func (p *peer) decodeListing(f frame.Frame) (event, error) {
 	var listing wire.Listing
 	if err := wire.Decode(f, &listing); err != nil {
 		return nil, err
 	}
-	decoded, err := listing.Decoded(p.host)
+	decoded, leftOut := listing.Decoded(p.host)
+	p.logLeftOut("rows of a listing", leftOut)
 	return func(l *loop) {
 		if l.node.holderState.Load().Row.Epoch == listing.Epoch {
 			l.core.ApplyListing(decoded)
 		}
-	}, err
+	}, nil
 }
 
 // handleQuery answers a query of another entry.
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -71,13 +71,15 @@
 	return message
 }
 
-// Decoded returns the listing in the message, for the worker of the given host.
-func (l *Listing) Decoded(host string) (dispatch.WorkerListing, error) {
-	listing := dispatch.WorkerListing{Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Full: l.Full}
+// Decoded returns the listing in the message, for the worker of the given host, and the
+// number of rows left out of it because they name no task.
+func (l *Listing) Decoded(host string) (listing dispatch.WorkerListing, leftOut int) {
+	listing = dispatch.WorkerListing{Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Full: l.Full}
 	for _, r := range l.Running {
 		name, err := carobkeel.ParseTaskName(r.Task)
 		if err != nil {
-			return listing, err
+			leftOut++
+			continue
 		}
 		listing.Running = append(listing.Running, runs.Running{
 			Task: name, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, LoadMetric: r.LoadMetric,
@@ -86,13 +88,14 @@
 	for _, e := range l.Ends {
 		name, err := carobkeel.ParseTaskName(e.Task)
 		if err != nil {
-			return listing, err
+			leftOut++
+			continue
 		}
 		listing.Ends = append(listing.Ends, runs.End{
 			Number: e.Number, Task: name, Run: e.Run, Outcome: runs.Outcome(e.Outcome), Checkpoint: e.Checkpoint,
 		})
 	}
-	return listing, nil
+	return listing, leftOut
 }
 
 // FromAnswer returns the message for the answer to an order.
@@ -149,6 +152,9 @@
 	if order.Kind == dispatch.OrderAcknowledge {
 		return order, nil
 	}
+	if order.Kind > dispatch.OrderAcknowledge {
+		return order, errors.Errorf("unknown kind of order %d", order.Kind)
+	}
 	var err error
 	order.Task, err = carobkeel.ParseTaskName(o.Task)
 	return order, err
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -12,6 +12,7 @@
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -45,6 +46,8 @@
 	pingTimes    [pingWindow]atomic.Int64
 	sequence     atomic.Uint64
 	currentEpoch atomic.Uint64
+	// leftOut limits the log lines about orders that can't be decoded.
+	leftOut logging.RateLimit
 }
 
 // pingWindow is the number of pings whose sending times are kept. Answers to older
@@ -170,7 +173,7 @@
 		if err := wire.Decode(f, &orders); err != nil {
 			return err
 		}
-		return l.handleOrders(&orders)
+		l.handleOrders(&orders)
 	}
 	return nil
 }
@@ -213,18 +216,25 @@
 	}
 }
 
-func (l *entryLink) handleOrders(orders *wire.Orders) error {
+// handleOrders queues the orders for execution, except those that can't be decoded.
+func (l *entryLink) handleOrders(orders *wire.Orders) {
 	for i := range orders.Orders {
 		order, err := orders.Orders[i].Decoded()
 		if err != nil {
-			return err
+			l.logLeftOut(err)
+			continue
 		}
 		if order.Kind == dispatch.OrderStop {
 			l.agent.withdrawn.Store(runKeyOf(order), true)
 		}
 		l.agent.orders.Push(receivedOrder{order: order, epoch: carobkeel.Epoch(orders.Epoch), link: l})
 	}
-	return nil
+}
+
+func (l *entryLink) logLeftOut(err error) {
+	if skipped, ok := l.leftOut.Allow(time.Now()); ok {
+		l.agent.log.Warn().Str("entry", l.address).Int64("skipped", skipped).Err(err).Msg("order left out")
+	}
 }
 
 func (a *Agent) sendDescription(l *entryLink) {
--- /dev/null
+++ b/sidecar/agent/links_test.go
@@ -0,0 +1,25 @@
+package agent
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+)
+
+func TestOddOrdersDoNotEndTheLink(t *testing.T) {
+	g := NewWithT(t)
+	a, order := linkedAgent(&scriptedWorker{})
+	sound := wire.FromOrder(order.order)
+	orders := []wire.Order{{Task: "a.b.0.0.0"}, {Task: ""}, {Kind: 200, Task: sound.Task}, sound}
+	f, err := wire.Encode(wire.TypeOrders, &wire.Orders{Epoch: 3, Orders: orders})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(order.link.handle(frame.Frame{Type: f.Type, Payload: f.Payload})).To(Succeed())
+	received := a.orders.TryTake(nil)
+	g.Expect(received).To(HaveLen(1))
+	g.Expect(received[0].order.Kind).To(Equal(dispatch.OrderStart))
+	g.Expect(received[0].order.Task).To(Equal(order.order.Task))
+}
