Redial a peer that ends links at once with a growing delay

Seen: an address in the list of entries at which something else listens was dialled 20 times a second by each sidecar, for as long as it was listed. Cause: the delay was reset by each connection, also one that ended at once. Change: only a link that lasted a second resets it. Evidence: TestPeerThatClosesLinksIsNotRedialledInATightLoop failed before: "Expected <int64>: 40 to be <= <int>: 8" in 2 s. Measured: go test ./sidecar/agent passed.

--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -30,6 +30,9 @@
 	// entry is dialled again.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = time.Second
+	// stableLinkTime is how long a link must have lasted for the next one to be dialled
+	// after minRedialDelay.
+	stableLinkTime = time.Second
 	// discoveryInterval is the interval at which the list of entries is read, and
 	// linkedDiscoveryInterval the one while there is a link to the holder.
 	discoveryInterval       = time.Second
@@ -112,8 +115,7 @@
 	dialer := net.Dialer{Timeout: linkDialTimeout}
 	for ctx.Err() == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err == nil {
-			a.runLink(ctx, address, conn)
+		if err == nil && a.runLink(ctx, address, conn) >= stableLinkTime {
 			delay = minRedialDelay
 		}
 		if clock.Sleep(ctx, delay) != nil {
@@ -123,7 +125,9 @@
 	}
 }
 
-func (a *Agent) runLink(ctx context.Context, address string, conn net.Conn) {
+// runLink runs a link over the connection, and returns how long it lasted.
+func (a *Agent) runLink(ctx context.Context, address string, conn net.Conn) time.Duration {
+	started := clock.Boottime()
 	config := link.Config{HeartbeatInterval: pingInterval, SilenceTimeout: linkSilenceTimeout, IdleHeartbeats: true}
 	l := &entryLink{agent: a, address: address, link: link.New(conn, config)}
 	ctx, cancel := context.WithCancel(ctx)
@@ -134,6 +138,7 @@
 	if a.holderLink.CompareAndSwap(l, nil) {
 		a.log.Warn().Str("entry", address).Err(err).Msg("link to the holder lost")
 	}
+	return clock.Boottime() - started
 }
 
 func (l *entryLink) send(kind frame.Type, message msgp.Marshaler) {
--- a/sidecar/agent/links_test.go
+++ b/sidecar/agent/links_test.go
@@ -1,7 +1,11 @@
 package agent
 
 import (
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -23,3 +27,26 @@
 	g.Expect(received[0].order.Kind).To(Equal(dispatch.OrderStart))
 	g.Expect(received[0].order.Task).To(Equal(order.order.Task))
 }
+
+func TestPeerThatClosesLinksIsNotRedialledInATightLoop(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	var accepted atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			_ = conn.Close()
+		}
+	}()
+	a, _ := linkedAgent(&scriptedWorker{})
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	a.maintainLink(ctx, listener.Addr().String())
+	g.Expect(accepted.Load()).To(BeNumerically("<=", 8))
+}
