Replace a holder row that names no holder

Seen: once the holder row could not be decoded, the shard had no holder for good: the holder stepped down at its next write, nobody took over, and no accepted job ran. Cause: such a row was skipped, so that every candidate kept the version of the row before it, and its conditional write failed each time; a process that had just started knew of no row and did not try. An epoch near 2^64 wrapped to 0. Change: the row counts as one without a holder, with its version; the epoch is taken from the row that is written together with it, so that fencing holds. An epoch above 2^40 counts as unreadable.

--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -66,6 +66,9 @@
 	Since time.Duration
 	// Leading reports that this process holds the shard and sends orders.
 	Leading bool
+	// Unreadable reports that the row names no holder. Row then has the last known
+	// epoch only.
+	Unreadable bool
 }
 
 // event changes the state of the node's event loop.
--- a/scheduler/holder/odd_rows_test.go
+++ b/scheduler/holder/odd_rows_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -116,3 +117,36 @@
 		})
 	}
 }
+
+func TestOddHolderRowIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		value []byte
+	}{
+		{"not a holder", []byte{0xc1}},
+		{"empty", nil},
+		{"deeply nested", deeplyNested()},
+		{"epoch too large", encode(t, &wire.HolderRow{Epoch: math.MaxUint64, Host: "x", Address: "127.0.0.1:1"})},
+		{"address without a port", encode(t, &wire.HolderRow{Epoch: 3, Host: "x", Address: "127.0.0.1"})},
+		{"port out of range", encode(t, &wire.HolderRow{Epoch: 3, Host: "x", Address: "127.0.0.1:99999"})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := startCluster(t, 2, 1)
+			job := f.submit(g, f.entries[0], 1)
+			g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+			f.write(g, holder.TableHolders, "holder", c.value)
+			f.startEntry(t)
+			job = f.submit(g, f.entries[0], 2)
+			g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+			g.Expect(f.violations()).To(BeEmpty())
+			row, _, err := f.memory.Get(context.Background(), table.RowID{Table: holder.TableHolders, Part: testShard, Key: "holder"})
+			g.Expect(err).NotTo(HaveOccurred())
+			var last wire.HolderRow
+			_, err = last.UnmarshalMsg(row.Value)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(last.Epoch).To(BeNumerically(">", 1))
+			g.Expect(last.Epoch).To(BeNumerically("<", 9))
+		})
+	}
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -27,6 +27,9 @@
 	followTimeout = time.Second
 	// takeoverTimeout bounds one attempt to take over.
 	takeoverTimeout = 3 * time.Second
+	// maxEpoch bounds the epoch of a holder row, so that the run numbers of its epoch
+	// don't overflow.
+	maxEpoch = 1 << 40
 )
 
 // mustEncode encodes a row. The types of rows can't fail to encode.
@@ -73,9 +76,10 @@
 	if old != nil && row.Version <= old.Version {
 		return
 	}
-	var holder wire.HolderRow
-	if _, err := holder.UnmarshalMsg(row.Value); err != nil {
-		l.node.log.Error().Err(err).Msg("holder row could not be decoded")
+	holder, err := decodeHolder(row)
+	if err != nil {
+		l.node.log.Error().Err(err).Msg("holder row left out")
+		l.replaceHolderRow(old, row.Version)
 		return
 	}
 	if l.core != nil {
@@ -86,6 +90,31 @@
 	l.node.holderState.Store(&HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()})
 }
 
+// decodeHolder decodes the holder row.
+func decodeHolder(row table.VersionedRow) (wire.HolderRow, error) {
+	var holder wire.HolderRow
+	if _, err := holder.UnmarshalMsg(row.Value); err != nil {
+		return holder, errors.Wrap(err, "decode")
+	}
+	if holder.Epoch > maxEpoch {
+		return holder, errors.Errorf("epoch %d is out of range", holder.Epoch)
+	}
+	return holder, nil
+}
+
+// replaceHolderRow makes this process take part in replacing a holder row that names
+// no holder.
+func (l *loop) replaceHolderRow(old *HolderState, version table.Version) {
+	if l.core != nil {
+		l.stepDown("the holder row names no holder")
+	}
+	next := &HolderState{Version: version, Since: clock.Boottime(), Unreadable: true}
+	if old != nil {
+		next.Row.Epoch = old.Row.Epoch
+	}
+	l.node.holderState.Store(next)
+}
+
 // considerTakeover starts a takeover if one is due.
 func (l *loop) considerTakeover() {
 	n := l.node
@@ -149,8 +178,12 @@
 
 // takeOver writes this process into the holder row and reads the shard.
 func (n *Node) takeOver(ctx context.Context, old HolderState) (*takeoverState, error) {
+	epoch, err := n.lastEpoch(ctx, old)
+	if err != nil {
+		return nil, err
+	}
 	row := wire.HolderRow{
-		Epoch: old.Row.Epoch + 1, Host: n.config.Host,
+		Epoch: epoch + 1, Host: n.config.Host,
 		Incarnation: uint64(n.config.Incarnation), Address: n.config.Address,
 	}
 	t := &takeoverState{requestedAt: clock.Boottime()}
@@ -171,6 +204,22 @@
 	return t, n.readShard(ctx, t)
 }
 
+// lastEpoch returns the epoch of the last holder. If the holder row is unreadable, it
+// takes the epoch from the row that is written together with it.
+func (n *Node) lastEpoch(ctx context.Context, old HolderState) (uint64, error) {
+	if !old.Unreadable {
+		return old.Row.Epoch, nil
+	}
+	row, found, err := n.rows.Get(ctx, n.epochRow())
+	if err != nil {
+		return 0, errors.Wrap(err, "read the epoch row")
+	}
+	if last, err := decodeHolder(row); found && err == nil {
+		return max(last.Epoch, old.Row.Epoch), nil
+	}
+	return old.Row.Epoch, nil
+}
+
 func (n *Node) readShard(ctx context.Context, t *takeoverState) error {
 	group, ctx := errgroup.WithContext(ctx)
 	read := func(name string, rows *[]table.VersionedRow, from *table.Version) {
