Leave out worker records under another key

Seen: with such a row, jobs of earlier epochs waited for that worker at each takeover until the inherited lease had expired (11.9 s). Cause: a record is removed under the key made of its own incarnation, so this one stayed for good. Change: it is left out and logged, as one that can't be decoded. Evidence: TestWorkerRecordUnderAnotherKeyHoldsBackNoJobs failed before: two records in place of one. Measured: go test ./scheduler/holder -run TestWorkerRecord passed.

--- /dev/null
+++ b/scheduler/holder/records_test.go
@@ -0,0 +1,27 @@
+package holder
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/memory"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+func TestWorkerRecordUnderAnotherKeyHoldsBackNoJobs(t *testing.T) {
+	g := NewWithT(t)
+	n := New(Config{Shard: "shard"}, memory.NewRows(), nil, logging.Discard().For("test"))
+	value := mustEncode(&wire.WorkerRow{Host: "h", ID: "w", StartedAtMs: 5})
+	rows := []table.VersionedRow{
+		{RowID: table.RowID{Key: "x"}, Value: value},
+		{RowID: table.RowID{Key: "y"}, Value: []byte{0xc1}},
+		{RowID: table.RowID{Key: "w.5"}, Value: value},
+	}
+	records := n.decodeWorkers(rows)
+	g.Expect(records).To(Equal([]dispatch.WorkerRecord{{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 5}, Host: "h"}}))
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -347,16 +347,30 @@
 func (n *Node) decodeWorkers(rows []table.VersionedRow) []dispatch.WorkerRecord {
 	var records []dispatch.WorkerRecord
 	for _, row := range rows {
-		var w wire.WorkerRow
-		if _, err := w.UnmarshalMsg(row.Value); err != nil {
-			n.log.Error().Err(err).Str("worker", row.Key).Msg("worker record could not be decoded")
+		record, err := decodeWorker(row)
+		if err != nil {
+			n.log.Error().Err(err).Str("worker", row.Key).Msg("worker record left out")
 			continue
 		}
-		records = append(records, dispatch.WorkerRecord{Incarnation: runs.Incarnation{ID: w.ID, StartedAtMs: w.StartedAtMs}, Host: w.Host})
+		records = append(records, record)
 	}
 	return records
 }
 
+// decodeWorker decodes the record of a worker incarnation. A record under another key
+// than its own could never be removed.
+func decodeWorker(row table.VersionedRow) (dispatch.WorkerRecord, error) {
+	var w wire.WorkerRow
+	if _, err := w.UnmarshalMsg(row.Value); err != nil {
+		return dispatch.WorkerRecord{}, errors.Wrap(err, "decode")
+	}
+	incarnation := runs.Incarnation{ID: w.ID, StartedAtMs: w.StartedAtMs}
+	if row.Key != workerKey(incarnation) {
+		return dispatch.WorkerRecord{}, errors.Errorf("record of worker %s.%d", w.ID, w.StartedAtMs)
+	}
+	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host}, nil
+}
+
 // followJobs passes accepted jobs and cancellations to the core.
 func (l *loop) followJobs(term context.Context, from, epochVersion table.Version) {
 	n := l.node
