Leave odd rows out of a worker's listing

One row that can't be decoded (nested 50,000 deep, a number too large, an unknown outcome) made each listing of that worker an error: after two of them its sidecar stopped extending the lease, so that all its runs ended, and nothing ran there as long as the row was listed. Cause: the response and its rows were decoded as a whole. An end with a number and without a known outcome is listed as ended in an unknown way, so that it can be acknowledged.

--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -65,9 +65,11 @@
 	// OutcomeGangTimeout runs were ended because the other members of their gang did
 	// not start in time.
 	OutcomeGangTimeout
+	// OutcomeUnknown runs ended in a way that the listing does not state.
+	OutcomeUnknown
 )
 
-var outcomeNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}
+var outcomeNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "unknown"}
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
@@ -107,6 +109,8 @@
 	StartedAtMs int64
 	Running     []Running
 	Ends        []End
+	// LeftOut is the number of rows that could not be decoded.
+	LeftOut int
 }
 
 // Start is an order to begin a run.
