Follow the worker again after an odd heartbeat, and pace odd listings

After one heartbeat with a start (born) that is too late, the sidecar ignored all heartbeats of the real worker, asked for an incarnation that does not exist, and nothing ran there any more. A row that can't be decoded made the worker answer at once, and the sidecar asked again without a pause. Cause: only a later start replaced a description. The pause between listings was tied to ends with numbers. Change: once the worker has answered that it is not the described incarnation, the next heartbeat of another one replaces it. Evidence: TestHeartbeatOfAnIncarnationThatTheWorkerDeniesIsReplaced failed before: "StartedAtMs: to equal StartedAtMs: 1"; TestOddRowsOfAListingAreNotReadInATightLoop: "Expected 0 to be >" (100 listings in no time).

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/internal/mailbox"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
@@ -59,6 +60,10 @@
 	// leftIncarnation is the worker's incarnation that shut down in an orderly
 	// way, nil for none.
 	leftIncarnation atomic.Pointer[runs.Incarnation]
+	// denied is the last incarnation that the worker answered not to be, nil for none.
+	denied atomic.Pointer[runs.Incarnation]
+	// leftOut limits the log lines about rows left out of listings.
+	leftOut logging.RateLimit
 	// unresponsive reports that the worker does not answer.
 	unresponsive atomic.Bool
 	// listingNumber is the number of the last listing that was begun.
@@ -125,7 +130,7 @@
 		if old != nil && old.Incarnation == d.Incarnation && d.Sequence <= old.Sequence {
 			return
 		}
-		if old != nil && d.StartedAtMs < old.StartedAtMs {
+		if old != nil && d.StartedAtMs < old.StartedAtMs && !a.isDenied(old.Incarnation) {
 			return // a late heartbeat of an earlier incarnation
 		}
 		if a.description.CompareAndSwap(old, &d) {
@@ -135,6 +140,12 @@
 	}
 }
 
+// isDenied reports whether the worker has answered that it is another incarnation.
+func (a *Agent) isDenied(incarnation runs.Incarnation) bool {
+	denied := a.denied.Load()
+	return denied != nil && *denied == incarnation
+}
+
 func (a *Agent) handleHeartbeat(old, d *runs.Description) {
 	if old == nil || old.Incarnation != d.Incarnation {
 		a.withdrawn.Clear()
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -91,16 +91,29 @@
 		a.log.Info().Str("worker", d.ID).Msg("worker answers again")
 	}
 	if listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs {
+		a.denied.Store(&d.Incarnation)
 		a.waitForChange(ctx, retryPause) // another incarnation; its heartbeat describes it
 		return
 	}
 	a.observeClock(d.Incarnation, answer)
+	a.logLeftOut(d, listing.LeftOut)
 	l.forward(d, number, epoch, listing)
-	if len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation) {
+	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation)
+	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
 	}
 }
 
+// logLeftOut logs rows of a listing that could not be decoded.
+func (a *Agent) logLeftOut(d *runs.Description, rows int) {
+	if rows == 0 {
+		return
+	}
+	if skipped, ok := a.leftOut.Allow(time.Now()); ok {
+		a.log.Warn().Str("worker", d.ID).Int("rows", rows).Int64("skipped", skipped).Msg("rows of a listing left out")
+	}
+}
+
 // listForNewHolder requests a listing for a new holder immediately, in parallel to one
 // that may still wait under an older epoch. Once the worker has answered it, it
 // refuses older holders.
@@ -149,6 +162,9 @@
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
+	if err == nil && answer.Result == runs.ResultOtherIncarnation {
+		a.denied.Store(&d.Incarnation)
+	}
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
--- /dev/null
+++ b/sidecar/agent/listing_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"context"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// listingWorker is a worker that answers each request for a listing at once.
+type listingWorker struct {
+	scriptedWorker
+	listing runs.Listing
+	result  runs.Result
+	lists   int
+}
+
+func (w *listingWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
+	w.lists++
+	return w.listing, runs.Answer{Result: w.result, Clock: time.Minute}, nil
+}
+
+func TestOddRowsOfAListingAreNotReadInATightLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &listingWorker{listing: runs.Listing{LeftOut: 1}}
+		a, _ := linkedAgent(worker)
+		l := &lister{agent: a}
+		started := time.Now()
+		for range 100 {
+			l.listOnce(t.Context(), a.description.Load())
+		}
+		NewWithT(t).Expect(time.Since(started)).To(BeNumerically(">", 100*acknowledgeWait/2))
+	})
+}
+
+func TestHeartbeatOfAnIncarnationThatTheWorkerDeniesIsReplaced(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		odd    runs.Incarnation
+		answer runs.Result
+	}{
+		{"another start", runs.Incarnation{ID: "w", StartedAtMs: math.MaxInt64}, runs.ResultOK},
+		{"another id", runs.Incarnation{ID: "x", StartedAtMs: math.MaxInt64}, runs.ResultOtherIncarnation},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &listingWorker{listing: runs.Listing{StartedAtMs: testIncarnation.StartedAtMs}, result: c.answer}
+				a, _ := linkedAgent(worker)
+				a.RecordHeartbeat(runs.Description{Incarnation: c.odd, Sequence: 1})
+				l := &lister{agent: a}
+				l.listOnce(t.Context(), a.description.Load())
+				a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2})
+				NewWithT(t).Expect(a.description.Load().Incarnation).To(Equal(testIncarnation))
+			})
+		})
+	}
+}
