Leave out entries whose address can't be dialled

A row without an address, with a name or with a port out of range was dialled by each sidecar once a second; a row that can't be decoded was logged at each read. Cause: Addresses returned any text. Change: only an IP address with a port from 1 to 65535 counts. Other rows are left out, and logged when they appear or change. Evidence: TestOddEntriesAreLeftOutAndLoggedOnce failed before: 9 addresses, among them "10.0.0.1:99999", in place of 1. Measured: go test ./scheduler/directory and TestJobCompletesThroughAnyEntry passed.

--- a/cmd/carobkeel/hosted_sidecar.go
+++ b/cmd/carobkeel/hosted_sidecar.go
@@ -19,9 +19,7 @@
 	s := &h.settings
 	a := agent.New(agent.Config{
 		Host: s.Host, Incarnation: h.incarnation, Seeds: seedAddresses(s), WorkerLease: min(workerLease, s.Bounds.MaxLease),
-	}, platform.NewWorker(s.WorkerAddress), func(ctx context.Context) ([]string, error) {
-		return directory.Addresses(ctx, h.store, h.log)
-	}, agent.NewMetrics(h.metrics), h.log)
+	}, platform.NewWorker(s.WorkerAddress), directory.NewReader(h.store, h.log).Addresses, agent.NewMetrics(h.metrics), h.log)
 	if err := h.serveMetrics(ctx); err != nil {
 		return fail(io, err)
 	}
--- a/scheduler/directory/directory.go
+++ b/scheduler/directory/directory.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
@@ -43,23 +45,55 @@
 
 func rowID(host string) table.RowID { return table.RowID{Table: tableName, Key: host} }
 
-// Addresses returns the addresses on which the listed entries accept links. It
-// skips rows that it can't decode.
-func Addresses(ctx context.Context, rows table.Rows, logger *log.Logger) ([]string, error) {
-	found, _, err := table.ScanAll(ctx, rows, tableName, "")
+// Reader reads the list of entries. It is used by one goroutine at a time.
+type Reader struct {
+	rows table.Rows
+	log  *log.Logger
+	// leftOut has the versions of the rows that were left out at the last read.
+	leftOut map[string]table.Version
+}
+
+// NewReader returns a reader of the list of entries.
+func NewReader(rows table.Rows, logger *log.Logger) *Reader {
+	return &Reader{rows: rows, log: logger}
+}
+
+// Addresses returns the addresses on which the listed entries accept links. A row
+// without a usable address is left out, and logged when it changes.
+func (r *Reader) Addresses(ctx context.Context) ([]string, error) {
+	found, _, err := table.ScanAll(ctx, r.rows, tableName, "")
 	if err != nil {
 		return nil, err
 	}
 	var addresses []string
+	leftOut := make(map[string]table.Version)
 	for _, row := range found {
-		var entry wire.EntryRow
-		if _, err := entry.UnmarshalMsg(row.Value); err != nil {
-			// A release with another row format may have written the row. The other
-			// rows are still usable.
-			logger.Warn().Err(err).Str("host", row.Key).Msg("directory row of an entry could not be decoded")
+		address, err := decodeAddress(row.Value)
+		if err == nil {
+			addresses = append(addresses, address)
 			continue
 		}
-		addresses = append(addresses, entry.Address)
+		leftOut[row.Key] = row.Version
+		if r.leftOut[row.Key] != row.Version {
+			r.log.Warn().Err(err).Str("host", row.Key).Msg("directory row of an entry left out")
+		}
 	}
+	r.leftOut = leftOut
 	return addresses, nil
 }
+
+// decodeAddress returns the address in the row of an entry.
+func decodeAddress(value []byte) (string, error) {
+	var entry wire.EntryRow
+	if _, err := entry.UnmarshalMsg(value); err != nil {
+		return "", errors.Wrap(err, "decode")
+	}
+	address, err := netip.ParseAddrPort(entry.Address)
+	if err != nil {
+		return "", err
+	}
+	if address.Port() == 0 {
+		return "", errors.Errorf("address %q has no port", entry.Address)
+	}
+	return entry.Address, nil
+}
--- /dev/null
+++ b/scheduler/directory/directory_test.go
@@ -0,0 +1,48 @@
+package directory_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/scheduler/directory"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/memory"
+)
+
+func write(g Gomega, rows table.Rows, key string, value []byte) {
+	id := table.RowID{Table: "entries", Key: key}
+	_, err := rows.Transact(context.Background(), table.RowTransaction{Writes: []table.RowWrite{{RowID: id, Value: value}}})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestOddEntriesAreLeftOutAndLoggedOnce(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	odd := [][]byte{nil, {0xc1}, append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, 60<<10)...)}
+	for _, address := range []string{"", "10.0.0.1", "10.0.0.1:99999", "10.0.0.1:0", "10.0.0.1:-1", ":7720", "host:7720", "10.0.0.1:7720 "} {
+		value, err := (&wire.EntryRow{Host: "x", Address: address}).MarshalMsg(nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		odd = append(odd, value)
+	}
+	for i, value := range odd {
+		write(g, rows, "odd-"+string(rune('a'+i)), value)
+	}
+	sound, err := (&wire.EntryRow{Host: "edge", Address: "10.0.0.2:7720"}).MarshalMsg(nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	write(g, rows, "edge", sound)
+	var out bytes.Buffer
+	reader := directory.NewReader(rows, logging.NewFactory(logging.Config{Level: "info", JSON: true}, &out).For("test"))
+	for range 3 {
+		g.Expect(reader.Addresses(context.Background())).To(Equal([]string{"10.0.0.2:7720"}))
+	}
+	g.Expect(strings.Count(out.String(), "left out")).To(Equal(len(odd)))
+	write(g, rows, "odd-a", odd[1])
+	g.Expect(reader.Addresses(context.Background())).To(HaveLen(1))
+	g.Expect(strings.Count(out.String(), "left out")).To(Equal(len(odd)+1), "a changed row is logged again")
+}
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -160,9 +160,7 @@
 		},
 	})
 	realTime := &realTimeWorker{mu: &f.mu, worker: worker, advancedTo: clock.Boottime()}
-	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, realTime, func(ctx context.Context) ([]string, error) {
-		return directory.Addresses(ctx, f.rows, f.logger)
-	}, agent.NewMetrics(tally.NoopScope), f.logger)
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, realTime, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(tally.NoopScope), f.logger)
 	a.RecordHeartbeat(worker.Description())
 	go a.Run(ctx)
 	f.agents = append(f.agents, a)
