Leave out seeds that are no addresses

With one odd seed in the settings file no process of that host started: "settings file: seeds", exit 1, again and again; a change with one was not applied. Cause: one seed that can't be split, or of another type, was an error of the file. Change: such seeds are left out and logged at the start and at each change of the file; the others are used.

--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -110,7 +110,9 @@
 	if err != nil {
 		return nil, fail(io, err), false
 	}
-	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
 	logConfig.JSON = true
 	logs := logging.NewBoundedFactory(*logConfig, io.out)
 	scope, page, _ := telemetry.New(telemetry.Config{Interval: metricsInterval})
@@ -131,6 +133,7 @@
 	}
 	h.log.Info().Str("host", s.Host).Str("data_centre", string(s.DataCentre)).
 		Stringer("incarnation", h.incarnation).Str("version", version).Msg("started")
+	h.logInvalidSeeds(&s)
 	return h, exitOK, true
 }
 
@@ -146,12 +149,20 @@
 	defer signal.Stop(signals)
 	platform.WatchSettings(ctx, h.path, settingsInterval, signals, func(s platform.Settings) {
 		h.log.Info().Int("seeds", len(s.SeedHosts)).Msg("settings reloaded")
+		h.logInvalidSeeds(&s)
 		changed(s)
 	}, func(err error) {
 		h.log.Error().Err(err).Msg("settings not reloaded; the previous ones stay in use")
 	})
 }
 
+// logInvalidSeeds logs the seeds that are left out.
+func (h *hostedProcess) logInvalidSeeds(s *platform.Settings) {
+	if len(s.InvalidSeeds) > 0 {
+		h.log.Warn().Int("seeds", len(s.InvalidSeeds)).Str("first", s.InvalidSeeds[0]).Msg("seeds that are no addresses left out")
+	}
+}
+
 // seedAddresses returns the link addresses of the seed hosts.
 func seedAddresses(s *platform.Settings) []string {
 	var addresses []string
