--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -123,7 +123,7 @@
 		path:           config.nodeFile,
 		settings:       s,
 		incarnation:    newIncarnation(),
-		store:          platform.NewStore(s.Store),
+		store:          platform.NewStore(s.Store, logs.For("store")),
 		logs:           logs,
 		log:            logs.For(name),
 	}
