Pace answers of a feed that move nothing

Seen: a feed whose answers state no newer version and come at once was called without a pause (1,000 calls in no time), beside the other work of the process. Cause: only failed calls were followed by a pause. Evidence: TestAnswersThatMoveNothingAreNotReadInATightLoop failed before: "Expected 1000 to be < 50". Measured: go test ./table/follow passed.

--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -51,6 +51,7 @@
 	pause.MaxInterval = maxPause
 	failing := false
 	for ctx.Err() == nil {
+		started := clock.Boottime()
 		next, err := f.once(ctx, from)
 		if err == nil {
 			if failing {
@@ -58,6 +59,10 @@
 			}
 			failing = false
 			pause.Reset()
+			// An answer that came at once and moved nothing comes again at once.
+			if next == from && clock.Boottime()-started < firstPause && clock.Sleep(ctx, firstPause) != nil {
+				return
+			}
 			from = next
 			continue
 		}
--- /dev/null
+++ b/table/follow/follow_test.go
@@ -0,0 +1,48 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/follow"
+)
+
+// instantRows answers each call at once, always with the same version.
+type instantRows struct {
+	table.Rows
+	version table.Version
+	calls   int
+}
+
+func (r *instantRows) Scan(context.Context, string, string, string) (table.RowScan, error) {
+	r.calls++
+	return table.RowScan{Version: r.version}, nil
+}
+
+func (r *instantRows) Follow(context.Context, string, table.Version, time.Duration) (table.RowChanges, error) {
+	r.calls++
+	return table.RowChanges{Rows: []table.VersionedRow{{Version: 1}}, Next: r.version}, nil
+}
+
+func TestAnswersThatMoveNothingAreNotReadInATightLoop(t *testing.T) {
+	for _, version := range []table.Version{0, 5} {
+		synctest.Test(t, func(t *testing.T) {
+			rows := &instantRows{version: version}
+			ctx, cancel := context.WithCancel(t.Context())
+			f := follow.Follower{Rows: rows, Table: "jobs", Wait: time.Second, Log: logging.Discard().For("test"), OnUpdate: func(follow.Update) {
+				if rows.calls == 1000 {
+					cancel()
+				}
+			}}
+			time.AfterFunc(time.Second, cancel)
+			f.Run(ctx, 0)
+			NewWithT(t).Expect(rows.calls).To(BeNumerically("<", 50))
+		})
+	}
+}
