--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -114,7 +114,8 @@
 		if isConfig {
 			e.node.SetQueues(config)
 			e.readiness.Advance(balancer.PhaseReady)
-			e.log.Info().Uint64("version", uint64(config.Version)).Int("queues", len(config.Queues)).Msg("configuration applied")
+			e.log.Info().Uint64("version", uint64(config.Version)).Int("queues", len(config.Queues)).
+				Int("left_out", config.LeftOut).Msg("configuration applied")
 		}
 	}
 }
--- a/job.go
+++ b/job.go
@@ -60,6 +60,8 @@
 	Pools   []WorkerPool
 	// MaxBodyBytes is the maximum size of a submission's body, in bytes.
 	MaxBodyBytes int64
+	// LeftOut is the number of queues and pools that could not be decoded.
+	LeftOut int
 }
 
 // Queue returns the queue of the host with the longest prefix of the path.
