Keep a lease left that is too large from expiring the lease

Seen: when a worker's clock had once been read too high, its sidecar reported a lease left of years; the holder took the lease as expired at once, released the runs, and started their tasks elsewhere while they still ran. Cause: the durations overflowed, in the message and with the margins added. Change: messages are converted with saturation. A time left of the full lease or more can't shorten it and is ignored.

--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -147,7 +147,7 @@
 		return
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
-	if remaining >= 0 {
+	if remaining >= 0 && remaining < c.config.WorkerLease {
 		w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(remaining))
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -186,7 +186,7 @@
 // holderSilenceTimeout.
 func (p *peer) reachesHolder(now time.Duration) bool {
 	age := p.holderAge.Load()
-	if age < 0 {
+	if age < 0 || age > holderSilenceTimeout.Milliseconds() {
 		return false
 	}
 	return now-time.Duration(p.pingedAt.Load())+time.Duration(age)*time.Millisecond < holderSilenceTimeout
@@ -235,7 +235,7 @@
 			return nil, err
 		}
 		return func(l *loop) {
-			l.core.WorkerUnreachable(p.host, time.Duration(s.Remaining)*time.Millisecond)
+			l.core.WorkerUnreachable(p.host, s.Decoded())
 		}, nil
 	}
 	var left wire.WorkerShutDown
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -98,6 +98,10 @@
 	return listing, leftOut
 }
 
+// Decoded returns the time until the worker's lease expires, which is negative if it is not
+// known.
+func (u *WorkerUnreachable) Decoded() time.Duration { return fromMillis(u.Remaining) }
+
 // FromAnswer returns the message for the answer to an order.
 func FromAnswer(a dispatch.OrderAnswer, epoch carobkeel.Epoch) *Answer {
 	return &Answer{
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -157,6 +158,16 @@
 	g.Expect(listing.Ends).To(Equal([]runs.End{{Number: 2, Task: task, Run: 1}}))
 }
 
+func TestDurationsTooLargeDoNotOverflow(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect((&wire.WorkerUnreachable{Remaining: 1 << 53}).Decoded()).To(BeNumerically(">", 24*time.Hour))
+	g.Expect((&wire.WorkerUnreachable{Remaining: math.MinInt64}).Decoded()).To(BeNumerically("<", 0))
+	row := wire.JobRow{Objective: math.MaxInt64, Period: math.MaxInt64}
+	job := row.Decoded("j")
+	g.Expect(job.Queue.Objective).To(BeNumerically(">", 24*time.Hour))
+	g.Expect(job.Period).To(BeNumerically(">", 24*time.Hour))
+}
+
 func TestSplitOrdersFitInFrames(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
