Store the other records where the table service rejects one

With one record that the table service rejects (the key of a worker with a long id, the progress of a job that is larger than a row), the holder stored nothing any more: no job was shown as ended, no end was acknowledged, no new worker got a task. Cause: all records are stored in batches; a rejected batch was built again with the same records, for good. Change: the records of a rejected batch are stored one by one. The record of a worker that is rejected alone is dropped, so that nothing starts there; the progress of a job is offered again after 10 s, unstored and its ends unacknowledged. The line names the job or host.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -291,7 +291,7 @@
 // addLearned adds the interference model's records if they are due and the
 // batch has other records. They are not worth a transaction of their own.
 func (c *Core) addLearned(b *Batch, limit *BatchLimit) {
-	if b.IsEmpty() || c.now.Monotonic-c.learnedStoredAt < learnedStoreInterval || !limit.take(learnedEntries, learnedBytes) {
+	if b.Len() == 0 || c.now.Monotonic-c.learnedStoredAt < learnedStoreInterval || !limit.take(learnedEntries, learnedBytes) {
 		return
 	}
 	c.learnedStoredAt = c.now.Monotonic
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -27,6 +27,9 @@
 	// revision counts the changes of the progress, and storedRevision is the
 	// newest revision that is durable.
 	revision, storedRevision uint64
+	// rejectedUntil is when the job's progress, which the table service has rejected, is
+	// offered to it again.
+	rejectedUntil time.Duration
 	// ended reports that the job is in Core.ended, whose records expire.
 	ended bool
 	// endedAt is when the job ended, or when this holder learned of its end.
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/interference"
@@ -50,6 +51,10 @@
 	Entries int
 	// Bytes bounds the total size of the values.
 	Bytes int
+	// Single restricts the batch to one record.
+	Single bool
+	// taken reports that the batch has a record.
+	taken bool
 }
 
 // Entries of a transaction that a record uses. The record of a job needs a
@@ -73,9 +78,10 @@
 // take subtracts the needs of a record from the limit, and reports whether they
 // fit.
 func (l *BatchLimit) take(entries, bytes int) bool {
-	if l.Entries < entries || l.Bytes < bytes {
+	if l.Entries < entries || l.Bytes < bytes || (l.Single && l.taken) {
 		return false
 	}
+	l.taken = true
 	l.Entries -= entries
 	l.Bytes -= bytes
 	return true
@@ -130,7 +136,7 @@
 func (c *Core) addProgress(b *Batch, limit *BatchLimit) {
 	for _, final := range []bool{true, false} {
 		for id, j := range c.dirty {
-			if c.isFinal(j) != final {
+			if c.isFinal(j) != final || c.now.Monotonic < j.rejectedUntil {
 				continue
 			}
 			p := j.progress()
@@ -150,9 +156,9 @@
 	return slices.ContainsFunc(b.Workers, func(w WorkerRecord) bool { return w.Incarnation == incarnation })
 }
 
-// IsEmpty reports whether the batch has nothing to write.
-func (b *Batch) IsEmpty() bool {
-	return len(b.Progress)+len(b.Workers)+len(b.Forgotten)+len(b.Expired) == 0
+// Len returns the number of records in the batch that are due.
+func (b *Batch) Len() int {
+	return len(b.Progress) + len(b.Workers) + len(b.Forgotten) + len(b.Expired)
 }
 
 // BatchStored records that a batch is durable, and makes the states in it visible to
@@ -218,6 +224,21 @@
 	c.incarnationsToForget = append(b.Forgotten, c.incarnationsToForget...)
 }
 
+// rejectedPause is how long a job's progress that the table service has rejected is not
+// offered to it again.
+const rejectedPause = 10 * time.Second
+
+// BatchRejected records that the table service rejects a batch of one record. The record
+// of a worker is dropped, so that nothing starts there. The progress of a job stays
+// unstored, and its ends unacknowledged.
+func (c *Core) BatchRejected(b Batch) {
+	for id := range b.revisions {
+		c.jobs[id].rejectedUntil = c.now.Monotonic + rejectedPause
+	}
+	c.confirmIncarnations(Batch{Forgotten: b.Forgotten})
+	c.forgetJobs(b.Expired)
+}
+
 func (j *job) progress() Progress {
 	p := Progress{Job: j.spec.ID, State: j.state()}
 	if p.State.IsFinal() {
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -53,7 +53,10 @@
 	batchEnded    time.Duration
 	// batchTaken is when the batch in flight was taken from the core.
 	batchTaken time.Duration
-	versions   map[carobkeel.JobID]table.Version
+	// singleBatches is the number of batches of one record each that follow a rejected
+	// batch.
+	singleBatches int
+	versions      map[carobkeel.JobID]table.Version
 	// pending maps the jobs that have not started to their queues.
 	pending map[carobkeel.JobID]carobkeel.QueueName
 	wake    time.Duration
--- /dev/null
+++ b/scheduler/holder/rejected_records_test.go
@@ -0,0 +1,58 @@
+package holder_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/holder"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/faulty"
+)
+
+// maxKeyBytes is the longest key that the table service accepts.
+const maxKeyBytes = 200
+
+// limitedRows rejects rows as the table service does: keys and values that are too
+// large, and the progress of one job.
+type limitedRows struct {
+	table.Rows
+	rejected carobkeel.JobID
+}
+
+func (r *limitedRows) Transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
+	for _, w := range txn.Writes {
+		if len(w.Key) > maxKeyBytes || len(w.Value) > maxRowBytes || (w.Table == holder.TableProgress && w.Key == string(r.rejected)) {
+			return table.RowOutcome{}, table.ErrInvalid
+		}
+	}
+	return r.Rows.Transact(ctx, txn)
+}
+
+func TestRecordsThatAreRejectedDoNotHoldBackOthers(t *testing.T) {
+	for _, c := range []struct {
+		name, host string
+		rejected   carobkeel.JobID
+	}{
+		{"worker whose key is too long", strings.Repeat("h", 300), ""},
+		{"progress of one job", "host-1", testJob(1).ID},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := startCluster(t, 0, 0)
+			f.rows = faulty.NewRows(&limitedRows{Rows: f.memory, rejected: c.rejected})
+			f.startEntry(t)
+			f.startWorker(t, "host-0")
+			f.startWorker(t, c.host)
+			f.submit(g, f.entries[0], 1)
+			for n := 2; n < 8; n++ {
+				job := f.submit(g, f.entries[0], n)
+				g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+			}
+			g.Expect(f.violations()).To(BeEmpty())
+		})
+	}
+}
--- a/scheduler/holder/store.go
+++ b/scheduler/holder/store.go
@@ -41,10 +41,11 @@
 		}
 		return
 	}
-	batch := l.core.NextBatch(dispatch.BatchLimit{Entries: batchEntries, Bytes: batchBytes})
-	if batch.IsEmpty() {
+	batch := l.core.NextBatch(dispatch.BatchLimit{Entries: batchEntries, Bytes: batchBytes, Single: l.singleBatches > 0})
+	if batch.Len() == 0 {
 		return
 	}
+	l.singleBatches = max(0, l.singleBatches-1)
 	l.batchInFlight = true
 	l.batchTaken = clock.Boottime()
 	writer := &batchWriter{
@@ -75,10 +76,7 @@
 	l.batchEnded = clock.Boottime()
 	l.node.metrics.recordStore(l.batchEnded - l.batchTaken)
 	if err != nil {
-		l.core.BatchFailed(batch)
-		if errors.Is(err, errSuperseded) {
-			l.stepDown("another process holds the shard")
-		}
+		l.batchFailed(batch, err)
 		return
 	}
 	for _, p := range batch.Progress {
@@ -90,6 +88,22 @@
 	l.core.BatchStored(batch)
 }
 
+// batchFailed handles a batch that was not stored. The records of one that the table
+// service rejects are stored one by one, so that the others don't wait for the odd one.
+func (l *loop) batchFailed(batch dispatch.Batch, err error) {
+	if errors.Is(err, table.ErrInvalid) && batch.Len() == 1 {
+		l.core.BatchRejected(batch)
+		return
+	}
+	l.core.BatchFailed(batch)
+	switch {
+	case errors.Is(err, errSuperseded):
+		l.stepDown("another process holds the shard")
+	case errors.Is(err, table.ErrInvalid):
+		l.singleBatches = batch.Len()
+	}
+}
+
 // batchWriter stores one batch, in as many attempts as it takes.
 type batchWriter struct {
 	node     *Node
@@ -115,7 +129,7 @@
 			}
 			continue
 		case errors.Is(err, table.ErrInvalid):
-			w.node.log.Error().Err(err).Msg("table service rejected the records")
+			w.logRejected(err)
 			return outcome, err
 		}
 		w.node.log.Warn().Err(err).Int("jobs", len(w.batch.Progress)).Msg("records not stored, retrying")
@@ -125,6 +139,17 @@
 	}
 }
 
+func (w *batchWriter) logRejected(err error) {
+	line := w.node.log.Error().Err(err).Int("records", w.batch.Len())
+	if len(w.batch.Progress) > 0 {
+		line = line.Str("job", string(w.batch.Progress[0].Job))
+	}
+	if len(w.batch.Workers) > 0 {
+		line = line.Str("host", w.batch.Workers[0].Host)
+	}
+	line.Msg("table service rejected the records")
+}
+
 // refreshVersions adopts the current versions of the rows. They differ when an
 // earlier attempt of this holder was carried out without its answer arriving.
 func (w *batchWriter) refreshVersions(outcome *table.RowOutcome) error {
