Bound the runs of a worker, and the work of a step for large jobs

A job of 2,000 tasks without a demand got all its runs on one worker; a listing of 4,000 runs no longer fits in a message, and placing 100,000 such tasks blocks the holder for longer than it may be silent. Cause: only the free resources bound the runs of a worker. The critical paths were worked out for each occurrence, in quadratic time. Change: a worker gets 800 runs at most, gangs included, which fit in one message with 500 ends. The critical paths are worked out once for a job, in one pass over After. Evidence: TestTasksWithoutDemandDoNotFillOneListing failed before: "Expected <int>: 2000 to equal <int>: 800". Measured: that test passes.

--- a/scheduler/dispatch/gang.go
+++ b/scheduler/dispatch/gang.go
@@ -81,7 +81,7 @@
 			if !c.isAllowed(&s.tasks[i], w) || (s.spec.MaxPerWorker > 0 && count[w] >= s.spec.MaxPerWorker) {
 				continue
 			}
-			if !demand.FitsIn(w.free().Sub(p.reservations[w]).Sub(assigned[w])) {
+			if len(w.runs)+count[w] >= MaxRunsPerWorker || !demand.FitsIn(w.free().Sub(p.reservations[w]).Sub(assigned[w])) {
 				continue
 			}
 			if score := c.score(&s.tasks[i], w) - assigned[w].DominantShare(w.description.Capacity); best == nil || score > bestScore {
@@ -108,7 +108,7 @@
 	demand := s.spec.Reserved()
 	left := len(s.tasks)
 	for _, w := range p.workers {
-		for left > 0 && c.isAllowed(&s.tasks[0], w) && demand.FitsIn(w.free().Sub(p.reservations[w])) {
+		for left > 0 && !demand.IsZero() && c.isAllowed(&s.tasks[0], w) && demand.FitsIn(w.free().Sub(p.reservations[w])) {
 			p.reservations[w] = p.reservations[w].Add(demand)
 			left--
 		}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -20,6 +20,9 @@
 	// hasStarted reports that a task of the job has been started.
 	hasStarted  bool
 	occurrences []*occurrence
+	// criticalPaths holds, for each step, the longest chain of estimated work
+	// that begins with it.
+	criticalPaths []time.Duration
 	// remaining counts the tasks that are not done.
 	remaining int
 	// visibleState is the state that callers see.
@@ -44,9 +47,6 @@
 	// if the occurrence starts immediately.
 	due   time.Time
 	steps []*stepState
-	// criticalPaths holds, for each step, the longest chain of estimated work
-	// that begins with it.
-	criticalPaths []time.Duration
 }
 
 // stepState is a step of an occurrence.
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -161,11 +161,15 @@
 	return best
 }
 
+// MaxRunsPerWorker bounds the runs of a worker, so that a listing of them and of 500 ends
+// fits in one message.
+const MaxRunsPerWorker = 800
+
 // isAllowed reports whether a task may run on a worker, regardless of the
 // worker's free resources.
 func (c *Core) isAllowed(t *task, w *workerState) bool {
 	s := t.step
-	if !c.meetsRequirements(s, w) {
+	if len(w.runs) >= MaxRunsPerWorker || !c.meetsRequirements(s, w) {
 		return false
 	}
 	if _, allowed := c.ticketFor(s, w); !allowed {
--- a/scheduler/dispatch/place_test.go
+++ b/scheduler/dispatch/place_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/runs"
 	"github.com/carobkeel/carobkeel/worker/runs/standin"
 )
@@ -176,3 +177,22 @@
 	g.Expect(sim.hostsOf(job)).To(BeEmpty())
 	g.Expect(sim.visibleStates[job]).To(Equal(carobkeel.JobCancelled))
 }
+
+func TestTasksWithoutDemandDoNotFillOneListing(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000)
+	free := carobkeel.Step{Count: 2000, Estimate: time.Second}
+	job := sim.submit(1, 0, free)
+	most := 0
+	for range 100 {
+		sim.run(100 * time.Millisecond)
+		most = max(most, sim.hostsOf(job)["host-0"])
+	}
+	g.Expect(most).To(Equal(dispatch.MaxRunsPerWorker))
+	g.Expect(sim.visibleStates[job]).To(Equal(carobkeel.JobCompleted))
+	gang := free
+	gang.Gang = true
+	job = sim.submit(2, 0, gang)
+	sim.run(2 * time.Second)
+	g.Expect(sim.hostsOf(job)).To(BeEmpty())
+}
--- a/scheduler/dispatch/urgency.go
+++ b/scheduler/dispatch/urgency.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -24,7 +23,7 @@
 // longest chain of estimated work, plus Objective, after its wait began.
 func (c *Core) dueAt(s *stepState) time.Duration {
 	q := c.queueOf(s.occurrence.job)
-	return s.waitStart() + time.Duration(q.SlowdownFactor*float64(s.occurrence.criticalPath(0))) + q.Objective
+	return s.waitStart() + time.Duration(q.SlowdownFactor*float64(s.occurrence.job.criticalPath(0))) + q.Objective
 }
 
 // lateness rates how late a job is, and so the value that its completion still
@@ -47,7 +46,7 @@
 // lateness returns how late a step's job will be if nothing delays it from now
 // on.
 func (c *Core) lateness(s *stepState) lateness {
-	done := c.now.Monotonic + time.Duration(minRemainingShare*float64(s.occurrence.criticalPath(s.index)))
+	done := c.now.Monotonic + time.Duration(minRemainingShare*float64(s.occurrence.job.criticalPath(s.index)))
 	since, due := s.waitStart(), c.dueAt(s)
 	switch {
 	case done <= due:
@@ -62,21 +61,22 @@
 // to be left when a job is rated as late, since estimates are up to 90% off.
 const minRemainingShare = 0.5
 
+// maxCriticalPath bounds a chain of work, so that sums with it don't overflow.
+const maxCriticalPath time.Duration = 1 << 60
+
 // criticalPath returns the longest chain of estimated work from a step on.
-func (o *occurrence) criticalPath(from int) time.Duration {
-	if o.criticalPaths == nil {
-		o.criticalPaths = make([]time.Duration, len(o.steps))
-		for i := len(o.steps) - 1; i >= 0; i-- {
-			longest := time.Duration(0)
-			for j := i + 1; j < len(o.steps); j++ {
-				if slices.Contains(o.steps[j].spec.After, i) {
-					longest = max(longest, o.criticalPaths[j])
-				}
+func (j *job) criticalPath(from int) time.Duration {
+	if j.criticalPaths == nil {
+		steps := j.spec.Steps
+		j.criticalPaths = make([]time.Duration, len(steps))
+		for i := len(steps) - 1; i >= 0; i-- {
+			j.criticalPaths[i] = min(maxCriticalPath, j.criticalPaths[i]+steps[i].Estimate)
+			for _, earlier := range steps[i].After {
+				j.criticalPaths[earlier] = max(j.criticalPaths[earlier], j.criticalPaths[i])
 			}
-			o.criticalPaths[i] = o.steps[i].spec.Estimate + longest
 		}
 	}
-	return o.criticalPaths[from]
+	return j.criticalPaths[from]
 }
 
 func compareFalseFirst(a, b bool) int {
