--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire_test
 
 import (
+	"bytes"
 	"math"
 	"strings"
 	"testing"
@@ -200,11 +201,14 @@
 	}
 	f.Add(first)
 	f.Add([]byte{0xdc, 0xff, 0xff})
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add(append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, frame.MaxPayload-3)...))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		message := frame.Frame{Payload: data}
 		for _, into := range []msgp.Unmarshaler{
 			&wire.Hello{}, &wire.Ping{}, &wire.Pong{}, &wire.Description{}, &wire.Listing{}, &wire.Answer{}, &wire.Orders{},
 			&wire.Query{}, &wire.Reply{}, &wire.JobRow{}, &wire.ProgressRow{}, &wire.HolderRow{},
+			&wire.WorkerUnreachable{}, &wire.WorkerShutDown{}, &wire.EntryRow{}, &wire.WorkerRow{}, &wire.InterferenceRow{},
 		} {
 			_ = wire.Decode(message, into) // an error is fine; a panic is not
 		}
