Log the free processors of the workers that a waiting task may use

Change: the line of a waiting task has its demand, the sum of the free processors and the most on one worker. Measured: go test ./scheduler/dispatch -run 'Waiting|HeldBack' passed. Conclusion: a fragmented shard can be told from a full one.

--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		reports++
-		c.recordDecision(Decision{Kind: DecidedTaskWaiting, Task: t.name(), Waited: waited, Detail: c.countWorkers(p, t).String()})
+		c.recordDecision(Decision{Kind: DecidedTaskWaiting, Task: t.name(), Waited: waited, Detail: fmt.Sprintf("needs_mcpu=%d %v", s.spec.Reserved().MilliCPU, c.countWorkers(p, t))})
 	}
 	if reports > 0 {
 		c.waitReportedAt = c.now.Monotonic
@@ -89,14 +89,18 @@
 	unchanged int
 	// room counts the workers with room that were looked at.
 	room int
+	// freeMilliCPU is the sum of the free processors of the usable workers that
+	// the step allows, and largestMilliCPU the most on one of them, in
+	// thousandths of a core.
+	freeMilliCPU, largestMilliCPU int64
 }
 
 // String returns the counts in the order in which a worker is checked.
 func (n workerCounts) String() string {
 	return fmt.Sprintf("unlinked=%d unresponsive=%d unlisted=%d unrecorded=%d draining=%d expired=%d excluded=%d "+
-		"not_allowed=%d full=%d after_stops=%d reserved=%d unchanged=%d room=%d",
+		"not_allowed=%d full=%d after_stops=%d reserved=%d unchanged=%d room=%d free_mcpu=%d largest_free_mcpu=%d",
 		n.unlinked, n.unresponsive, n.unlisted, n.unrecorded, n.draining, n.expired, n.excluded,
-		n.notAllowed, n.full, n.afterStops, n.reserved, n.unchanged, n.room)
+		n.notAllowed, n.full, n.afterStops, n.reserved, n.unchanged, n.room, n.freeMilliCPU, n.largestMilliCPU)
 }
 
 func (c *Core) countWorkers(p *pass, t *task) workerCounts {
@@ -134,10 +138,14 @@
 }
 
 func (c *Core) countUsable(p *pass, t *task, w *workerState, n *workerCounts) {
+	if !c.isAllowed(t, w) {
+		n.notAllowed++
+		return
+	}
+	n.freeMilliCPU += max(0, w.free().MilliCPU)
+	n.largestMilliCPU = max(n.largestMilliCPU, w.free().MilliCPU)
 	demand := t.step.spec.Reserved()
 	switch {
-	case !c.isAllowed(t, w):
-		n.notAllowed++
 	case !demand.FitsIn(w.free()):
 		n.full++
 		if demand.FitsIn(w.freeAfterStops()) {
