Count a run as stalled only for the time since its start

Callers saw: runs stopped half a second after their start, and their worker quarantined for 2 s, although it was sound. Cause: a worker's time without progress was counted from the last progress of any run. If that run's pace then fell below the observed minimum while another run started, the new run was held against the whole time. Change: each run is expected to progress only from its start, or from when its pace last rose to the observed minimum. The worker counts as stalled when the first of these times is over. Evidence: TestNewRunIsNotStalledByTheTimeBeforeItsStart failed before: "10.05s e1 worker quarantined .0.0.0 run 0 host-0 no run makes progress" for a run of 9.55 s that takes 0.6 s for a percent. Measured: go test ./scheduler/dispatch -run 'Stall|OnTime|NewRun' passes.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -220,6 +220,9 @@
 	} else if r.slowSince == 0 {
 		r.slowSince = c.now.Monotonic
 	}
+	if r.pace < minObservedPace && pace >= minObservedPace {
+		r.observedFrom = c.now.Monotonic
+	}
 	r.pace = pace
 	w.sharing = nil
 	w.control.pacesChangedAt = c.now.Monotonic
--- a/scheduler/dispatch/stall.go
+++ b/scheduler/dispatch/stall.go
@@ -48,27 +48,28 @@
 		w.stall.lastProgress = c.now.Monotonic
 		return
 	}
-	timeout, expected := c.stallTimeout(w)
+	deadline, expected := c.stallDeadline(w)
 	switch {
 	case !expected:
 		w.stall.lastProgress = c.now.Monotonic
-	case c.now.Monotonic-w.stall.lastProgress >= timeout:
-		c.quarantineStalled(w, timeout)
+	case c.now.Monotonic >= deadline:
+		c.quarantineStalled(w, c.now.Monotonic-w.stall.lastProgress)
 	}
 }
 
-// stallTimeout returns how long a worker may list no progress, and whether
-// progress is expected at all.
-func (c *Core) stallTimeout(w *workerState) (timeout time.Duration, expected bool) {
+// stallDeadline returns the time by which a run of the worker should have
+// progressed, and whether progress is expected at all.
+func (c *Core) stallDeadline(w *workerState) (deadline time.Duration, expected bool) {
 	for _, r := range w.runs {
 		if !c.shouldProgress(r) {
 			continue
 		}
-		if runTimeout := max(minStallTime, missedPercents*c.timePerPercent(r)); !expected || runTimeout < timeout {
-			timeout, expected = runTimeout, true
+		timeout := max(minStallTime, missedPercents*c.timePerPercent(r))
+		if d := max(w.stall.lastProgress, r.observedFrom) + timeout; !expected || d < deadline {
+			deadline, expected = d, true
 		}
 	}
-	return timeout, expected
+	return deadline, expected
 }
 
 // timePerPercent returns how long a run takes for one percent of its work.
--- a/scheduler/dispatch/stall_test.go
+++ b/scheduler/dispatch/stall_test.go
@@ -54,3 +54,17 @@
 	}
 	g.Expect(sim.hostsOf(job)).To(HaveKeyWithValue("host-0", 4))
 }
+
+// TestNewRunIsNotStalledByTheTimeBeforeItsStart starts a run while the pace of
+// the only other one drops, so that only the new one is expected to progress.
+func TestNewRunIsNotStalledByTheTimeBeforeItsStart(t *testing.T) {
+	g := NewWithT(t)
+	sim, _ := sharingSimulation(g)
+	sim.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Duration: time.Minute} }
+	quarantines := recordDecisions(sim, "no run makes progress")
+	sim.submitDue(2, time.Second, bestEffort("heavy", 1))
+	sim.run(5 * time.Second)
+	sim.submitDue(4, time.Minute, bestEffort("heavy", 1))
+	sim.run(2500 * time.Millisecond)
+	g.Expect(*quarantines).To(BeEmpty())
+}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -47,6 +47,9 @@
 	// percent is the progress in the last listing.
 	percent int
 	pace    int
+	// observedFrom is when the run was started, or when its pace last rose to
+	// minObservedPace. No progress is missed before.
+	observedFrom time.Duration
 	// slowSince is when the run's pace dropped below minStartPace, zero while
 	// it has not.
 	slowSince time.Duration
@@ -274,7 +277,7 @@
 
 // reserve adds a run to a worker and reserves its resources.
 func (c *Core) reserve(w *workerState, t *task, name carobkeel.TaskName, run int) *runState {
-	r := &runState{task: t, name: name, number: run, worker: w, started: c.now.Monotonic, pace: fullPace}
+	r := &runState{task: t, name: name, number: run, worker: w, started: c.now.Monotonic, observedFrom: c.now.Monotonic, pace: fullPace}
 	if t != nil {
 		r.reserved = t.step.spec.Reserved()
 		t.runs = append(t.runs, r)
