Start starved tasks on quarantined workers where no other has room

Callers saw: a long-running task without a run for up to 8 s although a worker had room for it. Jobs that can't succeed fail on every worker, so that a few of them quarantine most workers of a shard at once. Cause: quarantine excluded a worker from placement for 4 s after failed runs and for up to 8 s after a stall, longer than the 3 s within which a long-running task has to run again, and for all tasks, whatever else was left. Change: a quarantined worker is the last choice. After 1.5 s without a run, a long-running task may start there. So may a task whose job has no run while more than half of the workers are quarantined; otherwise such a task waits, since it would lose an attempt on a worker that fails its runs. A long-running task counts as starved also while others of its job run, which also lets long-running best-effort tasks start. The backoff after a refusal is kept apart, since the worker would refuse again. Evidence: TestLongRunningTaskWaitsForTheEndOfAQuarantine and TestJobWaitsWhileMostWorkersAreQuarantined failed before: "Expected <map[string]int | len:0>: {} to have length 1".

--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -24,8 +24,11 @@
 	// failedJobs are the jobs whose runs have failed since the last successful
 	// run.
 	failedJobs map[string]bool
-	// excludedUntil is when the worker may get tasks again.
-	excludedUntil time.Duration
+	// quarantinedUntil is when the worker may get tasks again that can run
+	// elsewhere.
+	quarantinedUntil time.Duration
+	// refusesUntil is when the worker may get tasks again after a refusal.
+	refusesUntil time.Duration
 }
 
 // recordOutcome records the outcome of a run as evidence about its worker and
@@ -39,22 +42,37 @@
 			r.task.step.completedRuns++
 		}
 		h.failedJobs = nil
-		h.excludedUntil = 0
+		h.quarantinedUntil = 0
 	case runs.OutcomeFailed:
 		if h.failedJobs == nil {
 			h.failedJobs = make(map[string]bool)
 		}
 		h.failedJobs[string(r.name.Job)] = true
 		if len(h.failedJobs) >= quarantineFailures {
-			h.excludedUntil = c.now.Monotonic + quarantineDuration
+			h.quarantinedUntil = c.now.Monotonic + quarantineDuration
 			c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: r.worker.host, Detail: "runs of several jobs failed"})
 		}
 	}
 }
 
+func (c *Core) isQuarantined(w *workerState) bool {
+	return c.now.Monotonic < w.health.quarantinedUntil
+}
+
+// mayUseQuarantined reports whether a task that no other worker has room for may
+// start on a quarantined worker. A long-running task must run wherever there is
+// room. Other tasks lose an attempt on a worker that fails its runs, unless so
+// many workers are quarantined that their tasks are the more likely cause.
+func (c *Core) mayUseQuarantined(p *pass, t *task) bool {
+	if len(p.quarantined) == 0 || !c.isStarved(t) {
+		return false
+	}
+	return t.step.spec.LongRunning || len(p.quarantined) > len(p.workers)
+}
+
 func (c *Core) recordRefusal(w *workerState, result runs.Result) {
 	switch result {
 	case runs.ResultUnhealthy, runs.ResultNoRoom, runs.ResultDraining, runs.ResultInvalid:
-		w.health.excludedUntil = max(w.health.excludedUntil, c.now.Monotonic+refusalBackoff)
+		w.health.refusesUntil = max(w.health.refusesUntil, c.now.Monotonic+refusalBackoff)
 	}
 }
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -11,7 +11,9 @@
 // pass is one round of placement. It holds the resources that the round has
 // reserved for more urgent tasks.
 type pass struct {
-	workers []*workerState
+	// workers are the workers that accept tasks, quarantined those that would if
+	// they were not quarantined.
+	workers, quarantined []*workerState
 	// reservations holds the resources of each worker that are reserved for
 	// more urgent tasks.
 	reservations map[*workerState]carobkeel.Resources
@@ -21,8 +23,10 @@
 }
 
 func (c *Core) newPass() *pass {
+	usable, quarantined := c.usableWorkers()
 	return &pass{
-		workers:      c.usableWorkers(),
+		workers:      usable,
+		quarantined:  quarantined,
 		reservations: make(map[*workerState]carobkeel.Resources),
 		preemptible:  make(map[*workerState]*preemptibleRuns),
 	}
@@ -49,27 +53,34 @@
 	c.reportWaiting(p, steps)
 }
 
-// usableWorkers returns the workers that accept tasks, ordered by host.
-func (c *Core) usableWorkers() []*workerState {
-	var usable []*workerState
+// usableWorkers returns the workers that accept tasks, and those that are
+// quarantined, both ordered by host.
+func (c *Core) usableWorkers() (usable, quarantined []*workerState) {
 	for _, w := range c.workers {
 		wasUsable := w.usable
-		w.usable = c.isUsable(w)
-		if !w.usable {
-			continue
+		w.usable = false
+		switch {
+		case !c.acceptsTasks(w):
+		case c.isQuarantined(w):
+			quarantined = append(quarantined, w)
+		default:
+			w.usable = true
+			usable = append(usable, w)
 		}
-		if !wasUsable {
+		if w.usable && !wasUsable {
 			c.markChanged(w)
 		}
-		usable = append(usable, w)
 	}
-	slices.SortFunc(usable, func(a, b *workerState) int { return cmp.Compare(a.host, b.host) })
-	return usable
+	byHost := func(a, b *workerState) int { return cmp.Compare(a.host, b.host) }
+	slices.SortFunc(usable, byHost)
+	slices.SortFunc(quarantined, byHost)
+	return usable, quarantined
 }
 
-func (c *Core) isUsable(w *workerState) bool {
+// acceptsTasks reports whether a worker accepts tasks, quarantined or not.
+func (c *Core) acceptsTasks(w *workerState) bool {
 	return w.reachable && w.listed && w.recorded && !w.description.Draining &&
-		c.now.Monotonic < w.leaseExpiry && c.now.Monotonic >= w.health.excludedUntil
+		c.now.Monotonic < w.leaseExpiry && c.now.Monotonic >= w.health.refusesUntil
 }
 
 // waitingSteps returns the steps that have tasks to start, the most urgent one
@@ -117,7 +128,11 @@
 		if !t.isWaiting() {
 			continue
 		}
-		if w := c.selectWorker(p, t); w != nil {
+		w := c.selectWorker(p, t)
+		if w == nil && c.mayUseQuarantined(p, t) {
+			w = c.selectWorkerAmong(p, p.quarantined, t, anyWorker)
+		}
+		if w != nil {
 			c.start(t, w)
 			continue
 		}
@@ -135,19 +150,21 @@
 	if t.step.spec.BestEffort && c.isStarved(t) {
 		unchangedUpTo = 0
 	}
-	best := c.selectWorkerAmong(p, t, func(w *workerState) bool { return w.lastChange > unchangedUpTo })
+	best := c.selectWorkerAmong(p, p.workers, t, func(w *workerState) bool { return w.lastChange > unchangedUpTo })
 	if best == nil && len(p.reservations) == 0 {
 		t.step.noRoomAt = c.workerChanges
 	}
 	return best
 }
 
+func anyWorker(*workerState) bool { return true }
+
 // selectWorkerAmong returns the best worker for a task among the eligible ones,
 // nil if none of them has room.
-func (c *Core) selectWorkerAmong(p *pass, t *task, eligible func(*workerState) bool) *workerState {
+func (c *Core) selectWorkerAmong(p *pass, workers []*workerState, t *task, eligible func(*workerState) bool) *workerState {
 	var best *workerState
 	var bestScore float64
-	for _, w := range p.workers {
+	for _, w := range workers {
 		if !eligible(w) || !c.isAllowed(t, w) || !t.step.spec.Reserved().FitsIn(w.free().Sub(p.reservations[w])) {
 			continue
 		}
@@ -212,19 +229,20 @@
 	return pace >= minStartPace
 }
 
-// starvationLimit is how long a best-effort task may wait while its job has no
-// run. The platform requires a start within 3 s where resources are free.
+// starvationLimit is how long a job may have no run, or a long-running task no
+// run of its own, before a less suitable worker is used. The platform requires a
+// start within 3 s where resources are free.
 const starvationLimit = 1500 * time.Millisecond
 
 // isStarved reports whether the task has waited for at least starvationLimit
-// while its job has no run.
+// while its job has no run, or whatever its job runs if it is long-running.
 func (c *Core) isStarved(t *task) bool {
 	since := max(t.waitingSince, t.step.readyAt)
 	if c.now.Monotonic-since < starvationLimit {
 		c.wakeAt(since + starvationLimit)
 		return false
 	}
-	return !t.job().hasRuns()
+	return t.step.spec.LongRunning || !t.job().hasRuns()
 }
 
 // stopOnDrainingWorkers stops long-running tasks on workers that shut down
--- /dev/null
+++ b/scheduler/dispatch/quarantine_test.go
@@ -0,0 +1,47 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs/standin"
+)
+
+// quarantinedSimulation has workers that have just been quarantined for their
+// second stall, for 4 s.
+func quarantinedSimulation(g *WithT, capacities ...int64) *simulation {
+	sim := startedSimulation(capacities...)
+	sim.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Duration: 5 * time.Second} }
+	quarantines := recordDecisions(sim, "worker quarantined")
+	for _, s := range sim.workers {
+		s.worker.Stall(true)
+	}
+	sim.submit(1, 2, step(2*len(capacities), 3000))
+	for len(*quarantines) < 2*len(capacities) {
+		g.Expect(sim.now).To(BeNumerically("<", time.Hour+20*time.Second))
+		sim.step()
+	}
+	sim.store.cancel["0000000000000001"] = true
+	return sim
+}
+
+func TestLongRunningTaskWaitsForTheEndOfAQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	sim := quarantinedSimulation(g, 8000)
+	longRunning := step(1, 1000)
+	longRunning.LongRunning = true
+	job := sim.submit(2, 1, longRunning)
+	sim.run(2 * time.Second)
+	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
+}
+
+func TestJobWaitsWhileMostWorkersAreQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	sim := quarantinedSimulation(g, 8000, 8000)
+	job := sim.submit(2, 1, step(1, 1000))
+	sim.run(2 * time.Second)
+	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
+}
--- a/scheduler/dispatch/speculative.go
+++ b/scheduler/dispatch/speculative.go
@@ -54,7 +54,7 @@
 		if t.done || len(t.runs) == 0 || len(t.runs) >= maxRunsPerTask || !c.isStraggler(t.runs[0], typical) {
 			continue
 		}
-		if w := c.selectWorkerAmong(p, t, func(w *workerState) bool { return !w.hasRunOf(t) }); w != nil {
+		if w := c.selectWorkerAmong(p, p.workers, t, func(w *workerState) bool { return !w.hasRunOf(t) }); w != nil {
 			c.start(t, w)
 		}
 	}
--- a/scheduler/dispatch/stall.go
+++ b/scheduler/dispatch/stall.go
@@ -85,7 +85,7 @@
 func (c *Core) quarantineStalled(w *workerState, waited time.Duration) {
 	w.stall.quarantine = min(maxStallQuarantine, max(minStallQuarantine, 2*w.stall.quarantine))
 	w.stall.lastProgress = c.now.Monotonic
-	w.health.excludedUntil = max(w.health.excludedUntil, c.now.Monotonic+w.stall.quarantine)
+	w.health.quarantinedUntil = max(w.health.quarantinedUntil, c.now.Monotonic+w.stall.quarantine)
 	c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: w.host, Detail: "no run makes progress", Waited: waited})
 	for _, r := range w.runs {
 		if c.shouldProgress(r) {
