Place starved long-running tasks before room is reserved for others

Callers saw: a long-running task of a queue of lower priority without a run for as long as a more urgent gang waited for room, although workers had room for the task. Cause: each pass reserves free room for more urgent gangs and for tasks that wait for runs to stop, in the order of priority. A gang that doesn't fit takes all free room in each pass. Within a step, the tasks were tried in the order of their index, so that one that had just begun to wait ended the round for those that had waited long enough to preempt. The tasks of a step are tried in the order of their wait. Evidence: TestLongRunningTaskWaitsForAGangWithoutRoom failed before: "Expected <map[string]int | len:0>: {} to have length 1".

--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -105,6 +105,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.done < len(s.tasks) && s.hasWaiting() && c.isReady(s) {
+				s.starved = s.spec.LongRunning && c.isStarved(s.longestWaiting())
 				steps = append(steps, s)
 			}
 		}
@@ -121,13 +122,22 @@
 	return false
 }
 
-// placeStep starts the waiting tasks of a step on workers that have room.
-func (c *Core) placeStep(p *pass, s *stepState) {
+// waitingTasks returns the tasks of a step that need to be started, the one that
+// has waited the longest first.
+func (s *stepState) waitingTasks() []*task {
+	var waiting []*task
 	for i := range s.tasks {
-		t := &s.tasks[i]
-		if !t.isWaiting() {
-			continue
+		if s.tasks[i].isWaiting() {
+			waiting = append(waiting, &s.tasks[i])
 		}
+	}
+	slices.SortStableFunc(waiting, func(a, b *task) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
+	return waiting
+}
+
+// placeStep starts the waiting tasks of a step on workers that have room.
+func (c *Core) placeStep(p *pass, s *stepState) {
+	for _, t := range s.waitingTasks() {
 		w := c.selectWorker(p, t)
 		if w == nil && c.mayUseQuarantined(p, t) {
 			w = c.selectWorkerAmong(p, p.quarantined, t, anyWorker)
@@ -137,7 +147,7 @@
 			continue
 		}
 		if !c.makeRoom(p, t) {
-			return // the other tasks of the step have the same demand
+			return // the other tasks of the step have the same demand and have not waited longer
 		}
 	}
 }
