Drop an unreachable worker's inherited lease once its sidecar says it is over

Whether this fault caused it is not shown; it has this effect.

Cause: a new holder starts no task of an earlier job while a recorded worker has not listed its runs, until the previous holder can have no authority any more and the lease after it is over: 11.9 s. A worker that has crashed for good never lists, but its sidecar is linked and says that it can't reach it, and how long the lease lasts. That dropped the worker's record in the store, but not the wait.

Change: a sidecar that reports a worker as unreachable to this holder extends no lease for an earlier one. While its link is up, the worker's inherited runs count as over after the remaining lease, or after a full lease where the sidecar does not know it. The report carries the epoch that the sidecar follows, as listings do. The record of a worker that may still have inherited runs is kept.

Evidence: TestNewHolderWaitsOneLeaseForUnreachableWorker failed before, 3.5 s after the takeover: 'Expected <int>: 0 to equal <int>: 1' (runs on the other worker).

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -227,6 +227,9 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.wakeAt(w.leaseExpiry)
 		}
+		if w.unresponsive && c.mayHaveInheritedRuns(w) && w.inheritedExpiry > c.now.Monotonic {
+			c.wakeAt(w.inheritedExpiry)
+		}
 	}
 	if len(c.unreportedWorkers) > 0 {
 		c.wakeAt(c.inheritedExpiry)
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -111,6 +111,8 @@
 	requestedLease    time.Duration
 	// lostOrder reports that the link has lost an order.
 	lostOrder bool
+	// described is the worker's last description, nil if the sidecar has none.
+	described *runs.Description
 }
 
 // holder is a process that holds the shard, or believes that it does.
@@ -308,6 +310,9 @@
 		// A lost order also ends its link.
 		s.linked, s.unlinkedAt, s.lostOrder = h, 0, false
 		h.core.HostLinked(s.name)
+		if s.described != nil {
+			h.core.DescribeWorker(s.name, *s.described)
+		}
 	}
 	h.core.HostPinged(s.name)
 	s.holder = s.holder.Confirm(h.epoch, sim.now)
@@ -319,6 +324,7 @@
 	if s.incarnation != d.Incarnation {
 		s.incarnation, s.clock, s.requestedLease = d.Incarnation, gate.Clock{}, 0
 	}
+	s.described = &d
 	h.core.DescribeWorker(s.name, d)
 	s.listing++
 	listing, answer, err := s.worker.List(context.Background(), s.envelope(h.epoch), s.acked[d.Incarnation], 0)
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -53,6 +53,17 @@
 	return n
 }
 
+// countRunsElsewhere returns the number of tasks that run on other hosts than s.
+func countRunsElsewhere(sim *simulation, s *host) int {
+	n := 0
+	for _, other := range sim.workers {
+		if other != s {
+			n += len(other.worker.Tasks())
+		}
+	}
+	return n
+}
+
 func TestNewHolderWaitsForInheritedLease(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
@@ -86,6 +97,21 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
+// TestNewHolderWaitsOneLeaseForUnreachableWorker guards against waiting for the
+// previous holder's authority although the sidecar follows this holder.
+func TestNewHolderWaitsOneLeaseForUnreachableWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(8000, 8000)
+	_, lost := isolateWorkerAndReplaceHolder(g, sim)
+	lost.partitioned, lost.workerUnreachable = false, true
+	sim.run(testLease - 500*time.Millisecond)
+	g.Expect(countRunsElsewhere(sim, lost)).To(BeZero())
+	sim.run(time.Second)
+	g.Expect(countRunsElsewhere(sim, lost)).To(Equal(1))
+	g.Expect(sim.record.Violations).To(BeEmpty())
+	g.Expect(sim.store.workers).To(HaveLen(1))
+}
+
 func TestTasksOfUnresponsiveWorkerRestartAfterLeaseExpiry(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -72,7 +72,10 @@
 	listed bool
 	// leaseExpiry is when the worker's lease has certainly expired.
 	leaseExpiry time.Duration
-	runs        map[runKey]*runState
+	// inheritedExpiry is the same for leases that the sidecar extended for
+	// earlier holders. It is valid while the worker is unresponsive.
+	inheritedExpiry time.Duration
+	runs            map[runKey]*runState
 	// used is the sum of the resources that the runs hold, and beingStopped the
 	// part of it held by runs that are being stopped.
 	used, beingStopped carobkeel.Resources
@@ -140,15 +143,18 @@
 
 // WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
 // lease expires after remaining. A negative value means that the sidecar does
-// not know the time.
+// not know the time. The report shows that the sidecar follows this holder, so
+// that it extends no lease for an earlier one.
 func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
 	w := c.worker(host)
 	if w.unresponsive {
 		return
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
+	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
 	if remaining >= 0 {
-		w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(remaining))
+		w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(remaining)
+		w.leaseExpiry = min(w.leaseExpiry, w.inheritedExpiry)
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
@@ -186,7 +192,8 @@
 	w.control = paceControl{}
 }
 
-// forgetUnreported drops the earlier incarnations of a host's worker.
+// forgetUnreported drops the incarnations of a host's worker other than the given
+// one.
 func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
 	for old, oldHost := range c.unreportedWorkers {
 		if oldHost == host && old != incarnation {
@@ -196,6 +203,17 @@
 	}
 }
 
+// mayHaveInheritedRuns reports whether runs that an earlier holder started may
+// be active on the worker although it has not listed them.
+func (c *Core) mayHaveInheritedRuns(w *workerState) bool {
+	for _, host := range c.unreportedWorkers {
+		if host == w.host {
+			return true
+		}
+	}
+	return false
+}
+
 // WorkerShutDown records that a worker has shut down in an orderly way.
 func (c *Core) WorkerShutDown(host string, incarnation runs.Incarnation) {
 	if _, unreported := c.unreportedWorkers[incarnation]; unreported {
@@ -219,7 +237,11 @@
 // expireLeases releases the runs of workers whose lease has expired.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
-		if w.reachable || w.listed || c.now.Monotonic < w.leaseExpiry || (len(w.runs) == 0 && !w.recorded) {
+		if w.reachable || w.listed || c.now.Monotonic < w.leaseExpiry {
+			continue
+		}
+		c.expireInheritedOn(w)
+		if (len(w.runs) == 0 && !w.recorded) || c.mayHaveInheritedRuns(w) {
 			continue
 		}
 		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host})
@@ -228,6 +250,17 @@
 	}
 }
 
+// expireInheritedOn drops the incarnations of a worker that have not listed to
+// this holder, once no lease of an earlier holder can be valid there.
+func (c *Core) expireInheritedOn(w *workerState) {
+	if !w.linked || !w.unresponsive || c.now.Monotonic < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
+	w.recorded = false
+	c.forgetUnreported(w.host, runs.Incarnation{})
+}
+
 // forgetIncarnation drops the record of an incarnation without runs. If the
 // worker reports again, a new record is written before anything starts there.
 func (c *Core) forgetIncarnation(w *workerState) {
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -228,7 +228,9 @@
 			return nil, err
 		}
 		return func(l *loop) {
-			l.core.WorkerUnreachable(p.host, time.Duration(s.Remaining)*time.Millisecond)
+			if l.node.holderState.Load().Row.Epoch == s.Epoch {
+				l.core.WorkerUnreachable(p.host, time.Duration(s.Remaining)*time.Millisecond)
+			}
 		}, nil
 	}
 	var left wire.WorkerShutDown
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -110,6 +110,8 @@
 	// Remaining is the time until the worker's lease expires, in milliseconds. It
 	// is negative if the sidecar does not know it.
 	Remaining int64
+	// Epoch is the epoch of the holder that the sidecar follows.
+	Epoch uint64
 }
 
 // WorkerShutDown reports that a worker has shut down in an orderly way.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -1062,9 +1062,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z WorkerUnreachable) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendInt64(o, z.Remaining)
+	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -1076,8 +1077,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	z.Remaining, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1085,12 +1086,17 @@
 		err = msgp.WrapError(err, "Remaining")
 		return
 	}
+	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z WorkerUnreachable) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size
+	s = 1 + msgp.Int64Size + msgp.Uint64Size
 	return
 }
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -172,7 +172,9 @@
 		a.log.Warn().Str("worker", d.ID).Dur("lease_left", remaining).Err(err).Msg("worker does not answer")
 	}
 	if holderLink := a.holderLink.Load(); holderLink != nil {
-		holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{Remaining: remaining.Milliseconds()})
+		holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{
+			Remaining: remaining.Milliseconds(), Epoch: uint64(holderLink.epoch()),
+		})
 	}
 }
 
