--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -95,7 +95,6 @@
 	record  *standin.Record
 	mu      sync.Mutex
 	entries []*entry
-	agents  []*agent.Agent
 	config  *carobkeel.QueueConfig
 	logger  *log.Logger
 }
@@ -145,27 +144,48 @@
 	f.entries = append(f.entries, &entry{node: node, jobs: submission.New(testShard, f.rows, node, submission.NewMetrics(tally.NoopScope), f.logger), stop: cancel})
 }
 
-func (f *cluster) startWorker(t *testing.T, host string) {
+// startWorker starts a worker with its sidecar, and returns the worker and a
+// function that stops the sidecar.
+func (f *cluster) startWorker(t *testing.T, host string) (*realTimeWorker, context.CancelFunc) {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	worker := f.newWorker(host)
+	a, stop := f.startSidecar(t, host, worker)
+	a.RecordHeartbeat(worker.worker.Description())
+	return worker, stop
+}
+
+func (f *cluster) newWorker(host string) *realTimeWorker {
 	worker := standin.New(standin.Config{
 		Description: runs.Description{
 			Incarnation: runs.Incarnation{ID: "w-" + host, StartedAtMs: 1}, Service: testService, Rack: "r1", Labels: []string{"a", "r1"},
 			Capacity: carobkeel.Resources{MilliCPU: 8000, MemoryBytes: 32 << 30}, Sequence: 1,
 		},
 		MaxLease: 10 * time.Second, StopGrace: 100 * time.Millisecond, Record: f.record,
-		Work: func(carobkeel.TaskName, int) standin.Work {
-			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone}
+		Work: func(task carobkeel.TaskName, _ int) standin.Work {
+			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone, Endless: task.Job == longRunningJobID}
 		},
 	})
-	realTime := &realTimeWorker{mu: &f.mu, worker: worker, advancedTo: clock.Boottime()}
-	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, realTime, func(ctx context.Context) ([]string, error) {
+	return &realTimeWorker{mu: &f.mu, worker: worker, advancedTo: clock.Boottime()}
+}
+
+// startSidecar starts the sidecar of a host, which has not heard of its worker yet.
+func (f *cluster) startSidecar(t *testing.T, host string, worker *realTimeWorker) (*agent.Agent, context.CancelFunc) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, worker, func(ctx context.Context) ([]string, error) {
 		return directory.Addresses(ctx, f.rows, f.logger)
 	}, agent.NewMetrics(tally.NoopScope), f.logger)
-	a.RecordHeartbeat(worker.Description())
 	go a.Run(ctx)
-	f.agents = append(f.agents, a)
+	return a, cancel
+}
+
+// countTasks returns the number of tasks that run on the worker.
+func (w *realTimeWorker) countTasks() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+	return len(w.worker.Tasks())
 }
 
 // leader returns the entry that holds the shard, nil if there is none.
@@ -189,6 +209,16 @@
 	}
 }
 
+// longRunningJobID is the job whose tasks run until they are stopped.
+const longRunningJobID = carobkeel.JobID("00000000000000aa")
+
+func longRunningJob() *carobkeel.JobSpec {
+	job := testJob(0xaa)
+	job.Steps = job.Steps[:1]
+	job.Steps[0].Count, job.Steps[0].LongRunning = 1, true
+	return job
+}
+
 func (f *cluster) submit(g Gomega, e *entry, n int) carobkeel.JobID {
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 	defer cancel()
@@ -260,6 +290,22 @@
 	g.Expect(f.violations()).To(BeEmpty())
 }
 
+// TestTaskRestartsAfterWorkerVanishedAndSidecarRestarted guards against extending a
+// lease by the pings of a sidecar that has not heard of its worker.
+func TestTaskRestartsAfterWorkerVanishedAndSidecarRestarted(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 1, 0)
+	vanishing, stopSidecar := f.startWorker(t, "host-0")
+	g.Expect(f.entries[0].jobs.Submit(context.Background(), longRunningJob())).To(Succeed())
+	g.Eventually(vanishing.countTasks, waitTimeout).Should(Equal(1))
+	stopSidecar()
+	f.startSidecar(t, "host-0", f.newWorker("host-0"))
+	other, _ := f.startWorker(t, "host-1")
+	g.Eventually(vanishing.countTasks, waitTimeout).Should(BeZero())
+	g.Eventually(other.countTasks, waitTimeout).Should(Equal(1))
+	g.Expect(f.violations()).To(BeEmpty())
+}
+
 func TestHolderThatResignsIsReplaced(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 2, 1)
