Let a new holder finish reading a large shard

Callers saw: nothing starts and nothing that ended is noted while entries replace each other as holder (LOST, and all leases lapse), for as long as reading the shard takes more than a second.

Cause: an entry that reads the shard does not lead yet, and answers so. The other entries took that for a holder that had stepped down, and took over a second after its row was written; the first one found itself superseded and began again. Above 3 s an attempt was given up by itself.

Change: a process that takes over says so in its answers, and the others wait while it answers and reaches the store. An attempt may take 15 s, and ends when another holder or the process's own shutdown supersedes it. The holder row is confirmed by the feed while the shard is read too, so that a holder does not step down after a long read.

--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -41,7 +41,9 @@
 	// lastPong is when the last pong was received.
 	lastPong    atomic.Int64
 	holderLeads atomic.Bool
-	storeAge    atomic.Int64
+	// holderTakesOver is whether the last pong stated that the holder takes over.
+	holderTakesOver atomic.Bool
+	storeAge        atomic.Int64
 	// restarted reports that another incarnation answers at the holder's
 	// address.
 	restarted atomic.Bool
@@ -110,6 +112,7 @@
 			return err
 		}
 		h.holderLeads.Store(pong.IsHolder)
+		h.holderTakesOver.Store(pong.TakingOver)
 		h.restarted.Store(pong.Incarnation != h.holder)
 		h.storeAge.Store(pong.StoreAge)
 		h.lastPong.Store(int64(clock.Boottime()))
@@ -129,6 +132,7 @@
 func (h *holderLink) observe(o *observation) {
 	o.lastPong = time.Duration(h.lastPong.Load())
 	o.holderLeads = h.holderLeads.Load()
+	o.holderTakesOver = h.holderTakesOver.Load()
 	o.restarted = h.restarted.Load()
 	o.holderStoreAge = time.Duration(h.storeAge.Load()) * time.Millisecond
 }
--- a/scheduler/holder/election.go
+++ b/scheduler/holder/election.go
@@ -20,8 +20,9 @@
 	// service without a failure before it takes over from a holder that can't
 	// reach it.
 	minOwnStoreStable = 1200 * time.Millisecond
-	// shardReadTimeout is how long a new holder may take to read the shard.
-	shardReadTimeout = time.Second
+	// newHolderTimeout is how long a new holder may take until it answers that it
+	// takes over or leads.
+	newHolderTimeout = time.Second
 	// noSidecarDelay delays the takeover by a candidate without any linked
 	// sidecar.
 	noSidecarDelay = 1500 * time.Millisecond
@@ -47,6 +48,9 @@
 	// holderLeads is whether the holder stated in its last answer that it holds
 	// the shard.
 	holderLeads bool
+	// holderTakesOver is whether the holder stated in its last answer that it is
+	// taking over.
+	holderTakesOver bool
 	// restarted reports that another incarnation answers at the holder's
 	// address, so that the holder's process has ended.
 	restarted bool
@@ -95,8 +99,8 @@
 	if o.restarted {
 		return "holder's process has ended", true
 	}
-	if !o.holderLeads {
-		return "holder stepped down", o.now-o.rowSince > shardReadTimeout
+	if !o.holderLeads && !o.holderTakesOver {
+		return "holder stepped down", o.now-o.rowSince > newHolderTimeout
 	}
 	if o.holderStoreAge > holderStoreTimeout && o.now-o.storeFailed > minOwnStoreStable {
 		return "holder can't reach the table service", true
--- a/scheduler/holder/election_test.go
+++ b/scheduler/holder/election_test.go
@@ -40,9 +40,15 @@
 			o.lastPong, o.holderRefuses = now-holderRefusedTimeout, true
 		}), true},
 		{"the holder resigned", change(func(o *observation) { o.holderLeads = false }), true},
+		{"a new holder has not said yet that it reads the shard", change(func(o *observation) {
+			o.holderLeads, o.rowSince = false, now-newHolderTimeout/2
+		}), false},
 		{"a new holder still reads the shard", change(func(o *observation) {
-			o.holderLeads, o.rowSince = false, now-shardReadTimeout/2
+			o.holderLeads, o.holderTakesOver = false, true
 		}), false},
+		{"a new holder that reads the shard is cut from the table service", change(func(o *observation) {
+			o.holderLeads, o.holderTakesOver, o.holderStoreAge = false, true, holderStoreTimeout+time.Millisecond
+		}), true},
 		{"the holder is cut from the table service", change(func(o *observation) {
 			o.holderStoreAge = holderStoreTimeout + time.Millisecond
 		}), true},
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -38,15 +38,15 @@
 	// term is cancelled when this node steps down as the holder.
 	term    context.Context
 	endTerm context.CancelFunc
-	// holdConfirmed is the last time at which this node certainly held the
-	// shard.
+	// holdConfirmed is the last time at which the holder row that this node knows
+	// was certainly the newest one.
 	holdConfirmed time.Duration
 	// predecessor is the previous holder, and predecessorEnded reports that its
 	// process has certainly ended.
 	predecessor      wire.HolderRow
 	predecessorEnded bool
-	// takingOver reports that an attempt to take over is in progress.
-	takingOver bool
+	// endTakeover ends the attempt to take over that is in progress.
+	endTakeover context.CancelFunc
 	// batchInFlight reports that a batch is being stored, and batchEnded is
 	// when the last one was finished.
 	batchInFlight bool
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -93,8 +93,10 @@
 	storeAnswered, storeFailed atomic.Int64
 	// holderRefuses reports that the holder's address refuses connections.
 	holderRefuses atomic.Bool
-	resigned      atomic.Bool
-	sidecars      sync.Map
+	// takingOver reports that an attempt to take over is in progress.
+	takingOver atomic.Bool
+	resigned   atomic.Bool
+	sidecars   sync.Map
 }
 
 // New returns a node that does not hold the shard.
@@ -159,6 +161,9 @@
 		if l.core != nil {
 			l.stepDown("process is shutting down")
 		}
+		if n.takingOver.Load() {
+			l.endTakeover()
+		}
 	})
 }
 
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -290,6 +290,24 @@
 	g.Expect(f.violations()).To(BeEmpty())
 }
 
+// TestNewHolderMayReadALargeShard guards against takeovers that replace each other
+// because reading the shard takes longer than a second.
+func TestNewHolderMayReadALargeShard(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 3, 1)
+	g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
+	f.rows.DelayScans(holder.TableJobs, 3500*time.Millisecond)
+	f.leader().node.Resign()
+	g.Eventually(f.leader, waitTimeout).Should(BeNil())
+	g.Eventually(f.leader, 6*time.Second).ShouldNot(BeNil())
+	row, _, err := f.memory.Get(context.Background(), table.RowID{Table: holder.TableHolders, Part: testShard, Key: "holder"})
+	g.Expect(err).NotTo(HaveOccurred())
+	var current wire.HolderRow
+	_, err = current.UnmarshalMsg(row.Value)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(current.Epoch).To(BeEquivalentTo(2))
+}
+
 // TestTaskRestartsAfterWorkerVanishedAndSidecarRestarted guards against extending a
 // lease by the pings of a sidecar that has not heard of its worker.
 func TestTaskRestartsAfterWorkerVanishedAndSidecarRestarted(t *testing.T) {
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -163,6 +163,7 @@
 		Sequence:    p.pinged.Load(),
 		StoreAge:    n.StoreAge().Milliseconds(),
 		Incarnation: uint64(n.config.Incarnation),
+		TakingOver:  n.takingOver.Load(),
 	}
 	if s := n.holderState.Load(); s != nil {
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -25,8 +25,9 @@
 	// followTimeout is how long a request for changes waits. The age of the
 	// last answer shows whether the table service is reachable.
 	followTimeout = time.Second
-	// takeoverTimeout bounds one attempt to take over.
-	takeoverTimeout = 3 * time.Second
+	// takeoverTimeout bounds one attempt to take over. Another attempt would have
+	// to read the same rows.
+	takeoverTimeout = 15 * time.Second
 )
 
 // mustEncode encodes a row. The types of rows can't fail to encode.
@@ -63,9 +64,7 @@
 			l.applyHolderRow(row)
 		}
 	}
-	if l.core != nil {
-		l.holdConfirmed = max(l.holdConfirmed, changes.RequestedAt)
-	}
+	l.holdConfirmed = max(l.holdConfirmed, changes.RequestedAt)
 }
 
 func (l *loop) applyHolderRow(row table.VersionedRow) {
@@ -81,6 +80,9 @@
 	if l.core != nil {
 		l.stepDown("the table service names " + holder.Host)
 	}
+	if l.node.takingOver.Load() && holder.Incarnation != uint64(l.node.config.Incarnation) {
+		l.endTakeover()
+	}
 	l.node.log.Info().Str("holder", holder.Host).Uint64("epoch", holder.Epoch).Msg("holder changed")
 	l.node.holderRefuses.Store(false)
 	l.node.holderState.Store(&HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()})
@@ -89,7 +91,7 @@
 // considerTakeover starts a takeover if one is due.
 func (l *loop) considerTakeover() {
 	n := l.node
-	if l.takingOver || n.resigned.Load() || n.queues.Load().Version == 0 {
+	if n.takingOver.Load() || n.resigned.Load() || n.queues.Load().Version == 0 {
 		return
 	}
 	o := n.observe()
@@ -97,13 +99,14 @@
 	if !takeOver {
 		return
 	}
-	l.takingOver = true
+	n.takingOver.Store(true)
 	n.log.Info().Str("reason", reason).Int("sidecars", o.sidecars).Int("hearing", o.reachingHolder).
 		Dur("silent", o.now-max(o.lastPong, o.rowSince)).Msg("taking over")
 	holderState := *n.holderState.Load()
 	l.predecessor, l.predecessorEnded = holderState.Row, o.restarted
+	ctx, cancel := context.WithTimeout(l.ctx, takeoverTimeout)
+	l.endTakeover = cancel
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, takeoverTimeout)
 		defer cancel()
 		state, err := n.takeOver(ctx, holderState)
 		n.events.Push(func(l *loop) { l.finishTakeover(state, err) })
@@ -200,12 +203,15 @@
 
 // finishTakeover starts scheduling after a successful takeover.
 func (l *loop) finishTakeover(t *takeoverState, err error) {
-	l.takingOver = false
 	n := l.node
+	defer n.takingOver.Store(false) // after Leading, as another process takes over if both are false
 	if err != nil {
 		n.log.Warn().Err(err).Msg("takeover failed")
 		return
 	}
+	if n.resigned.Load() {
+		return
+	}
 	if s := n.holderState.Load(); s != nil && s.Version > t.holderState.Version {
 		n.log.Warn().Str("holder", s.Row.Host).Msg("takeover superseded by another process")
 		return
@@ -226,7 +232,7 @@
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
 	l.term, l.endTerm = context.WithCancel(l.ctx)
-	l.holdConfirmed = t.requestedAt
+	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
 	l.batchInFlight = false
 	l.versions = make(map[carobkeel.JobID]table.Version)
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -34,9 +34,10 @@
 // Pong answers a Ping.
 type Pong struct {
 	Sequence uint64
-	// IsHolder reports that the sender holds the shard.
-	IsHolder bool
-	Epoch    uint64
+	// IsHolder reports that the sender holds the shard, TakingOver that it is about
+	// to: it writes the holder row or reads the shard.
+	IsHolder, TakingOver bool
+	Epoch                uint64
 	// StoreAge is the time since the holder last reached the table service, in
 	// milliseconds.
 	StoreAge int64
--- a/table/faulty/rows.go
+++ b/table/faulty/rows.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
 )
 
@@ -20,6 +21,8 @@
 	// without an answer, delay the number that are held back without an answer.
 	loseAnswers, delay int
 	late               []table.RowTransaction
+	// scanDelays holds the time that each page of a table takes.
+	scanDelays map[string]time.Duration
 }
 
 // NewRows returns a service without faults.
@@ -32,6 +35,13 @@
 	r.down = down
 }
 
+// DelayScans makes each scan of the table take at least d.
+func (r *Rows) DelayScans(tableName string, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.scanDelays = map[string]time.Duration{tableName: d}
+}
+
 // DropAnswers lets the next n transactions take effect without an answer.
 func (r *Rows) DropAnswers(n int) {
 	r.mu.Lock()
@@ -73,6 +83,12 @@
 	return r.down
 }
 
+func (r *Rows) scanDelay(tableName string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.scanDelays[tableName]
+}
+
 // nextFault reports whether a transaction is applied and whether it is answered.
 func (r *Rows) nextFault(txn table.RowTransaction) (apply, answer bool) {
 	r.mu.Lock()
@@ -119,6 +135,9 @@
 	if r.isDown() {
 		return table.RowScan{}, table.ErrUnavailable
 	}
+	if err := clock.Sleep(ctx, r.scanDelay(tableName)); err != nil {
+		return table.RowScan{}, errors.Wrap(table.ErrUnavailable, err.Error())
+	}
 	return r.rows.Scan(ctx, tableName, part, from)
 }
 
