--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -163,6 +163,7 @@
 		Sequence:    p.pinged.Load(),
 		StoreAge:    n.StoreAge().Milliseconds(),
 		Incarnation: uint64(n.config.Incarnation),
+		TakingOver:  n.takingOver.Load(),
 	}
 	if s := n.holderState.Load(); s != nil {
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
@@ -228,7 +229,9 @@
 			return nil, err
 		}
 		return func(l *loop) {
-			l.core.WorkerUnreachable(p.host, time.Duration(s.Remaining)*time.Millisecond)
+			if l.node.holderState.Load().Row.Epoch == s.Epoch {
+				l.core.WorkerUnreachable(p.host, time.Duration(s.Remaining)*time.Millisecond)
+			}
 		}, nil
 	}
 	var left wire.WorkerShutDown
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -34,9 +34,10 @@
 // Pong answers a Ping.
 type Pong struct {
 	Sequence uint64
-	// IsHolder reports that the sender holds the shard.
-	IsHolder bool
-	Epoch    uint64
+	// IsHolder reports that the sender holds the shard, TakingOver that it is about
+	// to: it writes the holder row or reads the shard.
+	IsHolder, TakingOver bool
+	Epoch                uint64
 	// StoreAge is the time since the holder last reached the table service, in
 	// milliseconds.
 	StoreAge int64
@@ -110,6 +111,8 @@
 	// Remaining is the time until the worker's lease expires, in milliseconds. It
 	// is negative if the sidecar does not know it.
 	Remaining int64
+	// Epoch is the epoch of the holder that the sidecar follows.
+	Epoch uint64
 }
 
 // WorkerShutDown reports that a worker has shut down in an orderly way.
