Wait one lease for earlier holders that follow the new one

Cause: a new holder that waits for a worker shortened its wait of 11.9 s only when another process answered on the previous holder's host. A holder that woke up again or had shut down, and followed the new one, was waited for to the end of its authority. The sign of a restart was also missed while the shard was read, and after an attempt that failed, since the own row of that attempt was then taken for the previous holder's. The other way round, an earlier holder than the previous one was forgotten, whose authority may last longer: its leases could be taken as over too early (TWICE).

Change: each entry keeps the earlier holders that it has seen replaced, each with the time until which it may extend leases: 8 s after its row was replaced, or now, once another process runs on its host or its process pings the new holder under a later epoch. The wait is the longest of these and one lease, counted from the writing of the row, not from the end of reading the shard.

The row 'the last one was restarted, and the one before may live' of TestInheritedLeaseAfterHolderChanges shows the second fault; there was no such type before.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -15,8 +15,8 @@
 	// WorkerLease is the duration of a worker's lease, counted from the
 	// sidecar's ping.
 	WorkerLease time.Duration
-	// InheritedLease bounds how long, from the start of this epoch, runs that
-	// the previous holder may have started can continue on unreachable workers.
+	// InheritedLease bounds how long, from now on, runs that earlier holders may
+	// have started can continue on unreachable workers.
 	InheritedLease time.Duration
 }
 
@@ -239,10 +239,10 @@
 	}
 }
 
-// PredecessorEnded records that the process of the previous holder has ended, so
-// that only this holder extends leases from now on.
-func (c *Core) PredecessorEnded() {
-	c.inheritedExpiry = min(c.inheritedExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+// LimitInheritedLease records that leases that earlier holders extended can run for
+// at most d from now on, because these holders have ended or stepped down.
+func (c *Core) LimitInheritedLease(d time.Duration) {
+	c.inheritedExpiry = min(c.inheritedExpiry, c.now.Monotonic+maxLeaseDuration(d))
 	c.recordDecision(Decision{Kind: DecidedPredecessorEnded, Waited: c.inheritedExpiry - c.now.Monotonic})
 }
 
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -55,8 +55,8 @@
 	// DecidedInheritedLeaseExpired drops a worker that never listed its runs to this
 	// holder.
 	DecidedInheritedLeaseExpired DecisionKind = "inherited lease expired"
-	// DecidedPredecessorEnded reports that the previous holder can't extend
-	// leases any more.
+	// DecidedPredecessorEnded reports that an earlier holder can't extend leases
+	// any more.
 	DecidedPredecessorEnded DecisionKind = "previous holder ended"
 )
 
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -41,10 +41,8 @@
 	// holdConfirmed is the last time at which the holder row that this node knows
 	// was certainly the newest one.
 	holdConfirmed time.Duration
-	// predecessor is the previous holder, and predecessorEnded reports that its
-	// process has certainly ended.
-	predecessor      wire.HolderRow
-	predecessorEnded bool
+	// predecessors are the earlier holders, as far as this process has seen them.
+	predecessors predecessors
 	// endTakeover ends the attempt to take over that is in progress.
 	endTakeover context.CancelFunc
 	// batchInFlight reports that a batch is being stored, and batchEnded is
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -33,9 +33,10 @@
 type peer struct {
 	node *Node
 	link *link.Link
-	// role and host are set by the hello, which is the first frame.
-	role int
-	host string
+	// role, host and incarnation are set by the hello, which is the first frame.
+	role        int
+	host        string
+	incarnation uint64
 	// pinged is the sequence number of the peer's last ping.
 	pinged atomic.Uint64
 	// holderAge is how long before its last ping the peer had last received a
@@ -108,9 +109,8 @@
 	if err := wire.Decode(f, &hello); err != nil {
 		return err
 	}
-	p.role, p.host = hello.Role, hello.Host
+	p.role, p.host, p.incarnation = hello.Role, hello.Host, hello.Incarnation
 	if p.role != wire.RoleSidecar {
-		p.node.events.Push(func(l *loop) { l.entrySeen(hello.Host, hello.Incarnation) })
 		return nil
 	}
 	if old, had := p.node.sidecars.Swap(p.host, p); had {
@@ -140,8 +140,11 @@
 	}
 	p.holderAge.Store(ping.HolderAge)
 	p.pingedAt.Store(int64(clock.Boottime()))
-	p.pinged.Store(ping.Sequence)
+	first := p.pinged.Swap(ping.Sequence) == 0
 	n := p.node
+	if p.role == wire.RoleEntry && first {
+		n.events.Push(func(l *loop) { l.entrySeen(p.host, p.incarnation, ping.Epoch) })
+	}
 	if s := n.holderState.Load(); s != nil && s.Leading && ping.Epoch > s.Row.Epoch {
 		n.events.Push(func(l *loop) {
 			if s := l.node.holderState.Load(); l.core != nil && s.Row.Epoch < ping.Epoch {
--- /dev/null
+++ b/scheduler/holder/predecessors.go
@@ -0,0 +1,55 @@
+package holder
+
+import (
+	"slices"
+	"time"
+
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+)
+
+// predecessors are the earlier holders that may still extend leases of workers.
+type predecessors []predecessor
+
+type predecessor struct {
+	row wire.HolderRow
+	// extendsUntil is the time from which it certainly extends no lease.
+	extendsUntil time.Duration
+}
+
+// add adds a holder whose row was replaced by the given time.
+func (p *predecessors) add(row wire.HolderRow, replaced time.Duration) {
+	*p = append(*p, predecessor{row: row, extendsUntil: replaced + authorityTimeout + authoritySlack})
+}
+
+// prune drops the holders whose leases have expired.
+func (p *predecessors) prune(now, lease time.Duration) {
+	*p = slices.DeleteFunc(*p, func(old predecessor) bool { return old.extendsUntil+lease < now })
+}
+
+// observe records that a process runs on a host and follows the holder of an
+// epoch. It returns whether that shows that an earlier holder has ended or stepped
+// down.
+func (p predecessors) observe(host string, incarnation, epoch uint64, now time.Duration) bool {
+	ended := false
+	for i := range p {
+		old := &p[i]
+		if old.row.Host != host || (old.row.Incarnation == incarnation && epoch <= old.row.Epoch) {
+			continue
+		}
+		if now < old.extendsUntil {
+			old.extendsUntil = now
+			ended = true
+		}
+	}
+	return ended
+}
+
+// remainingLease returns how long leases that the earlier holders extended can still
+// run, where a lease has the given duration.
+func (p predecessors) remainingLease(now, lease time.Duration) time.Duration {
+	remaining := time.Duration(0)
+	for _, old := range p {
+		remaining = max(remaining, old.extendsUntil+lease-now)
+	}
+	return remaining
+}
--- /dev/null
+++ b/scheduler/holder/predecessors_test.go
@@ -0,0 +1,60 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+)
+
+func TestInheritedLeaseAfterHolderChanges(t *testing.T) {
+	const lease = 3 * time.Second
+	replaced := time.Hour
+	authority := authorityTimeout + authoritySlack
+	first := wire.HolderRow{Epoch: 4, Host: "a", Incarnation: 1}
+	second := wire.HolderRow{Epoch: 5, Host: "b", Incarnation: 2}
+	after := time.Second
+	for _, c := range []struct {
+		name    string
+		observe func(p predecessors, now time.Duration)
+		want    time.Duration
+	}{
+		{"nothing is known", func(predecessors, time.Duration) {}, authority + lease},
+		{"both follow the new epoch", func(p predecessors, now time.Duration) {
+			p.observe("a", 1, 6, now)
+			p.observe("b", 2, 6, now)
+		}, lease},
+		{"both were restarted", func(p predecessors, now time.Duration) {
+			p.observe("a", 7, 0, now)
+			p.observe("b", 8, 0, now)
+		}, lease},
+		{"the last one was restarted, and the one before may live", func(p predecessors, now time.Duration) {
+			p.observe("b", 8, 0, now)
+		}, authority + lease - after},
+		{"the last one answers without knowing its successor", func(p predecessors, now time.Duration) {
+			p.observe("a", 1, 5, now)
+			p.observe("b", 2, 5, now)
+		}, authority + lease},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var p predecessors
+			p.add(first, replaced-after)
+			p.add(second, replaced)
+			c.observe(p, replaced)
+			NewWithT(t).Expect(p.remainingLease(replaced, lease)).To(Equal(c.want))
+		})
+	}
+}
+
+func TestPredecessorsAreDroppedAfterTheirLeases(t *testing.T) {
+	g := NewWithT(t)
+	const lease = 3 * time.Second
+	var p predecessors
+	p.add(wire.HolderRow{Epoch: 1, Host: "a"}, 0)
+	p.prune(authorityTimeout+authoritySlack+lease, lease)
+	g.Expect(p).To(HaveLen(1))
+	p.prune(authorityTimeout+authoritySlack+lease+1, lease)
+	g.Expect(p).To(BeEmpty())
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -85,7 +85,19 @@
 	}
 	l.node.log.Info().Str("holder", holder.Host).Uint64("epoch", holder.Epoch).Msg("holder changed")
 	l.node.holderRefuses.Store(false)
-	l.node.holderState.Store(&HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()})
+	next := &HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()}
+	l.recordPredecessor(next)
+	l.node.holderState.Store(next)
+}
+
+// recordPredecessor records that a newer holder row replaces the current one.
+func (l *loop) recordPredecessor(next *HolderState) {
+	l.predecessors.prune(next.Since, l.node.config.WorkerLease)
+	if old := l.node.holderState.Load(); old != nil && old.Row.Epoch > 0 && old.Version < next.Version {
+		l.predecessors.add(old.Row, next.Since)
+		// This process doesn't extend leases under the earlier row any more.
+		l.predecessors.observe(l.node.config.Host, uint64(l.node.config.Incarnation), next.Row.Epoch, next.Since)
+	}
 }
 
 // considerTakeover starts a takeover if one is due.
@@ -103,7 +115,6 @@
 	n.log.Info().Str("reason", reason).Int("sidecars", o.sidecars).Int("hearing", o.reachingHolder).
 		Dur("silent", o.now-max(o.lastPong, o.rowSince)).Msg("taking over")
 	holderState := *n.holderState.Load()
-	l.predecessor, l.predecessorEnded = holderState.Row, o.restarted
 	ctx, cancel := context.WithTimeout(l.ctx, takeoverTimeout)
 	l.endTakeover = cancel
 	go func() {
@@ -220,6 +231,7 @@
 		n.log.Warn().Msg("takeover superseded while the shard was read")
 		return
 	}
+	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
 	n.holderState.Store(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
@@ -240,7 +252,7 @@
 	l.core = dispatch.New(dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
-		InheritedLease: l.inheritedLease(),
+		InheritedLease: l.predecessors.remainingLease(clock.Boottime(), n.config.WorkerLease),
 	}, l.now(), n.decodeWorkers(t.workers))
 	l.core.SetQueues(n.queues.Load())
 	l.restoreInterference(t.interference)
@@ -258,25 +270,13 @@
 	go l.followJobs(l.term, t.from, t.holderState.Version)
 }
 
-// inheritedLease returns how long runs that the previous holder started may
-// continue on unreachable workers. A process that has ended extends no more
-// leases.
-func (l *loop) inheritedLease() time.Duration {
-	if l.predecessorEnded {
-		return l.node.config.WorkerLease
-	}
-	return authorityTimeout + authoritySlack + l.node.config.WorkerLease
-}
-
-// entrySeen records that a process runs on an entry's host. If it is another
-// incarnation on the previous holder's host, the previous holder's process has
-// ended.
-func (l *loop) entrySeen(host string, incarnation uint64) {
-	if l.core == nil || l.predecessorEnded || host != l.predecessor.Host || incarnation == l.predecessor.Incarnation {
-		return
+// entrySeen records that a process runs on an entry's host and follows the holder
+// of an epoch.
+func (l *loop) entrySeen(host string, incarnation, epoch uint64) {
+	now := clock.Boottime()
+	if l.predecessors.observe(host, incarnation, epoch, now) && l.core != nil {
+		l.core.LimitInheritedLease(l.predecessors.remainingLease(now, l.node.config.WorkerLease))
 	}
-	l.predecessorEnded = true
-	l.core.PredecessorEnded()
 }
 
 func (l *loop) restore(row table.VersionedRow) {
