Restart located tasks while another worker has not listed

Callers saw: LOST, a task that lasts does not run with room for it, for up to 11.9 s after a takeover in which one recorded worker never lists (its host is lost for good). Whether that was the reported case is not shown.

Cause: as long as any recorded worker had not listed, no task of an earlier job started, even one that another worker had listed under the new epoch and that failed or was stopped there later.

Change: a task has one run at a time unless its step allows duplicates, so that a listed run shows that no worker which has not listed runs the task. Such tasks start at once; a gang starts once all its members may.

Evidence: TestListedTaskRestartsWhileAnotherWorkerIsUnreported failed before: 'Expected <int>: 0 to equal <int>: 2', 3 s after the takeover.

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -82,6 +82,9 @@
 	checkpoint string
 	// runs are the runs that may be active.
 	runs []*runState
+	// located reports that a worker has listed the only run of the task under this
+	// epoch, so that no other worker has one that an earlier holder started.
+	located bool
 	// waitingSince is when the task last began to wait.
 	waitingSince time.Duration
 	// failedHosts are the hosts on which runs failed.
@@ -98,6 +101,14 @@
 // isWaiting reports whether the task needs to be started.
 func (t *task) isWaiting() bool { return !t.done && len(t.runs) == 0 }
 
+// isHeldBack reports whether a worker that has not listed its runs may run the task.
+func (c *Core) isHeldBack(t *task) bool {
+	return t.job().inherited && len(c.unreportedWorkers) > 0 && !t.located
+}
+
+// canStart reports whether the task needs to be started and surely runs nowhere.
+func (c *Core) canStart(t *task) bool { return t.isWaiting() && !c.isHeldBack(t) }
+
 // runsPerEpoch is the distance between the first run numbers of successive
 // epochs. A new holder does not know how many runs the previous one started.
 const runsPerEpoch = 1 << 12
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -148,6 +148,7 @@
 	r.adopted = true
 	if t != nil {
 		t.lastRun = max(t.lastRun, running.Run)
+		t.located = t.located || !t.step.spec.AllowsDuplicates
 		t.job().hasStarted = true
 		if t.job().visibleState == carobkeel.JobPending {
 			c.publishState(t.job(), carobkeel.JobActive)
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -88,12 +88,9 @@
 }
 
 func (c *Core) appendWaiting(steps []*stepState, j *job) []*stepState {
-	if j.inherited && len(c.unreportedWorkers) > 0 {
-		return steps
-	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.done < len(s.tasks) && s.hasWaiting() && c.isReady(s) {
+			if s.done < len(s.tasks) && c.hasStartable(s) && c.isReady(s) {
 				steps = append(steps, s)
 			}
 		}
@@ -101,6 +98,20 @@
 	return steps
 }
 
+// hasStartable reports whether tasks of the step can start. All members of a gang
+// start at once.
+func (c *Core) hasStartable(s *stepState) bool {
+	startable := false
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if s.spec.Gang && c.isHeldBack(t) {
+			return false
+		}
+		startable = startable || c.canStart(t)
+	}
+	return startable
+}
+
 func (s *stepState) hasWaiting() bool {
 	for i := range s.tasks {
 		if s.tasks[i].isWaiting() {
@@ -114,7 +125,7 @@
 func (c *Core) placeStep(p *pass, s *stepState) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if !t.isWaiting() {
+		if !c.canStart(t) {
 			continue
 		}
 		if w := c.selectWorker(p, t); w != nil {
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -75,6 +75,30 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
+// TestListedTaskRestartsWhileAnotherWorkerIsUnreported guards against holding back
+// a task that surely does not run on the worker that has not listed.
+func TestListedTaskRestartsWhileAnotherWorkerIsUnreported(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4000, 4000, 4000)
+	failAfter := 3500 * time.Millisecond
+	sim.work = func(_ carobkeel.TaskName, run int) standin.Work {
+		return standin.Work{Duration: failAfter, Outcome: runs.OutcomeFailed, Endless: run > 1}
+	}
+	first := sim.takeOver()
+	sim.run(time.Second)
+	spec := longRunningJob()
+	spec.Steps[0].Count = 3
+	sim.accept(spec)
+	sim.run(time.Second)
+	sim.workers["host-0"].partitioned = true
+	first.ended = true
+	sim.takeOver()
+	sim.run(failAfter - 500*time.Millisecond) // the first runs have failed
+	g.Expect(countReachableRuns(sim)).To(Equal(2))
+	sim.run(testAuthority + 2*testLease)
+	g.Expect(sim.record.Violations).To(BeEmpty())
+}
+
 func TestNewHolderWaitsOneLeaseAfterPredecessorEnded(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
