--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -99,13 +99,10 @@
 }
 
 func (c *Core) appendWaiting(steps []*stepState, j *job) []*stepState {
-	if j.inherited && len(c.unreportedWorkers) > 0 {
-		return steps
-	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.done < len(s.tasks) && s.hasWaiting() && c.isReady(s) {
-				s.starved = s.spec.LongRunning && c.isStarved(s.longestWaiting())
+			if s.done < len(s.tasks) && c.hasStartable(s) && c.isReady(s) {
+				s.starved = s.spec.LongRunning && c.isStarved(c.startableTasks(s)[0])
 				steps = append(steps, s)
 			}
 		}
@@ -113,6 +110,23 @@
 	return steps
 }
 
+// hasStartable reports whether tasks of the step can start. All members of a gang
+// start at once.
+func (c *Core) hasStartable(s *stepState) bool {
+	startable := false
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if s.spec.Gang && c.isHeldBack(t) {
+			return false
+		}
+		startable = startable || c.canStart(t)
+		if startable && !s.spec.Gang {
+			return true
+		}
+	}
+	return startable
+}
+
 func (s *stepState) hasWaiting() bool {
 	for i := range s.tasks {
 		if s.tasks[i].isWaiting() {
@@ -122,22 +136,22 @@
 	return false
 }
 
-// waitingTasks returns the tasks of a step that need to be started, the one that
-// has waited the longest first.
-func (s *stepState) waitingTasks() []*task {
-	var waiting []*task
+// startableTasks returns the tasks of a step that can start, the one that has
+// waited the longest first.
+func (c *Core) startableTasks(s *stepState) []*task {
+	var startable []*task
 	for i := range s.tasks {
-		if s.tasks[i].isWaiting() {
-			waiting = append(waiting, &s.tasks[i])
+		if c.canStart(&s.tasks[i]) {
+			startable = append(startable, &s.tasks[i])
 		}
 	}
-	slices.SortStableFunc(waiting, func(a, b *task) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
-	return waiting
+	slices.SortStableFunc(startable, func(a, b *task) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
+	return startable
 }
 
 // placeStep starts the waiting tasks of a step on workers that have room.
 func (c *Core) placeStep(p *pass, s *stepState) {
-	for _, t := range s.waitingTasks() {
+	for _, t := range c.startableTasks(s) {
 		w := c.selectWorker(p, t)
 		if w == nil && c.mayUseQuarantined(p, t) {
 			w = c.selectWorkerAmong(p, p.quarantined, t, anyWorker)
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -22,10 +22,11 @@
 	}
 	reports := 0
 	for _, s := range steps {
-		t := s.longestWaiting()
-		if t == nil || reports == maxWaitReports {
+		startable := c.startableTasks(s)
+		if len(startable) == 0 || reports == maxWaitReports {
 			continue
 		}
+		t := startable[0]
 		waited := c.now.Monotonic - max(t.waitingSince, s.readyAt)
 		if waited < minReportedWait {
 			continue
@@ -60,19 +61,6 @@
 	}
 }
 
-// longestWaiting returns the waiting task of a step that has waited the longest,
-// nil if none waits.
-func (s *stepState) longestWaiting() *task {
-	var longest *task
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.isWaiting() && (longest == nil || t.waitingSince < longest.waitingSince) {
-			longest = t
-		}
-	}
-	return longest
-}
-
 // workerCounts counts the workers of a shard by the first reason for which a
 // waiting task can't start on them.
 type workerCounts struct {
