Report a missing worker to the holder, so that a dead worker's tasks restart

Callers saw: tasks, long-running ones for instance, that never ran again after their worker and its sidecar had died together and only the sidecar came back.

Cause: a restarted sidecar without a heartbeat of its worker reported nothing to the holder but pinged it. Each ping prolonged the holder's view of the worker's lease, so the runs of the dead worker never expired.

Change: when a sidecar finds a holder and has had no heartbeat, it reports that the worker is not reached. A report without a remaining time now means that the lease was not extended over this link, so the expiry from earlier links holds.

--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -72,7 +72,9 @@
 	listed bool
 	// leaseExpiry is when the worker's lease has certainly expired.
 	leaseExpiry time.Duration
-	runs        map[runKey]*runState
+	// expiryBeforeLink is the leaseExpiry that resulted from earlier links.
+	expiryBeforeLink time.Duration
+	runs             map[runKey]*runState
 	// used is the sum of the resources that the runs hold, and beingStopped the
 	// part of it held by runs that are being stopped.
 	used, beingStopped carobkeel.Resources
@@ -119,6 +121,7 @@
 func (c *Core) HostLinked(host string) {
 	w := c.worker(host)
 	w.linked = true
+	w.expiryBeforeLink = w.leaseExpiry
 	w.listed, w.reachable, w.unresponsive = false, false, false
 }
 
@@ -139,8 +142,8 @@
 }
 
 // WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
-// lease expires after remaining. A negative value means that the sidecar does
-// not know the time.
+// lease expires after remaining. A negative value means that the sidecar has not
+// extended the lease over this link.
 func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
 	w := c.worker(host)
 	if w.unresponsive {
@@ -149,6 +152,8 @@
 	w.reachable, w.listed, w.unresponsive = false, false, true
 	if remaining >= 0 {
 		w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(remaining))
+	} else {
+		w.leaseExpiry = min(w.leaseExpiry, w.expiryBeforeLink)
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -108,7 +108,7 @@
 // WorkerUnreachable reports that the sidecar can't reach its worker.
 type WorkerUnreachable struct {
 	// Remaining is the time until the worker's lease expires, in milliseconds. It
-	// is negative if the sidecar does not know it.
+	// is negative if the sidecar has not extended the lease.
 	Remaining int64
 }
 
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -190,7 +190,7 @@
 	if old := a.holderLink.Swap(l); old != l || changed {
 		a.metrics.HoldersFound.Inc(1)
 		a.log.Info().Str("entry", l.address).Uint64("epoch", pong.Epoch).Msg("holder found")
-		a.sendDescription(l)
+		a.reportWorker(l)
 		if incarnation := a.leftIncarnation.Load(); incarnation != nil {
 			a.sendLeft(l, *incarnation)
 		}
@@ -227,6 +227,16 @@
 	return nil
 }
 
+// reportWorker tells a holder which worker this sidecar has, or that it has had no
+// heartbeat of one.
+func (a *Agent) reportWorker(l *entryLink) {
+	if a.description.Load() == nil {
+		l.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{Remaining: leaseNotExtended.Milliseconds()})
+		return
+	}
+	a.sendDescription(l)
+}
+
 func (a *Agent) sendDescription(l *entryLink) {
 	if d := a.description.Load(); l != nil && d != nil {
 		l.send(wire.TypeDescription, wire.FromDescription(*d))
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -34,6 +34,9 @@
 	// unresponsiveAfter is the number of consecutive failed listings after which
 	// the worker counts as unresponsive.
 	unresponsiveAfter = 2
+	// leaseNotExtended is reported in place of the remaining time of a lease that
+	// this process has not extended.
+	leaseNotExtended = -time.Millisecond
 )
 
 // lister is the state of the goroutine that requests listings.
@@ -164,7 +167,7 @@
 func (l *lister) reportUnresponsive(d *runs.Description, err error) {
 	a := l.agent
 	first := !a.unresponsive.Swap(true)
-	remaining := -time.Millisecond
+	remaining := leaseNotExtended
 	if c := a.clock.Load(); c.Known {
 		remaining = gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
 	}
