Let pings no longer prolong the lease of a worker that has shut down

Callers saw: tasks that still ran on a worker when it shut down started elsewhere only 3 s later, though its exit was announced.

Cause: the announcement shortens the worker's lease to 0.5 s, but the next ping of its sidecar, within 0.3 s, prolonged it to a full lease again.

Change: a worker that has shut down counts as unresponsive, so pings leave its lease alone. A listing of that worker ends this state as before.

Evidence: TestTasksOfAWorkerThatShutDownRestartAfterItsExit failed before: "longrunning_test.go:270: Expected nil not to be nil", 1 s after the shutdown.

--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -253,3 +253,19 @@
 	sim.run(testLease - time.Second + testLease/50 + 300*time.Millisecond)
 	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
 }
+
+// TestTasksOfAWorkerThatShutDownRestartAfterItsExit guards against pings of the
+// sidecar that prolong the lease of a worker that has shut down.
+func TestTasksOfAWorkerThatShutDownRestartAfterItsExit(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000)
+	sim.endlessLongRunning()
+	job := sim.submit(1, 0, longRunningStep(1, 1000))
+	sim.run(time.Second)
+	left := sim.hostRunning(job)
+	incarnation := left.worker.Description().Incarnation
+	sim.holders[0].core.WorkerShutDown(left.name, incarnation)
+	left.endWorker()
+	sim.run(time.Second)
+	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
+}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -65,8 +65,9 @@
 	// reachable reports that the sidecar is linked and reaches its worker.
 	reachable bool
 	linked    bool
-	// unresponsive reports that the sidecar can't reach its worker. It does not
-	// extend the worker's lease in this state.
+	// unresponsive reports that the sidecar can't reach its worker, or that the
+	// worker has shut down. The sidecar's pings do not extend the worker's lease
+	// in this state.
 	unresponsive bool
 	// listed reports that the worker has listed its runs in this epoch.
 	listed bool
@@ -213,7 +214,7 @@
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
 	w.description.Draining = true
-	w.reachable, w.listed = false, false
+	w.reachable, w.listed, w.unresponsive = false, false, true
 	w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+exitGrace)
 }
 
