Keep a host linked when its old link ends after the new one has opened

Callers would see: a worker that gets no tasks although its sidecar is linked and it lists its runs, until the link is replaced. Found by reading, not seen in a run.

Cause: a peer removes itself from the node's links and then pushes the loss of its host. If the sidecar's new link arrives in between, the core learns of the new link first and of the loss last. Listings then count as those of an unlinked host.

Change: the loss is dropped if the host has a newer link when it is handled.

Evidence: TestEndOfAnOldLinkDoesNotLoseARelinkedHost pushes the events in this order and failed before: "Expected link to host lost not to equal link to host lost".

Measured: the test passes.

--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -70,8 +70,14 @@
 		return
 	}
 	n.log.Info().Str("host", p.host).Err(err).Msg("sidecar's link ended")
-	n.events.Push(func(l *loop) {
-		if l.core != nil {
+	p.pushLost()
+}
+
+// pushLost tells the core that the host is lost, unless the host has a newer link by
+// then.
+func (p *peer) pushLost() {
+	p.node.events.Push(func(l *loop) {
+		if _, relinked := p.node.sidecars.Load(p.host); l.core != nil && !relinked {
 			l.core.HostLost(p.host)
 		}
 	})
