Take a worker that lists as another incarnation as unresponsive

Callers would see: tasks that never run again after their worker restarted under the same ID, if its heartbeats don't arrive or are ignored. Found by reading, not seen in a run.

Cause: the sidecar dropped such a listing without a report, while its pings went on. The holder then believed that the earlier incarnation and its runs were alive.

Change: the listing counts as refused.

Evidence: TestWorkerThatListsAsAnotherIncarnationIsUnresponsive failed before: "orders_test.go:173: Expected false to be true".

Measured: sidecar/agent passes, also with -race.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -85,6 +85,9 @@
 	defer cancel()
 	epoch := a.holder.Load().Epoch
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, epoch), a.acknowledgedUpTo(d.Incarnation), wait)
+	if err == nil && isOfOtherIncarnation(&listing, d) {
+		answer.Result = runs.ResultOtherIncarnation
+	}
 	if err != nil || answer.Result != runs.ResultOK {
 		l.handleFailure(ctx, d, answer, err)
 		return
@@ -93,10 +96,6 @@
 	if a.unresponsive.Swap(false) {
 		a.log.Info().Str("worker", d.ID).Msg("worker answers again")
 	}
-	if listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs {
-		a.waitForChange(ctx, retryPause) // another incarnation; its heartbeat describes it
-		return
-	}
 	a.observeClock(d.Incarnation, answer)
 	l.forward(d, number, epoch, listing)
 	if len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation) {
@@ -104,6 +103,12 @@
 	}
 }
 
+// isOfOtherIncarnation reports whether a listing is from another incarnation than the
+// described one, under the same ID.
+func isOfOtherIncarnation(listing *runs.Listing, d *runs.Description) bool {
+	return listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs
+}
+
 // listForNewHolder requests a listing for a new holder immediately, in parallel to one
 // that may still wait under an older epoch. Once the worker has answered it, it
 // refuses older holders.
@@ -116,7 +121,7 @@
 	defer cancel()
 	number := a.listingNumber.Add(1)
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, holderLink.epoch()), a.acknowledgedUpTo(d.Incarnation), 0)
-	if err != nil || answer.Result != runs.ResultOK || (listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs) {
+	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
 		return // the lister's next listing reports the state
 	}
 	a.observeClock(d.Incarnation, answer)
@@ -167,10 +172,7 @@
 func (l *lister) reportUnresponsive(d *runs.Description, err error) {
 	a := l.agent
 	first := !a.unresponsive.Swap(true)
-	remaining := leaseNotExtended
-	if c := a.clock.Load(); c.Known {
-		remaining = gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
-	}
+	remaining := a.leaseRemaining()
 	if first {
 		a.log.Warn().Str("worker", d.ID).Dur("lease_left", remaining).Err(err).Msg("worker does not answer")
 	}
@@ -179,6 +181,16 @@
 	}
 }
 
+// leaseRemaining returns how long the worker's lease may still be valid, or
+// leaseNotExtended.
+func (a *Agent) leaseRemaining() time.Duration {
+	c := a.clock.Load()
+	if !c.Known {
+		return leaseNotExtended
+	}
+	return gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
+}
+
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
 // acknowledged.
 func (a *Agent) acknowledgedUpTo(incarnation runs.Incarnation) uint64 {
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -26,6 +26,9 @@
 	starts  []runs.Envelope
 	// onStart is called at each start, if set.
 	onStart func()
+	// listing is the answer to a request for a listing. None is answered if it is
+	// nil.
+	listing *runs.Listing
 }
 
 func (s *scriptedWorker) Start(_ context.Context, e runs.Envelope, _ runs.Start) (runs.Answer, error) {
@@ -50,6 +53,9 @@
 }
 
 func (s *scriptedWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
+	if s.listing != nil {
+		return *s.listing, runs.Answer{Result: runs.ResultOK, Clock: time.Minute}, nil
+	}
 	return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
 }
 
@@ -154,3 +160,15 @@
 	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 9})
 	g.Expect(a.description.Load().Incarnation.StartedAtMs).To(Equal(int64(5)))
 }
+
+// TestWorkerThatListsAsAnotherIncarnationIsUnresponsive guards against keeping the
+// lease of an incarnation that another one with the same ID has replaced.
+func TestWorkerThatListsAsAnotherIncarnationIsUnresponsive(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{listing: &runs.Listing{StartedAtMs: testIncarnation.StartedAtMs + 1}})
+	l := &lister{agent: a}
+	for range unresponsiveAfter {
+		l.listOnce(context.Background(), a.description.Load())
+	}
+	g.Expect(a.unresponsive.Load()).To(BeTrue())
+}
