Accept a worker with an earlier start once its predecessor is gone

Callers would see: a host whose worker gets no tasks any more after the host's clock was set back and the worker restarted.

Cause: a heartbeat with an earlier start than the described incarnation's counts as late and is ignored, even if it is the only one that still arrives.

Change: it is accepted once the described incarnation does not answer and its lease has expired. If it was late after all, the next heartbeat of the later incarnation replaces it.

Evidence: TestWorkerWithAnEarlierStartFollowsOneThatIsGone failed before: the description stayed {ID: "w", StartedAtMs: 1}.

Measured: sidecar/agent passes, also with -race.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -125,7 +125,7 @@
 		if old != nil && old.Incarnation == d.Incarnation && d.Sequence <= old.Sequence {
 			return
 		}
-		if old != nil && d.StartedAtMs < old.StartedAtMs {
+		if old != nil && d.StartedAtMs < old.StartedAtMs && !a.workerIsGone() {
 			return // a late heartbeat of an earlier incarnation
 		}
 		if a.description.CompareAndSwap(old, &d) {
@@ -135,6 +135,11 @@
 	}
 }
 
+// workerIsGone reports whether the described incarnation of the worker does not answer
+// and has no lease any more. Another one may then follow it, even one with an earlier
+// start by a clock that was set back.
+func (a *Agent) workerIsGone() bool { return a.unresponsive.Load() && a.leaseRemaining() <= 0 }
+
 func (a *Agent) handleHeartbeat(old, d *runs.Description) {
 	if old == nil || old.Incarnation != d.Incarnation {
 		a.withdrawn.Clear()
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -172,3 +172,18 @@
 	}
 	g.Expect(a.unresponsive.Load()).To(BeTrue())
 }
+
+// TestWorkerWithAnEarlierStartFollowsOneThatIsGone guards against ignoring a worker for
+// good that started after its clock was set back.
+func TestWorkerWithAnEarlierStartFollowsOneThatIsGone(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{})
+	earlier := runs.Description{Incarnation: runs.Incarnation{ID: "w2", StartedAtMs: testIncarnation.StartedAtMs - 1}, Sequence: 1}
+	a.unresponsive.Store(true)
+	a.deadline.Store(int64(2 * time.Minute))
+	a.RecordHeartbeat(earlier)
+	g.Expect(a.description.Load().Incarnation).To(Equal(testIncarnation), "its lease is still valid")
+	a.deadline.Store(int64(time.Second))
+	a.RecordHeartbeat(earlier)
+	g.Expect(a.description.Load().Incarnation).To(Equal(earlier.Incarnation))
+}
