Repeat an inconclusive order after the next listing instead of at once

Cause: a stop that the worker refused or did not answer, and a start that came too late for the lease, were ordered again within the same step. A worker that refuses at once makes this a loop between holder, sidecar and worker, in which each answer is a scheduling step.

Change: such an order is marked, and repeated after the worker's next full listing, which is 0.2 s later at most while the worker answers. That listing also renews the lease that a late start needs. A worker that does not list gets no orders until it does, as before.

--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -52,8 +52,9 @@
 	c.releaseMissing(w, l.Number, seen, first)
 	if first {
 		c.recordIncarnation(w)
-		c.reconcile(w)
+		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
+	c.repeatOrders(w, first)
 }
 
 // handleEnd handles one end. A worker repeats ends until they are acknowledged.
@@ -174,11 +175,15 @@
 	}
 }
 
-// reconcile repeats the orders whose answers may have been lost with an earlier
+// repeatOrders repeats the orders whose answers were inconclusive or, if all is set,
+// all orders that are not answered yet: they may have been lost with an earlier
 // link. A worker carries out each order only once.
-func (c *Core) reconcile(w *workerState) {
-	delete(c.unreportedWorkers, w.description.Incarnation)
+func (c *Core) repeatOrders(w *workerState, all bool) {
 	for _, r := range w.runs {
+		if !all && !r.inconclusive {
+			continue
+		}
+		r.inconclusive = false
 		switch {
 		case r.stopping:
 			c.orderStop(r)
@@ -232,7 +237,7 @@
 		// The run may still start. The stop order makes sure that it does not.
 		c.stop(r, "start "+a.Result.String())
 	case runs.ResultLate:
-		c.orderStart(r)
+		r.inconclusive = true
 	default:
 		c.recordRefusal(r.worker, a.Result)
 		if a.Result == runs.ResultNoTicket {
@@ -254,6 +259,6 @@
 	case runs.ResultStaleEpoch, runs.ResultOtherIncarnation:
 		// The next holder or the worker's next description resolves this run.
 	default:
-		c.orderStop(r)
+		r.inconclusive = true
 	}
 }
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -30,6 +30,9 @@
 	// startOrders counts the start orders sent. If there was more than one, the
 	// refusal of one of them does not show that the run did not start.
 	startOrders int
+	// inconclusive reports that the answer to the last order left it open whether
+	// the order was or will be carried out. The next full listing repeats it.
+	inconclusive bool
 	// adopted reports that an earlier holder started the run. It began some
 	// time before started.
 	adopted bool
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -44,6 +44,10 @@
 	mu         *sync.Mutex
 	worker     *standin.Worker
 	advancedTo time.Duration
+	// refusesStops reports that the worker refuses stops as unhealthy, and stops
+	// counts them.
+	refusesStops bool
+	stops        int
 }
 
 func (w *realTimeWorker) advance() {
@@ -63,6 +67,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
+	w.stops++
+	if w.refusesStops {
+		return runs.Answer{Result: runs.ResultUnhealthy}, nil
+	}
 	return w.worker.Stop(ctx, e, order)
 }
 
@@ -100,6 +108,7 @@
 	entries []*entry
 	agents  []*agent.Agent
 	workers []*standin.Worker
+	clients []*realTimeWorker
 	// stopAgents end the agents.
 	stopAgents []context.CancelFunc
 	// endless lets runs last until they are stopped.
@@ -166,7 +175,7 @@
 		},
 	})
 	realTime := &realTimeWorker{mu: &f.mu, worker: worker, advancedTo: clock.Boottime()}
-	f.workers = append(f.workers, worker)
+	f.workers, f.clients = append(f.workers, worker), append(f.clients, realTime)
 	a := f.startAgent(t, host, realTime)
 	a.RecordHeartbeat(worker.Description())
 }
@@ -388,3 +397,30 @@
 	g.Eventually(f.busyWorker, 2*testWorkerLease).Should(Equal(1 - dead))
 	g.Expect(f.violations()).To(BeEmpty())
 }
+
+// TestRefusedStopsArePaced guards against a loop between holder and sidecar that
+// repeats a refused stop as fast as it is answered.
+func TestRefusedStopsArePaced(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 1, 1)
+	worker := f.clients[0]
+	f.mu.Lock()
+	f.endless, worker.refusesStops = true, true
+	f.mu.Unlock()
+	g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
+	job := f.submit(g, f.leader(), 1)
+	running := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(worker.worker.Tasks())
+	}
+	g.Eventually(running, waitTimeout).Should(Equal(3))
+	g.Expect(f.leader().jobs.Cancel(context.Background(), job)).To(Succeed())
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	g.Expect(worker.stops).To(BeNumerically("<=", 3*10), "each of three runs is stopped at most ten times a second")
+	g.Expect(worker.stops).To(BeNumerically(">", 3), "refused stops are repeated")
+	worker.refusesStops = false
+	f.mu.Unlock()
+	g.Eventually(running, time.Second).Should(BeZero())
+}
