Stop waiting for room on a worker whose stops are overdue

Cause: the task waits for the first worker that has room once its stopped runs have ended, however long ago their stop was ordered. A worker that refuses stops or leaves them unanswered, but lists its runs, holds the task as long as it does so.

Change: 1.3 s after the order a stop counts as overdue, and is logged as such. Its resources no longer count as soon free, and preemption turns to a worker with an overdue stop last. The run keeps its resources until its end is known.

Evidence: TestLongRunningTaskDoesNotWaitForAStopThatIsRefused fails without the time limit: "longrunning_test.go:297: Expected nil to equal" the host with room, 2.8 s after the preemption.

--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -24,6 +24,9 @@
 	DecidedRunStarted DecisionKind = "run started"
 	// DecidedRunStopped orders the stop of a run.
 	DecidedRunStopped DecisionKind = "run stopped"
+	// DecidedStopOverdue reports a run that has not ended in time after its stop
+	// was ordered.
+	DecidedStopOverdue DecisionKind = "stop overdue"
 	// DecidedRunEnded releases the resources of a run.
 	DecidedRunEnded DecisionKind = "run ended"
 	// DecidedRunAdopted adopts a run that an earlier holder started.
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -50,6 +50,7 @@
 	first := !w.listed
 	w.listed = true
 	c.releaseMissing(w, l.Number, seen, first)
+	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
 		delete(c.unreportedWorkers, w.description.Incarnation)
--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	calmAfter = 4 * time.Second
 	// judgedFor is how long a simulation is judged from calmAfter on.
 	judgedFor = 12 * time.Second
+	// longRunningDelay is how long a long-running task waits before it preempts.
+	longRunningDelay = 200 * time.Millisecond
 )
 
 // longRunningStep returns a step of long-running tasks.
@@ -269,3 +272,27 @@
 	sim.run(time.Second)
 	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
 }
+
+// TestLongRunningTaskDoesNotWaitForAStopThatIsRefused guards against waiting for room
+// on one worker that does not stop the preempted runs.
+func TestLongRunningTaskDoesNotWaitForAStopThatIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000)
+	sim.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Duration: time.Minute} }
+	sim.submit(1, 2, step(4, 4000))
+	sim.run(200 * time.Millisecond)
+	lines := recordDecisions(sim, "preempted")
+	job := sim.submit(2, 0, longRunningStep(1, 4000))
+	sim.workers["host-0"].refusesOrders = true
+	sim.workers["host-1"].refusesOrders = true
+	for len(*lines) == 0 {
+		sim.step()
+	}
+	sound := sim.workers["host-0"]
+	if strings.Contains((*lines)[0], sound.name) {
+		sound = sim.workers["host-1"]
+	}
+	sound.refusesOrders = false
+	sim.run(maxIdle - longRunningDelay)
+	g.Expect(sim.hostRunning(job)).To(Equal(sound))
+}
--- a/scheduler/dispatch/preempt.go
+++ b/scheduler/dispatch/preempt.go
@@ -100,18 +100,20 @@
 }
 
 // cheapestVictims returns the worker on which preemption loses the least work,
-// and the runs of lower priority to stop there.
+// and the runs of lower priority to stop there. A worker with an overdue stop is
+// the last choice, since it may not carry out further ones.
 func (c *Core) cheapestVictims(p *pass, t *task, demand carobkeel.Resources) (*workerState, []*runState) {
 	var best *workerState
 	var bestVictims []*runState
-	bestCost := 0.0
+	bestCost, bestOverdue := 0.0, false
 	for _, w := range p.workers {
 		if !c.isAllowed(t, w) {
 			continue
 		}
 		victims, cost, fits := c.victimsOn(p, w, demand)
-		if fits && (best == nil || cost < bestCost) {
-			best, bestVictims, bestCost = w, victims, cost
+		overdue := w.overdueStops > 0
+		if fits && (best == nil || cmp.Or(compareFalseFirst(overdue, bestOverdue), cmp.Compare(cost, bestCost)) < 0) {
+			best, bestVictims, bestCost, bestOverdue = w, victims, cost, overdue
 		}
 	}
 	return best, bestVictims
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -41,6 +41,10 @@
 	// was confirmed. Only a later listing can show that the run is missing.
 	confirmedListing uint64
 	stopping         bool
+	// stopOrderedAt is when the stop was first ordered, and stopOverdue reports
+	// that the run was still listed, or its end unknown, stopTimeout later.
+	stopOrderedAt time.Duration
+	stopOverdue   bool
 	// stopConfirmed reports that the worker will not start the run any more,
 	// and stopConfirmedListing is the number of the listing in progress at that
 	// time.
@@ -80,8 +84,10 @@
 	expiryBeforeLink time.Duration
 	runs             map[runKey]*runState
 	// used is the sum of the resources that the runs hold, and beingStopped the
-	// part of it held by runs that are being stopped.
+	// part of it held by runs that are being stopped and should end soon.
 	used, beingStopped carobkeel.Resources
+	// overdueStops counts the runs whose stop is overdue.
+	overdueStops int
 	// usable reports that the worker accepted tasks at the last check, and
 	// lastChange is the value of Core.workerChanges at the worker's last
 	// change.
@@ -261,7 +267,10 @@
 	c.recordEndedBestEffort(r)
 	delete(w.runs, runKey{r.name, r.number})
 	w.used = w.used.Sub(r.reserved)
-	if r.stopping {
+	switch {
+	case r.stopOverdue:
+		w.overdueStops--
+	case r.stopping:
 		w.beingStopped = w.beingStopped.Sub(r.reserved)
 	}
 	c.markChanged(w)
@@ -300,12 +309,31 @@
 		return
 	}
 	r.stopping = true
+	r.stopOrderedAt = c.now.Monotonic
 	r.worker.beingStopped = r.worker.beingStopped.Add(r.reserved)
 	c.markChanged(r.worker)
 	c.recordDecision(Decision{Kind: DecidedRunStopped, Task: r.name, Run: r.number, Host: r.worker.host, Detail: reason})
 	c.orderStop(r)
 }
 
+// stopTimeout is how long after the order a stopped run should have ended: workers
+// take up to a second, and listings come five times a second.
+const stopTimeout = 1300 * time.Millisecond
+
+// observeStops finds the runs of a worker whose stop is overdue. Tasks no longer
+// wait for the resources that they hold.
+func (c *Core) observeStops(w *workerState) {
+	for _, r := range w.runs {
+		if !r.stopping || r.stopOverdue || c.now.Monotonic-r.stopOrderedAt < stopTimeout {
+			continue
+		}
+		r.stopOverdue = true
+		w.overdueStops++
+		w.beingStopped = w.beingStopped.Sub(r.reserved)
+		c.recordDecision(Decision{Kind: DecidedStopOverdue, Task: r.name, Run: r.number, Host: w.host, Waited: c.now.Monotonic - r.stopOrderedAt})
+	}
+}
+
 func (c *Core) orderStop(r *runState) {
 	if !r.worker.listed {
 		return
