--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,6 +31,8 @@
 const (
 	testShard   = "shard"
 	testService = carobkeel.Service("desk")
+	// testWorkerLease is the duration of a worker's lease.
+	testWorkerLease = 3 * time.Second
 	// waitTimeout bounds how long a test waits for a condition that is expected
 	// within moments.
 	waitTimeout = 20 * time.Second
@@ -41,6 +44,10 @@
 	mu         *sync.Mutex
 	worker     *standin.Worker
 	advancedTo time.Duration
+	// refusesStops reports that the worker refuses stops as unhealthy, and stops
+	// counts them.
+	refusesStops bool
+	stops        int
 }
 
 func (w *realTimeWorker) advance() {
@@ -60,6 +67,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance()
+	w.stops++
+	if w.refusesStops {
+		return runs.Answer{Result: runs.ResultUnhealthy}, nil
+	}
 	return w.worker.Stop(ctx, e, order)
 }
 
@@ -95,6 +106,13 @@
 	record  *standin.Record
 	mu      sync.Mutex
 	entries []*entry
+	agents  []*agent.Agent
+	workers []*standin.Worker
+	clients []*realTimeWorker
+	// stopAgents end the agents.
+	stopAgents []context.CancelFunc
+	// endless lets runs last until they are stopped.
+	endless bool
 	config  *carobkeel.QueueConfig
 	logger  *log.Logger
 }
@@ -130,7 +148,7 @@
 	host := fmt.Sprintf("entry-%d", len(f.entries))
 	node := holder.New(holder.Config{
 		Host: host, Incarnation: carobkeel.Incarnation(len(f.entries) + 1), Address: listener.Addr().String(),
-		Shard: testShard, WorkerLease: 3 * time.Second,
+		Shard: testShard, WorkerLease: testWorkerLease,
 	}, f.rows, holder.NewMetrics(tally.NoopScope), f.logger)
 	go func() {
 		if err := node.Serve(ctx, listener); err != nil {
@@ -149,6 +167,7 @@
 func (f *cluster) startWorker(t *testing.T, host string) (*realTimeWorker, context.CancelFunc) {
 	t.Helper()
 	worker := f.newWorker(host)
+	f.workers, f.clients = append(f.workers, worker.worker), append(f.clients, worker)
 	a, stop := f.startSidecar(t, host, worker)
 	a.RecordHeartbeat(worker.worker.Description())
 	return worker, stop
@@ -162,21 +181,22 @@
 		},
 		MaxLease: 10 * time.Second, StopGrace: 100 * time.Millisecond, Record: f.record,
 		Work: func(task carobkeel.TaskName, _ int) standin.Work {
-			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone, Endless: task.Job == longRunningJobID}
+			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone, Endless: f.endless || task.Job == longRunningJobID}
 		},
 	})
 	return &realTimeWorker{mu: &f.mu, worker: worker, advancedTo: clock.Boottime()}
 }
 
 // startSidecar starts the sidecar of a host, which has not heard of its worker yet.
-func (f *cluster) startSidecar(t *testing.T, host string, worker *realTimeWorker) (*agent.Agent, context.CancelFunc) {
+func (f *cluster) startSidecar(t *testing.T, host string, worker runs.Client) (*agent.Agent, context.CancelFunc) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: 3 * time.Second}, worker, func(ctx context.Context) ([]string, error) {
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, func(ctx context.Context) ([]string, error) {
 		return directory.Addresses(ctx, f.rows, f.logger)
 	}, agent.NewMetrics(tally.NoopScope), f.logger)
 	go a.Run(ctx)
+	f.agents, f.stopAgents = append(f.agents, a), append(f.stopAgents, cancel)
 	return a, cancel
 }
 
@@ -188,6 +208,13 @@
 	return len(w.worker.Tasks())
 }
 
+// busyWorker returns the number of a worker with runs, -1 if there is none.
+func (f *cluster) busyWorker() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.IndexFunc(f.workers, func(w *standin.Worker) bool { return len(w.Tasks()) > 0 })
+}
+
 // leader returns the entry that holds the shard, nil if there is none.
 func (f *cluster) leader() *entry {
 	for _, e := range f.entries {
@@ -418,3 +445,51 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(carobkeel.JobState(progress.State)).To(Equal(carobkeel.JobCompleted))
 }
+
+// TestTasksOfADeadWorkerRestartAlthoughItsSidecarIsBack guards against pings of a
+// restarted sidecar, which knows no worker, that keep the dead worker's runs.
+func TestTasksOfADeadWorkerRestartAlthoughItsSidecarIsBack(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 1, 2)
+	f.mu.Lock()
+	f.endless = true
+	f.mu.Unlock()
+	g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
+	f.submit(g, f.leader(), 1)
+	g.Eventually(f.busyWorker, waitTimeout).ShouldNot(Equal(-1))
+	dead := f.busyWorker()
+	f.stopAgents[dead]()
+	f.mu.Lock()
+	f.workers[dead].Crash()
+	f.mu.Unlock()
+	f.startSidecar(t, fmt.Sprintf("host-%d", dead), nil)
+	g.Eventually(f.busyWorker, 2*testWorkerLease).Should(Equal(1 - dead))
+	g.Expect(f.violations()).To(BeEmpty())
+}
+
+// TestRefusedStopsArePaced guards against a loop between holder and sidecar that
+// repeats a refused stop as fast as it is answered.
+func TestRefusedStopsArePaced(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 1, 1)
+	worker := f.clients[0]
+	f.mu.Lock()
+	f.endless, worker.refusesStops = true, true
+	f.mu.Unlock()
+	g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
+	job := f.submit(g, f.leader(), 1)
+	running := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(worker.worker.Tasks())
+	}
+	g.Eventually(running, waitTimeout).Should(Equal(3))
+	g.Expect(f.leader().jobs.Cancel(context.Background(), job)).To(Succeed())
+	time.Sleep(time.Second)
+	f.mu.Lock()
+	g.Expect(worker.stops).To(BeNumerically("<=", 3*10), "each of three runs is stopped at most ten times a second")
+	g.Expect(worker.stops).To(BeNumerically(">", 3), "refused stops are repeated")
+	worker.refusesStops = false
+	f.mu.Unlock()
+	g.Eventually(running, time.Second).Should(BeZero())
+}
