--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -27,6 +27,9 @@
 	// revision counts the changes of the progress, and storedRevision is the
 	// newest revision that is durable.
 	revision, storedRevision uint64
+	// rejectedUntil is when the job's progress, which the table service has rejected, is
+	// offered to it again.
+	rejectedUntil time.Duration
 	// ended reports that the job is in Core.ended, whose records expire.
 	ended bool
 	// endedAt is when the job ended, or when this holder learned of its end.
@@ -163,6 +166,9 @@
 	return o
 }
 
+// maxWake bounds the time to the next call of Advance.
+const maxWake = 24 * time.Hour
+
 // isReady reports whether the step may start: its occurrence is due and all
 // earlier steps are done.
 func (c *Core) isReady(s *stepState) bool {
@@ -171,7 +177,7 @@
 	}
 	due := s.occurrence.due
 	if !due.IsZero() && c.now.Wall.Before(due) {
-		c.wakeAt(c.now.Monotonic + due.Sub(c.now.Wall))
+		c.wakeAt(c.now.Monotonic + min(due.Sub(c.now.Wall), maxWake))
 		return false
 	}
 	for _, earlier := range s.spec.After {
@@ -252,14 +258,18 @@
 // task returns the named task, nil if there is none.
 func (c *Core) task(name carobkeel.TaskName) *task {
 	j := c.jobs[name.Job]
-	if j == nil || name.Occurrence >= len(j.occurrences) {
+	if j == nil || name.Occurrence < 0 || name.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	steps := j.occurrences[name.Occurrence].steps
+	if name.Step < 0 || name.Step >= len(steps) {
 		return nil
 	}
-	o := j.occurrences[name.Occurrence]
-	if name.Step >= len(o.steps) || name.Index >= len(o.steps[name.Step].tasks) {
+	tasks := steps[name.Step].tasks
+	if name.Index < 0 || name.Index >= len(tasks) {
 		return nil
 	}
-	return &o.steps[name.Step].tasks[name.Index]
+	return &tasks[name.Index]
 }
 
 // finishTask marks a task as done.
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -165,7 +165,7 @@
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
 	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
-	if remaining >= 0 {
+	if remaining >= 0 && remaining < c.config.WorkerLease {
 		w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(remaining)
 		w.leaseExpiry = min(w.leaseExpiry, w.inheritedExpiry)
 	}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -51,7 +51,10 @@
 	batchEnded    time.Duration
 	// batchTaken is when the batch in flight was taken from the core.
 	batchTaken time.Duration
-	versions   map[carobkeel.JobID]table.Version
+	// singleBatches is the number of batches of one record each that follow a rejected
+	// batch.
+	singleBatches int
+	versions      map[carobkeel.JobID]table.Version
 	// pending maps the jobs that have not started to their queues.
 	pending map[carobkeel.JobID]carobkeel.QueueName
 	wake    time.Duration
@@ -145,10 +148,14 @@
 	for _, order := range out.Orders {
 		byHost[order.Host] = append(byHost[order.Host], wire.FromOrder(order))
 	}
-	epoch := l.node.holderState.Load().Row.Epoch
+	epoch := carobkeel.Epoch(l.node.holderState.Load().Row.Epoch)
 	for host, orders := range byHost {
-		if p, ok := l.node.sidecars.Load(host); ok {
-			p.(*peer).send(wire.TypeOrders, &wire.Orders{Epoch: epoch, Orders: orders})
+		p, ok := l.node.sidecars.Load(host)
+		if !ok {
+			continue
+		}
+		for _, message := range wire.SplitOrders(epoch, orders) {
+			p.(*peer).send(wire.TypeOrders, message)
 		}
 	}
 }
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -192,9 +192,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, func(ctx context.Context) ([]string, error) {
-		return directory.Addresses(ctx, f.rows, f.logger)
-	}, agent.NewMetrics(tally.NoopScope), f.logger)
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(tally.NoopScope), f.logger)
 	go a.Run(ctx)
 	f.agents, f.stopAgents = append(f.agents, a), append(f.stopAgents, cancel)
 	return a, cancel
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -28,6 +28,9 @@
 	// takeoverTimeout bounds one attempt to take over. Another attempt would have
 	// to read the same rows.
 	takeoverTimeout = 15 * time.Second
+	// maxEpoch bounds the epoch of a holder row, so that the run numbers of its epoch
+	// don't overflow.
+	maxEpoch = 1 << 40
 )
 
 // mustEncode encodes a row. The types of rows can't fail to encode.
@@ -72,9 +75,10 @@
 	if old != nil && row.Version <= old.Version {
 		return
 	}
-	var holder wire.HolderRow
-	if _, err := holder.UnmarshalMsg(row.Value); err != nil {
-		l.node.log.Error().Err(err).Msg("holder row could not be decoded")
+	holder, err := decodeHolder(row)
+	if err != nil {
+		l.node.log.Error().Err(err).Msg("holder row left out")
+		l.replaceHolderRow(old, row.Version)
 		return
 	}
 	if l.core != nil {
@@ -93,13 +97,39 @@
 // recordPredecessor records that a newer holder row replaces the current one.
 func (l *loop) recordPredecessor(next *HolderState) {
 	l.predecessors.prune(next.Since, l.node.config.WorkerLease)
-	if old := l.node.holderState.Load(); old != nil && old.Row.Epoch > 0 && old.Version < next.Version {
+	if old := l.node.holderState.Load(); old != nil && old.Row.Epoch > 0 && !old.Unreadable && old.Version < next.Version {
 		l.predecessors.add(old.Row, next.Since)
 		// This process doesn't extend leases under the earlier row any more.
 		l.predecessors.observe(l.node.config.Host, uint64(l.node.config.Incarnation), next.Row.Epoch, next.Since)
 	}
 }
 
+// decodeHolder decodes the holder row.
+func decodeHolder(row table.VersionedRow) (wire.HolderRow, error) {
+	var holder wire.HolderRow
+	if _, err := holder.UnmarshalMsg(row.Value); err != nil {
+		return holder, errors.Wrap(err, "decode")
+	}
+	if holder.Epoch > maxEpoch {
+		return holder, errors.Errorf("epoch %d is out of range", holder.Epoch)
+	}
+	return holder, nil
+}
+
+// replaceHolderRow makes this process take part in replacing a holder row that names
+// no holder.
+func (l *loop) replaceHolderRow(old *HolderState, version table.Version) {
+	if l.core != nil {
+		l.stepDown("the holder row names no holder")
+	}
+	next := &HolderState{Version: version, Since: clock.Boottime(), Unreadable: true}
+	if old != nil {
+		next.Row.Epoch = old.Row.Epoch
+	}
+	l.recordPredecessor(next)
+	l.node.holderState.Store(next)
+}
+
 // considerTakeover starts a takeover if one is due.
 func (l *loop) considerTakeover() {
 	n := l.node
@@ -163,8 +193,12 @@
 
 // takeOver writes this process into the holder row and reads the shard.
 func (n *Node) takeOver(ctx context.Context, old HolderState) (*takeoverState, error) {
+	epoch, err := n.lastEpoch(ctx, old)
+	if err != nil {
+		return nil, err
+	}
 	row := wire.HolderRow{
-		Epoch: old.Row.Epoch + 1, Host: n.config.Host,
+		Epoch: epoch + 1, Host: n.config.Host,
 		Incarnation: uint64(n.config.Incarnation), Address: n.config.Address,
 	}
 	t := &takeoverState{requestedAt: clock.Boottime()}
@@ -185,6 +219,22 @@
 	return t, n.readShard(ctx, t)
 }
 
+// lastEpoch returns the epoch of the last holder. If the holder row is unreadable, it
+// takes the epoch from the row that is written together with it.
+func (n *Node) lastEpoch(ctx context.Context, old HolderState) (uint64, error) {
+	if !old.Unreadable {
+		return old.Row.Epoch, nil
+	}
+	row, found, err := n.rows.Get(ctx, n.epochRow())
+	if err != nil {
+		return 0, errors.Wrap(err, "read the epoch row")
+	}
+	if last, err := decodeHolder(row); found && err == nil {
+		return max(last.Epoch, old.Row.Epoch), nil
+	}
+	return old.Row.Epoch, nil
+}
+
 func (n *Node) readShard(ctx context.Context, t *takeoverState) error {
 	group, ctx := errgroup.WithContext(ctx)
 	read := func(name string, rows *[]table.VersionedRow, from *table.Version) {
@@ -282,12 +332,12 @@
 func (l *loop) restore(row table.VersionedRow) {
 	job := carobkeel.JobID(row.Key)
 	l.versions[job] = row.Version
-	var progress wire.ProgressRow
-	if _, err := progress.UnmarshalMsg(row.Value); err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row could not be decoded")
+	progress, err := wire.DecodeProgress(row.Value, job)
+	if err != nil {
+		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row left out")
 		return
 	}
-	l.core.Restore(progress.Decoded(job))
+	l.core.Restore(progress)
 }
 
 func (l *loop) restoreInterference(rows []table.VersionedRow) {
@@ -304,16 +354,30 @@
 func (n *Node) decodeWorkers(rows []table.VersionedRow) []dispatch.WorkerRecord {
 	var records []dispatch.WorkerRecord
 	for _, row := range rows {
-		var w wire.WorkerRow
-		if _, err := w.UnmarshalMsg(row.Value); err != nil {
-			n.log.Error().Err(err).Str("worker", row.Key).Msg("worker record could not be decoded")
+		record, err := decodeWorker(row)
+		if err != nil {
+			n.log.Error().Err(err).Str("worker", row.Key).Msg("worker record left out")
 			continue
 		}
-		records = append(records, dispatch.WorkerRecord{Incarnation: runs.Incarnation{ID: w.ID, StartedAtMs: w.StartedAtMs}, Host: w.Host})
+		records = append(records, record)
 	}
 	return records
 }
 
+// decodeWorker decodes the record of a worker incarnation. A record under another key
+// than its own could never be removed.
+func decodeWorker(row table.VersionedRow) (dispatch.WorkerRecord, error) {
+	var w wire.WorkerRow
+	if _, err := w.UnmarshalMsg(row.Value); err != nil {
+		return dispatch.WorkerRecord{}, errors.Wrap(err, "decode")
+	}
+	incarnation := runs.Incarnation{ID: w.ID, StartedAtMs: w.StartedAtMs}
+	if row.Key != workerKey(incarnation) {
+		return dispatch.WorkerRecord{}, errors.Errorf("record of worker %s.%d", w.ID, w.StartedAtMs)
+	}
+	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host}, nil
+}
+
 // followJobs passes accepted jobs and cancellations to the core.
 func (l *loop) followJobs(term context.Context, from, epochVersion table.Version) {
 	n := l.node
@@ -365,10 +429,24 @@
 }
 
 func (l *loop) addJob(row table.VersionedRow, inherited bool) {
-	var job wire.JobRow
-	if _, err := job.UnmarshalMsg(row.Value); err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row could not be decoded")
+	job, err := decodeJob(row)
+	if err != nil {
+		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row left out")
 		return
 	}
-	l.core.AddJob(job.Decoded(carobkeel.JobID(row.Key)), inherited)
+	l.core.AddJob(job, inherited)
+}
+
+// decodeJob decodes a row of a job. It returns an error if the job can't be run.
+func decodeJob(row table.VersionedRow) (*carobkeel.JobSpec, error) {
+	id := carobkeel.JobID(row.Key)
+	if !id.IsValid() {
+		return nil, errors.New("key is not a job ID")
+	}
+	var encoded wire.JobRow
+	if _, err := encoded.UnmarshalMsg(row.Value); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	job := encoded.Decoded(id)
+	return job, job.Validate()
 }
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -3,14 +3,25 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/interference"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
-func toMillis(d time.Duration) int64   { return d.Milliseconds() }
-func fromMillis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// maxDuration is the longest duration that a message can state. Longer ones count as
+// this one, so that sums of a few durations don't overflow.
+const maxDuration time.Duration = 1 << 60
+
+func toMillis(d time.Duration) int64 { return d.Milliseconds() }
+
+func fromMillis(n int64) time.Duration {
+	const limit = int64(maxDuration / time.Millisecond)
+	return time.Duration(min(limit, max(-limit, n))) * time.Millisecond
+}
 
 // FromDescription returns the message for a worker's description.
 func FromDescription(d runs.Description) *Description {
@@ -60,13 +71,15 @@
 	return message
 }
 
-// Decoded returns the listing in the message, for the worker of the given host.
-func (l *Listing) Decoded(host string) (dispatch.WorkerListing, error) {
-	listing := dispatch.WorkerListing{Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Full: l.Full}
+// Decoded returns the listing in the message, for the worker of the given host, and the
+// number of rows left out of it because they name no task.
+func (l *Listing) Decoded(host string) (listing dispatch.WorkerListing, leftOut int) {
+	listing = dispatch.WorkerListing{Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Full: l.Full}
 	for _, r := range l.Running {
 		name, err := carobkeel.ParseTaskName(r.Task)
 		if err != nil {
-			return listing, err
+			leftOut++
+			continue
 		}
 		listing.Running = append(listing.Running, runs.Running{
 			Task: name, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, LoadMetric: r.LoadMetric,
@@ -75,15 +88,20 @@
 	for _, e := range l.Ends {
 		name, err := carobkeel.ParseTaskName(e.Task)
 		if err != nil {
-			return listing, err
+			leftOut++
+			continue
 		}
 		listing.Ends = append(listing.Ends, runs.End{
 			Number: e.Number, Task: name, Run: e.Run, Outcome: runs.Outcome(e.Outcome), Checkpoint: e.Checkpoint,
 		})
 	}
-	return listing, nil
+	return listing, leftOut
 }
 
+// Decoded returns the time until the worker's lease expires, which is negative if it is not
+// known.
+func (u *WorkerUnreachable) Decoded() time.Duration { return fromMillis(u.Remaining) }
+
 // FromAnswer returns the message for the answer to an order.
 func FromAnswer(a dispatch.OrderAnswer, epoch carobkeel.Epoch) *Answer {
 	return &Answer{
@@ -113,6 +131,22 @@
 	return message
 }
 
+// SplitOrders returns messages that each fit in a frame and together hold the orders, in
+// their order.
+func SplitOrders(epoch carobkeel.Epoch, orders []Order) []*Orders {
+	var messages []*Orders
+	size := frame.MaxPayload
+	for _, order := range orders {
+		if size += order.Msgsize(); size > frame.MaxPayload {
+			messages = append(messages, &Orders{Epoch: uint64(epoch)})
+			size = messages[len(messages)-1].Msgsize() + order.Msgsize()
+		}
+		last := messages[len(messages)-1]
+		last.Orders = append(last.Orders, order)
+	}
+	return messages
+}
+
 // Decoded returns the order in the message.
 func (o *Order) Decoded() (dispatch.Order, error) {
 	order := dispatch.Order{
@@ -122,6 +156,9 @@
 	if order.Kind == dispatch.OrderAcknowledge {
 		return order, nil
 	}
+	if order.Kind > dispatch.OrderAcknowledge {
+		return order, errors.Errorf("unknown kind of order %d", order.Kind)
+	}
 	var err error
 	order.Task, err = carobkeel.ParseTaskName(o.Task)
 	return order, err
@@ -214,6 +251,18 @@
 	return row
 }
 
+// DecodeProgress decodes a row of the progress of the job with the given id.
+func DecodeProgress(value []byte, id carobkeel.JobID) (dispatch.Progress, error) {
+	var row ProgressRow
+	if _, err := row.UnmarshalMsg(value); err != nil {
+		return dispatch.Progress{}, errors.Wrap(err, "decode progress")
+	}
+	if carobkeel.JobState(row.State) > carobkeel.JobCancelled {
+		return dispatch.Progress{}, errors.Errorf("decode progress: unknown state %d", row.State)
+	}
+	return row.Decoded(id), nil
+}
+
 // Decoded returns the progress of the job with the given id.
 func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
 	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State)}
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -1,6 +1,8 @@
 package wire_test
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -119,8 +121,8 @@
 		}
 		var wireListing wire.Listing
 		roundTrip(t, wire.FromListing(listing, 3), &wireListing)
-		decoded, err := wireListing.Decoded("h")
-		g.Expect(err).NotTo(HaveOccurred())
+		decoded, leftOut := wireListing.Decoded("h")
+		g.Expect(leftOut).To(BeZero())
 		g.Expect(decoded).To(Equal(listing))
 
 		order := dispatch.Order{
@@ -142,6 +144,55 @@
 	})
 }
 
+func TestOddRowsAreLeftOutOfAListing(t *testing.T) {
+	g := NewWithT(t)
+	task := carobkeel.TaskName{Job: "j", Index: 3}
+	message := wire.Listing{
+		Full:    true,
+		Running: []wire.Running{{Task: "x", Run: 1}, {Task: task.String(), Run: 2}, {Task: "j.0.0.-1", Run: 1}, {Task: "j.0.0.9999999999999999999"}},
+		Ends:    []wire.End{{Number: 1, Task: ""}, {Number: 2, Task: task.String(), Run: 1}, {Number: 3, Task: "a.b.c.d"}},
+	}
+	listing, leftOut := message.Decoded("h")
+	g.Expect(leftOut).To(Equal(5))
+	g.Expect(listing.Running).To(Equal([]runs.Running{{Task: task, Run: 2}}))
+	g.Expect(listing.Ends).To(Equal([]runs.End{{Number: 2, Task: task, Run: 1}}))
+}
+
+func TestDurationsTooLargeDoNotOverflow(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect((&wire.WorkerUnreachable{Remaining: 1 << 53}).Decoded()).To(BeNumerically(">", 24*time.Hour))
+	g.Expect((&wire.WorkerUnreachable{Remaining: math.MinInt64}).Decoded()).To(BeNumerically("<", 0))
+	row := wire.JobRow{Objective: math.MaxInt64, Period: math.MaxInt64}
+	job := row.Decoded("j")
+	g.Expect(job.Queue.Objective).To(BeNumerically(">", 24*time.Hour))
+	g.Expect(job.Period).To(BeNumerically(">", 24*time.Hour))
+}
+
+func TestSplitOrdersFitInFrames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		var orders, sent []wire.Order
+		for i := range rapid.IntRange(0, 300).Draw(t, "orders") {
+			payload := strings.Repeat("x", rapid.IntRange(0, 64<<10).Draw(t, "bytes"))
+			orders = append(orders, wire.FromOrder(dispatch.Order{Task: carobkeel.TaskName{Job: "j", Index: i}, Run: 1, Payload: payload}))
+		}
+		for _, message := range wire.SplitOrders(7, orders) {
+			f, err := wire.Encode(wire.TypeOrders, message)
+			g.Expect(err).NotTo(HaveOccurred())
+			var decoded wire.Orders
+			g.Expect(wire.Decode(f, &decoded)).To(Succeed())
+			g.Expect(decoded.Epoch).To(Equal(uint64(7)))
+			sent = append(sent, decoded.Orders...)
+		}
+		g.Expect(sent).To(Equal(orders))
+	})
+}
+
+func TestMessageLargerThanAFrameIsNotSent(t *testing.T) {
+	_, err := wire.Encode(wire.TypeHello, &wire.Hello{Host: strings.Repeat("x", frame.MaxPayload)})
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
+
 func FuzzDecode(f *testing.F) {
 	first, err := (&wire.Ping{Sequence: 1, HolderAge: -1, Epoch: 7}).MarshalMsg(nil)
 	if err != nil {
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -12,6 +12,7 @@
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -29,6 +30,9 @@
 	// entry is dialled again.
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = time.Second
+	// stableLinkTime is how long a link must have lasted for the next one to be dialled
+	// after minRedialDelay.
+	stableLinkTime = time.Second
 	// discoveryInterval is the interval at which the list of entries is read, and
 	// linkedDiscoveryInterval the one while there is a link to the holder.
 	discoveryInterval       = time.Second
@@ -45,6 +49,8 @@
 	pingTimes    [pingWindow]atomic.Int64
 	sequence     atomic.Uint64
 	currentEpoch atomic.Uint64
+	// leftOut limits the log lines about orders that can't be decoded.
+	leftOut logging.RateLimit
 }
 
 // pingWindow is the number of pings whose sending times are kept. Answers to older
@@ -109,8 +115,7 @@
 	dialer := net.Dialer{Timeout: linkDialTimeout}
 	for ctx.Err() == nil {
 		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err == nil {
-			a.runLink(ctx, address, conn)
+		if err == nil && a.runLink(ctx, address, conn) >= stableLinkTime {
 			delay = minRedialDelay
 		}
 		if clock.Sleep(ctx, delay) != nil {
@@ -120,7 +125,9 @@
 	}
 }
 
-func (a *Agent) runLink(ctx context.Context, address string, conn net.Conn) {
+// runLink runs a link over the connection, and returns how long it lasted.
+func (a *Agent) runLink(ctx context.Context, address string, conn net.Conn) time.Duration {
+	started := clock.Boottime()
 	config := link.Config{HeartbeatInterval: pingInterval, SilenceTimeout: linkSilenceTimeout, IdleHeartbeats: true}
 	l := &entryLink{agent: a, address: address, link: link.New(conn, config)}
 	ctx, cancel := context.WithCancel(ctx)
@@ -131,6 +138,7 @@
 	if a.holderLink.CompareAndSwap(l, nil) {
 		a.log.Warn().Str("entry", address).Err(err).Msg("link to the holder lost")
 	}
+	return clock.Boottime() - started
 }
 
 func (l *entryLink) send(kind frame.Type, message msgp.Marshaler) {
@@ -170,7 +178,7 @@
 		if err := wire.Decode(f, &orders); err != nil {
 			return err
 		}
-		return l.handleOrders(&orders)
+		l.handleOrders(&orders)
 	}
 	return nil
 }
@@ -213,18 +221,25 @@
 	}
 }
 
-func (l *entryLink) handleOrders(orders *wire.Orders) error {
+// handleOrders queues the orders for execution, except those that can't be decoded.
+func (l *entryLink) handleOrders(orders *wire.Orders) {
 	for i := range orders.Orders {
 		order, err := orders.Orders[i].Decoded()
 		if err != nil {
-			return err
+			l.logLeftOut(err)
+			continue
 		}
 		if order.Kind == dispatch.OrderStop {
 			l.agent.withdrawn.Store(runKeyOf(order), true)
 		}
 		l.agent.orders.Push(receivedOrder{order: order, epoch: carobkeel.Epoch(orders.Epoch), link: l})
 	}
-	return nil
+}
+
+func (l *entryLink) logLeftOut(err error) {
+	if skipped, ok := l.leftOut.Allow(time.Now()); ok {
+		l.agent.log.Warn().Str("entry", l.address).Int64("skipped", skipped).Err(err).Msg("order left out")
+	}
 }
 
 func (a *Agent) sendDescription(l *entryLink) {
