Keep records of workers and their removal consistent

Callers saw: nothing yet. A worker without a record can run a task that a later holder starts elsewhere too (TWICE); a record of an incarnation that is gone makes the next holder wait 11.9 s for it (LOST) where its host is gone too.

Cause: removing a record was queued apart from the set of recorded incarnations and from the queue of records to write. A worker that described itself between the two was taken as recorded, and its record was removed then. One that was replaced while its record was still queued, as the table service was away, had the record written and the removal dropped.

Change: dropRecord does all three at once; a worker that lists again is recorded again.

Evidence: failed before: TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain 'Expected len:1 to have length 2', TestRecordOfReplacedIncarnationIsDropped 'Expected len:2 to have length 1'.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -252,7 +252,7 @@
 	}
 	for incarnation, host := range c.unreportedWorkers {
 		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: host, Detail: incarnation.ID})
-		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+		c.dropRecord(incarnation)
 	}
 	c.unreportedWorkers = make(map[runs.Incarnation]string)
 }
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -172,6 +172,38 @@
 	g.Expect(sim.store.workers).To(HaveKey(runs.Incarnation{ID: "w-host-0", StartedAtMs: 1}))
 }
 
+// TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain guards against using a
+// worker without a record.
+func TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(8000, 8000)
+	_, lost := isolateWorkerAndReplaceHolder(g, sim)
+	sim.run(testAuthority + testLease)
+	sim.store.unavailable = true
+	sim.run(500 * time.Millisecond) // the inherited lease expires
+	lost.partitioned = false
+	sim.run(500 * time.Millisecond)
+	sim.store.unavailable = false
+	sim.run(time.Second)
+	g.Expect(sim.store.workers).To(HaveLen(2))
+}
+
+// TestRecordOfReplacedIncarnationIsDropped guards against keeping the record of an
+// incarnation that was replaced before its record was stored.
+func TestRecordOfReplacedIncarnationIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(8000)
+	sim.store.unavailable = true
+	sim.takeOver()
+	sim.run(time.Second)
+	sim.workers["host-0"].worker.Crash()
+	sim.run(time.Second)
+	sim.store.unavailable = false
+	sim.run(time.Second)
+	g.Expect(sim.store.workers).To(HaveLen(1))
+	g.Expect(sim.store.workers).To(HaveKey(sim.workers["host-0"].worker.Description().Incarnation))
+}
+
 // TestRefusalOfARepeatedStartIsNotConclusive guards against releasing a run
 // whose start was sent twice, refused once and carried out once.
 func TestRefusalOfARepeatedStartIsNotConclusive(t *testing.T) {
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -180,7 +181,7 @@
 	if w.description.ID != "" {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.releaseRuns(w, "worker restarted")
-		c.incarnationsToForget = append(c.incarnationsToForget, w.description.Incarnation)
+		c.dropRecord(w.description.Incarnation)
 	}
 	c.forgetUnreported(w.host, d.Incarnation)
 	w.description = d
@@ -198,7 +199,7 @@
 	for old, oldHost := range c.unreportedWorkers {
 		if oldHost == host && old != incarnation {
 			delete(c.unreportedWorkers, old)
-			c.incarnationsToForget = append(c.incarnationsToForget, old)
+			c.dropRecord(old)
 		}
 	}
 }
@@ -218,7 +219,7 @@
 func (c *Core) WorkerShutDown(host string, incarnation runs.Incarnation) {
 	if _, unreported := c.unreportedWorkers[incarnation]; unreported {
 		delete(c.unreportedWorkers, incarnation)
-		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+		c.dropRecord(incarnation)
 	}
 	w := c.workers[host]
 	if w == nil || w.description.Incarnation != incarnation {
@@ -268,7 +269,17 @@
 		return
 	}
 	w.recorded = false
-	c.incarnationsToForget = append(c.incarnationsToForget, w.description.Incarnation)
+	c.dropRecord(w.description.Incarnation)
+}
+
+// dropRecord has the record of an incarnation removed. From now on the incarnation
+// counts as not recorded.
+func (c *Core) dropRecord(incarnation runs.Incarnation) {
+	delete(c.recordedIncarnations, incarnation)
+	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, func(r WorkerRecord) bool { return r.Incarnation == incarnation })
+	if !slices.Contains(c.incarnationsToForget, incarnation) {
+		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+	}
 }
 
 // releaseRuns releases all runs of a worker, because none of them is active any
