Search for idle long-running tasks beside faults that last

Change: the search draws workers that shut down or stall, and keeps one of these faults for good: a host that refuses orders, or one or two hosts on which every run fails. A run counts once it has lasted for 0.3 s, so that runs that fail at once do not.

--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -23,6 +23,8 @@
 	calmAfter = 4 * time.Second
 	// judgedFor is how long a simulation is judged from calmAfter on.
 	judgedFor = 12 * time.Second
+	// stableAfter is how long a run must last to count: failing ones end before.
+	stableAfter = 300 * time.Millisecond
 	// longRunningDelay is how long a long-running task waits before it preempts.
 	longRunningDelay = 200 * time.Millisecond
 )
@@ -61,7 +63,7 @@
 	for _, name := range sim.hosts {
 		s := sim.workers[name]
 		d := s.worker.Description()
-		if s.workerDown || d.Draining {
+		if s.workerDown || d.Draining || s.refusesOrders || (sim.failsOn != nil && sim.failsOn(name)) {
 			continue
 		}
 		free := d.Capacity
@@ -82,7 +84,21 @@
 	sim *simulation
 	// since is when a task without a run began to be without one, or had no room.
 	since map[carobkeel.TaskName]time.Duration
-	from  time.Duration
+	// startedAt is when a task that has a run was first seen with it.
+	startedAt map[carobkeel.TaskName]time.Duration
+	from      time.Duration
+}
+
+// isStable reports whether a task has had a run for stableAfter, so that it does not
+// just fail at once.
+func (j *idleJudge) isStable(task carobkeel.TaskName, running bool) bool {
+	if !running {
+		return false
+	}
+	if _, seen := j.startedAt[task]; !seen {
+		j.startedAt[task] = j.sim.now
+	}
+	return j.sim.now-j.startedAt[task] >= stableAfter
 }
 
 // check returns the tasks that have had no run, with room for them, for maxIdle.
@@ -93,14 +109,19 @@
 			running[task] = true
 		}
 	}
+	for task := range j.startedAt {
+		if !running[task] {
+			delete(j.startedAt, task)
+		}
+	}
 	var idle []string
 	for _, spec := range j.sim.store.jobs {
 		for k := range spec.Steps {
 			for i := range spec.Steps[k].Count {
 				task := carobkeel.TaskName{Job: spec.ID, Step: k, Index: i}
-				if !spec.Steps[k].LongRunning || j.sim.store.cancel[spec.ID] || running[task] || !j.sim.hasRoom(spec.Steps[k].Reserved()) {
+				if !spec.Steps[k].LongRunning || j.sim.store.cancel[spec.ID] || j.isStable(task, running[task]) || !j.sim.hasRoom(spec.Steps[k].Reserved()) {
 					j.since[task] = j.sim.now
-				} else if since := max(j.since[task], j.from); j.sim.now-since >= maxIdle {
+				} else if since := max(j.since[task], j.from); j.sim.now-since >= maxIdle+stableAfter {
 					idle = append(idle, fmt.Sprintf("%s has no run since %v, with room for it", task, since-time.Hour))
 				}
 			}
@@ -113,7 +134,7 @@
 func (sim *simulation) longRunningEvent(draw drawer, jobs int) int {
 	s := sim.workers[sim.hosts[draw("host", 0, len(sim.hosts)-1)]]
 	newest := sim.holders[len(sim.holders)-1]
-	switch draw("event", 0, 19) {
+	switch draw("event", 0, 21) {
 	case 0, 1, 2:
 		sim.accept(drawJob(draw, jobs))
 		return jobs + 1
@@ -156,6 +177,11 @@
 	case 18:
 		sim.delay = time.Duration(draw("delay", 0, 4)) * tick
 	case 19:
+		newest.core.WorkerShutDown(s.name, s.worker.Description().Incarnation)
+		s.endWorker()
+	case 20:
+		s.worker.Stall(draw("stalled", 0, 1) == 1)
+	case 21:
 		if jobs > 0 {
 			sim.store.cancel[sim.store.jobs[draw("cancel", 0, len(sim.store.jobs)-1)].ID] = true
 		}
@@ -163,6 +189,19 @@
 	return jobs
 }
 
+// keepFault draws a fault of some hosts that lasts for the rest of the simulation.
+func (sim *simulation) keepFault(draw drawer) {
+	first, second := sim.hosts[draw("kept", 0, 1)], sim.hosts[draw("kept", 2, 3)]
+	switch draw("keep", 0, 3) {
+	case 0:
+		sim.workers[first].refusesOrders = true
+	case 1:
+		sim.failsOn = func(host string) bool { return host == first }
+	case 2:
+		sim.failsOn = func(host string) bool { return host == first || host == second }
+	}
+}
+
 // runLongRunningScenario injects faults in a drawn order, ends them all, and
 // returns the first long-running tasks that are not restarted in time.
 func runLongRunningScenario(sim *simulation, draw drawer) []string {
@@ -180,7 +219,8 @@
 		}
 	}
 	sim.endFaults(0)
-	judge := &idleJudge{sim: sim, since: make(map[carobkeel.TaskName]time.Duration), from: sim.calmFrom()}
+	sim.keepFault(draw)
+	judge := &idleJudge{sim: sim, since: make(map[carobkeel.TaskName]time.Duration), startedAt: make(map[carobkeel.TaskName]time.Duration), from: sim.calmFrom()}
 	for end := judge.from + judgedFor; sim.now < end; {
 		sim.step()
 		if idle := judge.check(); len(idle) > 0 {
