--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -15,8 +15,8 @@
 	// WorkerLease is the duration of a worker's lease, counted from the
 	// sidecar's ping.
 	WorkerLease time.Duration
-	// InheritedLease bounds how long, from the start of this epoch, runs that
-	// the previous holder may have started can continue on unreachable workers.
+	// InheritedLease bounds how long, from now on, runs that earlier holders may
+	// have started can continue on unreachable workers.
 	InheritedLease time.Duration
 }
 
@@ -227,6 +227,9 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.wakeAt(w.leaseExpiry)
 		}
+		if w.unresponsive && c.mayHaveInheritedRuns(w) && w.inheritedExpiry > c.now.Monotonic {
+			c.wakeAt(w.inheritedExpiry)
+		}
 	}
 	if len(c.unreportedWorkers) > 0 {
 		c.wakeAt(c.inheritedExpiry)
@@ -236,10 +239,10 @@
 	}
 }
 
-// PredecessorEnded records that the process of the previous holder has ended, so
-// that only this holder extends leases from now on.
-func (c *Core) PredecessorEnded() {
-	c.inheritedExpiry = min(c.inheritedExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+// LimitInheritedLease records that leases that earlier holders extended can run for
+// at most d from now on, because these holders have ended or stepped down.
+func (c *Core) LimitInheritedLease(d time.Duration) {
+	c.inheritedExpiry = min(c.inheritedExpiry, c.now.Monotonic+maxLeaseDuration(d))
 	c.recordDecision(Decision{Kind: DecidedPredecessorEnded, Waited: c.inheritedExpiry - c.now.Monotonic})
 }
 
@@ -249,7 +252,7 @@
 	}
 	for incarnation, host := range c.unreportedWorkers {
 		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: host, Detail: incarnation.ID})
-		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+		c.dropRecord(incarnation)
 	}
 	c.unreportedWorkers = make(map[runs.Incarnation]string)
 }
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -50,10 +50,12 @@
 	first := !w.listed
 	w.listed = true
 	c.releaseMissing(w, l.Number, seen, first)
+	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
-		c.reconcile(w)
+		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
+	c.repeatOrders(w, first)
 }
 
 // handleEnd handles one end. A worker repeats ends until they are acknowledged.
@@ -148,6 +150,7 @@
 	r.adopted = true
 	if t != nil {
 		t.lastRun = max(t.lastRun, running.Run)
+		t.located = t.located || !t.step.spec.AllowsDuplicates
 		t.job().hasStarted = true
 		if t.job().visibleState == carobkeel.JobPending {
 			c.publishState(t.job(), carobkeel.JobActive)
@@ -174,11 +177,15 @@
 	}
 }
 
-// reconcile repeats the orders whose answers may have been lost with an earlier
+// repeatOrders repeats the orders whose answers were inconclusive or, if all is set,
+// all orders that are not answered yet: they may have been lost with an earlier
 // link. A worker carries out each order only once.
-func (c *Core) reconcile(w *workerState) {
-	delete(c.unreportedWorkers, w.description.Incarnation)
+func (c *Core) repeatOrders(w *workerState, all bool) {
 	for _, r := range w.runs {
+		if !all && !r.inconclusive {
+			continue
+		}
+		r.inconclusive = false
 		switch {
 		case r.stopping:
 			c.orderStop(r)
@@ -232,7 +239,7 @@
 		// The run may still start. The stop order makes sure that it does not.
 		c.stop(r, "start "+a.Result.String())
 	case runs.ResultLate:
-		c.orderStart(r)
+		r.inconclusive = true
 	default:
 		c.recordRefusal(r.worker, a.Result)
 		if a.Result == runs.ResultNoTicket {
@@ -254,6 +261,6 @@
 	case runs.ResultStaleEpoch, runs.ResultOtherIncarnation:
 		// The next holder or the worker's next description resolves this run.
 	default:
-		c.orderStop(r)
+		r.inconclusive = true
 	}
 }
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -53,6 +53,17 @@
 	return n
 }
 
+// countRunsElsewhere returns the number of tasks that run on other hosts than s.
+func countRunsElsewhere(sim *simulation, s *host) int {
+	n := 0
+	for _, other := range sim.workers {
+		if other != s {
+			n += len(other.worker.Tasks())
+		}
+	}
+	return n
+}
+
 func TestNewHolderWaitsForInheritedLease(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
@@ -64,11 +75,35 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
+// TestListedTaskRestartsWhileAnotherWorkerIsUnreported guards against holding back
+// a task that surely does not run on the worker that has not listed.
+func TestListedTaskRestartsWhileAnotherWorkerIsUnreported(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(4000, 4000, 4000)
+	failAfter := 3500 * time.Millisecond
+	sim.work = func(_ carobkeel.TaskName, run int) standin.Work {
+		return standin.Work{Duration: failAfter, Outcome: runs.OutcomeFailed, Endless: run > 1}
+	}
+	first := sim.takeOver()
+	sim.run(time.Second)
+	spec := longRunningJob()
+	spec.Steps[0].Count = 3
+	sim.accept(spec)
+	sim.run(time.Second)
+	sim.workers["host-0"].partitioned = true
+	first.ended = true
+	sim.takeOver()
+	sim.run(failAfter - 500*time.Millisecond) // the first runs have failed
+	g.Expect(countReachableRuns(sim)).To(Equal(2))
+	sim.run(testAuthority + 2*testLease)
+	g.Expect(sim.record.Violations).To(BeEmpty())
+}
+
 func TestNewHolderWaitsOneLeaseAfterPredecessorEnded(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
 	h, _ := isolateWorkerAndReplaceHolder(g, sim)
-	h.core.PredecessorEnded()
+	h.core.LimitInheritedLease(testLease)
 	sim.run(testLease + 500*time.Millisecond)
 	g.Expect(countReachableRuns(sim)).To(Equal(1))
 	g.Expect(sim.record.Violations).To(BeEmpty())
@@ -86,6 +121,21 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
+// TestNewHolderWaitsOneLeaseForUnreachableWorker guards against waiting for the
+// previous holder's authority although the sidecar follows this holder.
+func TestNewHolderWaitsOneLeaseForUnreachableWorker(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(8000, 8000)
+	_, lost := isolateWorkerAndReplaceHolder(g, sim)
+	lost.partitioned, lost.workerUnreachable = false, true
+	sim.run(testLease - 500*time.Millisecond)
+	g.Expect(countRunsElsewhere(sim, lost)).To(BeZero())
+	sim.run(time.Second)
+	g.Expect(countRunsElsewhere(sim, lost)).To(Equal(1))
+	g.Expect(sim.record.Violations).To(BeEmpty())
+	g.Expect(sim.store.workers).To(HaveLen(1))
+}
+
 func TestTasksOfUnresponsiveWorkerRestartAfterLeaseExpiry(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
@@ -122,6 +172,38 @@
 	g.Expect(sim.store.workers).To(HaveKey(runs.Incarnation{ID: "w-host-0", StartedAtMs: 1}))
 }
 
+// TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain guards against using a
+// worker without a record.
+func TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(8000, 8000)
+	_, lost := isolateWorkerAndReplaceHolder(g, sim)
+	sim.run(testAuthority + testLease)
+	sim.store.unavailable = true
+	sim.run(500 * time.Millisecond) // the inherited lease expires
+	lost.partitioned = false
+	sim.run(500 * time.Millisecond)
+	sim.store.unavailable = false
+	sim.run(time.Second)
+	g.Expect(sim.store.workers).To(HaveLen(2))
+}
+
+// TestRecordOfReplacedIncarnationIsDropped guards against keeping the record of an
+// incarnation that was replaced before its record was stored.
+func TestRecordOfReplacedIncarnationIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	sim := newSimulation(8000)
+	sim.store.unavailable = true
+	sim.takeOver()
+	sim.run(time.Second)
+	sim.workers["host-0"].worker.Crash()
+	sim.run(time.Second)
+	sim.store.unavailable = false
+	sim.run(time.Second)
+	g.Expect(sim.store.workers).To(HaveLen(1))
+	g.Expect(sim.store.workers).To(HaveKey(sim.workers["host-0"].worker.Description().Incarnation))
+}
+
 // TestRefusalOfARepeatedStartIsNotConclusive guards against releasing a run
 // whose start was sent twice, refused once and carried out once.
 func TestRefusalOfARepeatedStartIsNotConclusive(t *testing.T) {
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -22,16 +22,17 @@
 	}
 	reports := 0
 	for _, s := range steps {
-		t := s.longestWaiting()
-		if t == nil || reports == maxWaitReports {
+		startable := c.startableTasks(s)
+		if len(startable) == 0 || reports == maxWaitReports {
 			continue
 		}
+		t := startable[0]
 		waited := c.now.Monotonic - max(t.waitingSince, s.readyAt)
 		if waited < minReportedWait {
 			continue
 		}
 		reports++
-		c.recordDecision(Decision{Kind: DecidedTaskWaiting, Task: t.name(), Waited: waited, Detail: c.countWorkers(p, t).String()})
+		c.recordDecision(Decision{Kind: DecidedTaskWaiting, Task: t.name(), Waited: waited, Detail: fmt.Sprintf("needs_mcpu=%d %v", s.spec.Reserved().MilliCPU, c.countWorkers(p, t))})
 	}
 	if reports > 0 {
 		c.waitReportedAt = c.now.Monotonic
@@ -60,19 +61,6 @@
 	}
 }
 
-// longestWaiting returns the waiting task of a step that has waited the longest,
-// nil if none waits.
-func (s *stepState) longestWaiting() *task {
-	var longest *task
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.isWaiting() && (longest == nil || t.waitingSince < longest.waitingSince) {
-			longest = t
-		}
-	}
-	return longest
-}
-
 // workerCounts counts the workers of a shard by the first reason for which a
 // waiting task can't start on them.
 type workerCounts struct {
@@ -89,14 +77,18 @@
 	unchanged int
 	// room counts the workers with room that were looked at.
 	room int
+	// freeMilliCPU is the sum of the free processors of the usable workers that
+	// the step allows, and largestMilliCPU the most on one of them, in
+	// thousandths of a core.
+	freeMilliCPU, largestMilliCPU int64
 }
 
 // String returns the counts in the order in which a worker is checked.
 func (n workerCounts) String() string {
 	return fmt.Sprintf("unlinked=%d unresponsive=%d unlisted=%d unrecorded=%d draining=%d expired=%d excluded=%d "+
-		"not_allowed=%d full=%d after_stops=%d reserved=%d unchanged=%d room=%d",
+		"not_allowed=%d full=%d after_stops=%d reserved=%d unchanged=%d room=%d free_mcpu=%d largest_free_mcpu=%d",
 		n.unlinked, n.unresponsive, n.unlisted, n.unrecorded, n.draining, n.expired, n.excluded,
-		n.notAllowed, n.full, n.afterStops, n.reserved, n.unchanged, n.room)
+		n.notAllowed, n.full, n.afterStops, n.reserved, n.unchanged, n.room, n.freeMilliCPU, n.largestMilliCPU)
 }
 
 func (c *Core) countWorkers(p *pass, t *task) workerCounts {
@@ -127,17 +119,21 @@
 		return &n.draining
 	case c.now.Monotonic >= w.leaseExpiry:
 		return &n.expired
-	case c.now.Monotonic < w.health.excludedUntil:
+	case c.now.Monotonic < w.health.refusesUntil || c.isQuarantined(w):
 		return &n.excluded
 	}
 	return nil
 }
 
 func (c *Core) countUsable(p *pass, t *task, w *workerState, n *workerCounts) {
+	if !c.isAllowed(t, w) {
+		n.notAllowed++
+		return
+	}
+	n.freeMilliCPU += max(0, w.free().MilliCPU)
+	n.largestMilliCPU = max(n.largestMilliCPU, w.free().MilliCPU)
 	demand := t.step.spec.Reserved()
 	switch {
-	case !c.isAllowed(t, w):
-		n.notAllowed++
 	case !demand.FitsIn(w.free()):
 		n.full++
 		if demand.FitsIn(w.freeAfterStops()) {
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -30,6 +31,9 @@
 	// startOrders counts the start orders sent. If there was more than one, the
 	// refusal of one of them does not show that the run did not start.
 	startOrders int
+	// inconclusive reports that the answer to the last order left it open whether
+	// the order was or will be carried out. The next full listing repeats it.
+	inconclusive bool
 	// adopted reports that an earlier holder started the run. It began some
 	// time before started.
 	adopted bool
@@ -38,6 +42,10 @@
 	// was confirmed. Only a later listing can show that the run is missing.
 	confirmedListing uint64
 	stopping         bool
+	// stopOrderedAt is when the stop was first ordered, and stopOverdue reports
+	// that the run was still listed, or its end unknown, stopTimeout later.
+	stopOrderedAt time.Duration
+	stopOverdue   bool
 	// stopConfirmed reports that the worker will not start the run any more,
 	// and stopConfirmedListing is the number of the listing in progress at that
 	// time.
@@ -47,6 +55,9 @@
 	// percent is the progress in the last listing.
 	percent int
 	pace    int
+	// observedFrom is when the run was started, or when its pace last rose to
+	// minObservedPace. No progress is missed before.
+	observedFrom time.Duration
 	// slowSince is when the run's pace dropped below minStartPace, zero while
 	// it has not.
 	slowSince time.Duration
@@ -65,17 +76,23 @@
 	// reachable reports that the sidecar is linked and reaches its worker.
 	reachable bool
 	linked    bool
-	// unresponsive reports that the sidecar can't reach its worker. It does not
-	// extend the worker's lease in this state.
+	// unresponsive reports that the sidecar can't reach its worker, or that the
+	// worker has shut down. The sidecar's pings do not extend the worker's lease
+	// in this state.
 	unresponsive bool
 	// listed reports that the worker has listed its runs in this epoch.
 	listed bool
 	// leaseExpiry is when the worker's lease has certainly expired.
 	leaseExpiry time.Duration
-	runs        map[runKey]*runState
+	// inheritedExpiry is the same for leases that the sidecar extended for
+	// earlier holders. It is valid while the worker is unresponsive.
+	inheritedExpiry time.Duration
+	runs            map[runKey]*runState
 	// used is the sum of the resources that the runs hold, and beingStopped the
-	// part of it held by runs that are being stopped.
+	// part of it held by runs that are being stopped and should end soon.
 	used, beingStopped carobkeel.Resources
+	// overdueStops counts the runs whose stop is overdue.
+	overdueStops int
 	// usable reports that the worker accepted tasks at the last check, and
 	// lastChange is the value of Core.workerChanges at the worker's last
 	// change.
@@ -140,15 +157,18 @@
 
 // WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
 // lease expires after remaining. A negative value means that the sidecar does
-// not know the time.
+// not know the time. The report shows that the sidecar follows this holder, so
+// that it extends no lease for an earlier one.
 func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
 	w := c.worker(host)
 	if w.unresponsive {
 		return
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
+	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
 	if remaining >= 0 && remaining < c.config.WorkerLease {
-		w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(remaining))
+		w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(remaining)
+		w.leaseExpiry = min(w.leaseExpiry, w.inheritedExpiry)
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
@@ -174,7 +194,7 @@
 	if w.description.ID != "" {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.releaseRuns(w, "worker restarted")
-		c.incarnationsToForget = append(c.incarnationsToForget, w.description.Incarnation)
+		c.dropRecord(w.description.Incarnation)
 	}
 	c.forgetUnreported(w.host, d.Incarnation)
 	w.description = d
@@ -186,21 +206,33 @@
 	w.control = paceControl{}
 }
 
-// forgetUnreported drops the earlier incarnations of a host's worker.
+// forgetUnreported drops the incarnations of a host's worker other than the given
+// one.
 func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
 	for old, oldHost := range c.unreportedWorkers {
 		if oldHost == host && old != incarnation {
 			delete(c.unreportedWorkers, old)
-			c.incarnationsToForget = append(c.incarnationsToForget, old)
+			c.dropRecord(old)
 		}
 	}
 }
 
+// mayHaveInheritedRuns reports whether runs that an earlier holder started may
+// be active on the worker although it has not listed them.
+func (c *Core) mayHaveInheritedRuns(w *workerState) bool {
+	for _, host := range c.unreportedWorkers {
+		if host == w.host {
+			return true
+		}
+	}
+	return false
+}
+
 // WorkerShutDown records that a worker has shut down in an orderly way.
 func (c *Core) WorkerShutDown(host string, incarnation runs.Incarnation) {
 	if _, unreported := c.unreportedWorkers[incarnation]; unreported {
 		delete(c.unreportedWorkers, incarnation)
-		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+		c.dropRecord(incarnation)
 	}
 	w := c.workers[host]
 	if w == nil || w.description.Incarnation != incarnation {
@@ -208,7 +240,7 @@
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
 	w.description.Draining = true
-	w.reachable, w.listed = false, false
+	w.reachable, w.listed, w.unresponsive = false, false, true
 	w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+exitGrace)
 }
 
@@ -219,7 +251,11 @@
 // expireLeases releases the runs of workers whose lease has expired.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
-		if w.reachable || w.listed || c.now.Monotonic < w.leaseExpiry || (len(w.runs) == 0 && !w.recorded) {
+		if w.reachable || w.listed || c.now.Monotonic < w.leaseExpiry {
+			continue
+		}
+		c.expireInheritedOn(w)
+		if (len(w.runs) == 0 && !w.recorded) || c.mayHaveInheritedRuns(w) {
 			continue
 		}
 		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host})
@@ -228,6 +264,17 @@
 	}
 }
 
+// expireInheritedOn drops the incarnations of a worker that have not listed to
+// this holder, once no lease of an earlier holder can be valid there.
+func (c *Core) expireInheritedOn(w *workerState) {
+	if !w.linked || !w.unresponsive || c.now.Monotonic < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
+	w.recorded = false
+	c.forgetUnreported(w.host, runs.Incarnation{})
+}
+
 // forgetIncarnation drops the record of an incarnation without runs. If the
 // worker reports again, a new record is written before anything starts there.
 func (c *Core) forgetIncarnation(w *workerState) {
@@ -235,7 +282,17 @@
 		return
 	}
 	w.recorded = false
-	c.incarnationsToForget = append(c.incarnationsToForget, w.description.Incarnation)
+	c.dropRecord(w.description.Incarnation)
+}
+
+// dropRecord has the record of an incarnation removed. From now on the incarnation
+// counts as not recorded.
+func (c *Core) dropRecord(incarnation runs.Incarnation) {
+	delete(c.recordedIncarnations, incarnation)
+	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, func(r WorkerRecord) bool { return r.Incarnation == incarnation })
+	if !slices.Contains(c.incarnationsToForget, incarnation) {
+		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+	}
 }
 
 // releaseRuns releases all runs of a worker, because none of them is active any
@@ -252,7 +309,10 @@
 	c.recordEndedBestEffort(r)
 	delete(w.runs, runKey{r.name, r.number})
 	w.used = w.used.Sub(r.reserved)
-	if r.stopping {
+	switch {
+	case r.stopOverdue:
+		w.overdueStops--
+	case r.stopping:
 		w.beingStopped = w.beingStopped.Sub(r.reserved)
 	}
 	c.markChanged(w)
@@ -274,7 +334,7 @@
 
 // reserve adds a run to a worker and reserves its resources.
 func (c *Core) reserve(w *workerState, t *task, name carobkeel.TaskName, run int) *runState {
-	r := &runState{task: t, name: name, number: run, worker: w, started: c.now.Monotonic, pace: fullPace}
+	r := &runState{task: t, name: name, number: run, worker: w, started: c.now.Monotonic, observedFrom: c.now.Monotonic, pace: fullPace}
 	if t != nil {
 		r.reserved = t.step.spec.Reserved()
 		t.runs = append(t.runs, r)
@@ -291,12 +351,31 @@
 		return
 	}
 	r.stopping = true
+	r.stopOrderedAt = c.now.Monotonic
 	r.worker.beingStopped = r.worker.beingStopped.Add(r.reserved)
 	c.markChanged(r.worker)
 	c.recordDecision(Decision{Kind: DecidedRunStopped, Task: r.name, Run: r.number, Host: r.worker.host, Detail: reason})
 	c.orderStop(r)
 }
 
+// stopTimeout is how long after the order a stopped run should have ended: workers
+// take up to a second, and listings come five times a second.
+const stopTimeout = 1300 * time.Millisecond
+
+// observeStops finds the runs of a worker whose stop is overdue. Tasks no longer
+// wait for the resources that they hold.
+func (c *Core) observeStops(w *workerState) {
+	for _, r := range w.runs {
+		if !r.stopping || r.stopOverdue || c.now.Monotonic-r.stopOrderedAt < stopTimeout {
+			continue
+		}
+		r.stopOverdue = true
+		w.overdueStops++
+		w.beingStopped = w.beingStopped.Sub(r.reserved)
+		c.recordDecision(Decision{Kind: DecidedStopOverdue, Task: r.name, Run: r.number, Host: w.host, Waited: c.now.Monotonic - r.stopOrderedAt})
+	}
+}
+
 func (c *Core) orderStop(r *runState) {
 	if !r.worker.listed {
 		return
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -34,9 +34,10 @@
 type peer struct {
 	node *Node
 	link *link.Link
-	// role and host are set by the hello, which is the first frame.
-	role int
-	host string
+	// role, host and incarnation are set by the hello, which is the first frame.
+	role        int
+	host        string
+	incarnation uint64
 	// pinged is the sequence number of the peer's last ping.
 	pinged atomic.Uint64
 	// holderAge is how long before its last ping the peer had last received a
@@ -73,8 +74,14 @@
 		return
 	}
 	n.log.Info().Str("host", p.host).Err(err).Msg("sidecar's link ended")
-	n.events.Push(func(l *loop) {
-		if l.core != nil {
+	p.pushLost()
+}
+
+// pushLost tells the core that the host is lost, unless the host has a newer link by
+// then.
+func (p *peer) pushLost() {
+	p.node.events.Push(func(l *loop) {
+		if _, relinked := p.node.sidecars.Load(p.host); l.core != nil && !relinked {
 			l.core.HostLost(p.host)
 		}
 	})
@@ -111,9 +118,8 @@
 	if err := wire.Decode(f, &hello); err != nil {
 		return err
 	}
-	p.role, p.host = hello.Role, hello.Host
+	p.role, p.host, p.incarnation = hello.Role, hello.Host, hello.Incarnation
 	if p.role != wire.RoleSidecar {
-		p.node.events.Push(func(l *loop) { l.entrySeen(hello.Host, hello.Incarnation) })
 		return nil
 	}
 	if old, had := p.node.sidecars.Swap(p.host, p); had {
@@ -143,8 +149,11 @@
 	}
 	p.holderAge.Store(ping.HolderAge)
 	p.pingedAt.Store(int64(clock.Boottime()))
-	p.pinged.Store(ping.Sequence)
+	first := p.pinged.Swap(ping.Sequence) == 0
 	n := p.node
+	if p.role == wire.RoleEntry && first {
+		n.events.Push(func(l *loop) { l.entrySeen(p.host, p.incarnation, ping.Epoch) })
+	}
 	if s := n.holderState.Load(); s != nil && s.Leading && ping.Epoch > s.Row.Epoch {
 		n.events.Push(func(l *loop) {
 			if s := l.node.holderState.Load(); l.core != nil && s.Row.Epoch < ping.Epoch {
@@ -166,6 +175,7 @@
 		Sequence:    p.pinged.Load(),
 		StoreAge:    n.StoreAge().Milliseconds(),
 		Incarnation: uint64(n.config.Incarnation),
+		TakingOver:  n.takingOver.Load(),
 	}
 	if s := n.holderState.Load(); s != nil {
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
@@ -235,7 +245,9 @@
 			return nil, err
 		}
 		return func(l *loop) {
-			l.core.WorkerUnreachable(p.host, s.Decoded())
+			if l.node.holderState.Load().Row.Epoch == s.Epoch {
+				l.core.WorkerUnreachable(p.host, s.Decoded())
+			}
 		}, nil
 	}
 	var left wire.WorkerShutDown
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -25,8 +25,9 @@
 	// followTimeout is how long a request for changes waits. The age of the
 	// last answer shows whether the table service is reachable.
 	followTimeout = time.Second
-	// takeoverTimeout bounds one attempt to take over.
-	takeoverTimeout = 3 * time.Second
+	// takeoverTimeout bounds one attempt to take over. Another attempt would have
+	// to read the same rows.
+	takeoverTimeout = 15 * time.Second
 	// maxEpoch bounds the epoch of a holder row, so that the run numbers of its epoch
 	// don't overflow.
 	maxEpoch = 1 << 40
@@ -66,9 +67,7 @@
 			l.applyHolderRow(row)
 		}
 	}
-	if l.core != nil {
-		l.holdConfirmed = max(l.holdConfirmed, changes.RequestedAt)
-	}
+	l.holdConfirmed = max(l.holdConfirmed, changes.RequestedAt)
 }
 
 func (l *loop) applyHolderRow(row table.VersionedRow) {
@@ -85,9 +84,24 @@
 	if l.core != nil {
 		l.stepDown("the table service names " + holder.Host)
 	}
+	if l.node.takingOver.Load() && holder.Incarnation != uint64(l.node.config.Incarnation) {
+		l.endTakeover()
+	}
 	l.node.log.Info().Str("holder", holder.Host).Uint64("epoch", holder.Epoch).Msg("holder changed")
 	l.node.holderRefuses.Store(false)
-	l.node.holderState.Store(&HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()})
+	next := &HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()}
+	l.recordPredecessor(next)
+	l.node.holderState.Store(next)
+}
+
+// recordPredecessor records that a newer holder row replaces the current one.
+func (l *loop) recordPredecessor(next *HolderState) {
+	l.predecessors.prune(next.Since, l.node.config.WorkerLease)
+	if old := l.node.holderState.Load(); old != nil && old.Row.Epoch > 0 && !old.Unreadable && old.Version < next.Version {
+		l.predecessors.add(old.Row, next.Since)
+		// This process doesn't extend leases under the earlier row any more.
+		l.predecessors.observe(l.node.config.Host, uint64(l.node.config.Incarnation), next.Row.Epoch, next.Since)
+	}
 }
 
 // decodeHolder decodes the holder row.
@@ -112,13 +126,14 @@
 	if old != nil {
 		next.Row.Epoch = old.Row.Epoch
 	}
+	l.recordPredecessor(next)
 	l.node.holderState.Store(next)
 }
 
 // considerTakeover starts a takeover if one is due.
 func (l *loop) considerTakeover() {
 	n := l.node
-	if l.takingOver || n.resigned.Load() || n.queues.Load().Version == 0 {
+	if n.takingOver.Load() || n.resigned.Load() || n.queues.Load().Version == 0 {
 		return
 	}
 	o := n.observe()
@@ -126,13 +141,13 @@
 	if !takeOver {
 		return
 	}
-	l.takingOver = true
+	n.takingOver.Store(true)
 	n.log.Info().Str("reason", reason).Int("sidecars", o.sidecars).Int("hearing", o.reachingHolder).
 		Dur("silent", o.now-max(o.lastPong, o.rowSince)).Msg("taking over")
 	holderState := *n.holderState.Load()
-	l.predecessor, l.predecessorEnded = holderState.Row, o.restarted
+	ctx, cancel := context.WithTimeout(l.ctx, takeoverTimeout)
+	l.endTakeover = cancel
 	go func() {
-		ctx, cancel := context.WithTimeout(l.ctx, takeoverTimeout)
 		defer cancel()
 		state, err := n.takeOver(ctx, holderState)
 		n.events.Push(func(l *loop) { l.finishTakeover(state, err) })
@@ -249,12 +264,15 @@
 
 // finishTakeover starts scheduling after a successful takeover.
 func (l *loop) finishTakeover(t *takeoverState, err error) {
-	l.takingOver = false
 	n := l.node
+	defer n.takingOver.Store(false) // after Leading, as another process takes over if both are false
 	if err != nil {
 		n.log.Warn().Err(err).Msg("takeover failed")
 		return
 	}
+	if n.resigned.Load() {
+		return
+	}
 	if s := n.holderState.Load(); s != nil && s.Version > t.holderState.Version {
 		n.log.Warn().Str("holder", s.Row.Host).Msg("takeover superseded by another process")
 		return
@@ -263,6 +281,7 @@
 		n.log.Warn().Msg("takeover superseded while the shard was read")
 		return
 	}
+	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
 	n.holderState.Store(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
@@ -275,7 +294,7 @@
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
 	l.term, l.endTerm = context.WithCancel(l.ctx)
-	l.holdConfirmed = t.requestedAt
+	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
 	l.batchInFlight = false
 	l.versions = make(map[carobkeel.JobID]table.Version)
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
@@ -283,7 +302,7 @@
 	l.core = dispatch.New(dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
-		InheritedLease: l.inheritedLease(),
+		InheritedLease: l.predecessors.remainingLease(clock.Boottime(), n.config.WorkerLease),
 	}, l.now(), n.decodeWorkers(t.workers))
 	l.core.SetQueues(n.queues.Load())
 	l.restoreInterference(t.interference)
@@ -301,25 +320,13 @@
 	go l.followJobs(l.term, t.from, t.holderState.Version)
 }
 
-// inheritedLease returns how long runs that the previous holder started may
-// continue on unreachable workers. A process that has ended extends no more
-// leases.
-func (l *loop) inheritedLease() time.Duration {
-	if l.predecessorEnded {
-		return l.node.config.WorkerLease
-	}
-	return authorityTimeout + authoritySlack + l.node.config.WorkerLease
-}
-
-// entrySeen records that a process runs on an entry's host. If it is another
-// incarnation on the previous holder's host, the previous holder's process has
-// ended.
-func (l *loop) entrySeen(host string, incarnation uint64) {
-	if l.core == nil || l.predecessorEnded || host != l.predecessor.Host || incarnation == l.predecessor.Incarnation {
-		return
+// entrySeen records that a process runs on an entry's host and follows the holder
+// of an epoch.
+func (l *loop) entrySeen(host string, incarnation, epoch uint64) {
+	now := clock.Boottime()
+	if l.predecessors.observe(host, incarnation, epoch, now) && l.core != nil {
+		l.core.LimitInheritedLease(l.predecessors.remainingLease(now, l.node.config.WorkerLease))
 	}
-	l.predecessorEnded = true
-	l.core.PredecessorEnded()
 }
 
 func (l *loop) restore(row table.VersionedRow) {
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -130,7 +130,7 @@
 		if old != nil && old.Incarnation == d.Incarnation && d.Sequence <= old.Sequence {
 			return
 		}
-		if old != nil && d.StartedAtMs < old.StartedAtMs && !a.isDenied(old.Incarnation) {
+		if old != nil && d.StartedAtMs < old.StartedAtMs && !a.isDenied(old.Incarnation) && !a.workerIsGone() {
 			return // a late heartbeat of an earlier incarnation
 		}
 		if a.description.CompareAndSwap(old, &d) {
@@ -140,6 +140,11 @@
 	}
 }
 
+// workerIsGone reports whether the described incarnation of the worker does not answer
+// and has no lease any more. Another one may then follow it, even one with an earlier
+// start by a clock that was set back.
+func (a *Agent) workerIsGone() bool { return a.unresponsive.Load() && a.leaseRemaining() <= 0 }
+
 // isDenied reports whether the worker has answered that it is another incarnation.
 func (a *Agent) isDenied(incarnation runs.Incarnation) bool {
 	denied := a.denied.Load()
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -34,6 +34,9 @@
 	// unresponsiveAfter is the number of consecutive failed listings after which
 	// the worker counts as unresponsive.
 	unresponsiveAfter = 2
+	// unknownRemaining stands for the remaining time of a lease that this process
+	// did not request, or whose worker's clock is unknown.
+	unknownRemaining = -time.Millisecond
 )
 
 // lister is the state of the goroutine that requests listings.
@@ -52,6 +55,7 @@
 	for ctx.Err() == nil {
 		d := a.description.Load()
 		if d == nil {
+			sendUnreachable(a.holderLink.Load(), unknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
 		}
@@ -82,6 +86,9 @@
 	defer cancel()
 	epoch := a.holder.Load().Epoch
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, epoch), a.acknowledgedUpTo(d.Incarnation), wait)
+	if err == nil && isOfOtherIncarnation(&listing, d) {
+		answer.Result = runs.ResultOtherIncarnation
+	}
 	if err != nil || answer.Result != runs.ResultOK {
 		l.handleFailure(ctx, d, answer, err)
 		return
@@ -90,11 +97,6 @@
 	if a.unresponsive.Swap(false) {
 		a.log.Info().Str("worker", d.ID).Msg("worker answers again")
 	}
-	if listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs {
-		a.denied.Store(&d.Incarnation)
-		a.waitForChange(ctx, retryPause) // another incarnation; its heartbeat describes it
-		return
-	}
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
 	l.forward(d, number, epoch, listing)
@@ -104,6 +106,12 @@
 	}
 }
 
+// isOfOtherIncarnation reports whether a listing is from another incarnation than the
+// described one, under the same ID.
+func isOfOtherIncarnation(listing *runs.Listing, d *runs.Description) bool {
+	return listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs
+}
+
 // logLeftOut logs rows of a listing that could not be decoded.
 func (a *Agent) logLeftOut(d *runs.Description, rows int) {
 	if rows == 0 {
@@ -120,13 +128,14 @@
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
 	d := a.description.Load()
 	if d == nil {
+		sendUnreachable(holderLink, unknownRemaining)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	number := a.listingNumber.Add(1)
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, holderLink.epoch()), a.acknowledgedUpTo(d.Incarnation), 0)
-	if err != nil || answer.Result != runs.ResultOK || (listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs) {
+	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
 		return // the lister's next listing reports the state
 	}
 	a.observeClock(d.Incarnation, answer)
@@ -180,16 +189,32 @@
 func (l *lister) reportUnresponsive(d *runs.Description, err error) {
 	a := l.agent
 	first := !a.unresponsive.Swap(true)
-	remaining := -time.Millisecond
-	if c := a.clock.Load(); c.Known {
-		remaining = gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
-	}
+	remaining := a.leaseRemaining()
 	if first {
 		a.log.Warn().Str("worker", d.ID).Dur("lease_left", remaining).Err(err).Msg("worker does not answer")
 	}
-	if holderLink := a.holderLink.Load(); holderLink != nil {
-		holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{Remaining: remaining.Milliseconds()})
+	sendUnreachable(a.holderLink.Load(), remaining)
+}
+
+// sendUnreachable tells the holder that the worker is not reached, and how long its
+// lease may still be valid.
+func sendUnreachable(holderLink *entryLink, remaining time.Duration) {
+	if holderLink == nil {
+		return
 	}
+	holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{
+		Remaining: remaining.Milliseconds(), Epoch: uint64(holderLink.epoch()),
+	})
+}
+
+// leaseRemaining returns how long the worker's lease may still be valid, or
+// unknownRemaining.
+func (a *Agent) leaseRemaining() time.Duration {
+	c := a.clock.Load()
+	if !c.Known {
+		return unknownRemaining
+	}
+	return gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
