--- a/scheduler/holder/records_test.go
+++ b/scheduler/holder/records_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
@@ -25,3 +27,13 @@
 	records := n.decodeWorkers(rows)
 	g.Expect(records).To(Equal([]dispatch.WorkerRecord{{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 5}, Host: "h"}}))
 }
+
+func TestHolderRowThatNamesNoHolderMayHideOne(t *testing.T) {
+	g := NewWithT(t)
+	n := New(Config{Shard: "shard"}, memory.NewRows(), nil, logging.Discard().For("test"))
+	l := newLoop(n)
+	l.applyHolderRow(table.VersionedRow{RowID: table.RowID{Key: holderKey}, Value: []byte{0xc1}, Version: 7})
+	g.Expect(n.holderState.Load().Version).To(Equal(table.Version(7)))
+	remaining := l.predecessors.remainingLease(clock.Boottime(), 3*time.Second)
+	g.Expect(remaining).To(BeNumerically("~", authorityTimeout+authoritySlack+3*time.Second, time.Second))
+}
