Place starved long-running tasks before room is reserved for others

Callers saw: a long-running task of a queue of lower priority without a run for as long as a more urgent gang waited for room, although workers had room for the task. Cause: each pass reserves free room for more urgent gangs and for tasks that wait for runs to stop, in the order of priority. A gang that doesn't fit takes all free room in each pass. Within a step, the tasks were tried in the order of their index, so that one that had just begun to wait ended the round for those that had waited long enough to preempt. The tasks of a step are tried in the order of their wait. Evidence: TestLongRunningTaskWaitsForAGangWithoutRoom failed before: "Expected <map[string]int | len:0>: {} to have length 1".

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -65,7 +65,10 @@
 	// noRoomAt is the value of Core.workerChanges when no worker had room for
 	// the step's tasks. Only workers that have changed since can have room.
 	noRoomAt uint64
-	advice   stepAdvice
+	// starved reports that a task of a long-running step was starved at the
+	// start of the current pass.
+	starved bool
+	advice  stepAdvice
 }
 
 // task is one task of a step.
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -105,6 +105,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.done < len(s.tasks) && s.hasWaiting() && c.isReady(s) {
+				s.starved = s.spec.LongRunning && c.isStarved(s.nextWaiting(nil))
 				steps = append(steps, s)
 			}
 		}
@@ -121,13 +122,29 @@
 	return false
 }
 
-// placeStep starts the waiting tasks of a step on workers that have room.
-func (c *Core) placeStep(p *pass, s *stepState) {
+// nextWaiting returns the waiting task that follows another one in the order of
+// their waits, the longest first, and nil after the last. After nil it returns
+// the first.
+func (s *stepState) nextWaiting(after *task) *task {
+	var next *task
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if !t.isWaiting() {
-			continue
+		if t.isWaiting() && (after == nil || compareWait(t, after) > 0) && (next == nil || compareWait(t, next) < 0) {
+			next = t
 		}
+	}
+	return next
+}
+
+// compareWait orders the tasks of a step by the start of their wait, and then by
+// index.
+func compareWait(a, b *task) int {
+	return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.index, b.index))
+}
+
+// placeStep starts the waiting tasks of a step on workers that have room.
+func (c *Core) placeStep(p *pass, s *stepState) {
+	for t := s.nextWaiting(nil); t != nil; t = s.nextWaiting(t) {
 		w := c.selectWorker(p, t)
 		if w == nil && c.mayUseQuarantined(p, t) {
 			w = c.selectWorkerAmong(p, p.quarantined, t, anyWorker)
@@ -137,7 +154,7 @@
 			continue
 		}
 		if !c.makeRoom(p, t) {
-			return // the other tasks of the step have the same demand
+			return // the other tasks of the step have the same demand and have not waited longer
 		}
 	}
 }
--- a/scheduler/dispatch/place_test.go
+++ b/scheduler/dispatch/place_test.go
@@ -176,3 +176,24 @@
 	g.Expect(sim.hostsOf(job)).To(BeEmpty())
 	g.Expect(sim.visibleStates[job]).To(Equal(carobkeel.JobCancelled))
 }
+
+// TestLongRunningTaskWaitsForAGangWithoutRoom lets a more urgent gang reserve
+// all free room.
+func TestLongRunningTaskWaitsForAGangWithoutRoom(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000)
+	sim.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Endless: true} }
+	busy := step(2, 5000)
+	busy.LongRunning = true
+	sim.submit(1, 0, busy)
+	sim.run(200 * time.Millisecond)
+	gang := step(4, 3000)
+	gang.Gang = true
+	sim.submit(2, 0, gang)
+	sim.run(1200 * time.Millisecond)
+	longRunning := step(1, 1000)
+	longRunning.LongRunning = true
+	job := sim.submit(3, 1, longRunning)
+	sim.run(2500 * time.Millisecond)
+	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
+}
--- a/scheduler/dispatch/urgency.go
+++ b/scheduler/dispatch/urgency.go
@@ -6,12 +6,14 @@
 	"time"
 )
 
-// compareUrgency orders steps by the queue's priority, then long-running steps
+// compareUrgency orders starved long-running steps first, since they must run
+// wherever there is room, then by the queue's priority, then long-running steps
 // first, then steps that can still be on time before late ones, and then by
 // their due time.
 func (c *Core) compareUrgency(a, b *stepState) int {
 	ja, jb := a.occurrence.job, b.occurrence.job
 	return cmp.Or(
+		compareFalseFirst(!a.starved, !b.starved),
 		cmp.Compare(c.queueOf(ja).Priority, c.queueOf(jb).Priority),
 		compareFalseFirst(!a.spec.LongRunning, !b.spec.LongRunning),
 		cmp.Compare(c.lateness(a), c.lateness(b)),
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -22,7 +22,7 @@
 	}
 	reports := 0
 	for _, s := range steps {
-		t := s.longestWaiting()
+		t := s.nextWaiting(nil)
 		if t == nil || reports == maxWaitReports {
 			continue
 		}
@@ -60,19 +60,6 @@
 	}
 }
 
-// longestWaiting returns the waiting task of a step that has waited the longest,
-// nil if none waits.
-func (s *stepState) longestWaiting() *task {
-	var longest *task
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.isWaiting() && (longest == nil || t.waitingSince < longest.waitingSince) {
-			longest = t
-		}
-	}
-	return longest
-}
-
 // workerCounts counts the workers of a shard by the first reason for which a
 // waiting task can't start on them.
 type workerCounts struct {
