--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -52,6 +52,8 @@
 	loseAnswer    func() (lost bool, late time.Duration)
 	visibleStates map[carobkeel.JobID]carobkeel.JobState
 	work          func(task carobkeel.TaskName, run int) standin.Work
+	// workOn, if set, replaces work and depends on the host.
+	workOn func(host string, task carobkeel.TaskName, run int) standin.Work
 	// admits decides whether a ticket lets a task start on a host; every ticket
 	// does if it is nil. advise returns the advice service's answer, which
 	// arrives one tick later.
@@ -111,8 +113,40 @@
 	requestedLease    time.Duration
 	// lostOrder reports that the link has lost an order.
 	lostOrder bool
+	fault     faultKind
 }
 
+// faultKind is a fault of one worker.
+type faultKind uint8
+
+const (
+	// sound workers have no fault.
+	sound faultKind = iota
+	// failing workers fail all runs that they start.
+	failing
+	// stalled workers make no progress.
+	stalled
+	// refusing workers refuse all starts.
+	refusing
+	// silent workers carry out orders without an answer, up to lateOrder later.
+	silent
+	// unreachable workers are not reached by their sidecars.
+	unreachable
+	// isolated workers are partitioned from the holder.
+	isolated
+)
+
+// setFault replaces the fault of a worker.
+func (s *host) setFault(kind faultKind) {
+	s.fault = kind
+	s.worker.Stall(kind == stalled)
+	s.workerUnreachable = kind == unreachable
+	s.partitioned = kind == isolated
+}
+
+// lateOrder is how late silent workers carry out orders.
+const lateOrder = 2 * time.Second
+
 // holder is a process that holds the shard, or believes that it does.
 type holder struct {
 	epoch       carobkeel.Epoch
@@ -160,7 +194,12 @@
 					Sequence:    1,
 				},
 				MaxLease: testMaxLease, StopGrace: testStopGrace, Record: sim.record,
-				Work: func(task carobkeel.TaskName, run int) standin.Work { return sim.work(task, run) },
+				Work: func(task carobkeel.TaskName, run int) standin.Work {
+					if sim.workOn != nil {
+						return sim.workOn(name, task, run)
+					}
+					return sim.work(task, run)
+				},
 				Admits: func(task carobkeel.TaskName, ticket string) bool {
 					return sim.admits == nil || sim.admits(name, task, ticket)
 				},
@@ -417,6 +456,10 @@
 			sim.answer(h, s, o, result)
 			return
 		}
+		if s.fault == refusing {
+			sim.answer(h, s, o, runs.ResultUnhealthy)
+			return
+		}
 	}
 	envelope := s.envelope(h.epoch)
 	envelope.Incarnation = o.Incarnation
@@ -434,7 +477,11 @@
 		}
 		return answer
 	}
-	if lost, late := sim.loseAnswer(); lost {
+	lost, late := sim.loseAnswer()
+	if s.fault == silent {
+		lost, late = true, lateOrder
+	}
+	if lost {
 		sim.delayed = append(sim.delayed, delayedOrder{at: sim.now + late, send: func() { send() }})
 		if sim.broken.unansweredIsRefused {
 			sim.answer(h, s, o, runs.ResultUnhealthy)
