Release the runs of a worker that shut down though its sidecar goes on

Callers saw: tasks that ran on a worker until it shut down started elsewhere only after its lease, 3.7 s or more later, longer than the 3 s within which a long-running task has to run again. Cause: an orderly shutdown lets the lease expire after 0.5 s, but the sidecar's next ping, 0.3 s later, extended it again; the sidecar stays on its host and pings on. Change: pings extend no lease of a worker that has shut down. A listing shows that the worker lives after all, and ends this state, as does another incarnation. Measured: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -26,8 +26,8 @@
 		return
 	}
 	w.reachable = w.linked
-	if w.unresponsive {
-		w.unresponsive = false
+	if w.unresponsive || w.shutDown {
+		w.unresponsive, w.shutDown = false, false
 		c.HostPinged(w.host)
 	}
 	for _, end := range l.Ends {
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -113,7 +113,9 @@
 	requestedLease    time.Duration
 	// lostOrder reports that the link has lost an order.
 	lostOrder bool
-	fault     faultKind
+	// departed reports that the worker has shut down and the sidecar has not.
+	departed bool
+	fault    faultKind
 }
 
 // faultKind is a fault of one worker.
@@ -350,6 +352,9 @@
 	}
 	h.core.HostPinged(s.name)
 	s.holder = s.holder.Confirm(h.epoch, sim.now)
+	if s.departed {
+		return
+	}
 	if s.workerUnreachable {
 		h.core.WorkerUnreachable(s.name, gate.LeaseRemaining(s.clock, s.requestedLease, sim.now))
 		return
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -71,6 +71,8 @@
 	// unresponsive reports that the sidecar can't reach its worker. It does not
 	// extend the worker's lease in this state.
 	unresponsive bool
+	// shutDown reports that the worker has shut down. Its sidecar may go on.
+	shutDown bool
 	// listed reports that the worker has listed its runs in this epoch.
 	listed bool
 	// leaseExpiry is when the worker's lease has certainly expired.
@@ -129,7 +131,7 @@
 // extend the worker's lease.
 func (c *Core) HostPinged(host string) {
 	w := c.worker(host)
-	if !w.unresponsive {
+	if !w.unresponsive && !w.shutDown {
 		w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
 	}
 }
@@ -181,7 +183,7 @@
 	}
 	c.forgetUnreported(w.host, d.Incarnation)
 	w.description = d
-	w.listed = false
+	w.listed, w.shutDown = false, false
 	w.recorded = c.recordedIncarnations[d.Incarnation]
 	w.lastEnd, w.pendingEnds = 0, nil
 	w.health = health{}
@@ -210,7 +212,7 @@
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
-	w.description.Draining = true
+	w.description.Draining, w.shutDown = true, true
 	w.reachable, w.listed = false, false
 	w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+exitGrace)
 }
