Quarantine workers that go on refusing starts or leave one unanswered

Callers saw: a long-running task without a run while a sound worker had room, as its starts went round workers that refuse them. Cause: a refusal kept tasks away for 0.3 s only, however often the worker had refused, and a start without an answer (1.6 s by the sidecar's attempts) not at all. Placement fills workers one after the other, so the same ones were tried again before a sound one with more free room: the first of more than six is free again before the last has refused. Change: an unhealthy worker is quarantined, for 0.6 s and twice as long with each further refusal, up to 4 s, until a start is accepted; one that left a start unanswered for 4 s. A quarantined worker is the last choice and not excluded, so that this delays no task that has nowhere else to run. Evidence: TestTaskReturnsToRefusingWorkersBeforeASoundOne (host-8 had no run after 2.5 s) and TestTaskReturnsToAWorkerThatDidNotAnswer ("{"host-0": 1} to have key host-1") failed before. Measured: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -15,8 +15,10 @@
 	// runs gets no tasks. After it, one more failed run renews the quarantine.
 	quarantineDuration = 4 * time.Second
 	// refusalBackoff is how long a worker that refused a start gets no further
-	// start.
+	// start. An unhealthy one is quarantined for twice as long, and for twice as
+	// long again with each further refusal, up to maxRefusals.
 	refusalBackoff = 300 * time.Millisecond
+	maxRefusals    = 4
 )
 
 // health is the evidence about a worker from the ends of its runs.
@@ -27,6 +29,9 @@
 	// quarantinedUntil is when the worker may get tasks again that can run
 	// elsewhere.
 	quarantinedUntil time.Duration
+	// refusals counts the starts refused since the last one that was accepted,
+	// up to the one whose quarantine has the full duration.
+	refusals int
 	// refusesUntil is when the worker may get tasks again after a refusal.
 	refusesUntil time.Duration
 }
@@ -49,8 +54,7 @@
 		}
 		h.failedJobs[string(r.name.Job)] = true
 		if len(h.failedJobs) >= quarantineFailures {
-			h.quarantinedUntil = c.now.Monotonic + quarantineDuration
-			c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: r.worker.host, Detail: "runs of several jobs failed"})
+			c.quarantine(r.worker, quarantineDuration, 0, "runs of several jobs failed")
 		}
 	}
 }
@@ -70,9 +74,33 @@
 	return t.step.spec.LongRunning || len(p.quarantined) > len(p.workers)
 }
 
-func (c *Core) recordRefusal(w *workerState, result runs.Result) {
+// recordStartAnswer records a worker's answer to a start order as evidence about
+// the worker.
+func (c *Core) recordStartAnswer(w *workerState, result runs.Result) {
+	h := &w.health
 	switch result {
-	case runs.ResultUnhealthy, runs.ResultNoRoom, runs.ResultDraining, runs.ResultInvalid:
-		w.health.refusesUntil = max(w.health.refusesUntil, c.now.Monotonic+refusalBackoff)
+	case runs.ResultOK:
+		h.refusals = 0
+		return
+	case runs.ResultUnhealthy:
+		h.refusals = min(h.refusals+1, maxRefusals)
+		c.quarantine(w, min(quarantineDuration, refusalBackoff<<h.refusals), 0, "starts refused")
+	case runs.ResultUnknown:
+		c.quarantine(w, quarantineDuration, 0, "a start without an answer")
+	case runs.ResultNoRoom, runs.ResultDraining, runs.ResultInvalid:
+	default:
+		return
 	}
+	h.refusesUntil = max(h.refusesUntil, c.now.Monotonic+refusalBackoff)
+}
+
+// quarantine makes a worker the last choice for tasks. Waited is how long the
+// evidence took, if it took any time.
+func (c *Core) quarantine(w *workerState, duration, waited time.Duration, reason string) {
+	until := c.now.Monotonic + duration
+	if until <= w.health.quarantinedUntil {
+		return
+	}
+	w.health.quarantinedUntil = until
+	c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: w.host, Waited: waited, Detail: reason})
 }
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -223,6 +223,7 @@
 	if r.phase != runOrdered {
 		return
 	}
+	c.recordStartAnswer(r.worker, a.Result)
 	switch a.Result {
 	case runs.ResultOK:
 		r.phase = runConfirmed
@@ -234,7 +235,6 @@
 	case runs.ResultLate:
 		c.orderStart(r)
 	default:
-		c.recordRefusal(r.worker, a.Result)
 		if a.Result == runs.ResultNoTicket {
 			c.dropTicket(r.task.step, a.Incarnation)
 		}
--- a/scheduler/dispatch/quarantine_test.go
+++ b/scheduler/dispatch/quarantine_test.go
@@ -45,3 +45,32 @@
 	sim.run(2 * time.Second)
 	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
 }
+
+// TestTaskReturnsToRefusingWorkersBeforeASoundOne lets the placement prefer
+// workers that refuse all starts.
+func TestTaskReturnsToRefusingWorkersBeforeASoundOne(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000, 8000, 8000, 8000, 8000, 8000, 8000, 16000)
+	sim.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Endless: true} }
+	for _, name := range sim.hosts[:8] {
+		sim.workers[name].setFault(refusing)
+	}
+	longRunning := step(1, 1000)
+	longRunning.LongRunning = true
+	job := sim.submit(1, 0, longRunning)
+	sim.run(2500 * time.Millisecond)
+	g.Expect(sim.hostsOf(job)).To(HaveKey("host-8"))
+}
+
+func TestTaskReturnsToAWorkerThatDidNotAnswer(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 16000)
+	sim.work = func(carobkeel.TaskName, int) standin.Work { return standin.Work{Endless: true} }
+	orders := 0
+	sim.loseAnswer = func() (bool, time.Duration) { orders++; return orders == 1, 100 * time.Millisecond }
+	longRunning := step(1, 1000)
+	longRunning.LongRunning = true
+	job := sim.submit(1, 0, longRunning)
+	sim.run(2 * time.Second)
+	g.Expect(sim.hostsOf(job)).To(HaveKey("host-1"))
+}
--- a/scheduler/dispatch/stall.go
+++ b/scheduler/dispatch/stall.go
@@ -85,8 +85,7 @@
 func (c *Core) quarantineStalled(w *workerState, waited time.Duration) {
 	w.stall.quarantine = min(maxStallQuarantine, max(minStallQuarantine, 2*w.stall.quarantine))
 	w.stall.lastProgress = c.now.Monotonic
-	w.health.quarantinedUntil = max(w.health.quarantinedUntil, c.now.Monotonic+w.stall.quarantine)
-	c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: w.host, Detail: "no run makes progress", Waited: waited})
+	c.quarantine(w, w.stall.quarantine, waited, "no run makes progress")
 	for _, r := range w.runs {
 		if c.shouldProgress(r) {
 			c.stop(r, "worker stalled")
