--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -22,11 +22,10 @@
 	}
 	reports := 0
 	for _, s := range steps {
-		startable := c.startableTasks(s)
-		if len(startable) == 0 || reports == maxWaitReports {
+		t := c.nextStartable(s, nil)
+		if t == nil || reports == maxWaitReports {
 			continue
 		}
-		t := startable[0]
 		waited := c.now.Monotonic - max(t.waitingSince, s.readyAt)
 		if waited < minReportedWait {
 			continue
