--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -102,7 +102,7 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.done < len(s.tasks) && c.hasStartable(s) && c.isReady(s) {
-				s.starved = s.spec.LongRunning && c.isStarved(c.startableTasks(s)[0])
+				s.starved = s.spec.LongRunning && c.isStarved(c.nextStartable(s, nil))
 				steps = append(steps, s)
 			}
 		}
@@ -136,22 +136,29 @@
 	return false
 }
 
-// startableTasks returns the tasks of a step that can start, the one that has
-// waited the longest first.
-func (c *Core) startableTasks(s *stepState) []*task {
-	var startable []*task
+// nextStartable returns the task that can start and follows another one in the order of
+// their waits, the longest first, and nil after the last. After nil it returns
+// the first.
+func (c *Core) nextStartable(s *stepState, after *task) *task {
+	var next *task
 	for i := range s.tasks {
-		if c.canStart(&s.tasks[i]) {
-			startable = append(startable, &s.tasks[i])
+		t := &s.tasks[i]
+		if c.canStart(t) && (after == nil || compareWait(t, after) > 0) && (next == nil || compareWait(t, next) < 0) {
+			next = t
 		}
 	}
-	slices.SortStableFunc(startable, func(a, b *task) int { return cmp.Compare(a.waitingSince, b.waitingSince) })
-	return startable
+	return next
+}
+
+// compareWait orders the tasks of a step by the start of their wait, and then by
+// index.
+func compareWait(a, b *task) int {
+	return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.index, b.index))
 }
 
 // placeStep starts the waiting tasks of a step on workers that have room.
 func (c *Core) placeStep(p *pass, s *stepState) {
-	for _, t := range c.startableTasks(s) {
+	for t := c.nextStartable(s, nil); t != nil; t = c.nextStartable(s, t) {
 		w := c.selectWorker(p, t)
 		if w == nil && c.mayUseQuarantined(p, t) {
 			w = c.selectWorkerAmong(p, p.quarantined, t, anyWorker)
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -52,6 +52,8 @@
 	loseAnswer    func() (lost bool, late time.Duration)
 	visibleStates map[carobkeel.JobID]carobkeel.JobState
 	work          func(task carobkeel.TaskName, run int) standin.Work
+	// workOn, if set, replaces work and depends on the host.
+	workOn func(host string, task carobkeel.TaskName, run int) standin.Work
 	// admits decides whether a ticket lets a task start on a host; every ticket
 	// does if it is nil. advise returns the advice service's answer, which
 	// arrives one tick later.
@@ -129,6 +131,9 @@
 	refusesOrders bool
 	// orders counts the starts and stops that the sidecar has received.
 	orders int
+	// departed reports that the worker has shut down and the sidecar has not.
+	departed bool
+	fault    faultKind
 }
 
 // heartbeatInterval is the time between two heartbeats of a worker.
@@ -175,6 +180,37 @@
 	return gate.LeaseRemaining(s.clock, s.requestedLease, now)
 }
 
+// faultKind is a fault of one worker.
+type faultKind uint8
+
+const (
+	// sound workers have no fault.
+	sound faultKind = iota
+	// failing workers fail all runs that they start.
+	failing
+	// stalled workers make no progress.
+	stalled
+	// refusing workers refuse all starts.
+	refusing
+	// silent workers carry out orders without an answer, up to lateOrder later.
+	silent
+	// unreachable workers are not reached by their sidecars.
+	unreachable
+	// isolated workers are partitioned from the holder.
+	isolated
+)
+
+// setFault replaces the fault of a worker.
+func (s *host) setFault(kind faultKind) {
+	s.fault = kind
+	s.worker.Stall(kind == stalled)
+	s.workerUnreachable = kind == unreachable
+	s.partitioned = kind == isolated
+}
+
+// lateOrder is how late silent workers carry out orders.
+const lateOrder = 2 * time.Second
+
 // holder is a process that holds the shard, or believes that it does.
 type holder struct {
 	epoch       carobkeel.Epoch
@@ -227,6 +263,9 @@
 					if sim.failsOn != nil && sim.failsOn(name) {
 						return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeFailed}
 					}
+					if sim.workOn != nil {
+						return sim.workOn(name, task, run)
+					}
 					return sim.work(task, run)
 				},
 				Admits: func(task carobkeel.TaskName, ticket string) bool {
@@ -382,7 +421,7 @@
 	}
 	h.core.HostPinged(s.name)
 	s.holder = s.holder.Confirm(h.epoch, sim.now)
-	if !sim.reportsWorker(h, s) {
+	if s.departed || !sim.reportsWorker(h, s) {
 		return
 	}
 	d := s.worker.Description()
@@ -497,6 +536,10 @@
 			sim.answer(h, s, o, result)
 			return
 		}
+		if s.fault == refusing {
+			sim.answer(h, s, o, runs.ResultUnhealthy)
+			return
+		}
 	}
 	if s.refusesOrders {
 		sim.answer(h, s, o, runs.ResultUnhealthy)
@@ -518,7 +561,11 @@
 		}
 		return answer
 	}
-	if lost, late := sim.loseAnswer(); lost {
+	lost, late := sim.loseAnswer()
+	if s.fault == silent {
+		lost, late = true, lateOrder
+	}
+	if lost {
 		sim.delayed = append(sim.delayed, delayedOrder{at: sim.now + late, send: func() { send() }})
 		if sim.broken.unansweredIsRefused {
 			sim.answer(h, s, o, runs.ResultUnhealthy)
