Replace a holder row that was removed

Seen: once another writer had removed the holder row, the shard had no holder for good. Cause: the removal was skipped in the feed, so every candidate kept the version of the removed row as its condition. Change: it counts as a row that names no holder, on the condition that there is none. Evidence: TestRemovedHolderRowIsReplaced failed before: "Timed out after 20.000s". Measured: it passes.

--- a/scheduler/holder/odd_rows_test.go
+++ b/scheduler/holder/odd_rows_test.go
@@ -150,3 +150,16 @@
 		})
 	}
 }
+
+func TestRemovedHolderRowIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 2, 1)
+	job := f.submit(g, f.entries[0], 1)
+	g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+	id := table.RowID{Table: holder.TableHolders, Part: testShard, Key: "holder"}
+	_, err := f.memory.Transact(context.Background(), table.RowTransaction{Writes: []table.RowWrite{{RowID: id, Delete: true}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	job = f.submit(g, f.entries[0], 2)
+	g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+	g.Expect(f.violations()).To(BeEmpty())
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -63,7 +63,7 @@
 		l.node.holderState.Store(&HolderState{Since: clock.Boottime()})
 	}
 	for _, row := range changes.Rows {
-		if row.Key == holderKey && !row.Deleted {
+		if row.Key == holderKey {
 			l.applyHolderRow(row)
 		}
 	}
@@ -75,6 +75,11 @@
 	if old != nil && row.Version <= old.Version {
 		return
 	}
+	if row.Deleted {
+		l.node.log.Error().Msg("holder row removed by another writer")
+		l.replaceHolderRow(old, 0)
+		return
+	}
 	holder, err := decodeHolder(row)
 	if err != nil {
 		l.node.log.Error().Err(err).Msg("holder row left out")
@@ -117,7 +122,7 @@
 }
 
 // replaceHolderRow makes this process take part in replacing a holder row that names
-// no holder.
+// no holder. The version is zero for a row that was removed.
 func (l *loop) replaceHolderRow(old *HolderState, version table.Version) {
 	if l.core != nil {
 		l.stepDown("the holder row names no holder")
