Keep the messages between processes readable by earlier releases

Change: that an entry takes over is a message of its own before the pong, of a type that earlier releases ignore. That a sidecar follows the holder is taken from the epoch in its ping, which was always there. Measured: go test of scheduler/dispatch, scheduler/holder, scheduler/wire and sidecar/agent passed. Not run: processes of both releases side by side.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -227,7 +227,7 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.wakeAt(w.leaseExpiry)
 		}
-		if w.unresponsive && c.mayHaveInheritedRuns(w) && w.inheritedExpiry > c.now.Monotonic {
+		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) && w.inheritedExpiry > c.now.Monotonic {
 			c.wakeAt(w.inheritedExpiry)
 		}
 	}
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -421,6 +421,7 @@
 	}
 	h.core.HostPinged(s.name)
 	s.holder = s.holder.Confirm(h.epoch, sim.now)
+	h.core.HostFollows(s.name)
 	if s.departed || !sim.reportsWorker(h, s) {
 		return
 	}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -84,8 +84,10 @@
 	listed bool
 	// leaseExpiry is when the worker's lease has certainly expired.
 	leaseExpiry time.Duration
-	// inheritedExpiry is the same for leases that the sidecar extended for
-	// earlier holders. It is valid while the worker is unresponsive.
+	// follows reports that the sidecar follows this holder, so that it extends no
+	// lease for an earlier one. inheritedExpiry is then when the leases that it
+	// extended for earlier holders have certainly expired.
+	follows         bool
 	inheritedExpiry time.Duration
 	runs            map[runKey]*runState
 	// used is the sum of the resources that the runs hold, and beingStopped the
@@ -136,7 +138,17 @@
 func (c *Core) HostLinked(host string) {
 	w := c.worker(host)
 	w.linked = true
-	w.listed, w.reachable, w.unresponsive = false, false, false
+	w.listed, w.reachable, w.unresponsive, w.follows = false, false, false, false
+}
+
+// HostFollows records that the sidecar of a host follows this holder.
+func (c *Core) HostFollows(host string) {
+	w := c.worker(host)
+	if w.follows {
+		return
+	}
+	w.follows = true
+	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
 }
 
 // HostPinged records a ping from the sidecar of a host, after which it may
@@ -157,18 +169,17 @@
 
 // WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
 // lease expires after remaining. A negative value means that the sidecar does
-// not know the time. The report shows that the sidecar follows this holder, so
-// that it extends no lease for an earlier one.
+// not know the time.
 func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
 	w := c.worker(host)
 	if w.unresponsive {
 		return
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
-	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
 	if remaining >= 0 && remaining < c.config.WorkerLease {
-		w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(remaining)
-		w.leaseExpiry = min(w.leaseExpiry, w.inheritedExpiry)
+		expiry := c.now.Monotonic + maxLeaseDuration(remaining)
+		w.leaseExpiry = min(w.leaseExpiry, expiry)
+		w.inheritedExpiry = min(w.inheritedExpiry, expiry)
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
@@ -267,7 +278,7 @@
 // expireInheritedOn drops the incarnations of a worker that have not listed to
 // this holder, once no lease of an earlier holder can be valid there.
 func (c *Core) expireInheritedOn(w *workerState) {
-	if !w.linked || !w.unresponsive || c.now.Monotonic < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
+	if !w.linked || !w.follows || !w.unresponsive || c.now.Monotonic < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -41,8 +41,11 @@
 	// lastPong is when the last pong was received.
 	lastPong    atomic.Int64
 	holderLeads atomic.Bool
-	// holderTakesOver is whether the last pong stated that the holder takes over.
+	// holderTakesOver is whether the holder stated with the last pong that it takes
+	// over. takingOver is set between that statement and the pong, by the link's
+	// reading goroutine.
 	holderTakesOver atomic.Bool
+	takingOver      bool
 	storeAge        atomic.Int64
 	// restarted reports that another incarnation answers at the holder's
 	// address.
@@ -112,10 +115,13 @@
 			return err
 		}
 		h.holderLeads.Store(pong.IsHolder)
-		h.holderTakesOver.Store(pong.TakingOver)
+		h.holderTakesOver.Store(h.takingOver)
+		h.takingOver = false
 		h.restarted.Store(pong.Incarnation != h.holder)
 		h.storeAge.Store(pong.StoreAge)
 		h.lastPong.Store(int64(clock.Boottime()))
+	case wire.TypeTakingOver:
+		h.takingOver = true
 	case wire.TypeReply:
 		var reply wire.Reply
 		if err := wire.Decode(f, &reply); err != nil {
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -162,7 +162,12 @@
 		})
 	}
 	if p.role == wire.RoleSidecar && n.Leading() {
-		p.push(func(l *loop) { l.core.HostPinged(p.host) })
+		p.push(func(l *loop) {
+			l.core.HostPinged(p.host)
+			if l.node.holderState.Load().Row.Epoch == ping.Epoch {
+				l.core.HostFollows(p.host)
+			}
+		})
 	}
 	p.pong()
 	return nil
@@ -175,11 +180,13 @@
 		Sequence:    p.pinged.Load(),
 		StoreAge:    n.StoreAge().Milliseconds(),
 		Incarnation: uint64(n.config.Incarnation),
-		TakingOver:  n.takingOver.Load(),
 	}
 	if s := n.holderState.Load(); s != nil {
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
 	}
+	if n.takingOver.Load() {
+		p.send(wire.TypeTakingOver, &wire.TakingOver{Sequence: pong.Sequence})
+	}
 	p.send(wire.TypePong, pong)
 }
 
@@ -245,9 +252,7 @@
 			return nil, err
 		}
 		return func(l *loop) {
-			if l.node.holderState.Load().Row.Epoch == s.Epoch {
-				l.core.WorkerUnreachable(p.host, s.Decoded())
-			}
+			l.core.WorkerUnreachable(p.host, s.Decoded())
 		}, nil
 	}
 	var left wire.WorkerShutDown
--- a/scheduler/wire/doc.go
+++ b/scheduler/wire/doc.go
@@ -28,6 +28,7 @@
 	// The following are sent between entries.
 	TypeQuery
 	TypeReply
+	TypeTakingOver
 )
 
 // Encode returns a frame that contains the message.
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -5,7 +5,7 @@
 // No list, map or byte string is longer than a frame.
 //
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Hello Ping Pong WorkerIncarnation Description Running End Listing Answer WorkerUnreachable WorkerShutDown Order Query Reply
+//msgp:tuple Hello Ping Pong TakingOver WorkerIncarnation Description Running End Listing Answer WorkerUnreachable WorkerShutDown Order Query Reply
 
 // Roles of the peer that dials.
 const (
@@ -34,10 +34,9 @@
 // Pong answers a Ping.
 type Pong struct {
 	Sequence uint64
-	// IsHolder reports that the sender holds the shard, TakingOver that it is about
-	// to: it writes the holder row or reads the shard.
-	IsHolder, TakingOver bool
-	Epoch                uint64
+	// IsHolder reports that the sender holds the shard.
+	IsHolder bool
+	Epoch    uint64
 	// StoreAge is the time since the holder last reached the table service, in
 	// milliseconds.
 	StoreAge int64
@@ -45,6 +44,13 @@
 	Incarnation uint64
 }
 
+// TakingOver precedes a Pong of an entry that is about to hold the shard: it writes
+// the holder row or reads the shard.
+type TakingOver struct {
+	// Sequence is that of the Pong.
+	Sequence uint64
+}
+
 // WorkerIncarnation is the encoding of a runs.Incarnation.
 type WorkerIncarnation struct {
 	ID          string
@@ -111,8 +117,6 @@
 	// Remaining is the time until the worker's lease expires, in milliseconds. It
 	// is negative if the sidecar does not know it.
 	Remaining int64
-	// Epoch is the epoch of the holder that the sidecar follows.
-	Epoch uint64
 }
 
 // WorkerShutDown reports that a worker has shut down in an orderly way.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -732,11 +732,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Pong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendBool(o, z.IsHolder)
-	o = msgp.AppendBool(o, z.TakingOver)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendInt64(o, z.StoreAge)
 	o = msgp.AppendUint64(o, z.Incarnation)
@@ -751,8 +750,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -765,11 +764,6 @@
 		err = msgp.WrapError(err, "IsHolder")
 		return
 	}
-	z.TakingOver, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "TakingOver")
-		return
-	}
 	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Epoch")
@@ -791,7 +785,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pong) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size
 	return
 }
 
@@ -969,6 +963,42 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z TakingOver) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.Sequence)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TakingOver) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sequence")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TakingOver) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z WorkerIncarnation) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -1068,10 +1098,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z WorkerUnreachable) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 1
+	o = append(o, 0x91)
 	o = msgp.AppendInt64(o, z.Remaining)
-	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -1083,8 +1112,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
 	}
 	z.Remaining, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1092,17 +1121,12 @@
 		err = msgp.WrapError(err, "Remaining")
 		return
 	}
-	z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Epoch")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z WorkerUnreachable) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size + msgp.Uint64Size
+	s = 1 + msgp.Int64Size
 	return
 }
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -202,9 +202,7 @@
 	if holderLink == nil {
 		return
 	}
-	holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{
-		Remaining: remaining.Milliseconds(), Epoch: uint64(holderLink.epoch()),
-	})
+	holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{Remaining: remaining.Milliseconds()})
 }
 
 // leaseRemaining returns how long the worker's lease may still be valid, or
