Report the lease as unknown while this sidecar process has requested none

Callers would see: a task that runs twice. Found by reading, not seen in a run. Cause: a restarted sidecar that knows the worker's clock but has not yet requested a lease reported that none is left, if the worker stopped answering then. The lease that the earlier process had requested may still be valid, and the holder released the runs at once. Change: the remaining time is unknown until this process has requested a lease. The holder then waits for a full one. Evidence: TestLeaseOfAnEarlierSidecarProcessIsNotReportedAsOver failed before: 'Expected <time.Duration>: 0 to equal <time.Duration>: -1000000'. Measured: go test ./sidecar/agent passed.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -208,11 +208,11 @@
 // leaseRemaining returns how long the worker's lease may still be valid, or
 // unknownRemaining.
 func (a *Agent) leaseRemaining() time.Duration {
-	c := a.clock.Load()
-	if !c.Known {
+	c, deadline := a.clock.Load(), a.deadline.Load()
+	if !c.Known || deadline == 0 {
 		return unknownRemaining
 	}
-	return gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
+	return gate.LeaseRemaining(*c, time.Duration(deadline), clock.Boottime())
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -60,3 +60,11 @@
 		})
 	}
 }
+
+func TestLeaseOfAnEarlierSidecarProcessIsNotReportedAsOver(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{})
+	g.Expect(a.leaseRemaining()).To(Equal(unknownRemaining))
+	a.envelope(testIncarnation, 3)
+	g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
+}
