Report a worker whose incarnation was replaced as unreachable

Callers saw: nothing yet; found while reading. A task of the old incarnation would wait for ever if no heartbeat of the new one is accepted (one that was born earlier by the time of day is taken for a late heartbeat).

Cause: a listing by another incarnation under the same id was dropped in silence. The sidecar's pings went on, so that the holder extended the lease of the old incarnation. It is the same class as in: a sidecar that pings and has nothing to report.

Change: such a listing counts as one that the worker refused, as an answer with 421 does: after two of them the sidecar says that it can't reach that incarnation.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -83,6 +83,9 @@
 	defer cancel()
 	epoch := a.holder.Load().Epoch
 	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, epoch), a.acknowledgedUpTo(d.Incarnation), wait)
+	if err == nil && listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs {
+		answer.Result = runs.ResultOtherIncarnation // its heartbeat describes it
+	}
 	if err != nil || answer.Result != runs.ResultOK {
 		l.handleFailure(ctx, d, answer, err)
 		return
@@ -91,10 +94,6 @@
 	if a.unresponsive.Swap(false) {
 		a.log.Info().Str("worker", d.ID).Msg("worker answers again")
 	}
-	if listing.StartedAtMs != 0 && listing.StartedAtMs != d.StartedAtMs {
-		a.waitForChange(ctx, retryPause) // another incarnation; its heartbeat describes it
-		return
-	}
 	a.observeClock(d.Incarnation, answer)
 	l.forward(d, number, epoch, listing)
 	if len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation) {
