Take back failures as evidence against workers when the job can't succeed

Callers saw: jobs that can't succeed quarantined all workers of a shard at once, so that nothing started for up to 4 s after they had come. Cause: such jobs fail on every worker. Three of them with no success between, which workers full of long-running tasks never have, quarantined each sound worker, and evidence had no end: after the quarantine, any one failure renewed it. Change: when a job fails whose step has nothing done, and one of the workers on which its task failed is not quarantined for failures, its failed runs stop counting, and quarantines that rested on them end. Failed runs of jobs that have failed count no more, and all others for 20 s. While half of the workers or more are quarantined, failed runs quarantine no more of them. Evidence: TestJobsThatCannotSucceedQuarantineSoundWorkers failed before: "Expected <map[string]int | len:0>: {} to have length 4". TestWorkerThatFailsItsRunsIsQuarantined holds what must stay; it passed before, too.

--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -1,19 +1,27 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 const (
 	// quarantineFailures is how many runs of different jobs must fail in a row
 	// on one worker before it is quarantined. Half a percent of the runs fail
-	// on sound workers, and jobs that can't succeed fail on every worker.
+	// on sound workers.
 	quarantineFailures = 3
+	// failureWindow is how long a failed run counts as evidence.
+	failureWindow = 20 * time.Second
 	// quarantineDuration is how long a worker that is suspected of failing its
 	// runs gets no tasks. After it, one more failed run renews the quarantine.
 	quarantineDuration = 4 * time.Second
+	// maxFailingShare is the share of the workers that may be quarantined before
+	// failed runs quarantine no more of them: so many failures are more likely
+	// the jobs' fault.
+	maxFailingShare = 0.5
 	// refusalBackoff is how long a worker that refused a start gets no further
 	// start. An unhealthy one is quarantined for twice as long, and for twice as
 	// long again with each further refusal, up to maxRefusals.
@@ -23,12 +31,11 @@
 
 // health is the evidence about a worker from the ends of its runs.
 type health struct {
-	// failedJobs are the jobs whose runs have failed since the last successful
-	// run.
-	failedJobs map[string]bool
-	// quarantinedUntil is when the worker may get tasks again that can run
-	// elsewhere.
-	quarantinedUntil time.Duration
+	// failures are the runs that have failed since the last successful run.
+	failures []failedRun
+	// quarantinedUntil and failingUntil are when the worker may get tasks again
+	// that can run elsewhere. The latter rests on failures.
+	quarantinedUntil, failingUntil time.Duration
 	// refusals counts the starts refused since the last one that was accepted,
 	// up to the one whose quarantine has the full duration.
 	refusals int
@@ -36,6 +43,70 @@
 	refusesUntil time.Duration
 }
 
+// failedRun is a failed run that is evidence about a worker.
+type failedRun struct {
+	job carobkeel.JobID
+	at  time.Duration
+}
+
+// failedJobs counts the jobs of the runs that have failed on a worker. Runs that
+// are no evidence any more are dropped.
+func (c *Core) failedJobs(h *health) int {
+	h.failures = slices.DeleteFunc(h.failures, func(f failedRun) bool { return c.now.Monotonic-f.at >= failureWindow })
+	jobs := make(map[carobkeel.JobID]bool)
+	for _, f := range h.failures {
+		jobs[f.job] = true
+	}
+	return len(jobs)
+}
+
+// recordFailure records a failed run as evidence about its worker, unless its job
+// has failed.
+func (c *Core) recordFailure(r *runState) {
+	if r.task == nil || r.task.job().failed {
+		return
+	}
+	h := &r.worker.health
+	h.failures = append(h.failures, failedRun{job: r.name.Job, at: c.now.Monotonic})
+	if c.failedJobs(h) >= quarantineFailures && c.quarantinedShare() < maxFailingShare {
+		h.failingUntil = c.now.Monotonic + quarantineDuration
+		c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: r.worker.host, Detail: "runs of several jobs failed"})
+	}
+}
+
+// cannotSucceed reports whether a task without attempts left is the likely cause
+// of its failures: none of its step is done, and not all workers on which it
+// failed are quarantined for failures.
+func (c *Core) cannotSucceed(t *task) bool {
+	return t.step.done == 0 && slices.ContainsFunc(t.failedHosts, func(host string) bool {
+		w := c.workers[host]
+		return w != nil && c.now.Monotonic >= w.health.failingUntil
+	})
+}
+
+// withdrawFailures drops the failed runs of a job that can't succeed as evidence
+// about workers, and ends the quarantines that rested on them.
+func (c *Core) withdrawFailures(job carobkeel.JobID) {
+	for _, w := range c.workers {
+		h := &w.health
+		h.failures = slices.DeleteFunc(h.failures, func(f failedRun) bool { return f.job == job })
+		if c.failedJobs(h) < quarantineFailures {
+			h.failingUntil = 0
+		}
+	}
+}
+
+// quarantinedShare returns the share of the workers that are quarantined.
+func (c *Core) quarantinedShare() float64 {
+	n := 0
+	for _, w := range c.workers {
+		if c.isQuarantined(w) {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(c.workers)))
+}
+
 // recordOutcome records the outcome of a run as evidence about its worker and
 // its step.
 func (c *Core) recordOutcome(r *runState, outcome runs.Outcome) {
@@ -46,21 +117,15 @@
 			r.task.step.completedTime += c.now.Monotonic - r.started
 			r.task.step.completedRuns++
 		}
-		h.failedJobs = nil
-		h.quarantinedUntil = 0
+		h.failures = nil
+		h.quarantinedUntil, h.failingUntil = 0, 0
 	case runs.OutcomeFailed:
-		if h.failedJobs == nil {
-			h.failedJobs = make(map[string]bool)
-		}
-		h.failedJobs[string(r.name.Job)] = true
-		if len(h.failedJobs) >= quarantineFailures {
-			c.quarantine(r.worker, quarantineDuration, 0, "runs of several jobs failed")
-		}
+		c.recordFailure(r)
 	}
 }
 
 func (c *Core) isQuarantined(w *workerState) bool {
-	return c.now.Monotonic < w.health.quarantinedUntil
+	return c.now.Monotonic < max(w.health.quarantinedUntil, w.health.failingUntil)
 }
 
 // mayUseQuarantined reports whether a task that no other worker has room for may
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -290,6 +290,9 @@
 		return
 	}
 	j.failed = true
+	if c.cannotSucceed(t) {
+		c.withdrawFailures(j.spec.ID)
+	}
 	c.recordEnded(j)
 	c.recordDecision(Decision{Kind: DecidedJobFailed, Job: j.spec.ID, Task: t.name(), Host: host, Waited: c.now.Monotonic - j.accepted})
 	c.stopAll(j)
--- a/scheduler/dispatch/quarantine_test.go
+++ b/scheduler/dispatch/quarantine_test.go
@@ -1,12 +1,14 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
 	"github.com/carobkeel/carobkeel/worker/runs/standin"
 )
 
@@ -74,3 +76,43 @@
 	sim.run(2 * time.Second)
 	g.Expect(sim.hostsOf(job)).To(HaveKey("host-1"))
 }
+
+func TestJobsThatCannotSucceedQuarantineSoundWorkers(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000, 8000, 8000)
+	const hopeless = 8
+	sim.work = func(task carobkeel.TaskName, _ int) standin.Work {
+		if task.Job <= carobkeel.JobID(fmt.Sprintf("%016x", hopeless)) {
+			return standin.Work{Duration: 200 * time.Millisecond, Outcome: runs.OutcomeFailed}
+		}
+		return standin.Work{Endless: true}
+	}
+	for n := range hopeless {
+		sim.submit(n+1, 1, step(4, 500))
+	}
+	sim.run(1500 * time.Millisecond)
+	job := sim.submit(hopeless+1, 1, step(16, 2000))
+	sim.run(200 * time.Millisecond)
+	g.Expect(sim.hostsOf(job)).To(HaveLen(4))
+}
+
+func TestWorkerThatFailsItsRunsIsQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000, 8000, 8000)
+	started := 0
+	sim.workOn = func(host string, _ carobkeel.TaskName, _ int) standin.Work {
+		if host == "host-0" {
+			started++
+			return standin.Work{Duration: 200 * time.Millisecond, Outcome: runs.OutcomeFailed}
+		}
+		return standin.Work{Duration: 300 * time.Millisecond}
+	}
+	for n := range 40 {
+		sim.submit(n, 1, step(4, 500))
+		sim.run(100 * time.Millisecond)
+	}
+	g.Expect(started).To(BeNumerically("<", 20))
+	for _, spec := range sim.store.jobs {
+		g.Expect(sim.store.progress[spec.ID].State).NotTo(Equal(carobkeel.JobFailed))
+	}
+}
