Keep a long-running task away from all workers that just failed it

Callers saw: a long-running task that was never at work, as its runs failed in turn on the same two workers, while a sound one had room. Cause: only the host of the last failure was avoided. Placement prefers workers with little free room, and so went back to the one before. One job's failures quarantine no worker. Tasks with an end keep all hosts, as before. Evidence: TestLongRunningTaskAlternatesBetweenFailingWorkers failed before: "{"host-0": 1} to have key host-3" after 3 s. Measured: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -87,8 +87,10 @@
 	runs []*runState
 	// waitingSince is when the task last began to wait.
 	waitingSince time.Duration
-	// failedHosts are the hosts on which runs failed.
+	// failedHosts are the hosts on which runs failed, and failedAt is when the
+	// last one did.
 	failedHosts []string
+	failedAt    time.Duration
 }
 
 func (t *task) name() carobkeel.TaskName {
@@ -268,6 +270,18 @@
 	}
 }
 
+// addFailedHost records the host of a failed run. Long-running tasks also fail on
+// sound hosts now and then, so only failures in quick succession add up.
+func (c *Core) addFailedHost(t *task, host string) {
+	if t.step.spec.LongRunning && c.now.Monotonic-t.failedAt >= failureWindow {
+		t.failedHosts = nil
+	}
+	t.failedAt = c.now.Monotonic
+	if !slices.Contains(t.failedHosts, host) {
+		t.failedHosts = append(t.failedHosts, host)
+	}
+}
+
 // failTask records a failed run. The job fails when one of its tasks has no
 // attempts left.
 func (c *Core) failTask(t *task, run int, host string) {
@@ -276,14 +290,11 @@
 		return
 	}
 	t.failedRuns = append(t.failedRuns, run)
-	t.failedHosts = append(t.failedHosts, host)
+	c.addFailedHost(t, host)
 	limit := c.queueOf(j).MaxAttempts
 	c.markDirty(j)
 	if t.step.spec.LongRunning {
-		// Long-running tasks have no limit of attempts. Only the host of the
-		// last failure is avoided.
-		t.failedRuns = nil
-		t.failedHosts = []string{host}
+		t.failedRuns = nil // long-running tasks have no limit of attempts
 		return
 	}
 	if limit == 0 || len(t.failedRuns) < limit || j.failed {
--- a/scheduler/dispatch/quarantine_test.go
+++ b/scheduler/dispatch/quarantine_test.go
@@ -116,3 +116,21 @@
 		g.Expect(sim.store.progress[spec.ID].State).NotTo(Equal(carobkeel.JobFailed))
 	}
 }
+
+// TestLongRunningTaskAlternatesBetweenFailingWorkers lets the placement prefer
+// workers that fail all runs.
+func TestLongRunningTaskAlternatesBetweenFailingWorkers(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000, 8000, 16000)
+	sim.workOn = func(host string, _ carobkeel.TaskName, _ int) standin.Work {
+		if host != "host-3" {
+			return standin.Work{Duration: 200 * time.Millisecond, Outcome: runs.OutcomeFailed}
+		}
+		return standin.Work{Endless: true}
+	}
+	longRunning := step(1, 1000)
+	longRunning.LongRunning = true
+	job := sim.submit(1, 0, longRunning)
+	sim.run(3 * time.Second)
+	g.Expect(sim.hostsOf(job)).To(HaveKey("host-3"))
+}
