Reserve no room for gangs that the workers could never hold

Callers saw: jobs of lower priority that never started while most workers were free. Cause: a gang that has waited for a second gets all free room reserved in each pass, also one that would not fit if the workers ran nothing. Change: room is reserved only for gangs that would fit the usable workers if they were empty. Evidence: TestJobWaitsForAGangThatCanNeverFit failed before: "Expected <map[string]int | len:0>: {} to have length 1". Measured: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/gang.go
+++ b/scheduler/dispatch/gang.go
@@ -98,11 +98,29 @@
 	return chosen
 }
 
+// fitsEmptyWorkers reports whether the workers would have room for a gang if they
+// ran nothing.
+func (c *Core) fitsEmptyWorkers(p *pass, s *stepState) bool {
+	demand := s.spec.Reserved()
+	left := len(s.tasks)
+	for _, w := range p.workers {
+		if !c.meetsRequirements(s, w) {
+			continue
+		}
+		free := w.description.Capacity
+		for n := 0; left > 0 && demand.FitsIn(free) && (s.spec.MaxPerWorker <= 0 || n < s.spec.MaxPerWorker); n++ {
+			free = free.Sub(demand)
+			left--
+		}
+	}
+	return left == 0
+}
+
 // reserveForGang reserves the free resources for a gang that does not fit yet,
 // once it has waited for gangReservationDelay. Without it, smaller tasks could
 // take these resources forever.
 func (c *Core) reserveForGang(p *pass, s *stepState) {
-	if c.now.Monotonic-s.readyAt < gangReservationDelay {
+	if c.now.Monotonic-s.readyAt < gangReservationDelay || !c.fitsEmptyWorkers(p, s) {
 		return
 	}
 	demand := s.spec.Reserved()
--- a/scheduler/dispatch/place_test.go
+++ b/scheduler/dispatch/place_test.go
@@ -197,3 +197,15 @@
 	sim.run(2500 * time.Millisecond)
 	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
 }
+
+func TestJobWaitsForAGangThatCanNeverFit(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000)
+	gang := step(5, 4000)
+	gang.Gang = true
+	sim.submit(1, 0, gang)
+	sim.run(1200 * time.Millisecond)
+	job := sim.submit(2, 1, step(1, 1000))
+	sim.run(time.Second)
+	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
+}
