Test that long-running tasks restart while configurations change

Cause: no test let tasks of a queue fail that is removed and added again. Change: a test in virtual time sets 40 configurations, every other one without the queue, while its long-running tasks fail each second.

--- /dev/null
+++ b/scheduler/dispatch/configuration_test.go
@@ -0,0 +1,43 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
+	"github.com/carobkeel/carobkeel/worker/runs/standin"
+)
+
+// TestLongRunningTaskRestartsUnderEveryConfiguration lets a task fail each
+// second while configurations with and without its queue follow each other.
+func TestLongRunningTaskRestartsUnderEveryConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000)
+	sim.work = func(carobkeel.TaskName, int) standin.Work {
+		return standin.Work{Duration: time.Second, Outcome: runs.OutcomeFailed}
+	}
+	longRunning := step(2, 1000)
+	longRunning.LongRunning = true
+	job := sim.submit(1, 0, longRunning)
+	sim.run(200 * time.Millisecond)
+	for version := range 40 {
+		config := &carobkeel.QueueConfig{Version: carobkeel.Revision(version + 1)}
+		if version%2 == 0 {
+			config.Queues = []carobkeel.Queue{testQueue(0, 3)}
+		}
+		sim.holders[0].core.SetQueues(config)
+		sim.run(350 * time.Millisecond)
+		tasks := 0
+		for _, n := range sim.hostsOf(job) {
+			tasks += n
+		}
+		g.Expect(tasks).To(BeNumerically(">=", 1), "version %d", version)
+	}
+	for i := range 2 {
+		task := carobkeel.TaskName{Job: job, Index: i}
+		g.Expect(sim.record.Starts[task]).To(BeNumerically(">=", 12), "a start a second or more")
+	}
+}
