Let starved gangs use quarantined workers while most are quarantined

Callers saw: a gang that waited for the end of the quarantine of most workers, while other jobs started on them. Cause: gangs are placed by code of their own, which looked only at workers that are not quarantined. Change: a gang that has waited 1.5 s, with more than half of the workers quarantined, is placed on these, too. Evidence: TestGangWaitsWhileMostWorkersAreQuarantined failed before: "Expected <int>: 0 to equal <int>: 2". Measured: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/gang.go
+++ b/scheduler/dispatch/gang.go
@@ -37,16 +37,26 @@
 }
 
 // chooseGang returns a worker for each task of a gang, nil if they do not all
-// fit. Tasks that prefer one rack get one if a rack has room for all.
+// fit.
 func (c *Core) chooseGang(p *pass, s *stepState) []*workerState {
+	chosen := c.chooseGangAmong(p, p.workers, s)
+	if chosen == nil && c.mayUseQuarantined(p, &s.tasks[0]) {
+		chosen = c.chooseGangAmong(p, slices.Concat(p.workers, p.quarantined), s)
+	}
+	return chosen
+}
+
+// chooseGangAmong returns one of the workers for each task of a gang, nil if they
+// do not all fit. Tasks that prefer one rack get one if a rack has room for all.
+func (c *Core) chooseGangAmong(p *pass, workers []*workerState, s *stepState) []*workerState {
 	if s.spec.SameRack {
-		for _, rack := range racksByFreeCPU(p.workers) {
-			if chosen := c.fitGang(p, s, rack); chosen != nil {
+		for _, rack := range racksByFreeCPU(workers) {
+			if chosen := c.fitGang(p, workers, s, rack); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return c.fitGang(p, s, "")
+	return c.fitGang(p, workers, s, "")
 }
 
 // racksByFreeCPU returns the racks, the one with the most free processors
@@ -64,9 +74,9 @@
 	return racks
 }
 
-// fitGang finds workers for a gang. If rack is not empty, only workers of that
+// fitGang finds places for a gang among the workers. If rack is not empty, only workers of that
 // rack are used.
-func (c *Core) fitGang(p *pass, s *stepState, rack string) []*workerState {
+func (c *Core) fitGang(p *pass, workers []*workerState, s *stepState, rack string) []*workerState {
 	assigned := make(map[*workerState]carobkeel.Resources)
 	count := make(map[*workerState]int)
 	var chosen []*workerState
@@ -74,7 +84,7 @@
 	for i := range s.tasks {
 		var best *workerState
 		var bestScore float64
-		for _, w := range p.workers {
+		for _, w := range workers {
 			if rack != "" && w.description.Rack != rack {
 				continue
 			}
--- a/scheduler/dispatch/quarantine_test.go
+++ b/scheduler/dispatch/quarantine_test.go
@@ -48,6 +48,20 @@
 	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
 }
 
+func TestGangWaitsWhileMostWorkersAreQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	sim := quarantinedSimulation(g, 8000, 8000)
+	gang := step(2, 1000)
+	gang.Gang = true
+	job := sim.submit(2, 1, gang)
+	sim.run(2 * time.Second)
+	tasks := 0
+	for _, n := range sim.hostsOf(job) {
+		tasks += n
+	}
+	g.Expect(tasks).To(Equal(2))
+}
+
 // TestTaskReturnsToRefusingWorkersBeforeASoundOne lets the placement prefer
 // workers that refuse all starts.
 func TestTaskReturnsToRefusingWorkersBeforeASoundOne(t *testing.T) {
