Search for idle long-running tasks in a full service

Change: the search submits up to three jobs of lower priority that fill the service, so that long-running tasks have to preempt.

A worker that refuses starts took the task again and again, while the room that was made elsewhere went to batch tasks.

--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -37,11 +37,12 @@
 }
 
 // endlessLongRunning lets the runs of long-running tasks last until they are
-// stopped, and those of other tasks for a second.
+// stopped, and those of other tasks as long as estimated.
 func (sim *simulation) endlessLongRunning() {
 	sim.work = func(task carobkeel.TaskName, _ int) standin.Work {
+		spec := sim.store.specs[task.Job]
 		return standin.Work{
-			Duration: time.Second, Outcome: runs.OutcomeDone, Endless: sim.store.specs[task.Job].Steps[task.Step].LongRunning,
+			Duration: spec.Steps[task.Step].Estimate, Outcome: runs.OutcomeDone, Endless: spec.Steps[task.Step].LongRunning,
 		}
 	}
 }
@@ -210,6 +211,11 @@
 	sim.takeOver()
 	sim.run(time.Second)
 	sim.submit(1_000_000, 0, longRunningStep(4, 1000))
+	for i := range draw("background", 0, 3) {
+		background := step(20, 2000)
+		background.Estimate = 10 * time.Second
+		sim.submit(1_000_001+i, 2, background)
+	}
 	jobs := 0
 	for range draw("events", 5, 30) {
 		jobs = sim.longRunningEvent(draw, jobs)
