Take the remaining lease as unknown after a sidecar's restart

A task can run twice (TWICE).

Cause: a sidecar that has requested no lease in its process reported 0 s of it as left once it knew the worker's clock. An earlier process may have requested 3.5 s. The holder then took the runs as over and started their tasks elsewhere. In the agent this needs a sidecar that was restarted, read the worker's clock before it found the holder, and lost the worker within the lease.

Change: gate.LeaseRemaining returns UnknownRemaining without a clock or a deadline; the holder waits for a full lease then. The simulation restarts sidecars, which hear of their worker up to 5 s later, and reports what the agent does.

--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -112,7 +112,18 @@
 	// lostOrder reports that the link has lost an order.
 	lostOrder bool
 	// described is the worker's last description, nil if the sidecar has none.
-	described *runs.Description
+	// The next one arrives at describedFrom or later.
+	described     *runs.Description
+	describedFrom time.Duration
+}
+
+// restartSidecar replaces the sidecar's process by one that hears of the worker
+// after the given time.
+func (s *host) restartSidecar(describedFrom time.Duration) {
+	s.holder, s.clock, s.requestedLease = gate.Holder{}, gate.Clock{}, 0
+	s.acked = make(map[runs.Incarnation]uint64)
+	s.described, s.describedFrom = nil, describedFrom
+	s.lostOrder = true // ends the link
 }
 
 // holder is a process that holds the shard, or believes that it does.
@@ -316,6 +327,10 @@
 	}
 	h.core.HostPinged(s.name)
 	s.holder = s.holder.Confirm(h.epoch, sim.now)
+	if s.described == nil && (s.workerUnreachable || sim.now < s.describedFrom) {
+		h.core.WorkerUnreachable(s.name, gate.UnknownRemaining)
+		return
+	}
 	if s.workerUnreachable {
 		h.core.WorkerUnreachable(s.name, gate.LeaseRemaining(s.clock, s.requestedLease, sim.now))
 		return
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -52,7 +52,7 @@
 	for ctx.Err() == nil {
 		d := a.description.Load()
 		if d == nil {
-			sendUnreachable(a.holderLink.Load(), unknownRemaining)
+			sendUnreachable(a.holderLink.Load(), gate.UnknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
 		}
@@ -107,7 +107,7 @@
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
 	d := a.description.Load()
 	if d == nil {
-		sendUnreachable(holderLink, unknownRemaining)
+		sendUnreachable(holderLink, gate.UnknownRemaining)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
@@ -165,20 +165,13 @@
 func (l *lister) reportUnresponsive(d *runs.Description, err error) {
 	a := l.agent
 	first := !a.unresponsive.Swap(true)
-	remaining := unknownRemaining
-	if c := a.clock.Load(); c.Known {
-		remaining = gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
-	}
+	remaining := gate.LeaseRemaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
 	if first {
 		a.log.Warn().Str("worker", d.ID).Dur("lease_left", remaining).Err(err).Msg("worker does not answer")
 	}
 	sendUnreachable(a.holderLink.Load(), remaining)
 }
 
-// unknownRemaining stands for the remaining time of a lease that this process did
-// not request, or whose worker's clock is unknown.
-const unknownRemaining = -time.Millisecond
-
 // sendUnreachable tells the holder that the worker is not reached, and how long its
 // lease may still be valid.
 func sendUnreachable(holderLink *entryLink, remaining time.Duration) {
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -69,11 +69,16 @@
 	return max(0, c.at(h.Confirmed)+duration)
 }
 
+// UnknownRemaining stands for the remaining time of a lease that is unknown.
+const UnknownRemaining = -time.Millisecond
+
 // LeaseRemaining returns the longest time from now for which a lease with the
-// deadline may still be valid on the worker's clock, zero if that clock is unknown.
+// deadline may still be valid on the worker's clock. It is UnknownRemaining if that
+// clock is unknown, or if the deadline is zero: the sidecar has requested no lease,
+// but its process may have been restarted.
 func LeaseRemaining(c Clock, deadline, now time.Duration) time.Duration {
-	if !c.Known {
-		return 0
+	if !c.Known || deadline == 0 {
+		return UnknownRemaining
 	}
 	return max(0, deadline-c.lowerBound(now))
 }
--- a/sidecar/gate/gate_test.go
+++ b/sidecar/gate/gate_test.go
@@ -53,6 +53,13 @@
 	})
 }
 
+// TestRemainingLeaseIsUnknownAfterSidecarRestart guards against taking a lease as
+// over that an earlier process of the sidecar has requested.
+func TestRemainingLeaseIsUnknownAfterSidecarRestart(t *testing.T) {
+	clock := gate.Clock{Reading: time.Minute, Received: time.Hour, Known: true}
+	NewWithT(t).Expect(gate.LeaseRemaining(clock, 0, time.Hour)).To(Equal(gate.UnknownRemaining))
+}
+
 func TestStartsAreAdmittedOnlyForTheRightWorker(t *testing.T) {
 	incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
 	ready := &runs.Description{Incarnation: incarnation}
