Merge the remaining lease of a restarted sidecar

Cause: the same fault was fixed twice, in the agent and in the gate. Change: the gate says that the remaining lease is unknown, and the agent uses it. Both tests stay. The random faults restart sidecars by the simulation's one restartSidecar. Measured: go test ./scheduler/dispatch ./sidecar/...

--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -159,10 +159,10 @@
 	case 9:
 		s.endWorker()
 	case 10, 11:
-		sim.restartSidecar(s)
+		sim.restartSidecar(s, sim.now+heartbeatInterval)
 	case 12:
 		s.endWorker()
-		sim.restartSidecar(s)
+		sim.restartSidecar(s, sim.now+heartbeatInterval)
 	case 13:
 		s.workerUnreachable = !s.workerUnreachable
 	case 14:
@@ -298,7 +298,7 @@
 	dead := sim.hostRunning(job)
 	dead.endWorker()
 	sim.run(time.Second)
-	sim.restartSidecar(dead)
+	sim.restartSidecar(dead, sim.now+heartbeatInterval)
 	sim.run(testLease + testLease/50 + 300*time.Millisecond)
 	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
 }
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -139,12 +139,13 @@
 // heartbeatInterval is the time between two heartbeats of a worker.
 const heartbeatInterval = time.Second
 
-// restartSidecar replaces the process of a host's sidecar.
-func (sim *simulation) restartSidecar(s *host) {
+// restartSidecar replaces the process of a host's sidecar by one that has the first
+// heartbeat of its worker at the given time.
+func (sim *simulation) restartSidecar(s *host, heartbeatAt time.Duration) {
 	s.holder, s.clock, s.incarnation = gate.Holder{}, gate.Clock{}, runs.Incarnation{}
 	s.listing, s.requestedLease = 0, 0
 	s.acked = make(map[runs.Incarnation]uint64)
-	s.restarted, s.heartbeatAt = true, sim.now+heartbeatInterval
+	s.restarted, s.heartbeatAt = true, heartbeatAt
 	s.linked, s.unlinkedAt, s.described = nil, 0, nil
 }
 
@@ -159,27 +160,18 @@
 func (sim *simulation) reportsWorker(h *holder, s *host) bool {
 	if s.restarted && (s.workerDown || sim.now < s.heartbeatAt) {
 		if !sim.broken.silentSidecar {
-			h.core.WorkerUnreachable(s.name, -1)
+			h.core.WorkerUnreachable(s.name, gate.UnknownRemaining)
 		}
 		return false
 	}
 	s.restarted = false
 	if s.workerUnreachable || s.workerDown {
-		h.core.WorkerUnreachable(s.name, s.leaseRemaining(sim.now))
+		h.core.WorkerUnreachable(s.name, gate.LeaseRemaining(s.clock, s.requestedLease, sim.now))
 		return false
 	}
 	return true
 }
 
-// leaseRemaining returns how long the worker's lease may still be valid, negative
-// if the sidecar does not know the worker's clock.
-func (s *host) leaseRemaining(now time.Duration) time.Duration {
-	if !s.clock.Known {
-		return -1
-	}
-	return gate.LeaseRemaining(s.clock, s.requestedLease, now)
-}
-
 // faultKind is a fault of one worker.
 type faultKind uint8
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -34,9 +34,6 @@
 	// unresponsiveAfter is the number of consecutive failed listings after which
 	// the worker counts as unresponsive.
 	unresponsiveAfter = 2
-	// unknownRemaining stands for the remaining time of a lease that this process
-	// did not request, or whose worker's clock is unknown.
-	unknownRemaining = -time.Millisecond
 )
 
 // lister is the state of the goroutine that requests listings.
@@ -55,7 +52,7 @@
 	for ctx.Err() == nil {
 		d := a.description.Load()
 		if d == nil {
-			sendUnreachable(a.holderLink.Load(), unknownRemaining)
+			sendUnreachable(a.holderLink.Load(), gate.UnknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
 		}
@@ -128,7 +125,7 @@
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
 	d := a.description.Load()
 	if d == nil {
-		sendUnreachable(holderLink, unknownRemaining)
+		sendUnreachable(holderLink, gate.UnknownRemaining)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
@@ -206,13 +203,9 @@
 }
 
 // leaseRemaining returns how long the worker's lease may still be valid, or
-// unknownRemaining.
+// gate.UnknownRemaining.
 func (a *Agent) leaseRemaining() time.Duration {
-	c, deadline := a.clock.Load(), a.deadline.Load()
-	if !c.Known || deadline == 0 {
-		return unknownRemaining
-	}
-	return gate.LeaseRemaining(*c, time.Duration(deadline), clock.Boottime())
+	return gate.LeaseRemaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -64,7 +65,7 @@
 func TestLeaseOfAnEarlierSidecarProcessIsNotReportedAsOver(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := linkedAgent(&scriptedWorker{})
-	g.Expect(a.leaseRemaining()).To(Equal(unknownRemaining))
+	g.Expect(a.leaseRemaining()).To(Equal(gate.UnknownRemaining))
 	a.envelope(testIncarnation, 3)
 	g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
 }
