--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -203,6 +203,9 @@
 		job := step(d.between(2, 8), int64(d.between(2, 15))*100)
 		job.LongRunning, job.LatencyTarget = true, 300*time.Millisecond
 		job.MaxPerWorker = d.between(0, 2)
+		if d.between(0, 5) == 0 {
+			job.BestEffort, job.LatencyTarget = true, 0
+		}
 		d.submit(d.longRunningPriority, job)
 	}
 	for end := d.sim.now + disturbedTime; d.sim.now < end; {
