Count only workers in use in the share that is quarantined

Callers saw: nothing yet; found in review of the limit on quarantines for failed runs. Cause: the share was that of all hosts ever seen, so that hosts which are gone let failures quarantine most of the workers that are left. Each further failure on a quarantined worker was logged as a quarantine of its own. Change: the share is that of the workers that accept tasks. A failure on a quarantined worker renews its quarantine, whatever the share, without a log line. Evidence: TestHostsThatAreGoneLetMoreWorkersBeQuarantined counts 2 quarantines of 4 workers; with the share of all 8 hosts it fails with 4. Measured: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -68,8 +68,15 @@
 	}
 	h := &r.worker.health
 	h.failures = append(h.failures, failedRun{job: r.name.Job, at: c.now.Monotonic})
-	if c.failedJobs(h) >= quarantineFailures && c.quarantinedShare() < maxFailingShare {
-		h.failingUntil = c.now.Monotonic + quarantineDuration
+	if c.failedJobs(h) < quarantineFailures {
+		return
+	}
+	renewed := c.isQuarantined(r.worker)
+	if !renewed && c.quarantinedShare() >= maxFailingShare {
+		return
+	}
+	h.failingUntil = c.now.Monotonic + quarantineDuration
+	if !renewed {
 		c.recordDecision(Decision{Kind: DecidedWorkerQuarantined, Host: r.worker.host, Detail: "runs of several jobs failed"})
 	}
 }
@@ -96,15 +103,20 @@
 	}
 }
 
-// quarantinedShare returns the share of the workers that are quarantined.
+// quarantinedShare returns the share of the workers accepting tasks that are
+// quarantined.
 func (c *Core) quarantinedShare() float64 {
-	n := 0
+	all, quarantined := 0, 0
 	for _, w := range c.workers {
+		if !c.acceptsTasks(w) {
+			continue
+		}
+		all++
 		if c.isQuarantined(w) {
-			n++
+			quarantined++
 		}
 	}
-	return float64(n) / float64(max(1, len(c.workers)))
+	return float64(quarantined) / float64(max(1, all))
 }
 
 // recordOutcome records the outcome of a run as evidence about its worker and
--- a/scheduler/dispatch/quarantine_test.go
+++ b/scheduler/dispatch/quarantine_test.go
@@ -148,3 +148,23 @@
 	sim.run(3 * time.Second)
 	g.Expect(sim.hostsOf(job)).To(HaveKey("host-3"))
 }
+
+// TestHostsThatAreGoneLetMoreWorkersBeQuarantined counts the workers that a burst
+// of hopeless jobs quarantines, of the four that are left.
+func TestHostsThatAreGoneLetMoreWorkersBeQuarantined(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000, 8000, 8000, 8000, 8000, 8000, 8000, 8000)
+	for _, name := range sim.hosts[4:] {
+		sim.workers[name].partitioned = true
+	}
+	sim.run(10 * time.Second)
+	sim.work = func(carobkeel.TaskName, int) standin.Work {
+		return standin.Work{Duration: 200 * time.Millisecond, Outcome: runs.OutcomeFailed}
+	}
+	quarantines := recordDecisions(sim, "worker quarantined")
+	for n := range 16 {
+		sim.submit(n, 1, step(2, 1000))
+	}
+	sim.run(400 * time.Millisecond)
+	g.Expect(*quarantines).To(HaveLen(2))
+}
