Take a lease as expired only while no later holder can extend it

Callers would see: tasks that run twice at a time (TWICE).

Cause: a holder that is cut off from the table service, the other entries and part of the workers schedules on for up to 6 s. It took the leases of the lost workers as expired 3.7 s after their last ping and started their tasks on the workers that it still reached. Its successor, which takes over after about 1 s, reaches the lost workers and goes on extending their leases, so that the runs there never end.

Change: a lease counts as expired once its time is over and this holder still held the shard at that time or later. Now.Held carries the last confirmation. Where it is older, the holder reads its row, at most ten times a second, so that no restart waits for the next answer of the feed. A lease that is over no longer has the loop wake up each millisecond while the host's inherited runs are waited for.

Evidence: TestHolderCutOffLeavesRunsToItsSuccessor failed before: 'Failed after 2.333s. Expected <int>: 1 to be zero-valued': the old holder had started the task a second time. The simulation of the decisions now passes each holder's own confirmation.

Measured: go test -race ./scheduler/dispatch ./scheduler/holder passed (190 s and 75 s beside other load).

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -39,6 +39,9 @@
 	// Monotonic is the monotonic time. It also advances while the host is
 	// suspended.
 	Monotonic time.Duration
+	// Held is the last monotonic time at which this holder certainly held the shard,
+	// so that no later holder had extended a lease.
+	Held time.Duration
 	// Wall is the time of day.
 	Wall time.Time
 }
@@ -102,6 +105,8 @@
 	workersToRecord      []WorkerRecord
 	incarnationsToForget []runs.Incarnation
 	wake                 time.Duration
+	// confirmHold reports that Now.Held is too old to take a lease as expired.
+	confirmHold bool
 	// adviceStep is the step of the outstanding advice question, nil if there
 	// is none. adviceQuestion is the question that has not been sent yet.
 	adviceStep     *stepState
@@ -199,18 +204,20 @@
 	// Wake is when Advance must be called next at the latest, zero if it need
 	// not be.
 	Wake time.Duration
+	// ConfirmHold requests a call of Advance with a newer Now.Held.
+	ConfirmHold bool
 }
 
 // Finish makes the decisions that follow from the events since the last call,
 // and returns the actions to carry out.
 func (c *Core) Finish() Output {
-	c.wake = 0
+	c.wake, c.confirmHold = 0, false
 	c.moveSlowRuns()
 	c.schedule()
 	c.controlInterference()
 	c.acknowledgeEnds()
 	c.scheduleWake()
-	out := Output{Orders: c.orders, Decisions: c.decisions, StateChanges: c.views, AdviceQuestion: c.adviceQuestion, Wake: c.wake}
+	out := Output{Orders: c.orders, Decisions: c.decisions, StateChanges: c.views, AdviceQuestion: c.adviceQuestion, Wake: c.wake, ConfirmHold: c.confirmHold}
 	c.orders, c.decisions, c.views, c.adviceQuestion = nil, nil, nil, nil
 	return out
 }
@@ -225,20 +232,30 @@
 func (c *Core) scheduleWake() {
 	for _, w := range c.workers {
 		if !w.reachable && len(w.runs) > 0 {
-			c.wakeAt(w.leaseExpiry)
+			c.awaitExpiry(w.leaseExpiry)
 		}
-		if w.unresponsive && c.mayHaveInheritedRuns(w) && w.inheritedExpiry > c.now.Monotonic {
-			c.wakeAt(w.inheritedExpiry)
+		if w.unresponsive && c.mayHaveInheritedRuns(w) {
+			c.awaitExpiry(w.inheritedExpiry)
 		}
 	}
 	if len(c.unreportedWorkers) > 0 {
-		c.wakeAt(c.inheritedExpiry)
+		c.awaitExpiry(c.inheritedExpiry)
 	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
 	}
 }
 
+// awaitExpiry requests what is needed to take a lease as expired from t on.
+func (c *Core) awaitExpiry(t time.Duration) {
+	switch {
+	case c.now.Monotonic < t:
+		c.wakeAt(t)
+	case c.now.Held < t:
+		c.confirmHold = true
+	}
+}
+
 // LimitInheritedLease records that leases that earlier holders extended can run for
 // at most d from now on, because these holders have ended or stepped down.
 func (c *Core) LimitInheritedLease(d time.Duration) {
@@ -247,7 +264,7 @@
 }
 
 func (c *Core) expireInherited() {
-	if len(c.unreportedWorkers) == 0 || c.now.Monotonic < c.inheritedExpiry {
+	if len(c.unreportedWorkers) == 0 || c.now.Held < c.inheritedExpiry {
 		return
 	}
 	for incarnation, host := range c.unreportedWorkers {
--- a/scheduler/dispatch/lease_test.go
+++ b/scheduler/dispatch/lease_test.go
@@ -26,11 +26,11 @@
 		})
 		core.WorkerUnreachable("h", remaining)
 		core.Finish()
-		core.Advance(dispatch.Now{Monotonic: time.Hour + 2*time.Second})
+		core.Advance(dispatch.Now{Monotonic: time.Hour + 2*time.Second, Held: time.Hour + 2*time.Second})
 		for _, d := range core.Finish().Decisions {
 			g.Expect(d.Kind).NotTo(Equal(dispatch.DecidedLeaseExpired))
 		}
-		core.Advance(dispatch.Now{Monotonic: time.Hour + 4*time.Second})
+		core.Advance(dispatch.Now{Monotonic: time.Hour + 4*time.Second, Held: time.Hour + 4*time.Second})
 		var kinds []dispatch.DecisionKind
 		for _, d := range core.Finish().Decisions {
 			kinds = append(kinds, d.Kind)
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -389,7 +389,9 @@
 		h.ended = true
 		return
 	}
-	h.core.Advance(sim.time())
+	now := sim.time()
+	now.Held = h.confirmedAt
+	h.core.Advance(now)
 	sim.advice(h)
 	for _, name := range sim.hosts {
 		sim.exchange(h, sim.workers[name])
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -248,10 +248,11 @@
 // shutdown.
 const exitGrace = 500 * time.Millisecond
 
-// expireLeases releases the runs of workers whose lease has expired.
+// expireLeases releases the runs of workers whose lease has expired. A later holder
+// may have extended those that expired after Now.Held.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
-		if w.reachable || w.listed || c.now.Monotonic < w.leaseExpiry {
+		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
 			continue
 		}
 		c.expireInheritedOn(w)
@@ -267,7 +268,7 @@
 // expireInheritedOn drops the incarnations of a worker that have not listed to
 // this holder, once no lease of an earlier holder can be valid there.
 func (c *Core) expireInheritedOn(w *workerState) {
-	if !w.linked || !w.unresponsive || c.now.Monotonic < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
+	if !w.linked || !w.unresponsive || c.now.Held < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -41,6 +41,9 @@
 	// holdConfirmed is the last time at which the holder row that this node knows
 	// was certainly the newest one.
 	holdConfirmed time.Duration
+	// confirmRequested is when the holder row was last read to confirm that this
+	// node holds the shard.
+	confirmRequested time.Duration
 	// predecessors are the earlier holders, as far as this process has seen them.
 	predecessors predecessors
 	// endTakeover ends the attempt to take over that is in progress.
@@ -111,7 +114,7 @@
 }
 
 func (l *loop) now() dispatch.Now {
-	return dispatch.Now{Monotonic: clock.Boottime(), Wall: time.Now()}
+	return dispatch.Now{Monotonic: clock.Boottime(), Held: l.holdConfirmed, Wall: time.Now()}
 }
 
 // nextTimeout returns the time until the loop must run again without an event.
@@ -136,9 +139,37 @@
 	out := l.core.Finish()
 	l.execute(out)
 	l.wake = out.Wake
+	if out.ConfirmHold {
+		l.confirmHold()
+	}
 	l.store()
 }
 
+// confirmHold reads the holder row, at most once in each tickInterval. The feed of
+// its changes confirms it only every followTimeout.
+func (l *loop) confirmHold() {
+	requestedAt := clock.Boottime()
+	if requestedAt-l.confirmRequested < tickInterval {
+		return
+	}
+	l.confirmRequested = requestedAt
+	n, term, version := l.node, l.term, l.node.holderState.Load().Version
+	go func() {
+		ctx, cancel := context.WithTimeout(term, followTimeout)
+		defer cancel()
+		row, _, err := n.rows.Get(ctx, n.holderRow())
+		if err != nil || row.Version != version {
+			return // the feed delivers a newer row
+		}
+		n.events.Push(func(l *loop) {
+			if l.core != nil && l.term == term {
+				l.holdConfirmed = max(l.holdConfirmed, requestedAt)
+				l.core.Advance(l.now())
+			}
+		})
+	}()
+}
+
 // execute carries out the output of the core.
 func (l *loop) execute(out dispatch.Output) {
 	l.logDecisions(out.Decisions)
--- /dev/null
+++ b/scheduler/holder/partition_test.go
@@ -0,0 +1,128 @@
+package holder_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/caller/submission"
+	"github.com/carobkeel/carobkeel/scheduler/holder"
+	"github.com/carobkeel/carobkeel/sidecar/agent"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/faulty"
+)
+
+// relay forwards connections to an address until it is cut. Then it drops all bytes.
+type relay struct {
+	address string
+	cut     atomic.Bool
+}
+
+func startRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	r := &relay{address: listener.Addr().String()}
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = from.Close()
+				continue
+			}
+			go r.forward(from, to)
+			go r.forward(to, from)
+		}
+	}()
+	return r
+}
+
+func (r *relay) forward(from, to net.Conn) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err == nil && !r.cut.Load() {
+			_, err = to.Write(buffer[:n])
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// startNode starts an entry with its own access to the table service. Other processes
+// reach it through the relay, and those of its own side at the returned address.
+func (f *cluster) startNode(t *testing.T, incarnation carobkeel.Incarnation) (*entry, *relay, string, *faulty.Rows) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	outside := startRelay(t, address)
+	rows := faulty.NewRows(f.memory)
+	node := holder.New(holder.Config{
+		Host: "entry-" + address, Incarnation: incarnation, Address: outside.address, Shard: testShard, WorkerLease: testWorkerLease,
+	}, rows, holder.NewMetrics(tally.NoopScope), f.logger)
+	go func() { _ = node.Serve(ctx, listener) }()
+	go node.Run(ctx)
+	node.SetQueues(f.config)
+	NewWithT(t).Eventually(node.StoreAge, waitTimeout).Should(BeNumerically("<", time.Second))
+	e := &entry{node: node, jobs: submission.New(testShard, rows, node, submission.NewMetrics(tally.NoopScope), f.logger), stop: cancel}
+	f.entries = append(f.entries, e)
+	return e, outside, address, rows
+}
+
+// startWorkerOf starts a worker whose sidecar knows only the given entries.
+func (f *cluster) startWorkerOf(t *testing.T, host string, addresses ...string) *realTimeWorker {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	worker := f.newWorker(host)
+	find := func(context.Context) ([]string, error) { return addresses, nil }
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, find, agent.NewMetrics(tally.NoopScope), f.logger)
+	go a.Run(ctx)
+	a.RecordHeartbeat(worker.worker.Description())
+	return worker
+}
+
+// TestHolderCutOffLeavesRunsToItsSuccessor guards against a holder that is cut off, with
+// part of the workers, and restarts there what its successor keeps running elsewhere.
+func TestHolderCutOffLeavesRunsToItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 0, 0)
+	old, outside, inside, oldRows := f.startNode(t, 1)
+	g.Eventually(old.node.Leading, waitTimeout).Should(BeTrue())
+	next, _, nextAddress, _ := f.startNode(t, 2)
+	kept := f.startWorkerOf(t, "host-0", outside.address, nextAddress)
+	g.Expect(old.jobs.Submit(context.Background(), longRunningJob())).To(Succeed())
+	g.Eventually(kept.countTasks, waitTimeout).Should(Equal(1))
+	cutOff := f.startWorkerOf(t, "host-1", inside)
+	workerRows := func() ([]table.VersionedRow, error) {
+		scan, err := f.memory.Scan(context.Background(), holder.TableWorkers, testShard, "")
+		return scan.Rows, err
+	}
+	g.Eventually(workerRows, waitTimeout).Should(HaveLen(2))
+	outside.cut.Store(true)
+	oldRows.SetDown(true)
+	g.Eventually(next.node.Leading, waitTimeout).Should(BeTrue())
+	g.Consistently(cutOff.countTasks, 7*time.Second, 50*time.Millisecond).Should(BeZero())
+	g.Expect(kept.countTasks()).To(Equal(1))
+	g.Expect(f.violations()).To(BeEmpty())
+}
