Extend no lease before the holder knows that the worker answers again

Callers would see: a task that runs twice at a time (TWICE), where a worker stalls for most of a lease and the link of its host is cut or slow when it answers again.

Cause: a sidecar that doesn't reach its worker tells the holder how much of the lease is left, and the holder takes it as expired after that time. Once the worker answered, the sidecar extended the lease at once, by the last ping that the holder had answered before. If the holder got the listing later than the lease left, or not at all, it started the tasks elsewhere while the lease went on for up to 3.5 s. An order that was being sent while the report was made could also extend the lease past the reported time.

Change: the lease is extended only by the answer to a ping that was sent after the listing, on the same link; such a ping is sent at once. The first listing is full. A worker that is not known yet counts as unresponsive too, as the holder is told so. An order that finds the worker unresponsive after it has recorded its deadline doesn't carry it.

Evidence: TestLeaseIsNotExtendedBeforeTheHolderKnowsThatTheWorkerAnswers failed before: 'the last ping was answered before the listing, Expected <time.Duration>: to be zero-valued'.

Measured: go test -race ./sidecar/... and go test ./scheduler/holder passed.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -64,8 +64,11 @@
 	denied atomic.Pointer[runs.Incarnation]
 	// leftOut limits the log lines about rows left out of listings.
 	leftOut logging.RateLimit
-	// unresponsive reports that the worker does not answer.
+	// unresponsive reports that the worker does not answer, or is not known yet.
 	unresponsive atomic.Bool
+	// extendsFrom is the time from which a ping must have been sent whose answer
+	// extends the lease: the holder has been told by then that the worker answers.
+	extendsFrom atomic.Int64
 	// listingNumber is the number of the last listing that was begun.
 	listingNumber atomic.Uint64
 
@@ -189,17 +192,35 @@
 }
 
 // envelope returns the envelope of a request to the worker. It extends the lease only
-// while the worker answers.
+// while the worker answers and the holder knows that.
 func (a *Agent) envelope(incarnation runs.Incarnation, epoch carobkeel.Epoch) runs.Envelope {
 	e := runs.Envelope{Incarnation: incarnation, Epoch: epoch}
-	if a.unresponsive.Load() {
+	holder := a.holder.Load()
+	if a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
 		return e
 	}
-	e.Deadline = gate.LeaseDeadline(*a.holder.Load(), *a.clock.Load(), a.config.WorkerLease)
-	a.raiseDeadline(e.Deadline)
+	deadline := gate.LeaseDeadline(*holder, *a.clock.Load(), a.config.WorkerLease)
+	a.raiseDeadline(deadline)
+	if !a.unresponsive.Load() { // otherwise the report may not include this deadline
+		e.Deadline = deadline
+	}
 	return e
 }
 
+// recordAnswering records that the worker answers and that its listing was sent to the
+// holder.
+func (a *Agent) recordAnswering(d *runs.Description) {
+	if !a.unresponsive.Load() {
+		return
+	}
+	a.extendsFrom.Store(int64(clock.Boottime()))
+	a.unresponsive.Store(false)
+	a.log.Info().Str("worker", d.ID).Msg("worker answers")
+	if holderLink := a.holderLink.Load(); holderLink != nil {
+		holderLink.ping()
+	}
+}
+
 // raiseDeadline sets the latest requested deadline unless a later one is recorded.
 func (a *Agent) raiseDeadline(deadline time.Duration) {
 	for {
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -150,21 +150,25 @@
 // sendPings sends pings at pingInterval until ctx ends.
 func (l *entryLink) sendPings(ctx context.Context) {
 	for {
-		holder := l.agent.holder.Load()
-		age := int64(-1)
-		now := clock.Boottime()
-		if holder.Known {
-			age = (now - holder.Confirmed).Milliseconds()
-		}
-		sequence := l.sequence.Add(1)
-		l.pingTimes[sequence%pingWindow].Store(int64(now))
-		l.send(wire.TypePing, &wire.Ping{Sequence: sequence, HolderAge: age, Epoch: uint64(holder.Epoch)})
+		l.ping()
 		if clock.Sleep(ctx, pingInterval) != nil {
 			return
 		}
 	}
 }
 
+func (l *entryLink) ping() {
+	holder := l.agent.holder.Load()
+	age := int64(-1)
+	now := clock.Boottime()
+	if holder.Known {
+		age = (now - holder.Confirmed).Milliseconds()
+	}
+	sequence := l.sequence.Add(1)
+	l.pingTimes[sequence%pingWindow].Store(int64(now))
+	l.send(wire.TypePing, &wire.Ping{Sequence: sequence, HolderAge: age, Epoch: uint64(holder.Epoch)})
+}
+
 func (l *entryLink) handle(f frame.Frame) error {
 	switch f.Type {
 	case wire.TypePong:
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -55,6 +55,7 @@
 	for ctx.Err() == nil {
 		d := a.description.Load()
 		if d == nil {
+			a.unresponsive.Store(true)
 			sendUnreachable(a.holderLink.Load(), unknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
@@ -94,12 +95,10 @@
 		return
 	}
 	l.failures = 0
-	if a.unresponsive.Swap(false) {
-		a.log.Info().Str("worker", d.ID).Msg("worker answers again")
-	}
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
 	l.forward(d, number, epoch, listing)
+	a.recordAnswering(d)
 	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation)
 	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
@@ -128,6 +127,7 @@
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
 	d := a.description.Load()
 	if d == nil {
+		a.unresponsive.Store(true)
 		sendUnreachable(holderLink, unknownRemaining)
 		return
 	}
@@ -152,7 +152,7 @@
 		return
 	}
 	now := clock.Boottime()
-	full := holderLink != l.lastFullLink || now-l.lastFullAt >= fullInterval
+	full := holderLink != l.lastFullLink || l.agent.unresponsive.Load() || now-l.lastFullAt >= fullInterval
 	if !full && len(listing.Ends) == 0 {
 		return
 	}
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -60,3 +61,24 @@
 		})
 	}
 }
+
+// TestLeaseIsNotExtendedBeforeTheHolderKnowsThatTheWorkerAnswers guards against runs
+// that outlive the lease left that the holder was told.
+func TestLeaseIsNotExtendedBeforeTheHolderKnowsThatTheWorkerAnswers(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{}
+	a, _ := linkedAgent(worker)
+	a.holderLink.Load().currentEpoch.Store(3)
+	a.confirm(3, clock.Boottime())
+	l := &lister{agent: a}
+	for range unresponsiveAfter {
+		l.listOnce(context.Background(), a.description.Load())
+	}
+	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeZero())
+	a.confirm(3, clock.Boottime())
+	worker.listing = &runs.Listing{}
+	l.listOnce(context.Background(), a.description.Load())
+	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeZero(), "the last ping was answered before the listing")
+	a.confirm(3, clock.Boottime())
+	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeNumerically(">", 0))
+}
