Count leases that an earlier process of the sidecar extended

Callers would see: a task that runs twice at a time (TWICE), where a sidecar is restarted and its worker stalls within 3.6 s of that.

Cause: the sidecar reported as the lease left what it had itself extended, which is zero before its first extension, and a lease that it did not know counted as over when a late heartbeat of an earlier incarnation arrived. The holder then released the runs.

Change: for the longest time that a lease can take from the start of the process, the lease left is at least what an earlier process can have extended.

Evidence: TestLateHeartbeatIsIgnoredWhileAnEarlierSidecarsLeaseMayLast failed before: 'Expected <runs.Incarnation>: {ID: "w2", StartedAtMs: 0} to equal {ID: "w", StartedAtMs: 1}'; the lease left has been added to it since. The agents of the other tests have run for an hour, as their leases are their own.

Measured: go test -race ./sidecar/agent ./sidecar/gate passed.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -42,6 +42,8 @@
 	findEntries EntryFinder
 	metrics     *Metrics
 	log         *log.Logger
+	// started is when this process was started.
+	started time.Duration
 
 	// holder, description and clock are immutable snapshots that are replaced as
 	// a unit.
@@ -104,6 +106,7 @@
 		worker:      worker,
 		findEntries: find,
 		log:         logger,
+		started:     clock.Boottime(),
 		orders:      mailbox.New[receivedOrder](),
 		changed:     make(chan struct{}, 1),
 	}
@@ -146,7 +149,9 @@
 // workerIsGone reports whether the described incarnation of the worker does not answer
 // and has no lease any more. Another one may then follow it, even one with an earlier
 // start by a clock that was set back.
-func (a *Agent) workerIsGone() bool { return a.unresponsive.Load() && a.leaseRemaining() <= 0 }
+func (a *Agent) workerIsGone() bool {
+	return a.unresponsive.Load() && max(a.leaseRemaining(), a.earlierLeaseRemaining()) <= 0
+}
 
 // isDenied reports whether the worker has answered that it is another incarnation.
 func (a *Agent) isDenied(incarnation runs.Incarnation) bool {
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -214,7 +214,13 @@
 	if !c.Known {
 		return unknownRemaining
 	}
-	return gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime())
+	return max(a.earlierLeaseRemaining(), gate.LeaseRemaining(*c, time.Duration(a.deadline.Load()), clock.Boottime()))
+}
+
+// earlierLeaseRemaining returns how long a lease that an earlier process of this sidecar
+// extended may still be valid.
+func (a *Agent) earlierLeaseRemaining() time.Duration {
+	return a.started + gate.LongestLease(a.config.WorkerLease) - clock.Boottime()
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -67,12 +67,13 @@
 	return &entryLink{agent: a, link: link.New(conn, link.DefaultConfig())}
 }
 
-// linkedAgent returns an agent whose holder has just answered its ping, and a start
-// order from that holder.
+// linkedAgent returns an agent that has run for an hour and whose holder has just
+// answered its ping, and a start order from that holder.
 func linkedAgent(worker runs.Client) (*Agent, receivedOrder) {
 	a := New(Config{Host: "h", WorkerLease: 3 * time.Second}, worker, nil, NewMetrics(tally.NoopScope), logging.Discard().For("test"))
 	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 1})
 	now := clock.Boottime()
+	a.started = now - time.Hour
 	a.clock.Store(&gate.Clock{Reading: time.Minute, Received: now, Known: true})
 	holder := gate.Holder{}.Confirm(3, now)
 	a.holder.Store(&holder)
@@ -187,3 +188,20 @@
 	a.RecordHeartbeat(earlier)
 	g.Expect(a.description.Load().Incarnation).To(Equal(earlier.Incarnation))
 }
+
+// TestLateHeartbeatIsIgnoredWhileAnEarlierSidecarsLeaseMayLast guards against taking a
+// worker as gone whose lease this process doesn't know.
+func TestLateHeartbeatIsIgnoredWhileAnEarlierSidecarsLeaseMayLast(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{})
+	earlier := runs.Description{Incarnation: runs.Incarnation{ID: "w2", StartedAtMs: testIncarnation.StartedAtMs - 1}, Sequence: 1}
+	a.started = clock.Boottime()
+	a.unresponsive.Store(true)
+	g.Expect(a.leaseRemaining()).To(BeNumerically(">", 2*time.Second))
+	a.clock.Store(&gate.Clock{})
+	a.RecordHeartbeat(earlier)
+	g.Expect(a.description.Load().Incarnation).To(Equal(testIncarnation))
+	a.started -= 2 * a.config.WorkerLease
+	a.RecordHeartbeat(earlier)
+	g.Expect(a.description.Load().Incarnation).To(Equal(earlier.Incarnation))
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -78,6 +78,12 @@
 	return max(0, deadline-c.lowerBound(now))
 }
 
+// LongestLease returns the longest time that a lease of the given duration may take on
+// the sidecar's clock.
+func LongestLease(duration time.Duration) time.Duration {
+	return duration + time.Duration(float64(duration)*workerClockDrift)
+}
+
 // AdmitOrder decides whether to send the worker a start that was ordered under the
 // epoch for the given incarnation of the worker. It returns ResultOK if so, and
 // otherwise the reason for the refusal.
