Pause before a table whose history is lost is read again

Callers would see: a table service that is loaded by whole reads of a part, and refusals beyond its rate, where it discards its history faster than a part is read.

Cause: after a lost history the full part was read at once, each time.

Evidence: TestTableWithoutHistoryIsNotReadInATightLoop failed before: 1,000 reads at the same moment.

--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -46,9 +46,7 @@
 // Run follows the table until ctx is done. From is the version to follow
 // from; with zero it reads the full part first.
 func (f *Follower) Run(ctx context.Context, from table.Version) {
-	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval = firstPause
-	pause.MaxInterval = maxPause
+	pause, rescanPause := newPause(), newPause()
 	failing := false
 	for ctx.Err() == nil {
 		started := clock.Boottime()
@@ -59,6 +57,9 @@
 			}
 			failing = false
 			pause.Reset()
+			if from != 0 {
+				rescanPause.Reset()
+			}
 			// An answer that came at once and moved nothing comes again at once.
 			if next == from && clock.Boottime()-started < firstPause && clock.Sleep(ctx, firstPause) != nil {
 				return
@@ -69,6 +70,9 @@
 		if errors.Is(err, table.ErrHistoryLost) {
 			f.Log.Warn().Str("table", f.Table).Msg("change history lost, reading the full table")
 			from = 0
+			if clock.Sleep(ctx, rescanPause.NextBackOff()) != nil {
+				return
+			}
 			continue
 		}
 		if !failing && ctx.Err() == nil {
@@ -81,6 +85,12 @@
 	}
 }
 
+func newPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, maxPause
+	return pause
+}
+
 // once makes one call and returns the version from which the next one follows.
 func (f *Follower) once(ctx context.Context, from table.Version) (table.Version, error) {
 	requestedAt := clock.Boottime()
--- a/table/follow/follow_test.go
+++ b/table/follow/follow_test.go
@@ -46,3 +46,25 @@
 		})
 	}
 }
+
+// forgetfulRows has no history.
+type forgetfulRows struct{ instantRows }
+
+func (r *forgetfulRows) Follow(context.Context, string, table.Version, time.Duration) (table.RowChanges, error) {
+	return table.RowChanges{}, table.ErrHistoryLost
+}
+
+func TestTableWithoutHistoryIsNotReadInATightLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := &forgetfulRows{instantRows{version: 5}}
+		ctx, cancel := context.WithCancel(t.Context())
+		f := follow.Follower{Rows: rows, Table: "jobs", Wait: time.Second, Log: logging.Discard().For("test"), OnUpdate: func(follow.Update) {
+			if rows.calls == 1000 {
+				cancel()
+			}
+		}}
+		time.AfterFunc(time.Second, cancel)
+		f.Run(ctx, 0)
+		NewWithT(t).Expect(rows.calls).To(BeNumerically("<", 20))
+	})
+}
