--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -42,6 +42,8 @@
 	findEntries EntryFinder
 	metrics     *Metrics
 	log         *log.Logger
+	// started is when this process was started.
+	started time.Duration
 
 	// holder, description and clock are immutable snapshots that are replaced as
 	// a unit.
@@ -64,8 +66,11 @@
 	denied atomic.Pointer[runs.Incarnation]
 	// leftOut limits the log lines about rows left out of listings.
 	leftOut logging.RateLimit
-	// unresponsive reports that the worker does not answer.
+	// unresponsive reports that the worker does not answer, or is not known yet.
 	unresponsive atomic.Bool
+	// extendsFrom is the time from which a ping must have been sent whose answer
+	// extends the lease: the holder has been told by then that the worker answers.
+	extendsFrom atomic.Int64
 	// listingNumber is the number of the last listing that was begun.
 	listingNumber atomic.Uint64
 
@@ -101,6 +106,7 @@
 		worker:      worker,
 		findEntries: find,
 		log:         logger,
+		started:     clock.Boottime(),
 		orders:      mailbox.New[receivedOrder](),
 		changed:     make(chan struct{}, 1),
 	}
@@ -143,7 +149,9 @@
 // workerIsGone reports whether the described incarnation of the worker does not answer
 // and has no lease any more. Another one may then follow it, even one with an earlier
 // start by a clock that was set back.
-func (a *Agent) workerIsGone() bool { return a.unresponsive.Load() && a.leaseRemaining() <= 0 }
+func (a *Agent) workerIsGone() bool {
+	return a.unresponsive.Load() && max(a.leaseRemaining(), a.earlierLeaseRemaining()) <= 0
+}
 
 // isDenied reports whether the worker has answered that it is another incarnation.
 func (a *Agent) isDenied(incarnation runs.Incarnation) bool {
@@ -189,17 +197,35 @@
 }
 
 // envelope returns the envelope of a request to the worker. It extends the lease only
-// while the worker answers.
+// while the worker answers and the holder knows that.
 func (a *Agent) envelope(incarnation runs.Incarnation, epoch carobkeel.Epoch) runs.Envelope {
 	e := runs.Envelope{Incarnation: incarnation, Epoch: epoch}
-	if a.unresponsive.Load() {
+	holder := a.holder.Load()
+	if a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
 		return e
 	}
-	e.Deadline = gate.LeaseDeadline(*a.holder.Load(), *a.clock.Load(), a.config.WorkerLease)
-	a.raiseDeadline(e.Deadline)
+	deadline := gate.LeaseDeadline(*holder, *a.clock.Load(), a.config.WorkerLease)
+	a.raiseDeadline(deadline)
+	if !a.unresponsive.Load() { // otherwise the report may not include this deadline
+		e.Deadline = deadline
+	}
 	return e
 }
 
+// recordAnswering records that the worker answers and that its listing was sent to the
+// holder.
+func (a *Agent) recordAnswering(d *runs.Description) {
+	if !a.unresponsive.Load() {
+		return
+	}
+	a.extendsFrom.Store(int64(clock.Boottime()))
+	a.unresponsive.Store(false)
+	a.log.Info().Str("worker", d.ID).Msg("worker answers")
+	if holderLink := a.holderLink.Load(); holderLink != nil {
+		holderLink.ping()
+	}
+}
+
 // raiseDeadline sets the latest requested deadline unless a later one is recorded.
 func (a *Agent) raiseDeadline(deadline time.Duration) {
 	for {
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -52,6 +52,7 @@
 	for ctx.Err() == nil {
 		d := a.description.Load()
 		if d == nil {
+			a.unresponsive.Store(true)
 			sendUnreachable(a.holderLink.Load(), gate.UnknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
@@ -91,12 +92,10 @@
 		return
 	}
 	l.failures = 0
-	if a.unresponsive.Swap(false) {
-		a.log.Info().Str("worker", d.ID).Msg("worker answers again")
-	}
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
 	l.forward(d, number, epoch, listing)
+	a.recordAnswering(d)
 	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation)
 	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
@@ -125,6 +124,7 @@
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
 	d := a.description.Load()
 	if d == nil {
+		a.unresponsive.Store(true)
 		sendUnreachable(holderLink, gate.UnknownRemaining)
 		return
 	}
@@ -149,7 +149,7 @@
 		return
 	}
 	now := clock.Boottime()
-	full := holderLink != l.lastFullLink || now-l.lastFullAt >= fullInterval
+	full := holderLink != l.lastFullLink || l.agent.unresponsive.Load() || now-l.lastFullAt >= fullInterval
 	if !full && len(listing.Ends) == 0 {
 		return
 	}
@@ -205,7 +205,17 @@
 // leaseRemaining returns how long the worker's lease may still be valid, or
 // gate.UnknownRemaining.
 func (a *Agent) leaseRemaining() time.Duration {
-	return gate.LeaseRemaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
+	remaining := gate.LeaseRemaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
+	if earlier := a.earlierLeaseRemaining(); earlier > 0 {
+		return max(earlier, remaining)
+	}
+	return remaining
+}
+
+// earlierLeaseRemaining returns how long a lease that an earlier process of this sidecar
+// extended may still be valid.
+func (a *Agent) earlierLeaseRemaining() time.Duration {
+	return a.started + gate.LongestLease(a.config.WorkerLease) - clock.Boottime()
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
