--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -75,8 +75,7 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
-// TestListedTaskRestartsWhileAnotherWorkerIsUnreported guards against holding back
-// a task that surely does not run on the worker that has not listed.
+// The task surely does not run on the worker that has not listed.
 func TestListedTaskRestartsWhileAnotherWorkerIsUnreported(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(4000, 4000, 4000)
@@ -121,8 +120,7 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
-// TestNewHolderWaitsOneLeaseForUnreachableWorker guards against waiting for the
-// previous holder's authority although the sidecar follows this holder.
+// The sidecar follows the new holder, so the previous holder's authority does not matter.
 func TestNewHolderWaitsOneLeaseForUnreachableWorker(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
@@ -172,8 +170,6 @@
 	g.Expect(sim.store.workers).To(HaveKey(runs.Incarnation{ID: "w-host-0", StartedAtMs: 1}))
 }
 
-// TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain guards against using a
-// worker without a record.
 func TestWorkerThatReturnsWhileItsRecordIsDroppedIsRecordedAgain(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
@@ -188,8 +184,7 @@
 	g.Expect(sim.store.workers).To(HaveLen(2))
 }
 
-// TestRecordOfReplacedIncarnationIsDropped guards against keeping the record of an
-// incarnation that was replaced before its record was stored.
+// The incarnation is replaced before its record is stored.
 func TestRecordOfReplacedIncarnationIsDropped(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000)
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -290,8 +290,6 @@
 	g.Expect(f.violations()).To(BeEmpty())
 }
 
-// TestNewHolderWaitsOneLeaseAfterPredecessorSteppedDown guards against waiting for
-// the authority of a previous holder that follows this one.
 func TestNewHolderWaitsOneLeaseAfterPredecessorSteppedDown(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 2, 0)
@@ -306,8 +304,7 @@
 	g.Expect(f.violations()).To(BeEmpty())
 }
 
-// TestNewHolderMayReadALargeShard guards against takeovers that replace each other
-// because reading the shard takes longer than a second.
+// Other entries must not take over because reading takes longer than a second.
 func TestNewHolderMayReadALargeShard(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 3, 1)
@@ -318,8 +315,7 @@
 	g.Eventually(f.leader, waitTimeout).ShouldNot(BeNil())
 }
 
-// TestTaskRestartsAfterWorkerVanishedAndSidecarRestarted guards against extending a
-// lease by the pings of a sidecar that has not heard of its worker.
+// The pings of a sidecar that has not heard of its worker extend no lease.
 func TestTaskRestartsAfterWorkerVanishedAndSidecarRestarted(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 1, 0)
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -17,8 +17,6 @@
 	return runs.Listing{StartedAtMs: testIncarnation.StartedAtMs + 1}, runs.Answer{Result: runs.ResultOK, Clock: time.Minute}, nil
 }
 
-// TestLeaseOfReplacedIncarnationIsNotExtended guards against a holder that waits for
-// ever for a worker incarnation that another one has replaced.
 func TestLeaseOfReplacedIncarnationIsNotExtended(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := linkedAgent(&restartedWorker{})
--- a/sidecar/gate/gate_test.go
+++ b/sidecar/gate/gate_test.go
@@ -53,8 +53,7 @@
 	})
 }
 
-// TestRemainingLeaseIsUnknownAfterSidecarRestart guards against taking a lease as
-// over that an earlier process of the sidecar has requested.
+// An earlier process of the sidecar may have requested a lease.
 func TestRemainingLeaseIsUnknownAfterSidecarRestart(t *testing.T) {
 	clock := gate.Clock{Reading: time.Minute, Received: time.Hour, Known: true}
 	NewWithT(t).Expect(gate.LeaseRemaining(clock, 0, time.Hour)).To(Equal(gate.UnknownRemaining))
