Let long-running tasks leave a host on which they fail again and again

Callers would see: long-running tasks that fail at once, again and again, on the only host with free room, while a sound worker could make room for them.

Cause: the host of a failure is only rated lower. With no room elsewhere the task restarts there at once, so it never waits long enough to preempt runs of lower priority. Runs of a single job don't quarantine the worker.

Change: after two failures in quick succession on a host the task avoids it, as long as there are workers on which it has not failed, until it has waited for 1.5 s. A task that has failed on all workers avoids none, so a task that fails by itself restarts as fast as before.

Evidence: TestLongRunningTaskLeavesAHostOnWhichItFails failed before: the task is on host-0, where every run fails, after 3 s.

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -97,6 +97,9 @@
 	// last one did.
 	failedHosts []string
 	failedAt    time.Duration
+	// avoidedHosts are the hosts on which a long-running task failed repeatedly in
+	// quick succession.
+	avoidedHosts []string
 }
 
 func (t *task) name() carobkeel.TaskName {
@@ -295,14 +298,37 @@
 // sound hosts now and then, so only failures in quick succession add up.
 func (c *Core) addFailedHost(t *task, host string) {
 	if t.step.spec.LongRunning && c.now.Monotonic-t.failedAt >= failureWindow {
-		t.failedHosts = nil
+		t.failedHosts, t.avoidedHosts = nil, nil
 	}
 	t.failedAt = c.now.Monotonic
-	if !slices.Contains(t.failedHosts, host) {
+	switch {
+	case !slices.Contains(t.failedHosts, host):
 		t.failedHosts = append(t.failedHosts, host)
+	case t.step.spec.LongRunning && !slices.Contains(t.avoidedHosts, host):
+		t.avoidedHosts = append(t.avoidedHosts, host)
+	}
+	if t.step.spec.LongRunning && !c.hasUntriedWorker(t) {
+		t.failedHosts, t.avoidedHosts = []string{host}, nil
 	}
 }
 
+// hasUntriedWorker reports whether a worker accepts the task on which no run of it
+// has failed.
+func (c *Core) hasUntriedWorker(t *task) bool {
+	for _, w := range c.workers {
+		if w.usable && c.meetsRequirements(t.step, w) && !slices.Contains(t.failedHosts, w.host) {
+			return true
+		}
+	}
+	return false
+}
+
+// avoids reports whether a task waits for another worker than this one, on which
+// its runs failed. It does so until it is starved.
+func (c *Core) avoids(t *task, w *workerState) bool {
+	return slices.Contains(t.avoidedHosts, w.host) && !c.isStarved(t)
+}
+
 // failTask records a failed run. The job fails when one of its tasks has no
 // attempts left.
 func (c *Core) failTask(t *task, run int, host string) {
--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -342,3 +342,23 @@
 	sim.run(maxIdle - longRunningDelay)
 	g.Expect(sim.hostRunning(job)).To(Equal(sound))
 }
+
+// TestLongRunningTaskLeavesAHostOnWhichItFails guards against restarts without end on
+// the only host with free room, on which every run fails.
+func TestLongRunningTaskLeavesAHostOnWhichItFails(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(2000, 8000)
+	sim.endlessLongRunning()
+	background := step(4, 2000)
+	background.Estimate = time.Minute
+	sim.failsOn = func(host string) bool { return host == "host-0" }
+	sim.workers["host-0"].partitioned = true
+	sim.run(2 * time.Second)
+	sim.submit(1, 2, background)
+	sim.run(200 * time.Millisecond)
+	sim.workers["host-0"].partitioned = false
+	sim.run(200 * time.Millisecond)
+	job := sim.submit(2, 0, longRunningStep(1, 1000))
+	sim.run(maxIdle)
+	g.Expect(sim.hostRunning(job)).To(Equal(sim.workers["host-1"]))
+}
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -167,7 +167,7 @@
 			c.start(t, w)
 			continue
 		}
-		if !c.makeRoom(p, t) {
+		if !c.makeRoom(p, t) && len(t.avoidedHosts) == 0 {
 			return // the other tasks of the step have the same demand and have not waited longer
 		}
 	}
@@ -178,11 +178,12 @@
 // of the step.
 func (c *Core) selectWorker(p *pass, t *task) *workerState {
 	unchangedUpTo := t.step.noRoomAt
-	if t.step.spec.BestEffort && c.isStarved(t) {
+	avoidsHosts := len(t.avoidedHosts) > 0
+	if avoidsHosts || (t.step.spec.BestEffort && c.isStarved(t)) {
 		unchangedUpTo = 0
 	}
 	best := c.selectWorkerAmong(p, p.workers, t, func(w *workerState) bool { return w.lastChange > unchangedUpTo })
-	if best == nil && len(p.reservations) == 0 {
+	if best == nil && len(p.reservations) == 0 && !avoidsHosts {
 		t.step.noRoomAt = c.workerChanges
 	}
 	return best
@@ -217,7 +218,7 @@
 // worker's free resources.
 func (c *Core) isAllowed(t *task, w *workerState) bool {
 	s := t.step
-	if len(w.runs) >= MaxRunsPerWorker || !c.meetsRequirements(s, w) {
+	if len(w.runs) >= MaxRunsPerWorker || !c.meetsRequirements(s, w) || c.avoids(t, w) {
 		return false
 	}
 	if _, allowed := c.ticketFor(s, w); !allowed {
