Test that a stopped run is released after its sidecar restarts

The first listing over the new link has the stop repeated, and its answer carries a number of the new process, so the run is released and its task starts again.

--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -362,3 +362,23 @@
 	sim.run(maxIdle)
 	g.Expect(sim.hostRunning(job)).To(Equal(sim.workers["host-1"]))
 }
+
+// TestStoppedRunIsReleasedAlthoughListingNumbersBeginAnew guards against waiting for
+// the listing numbers of a sidecar's earlier process.
+func TestStoppedRunIsReleasedAlthoughListingNumbersBeginAnew(t *testing.T) {
+	g := NewWithT(t)
+	sim := startedSimulation(8000)
+	sim.endlessLongRunning()
+	orders := 0
+	sim.loseAnswer = func() (bool, time.Duration) { orders++; return orders == 1, time.Hour }
+	worker := sim.workers["host-0"]
+	worker.listing = 1000
+	job := sim.submit(1, 0, longRunningStep(1, 1000))
+	for orders < 2 { // a start without an answer, and its stop
+		sim.step()
+	}
+	sim.restartSidecar(worker)
+	sim.run(heartbeatInterval + maxIdle)
+	g.Expect(worker.listing).To(BeNumerically("<", 1000))
+	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
+}
