--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -377,7 +377,7 @@
 	for orders < 2 { // a start without an answer, and its stop
 		sim.step()
 	}
-	sim.restartSidecar(worker)
+	sim.restartSidecar(worker, sim.now+heartbeatInterval)
 	sim.run(heartbeatInterval + maxIdle)
 	g.Expect(worker.listing).To(BeNumerically("<", 1000))
 	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
