List the last ends before the exit of a worker is acknowledged

Callers saw: TWICE, a task of a batch job started again after its run was done. Change: the sidecar takes a listing before it answers the announcement, and sends it to the holder before it sends that the worker has left. Evidence: TestEndsBeforeAShutdownAreListedBeforeTheWorkerExits failed before: 'Expected <bool>: false to be true'. Measured: go test ./sidecar/... ./platform passed. Conclusion: the window between the last listing and the exit is closed for workers that answer until their announcement is acknowledged.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -175,12 +175,16 @@
 	a.wakeLister()
 }
 
-// Deregister records that the worker has shut down in an orderly way.
+// Deregister records that the worker shuts down in an orderly way. The worker exits
+// once it has returned, so the last ends are listed before.
 func (a *Agent) Deregister(id string) {
 	d := a.description.Load()
 	if d == nil || d.ID != id {
 		return
 	}
+	if holderLink := a.holderLink.Load(); holderLink != nil {
+		a.sendListing(holderLink, d, runs.Envelope{Incarnation: d.Incarnation, Epoch: holderLink.epoch()})
+	}
 	next := *d
 	next.Draining = true
 	a.description.CompareAndSwap(d, &next)
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -128,12 +128,18 @@
 		sendUnreachable(holderLink, gate.UnknownRemaining)
 		return
 	}
+	a.sendListing(holderLink, d, a.envelope(d.Incarnation, holderLink.epoch()))
+}
+
+// sendListing requests a listing and sends it to the holder. A failure is left to the
+// lister, whose next listing reports the state.
+func (a *Agent) sendListing(holderLink *entryLink, d *runs.Description, e runs.Envelope) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	number := a.listingNumber.Add(1)
-	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, holderLink.epoch()), a.acknowledgedUpTo(d.Incarnation), 0)
+	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(d.Incarnation), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
-		return // the lister's next listing reports the state
+		return
 	}
 	a.observeClock(d.Incarnation, answer)
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -91,3 +91,14 @@
 	a.confirm(3, clock.Boottime())
 	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeNumerically(">", 0))
 }
+
+func TestEndsBeforeAShutdownAreListedBeforeTheWorkerExits(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{listing: &runs.Listing{}}
+	a, _ := linkedAgent(worker)
+	listed := false
+	worker.onList = func() { listed = a.leftIncarnation.Load() == nil }
+	a.Deregister(testIncarnation.ID)
+	g.Expect(listed).To(BeTrue())
+	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
+}
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -29,6 +29,8 @@
 	// listing is the answer to a request for a listing. None is answered if it is
 	// nil.
 	listing *runs.Listing
+	// onList is called at each request for a listing, if set.
+	onList func()
 }
 
 func (s *scriptedWorker) Start(_ context.Context, e runs.Envelope, _ runs.Start) (runs.Answer, error) {
@@ -53,6 +55,9 @@
 }
 
 func (s *scriptedWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
+	if s.onList != nil {
+		s.onList()
+	}
 	if s.listing != nil {
 		return *s.listing, runs.Answer{Result: runs.ResultOK, Clock: time.Minute}, nil
 	}
