Split the files of workers, takeovers and the simulation

Change: leases, runs, the holder row, the rows of a shard and the simulated hosts have files of their own.

--- /dev/null
+++ b/scheduler/dispatch/lease.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// HostLinked records that the sidecar of a host has opened a new link.
+func (c *Core) HostLinked(host string) {
+	w := c.worker(host)
+	w.linked = true
+	w.listed, w.reachable, w.unresponsive, w.follows = false, false, false, false
+}
+
+// HostFollows records that the sidecar of a host follows this holder.
+func (c *Core) HostFollows(host string) {
+	w := c.worker(host)
+	if w.follows {
+		return
+	}
+	w.follows = true
+	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
+}
+
+// HostPinged records a ping from the sidecar of a host, after which it may
+// extend the worker's lease.
+func (c *Core) HostPinged(host string) {
+	w := c.worker(host)
+	if !w.unresponsive {
+		w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+	}
+}
+
+// HostLost records that the link of a host has ended.
+func (c *Core) HostLost(host string) {
+	w := c.worker(host)
+	w.linked, w.reachable, w.listed = false, false, false
+	c.recordDecision(Decision{Kind: DecidedLinkLost, Host: host, Waited: w.leaseExpiry - c.now.Monotonic})
+}
+
+// WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
+// lease expires after remaining. A negative value means that the sidecar does
+// not know the time.
+func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
+	w := c.worker(host)
+	if w.unresponsive {
+		return
+	}
+	w.reachable, w.listed, w.unresponsive = false, false, true
+	if remaining >= 0 && remaining < c.config.WorkerLease {
+		expiry := c.now.Monotonic + maxLeaseDuration(remaining)
+		w.leaseExpiry = min(w.leaseExpiry, expiry)
+		w.inheritedExpiry = min(w.inheritedExpiry, expiry)
+	}
+	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
+}
+
+// mayHaveInheritedRuns reports whether runs that an earlier holder started may
+// be active on the worker although it has not listed them.
+func (c *Core) mayHaveInheritedRuns(w *workerState) bool {
+	for _, host := range c.unreportedWorkers {
+		if host == w.host {
+			return true
+		}
+	}
+	return false
+}
+
+// WorkerShutDown records that a worker has shut down in an orderly way.
+func (c *Core) WorkerShutDown(host string, incarnation runs.Incarnation) {
+	if _, unreported := c.unreportedWorkers[incarnation]; unreported {
+		delete(c.unreportedWorkers, incarnation)
+		c.dropRecord(incarnation)
+	}
+	w := c.workers[host]
+	if w == nil || w.description.Incarnation != incarnation {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
+	w.description.Draining = true
+	w.reachable, w.listed, w.unresponsive = false, false, true
+	w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+exitGrace)
+}
+
+// exitGrace is how long a worker may take to exit after it has announced its
+// shutdown.
+const exitGrace = 500 * time.Millisecond
+
+// expireLeases releases the runs of workers whose lease has expired. A later holder
+// may have extended those that expired after Now.Held.
+func (c *Core) expireLeases() {
+	for _, w := range c.workers {
+		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
+			continue
+		}
+		c.expireInheritedOn(w)
+		if (len(w.runs) == 0 && !w.recorded) || c.mayHaveInheritedRuns(w) {
+			continue
+		}
+		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host})
+		c.releaseRuns(w, "lease expired")
+		c.forgetIncarnation(w)
+	}
+}
+
+// expireInheritedOn drops the incarnations of a worker that have not listed to
+// this holder, once no lease of an earlier holder can be valid there.
+func (c *Core) expireInheritedOn(w *workerState) {
+	if !w.linked || !w.follows || !w.unresponsive || c.now.Held < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
+	w.recorded = false
+	c.forgetUnreported(w.host, runs.Incarnation{})
+}
--- /dev/null
+++ b/scheduler/dispatch/run.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+)
+
+// runPhase is the confirmed progress of a run's start.
+type runPhase uint8
+
+const (
+	// runOrdered is the phase of a run whose start order has not been answered.
+	runOrdered runPhase = iota
+	// runConfirmed is the phase of a run that has started.
+	runConfirmed
+)
+
+// runState is a run that may be active on a worker and holds resources there.
+type runState struct {
+	// task is nil if the run belongs to no known task.
+	task   *task
+	name   carobkeel.TaskName
+	number int
+	worker *workerState
+	// reserved holds the worker's resources that the run has reserved.
+	reserved carobkeel.Resources
+	phase    runPhase
+	// startOrders counts the start orders sent. If there was more than one, the
+	// refusal of one of them does not show that the run did not start.
+	startOrders int
+	// inconclusive reports that the answer to the last order left it open whether
+	// the order was or will be carried out. The next full listing repeats it.
+	inconclusive bool
+	// adopted reports that an earlier holder started the run. It began some
+	// time before started.
+	adopted bool
+	started time.Duration
+	// confirmedListing is the number of the listing in progress when the start
+	// was confirmed. Only a later listing can show that the run is missing.
+	confirmedListing uint64
+	stopping         bool
+	// stopOrderedAt is when the stop was first ordered, and stopOverdue reports
+	// that the run was still listed, or its end unknown, stopTimeout later.
+	stopOrderedAt time.Duration
+	stopOverdue   bool
+	// stopConfirmed reports that the worker will not start the run any more,
+	// and stopConfirmedListing is the number of the listing in progress at that
+	// time.
+	stopConfirmed        bool
+	stopConfirmedListing uint64
+	loadMetric           int
+	// percent is the progress in the last listing.
+	percent int
+	pace    int
+	// observedFrom is when the run was started, or when its pace last rose to
+	// minObservedPace. No progress is missed before.
+	observedFrom time.Duration
+	// slowSince is when the run's pace dropped below minStartPace, zero while
+	// it has not.
+	slowSince time.Duration
+	ticket    string
+}
+
+type runKey struct {
+	task carobkeel.TaskName
+	run  int
+}
+
+// releaseRuns releases all runs of a worker, because none of them is active any
+// more.
+func (c *Core) releaseRuns(w *workerState, reason string) {
+	for _, r := range w.runs {
+		c.release(r, reason)
+	}
+}
+
+// release frees the resources of a run. Its task waits again unless it is done.
+func (c *Core) release(r *runState, reason string) {
+	w := r.worker
+	c.recordEndedBestEffort(r)
+	delete(w.runs, runKey{r.name, r.number})
+	w.used = w.used.Sub(r.reserved)
+	switch {
+	case r.stopOverdue:
+		w.overdueStops--
+	case r.stopping:
+		w.beingStopped = w.beingStopped.Sub(r.reserved)
+	}
+	c.markChanged(w)
+	if r.task == nil {
+		return
+	}
+	t := r.task
+	for i, other := range t.runs {
+		if other == r {
+			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			break
+		}
+	}
+	if t.isWaiting() {
+		t.waitingSince = c.now.Monotonic
+	}
+	c.recordDecision(Decision{Kind: DecidedRunEnded, Task: r.name, Run: r.number, Host: w.host, Detail: reason, Waited: c.now.Monotonic - r.started})
+}
+
+// reserve adds a run to a worker and reserves its resources.
+func (c *Core) reserve(w *workerState, t *task, name carobkeel.TaskName, run int) *runState {
+	r := &runState{task: t, name: name, number: run, worker: w, started: c.now.Monotonic, observedFrom: c.now.Monotonic, pace: fullPace}
+	if t != nil {
+		r.reserved = t.step.spec.Reserved()
+		t.runs = append(t.runs, r)
+	}
+	w.runs[runKey{name, run}] = r
+	w.used = w.used.Add(r.reserved)
+	w.sharing = nil
+	return r
+}
+
+// stop orders the stop of a run.
+func (c *Core) stop(r *runState, reason string) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	r.stopOrderedAt = c.now.Monotonic
+	r.worker.beingStopped = r.worker.beingStopped.Add(r.reserved)
+	c.markChanged(r.worker)
+	c.recordDecision(Decision{Kind: DecidedRunStopped, Task: r.name, Run: r.number, Host: r.worker.host, Detail: reason})
+	c.orderStop(r)
+}
+
+// stopTimeout is how long after the order a stopped run should have ended: workers
+// take up to a second, and listings come five times a second.
+const stopTimeout = 1300 * time.Millisecond
+
+// observeStops finds the runs of a worker whose stop is overdue. Tasks no longer
+// wait for the resources that they hold.
+func (c *Core) observeStops(w *workerState) {
+	for _, r := range w.runs {
+		if !r.stopping || r.stopOverdue || c.now.Monotonic-r.stopOrderedAt < stopTimeout {
+			continue
+		}
+		r.stopOverdue = true
+		w.overdueStops++
+		w.beingStopped = w.beingStopped.Sub(r.reserved)
+		c.recordDecision(Decision{Kind: DecidedStopOverdue, Task: r.name, Run: r.number, Host: w.host, Waited: c.now.Monotonic - r.stopOrderedAt})
+	}
+}
+
+func (c *Core) orderStop(r *runState) {
+	if !r.worker.listed {
+		return
+	}
+	c.orders = append(c.orders, Order{
+		Host: r.worker.host, Incarnation: r.worker.description.Incarnation, Kind: OrderStop, Task: r.name, Run: r.number,
+	})
+}
+
+// start orders the start of a task's next run on a worker.
+func (c *Core) start(t *task, w *workerState) {
+	r := c.reserve(w, t, t.name(), c.nextRun(t))
+	r.ticket, _ = c.ticketFor(t.step, w)
+	t.job().hasStarted = true
+	c.orderStart(r)
+	c.recordDecision(Decision{
+		Kind: DecidedRunStarted, Task: r.name, Run: r.number, Host: w.host,
+		Waited: c.now.Monotonic - max(t.waitingSince, t.step.readyAt),
+	})
+	if t.job().visibleState == carobkeel.JobPending {
+		c.publishState(t.job(), carobkeel.JobActive)
+	}
+}
+
+func (c *Core) orderStart(r *runState) {
+	r.startOrders++
+	c.orders = append(c.orders, Order{
+		Host: r.worker.host, Incarnation: r.worker.description.Incarnation, Kind: OrderStart, Task: r.name, Run: r.number,
+		Payload: r.task.job().spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+	})
+}
--- /dev/null
+++ b/scheduler/holder/shard_rows.go
@@ -0,0 +1,152 @@
+package holder
+
+import (
+	"context"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
+	"github.com/carobkeel/carobkeel/table/follow"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// mustEncode encodes a row. The types of rows can't fail to encode.
+func mustEncode(row msgp.Marshaler) []byte {
+	data, err := row.MarshalMsg(nil)
+	if err != nil {
+		panic("holder: row not encoded: " + err.Error())
+	}
+	return data
+}
+
+func workerKey(incarnation runs.Incarnation) string {
+	return incarnation.ID + "." + strconv.FormatInt(incarnation.StartedAtMs, 10)
+}
+
+func (l *loop) restore(row table.VersionedRow) {
+	job := carobkeel.JobID(row.Key)
+	l.versions[job] = row.Version
+	progress, err := wire.DecodeProgress(row.Value, job)
+	if err != nil {
+		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row left out")
+		return
+	}
+	l.core.Restore(progress)
+}
+
+func (l *loop) restoreInterference(rows []table.VersionedRow) {
+	for _, row := range rows {
+		var learned wire.InterferenceRow
+		if _, err := learned.UnmarshalMsg(row.Value); err != nil {
+			l.node.log.Error().Err(err).Msg("learned interference model could not be decoded")
+			continue
+		}
+		l.core.RestoreInterference(learned.Decoded())
+	}
+}
+
+func (n *Node) decodeWorkers(rows []table.VersionedRow) []dispatch.WorkerRecord {
+	var records []dispatch.WorkerRecord
+	for _, row := range rows {
+		record, err := decodeWorker(row)
+		if err != nil {
+			n.log.Error().Err(err).Str("worker", row.Key).Msg("worker record left out")
+			continue
+		}
+		records = append(records, record)
+	}
+	return records
+}
+
+// decodeWorker decodes the record of a worker incarnation. A record under another key
+// than its own could never be removed.
+func decodeWorker(row table.VersionedRow) (dispatch.WorkerRecord, error) {
+	var w wire.WorkerRow
+	if _, err := w.UnmarshalMsg(row.Value); err != nil {
+		return dispatch.WorkerRecord{}, errors.Wrap(err, "decode")
+	}
+	incarnation := runs.Incarnation{ID: w.ID, StartedAtMs: w.StartedAtMs}
+	if row.Key != workerKey(incarnation) {
+		return dispatch.WorkerRecord{}, errors.Errorf("record of worker %s.%d", w.ID, w.StartedAtMs)
+	}
+	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host}, nil
+}
+
+// followJobs passes accepted jobs and cancellations to the core.
+func (l *loop) followJobs(term context.Context, from, epochVersion table.Version) {
+	n := l.node
+	follower := follow.Follower{
+		Rows: n.rows, Table: TableJobs, Part: n.config.Shard, Wait: followTimeout, Log: n.log,
+		OnUpdate: func(changes follow.Update) {
+			if len(changes.Rows) == 0 {
+				return
+			}
+			n.events.Push(func(l *loop) {
+				if l.core != nil && l.term == term {
+					l.applyJobRows(changes.Rows, epochVersion)
+				}
+			})
+		},
+	}
+	follower.Run(term, from)
+}
+
+// applyJobRows applies rows of jobs and of cancellations. Jobs from before the
+// epoch may have runs that an earlier holder started. Later jobs do not: the
+// earlier holder sees the row of this epoch before them, in the same table.
+func (l *loop) applyJobRows(rows []table.VersionedRow, epochVersion table.Version) {
+	for _, row := range rows {
+		if row.Key == epochKey && row.Version > epochVersion {
+			l.stepDown("the jobs table names a later holder")
+			return
+		}
+	}
+	l.addJobs(rows, epochVersion)
+	l.applyCancellations(rows)
+}
+
+func (l *loop) addJobs(rows []table.VersionedRow, epochVersion table.Version) {
+	for _, row := range rows {
+		if row.Deleted || row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
+			continue
+		}
+		l.addJob(row, row.Version < epochVersion)
+	}
+}
+
+func (l *loop) applyCancellations(rows []table.VersionedRow) {
+	for _, row := range rows {
+		if job, isCancel := strings.CutSuffix(row.Key, CancelSuffix); isCancel && !row.Deleted {
+			l.core.Cancel(carobkeel.JobID(job))
+		}
+	}
+}
+
+func (l *loop) addJob(row table.VersionedRow, inherited bool) {
+	job, err := decodeJob(row)
+	if err != nil {
+		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row left out")
+		return
+	}
+	l.core.AddJob(job, inherited)
+}
+
+// decodeJob decodes a row of a job. It returns an error if the job can't be run.
+func decodeJob(row table.VersionedRow) (*carobkeel.JobSpec, error) {
+	id := carobkeel.JobID(row.Key)
+	if !id.IsValid() {
+		return nil, errors.New("key is not a job ID")
+	}
+	var encoded wire.JobRow
+	if _, err := encoded.UnmarshalMsg(row.Value); err != nil {
+		return nil, errors.Wrap(err, "decode")
+	}
+	job := encoded.Decoded(id)
+	return job, job.Validate()
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -4,12 +4,9 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/tinylib/msgp/msgp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/carobkeel/carobkeel"
@@ -17,8 +14,6 @@
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/table"
-	"github.com/carobkeel/carobkeel/table/follow"
-	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 const (
@@ -33,109 +28,6 @@
 	maxEpoch = 1 << 40
 )
 
-// mustEncode encodes a row. The types of rows can't fail to encode.
-func mustEncode(row msgp.Marshaler) []byte {
-	data, err := row.MarshalMsg(nil)
-	if err != nil {
-		panic("holder: row not encoded: " + err.Error())
-	}
-	return data
-}
-
-func workerKey(incarnation runs.Incarnation) string {
-	return incarnation.ID + "." + strconv.FormatInt(incarnation.StartedAtMs, 10)
-}
-
-// followHolder keeps the node's knowledge of the holder up to date.
-func (n *Node) followHolder(ctx context.Context) {
-	follower := follow.Follower{
-		Rows: n.rows, Table: TableHolders, Part: n.config.Shard, Wait: followTimeout, Log: n.log,
-		OnUpdate: func(changes follow.Update) {
-			n.events.Push(func(l *loop) { l.applyHolderChanges(changes) })
-		},
-	}
-	follower.Run(ctx, 0)
-}
-
-func (l *loop) applyHolderChanges(changes follow.Update) {
-	holderState := l.node.holderState.Load()
-	if changes.Full && len(changes.Rows) == 0 && holderState == nil {
-		l.node.holderState.Store(&HolderState{Since: clock.Boottime()})
-	}
-	for _, row := range changes.Rows {
-		if row.Key == holderKey {
-			l.applyHolderRow(row)
-		}
-	}
-	l.holdConfirmed = max(l.holdConfirmed, changes.RequestedAt)
-}
-
-func (l *loop) applyHolderRow(row table.VersionedRow) {
-	old := l.node.holderState.Load()
-	if old != nil && row.Version <= old.Version {
-		return
-	}
-	if row.Deleted {
-		l.node.log.Error().Msg("holder row removed by another writer")
-		l.replaceHolderRow(old, 0)
-		return
-	}
-	holder, err := decodeHolder(row)
-	if err != nil {
-		l.node.log.Error().Err(err).Msg("holder row left out")
-		l.replaceHolderRow(old, row.Version)
-		return
-	}
-	if l.core != nil {
-		l.stepDown("the table service names " + holder.Host)
-	}
-	if l.node.takingOver.Load() && holder.Incarnation != uint64(l.node.config.Incarnation) {
-		l.endTakeover()
-	}
-	l.node.log.Info().Str("holder", holder.Host).Uint64("epoch", holder.Epoch).Msg("holder changed")
-	l.node.holderRefuses.Store(false)
-	next := &HolderState{Row: holder, Version: row.Version, Since: clock.Boottime()}
-	l.recordPredecessor(next)
-	l.node.holderState.Store(next)
-}
-
-// recordPredecessor records that a newer holder row replaces the current one.
-func (l *loop) recordPredecessor(next *HolderState) {
-	l.predecessors.prune(next.Since, l.node.config.WorkerLease)
-	if old := l.node.holderState.Load(); old != nil && old.Row.Epoch > 0 && !old.Unreadable && old.Version < next.Version {
-		l.predecessors.add(old.Row, next.Since)
-		// This process doesn't extend leases under the earlier row any more.
-		l.predecessors.observe(l.node.config.Host, uint64(l.node.config.Incarnation), next.Row.Epoch, next.Since)
-	}
-}
-
-// decodeHolder decodes the holder row.
-func decodeHolder(row table.VersionedRow) (wire.HolderRow, error) {
-	var holder wire.HolderRow
-	if _, err := holder.UnmarshalMsg(row.Value); err != nil {
-		return holder, errors.Wrap(err, "decode")
-	}
-	if holder.Epoch > maxEpoch {
-		return holder, errors.Errorf("epoch %d is out of range", holder.Epoch)
-	}
-	return holder, nil
-}
-
-// replaceHolderRow makes this process take part in replacing a holder row that names
-// no holder. The version is zero for a row that was removed.
-func (l *loop) replaceHolderRow(old *HolderState, version table.Version) {
-	if l.core != nil {
-		l.stepDown("the holder row names no holder")
-	}
-	next := &HolderState{Version: version, Since: clock.Boottime(), Unreadable: true}
-	if old != nil {
-		next.Row.Epoch = old.Row.Epoch
-	}
-	l.recordPredecessor(next)
-	l.predecessors.add(next.Row, next.Since) // the row may have hidden one that this process has not seen
-	l.node.holderState.Store(next)
-}
-
 // considerTakeover starts a takeover if one is due.
 func (l *loop) considerTakeover() {
 	n := l.node
@@ -334,125 +226,3 @@
 		l.core.LimitInheritedLease(l.predecessors.remainingLease(now, l.node.config.WorkerLease))
 	}
 }
-
-func (l *loop) restore(row table.VersionedRow) {
-	job := carobkeel.JobID(row.Key)
-	l.versions[job] = row.Version
-	progress, err := wire.DecodeProgress(row.Value, job)
-	if err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row left out")
-		return
-	}
-	l.core.Restore(progress)
-}
-
-func (l *loop) restoreInterference(rows []table.VersionedRow) {
-	for _, row := range rows {
-		var learned wire.InterferenceRow
-		if _, err := learned.UnmarshalMsg(row.Value); err != nil {
-			l.node.log.Error().Err(err).Msg("learned interference model could not be decoded")
-			continue
-		}
-		l.core.RestoreInterference(learned.Decoded())
-	}
-}
-
-func (n *Node) decodeWorkers(rows []table.VersionedRow) []dispatch.WorkerRecord {
-	var records []dispatch.WorkerRecord
-	for _, row := range rows {
-		record, err := decodeWorker(row)
-		if err != nil {
-			n.log.Error().Err(err).Str("worker", row.Key).Msg("worker record left out")
-			continue
-		}
-		records = append(records, record)
-	}
-	return records
-}
-
-// decodeWorker decodes the record of a worker incarnation. A record under another key
-// than its own could never be removed.
-func decodeWorker(row table.VersionedRow) (dispatch.WorkerRecord, error) {
-	var w wire.WorkerRow
-	if _, err := w.UnmarshalMsg(row.Value); err != nil {
-		return dispatch.WorkerRecord{}, errors.Wrap(err, "decode")
-	}
-	incarnation := runs.Incarnation{ID: w.ID, StartedAtMs: w.StartedAtMs}
-	if row.Key != workerKey(incarnation) {
-		return dispatch.WorkerRecord{}, errors.Errorf("record of worker %s.%d", w.ID, w.StartedAtMs)
-	}
-	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host}, nil
-}
-
-// followJobs passes accepted jobs and cancellations to the core.
-func (l *loop) followJobs(term context.Context, from, epochVersion table.Version) {
-	n := l.node
-	follower := follow.Follower{
-		Rows: n.rows, Table: TableJobs, Part: n.config.Shard, Wait: followTimeout, Log: n.log,
-		OnUpdate: func(changes follow.Update) {
-			if len(changes.Rows) == 0 {
-				return
-			}
-			n.events.Push(func(l *loop) {
-				if l.core != nil && l.term == term {
-					l.applyJobRows(changes.Rows, epochVersion)
-				}
-			})
-		},
-	}
-	follower.Run(term, from)
-}
-
-// applyJobRows applies rows of jobs and of cancellations. Jobs from before the
-// epoch may have runs that an earlier holder started. Later jobs do not: the
-// earlier holder sees the row of this epoch before them, in the same table.
-func (l *loop) applyJobRows(rows []table.VersionedRow, epochVersion table.Version) {
-	for _, row := range rows {
-		if row.Key == epochKey && row.Version > epochVersion {
-			l.stepDown("the jobs table names a later holder")
-			return
-		}
-	}
-	l.addJobs(rows, epochVersion)
-	l.applyCancellations(rows)
-}
-
-func (l *loop) addJobs(rows []table.VersionedRow, epochVersion table.Version) {
-	for _, row := range rows {
-		if row.Deleted || row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
-			continue
-		}
-		l.addJob(row, row.Version < epochVersion)
-	}
-}
-
-func (l *loop) applyCancellations(rows []table.VersionedRow) {
-	for _, row := range rows {
-		if job, isCancel := strings.CutSuffix(row.Key, CancelSuffix); isCancel && !row.Deleted {
-			l.core.Cancel(carobkeel.JobID(job))
-		}
-	}
-}
-
-func (l *loop) addJob(row table.VersionedRow, inherited bool) {
-	job, err := decodeJob(row)
-	if err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row left out")
-		return
-	}
-	l.core.AddJob(job, inherited)
-}
-
-// decodeJob decodes a row of a job. It returns an error if the job can't be run.
-func decodeJob(row table.VersionedRow) (*carobkeel.JobSpec, error) {
-	id := carobkeel.JobID(row.Key)
-	if !id.IsValid() {
-		return nil, errors.New("key is not a job ID")
-	}
-	var encoded wire.JobRow
-	if _, err := encoded.UnmarshalMsg(row.Value); err != nil {
-		return nil, errors.Wrap(err, "decode")
-	}
-	job := encoded.Decoded(id)
-	return job, job.Validate()
-}
