--- a/scheduler/dispatch/configuration_test.go
+++ b/scheduler/dispatch/configuration_test.go
@@ -11,8 +11,7 @@
 	"github.com/carobkeel/carobkeel/worker/runs/standin"
 )
 
-// TestLongRunningTaskRestartsUnderEveryConfiguration lets a task fail each
-// second while configurations with and without its queue follow each other.
+// The task fails each second while configurations with and without its queue alternate.
 func TestLongRunningTaskRestartsUnderEveryConfiguration(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
--- a/scheduler/dispatch/drawn_days_test.go
+++ b/scheduler/dispatch/drawn_days_test.go
@@ -322,8 +322,6 @@
 	d.check.observe()
 }
 
-// TestLongRunningTaskWaitsWhileAWorkerHasRoom guards against long-running tasks
-// that have no run for three seconds although a worker has room.
 func TestLongRunningTaskWaitsWhileAWorkerHasRoom(t *testing.T) {
 	for seed := range uint64(disturbedDays) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -260,8 +260,7 @@
 	return n
 }
 
-// TestLongRunningTasksAreRestarted checks that under any order of faults each
-// long-running task runs again soon after the last of them.
+// Each long-running task runs again soon after the last fault, in any order of faults.
 func TestLongRunningTasksAreRestarted(t *testing.T) {
 	for seed := range seedCount(t, "LONG_RUNNING_SEEDS", longRunningSeeds) {
 		random := rand.New(rand.NewPCG(seed, seed))
@@ -272,8 +271,7 @@
 	}
 }
 
-// TestSearchFindsLongRunningTasksThatAreNotRestarted checks that the random search
-// detects a broken rule.
+// The random search detects a rule that is broken on purpose.
 func TestSearchFindsLongRunningTasksThatAreNotRestarted(t *testing.T) {
 	for seed := range uint64(longRunningSeeds) {
 		random := rand.New(rand.NewPCG(seed, seed))
@@ -287,8 +285,7 @@
 	t.Fatalf("no idle task found in %d fault sequences", longRunningSeeds)
 }
 
-// TestRestartedSidecarDoesNotProlongADeadWorkersLease guards against counting the
-// pings of a sidecar that knows no worker as extensions of its lease.
+// The pings of a sidecar that knows no worker extend no lease.
 func TestRestartedSidecarDoesNotProlongADeadWorkersLease(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
@@ -303,8 +300,7 @@
 	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
 }
 
-// TestTasksOfAWorkerThatShutDownRestartAfterItsExit guards against pings of the
-// sidecar that prolong the lease of a worker that has shut down.
+// The sidecar's pings don't prolong the lease of a worker that has shut down.
 func TestTasksOfAWorkerThatShutDownRestartAfterItsExit(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
@@ -319,8 +315,6 @@
 	g.Expect(sim.hostRunning(job)).NotTo(BeNil())
 }
 
-// TestLongRunningTaskDoesNotWaitForAStopThatIsRefused guards against waiting for room
-// on one worker that does not stop the preempted runs.
 func TestLongRunningTaskDoesNotWaitForAStopThatIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
@@ -343,8 +337,7 @@
 	g.Expect(sim.hostRunning(job)).To(Equal(sound))
 }
 
-// TestLongRunningTaskLeavesAHostOnWhichItFails guards against restarts without end on
-// the only host with free room, on which every run fails.
+// All runs fail on the only host with free room.
 func TestLongRunningTaskLeavesAHostOnWhichItFails(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(2000, 8000)
@@ -363,8 +356,7 @@
 	g.Expect(sim.hostRunning(job)).To(Equal(sim.workers["host-1"]))
 }
 
-// TestStoppedRunIsReleasedAlthoughListingNumbersBeginAnew guards against waiting for
-// the listing numbers of a sidecar's earlier process.
+// A restarted sidecar numbers its listings from one again.
 func TestStoppedRunIsReleasedAlthoughListingNumbersBeginAnew(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000)
--- a/scheduler/dispatch/place_test.go
+++ b/scheduler/dispatch/place_test.go
@@ -197,8 +197,7 @@
 	g.Expect(sim.hostsOf(job)).To(BeEmpty())
 }
 
-// TestLongRunningTaskWaitsForAGangWithoutRoom lets a more urgent gang reserve
-// all free room.
+// A more urgent gang reserves all free room.
 func TestLongRunningTaskWaitsForAGangWithoutRoom(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
--- a/scheduler/dispatch/quarantine_test.go
+++ b/scheduler/dispatch/quarantine_test.go
@@ -62,8 +62,7 @@
 	g.Expect(tasks).To(Equal(2))
 }
 
-// TestTaskReturnsToRefusingWorkersBeforeASoundOne lets the placement prefer
-// workers that refuse all starts.
+// Placement prefers workers that refuse all starts.
 func TestTaskReturnsToRefusingWorkersBeforeASoundOne(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000, 8000, 8000, 8000, 8000, 8000, 8000, 16000)
@@ -131,8 +130,7 @@
 	}
 }
 
-// TestLongRunningTaskAlternatesBetweenFailingWorkers lets the placement prefer
-// workers that fail all runs.
+// Placement prefers workers that fail all runs.
 func TestLongRunningTaskAlternatesBetweenFailingWorkers(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000, 8000, 16000)
@@ -149,8 +147,7 @@
 	g.Expect(sim.hostsOf(job)).To(HaveKey("host-3"))
 }
 
-// TestHostsThatAreGoneLetMoreWorkersBeQuarantined counts the workers that a burst
-// of hopeless jobs quarantines, of the four that are left.
+// Of the four workers left, hopeless jobs may quarantine half.
 func TestHostsThatAreGoneLetMoreWorkersBeQuarantined(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000, 8000, 8000, 8000, 8000, 8000, 8000)
--- a/scheduler/dispatch/shutdown_test.go
+++ b/scheduler/dispatch/shutdown_test.go
@@ -10,8 +10,7 @@
 	"github.com/carobkeel/carobkeel/worker/runs/standin"
 )
 
-// TestRunsOfAWorkerThatShutDownAreKeptWhileItsSidecarPings lets the sidecar stay
-// on the host after its worker has shut down.
+// The sidecar stays on the host after its worker has shut down.
 func TestRunsOfAWorkerThatShutDownAreKeptWhileItsSidecarPings(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
--- a/scheduler/dispatch/stall_test.go
+++ b/scheduler/dispatch/stall_test.go
@@ -55,8 +55,7 @@
 	g.Expect(sim.hostsOf(job)).To(HaveKeyWithValue("host-0", 4))
 }
 
-// TestNewRunIsNotStalledByTheTimeBeforeItsStart starts a run while the pace of
-// the only other one drops, so that only the new one is expected to progress.
+// Only the new run is expected to progress, since the pace of the other one drops.
 func TestNewRunIsNotStalledByTheTimeBeforeItsStart(t *testing.T) {
 	g := NewWithT(t)
 	sim, _ := sharingSimulation(g)
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -199,8 +199,6 @@
 	g.Expect(sim.store.workers).To(HaveKey(sim.workers["host-0"].worker.Description().Incarnation))
 }
 
-// TestRefusalOfARepeatedStartIsNotConclusive guards against releasing a run
-// whose start was sent twice, refused once and carried out once.
 func TestRefusalOfARepeatedStartIsNotConclusive(t *testing.T) {
 	g := NewWithT(t)
 	sim := startedSimulation(8000, 8000)
--- a/scheduler/holder/partition_test.go
+++ b/scheduler/holder/partition_test.go
@@ -102,8 +102,7 @@
 	return worker
 }
 
-// TestHolderCutOffLeavesRunsToItsSuccessor guards against a holder that is cut off, with
-// part of the workers, and restarts there what its successor keeps running elsewhere.
+// The cut-off holder must not restart what its successor keeps running elsewhere.
 func TestHolderCutOffLeavesRunsToItsSuccessor(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 0, 0)
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -440,8 +440,7 @@
 	g.Expect(carobkeel.JobState(progress.State)).To(Equal(carobkeel.JobCompleted))
 }
 
-// TestTasksOfADeadWorkerRestartAlthoughItsSidecarIsBack guards against pings of a
-// restarted sidecar, which knows no worker, that keep the dead worker's runs.
+// The restarted sidecar pings but knows no worker.
 func TestTasksOfADeadWorkerRestartAlthoughItsSidecarIsBack(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 1, 2)
@@ -461,8 +460,7 @@
 	g.Expect(f.violations()).To(BeEmpty())
 }
 
-// TestRefusedStopsArePaced guards against a loop between holder and sidecar that
-// repeats a refused stop as fast as it is answered.
+// A refused stop is not repeated as fast as it is answered.
 func TestRefusedStopsArePaced(t *testing.T) {
 	g := NewWithT(t)
 	f := startCluster(t, 1, 1)
--- a/scheduler/holder/peer_test.go
+++ b/scheduler/holder/peer_test.go
@@ -21,8 +21,7 @@
 	return &peer{node: n, link: link.New(conn, linkConfig()), role: wire.RoleSidecar, host: host}
 }
 
-// TestEndOfAnOldLinkDoesNotLoseARelinkedHost guards against a host that counts as
-// lost while its new link is open, so that its worker gets no tasks.
+// The loss of the old link is handled after the new link has opened.
 func TestEndOfAnOldLinkDoesNotLoseARelinkedHost(t *testing.T) {
 	g := NewWithT(t)
 	n := New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(tally.NoopScope), logging.Discard().For("test"))
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -71,8 +71,7 @@
 	g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
 }
 
-// TestLeaseIsNotExtendedBeforeTheHolderKnowsThatTheWorkerAnswers guards against runs
-// that outlive the lease left that the holder was told.
+// Runs must not outlive the remaining lease that the holder was told.
 func TestLeaseIsNotExtendedBeforeTheHolderKnowsThatTheWorkerAnswers(t *testing.T) {
 	g := NewWithT(t)
 	worker := &scriptedWorker{}
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -167,8 +167,7 @@
 	g.Expect(a.description.Load().Incarnation.StartedAtMs).To(Equal(int64(5)))
 }
 
-// TestWorkerThatListsAsAnotherIncarnationIsUnresponsive guards against keeping the
-// lease of an incarnation that another one with the same ID has replaced.
+// Another incarnation with the same ID has replaced the described one.
 func TestWorkerThatListsAsAnotherIncarnationIsUnresponsive(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := linkedAgent(&scriptedWorker{listing: &runs.Listing{StartedAtMs: testIncarnation.StartedAtMs + 1}})
@@ -179,8 +178,7 @@
 	g.Expect(a.unresponsive.Load()).To(BeTrue())
 }
 
-// TestWorkerWithAnEarlierStartFollowsOneThatIsGone guards against ignoring a worker for
-// good that started after its clock was set back.
+// The clock of the host was set back before the worker started.
 func TestWorkerWithAnEarlierStartFollowsOneThatIsGone(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := linkedAgent(&scriptedWorker{})
@@ -194,8 +192,7 @@
 	g.Expect(a.description.Load().Incarnation).To(Equal(earlier.Incarnation))
 }
 
-// TestLateHeartbeatIsIgnoredWhileAnEarlierSidecarsLeaseMayLast guards against taking a
-// worker as gone whose lease this process doesn't know.
+// This process does not know the lease that the earlier one requested.
 func TestLateHeartbeatIsIgnoredWhileAnEarlierSidecarsLeaseMayLast(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := linkedAgent(&scriptedWorker{})
