Extend no lease after a listing that the holder did not get

Cause: a listing that was requested under an earlier epoch is dropped, but the sidecar then took its worker as answering to the holder and extended the lease. The holder still took the worker as not reached, ignored pings and further reports of it, and released its runs at the time of the first report, while an order that was carried out late under the longer lease could begin. Change: the worker counts as answering once a listing was sent to the holder under its epoch. Evidence: TestDroppedListingDoesNotExtendTheLease failed before: 'Expected <bool>: false to be true'. Measured: go test ./sidecar/agent ./scheduler/holder passed.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -94,8 +94,9 @@
 	l.failures = 0
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
-	l.forward(d, number, epoch, listing)
-	a.recordAnswering(d)
+	if l.forward(d, number, epoch, listing) {
+		a.recordAnswering(d)
+	}
 	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation)
 	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
@@ -148,16 +149,17 @@
 }
 
 // forward sends a listing to the holder. A listing that was requested under another
-// epoch is dropped, as it has not fenced the worker for this holder.
-func (l *lister) forward(d *runs.Description, number uint64, epoch carobkeel.Epoch, listing runs.Listing) {
+// epoch is dropped, as it has not fenced the worker for this holder. It reports whether
+// the holder knows the worker's state.
+func (l *lister) forward(d *runs.Description, number uint64, epoch carobkeel.Epoch, listing runs.Listing) bool {
 	holderLink := l.agent.holderLink.Load()
 	if holderLink == nil || holderLink.epoch() != epoch {
-		return
+		return false
 	}
 	now := clock.Boottime()
 	full := holderLink != l.lastFullLink || l.agent.unresponsive.Load() || now-l.lastFullAt >= fullInterval
 	if !full && len(listing.Ends) == 0 {
-		return
+		return true
 	}
 	report := dispatch.WorkerListing{Incarnation: d.Incarnation, Number: number, Full: full, Ends: listing.Ends}
 	if full {
@@ -165,6 +167,7 @@
 		l.lastFullAt, l.lastFullLink = now, holderLink
 	}
 	holderLink.send(wire.TypeListing, wire.FromListing(report, epoch))
+	return true
 }
 
 // handleFailure records a listing that was refused or not answered, and waits before
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -101,3 +101,16 @@
 	g.Expect(listed).To(BeTrue())
 	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
 }
+
+func TestDroppedListingDoesNotExtendTheLease(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{listing: &runs.Listing{}})
+	a.holderLink.Load().currentEpoch.Store(4) // the listing is requested under epoch 3
+	a.unresponsive.Store(true)
+	l := &lister{agent: a}
+	l.listOnce(context.Background(), a.description.Load())
+	g.Expect(a.unresponsive.Load()).To(BeTrue())
+	a.confirm(4, clock.Boottime())
+	l.listOnce(context.Background(), a.description.Load())
+	g.Expect(a.unresponsive.Load()).To(BeFalse())
+}
