Keep the limit of a throttle through a pause between bursts

Callers saw: a flood that comes in bursts was sent whole to the sidecars again and again, where other callers' requests wait. Cause: a tick with no request, or with fewer than the limit, lifted the limit at once; the next burst was sent before the next tick. Change: a tick without requests and results changes nothing; the limit stays as a maximum of requests a tick, grows, and ends after ten calm ticks. Evidence: TestPauseBetweenBurstsDoesNotEndTheLimit failed before: 2000 requests sent where fewer than 400 are allowed.

--- a/caller/throttle.go
+++ b/caller/throttle.go
@@ -24,6 +24,10 @@
 	// throttleMinRequests is the number of requests per tick that are always allowed,
 	// so that one refusal does not block an owner with few requests.
 	throttleMinRequests = 2
+	// throttleCalmTicks is the number of ticks in succession with fewer requests than
+	// the limit, and without refusals, after which the limit ends. It is above 1, as
+	// the requests of a flood may come in bursts.
+	throttleCalmTicks = 10
 	// throttleRefusalShare is the share of refused requests among those sent above
 	// which the limit follows the number of accepted requests.
 	throttleRefusalShare = 0.01
@@ -33,9 +37,13 @@
 // refuse some of them. Several goroutines count requests and results; one goroutine
 // calls tick.
 type Throttle struct {
-	// requested counts the callers' requests since the last tick; accepted and
-	// refused count those sent that sidecars had or lacked capacity for.
-	requested, accepted, refused atomic.Int64
+	// requested counts the callers' requests since the last tick, and sent those that
+	// were admitted while there was a limit; accepted and refused count those sent that
+	// sidecars had or lacked capacity for.
+	requested, sent, accepted, refused atomic.Int64
+	// maxSent is the maximum number of requests to send until the next tick, zero
+	// while there is no limit.
+	maxSent atomic.Int64
 	// share is the share of requests to send, as the bits of a float64, zero while
 	// there is no limit.
 	share atomic.Uint64
@@ -48,6 +56,9 @@
 	// limit is the maximum number of requests to send per tick, zero while there is
 	// none.
 	limit float64
+	// calmTicks counts the ticks since requests last exceeded the limit or were
+	// refused.
+	calmTicks int
 }
 
 // Admit counts a request and reports whether it may be sent to a sidecar. random is
@@ -55,7 +66,11 @@
 func (t *Throttle) Admit(random float64) bool {
 	t.requested.Add(1)
 	share := t.share.Load()
-	return share == 0 || random < math.Float64frombits(share)
+	if share != 0 && random >= math.Float64frombits(share) {
+		return false
+	}
+	maxSent := t.maxSent.Load()
+	return maxSent == 0 || t.sent.Add(1) <= maxSent
 }
 
 // Record records the result code of a request that was sent to a sidecar.
@@ -82,22 +97,37 @@
 	return max(1, math.Float64frombits(t.overload.Load()))
 }
 
-// tick sets the limit that applies until the next tick.
+// tick sets the limit that applies until the next tick. A tick without requests and
+// results says nothing about the capacity and changes no limit, unless it ends it.
 func (t *Throttle) tick() {
 	requested := float64(t.requested.Swap(0))
 	accepted, refused := float64(t.accepted.Swap(0)), float64(t.refused.Swap(0))
-	t.acceptedMean += (accepted - t.acceptedMean) / acceptedMeanDivisor
-	t.limit = nextThrottle(t.limit, t.acceptedMean, refused, accepted)
-	if t.limit == 0 || requested <= t.limit {
+	t.sent.Store(0)
+	if requested+accepted+refused > 0 {
+		t.acceptedMean += (accepted - t.acceptedMean) / acceptedMeanDivisor
+		t.setLimit(nextThrottle(t.limit, t.acceptedMean, refused, accepted), requested)
+	}
+	t.calmTicks++
+	if requested > t.limit || refused > 0 {
+		t.calmTicks = 0
+	}
+	if t.calmTicks >= throttleCalmTicks {
+		t.setLimit(0, 0)
+	}
+}
+
+// setLimit sets the limit, zero for none, and what follows from it if as many requests
+// come as in the last tick.
+func (t *Throttle) setLimit(limit, requested float64) {
+	t.limit = limit
+	t.maxSent.Store(int64(math.Ceil(limit)))
+	if limit == 0 || requested <= limit {
 		t.share.Store(0)
 		t.overload.Store(0)
-		if refused == 0 {
-			t.limit = 0
-		}
 		return
 	}
-	t.share.Store(math.Float64bits(t.limit / requested))
-	t.overload.Store(math.Float64bits(requested / t.limit))
+	t.share.Store(math.Float64bits(limit / requested))
+	t.overload.Store(math.Float64bits(requested / limit))
 }
 
 // nextThrottle returns the limit until the next tick: slightly above the number of
--- a/caller/throttle_test.go
+++ b/caller/throttle_test.go
@@ -73,6 +73,39 @@
 	g.Expect(account.Overload()).To(Equal(1.0))
 }
 
+func TestPauseBetweenBurstsDoesNotEndTheLimit(t *testing.T) {
+	for name, between := range map[string]int{"no request": 0, "one request": 1} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			random := rand.New(rand.NewPCG(5, 0))
+			admission := caller.NewAdmission()
+			account := admission.Account(dispatch)
+			for range 20 {
+				offer(admission, account, random, 2_000, 200)
+			}
+			for range 20 {
+				offer(admission, account, random, between, 200)
+				g.Expect(offer(admission, account, random, 2_000, 200)).To(BeNumerically("<", 2*200))
+			}
+		})
+	}
+}
+
+func TestLimitEndsWithoutRequests(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(6, 0))
+	admission := caller.NewAdmission()
+	account := admission.Account(dispatch)
+	for range 20 {
+		offer(admission, account, random, 2_000, 200)
+	}
+	for range 20 {
+		admission.Tick()
+	}
+	g.Expect(account.Overload()).To(Equal(1.0))
+	g.Expect(offer(admission, account, random, 1_000, 2_000)).To(Equal(1_000))
+}
+
 func TestOverloadByOneOwnerDoesNotAffectOthers(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(2, 0))
