Start the limit of a throttle at what sidecars accepted

Callers saw: at the start of an overload an entry refused most of what the sidecars had room for, for a second or so. Cause: the first limit followed a moving average that started at zero, so it was a third of what was accepted. Change: while there is no limit the mean rises to the accepted requests at once. Evidence: TestFirstLimitIsNotBelowWhatWasAccepted failed before: 73 requests sent of a capacity of 200.

--- a/caller/throttle.go
+++ b/caller/throttle.go
@@ -104,7 +104,7 @@
 	accepted, refused := float64(t.accepted.Swap(0)), float64(t.refused.Swap(0))
 	t.sent.Store(0)
 	if requested+accepted+refused > 0 {
-		t.acceptedMean += (accepted - t.acceptedMean) / acceptedMeanDivisor
+		t.countAccepted(accepted)
 		t.setLimit(nextThrottle(t.limit, t.acceptedMean, refused, accepted), requested)
 	}
 	t.calmTicks++
@@ -116,6 +116,15 @@
 	}
 }
 
+// countAccepted updates the mean of accepted requests. While there is no limit the mean
+// rises at once, since the first limit must not be below what sidecars accepted.
+func (t *Throttle) countAccepted(accepted float64) {
+	t.acceptedMean += (accepted - t.acceptedMean) / acceptedMeanDivisor
+	if t.limit == 0 {
+		t.acceptedMean = max(t.acceptedMean, accepted)
+	}
+}
+
 // setLimit sets the limit, zero for none, and what follows from it if as many requests
 // come as in the last tick.
 func (t *Throttle) setLimit(limit, requested float64) {
--- a/caller/throttle_test.go
+++ b/caller/throttle_test.go
@@ -91,6 +91,15 @@
 	}
 }
 
+func TestFirstLimitIsNotBelowWhatWasAccepted(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(7, 0))
+	admission := caller.NewAdmission()
+	account := admission.Account(dispatch)
+	offer(admission, account, random, 2_000, 200)
+	g.Expect(offer(admission, account, random, 2_000, 200)).To(BeNumerically(">=", 200))
+}
+
 func TestLimitEndsWithoutRequests(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(6, 0))
