Double the holder's silence timeout while holders replace each other

Cause: a holder whose link is full is silent for over 900 ms, so another entry takes over; reading the shard, adopting its runs and repeating orders fills that one's link in turn. Holders followed each other without end (epoch 22 after 60 s). Change: the holder row counts the successions for silence of holders younger than 20 s; each doubles the timeout, up to 3.6 s. An older holder is replaced after 900 ms as before, and refused connections, a restart or a resignation count at once. Evidence: TestOverloadedHoldersDoNotReplaceEachOtherWithoutEnd; with the fixed timeout it fails: 'holders replace each other'.

--- a/scheduler/holder/election.go
+++ b/scheduler/holder/election.go
@@ -4,8 +4,14 @@
 
 const (
 	// holderSilenceTimeout is how long the holder may be unresponsive before
-	// another entry takes over: three pings and a redial.
+	// another entry takes over: three pings and a redial. It doubles each time
+	// that a young holder is replaced for its silence, as what silences one holder after
+	// the other is their load, which each takeover adds to.
 	holderSilenceTimeout = 900 * time.Millisecond
+	// maxSilenceDoublings bounds the timeout to the duration of a lease.
+	maxSilenceDoublings = 2
+	// youngHolder is the age up to which a holder counts as young.
+	youngHolder = 20 * time.Second
 	// holderRefusedTimeout is used instead of holderSilenceTimeout if the
 	// holder's address refuses connections, which shows that its process has
 	// ended.
@@ -35,12 +41,17 @@
 	authoritySlack = 2 * time.Second
 )
 
+// reasonSilent is the reason to take over from a holder that does not respond.
+const reasonSilent = "holder does not respond"
+
 // observation is the input of a candidate's decision whether to take over.
 type observation struct {
 	now time.Duration
 	// rowKnown reports that the holder row was read, and vacant that there is
 	// none.
 	rowKnown, vacant bool
+	// silenceTimeout is how long the holder may be unresponsive.
+	silenceTimeout time.Duration
 	// rowSince is when the current version of the row was first seen.
 	rowSince time.Duration
 	// lastPong is when the holder last answered, zero for never.
@@ -83,13 +94,13 @@
 	if o.holderRefuses && silence >= holderRefusedTimeout {
 		return "holder refuses connections", true
 	}
-	if silence < holderSilenceTimeout {
+	if silence < o.silenceTimeout {
 		return o.takeOverFromResponsive()
 	}
 	if 2*o.reachingHolder > o.sidecars {
 		return "", false // only this process can't reach it
 	}
-	return "holder does not respond", true
+	return reasonSilent, true
 }
 
 func (o observation) takeOverFromResponsive() (string, bool) {
@@ -107,3 +118,22 @@
 	}
 	return "", false
 }
+
+// silenceTimeout returns how long this holder may be unresponsive.
+func (s *HolderState) silenceTimeout(now time.Duration) time.Duration {
+	if now-s.Since >= youngHolder {
+		return holderSilenceTimeout
+	}
+	return holderSilenceTimeout << min(s.Row.Successions, maxSilenceDoublings)
+}
+
+// nextSuccessions returns the number for the row that replaces this one for a reason.
+func (s *HolderState) nextSuccessions(now time.Duration, reason string) uint8 {
+	if s.Row.Epoch == 0 || now-s.Since >= youngHolder {
+		return 0
+	}
+	if reason != reasonSilent {
+		return s.Row.Successions
+	}
+	return min(s.Row.Successions, maxSilenceDoublings-1) + 1
+}
--- a/scheduler/holder/election_test.go
+++ b/scheduler/holder/election_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/scheduler/wire"
 )
 
 func TestWhoTakesOver(t *testing.T) {
 	now := time.Hour
 	healthy := observation{
-		now: now, rowKnown: true, rowSince: now - time.Minute, lastPong: now - 100*time.Millisecond, holderLeads: true,
+		now: now, silenceTimeout: holderSilenceTimeout, rowKnown: true, rowSince: now - time.Minute, lastPong: now - 100*time.Millisecond, holderLeads: true,
 		storeAnswered: now - 100*time.Millisecond, storeFailed: now - time.Minute, sidecars: 11, reachingHolder: 11,
 	}
 	change := func(edit func(*observation)) observation {
@@ -33,6 +35,9 @@
 		{"the holder was silent for a short time", change(func(o *observation) {
 			o.lastPong, o.reachingHolder = now-holderSilenceTimeout+time.Millisecond, 0
 		}), false},
+		{"one of several holders in succession was silent for longer than the first may be", change(func(o *observation) {
+			o.lastPong, o.reachingHolder, o.silenceTimeout = now-holderSilenceTimeout, 0, 2*holderSilenceTimeout
+		}), false},
 		{"a new holder has not answered yet", change(func(o *observation) {
 			o.lastPong, o.reachingHolder, o.rowSince = 0, 0, now-100*time.Millisecond
 		}), false},
@@ -68,3 +73,30 @@
 		})
 	}
 }
+
+// TestOverloadedHoldersDoNotReplaceEachOtherWithoutEnd plays holders that are silent for a
+// time after each takeover, as their links are busy with what a takeover causes.
+func TestOverloadedHoldersDoNotReplaceEachOtherWithoutEnd(t *testing.T) {
+	g := NewWithT(t)
+	const busy = 2500 * time.Millisecond
+	s := HolderState{Row: wire.HolderRow{Epoch: 1}, Since: time.Second}
+	for range 10 {
+		timeout := s.silenceTimeout(s.Since)
+		if timeout > busy {
+			g.Expect(s.Row.Epoch).To(BeNumerically("<", 5))
+			return
+		}
+		now := s.Since + timeout
+		s = HolderState{Row: wire.HolderRow{Epoch: s.Row.Epoch + 1, Successions: s.nextSuccessions(now, reasonSilent)}, Since: now}
+	}
+	t.Fatal("holders replace each other")
+}
+
+func TestHolderThatIsNotYoungIsReplacedAfterTheShortTimeout(t *testing.T) {
+	g := NewWithT(t)
+	s := HolderState{Row: wire.HolderRow{Epoch: 7, Successions: 2}, Since: time.Second}
+	g.Expect(s.silenceTimeout(s.Since)).To(Equal(holderSilenceTimeout << maxSilenceDoublings))
+	g.Expect(s.silenceTimeout(s.Since + youngHolder)).To(Equal(holderSilenceTimeout))
+	g.Expect(s.nextSuccessions(s.Since+youngHolder, reasonSilent)).To(BeZero())
+	g.Expect(s.nextSuccessions(s.Since, "holder stepped down")).To(Equal(s.Row.Successions))
+}
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -199,14 +199,13 @@
 	})
 }
 
-// reachesHolder reports whether the peer has reached the holder within
-// holderSilenceTimeout.
-func (p *peer) reachesHolder(now time.Duration) bool {
+// reachesHolder reports whether the peer has reached the holder within the timeout.
+func (p *peer) reachesHolder(now, timeout time.Duration) bool {
 	age := p.holderAge.Load()
-	if age < 0 || age > holderSilenceTimeout.Milliseconds() {
+	if age < 0 || age > timeout.Milliseconds() {
 		return false
 	}
-	return now-time.Duration(p.pingedAt.Load())+time.Duration(age)*time.Millisecond < holderSilenceTimeout
+	return now-time.Duration(p.pingedAt.Load())+time.Duration(age)*time.Millisecond < timeout
 }
 
 // handleReport passes a sidecar's report on its worker to the core.
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -47,7 +47,7 @@
 	l.endTakeover = cancel
 	go func() {
 		defer cancel()
-		state, err := n.takeOver(ctx, holderState)
+		state, err := n.takeOver(ctx, holderState, reason)
 		n.events.Push(func(l *loop) { l.finishTakeover(state, err) })
 	}()
 }
@@ -63,13 +63,14 @@
 		o.rowKnown = true
 		o.vacant = s.Row.Epoch == 0
 		o.rowSince = s.Since
+		o.silenceTimeout = s.silenceTimeout(o.now)
 	}
 	if toHolder := n.linkToHolder.Load(); toHolder != nil {
 		toHolder.observe(&o)
 	}
 	n.sidecars.Range(func(_, value any) bool {
 		o.sidecars++
-		if value.(*peer).reachesHolder(o.now) {
+		if value.(*peer).reachesHolder(o.now, o.silenceTimeout) {
 			o.reachingHolder++
 		}
 		return true
@@ -90,16 +91,17 @@
 }
 
 // takeOver writes this process into the holder row and reads the shard.
-func (n *Node) takeOver(ctx context.Context, old HolderState) (*takeoverState, error) {
+func (n *Node) takeOver(ctx context.Context, old HolderState, reason string) (*takeoverState, error) {
 	epoch, err := n.lastEpoch(ctx, old)
 	if err != nil {
 		return nil, err
 	}
+	t := &takeoverState{requestedAt: clock.Boottime()}
 	row := wire.HolderRow{
 		Epoch: epoch + 1, Host: n.config.Host,
 		Incarnation: uint64(n.config.Incarnation), Address: n.config.Address,
+		Successions: old.nextSuccessions(t.requestedAt, reason),
 	}
-	t := &takeoverState{requestedAt: clock.Boottime()}
 	outcome, err := n.rows.Transact(ctx, table.RowTransaction{
 		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old.Version}},
 		Writes: []table.RowWrite{
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -13,6 +13,9 @@
 	Incarnation uint64 `msg:"i"`
 	// Address is the address on which the holder accepts links.
 	Address string `msg:"a"`
+	// Successions counts the holders in succession, up to this one, that replaced a young
+	// one for its silence.
+	Successions uint8 `msg:"s,omitempty"`
 }
 
 // EntryRow is the record of a running entry process.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -137,19 +137,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *HolderRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "e"
-	o = append(o, 0x84, 0xa1, 0x65)
-	o = msgp.AppendUint64(o, z.Epoch)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Host)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Address)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Successions == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendUint64(o, z.Epoch)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Host)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendUint64(o, z.Incarnation)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Address)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendUint8(o, z.Successions)
+		}
+	}
 	return
 }
 
@@ -199,6 +217,12 @@
 				err = msgp.WrapError(err, "Address")
 				return
 			}
+		case "s":
+			z.Successions, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Successions")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -213,7 +237,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *HolderRow) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Address)
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.Uint8Size
 	return
 }
 
