Let hosts with more capacity take over first

Cause: which entry takes over was a race of all of them; 20 of 35 have a fifth of a core and a tenth of the bandwidth of the others, less than a shard of 160 sidecars takes. Each also wrote at the same moment: 35 takeovers begun at the start, 34 of them failed. Change: a candidate waits from the time at which a takeover is due, the longer the more of its processors and link the shard takes, 400 ms at most, and up to 80 ms more by a draw for each epoch. The settings file has the capacity; without it there is no wait but the draw.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -59,6 +59,7 @@
 	config := holder.Config{
 		Host: s.Host, Incarnation: e.incarnation, Address: address, Shard: defaultShard,
 		WorkerLease: workerLease,
+		Capacity:    holder.Capacity{Processors: s.Processors, LinkBytesPerSecond: s.LinkBytesPerSecond},
 	}
 	if s.AdviceAddress != "" {
 		config.Advisor = platform.NewAdvisor(s.AdviceAddress)
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -46,6 +46,8 @@
 	confirmRequested time.Duration
 	// predecessors are the earlier holders, as far as this process has seen them.
 	predecessors predecessors
+	// candidacy is the wait before this node takes over.
+	candidacy candidacy
 	// endTakeover ends the attempt to take over that is in progress.
 	endTakeover context.CancelFunc
 	// batchInFlight reports that a batch is being stored, and batchEnded is
@@ -129,6 +131,7 @@
 // step makes the decisions that the events require and carries them out.
 func (l *loop) step() {
 	if l.core == nil {
+		l.wake = 0
 		l.considerTakeover()
 		return
 	}
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -53,6 +53,8 @@
 	Shard string
 	// WorkerLease is the duration of a worker's lease, counted from a ping.
 	WorkerLease time.Duration
+	// Capacity ranks this host among those that may take over.
+	Capacity Capacity
 	// Advisor is asked which workers may run the steps of queues that need
 	// advice. Without it, these steps do not start.
 	Advisor Advisor
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -37,8 +37,16 @@
 	o := n.observe()
 	reason, takeOver := o.shouldTakeOver()
 	if !takeOver {
+		l.candidacy.reset()
 		return
 	}
+	epoch := n.holderState.Load().Row.Epoch
+	delay := candidateDelay(n.config.Capacity, o.sidecars, n.config.Host, epoch)
+	if wait := l.candidacy.wait(o.now, delay, epoch); wait > 0 {
+		l.wake = o.now + wait
+		return
+	}
+	l.candidacy.reset()
 	n.takingOver.Store(true)
 	n.log.Info().Str("reason", reason).Int("sidecars", o.sidecars).Int("hearing", o.reachingHolder).
 		Dur("silent", o.now-max(o.lastPong, o.rowSince)).Msg("taking over")
