Send the payload of a job once in a message of orders

Callers saw: with payloads of 2 to 4 KB, holders fall silent, replace each other, and tasks end with their leases (LOST). Cause: each start carried the payload. 40 tasks of one job are 160 KB; at the users' rates a holder sends 0.8 MB a second, more than a link of 10 Mbit/s takes beside the rest, and heartbeats wait behind it. Change: within a message, a start whose payload and job are those of the last start before it goes without. The tasks of a step that start on one worker share it. Evidence: TestPayloadOfAJobIsSentOnceInAMessage (160 KB before, under 8 KB after), TestSharedPayloadsComeBackWithTheirOrders.

--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -189,6 +189,7 @@
 			continue
 		}
 		for _, message := range wire.SplitOrders(epoch, orders) {
+			message.SharePayloads()
 			p.(*peer).send(wire.TypeOrders, message)
 		}
 	}
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -6,7 +6,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
-	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/interference"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -119,51 +118,6 @@
 	}, err
 }
 
-// FromOrder returns the message for an order.
-func FromOrder(o dispatch.Order) Order {
-	message := Order{
-		Incarnation: WorkerIncarnation(o.Incarnation), Kind: uint8(o.Kind), Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
-		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged,
-	}
-	if o.Kind != dispatch.OrderAcknowledge {
-		message.Task = o.Task.String()
-	}
-	return message
-}
-
-// SplitOrders returns messages that each fit in a frame and together hold the orders, in
-// their order.
-func SplitOrders(epoch carobkeel.Epoch, orders []Order) []*Orders {
-	var messages []*Orders
-	size := frame.MaxPayload
-	for _, order := range orders {
-		if size += order.Msgsize(); size > frame.MaxPayload {
-			messages = append(messages, &Orders{Epoch: uint64(epoch)})
-			size = messages[len(messages)-1].Msgsize() + order.Msgsize()
-		}
-		last := messages[len(messages)-1]
-		last.Orders = append(last.Orders, order)
-	}
-	return messages
-}
-
-// Decoded returns the order in the message.
-func (o *Order) Decoded() (dispatch.Order, error) {
-	order := dispatch.Order{
-		Incarnation: runs.Incarnation(o.Incarnation), Kind: dispatch.OrderKind(o.Kind), Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
-		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged,
-	}
-	if order.Kind == dispatch.OrderAcknowledge {
-		return order, nil
-	}
-	if order.Kind > dispatch.OrderAcknowledge {
-		return order, errors.Errorf("unknown kind of order %d", order.Kind)
-	}
-	var err error
-	order.Task, err = carobkeel.ParseTaskName(o.Task)
-	return order, err
-}
-
 // FromJob returns the row for an accepted job.
 func FromJob(j *carobkeel.JobSpec) *JobRow {
 	row := &JobRow{
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -189,6 +189,63 @@
 	})
 }
 
+func TestPayloadOfAJobIsSentOnceInAMessage(t *testing.T) {
+	g := NewWithT(t)
+	const payloadBytes, starts = 4000, 40
+	var orders []wire.Order
+	for i := range starts {
+		orders = append(orders, wire.FromOrder(dispatch.Order{
+			Task: carobkeel.TaskName{Job: "j", Index: i}, Run: 1, Payload: strings.Repeat("x", payloadBytes),
+		}))
+	}
+	size := 0
+	for _, message := range wire.SplitOrders(7, orders) {
+		message.SharePayloads()
+		f, err := wire.Encode(wire.TypeOrders, message)
+		g.Expect(err).NotTo(HaveOccurred())
+		size += len(f.Payload)
+	}
+	g.Expect(size).To(BeNumerically("<", 2*payloadBytes))
+}
+
+func TestSharedPayloadsComeBackWithTheirOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		message := &wire.Orders{Epoch: 7}
+		var want []dispatch.Order
+		for i := range rapid.IntRange(0, 20).Draw(t, "orders") {
+			order := dispatch.Order{
+				Kind: rapid.SampledFrom([]dispatch.OrderKind{dispatch.OrderStart, dispatch.OrderStart, dispatch.OrderStop}).Draw(t, "kind"),
+				Task: carobkeel.TaskName{Job: carobkeel.JobID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")), Index: i}, Run: 1,
+			}
+			if order.Kind == dispatch.OrderStart {
+				order.Payload = rapid.SampledFrom([]string{"", "x", "y"}).Draw(t, "payload")
+			}
+			want = append(want, order)
+			message.Orders = append(message.Orders, wire.FromOrder(order))
+		}
+		message.SharePayloads()
+		var back wire.Orders
+		roundTrip(t, message, &back)
+		orders, leftOut := back.Decoded()
+		g.Expect(leftOut).To(BeEmpty())
+		g.Expect(orders).To(Equal(want))
+	})
+}
+
+func TestStartWithoutAPayloadToShareIsLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	message := &wire.Orders{Orders: []wire.Order{
+		wire.FromOrder(dispatch.Order{Task: carobkeel.TaskName{Job: "a"}, Run: 1, Payload: "x"}),
+		wire.FromOrder(dispatch.Order{Task: carobkeel.TaskName{Job: "a", Index: 1}, Run: 1, Payload: "x"}),
+	}}
+	message.SharePayloads()
+	message.Orders[1].Task = carobkeel.TaskName{Job: "b"}.String()
+	orders, leftOut := message.Decoded()
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(leftOut).To(HaveLen(1))
+}
+
 func TestMessageLargerThanAFrameIsNotSent(t *testing.T) {
 	_, err := wire.Encode(wire.TypeHello, &wire.Hello{Host: strings.Repeat("x", frame.MaxPayload)})
 	NewWithT(t).Expect(err).To(HaveOccurred())
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -227,12 +227,11 @@
 
 // handleOrders queues the orders for execution, except those that can't be decoded.
 func (l *entryLink) handleOrders(orders *wire.Orders) {
-	for i := range orders.Orders {
-		order, err := orders.Orders[i].Decoded()
-		if err != nil {
-			l.logLeftOut(err)
-			continue
-		}
+	decoded, leftOut := orders.Decoded()
+	for _, err := range leftOut {
+		l.logLeftOut(err)
+	}
+	for _, order := range decoded {
 		if order.Kind == dispatch.OrderStop {
 			l.agent.withdrawn.Store(runKeyOf(order), true)
 		}
