Order batch jobs by their value for the work that is left

Callers saw: under overload nearly all batch jobs end late, large ones after several times their due time. Cause: jobs that could still be in time went first, by due time. Under overload that spreads the shard over all jobs of a kind, until all of them are late together; paces of best-effort tasks followed the age of their jobs and did the same. Change: within a priority, the job with the highest value for each core-second of work that is left goes first: a fixed part and its work, a small part of it once it is late. Small jobs and those of which much is done end first. Paces follow the same order.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -157,11 +157,10 @@
 	}
 }
 
-// comparePaceOrder orders the best-effort runs of a worker by the lateness of
-// their jobs, those that can still be on time first, and then by age, the
-// oldest first.
+// comparePaceOrder orders the best-effort runs of a worker by the value of their jobs
+// for the work that is left, and then by age, the oldest first.
 func (c *Core) comparePaceOrder(a, b *runState) int {
-	return cmp.Or(cmp.Compare(c.lateness(a.task.step), c.lateness(b.task.step)), compareAge(a, b))
+	return cmp.Or(cmp.Compare(c.valueRate(b.task.step), c.valueRate(a.task.step)), compareAge(a, b))
 }
 
 // compareAge orders runs by the acceptance of their jobs, and runs of one job
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -71,7 +71,9 @@
 	// starved reports that a task of a long-running step was starved at the
 	// start of the current pass.
 	starved bool
-	advice  stepAdvice
+	// valueRate is the result of Core.valueRate at the start of the current pass.
+	valueRate float64
+	advice    stepAdvice
 }
 
 // task is one task of a step.
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -103,6 +103,7 @@
 		for _, s := range o.steps {
 			if s.done < len(s.tasks) && c.hasStartable(s) && c.isReady(s) {
 				s.starved = s.spec.LongRunning && c.isStarved(c.nextStartable(s, nil))
+				s.valueRate = c.valueRate(s)
 				steps = append(steps, s)
 			}
 		}
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -49,7 +49,9 @@
 	// late it is carried out.
 	loseAnswer    func() (lost bool, late time.Duration)
 	visibleStates map[carobkeel.JobID]carobkeel.JobState
-	work          func(task carobkeel.TaskName, run int) standin.Work
+	// done holds when each job was first seen to be complete, if it is not nil.
+	done map[carobkeel.JobID]time.Duration
+	work func(task carobkeel.TaskName, run int) standin.Work
 	// workOn, if set, replaces work and depends on the host.
 	workOn func(host string, task carobkeel.TaskName, run int) standin.Work
 	// admits decides whether a ticket lets a task start on a host; every ticket
@@ -293,6 +295,9 @@
 			continue
 		}
 		sim.visibleStates[v.Job] = v.State
+		if _, known := sim.done[v.Job]; sim.done != nil && !known && v.State == carobkeel.JobCompleted {
+			sim.done[v.Job] = sim.now
+		}
 	}
 	for _, o := range out.Orders {
 		sim.order(h, o)
--- a/scheduler/dispatch/urgency.go
+++ b/scheduler/dispatch/urgency.go
@@ -7,7 +7,7 @@
 
 // compareUrgency orders starved long-running steps first, since they must run
 // wherever there is room, then by the queue's priority, then long-running steps
-// first, then steps that can still be on time before late ones, and then by
+// first, then by the value of their jobs for the work that is left, and then by
 // their due time.
 func (c *Core) compareUrgency(a, b *stepState) int {
 	ja, jb := a.occurrence.job, b.occurrence.job
@@ -15,7 +15,7 @@
 		compareFalseFirst(!a.starved, !b.starved),
 		cmp.Compare(c.queueOf(ja).Priority, c.queueOf(jb).Priority),
 		compareFalseFirst(!a.spec.LongRunning, !b.spec.LongRunning),
-		cmp.Compare(c.lateness(a), c.lateness(b)),
+		cmp.Compare(b.valueRate, a.valueRate),
 		cmp.Compare(c.dueAt(a), c.dueAt(b)),
 		cmp.Compare(a.waitStart(), b.waitStart()),
 	)
