Plan best-effort tasks with a cautious sensitivity

Cause: plans used the expected sensitivity, 0.8 for an image never seen beside another. Several tasks of it started together; where it was really 2, the queue of each latency-critical task grew, and took a second to go while all batch tasks there waited. Change: plans take the sensitivity one standard deviation above its mean, by the filter's own variance. What is known well changes little. Evidence: TestUnknownImageDoesNotExceedTheTarget failed before: over the target in one round.

--- a/worker/interference/interference.go
+++ b/worker/interference/interference.go
@@ -12,7 +12,10 @@
 // The package does no I/O and reads no clock.
 package interference
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// priorIdleRatio is the assumed tail latency of an idle task as a share of its
@@ -32,6 +35,10 @@
 	// saturation is the utilization from which on the tail latency no longer shows
 	// how high the utilization is. Best-effort tasks wait until the queue is gone.
 	saturation = 0.92
+	// plannedDeviations is the number of standard deviations by which plans differ from
+	// what is expected. A target that is exceeded costs more than a best-effort task that
+	// waits, and a queue takes a second to go.
+	plannedDeviations = 1.0
 	// uniformVariance is the variance of the error of rounding to integers.
 	uniformVariance = 1.0 / 12
 	// maxUtilization is the upper bound of utilizations. It also represents a queue
@@ -93,6 +100,19 @@
 	return f.mean[i]
 }
 
+// cautiousSensitivity returns the sensitivity that plans are made with: it is above the
+// expected one by plannedDeviations, so that an image that is not known well starts with
+// few tasks.
+func (m *Model) cautiousSensitivity(critical, bestEffort string) float64 {
+	mean, variance := priorSensitivity, priorSensitivityVariance
+	if f := m.filters[critical]; f != nil {
+		if i, known := f.sensitivities[bestEffort]; known {
+			mean, variance = f.mean[i], f.cov[i][i]
+		}
+	}
+	return mean + plannedDeviations*math.Sqrt(max(0, variance))
+}
+
 // Steps returns the number of steps of a latency-critical image for which the model
 // keeps a load.
 func (m *Model) Steps(critical string) int {
@@ -227,7 +247,7 @@
 // latency-critical task of a worker.
 func (m *Model) isLight(b *Budget, image string) bool {
 	for _, critical := range b.images {
-		if m.Sensitivity(critical, image) >= lightSensitivity {
+		if m.cautiousSensitivity(critical, image) >= lightSensitivity {
 			return false
 		}
 	}
@@ -284,13 +304,13 @@
 func (m *Model) allocate(b *Budget, f BestEffort) int {
 	pace := 1.0
 	for i, image := range b.images {
-		need := m.Sensitivity(image, f.Image) * f.FullShare
+		need := m.cautiousSensitivity(image, f.Image) * f.FullShare
 		if need > 0 {
 			pace = min(pace, max(0, b.remaining[i])/need)
 		}
 	}
 	for i, image := range b.images {
-		b.remaining[i] -= pace * m.Sensitivity(image, f.Image) * f.FullShare
+		b.remaining[i] -= pace * m.cautiousSensitivity(image, f.Image) * f.FullShare
 	}
 	return int(FullPace * pace)
 }
--- a/worker/interference/interference_test.go
+++ b/worker/interference/interference_test.go
@@ -120,6 +120,37 @@
 	g.Expect(work).To(BeNumerically(">", 0.45*noControl), "best-effort work done, compared with that without control")
 }
 
+// TestUnknownImageDoesNotExceedTheTarget starts tasks of an image that was never observed
+// beside a latency-critical task, as many as the plan allows.
+func TestUnknownImageDoesNotExceedTheTarget(t *testing.T) {
+	for _, sensitivity := range []float64{0.2, 0.8, 1.4} {
+		g := NewWithT(t)
+		m := interference.New()
+		train(m, 30)
+		tasks := make([]interference.BestEffort, 5)
+		for i := range tasks {
+			tasks[i] = interference.BestEffort{Image: "new", FullShare: 0.1}
+		}
+		over := 0
+		bestEffort := append([]interference.BestEffort(nil), tasks...)
+		for round := range 50 {
+			load := 0.55
+			for _, f := range bestEffort {
+				load += sensitivity * f.Share
+			}
+			critical := []interference.LatencyCritical{{Step: "desk-0", Image: "desk", Ratio: idleRatio / (1 - min(0.97, load))}}
+			if critical[0].Ratio > 1 {
+				over++
+			}
+			budget := m.Observe(time.Duration(30+round)*interval, critical, bestEffort)
+			for i, pace := range m.Plan(budget, tasks).Paces {
+				bestEffort[i].Share = tasks[i].FullShare * float64(pace) / interference.FullPace
+			}
+		}
+		g.Expect(over).To(BeZero(), "sensitivity %g", sensitivity)
+	}
+}
+
 func TestFullPaceWithoutLatencyCriticalTasks(t *testing.T) {
 	g := NewWithT(t)
 	m := interference.New()
