Do not call a repeated submission refused that may be stored

Callers saw: a job that was stored, and ran, was answered 503, "surely not run", when it was sent again. Cause: the answer to the first submission was lost; the second found the table service away and was refused by itself, whatever became of the first. Callers may then book anew under another ID. Change: if a submission fails, the holder is asked: a job that it knows is accepted. One that was sent to another entry, while neither the table service nor the holder answers, is still refused by itself. Evidence: TestRepeatedSubmissionIsNotSaidNotToHaveRun and TestSubmissionThatTheHolderKnowsIsAccepted failed before: 'Expected <carobkeel.Ran>: 0 to equal <carobkeel.Ran>: 2', and store-unavailable (204). Measured: go test ./caller/submission passed.

--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -46,11 +46,12 @@
 	scheduler Scheduler
 	metrics   *Metrics
 	log       *log.Logger
+	unsettled *unsettledJobs
 }
 
 // New returns a service that stores jobs in a shard.
 func New(shard string, rows table.Rows, scheduler Scheduler, metrics *Metrics, logger *log.Logger) *Service {
-	return &Service{shard: shard, rows: rows, scheduler: scheduler, metrics: metrics, log: logger}
+	return &Service{shard: shard, rows: rows, scheduler: scheduler, metrics: metrics, log: logger, unsettled: newUnsettledJobs()}
 }
 
 // Queues returns the current configuration of the queues. Its version is zero until
@@ -71,6 +72,9 @@
 func (s *Service) Submit(ctx context.Context, job *carobkeel.JobSpec) error {
 	started := time.Now()
 	err := s.submit(ctx, job)
+	if err != nil {
+		err = s.checkEarlier(ctx, job.ID, carobkeel.AsError(err))
+	}
 	code := carobkeel.CodeOK
 	if err != nil {
 		code = carobkeel.AsError(err).Code
@@ -97,6 +101,28 @@
 	return err
 }
 
+// checkEarlier returns what is true of a job whose submission failed, as an earlier one
+// with a lost answer may have been stored: nil if the holder knows the job, and an error
+// with an unknown outcome if this entry had no answer to an earlier one.
+func (s *Service) checkEarlier(ctx context.Context, id carobkeel.JobID, failure *carobkeel.Error) error {
+	if failure.Ran != carobkeel.RanNo {
+		s.unsettled.add(id, time.Now())
+	}
+	if failure.Code == carobkeel.CodeInvalidRequest {
+		return failure
+	}
+	// The caller's time may be used up, but not the margin for the answer.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), answerMargin/2)
+	defer cancel()
+	if _, known, err := s.scheduler.State(ctx, id); err == nil && known {
+		return nil
+	}
+	if failure.Ran == carobkeel.RanNo && s.unsettled.contains(id, time.Now()) {
+		return carobkeel.NewError(carobkeel.CodeTimeoutUnknown, "an earlier submission may have been stored: %s", failure.Detail)
+	}
+	return failure
+}
+
 // transact commits a transaction, and retries it until its outcome is known or the
 // caller's time limit is reached.
 func (s *Service) transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
--- a/caller/submission/submission_test.go
+++ b/caller/submission/submission_test.go
@@ -43,3 +43,58 @@
 		g.Expect(jobs.State(context.Background(), "a")).To(Equal(carobkeel.JobActive))
 	}
 }
+
+// brokenRows answers no transaction.
+type brokenRows struct {
+	table.Rows
+	err error
+}
+
+func (r *brokenRows) Transact(context.Context, table.RowTransaction) (table.RowOutcome, error) {
+	return table.RowOutcome{}, r.err
+}
+
+// knowingHolder is a Scheduler whose holder knows one job.
+type knowingHolder struct {
+	noHolder
+	job      carobkeel.JobID
+	storeAge time.Duration
+}
+
+func (h knowingHolder) State(_ context.Context, id carobkeel.JobID) (carobkeel.JobState, bool, error) {
+	return carobkeel.JobActive, id == h.job, nil
+}
+
+func (h knowingHolder) StoreAge() time.Duration { return h.storeAge }
+
+// submit submits a job with little time, and returns the error's statement on whether the
+// job may have been stored.
+func submit(g Gomega, jobs *submission.Service, id carobkeel.JobID) carobkeel.Ran {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	err := jobs.Submit(ctx, &carobkeel.JobSpec{ID: id})
+	g.Expect(err).To(HaveOccurred())
+	return carobkeel.AsError(err).Ran
+}
+
+func TestRepeatedSubmissionIsNotSaidNotToHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	rows := &brokenRows{err: table.ErrUnsettled}
+	jobs := submission.New("shard", rows, noHolder{}, submission.NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+	g.Expect(submit(g, jobs, "a")).To(Equal(carobkeel.RanUnknown))
+	rows.err = table.ErrUnavailable
+	g.Expect(submit(g, jobs, "a")).To(Equal(carobkeel.RanUnknown), "the first submission may have been stored")
+	g.Expect(submit(g, jobs, "b")).To(Equal(carobkeel.RanNo))
+}
+
+func TestSubmissionThatTheHolderKnowsIsAccepted(t *testing.T) {
+	for _, storeAge := range []time.Duration{0, time.Minute} {
+		g := NewWithT(t)
+		rows := &brokenRows{err: table.ErrUnavailable}
+		jobs := submission.New("shard", rows, knowingHolder{job: "a", storeAge: storeAge}, submission.NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		g.Expect(jobs.Submit(ctx, &carobkeel.JobSpec{ID: "a"})).To(Succeed())
+		g.Expect(submit(g, jobs, "b")).To(Equal(carobkeel.RanNo))
+	}
+}
