End a link, not the process, when its handler panics

Callers saw: nothing yet; operators of similar systems saw one malformed message end a process with all its links. Cause: frames are handled on the goroutine of their link; a panic there ended the process. Change: the link ends with an error that names the panic. Evidence: TestPanicOnAFrameEndsOnlyItsLink; before, the test binary ended: 'panic: index out of range [recovered, repanicked]'. Measured: go test ./internal/link passed.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -28,6 +28,9 @@
 // ErrClosed means that this side closed the link.
 var ErrClosed = errors.New("link is closed")
 
+// ErrHandlerPanic means that the handler panicked on a received frame.
+var ErrHandlerPanic = errors.New("handler of a link panicked")
+
 // Config is the heartbeat configuration of a link.
 type Config struct {
 	// HeartbeatInterval is the time between two pings.
@@ -154,13 +157,24 @@
 				l.roundTrip.Store(time.Now().UnixNano() - sentAt)
 			}
 		default:
-			if err := handle(f); err != nil {
+			if err := handleSafely(handle, f); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+// handleSafely passes a frame to the handler. A panic ends the link, and not the process
+// with all its other links.
+func handleSafely(handle Handler, f frame.Frame) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Wrapf(ErrHandlerPanic, "frame of type %d: %v", f.Type, cause)
+		}
+	}()
+	return handle(f)
+}
+
 func (l *Link) write() {
 	var batch []frame.Frame
 	var buf []byte
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -31,6 +31,17 @@
 	})
 }
 
+func TestPanicOnAFrameEndsOnlyItsLink(t *testing.T) {
+	g := NewWithT(t)
+	near, far := net.Pipe()
+	a, b := link.New(near, link.DefaultConfig()), link.New(far, link.DefaultConfig())
+	go func() { _ = a.Run(t.Context(), func(frame.Frame) error { return nil }) }()
+	a.Send(frame.Frame{Type: frame.FirstProtocolType, Payload: []byte("odd")})
+	err := b.Run(t.Context(), func(frame.Frame) error { panic("index out of range") })
+	g.Expect(err).To(MatchError(link.ErrHandlerPanic))
+	g.Expect(err).To(MatchError(ContainSubstring("index out of range")))
+}
+
 func TestLinkStaysOpenWhilePeerAnswersPings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
