Step down after a panic in a scheduling step

Callers saw: nothing yet; operators of similar systems saw an unexpected error end a process. An entry that holds the shard also takes callers' requests. Cause: a panic in the holder's event loop ended the process, and after its restart or on the next holder the same rows could end that too. Change: the node logs the panic with its stack, counts it, drops its scheduling state and steps down. The process goes on serving; the next term starts from the table service. A row that makes each holder panic still passes the shard on without end, at the pace of takeovers.

--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -80,16 +81,10 @@
 		case <-timer.C:
 		}
 		start := clock.Boottime()
-		if l.core != nil {
-			l.core.Advance(l.now())
-		}
 		batch = l.node.events.TryTake(batch[:0])
-		for _, handle := range batch {
-			handle(l)
-		}
 		events := len(batch)
+		l.runStep(batch)
 		clear(batch)
-		l.step()
 		work := clock.Boottime() - start
 		l.logSlowStep(work, events)
 		if clock.Sleep(ctx, batchDelay(work)) != nil {
@@ -99,6 +94,30 @@
 	}
 }
 
+// runStep handles events and makes the decisions that they require. A panic leaves the
+// scheduling state undefined, so the node steps down and drops it; the process goes on,
+// and its next term starts from the table service.
+func (l *loop) runStep(batch []event) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		l.node.metrics.Panics.Inc(1)
+		l.node.log.Error().Any("cause", cause).Str("stack", string(debug.Stack())).Msg("scheduling step panicked")
+		if l.core != nil {
+			l.stepDown("scheduling step panicked")
+		}
+	}()
+	if l.core != nil {
+		l.core.Advance(l.now())
+	}
+	for _, handle := range batch {
+		handle(l)
+	}
+	l.step()
+}
+
 // logSlowStep logs a step of the holder that delayed the events after it.
 func (l *loop) logSlowStep(work time.Duration, events int) {
 	if l.core != nil && work >= slowStep {
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -13,6 +13,8 @@
 // Metrics holds the metrics of a node's decisions while it holds the shard.
 type Metrics struct {
 	Takeovers, StepDowns tally.Counter
+	// Panics counts the scheduling steps that panicked.
+	Panics tally.Counter
 	// StoreLatency is the time until a batch of records is stored.
 	StoreLatency tally.Histogram
 	series       *telemetry.ByOwner[series]
@@ -33,6 +35,7 @@
 	return &Metrics{
 		Takeovers:    scope.Counter("takeovers"),
 		StepDowns:    scope.Counter("step_downs"),
+		Panics:       scope.Counter("panics"),
 		StoreLatency: scope.Histogram("store_latency", telemetry.LatencyBuckets()),
 		series:       telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
 		workers: map[dispatch.DecisionKind]tally.Counter{
