--- a/scheduler/dispatch/value.go
+++ b/scheduler/dispatch/value.go
@@ -7,8 +7,8 @@
 	// caller, where that of a job in time is 1.
 	lateValue    = 0.15
 	tooLateValue = 0.02
-	// fixedValueWork is the part of a job's value that does not depend on its size, as the
-	// work that has this value, in core-seconds.
+	// fixedValueWork is the work, in core-seconds, that has the same value as the part of a
+	// job's value that does not depend on its size.
 	fixedValueWork = 60.0
 	// minWorkLeft is the least work that is assumed to be left, in core-seconds.
 	minWorkLeft = 0.1
