--- a/cmd/capacity/page.go
+++ b/cmd/capacity/page.go
@@ -1,10 +1,16 @@
 package main
 
 import (
+	_ "embed" // for the section of the sweep
 	"fmt"
 	"strings"
 )
 
+// sweepSection has the loads and slopes on the users' platform.
+//
+//go:embed sweep.md
+var sweepSection string
+
 const pageHeader = `# Capacity
 
 What each role needs at the size that the project is designed for
@@ -40,6 +46,7 @@
 	}
 	renderStoreCapacity(&page, r)
 	renderScenarios(&page, r)
+	page.WriteString(sweepSection)
 	return page.String()
 }
 
