--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -26,6 +26,7 @@
 	Estimate int   `json:"est_duration_ms"`
 	After    []int `json:"after,omitempty"`
 	Saves    bool  `json:"saves_progress,omitempty"`
+	Lasts    bool  `json:"perpetual,omitempty"`
 }
 
 // job is a job that a client submits.
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +14,8 @@
 	"path/filepath"
 	"syscall"
 	"time"
+
+	"github.com/carobkeel/carobkeel/table"
 )
 
 // Ports of each host, which has an address of its own.
@@ -243,6 +247,28 @@
 	return busiest
 }
 
+// holder returns the number of the entry that wrote its name last into the row of the
+// holder, which the store knows.
+func (f *fleet) holder() int {
+	row, _, _ := f.store.rows.Get(context.Background(), table.RowID{Table: "holders", Part: "shard-0", Key: "holder"})
+	for i, p := range f.entries {
+		if bytes.Contains(row.Value, []byte(p.name)) {
+			return i
+		}
+	}
+	return 0
+}
+
+// freeze stops the process of an entry for a time.
+func (f *fleet) freeze(entry int, d time.Duration) {
+	p := f.entries[entry]
+	f.record.note("freeze  %s, which holds the shard, for %v", p.name, d.Round(time.Millisecond))
+	_ = p.command.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	f.record.note("wake    %s", p.name)
+}
+
 // stop ends all processes. It keeps their logs where KEEP_LOGS names a folder.
 func (f *fleet) stop() {
 	for _, p := range append(f.entries, f.sidecars...) {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -187,6 +187,35 @@
 	return []string{line}
 }
 
+// idle returns how the rule LOST was broken for the tasks of a job that lasts: a task has
+// no run for a time, which begins at from or later.
+func (r *record) idle(job string, from time.Time, limit time.Duration) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var broken []string
+	for task, all := range r.tasks {
+		if !strings.HasPrefix(task, job+".") {
+			continue
+		}
+		since := from
+		for _, t := range all {
+			if t.began.Sub(since) >= limit && t.began.After(since) {
+				broken = append(broken, fmt.Sprintf("%s: no run from %.3f to %.3f", task, r.at(since), r.at(t.began)))
+			}
+			if t.ended.IsZero() {
+				since = time.Now()
+			} else if t.ended.After(since) {
+				since = t.ended
+			}
+		}
+		if time.Since(since) >= limit {
+			broken = append(broken, fmt.Sprintf("%s: no run from %.3f to the end", task, r.at(since)))
+		}
+	}
+	sort.Strings(broken)
+	return broken
+}
+
 func (r *record) at(t time.Time) float64 { return t.Sub(r.began).Seconds() }
 
 func (r *record) until(t *taskRun) string {
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -10,6 +10,8 @@
 	"silent-worker": {entries: 3, capacities: slices.Repeat([]int{32000}, 11), play: silentWorker},
 	"store-away":    {entries: 3, capacities: []int{48000, 48000, 48000}, play: storeAway},
 	"late-beat":     {entries: 3, capacities: []int{32000, 32000, 32000}, play: lateBeat},
+	"hosts-lost":    {entries: 3, capacities: slices.Repeat([]int{32000}, 5), play: hostsLost},
+	"holder-frozen": {entries: 3, capacities: slices.Repeat([]int{32000}, 6), play: holderFrozen},
 	"large-job":     {entries: 3, capacities: []int{48000, 48000, 48000}, play: largeJob},
 }
 
@@ -192,3 +194,82 @@
 	f.record.note("%d of 1 job of 6 tasks is not completed 20 s after it was accepted", left)
 	return append(f.record.ends(ackTime), f.record.twice()...), nil
 }
+
+// hostsLost loses the holder's host and a worker's host for good, while tasks that last
+// run there.
+func hostsLost(f *fleet, trouble bool) ([]string, error) {
+	const (
+		tasks = 6
+		// calmTime and idleTime are the bounds of LOST for a task that lasts: without a
+		// run for idleTime, which begins calmTime after its last run and the disruption.
+		calmTime = 6 * time.Second
+		idleTime = 3 * time.Second
+	)
+	if err := warmUp(f); err != nil {
+		return nil, err
+	}
+	j := newJob(gateQueue, 0, step{Count: tasks, CPU: 4800, Memory: 9600, Lasts: true})
+	j.Spec = "lasts"
+	if err := f.submit(0, j); err != nil {
+		return nil, err
+	}
+	if !f.awaitRuns(j, tasks, 5*time.Second) {
+		return nil, errNotReady
+	}
+	time.Sleep(6 * time.Second)
+	began := time.Now()
+	if trouble {
+		busiest, holder := f.busiest(), f.holder()
+		f.record.note("lost    the host of %s, which holds the shard, and the host of %s", f.entries[holder].name, f.workers[busiest].name)
+		f.entries[holder].kill()
+		f.sidecars[busiest].kill()
+		f.workers[busiest].leave()
+	}
+	time.Sleep(20 * time.Second)
+	return f.record.idle(j.id, began.Add(calmTime), idleTime), nil
+}
+
+// holderFrozen freezes the process that holds the shard again and again: first for so long
+// that another one takes over, then for so short that none does. Urgent jobs come
+// meanwhile, through the other entries.
+func holderFrozen(f *fleet, trouble bool) ([]string, error) {
+	const (
+		rounds      = 24
+		shortRounds = 5
+		longFreeze  = 2500 * time.Millisecond
+		shortFreeze = 1400 * time.Millisecond
+		jobs        = 4
+		jobPause    = 250 * time.Millisecond
+		pause       = 1800 * time.Millisecond
+		slowLists   = 100 * time.Millisecond
+	)
+	if err := warmUp(f); err != nil {
+		return nil, err
+	}
+	for _, w := range f.workers {
+		w.setSlowLists(slowLists)
+	}
+	for i := range rounds {
+		holder := f.holder()
+		submitted := make(chan struct{})
+		go func() {
+			defer close(submitted)
+			for n := range jobs {
+				time.Sleep(jobPause)
+				j := newJob(gateQueue, 500*time.Millisecond, step{Count: 36, CPU: 1400, Memory: 1900})
+				_ = f.submit((holder+1+n%2)%len(f.entries), j)
+			}
+		}()
+		freezeTime := shortFreeze
+		if i%(shortRounds+1) == 0 {
+			freezeTime = longFreeze
+		}
+		if trouble {
+			f.freeze(holder, freezeTime)
+		}
+		<-submitted
+		time.Sleep(pause)
+	}
+	time.Sleep(5 * time.Second)
+	return f.record.twice(), nil
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,6 +26,12 @@
 	tick = 2 * time.Millisecond
 )
 
+// runName names a run.
+type runName struct {
+	task string
+	run  int
+}
+
 // workerRun is a run on a worker.
 type workerRun struct {
 	task     string
@@ -68,8 +75,12 @@
 	fence  uint64
 	lease  time.Duration
 	// lapsed reports that the lease has lapsed and was not extended since.
-	lapsed  bool
-	running map[string]*workerRun
+	lapsed bool
+	// slowLists is the longest time that the answer with a list takes to arrive.
+	slowLists time.Duration
+	// gone reports that the worker has ended for good.
+	gone    bool
+	running map[runName]*workerRun
 	highest map[string]int
 	ends    []workerEnd
 	lastEnd uint64
@@ -90,7 +101,7 @@
 	w.born = time.Now()
 	w.id = "i-" + w.name
 	w.seq, w.fence, w.lease, w.lastEnd = 0, 0, 0, 0
-	w.running = make(map[string]*workerRun)
+	w.running = make(map[runName]*workerRun)
 	w.highest = make(map[string]int)
 	w.ends = nil
 	w.changed = make(chan struct{})
@@ -110,6 +121,18 @@
 	w.beat(nil)
 }
 
+// leave ends the worker for good, with all that runs there.
+func (w *worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.running {
+		w.record.end(w.name, r.task, r.run, "lost", 0)
+	}
+	w.running = make(map[runName]*workerRun)
+	w.silent = make(chan struct{})
+	w.gone = true
+}
+
 // setSilent makes the worker answer nothing, or lets it answer again. Its runs go on.
 func (w *worker) setSilent(silent bool) {
 	w.mu.Lock()
@@ -163,7 +186,7 @@
 }
 
 func (w *worker) end(r *workerRun, how string) {
-	delete(w.running, r.task)
+	delete(w.running, runName{r.task, r.run})
 	w.highest[r.task] = max(w.highest[r.task], r.run)
 	w.lastEnd++
 	w.ends = append(w.ends, workerEnd{w.lastEnd, r.task, r.run, how})
@@ -251,6 +274,12 @@
 // beats sends heartbeats until done is closed.
 func (w *worker) beats(done <-chan struct{}) {
 	for {
+		w.mu.Lock()
+		gone := w.gone
+		w.mu.Unlock()
+		if gone {
+			return
+		}
 		w.beat(nil)
 		select {
 		case <-done:
@@ -304,15 +333,31 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return nil, false
 	}
-	if body.Fence < w.fence {
+	if !w.accept(&body) {
 		w.refuse(rw, "fence")
 		return nil, false
 	}
+	return &body, true
+}
+
+// accept applies the fence and the deadline of a request. It returns false for a request
+// with a lower fence than the worker has seen.
+func (w *worker) accept(body *workerRequest) bool {
+	if body.Fence < w.fence {
+		return false
+	}
 	w.fence = body.Fence
 	if body.Deadline > 0 {
 		w.lease = max(w.lease, min(time.Duration(body.Deadline)*time.Millisecond, w.clock()+maxHold))
 	}
-	return &body, true
+	return true
+}
+
+// setSlowLists delays the answers with lists by up to a time.
+func (w *worker) setSlowLists(longest time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slowLists = longest
 }
 
 func (w *worker) refuse(rw http.ResponseWriter, reason string) {
@@ -341,7 +386,8 @@
 }
 
 func (w *worker) startRun(body *workerRequest) string {
-	if r := w.running[body.Task]; r != nil && r.run == body.Run {
+	name := runName{body.Task, body.Run}
+	if w.running[name] != nil {
 		return ""
 	}
 	if body.Run <= w.highest[body.Task] {
@@ -350,13 +396,16 @@
 	if time.Duration(body.Deadline)*time.Millisecond <= w.clock() {
 		return "late"
 	}
-	w.running[body.Task] = &workerRun{task: body.Task, run: body.Run, began: time.Now(), duration: workOf(body.Spec)}
+	w.running[name] = &workerRun{task: body.Task, run: body.Run, began: time.Now(), duration: workOf(body.Spec)}
 	w.record.start(w.name, body.Task, body.Run, body.Fence)
 	return ""
 }
 
 // workOf returns the duration of a task, which its job's spec states.
 func workOf(spec string) time.Duration {
+	if spec == "lasts" {
+		return time.Hour
+	}
 	ms, err := strconv.Atoi(strings.TrimPrefix(spec, "work_ms="))
 	if err != nil {
 		return time.Second
@@ -366,7 +415,7 @@
 
 func (w *worker) stopRun(body *workerRequest) string {
 	w.highest[body.Task] = max(w.highest[body.Task], body.Run)
-	if r := w.running[body.Task]; r != nil && r.run == body.Run && !r.stopping {
+	if r := w.running[runName{body.Task, body.Run}]; r != nil && !r.stopping {
 		r.stopping = true
 		r.duration = min(r.duration, time.Since(r.began)+stopTime)
 	}
@@ -393,6 +442,14 @@
 		case <-r.Context().Done():
 		}
 	}
+	data, delay := w.list()
+	time.Sleep(delay)
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(data) // fails only if the caller has gone
+}
+
+// list returns the lists of runs, and how long they take to arrive.
+func (w *worker) list() ([]byte, time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	running, ended := [][]any{}, [][]any{}
@@ -404,8 +461,11 @@
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
 	}
 	w.record.list(w.name, w.ends[:min(len(w.ends), listedEnds)])
-	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(map[string]any{
+	data, _ := json.Marshal(map[string]any{
 		"clock_ms": w.clock().Milliseconds(), "born": w.born.UnixMilli(), "running": running, "ended_at": ended,
 	})
+	if w.slowLists > 0 {
+		return data, rand.N(w.slowLists)
+	}
+	return data, 0
 }
