--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,9 +23,9 @@
 	Count    int   `json:"count"`
 	CPU      int   `json:"cpu"`
 	Memory   int   `json:"mem_mb"`
-	Estimate int   `json:"est_duration_ms"`
+	Estimate int   `json:"estimate_ms"`
 	After    []int `json:"after,omitempty"`
-	Saves    bool  `json:"saves_progress,omitempty"`
+	Saves    bool  `json:"saves,omitempty"`
 	Lasts    bool  `json:"perpetual,omitempty"`
 }
 
@@ -56,7 +56,7 @@
 	}
 	request.Host = callerHost
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Time-Budget-Ms", fmt.Sprint(requestBudget.Milliseconds()))
+	request.Header.Set(wire.word("budget"), fmt.Sprint(requestBudget.Milliseconds()))
 	response, err := httpClient.Do(request)
 	if err != nil {
 		return 0, ""
@@ -71,7 +71,7 @@
 
 // submit submits a job through an entry until it is accepted.
 func (f *fleet) submit(entry int, j *job) error {
-	body, err := json.Marshal(j)
+	body, err := wire.encode(j)
 	if err != nil {
 		return err
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -119,7 +118,7 @@
 // route is a queue of the operator's configuration.
 func route(name, prefix string, priority, timeout, objective int, stretch float64) map[string]any {
 	return map[string]any{
-		"name": name, "host": callerHost, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": timeout, "slo_ms": objective,
+		"name": name, "host": callerHost, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": timeout, "objective_ms": objective,
 		"priority": priority, "service": service, "max_attempts": 3, "stretch": stretch,
 	}
 }
@@ -146,7 +145,7 @@
 		"zones": map[string]string{"zone-a": "region-a"}, "internal_ports": []int{linkPort, linkPort + 15}, "seeds": seeds,
 		"limits":       map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"heartbeat_ms": heartbeatInterval.Milliseconds(), "orders": "call", "discovery": "local",
-		"bounds":   map[string]any{"max_hold_ms": maxHold.Milliseconds(), "stop_grace_ms": 400, "gang_wait_ms": 3000, "cancel_ms": 3000, "lease_ms": 3000},
+		"bounds":   map[string]any{"max_lease_ms": maxHold.Milliseconds(), "stop_grace_ms": 400, "gang_wait_ms": 3000, "cancel_ms": 3000, "lease_ms": 3000},
 		"platform": map[string]any{"address": f.address(storeHost, storePort), "form": "table", "row_bytes": rowBytes, "history_s": 20},
 	}
 }
@@ -183,7 +182,7 @@
 }
 
 func (f *fleet) newProcess(name, role string, settings map[string]any) (*process, error) {
-	data, err := json.MarshalIndent(settings, "", "  ")
+	data, err := wire.encode(settings)
 	if err != nil {
 		return nil, err
 	}
@@ -220,7 +219,7 @@
 	deadline := time.Now().Add(15 * time.Second)
 	for i := range f.entries {
 		for {
-			response, err := http.Get("http://" + f.address(firstEntry+i, readyPort) + "/carobkeel/readiness")
+			response, err := http.Get("http://" + f.address(firstEntry+i, readyPort) + wire.word("ready"))
 			if err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/base64"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -54,9 +53,9 @@
 // handler returns the HTTP handler of the store.
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /carobkeel/rows-tx", s.transact)
+	mux.HandleFunc("POST "+wire.word("transact"), s.transact)
 	mux.HandleFunc("GET /carobkeel/rows-get", s.get)
-	mux.HandleFunc("GET /carobkeel/rows-feed", s.feed)
+	mux.HandleFunc("GET "+wire.word("feed"), s.feed)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		away := s.away
@@ -86,7 +85,7 @@
 }
 
 type transaction struct {
-	Conditions []condition `json:"expect_rev"`
+	Conditions []condition `json:"conditions"`
 	Writes     []write     `json:"upserts"`
 	Deletes    []rowID     `json:"remove"`
 }
@@ -95,7 +94,7 @@
 	rowID
 	Value   string `json:"value"`
 	Version uint64 `json:"ver"`
-	Deleted bool   `json:"tombstone,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 type rowsResponse struct {
@@ -126,7 +125,7 @@
 
 func (s *store) transact(w http.ResponseWriter, r *http.Request) {
 	var body transaction
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	if wire.decode(r.Body, &body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -185,12 +184,13 @@
 			Version: uint64(row.Version), Deleted: row.Deleted,
 		})
 	}
-	_ = json.NewEncoder(w).Encode(response) // fails only if the caller has gone
+	data, _ := wire.encode(response)
+	_, _ = w.Write(data) // fails only if the caller has gone
 }
 
 // put writes a row, as the operator does.
 func (s *store) put(tableName, key string, value any) error {
-	data, err := json.Marshal(value)
+	data, err := wire.encode(value)
 	if err != nil {
 		return err
 	}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -57,7 +57,7 @@
 	how    string
 }
 
-// worker is a stand-in for a minion that starts whatever it is told to start.
+// worker is a stand-in for a worker that starts whatever it is told to start.
 type worker struct {
 	name     string
 	service  string
@@ -202,7 +202,7 @@
 	Version  string         `json:"version"`
 	Slots    int            `json:"slots"`
 	State    string         `json:"state"`
-	Cold     int            `json:"cold_left_ms"`
+	Cold     int            `json:"cold_ms"`
 	Capacity map[string]int `json:"capacity"`
 	Labels   []string       `json:"labels"`
 	Clock    int64          `json:"clock_ms"`
@@ -221,12 +221,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	body, _ := json.Marshal(heartbeat{
+	body, _ := wire.encode(heartbeat{
 		Service: w.service, Address: w.address, Zone: "zone-a", Version: "v1", Slots: 8, State: "ready",
 		Capacity: map[string]int{"cpu": w.milliCPU, "mem_mb": 128000, "gpu": 0},
 		Labels:   []string{"a", w.rack}, Clock: w.clock().Milliseconds(), Sequence: w.seq, Born: w.born.UnixMilli(),
 	})
-	return sentHeartbeat{url: "http://" + w.registry + "/carobkeel/instances/" + w.id, body: body}
+	return sentHeartbeat{url: "http://" + w.registry + wire.word("heartbeat") + w.id, body: body}
 }
 
 func (b sentHeartbeat) deliver() error {
@@ -294,17 +294,17 @@
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
 	Deadline   int64  `json:"deadline_ms"`
-	Fence      uint64 `json:"fence_token"`
+	Fence      uint64 `json:"fence"`
 	Checkpoint string `json:"last_checkpoint"`
-	Ack        uint64 `json:"ack_cursor"`
+	Ack        uint64 `json:"acknowledged"`
 	Wait       int64  `json:"wait_ms"`
 }
 
 // handler returns the HTTP handler of the worker.
 func (w *worker) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /carobkeel/run-start", w.call(w.startRun))
-	mux.HandleFunc("POST /carobkeel/run-stop", w.call(w.stopRun))
+	mux.HandleFunc("POST "+wire.word("start"), w.call(w.startRun))
+	mux.HandleFunc("POST "+wire.word("stop"), w.call(w.stopRun))
 	mux.HandleFunc("POST /carobkeel/pace", w.call(func(*workerRequest) string { return "" }))
 	mux.HandleFunc("POST /carobkeel/hold", w.hold)
 	return mux
@@ -313,7 +313,7 @@
 // admit reads a request. It returns false if the request is not carried out.
 func (w *worker) admit(rw http.ResponseWriter, r *http.Request) (*workerRequest, bool) {
 	var body workerRequest
-	if json.NewDecoder(r.Body).Decode(&body) != nil {
+	if wire.decode(r.Body, &body) != nil {
 		rw.WriteHeader(http.StatusBadRequest)
 		return nil, false
 	}
@@ -329,7 +329,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if r.Header.Get("Target-Instance") != w.id {
+	if r.Header.Get(wire.word("target")) != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return nil, false
 	}
