Send no start after the lease that its decision counted on

Cause: a start waited in the sidecar of a silent worker behind its stops. The holder gave the run up at the expiry of the worker's lease; the sidecar put a fresh lease on the start when the worker answered again.

Change: a start names the last ping of the sidecar that the holder had received. The sidecar sends it only within one lease of that ping, by its own steady clock, and not if the worker was reported as unresponsive since. Stops of an unresponsive worker no longer hold up the queue.

With the check taken out, TestStartThatWaitedUntilItsLeaseWasGivenUpIsNotSent fails in all three cases ('ok' in place of 'expired').

Conclusion: whoever gives a run up by a lease now knows that no start of it is sent later.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -68,6 +68,9 @@
 	Run  int
 	// Payload, Checkpoint and Ticket are set for OrderStart only.
 	Payload, Checkpoint, Ticket string
+	// Ping is the number of the sidecar's last ping when the start was decided. The
+	// sidecar does not send the start later than one worker lease after that ping.
+	Ping uint64
 	// Percent is the pace that OrderPace sets.
 	Percent int
 	// Acknowledged is used by OrderAcknowledge: the effects of all ends up to
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -11,6 +11,7 @@
 	w := c.worker(host)
 	w.linked = true
 	w.listed, w.reachable, w.unresponsive, w.follows = false, false, false, false
+	w.lastPing = 0
 }
 
 // HostFollows records that the sidecar of a host follows this holder.
@@ -23,10 +24,16 @@
 	w.inheritedExpiry = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
 }
 
-// HostPinged records a ping from the sidecar of a host, after which it may
-// extend the worker's lease.
-func (c *Core) HostPinged(host string) {
+// HostPinged records a ping from the sidecar of a host, by its number on the current
+// link. Zero stands for a sign of life that is no ping.
+func (c *Core) HostPinged(host string, number uint64) {
 	w := c.worker(host)
+	w.lastPing = max(w.lastPing, number)
+	c.extendLease(w)
+}
+
+// extendLease records that the sidecar may extend the worker's lease from now on.
+func (c *Core) extendLease(w *workerState) {
 	if !w.unresponsive {
 		w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
 	}
--- a/scheduler/dispatch/lease_test.go
+++ b/scheduler/dispatch/lease_test.go
@@ -18,7 +18,7 @@
 		incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
 		core := dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: 3 * time.Second}, dispatch.Now{Monotonic: time.Hour}, nil)
 		core.HostLinked("h")
-		core.HostPinged("h")
+		core.HostPinged("h", 1)
 		core.DescribeWorker("h", runs.Description{Incarnation: incarnation, Sequence: 1})
 		core.ApplyListing(dispatch.WorkerListing{
 			Host: "h", Incarnation: incarnation, Number: 1, Full: true,
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -28,7 +28,7 @@
 	w.reachable = w.linked
 	if w.unresponsive {
 		w.unresponsive = false
-		c.HostPinged(w.host)
+		c.extendLease(w)
 	}
 	for _, end := range l.Ends {
 		c.handleEnd(w, end)
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -176,6 +176,6 @@
 	r.startOrders++
 	c.orders = append(c.orders, Order{
 		Host: r.worker.host, Incarnation: r.worker.description.Incarnation, Kind: OrderStart, Task: r.name, Run: r.number,
-		Payload: r.task.job().spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket,
+		Payload: r.task.job().spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket, Ping: r.worker.lastPing,
 	})
 }
--- a/scheduler/dispatch/simulation_hosts_test.go
+++ b/scheduler/dispatch/simulation_hosts_test.go
@@ -141,7 +141,7 @@
 			h.core.DescribeWorker(s.name, *s.described)
 		}
 	}
-	h.core.HostPinged(s.name)
+	h.core.HostPinged(s.name, 0)
 	s.holder = s.holder.Confirm(h.epoch, sim.now)
 	h.core.HostFollows(s.name)
 	if s.departed || !sim.reportsWorker(h, s) {
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -21,6 +21,9 @@
 	unresponsive bool
 	// listed reports that the worker has listed its runs in this epoch.
 	listed bool
+	// lastPing is the number of the sidecar's last ping on the current link, zero
+	// before the first one.
+	lastPing uint64
 	// leaseExpiry is when the worker's lease has certainly expired.
 	leaseExpiry time.Duration
 	// follows reports that the sidecar follows this holder, so that it extends no
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -127,7 +127,7 @@
 	}
 	p.push(func(l *loop) {
 		l.core.HostLinked(p.host)
-		l.core.HostPinged(p.host)
+		l.core.HostPinged(p.host, 0)
 	})
 	return nil
 }
@@ -163,7 +163,7 @@
 	}
 	if p.role == wire.RoleSidecar && n.Leading() {
 		p.push(func(l *loop) {
-			l.core.HostPinged(p.host)
+			l.core.HostPinged(p.host, ping.Sequence)
 			if l.node.holderState.Load().Row.Epoch == ping.Epoch {
 				l.core.HostFollows(p.host)
 			}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -222,7 +222,7 @@
 	l.applyCancellations(t.jobs) // a job that had already ended keeps its final state
 	n.sidecars.Range(func(host, value any) bool {
 		l.core.HostLinked(host.(string))
-		l.core.HostPinged(host.(string))
+		l.core.HostPinged(host.(string), value.(*peer).pinged.Load())
 		return true
 	})
 	go l.followJobs(l.term, t.from, t.holderState.Version)
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -135,6 +135,7 @@
 	Ticket       string
 	Percent      int
 	Acknowledged uint64
+	Ping         uint64
 }
 
 // Orders is a list of orders under one epoch.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -490,8 +490,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Order) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 10
+	o = append(o, 0x9a)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Incarnation.ID)
@@ -504,6 +504,7 @@
 	o = msgp.AppendString(o, z.Ticket)
 	o = msgp.AppendInt(o, z.Percent)
 	o = msgp.AppendUint64(o, z.Acknowledged)
+	o = msgp.AppendUint64(o, z.Ping)
 	return
 }
 
@@ -515,8 +516,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -579,13 +580,18 @@
 		err = msgp.WrapError(err, "Acknowledged")
 		return
 	}
+	z.Ping, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ping")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Order) Msgsize() (s int) {
-	s = 1 + 1 + msgp.StringPrefixSize + len(z.Incarnation.ID) + msgp.Int64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Task) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.StringPrefixSize + len(z.Ticket) + msgp.IntSize + msgp.Uint64Size
+	s = 1 + 1 + msgp.StringPrefixSize + len(z.Incarnation.ID) + msgp.Int64Size + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Task) + msgp.IntSize + msgp.StringPrefixSize + len(z.Payload) + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.StringPrefixSize + len(z.Ticket) + msgp.IntSize + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
--- a/scheduler/wire/orders.go
+++ b/scheduler/wire/orders.go
@@ -17,7 +17,7 @@
 func FromOrder(o dispatch.Order) Order {
 	message := Order{
 		Incarnation: WorkerIncarnation(o.Incarnation), Kind: uint8(o.Kind), Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
-		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged,
+		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged, Ping: o.Ping,
 	}
 	if o.Kind != dispatch.OrderAcknowledge {
 		message.Task = o.Task.String()
@@ -45,7 +45,7 @@
 func (o *Order) Decoded() (dispatch.Order, error) {
 	order := dispatch.Order{
 		Incarnation: runs.Incarnation(o.Incarnation), Kind: dispatch.OrderKind(o.Kind), Run: o.Run, Payload: o.Payload, Checkpoint: o.Checkpoint,
-		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged,
+		Ticket: o.Ticket, Percent: o.Percent, Acknowledged: o.Acknowledged, Ping: o.Ping,
 	}
 	if order.Kind == dispatch.OrderAcknowledge {
 		return order, nil
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -54,8 +54,8 @@
 }
 
 // pingWindow is the number of pings whose sending times are kept. Answers to older
-// pings are ignored.
-const pingWindow = 16
+// pings are ignored, and starts that were decided after older pings have expired.
+const pingWindow = 32
 
 func (l *entryLink) epoch() carobkeel.Epoch { return carobkeel.Epoch(l.currentEpoch.Load()) }
 
@@ -169,6 +169,15 @@
 	l.send(wire.TypePing, &wire.Ping{Sequence: sequence, HolderAge: age, Epoch: uint64(holder.Epoch)})
 }
 
+// pingTime returns the sending time of a ping. It returns false for pings that were not
+// sent on this link, and for those older than pingWindow.
+func (l *entryLink) pingTime(number uint64) (time.Duration, bool) {
+	// A slot is reused only after the last number has risen, so the number is read last.
+	sentAt := time.Duration(l.pingTimes[number%pingWindow].Load())
+	last := l.sequence.Load()
+	return sentAt, number > 0 && number <= last && last-number < pingWindow
+}
+
 func (l *entryLink) handle(f frame.Frame) error {
 	switch f.Type {
 	case wire.TypePong:
@@ -190,10 +199,10 @@
 // handlePong records the entry as the holder if the pong states that it leads the shard.
 func (l *entryLink) handlePong(pong *wire.Pong) {
 	a := l.agent
-	if !pong.IsHolder || l.sequence.Load()-pong.Sequence >= pingWindow {
+	pingTime, known := l.pingTime(pong.Sequence)
+	if !pong.IsHolder || !known {
 		return
 	}
-	pingTime := time.Duration(l.pingTimes[pong.Sequence%pingWindow].Load())
 	epoch := carobkeel.Epoch(pong.Epoch)
 	if !a.confirm(epoch, pingTime) {
 		return
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
@@ -41,6 +42,12 @@
 	return withdrawn
 }
 
+// isExpired reports whether the validity of a start has ended.
+func (a *Agent) isExpired(o receivedOrder) bool {
+	pinged, known := o.link.pingTime(o.order.Ping)
+	return !known || gate.StartExpired(pinged, time.Duration(a.extendsFrom.Load()), clock.Boottime(), a.config.WorkerLease)
+}
+
 // executeOrders executes orders as they arrive, until ctx ends.
 func (a *Agent) executeOrders(ctx context.Context) {
 	slots := make(chan struct{}, executors)
@@ -102,6 +109,10 @@
 		if a.holderLink.Load() != o.link {
 			return runs.ResultUnknown, false
 		}
+		if o.order.Kind == dispatch.OrderStop && a.unresponsive.Load() {
+			// Starts must not wait behind it. The holder repeats it once the worker lists.
+			return runs.ResultUnknown, true
+		}
 		result := a.admit(o)
 		if result == runs.ResultOK && a.isWithdrawn(o.order) {
 			result = runs.ResultWithdrawn
@@ -150,6 +161,11 @@
 	if envelope.Deadline == 0 && o.order.Kind == dispatch.OrderStart {
 		return runs.ResultUnhealthy // there is no lease to start under, so nothing is sent
 	}
+	// The lease was computed before the check, so a pause after the check can't make it
+	// later.
+	if o.order.Kind == dispatch.OrderStart && a.isExpired(o) {
+		return runs.ResultExpired
+	}
 	var answer runs.Answer
 	var err error
 	switch o.order.Kind {
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -24,6 +24,8 @@
 type scriptedWorker struct {
 	answers []runs.Result
 	starts  []runs.Envelope
+	// stops counts the requested stops.
+	stops int
 	// onStart is called at each start, if set.
 	onStart func()
 	// listing is the answer to a request for a listing. None is answered if it is
@@ -47,6 +49,7 @@
 }
 
 func (s *scriptedWorker) Stop(context.Context, runs.Envelope, runs.Stop) (runs.Answer, error) {
+	s.stops++
 	return runs.Answer{}, context.DeadlineExceeded
 }
 
@@ -83,8 +86,9 @@
 	holder := gate.Holder{}.Confirm(3, now)
 	a.holder.Store(&holder)
 	holderLink := newEntryLink(a)
+	holderLink.ping()
 	a.holderLink.Store(holderLink)
-	order := dispatch.Order{Incarnation: testIncarnation, Kind: dispatch.OrderStart, Task: carobkeel.TaskName{Job: "j"}, Run: 1}
+	order := dispatch.Order{Incarnation: testIncarnation, Kind: dispatch.OrderStart, Task: carobkeel.TaskName{Job: "j"}, Run: 1, Ping: 1}
 	return a, receivedOrder{order: order, epoch: 3, link: holderLink}
 }
 
@@ -138,6 +142,58 @@
 	g.Expect(worker.starts).To(HaveLen(1))
 }
 
+// Guards against TWICE: a start that waited in the sidecar of a silent worker was sent with
+// a fresh lease after its task had been started elsewhere.
+func TestStartThatWaitedUntilItsLeaseWasGivenUpIsNotSent(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wait func(a *Agent, holderLink *entryLink)
+	}{
+		{"a lease after its decision", func(a *Agent, holderLink *entryLink) {
+			holderLink.pingTimes[1].Store(int64(clock.Boottime() - a.config.WorkerLease))
+			holderLink.ping()
+			a.confirm(3, clock.Boottime())
+		}},
+		{"after the worker was reported as unresponsive", func(a *Agent, holderLink *entryLink) {
+			a.unresponsive.Store(true)
+			a.recordAnswering(a.description.Load())
+			a.confirm(3, clock.Boottime())
+		}},
+		{"more pings than are kept", func(_ *Agent, holderLink *entryLink) {
+			for range pingWindow {
+				holderLink.ping()
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			worker := &scriptedWorker{answers: []runs.Result{runs.ResultOK, runs.ResultOK}}
+			a, order := linkedAgent(worker)
+			c.wait(a, order.link)
+			result, _ := a.sendWithRetries(context.Background(), order)
+			g.Expect(result).To(Equal(runs.ResultExpired))
+			g.Expect(worker.starts).To(BeEmpty())
+			order.order.Ping = order.link.sequence.Load()
+			result, _ = a.sendWithRetries(context.Background(), order)
+			g.Expect(result).To(Equal(runs.ResultOK), "a start decided after the last ping is sent")
+		})
+	}
+}
+
+// A start that is not sent is refused at once, so that its task can start elsewhere.
+func TestStopsOfAnUnresponsiveWorkerDoNotHoldUpItsStarts(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{}
+	a, order := linkedAgent(worker)
+	a.unresponsive.Store(true)
+	stop := order
+	stop.order.Kind = dispatch.OrderStop
+	result, current := a.sendWithRetries(context.Background(), stop)
+	g.Expect(current).To(BeTrue())
+	g.Expect(result).To(Equal(runs.ResultUnknown))
+	g.Expect(worker.stops).To(BeZero())
+}
+
 func TestOrdersOfReplacedLinkAreDropped(t *testing.T) {
 	g := NewWithT(t)
 	worker := &scriptedWorker{}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -89,6 +89,15 @@
 	return duration + time.Duration(float64(duration)*workerClockDrift)
 }
 
+// StartExpired reports whether a start may not be sent any more at a time now. It was
+// decided when the holder had received the sidecar's ping of the time pinged, so the
+// holder counts on it being sent within one lease of that ping. A worker that was
+// reported as unresponsive answers again from extendsFrom on: the holder has given up
+// what it ordered before it knew that.
+func StartExpired(pinged, extendsFrom, now, lease time.Duration) bool {
+	return pinged < extendsFrom || now-pinged >= lease
+}
+
 // AdmitOrder decides whether to send the worker a start that was ordered under the
 // epoch for the given incarnation of the worker. It returns ResultOK if so, and
 // otherwise the reason for the refusal.
--- a/sidecar/gate/gate_test.go
+++ b/sidecar/gate/gate_test.go
@@ -82,3 +82,12 @@
 		})
 	}
 }
+
+func TestStartIsValidForOneLeaseFromThePingBeforeItsDecision(t *testing.T) {
+	g := NewWithT(t)
+	const pinged, lease = time.Hour, 3 * time.Second
+	g.Expect(gate.StartExpired(pinged, 0, pinged+lease-1, lease)).To(BeFalse())
+	g.Expect(gate.StartExpired(pinged, 0, pinged+lease, lease)).To(BeTrue())
+	g.Expect(gate.StartExpired(pinged, pinged, pinged, lease)).To(BeFalse())
+	g.Expect(gate.StartExpired(pinged, pinged+1, pinged+2, lease)).To(BeTrue(), "the worker was unresponsive since")
+}
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -170,11 +170,13 @@
 	// ResultWithdrawn means that a start was not sent because the run was stopped
 	// first.
 	ResultWithdrawn
+	// ResultExpired means that a start was not sent because its validity had ended.
+	ResultExpired
 )
 
 var resultNames = [...]string{
 	"ok", "stale epoch", "old run", "late", "no room", "no ticket", "invalid",
-	"unhealthy", "other life", "unknown", "draining", "withdrawn",
+	"unhealthy", "other life", "unknown", "draining", "withdrawn", "expired",
 }
 
 // String returns the result's name.
