Release a run only by a listing that was requested after it

Cause: the new link of a host replaced the old one before the core knew. What the core decided on the old link went over the new one, whose first listing, requested before, released the runs that it lacked.

Change: an order names the link on which it was decided and is dropped if the host has another one; the core repeats it, and the last acknowledgement, after the first listing. Listings are compared by the sidecar's process and number on the first one too, and a listing confirms its runs up to the last request before its answer. The log line of a release names its evidence.

With the former rule put back, TestFirstListingOverANewLinkDoesNotReleaseLaterRuns and TestOrdersDecidedOnAnOldLinkAreNotSentOverTheNewOne fail; without the mark of a listing, TestOvertakenListingDoesNotReleaseARunThatALaterOneHas fails.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -225,9 +225,7 @@
 	r.pace = pace
 	w.sharing = nil
 	w.control.pacesChangedAt = c.now.Monotonic
-	c.orders = append(c.orders, Order{
-		Host: w.host, Incarnation: w.description.Incarnation, Kind: OrderPace, Task: r.name, Run: r.number, Percent: pace,
-	})
+	c.order(w, Order{Kind: OrderPace, Task: r.name, Run: r.number, Percent: pace})
 	c.recordDecision(Decision{Kind: DecidedPaceSet, Task: r.name, Run: r.number, Host: w.host, Detail: strconv.Itoa(pace)})
 }
 
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -61,7 +61,10 @@
 type Order struct {
 	Host        string
 	Incarnation runs.Incarnation
-	Kind        OrderKind
+	// Link is the link on which the order was decided. It must not be sent on another
+	// one, whose reports the decision did not know.
+	Link LinkID
+	Kind OrderKind
 	// Task and Run name the run that the order is for. OrderAcknowledge does
 	// not use them.
 	Task carobkeel.TaskName
--- /dev/null
+++ b/scheduler/dispatch/evidence_test.go
@@ -0,0 +1,174 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// evidenceFixture is a core with one worker and one job of one task, driven event by
+// event.
+type evidenceFixture struct {
+	core        *dispatch.Core
+	incarnation runs.Incarnation
+	task        carobkeel.TaskName
+	now         time.Duration
+}
+
+const evidenceHost = "h"
+
+// newEvidenceFixture returns a core to which a worker has listed that it runs nothing.
+func newEvidenceFixture() *evidenceFixture {
+	f := &evidenceFixture{
+		incarnation: runs.Incarnation{ID: "w", StartedAtMs: 1000}, now: time.Hour,
+		task: carobkeel.TaskName{Job: "0000000000000001"},
+	}
+	f.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: testLease}, f.time(), nil)
+	f.link(1, 1)
+	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
+	f.list(1, 1)
+	f.core.Finish()
+	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
+	f.core.BatchStored(batch) // a worker must be recorded before anything starts there
+	return f
+}
+
+func (f *evidenceFixture) time() dispatch.Now {
+	return dispatch.Now{Monotonic: f.now, Held: f.now, Wall: time.Unix(1_000_000, 0)}
+}
+
+func (f *evidenceFixture) description(i runs.Incarnation) runs.Description {
+	return runs.Description{
+		Incarnation: i, Service: testService, Sequence: 1,
+		Capacity: carobkeel.Resources{MilliCPU: 8000, MemoryBytes: 64 << 30},
+	}
+}
+
+func (f *evidenceFixture) link(id dispatch.LinkID, process carobkeel.Incarnation) {
+	f.core.HostLinked(evidenceHost, dispatch.Link{ID: id, Process: process})
+	f.core.HostPinged(evidenceHost, 1)
+}
+
+// submit accepts the job and returns the orders that follow.
+func (f *evidenceFixture) submit() []dispatch.Order {
+	f.core.AddJob(&carobkeel.JobSpec{
+		ID: f.task.Job, Queue: testQueue(0, 3), Payload: "payload",
+		Steps: []carobkeel.Step{{Count: 1, Demand: carobkeel.Resources{MilliCPU: 1000}, Estimate: time.Second}},
+	}, false)
+	return f.core.Finish().Orders
+}
+
+// list applies a full listing with the given runs of the task.
+func (f *evidenceFixture) list(number, requested uint64, running ...int) {
+	f.listing(dispatch.WorkerListing{Number: number, Requested: requested}, running...)
+}
+
+func (f *evidenceFixture) listing(l dispatch.WorkerListing, running ...int) {
+	l.Host, l.Incarnation, l.Full = evidenceHost, f.incarnation, true
+	for _, run := range running {
+		l.Running = append(l.Running, runs.Running{Task: f.task, Run: run})
+	}
+	f.core.ApplyListing(l)
+}
+
+func (f *evidenceFixture) answer(kind dispatch.OrderKind, run int, result runs.Result, listing uint64) {
+	f.core.ApplyAnswer(dispatch.OrderAnswer{
+		Host: evidenceHost, Incarnation: f.incarnation, Kind: kind, Task: f.task, Run: run, Result: result, Listing: listing,
+	})
+}
+
+// starts returns the runs whose start is ordered now.
+func (f *evidenceFixture) starts() []int {
+	var started []int
+	for _, o := range f.core.Finish().Orders {
+		if o.Kind == dispatch.OrderStart {
+			started = append(started, o.Run)
+		}
+	}
+	return started
+}
+
+// Guards against TWICE: the first listing over a new link was requested before the runs
+// that it lacks, and they were started again.
+func TestFirstListingOverANewLinkDoesNotReleaseLaterRuns(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	started := f.submit()
+	g.Expect(started).To(HaveLen(1))
+	run := started[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 5)
+	f.link(2, 1)
+	f.list(5, 5)
+	g.Expect(f.starts()).To(BeEmpty(), "the listing was requested before the start")
+	f.list(6, 6)
+	g.Expect(f.starts()).To(HaveLen(1), "the run is gone")
+}
+
+// Guards against TWICE: a listing that was overtaken by a later one releases what began
+// between the two.
+func TestOvertakenListingDoesNotReleaseARunThatALaterOneHas(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.list(3, 4, run) // answered when the fourth listing was requested already
+	f.list(4, 4)
+	g.Expect(f.starts()).To(BeEmpty(), "the two may have overtaken each other")
+	f.list(5, 5)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// A new process of the sidecar numbers its listings from one, and has requested all of them
+// after the runs that its predecessor confirmed.
+func TestListingOfANewSidecarProcessReleasesRunsOfAnEarlierOne(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 500)
+	f.link(2, 2)
+	f.list(1, 1)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// Orders that were decided on a link are not sent over another, so they are repeated there.
+func TestOrdersAreRepeatedForTheNewLink(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	order := f.submit()[0]
+	g.Expect(order.Link).To(Equal(dispatch.LinkID(1)))
+	f.link(2, 1)
+	f.list(2, 2)
+	orders := f.core.Finish().Orders
+	g.Expect(orders).To(HaveLen(1))
+	g.Expect(orders[0].Run).To(Equal(order.Run))
+	g.Expect(orders[0].Link).To(Equal(dispatch.LinkID(2)))
+}
+
+// An acknowledgement may be lost with its link.
+func TestAcknowledgementIsRepeatedForTheNewLink(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Ends: []runs.End{{Number: 1, Task: f.task, Run: run}}})
+	f.core.Finish()
+	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
+	f.core.BatchStored(batch)
+	acknowledged := func() bool {
+		for _, o := range f.core.Finish().Orders {
+			if o.Kind == dispatch.OrderAcknowledge && o.Acknowledged == 1 {
+				return true
+			}
+		}
+		return false
+	}
+	g.Expect(acknowledged()).To(BeTrue())
+	f.list(3, 3)
+	g.Expect(acknowledged()).To(BeFalse())
+	f.link(2, 1)
+	f.list(4, 4)
+	g.Expect(acknowledged()).To(BeTrue())
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -7,9 +7,12 @@
 )
 
 // HostLinked records that the sidecar of a host has opened a new link.
-func (c *Core) HostLinked(host string) {
+func (c *Core) HostLinked(host string, link Link) {
 	w := c.worker(host)
-	w.linked = true
+	if w.linked && w.link == link {
+		return
+	}
+	w.linked, w.link = true, link
 	w.listed, w.reachable, w.unresponsive, w.follows = false, false, false, false
 	w.lastPing = 0
 }
--- a/scheduler/dispatch/lease_test.go
+++ b/scheduler/dispatch/lease_test.go
@@ -17,7 +17,7 @@
 		g := NewWithT(t)
 		incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
 		core := dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: 3 * time.Second}, dispatch.Now{Monotonic: time.Hour}, nil)
-		core.HostLinked("h")
+		core.HostLinked("h", dispatch.Link{ID: 1})
 		core.HostPinged("h", 1)
 		core.DescribeWorker("h", runs.Description{Incarnation: incarnation, Sequence: 1})
 		core.ApplyListing(dispatch.WorkerListing{
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -9,9 +9,10 @@
 type WorkerListing struct {
 	Host        string
 	Incarnation runs.Incarnation
-	// Number numbers the listings sent over one link of the sidecar. The answer
-	// to an order names the listing that was in progress at that time.
-	Number uint64
+	// Number numbers the sidecar's requests for listings, and Requested is the number
+	// of the last one when this listing was answered. The answer to an order names
+	// that number too. Listings may overtake each other.
+	Number, Requested uint64
 	// Full reports a full listing: Running holds all runs. Otherwise it holds
 	// only changes.
 	Full    bool
@@ -40,7 +41,7 @@
 	advanced := false
 	for _, running := range l.Running {
 		seen[runKey{running.Task, running.Run}] = true
-		if c.updateRun(w, running) {
+		if c.updateRun(w, running, l.Requested) {
 			advanced = true
 		}
 	}
@@ -49,13 +50,16 @@
 	c.observeSharing(w)
 	first := !w.listed
 	w.listed = true
-	c.releaseMissing(w, l.Number, seen, first)
+	c.releaseMissing(w, l.Number, seen)
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
+	if first && w.acknowledged > 0 {
+		c.orderAcknowledge(w)
+	}
 }
 
 // handleEnd handles one end. A worker repeats ends until they are acknowledged.
@@ -122,8 +126,9 @@
 }
 
 // updateRun applies the listed state of one run, and reports whether the run
-// has progressed since the last listing.
-func (c *Core) updateRun(w *workerState, running runs.Running) bool {
+// has progressed since the last listing. When the listing was answered, the given number
+// of listings had been requested.
+func (c *Core) updateRun(w *workerState, running runs.Running, requested uint64) bool {
 	r := w.runs[runKey{running.Task, running.Run}]
 	if r == nil {
 		r = c.adopt(w, running)
@@ -131,6 +136,9 @@
 	if r.phase == runOrdered {
 		r.phase = runConfirmed
 	}
+	if mark := markAt(w, requested); r.confirmed.precedes(w, requested) {
+		r.confirmed = mark
+	}
 	r.loadMetric = running.LoadMetric
 	advanced := c.shouldProgress(r) && running.Percent > r.percent
 	r.percent = running.Percent
@@ -164,15 +172,16 @@
 }
 
 // releaseMissing releases runs that are missing from a full listing although
-// the worker should list them.
-func (c *Core) releaseMissing(w *workerState, number uint64, seen map[runKey]bool, first bool) {
+// the worker should list them. A run is released only by a listing that was requested
+// after the last message that could have started it.
+func (c *Core) releaseMissing(w *workerState, number uint64, seen map[runKey]bool) {
 	for key, r := range w.runs {
 		switch {
 		case seen[key]:
-		case r.stopping && r.stopConfirmed && number > r.stopConfirmedListing:
-			c.release(r, "stopped before it started")
-		case r.phase == runConfirmed && (first || number > r.confirmedListing):
-			c.release(r, "not listed any more")
+		case r.stopping && r.stopConfirmed && r.stopConfirmedAt.precedes(w, number):
+			c.release(r, "stopped before it started: "+r.stopConfirmedAt.describe(w, number))
+		case r.phase == runConfirmed && r.confirmed.precedes(w, number):
+			c.release(r, "not listed any more: "+r.confirmed.describe(w, number))
 		}
 	}
 }
@@ -234,7 +243,7 @@
 	switch a.Result {
 	case runs.ResultOK:
 		r.phase = runConfirmed
-		r.confirmedListing = a.Listing
+		r.confirmed = markAt(r.worker, a.Listing)
 		r.worker.control.pacesChangedAt = 0 // a best-effort task starts at full pace
 	case runs.ResultUnknown, runs.ResultOtherIncarnation, runs.ResultStaleEpoch:
 		// The run may still start. The stop order makes sure that it does not.
@@ -257,7 +266,7 @@
 	switch a.Result {
 	case runs.ResultOK, runs.ResultOldRun:
 		r.stopConfirmed = true
-		r.stopConfirmedListing = a.Listing
+		r.stopConfirmedAt = markAt(r.worker, a.Listing)
 	case runs.ResultStaleEpoch, runs.ResultOtherIncarnation:
 		// The next holder or the worker's next description resolves this run.
 	default:
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -189,20 +189,23 @@
 
 // acknowledgeEnds lets workers discard the ends whose effects are durable.
 func (c *Core) acknowledgeEnds() {
-	for host, w := range c.workers {
-		upTo := uint64(0)
+	for _, w := range c.workers {
+		before := w.acknowledged
 		for len(w.pendingEnds) > 0 && w.pendingEnds[0].isStored() {
-			upTo = w.pendingEnds[0].number
+			w.acknowledged = w.pendingEnds[0].number
 			w.pendingEnds = w.pendingEnds[1:]
 		}
-		if upTo > 0 {
-			c.orders = append(c.orders, Order{
-				Host: host, Incarnation: w.description.Incarnation, Kind: OrderAcknowledge, Acknowledged: upTo,
-			})
+		if w.acknowledged > before {
+			c.orderAcknowledge(w)
 		}
 	}
 }
 
+// orderAcknowledge tells the sidecar up to which number the worker's ends are stored.
+func (c *Core) orderAcknowledge(w *workerState) {
+	c.order(w, Order{Kind: OrderAcknowledge, Acknowledged: w.acknowledged})
+}
+
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
 
 func (c *Core) confirmIncarnations(b Batch) {
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -36,20 +36,18 @@
 	// time before started.
 	adopted bool
 	started time.Duration
-	// confirmedListing is the number of the listing in progress when the start
-	// was confirmed. Only a later listing can show that the run is missing.
-	confirmedListing uint64
-	stopping         bool
+	// confirmed is the mark at which the run was last known to have started.
+	confirmed listingMark
+	stopping  bool
 	// stopOrderedAt is when the stop was first ordered, and stopOverdue reports
 	// that the run was still listed, or its end unknown, stopTimeout later.
 	stopOrderedAt time.Duration
 	stopOverdue   bool
-	// stopConfirmed reports that the worker will not start the run any more,
-	// and stopConfirmedListing is the number of the listing in progress at that
-	// time.
-	stopConfirmed        bool
-	stopConfirmedListing uint64
-	loadMetric           int
+	// stopConfirmed reports that the worker will not start the run any more, from
+	// the mark stopConfirmedAt on.
+	stopConfirmed   bool
+	stopConfirmedAt listingMark
+	loadMetric      int
 	// percent is the progress in the last listing.
 	percent int
 	pace    int
@@ -152,9 +150,13 @@
 	if !r.worker.listed {
 		return
 	}
-	c.orders = append(c.orders, Order{
-		Host: r.worker.host, Incarnation: r.worker.description.Incarnation, Kind: OrderStop, Task: r.name, Run: r.number,
-	})
+	c.order(r.worker, Order{Kind: OrderStop, Task: r.name, Run: r.number})
+}
+
+// order adds an order for a worker, which goes over the link that its host has now.
+func (c *Core) order(w *workerState, o Order) {
+	o.Host, o.Incarnation, o.Link = w.host, w.description.Incarnation, w.link.ID
+	c.orders = append(c.orders, o)
 }
 
 // start orders the start of a task's next run on a worker.
@@ -174,8 +176,8 @@
 
 func (c *Core) orderStart(r *runState) {
 	r.startOrders++
-	c.orders = append(c.orders, Order{
-		Host: r.worker.host, Incarnation: r.worker.description.Incarnation, Kind: OrderStart, Task: r.name, Run: r.number,
+	c.order(r.worker, Order{
+		Kind: OrderStart, Task: r.name, Run: r.number,
 		Payload: r.task.job().spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket, Ping: r.worker.lastPing,
 	})
 }
--- a/scheduler/dispatch/simulation_hosts_test.go
+++ b/scheduler/dispatch/simulation_hosts_test.go
@@ -27,6 +27,9 @@
 	acked       map[runs.Incarnation]uint64
 	partitioned bool
 	linked      *holder
+	link        dispatch.Link
+	// process is the incarnation of the sidecar's process.
+	process carobkeel.Incarnation
 	// unlinkedAt is when the holder notices that the link has ended.
 	unlinkedAt time.Duration
 	// workerUnreachable reports that the sidecar can't reach the worker.
@@ -62,6 +65,7 @@
 func (sim *simulation) restartSidecar(s *host, heartbeatAt time.Duration) {
 	s.holder, s.clock, s.incarnation = gate.Holder{}, gate.Clock{}, runs.Incarnation{}
 	s.listing, s.requestedLease = 0, 0
+	s.process++
 	s.acked = make(map[runs.Incarnation]uint64)
 	s.restarted, s.heartbeatAt = true, heartbeatAt
 	s.linked, s.unlinkedAt, s.described = nil, 0, nil
@@ -136,7 +140,9 @@
 	if s.linked != h || s.lostOrder {
 		// A lost order also ends its link.
 		s.linked, s.unlinkedAt, s.lostOrder = h, 0, false
-		h.core.HostLinked(s.name)
+		sim.links++
+		s.link = dispatch.Link{ID: sim.links, Process: s.process}
+		h.core.HostLinked(s.name, s.link)
 		if s.described != nil {
 			h.core.DescribeWorker(s.name, *s.described)
 		}
@@ -163,7 +169,7 @@
 	}
 	s.clock = gate.Clock{Reading: answer.Clock, Received: sim.now, Known: true}
 	h.core.ApplyListing(dispatch.WorkerListing{
-		Host: s.name, Incarnation: d.Incarnation, Number: s.listing, Full: true, Running: listing.Running, Ends: listing.Ends,
+		Host: s.name, Incarnation: d.Incarnation, Number: s.listing, Requested: s.listing, Full: true, Running: listing.Running, Ends: listing.Ends,
 	})
 }
 
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -73,6 +73,8 @@
 	failsOn func(host string) bool
 	// events is the number of the last kind of event that may be drawn.
 	events int
+	// links counts the links of sidecars to holders.
+	links dispatch.LinkID
 }
 
 // brokenRules selects rules that a test breaks on purpose.
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -15,6 +15,8 @@
 	// reachable reports that the sidecar is linked and reaches its worker.
 	reachable bool
 	linked    bool
+	// link is the last link of the host.
+	link Link
 	// unresponsive reports that the sidecar can't reach its worker, or that the
 	// worker has shut down. The sidecar's pings do not extend the worker's lease
 	// in this state.
@@ -49,6 +51,8 @@
 	// ends whose effects are not durable yet.
 	lastEnd     uint64
 	pendingEnds []pendingEnd
+	// acknowledged is the number up to which the effects of ends are durable.
+	acknowledged uint64
 	// recorded reports that the store has a record of this incarnation, so that
 	// a later holder knows of it. No task starts on the worker before.
 	recorded bool
@@ -103,7 +107,7 @@
 	w.description = d
 	w.listed = false
 	w.recorded = c.recordedIncarnations[d.Incarnation]
-	w.lastEnd, w.pendingEnds = 0, nil
+	w.lastEnd, w.pendingEnds, w.acknowledged = 0, nil, 0
 	w.health = health{}
 	w.stall = stallState{lastProgress: c.now.Monotonic}
 	w.control = paceControl{}
--- a/scheduler/holder/fuzz_test.go
+++ b/scheduler/holder/fuzz_test.go
@@ -41,7 +41,7 @@
 			core.Restore(restored)
 		}
 		incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
-		core.HostLinked("h")
+		core.HostLinked("h", dispatch.Link{ID: 1})
 		core.DescribeWorker("h", runs.Description{
 			Incarnation: incarnation, Service: "s", Sequence: 1, Capacity: carobkeel.Resources{MilliCPU: 8000, MemoryBytes: 1 << 34},
 		})
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -197,19 +197,27 @@
 	l.logDecisions(out.Decisions)
 	l.publish(out.StateChanges)
 	l.requestAdvice(out.AdviceQuestion)
-	byHost := make(map[string][]wire.Order)
-	for _, order := range out.Orders {
-		byHost[order.Host] = append(byHost[order.Host], wire.FromOrder(order))
-	}
-	epoch := carobkeel.Epoch(l.node.holderState.Load().Row.Epoch)
-	for host, orders := range byHost {
-		p, ok := l.node.sidecars.Load(host)
-		if !ok {
+	l.sendOrders(out.Orders)
+}
+
+// sendOrders sends each order over the link on which it was decided. Orders for a link that
+// has ended or was replaced are dropped: the core repeats them after the first listing over
+// the next one.
+func (l *loop) sendOrders(orders []dispatch.Order) {
+	byPeer := make(map[*peer][]wire.Order)
+	for _, order := range orders {
+		current, linked := l.node.sidecars.Load(order.Host)
+		if !linked || current.(*peer).id != order.Link {
+			l.node.metrics.OrdersDropped.Inc(1)
 			continue
 		}
+		byPeer[current.(*peer)] = append(byPeer[current.(*peer)], wire.FromOrder(order))
+	}
+	epoch := carobkeel.Epoch(l.node.holderState.Load().Row.Epoch)
+	for p, orders := range byPeer {
 		for _, message := range wire.SplitOrders(epoch, orders) {
 			message.SharePayloads()
-			p.(*peer).send(wire.TypeOrders, message)
+			p.send(wire.TypeOrders, message)
 		}
 	}
 }
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -15,6 +15,9 @@
 	Takeovers, StepDowns tally.Counter
 	// Panics counts the scheduling steps that panicked.
 	Panics tally.Counter
+	// OrdersDropped counts the orders that were decided on a link that has been replaced
+	// or has ended.
+	OrdersDropped tally.Counter
 	// StoreLatency is the time until a batch of records is stored.
 	StoreLatency tally.Histogram
 	series       *telemetry.ByOwner[series]
@@ -33,11 +36,12 @@
 func NewMetrics(root tally.Scope) *Metrics {
 	scope := root.SubScope("scheduler")
 	return &Metrics{
-		Takeovers:    scope.Counter("takeovers"),
-		StepDowns:    scope.Counter("step_downs"),
-		Panics:       scope.Counter("panics"),
-		StoreLatency: scope.Histogram("store_latency", telemetry.LatencyBuckets()),
-		series:       telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
+		Takeovers:     scope.Counter("takeovers"),
+		StepDowns:     scope.Counter("step_downs"),
+		Panics:        scope.Counter("panics"),
+		OrdersDropped: scope.Counter("orders_dropped"),
+		StoreLatency:  scope.Histogram("store_latency", telemetry.LatencyBuckets()),
+		series:        telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
 		workers: map[dispatch.DecisionKind]tally.Counter{
 			dispatch.DecidedLinkLost:          scope.Counter("links_lost"),
 			dispatch.DecidedWorkerUnreachable: scope.Counter("workers_unreachable"),
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -102,6 +102,8 @@
 	takingOver atomic.Bool
 	resigned   atomic.Bool
 	sidecars   sync.Map
+	// acceptedLinks is the number of links that other processes have opened.
+	acceptedLinks atomic.Uint64
 }
 
 // New returns a node that does not hold the shard.
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -14,6 +14,7 @@
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -34,6 +35,8 @@
 type peer struct {
 	node *Node
 	link *link.Link
+	// id names the link in the decisions of the core.
+	id dispatch.LinkID
 	// role, host and incarnation are set by the hello, which is the first frame.
 	role        int
 	host        string
@@ -59,11 +62,21 @@
 			}
 			return errors.Wrap(err, "accept link")
 		}
-		p := &peer{node: n, link: link.New(conn, linkConfig())}
+		p := n.newPeer(conn)
 		go p.run(ctx)
 	}
 }
 
+// newPeer returns a peer that has dialled this node.
+func (n *Node) newPeer(conn net.Conn) *peer {
+	return &peer{node: n, id: dispatch.LinkID(n.acceptedLinks.Add(1)), link: link.New(conn, linkConfig())}
+}
+
+// coreLink returns the link as the core knows it.
+func (p *peer) coreLink() dispatch.Link {
+	return dispatch.Link{ID: p.id, Process: carobkeel.Incarnation(p.incarnation)}
+}
+
 // run receives the peer's frames until the link ends. If the peer is a sidecar and
 // this is still the newest link of its host, run then tells the core that the host
 // is lost.
@@ -126,7 +139,7 @@
 		old.(*peer).link.Close()
 	}
 	p.push(func(l *loop) {
-		l.core.HostLinked(p.host)
+		l.core.HostLinked(p.host, p.coreLink())
 		l.core.HostPinged(p.host, 0)
 	})
 	return nil
--- a/scheduler/holder/peer_test.go
+++ b/scheduler/holder/peer_test.go
@@ -8,7 +8,6 @@
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
@@ -18,7 +17,9 @@
 // newSidecarPeer returns a peer of a host's sidecar whose link does not run.
 func newSidecarPeer(n *Node, host string) *peer {
 	conn, _ := net.Pipe()
-	return &peer{node: n, link: link.New(conn, linkConfig()), role: wire.RoleSidecar, host: host}
+	p := n.newPeer(conn)
+	p.role, p.host = wire.RoleSidecar, host
+	return p
 }
 
 // The loss of the old link is handled after the new link has opened.
@@ -29,7 +30,7 @@
 	l.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: time.Second}, l.now(), nil)
 	old, newer := newSidecarPeer(n, "host"), newSidecarPeer(n, "host")
 	n.sidecars.Store("host", newer)
-	newer.push(func(l *loop) { l.core.HostLinked("host") })
+	newer.push(func(l *loop) { l.core.HostLinked("host", newer.coreLink()) })
 	old.pushLost()
 	for _, handle := range n.events.TryTake(nil) {
 		handle(l)
@@ -38,3 +39,20 @@
 		g.Expect(d.Kind).NotTo(Equal(dispatch.DecidedLinkLost))
 	}
 }
+
+// Guards against TWICE: a woken holder sent what it had decided on an old link over the new
+// one, whose first listing then lacked the runs.
+func TestOrdersDecidedOnAnOldLinkAreNotSentOverTheNewOne(t *testing.T) {
+	g := NewWithT(t)
+	scope := tally.NewTestScope("", nil)
+	n := New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(scope), logging.Discard().For("test"))
+	n.holderState.Store(&HolderState{})
+	old, newer := newSidecarPeer(n, "host"), newSidecarPeer(n, "host")
+	n.sidecars.Store("host", newer)
+	dropped := func() int64 { return scope.Snapshot().Counters()["scheduler.orders_dropped+"].Value() }
+	l := newLoop(n)
+	l.sendOrders([]dispatch.Order{{Host: "host", Link: old.id, Kind: dispatch.OrderStop}})
+	g.Expect(dropped()).To(Equal(int64(1)))
+	l.sendOrders([]dispatch.Order{{Host: "host", Link: newer.id, Kind: dispatch.OrderStop}})
+	g.Expect(dropped()).To(Equal(int64(1)), "the order for the new link is sent")
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -221,8 +221,9 @@
 	}
 	l.applyCancellations(t.jobs) // a job that had already ended keeps its final state
 	n.sidecars.Range(func(host, value any) bool {
-		l.core.HostLinked(host.(string))
-		l.core.HostPinged(host.(string), value.(*peer).pinged.Load())
+		p := value.(*peer)
+		l.core.HostLinked(host.(string), p.coreLink())
+		l.core.HostPinged(host.(string), p.pinged.Load())
 		return true
 	})
 	go l.followJobs(l.term, t.from, t.holderState.Version)
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -56,7 +56,9 @@
 
 // FromListing returns the message for a listing.
 func FromListing(l dispatch.WorkerListing, epoch carobkeel.Epoch) *Listing {
-	message := &Listing{Incarnation: WorkerIncarnation(l.Incarnation), Number: l.Number, Epoch: uint64(epoch), Full: l.Full}
+	message := &Listing{
+		Incarnation: WorkerIncarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Epoch: uint64(epoch), Full: l.Full,
+	}
 	for _, r := range l.Running {
 		message.Running = append(message.Running, Running{
 			Task: r.Task.String(), Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, LoadMetric: r.LoadMetric,
@@ -73,7 +75,9 @@
 // Decoded returns the listing in the message, for the worker of the given host, and the
 // number of rows left out of it because they name no task.
 func (l *Listing) Decoded(host string) (listing dispatch.WorkerListing, leftOut int) {
-	listing = dispatch.WorkerListing{Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Full: l.Full}
+	listing = dispatch.WorkerListing{
+		Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Full: l.Full,
+	}
 	for _, r := range l.Running {
 		name, err := carobkeel.ParseTaskName(r.Task)
 		if err != nil {
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -99,6 +99,7 @@
 	Full        bool
 	Running     []Running
 	Ends        []End
+	Requested   uint64
 }
 
 // Answer is the encoding of a dispatch.OrderAnswer.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -351,8 +351,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Listing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Incarnation.ID)
@@ -376,6 +376,7 @@
 			return
 		}
 	}
+	o = msgp.AppendUint64(o, z.Requested)
 	return
 }
 
@@ -387,8 +388,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -470,6 +471,11 @@
 			return
 		}
 	}
+	z.Requested, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Requested")
+		return
+	}
 	o = bts
 	return
 }
@@ -484,6 +490,7 @@
 	for za0002 := range z.Ends {
 		s += z.Ends[za0002].Msgsize()
 	}
+	s += msgp.Uint64Size
 	return
 }
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -149,7 +149,8 @@
 	}
 	a.observeClock(d.Incarnation, answer)
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
-		Incarnation: d.Incarnation, Number: number, Full: true, Running: listing.Running, Ends: listing.Ends,
+		Incarnation: d.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
+		Running: listing.Running, Ends: listing.Ends,
 	}, holderLink.epoch()))
 }
 
@@ -166,7 +167,9 @@
 	if !full && len(listing.Ends) == 0 {
 		return true
 	}
-	report := dispatch.WorkerListing{Incarnation: d.Incarnation, Number: number, Full: full, Ends: listing.Ends}
+	report := dispatch.WorkerListing{
+		Incarnation: d.Incarnation, Number: number, Requested: l.agent.listingNumber.Load(), Full: full, Ends: listing.Ends,
+	}
 	if full {
 		report.Running = l.withoutKnownCheckpoints(listing.Running, holderLink, epoch)
 		l.lastFullAt, l.lastFullLink = now, holderLink
