Take no lease as expired before the answered pings are handled

Callers would see: a task on two workers at once, or again after it was done, where the holder was frozen for about the length of a lease.

Cause: a ping is answered at once, and the core learns of it by an event. The event was dropped if another link of the host had replaced this one, as links do when a frozen holder wakes; and leases expired at the start of a step, before its events.

Change: an answered ping extends the lease in the core on whichever link it came. A lease expires only up to the time before which all queued events are handled.

Conclusion: the holder relies on the end of a lease only where it knows all that may have extended it.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -40,7 +40,8 @@
 	// suspended.
 	Monotonic time.Duration
 	// Held is the last monotonic time at which this holder certainly held the shard,
-	// so that no later holder had extended a lease.
+	// so that no later holder had extended a lease, and up to which the core knows all
+	// pings of sidecars that were answered.
 	Held time.Duration
 	// Wall is the time of day.
 	Wall time.Time
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -35,6 +35,10 @@
 	c.extendLease(w)
 }
 
+// LeaseExtended records that the sidecar of a host may extend the worker's lease, after an
+// answer on a link that is not the current one any more.
+func (c *Core) LeaseExtended(host string) { c.extendLease(c.worker(host)) }
+
 // extendLease records that the sidecar may extend the worker's lease from now on.
 func (c *Core) extendLease(w *workerState) {
 	if !w.unresponsive {
--- /dev/null
+++ b/scheduler/holder/lease_test.go
@@ -0,0 +1,108 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table/memory"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+const (
+	leaseTestHost  = "host"
+	leaseTestLease = 100 * time.Millisecond
+	// leaseTestExpiry is a time after which the holder certainly takes a lease of
+	// leaseTestLease as expired: it adds 2% and 150 ms.
+	leaseTestExpiry = leaseTestLease + 200*time.Millisecond
+)
+
+// newLeaseLoop returns a loop of a node that holds the shard, and the link of a host whose
+// worker runs a task.
+func newLeaseLoop() (*loop, *peer) {
+	n := New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+	n.holderState.Store(&HolderState{Leading: true, Row: wire.HolderRow{Epoch: 1}})
+	l := newLoop(n)
+	l.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: leaseTestLease}, l.now(), nil)
+	l.core.Advance(l.now())
+	p := newSidecarPeer(n, leaseTestHost)
+	n.sidecars.Store(leaseTestHost, p)
+	incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
+	l.core.HostLinked(leaseTestHost, p.coreLink())
+	l.core.HostPinged(leaseTestHost, 1)
+	l.core.DescribeWorker(leaseTestHost, runs.Description{Incarnation: incarnation, Sequence: 1})
+	l.core.ApplyListing(dispatch.WorkerListing{
+		Host: leaseTestHost, Incarnation: incarnation, Number: 1, Full: true,
+		Running: []runs.Running{{Task: carobkeel.TaskName{Job: "j"}, Run: 1}},
+	})
+	l.core.Finish()
+	return l, p
+}
+
+// confirmHeld has the loop take the shard as held until now.
+func (l *loop) confirmHeld() { l.holdConfirmed = clock.Boottime() }
+
+// handleQueued handles the events that are queued now, and reports whether a lease was
+// taken as expired.
+func (l *loop) handleQueued() bool {
+	taken := clock.Boottime()
+	batch := l.node.events.TryTake(nil)
+	l.core.Advance(l.now())
+	for _, handle := range batch {
+		handle(l)
+	}
+	l.handledUpTo = taken
+	l.core.Advance(l.now())
+	for _, d := range l.core.Finish().Decisions {
+		if d.Kind == dispatch.DecidedLeaseExpired {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *peer) receivePing(g Gomega, number uint64) {
+	ping, err := wire.Encode(wire.TypePing, &wire.Ping{Sequence: number, Epoch: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.handle(ping)).To(Succeed())
+}
+
+// Guards against TWICE: a woken holder answered a ping on a link that another one replaced
+// before the ping was handled, and forgot that the lease may be extended.
+func TestPingAnsweredOnAReplacedLinkExtendsTheLease(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := newLeaseLoop()
+	time.Sleep(leaseTestExpiry)
+	answered := newSidecarPeer(l.node, leaseTestHost)
+	l.node.sidecars.Store(leaseTestHost, answered)
+	answered.receivePing(g, 1)
+	l.node.sidecars.Store(leaseTestHost, newSidecarPeer(l.node, leaseTestHost))
+	l.core.HostLost(leaseTestHost)
+	l.confirmHeld()
+	g.Expect(l.handleQueued()).To(BeFalse())
+	time.Sleep(leaseTestExpiry)
+	l.confirmHeld()
+	g.Expect(l.handleQueued() || l.handleQueued()).To(BeTrue())
+}
+
+// Guards against TWICE: a holder that was delayed took a lease as expired while the ping
+// that extended it waited among its events.
+func TestLeaseDoesNotExpireWhileAnAnsweredPingIsNotHandled(t *testing.T) {
+	g := NewWithT(t)
+	l, p := newLeaseLoop()
+	l.core.HostLost(leaseTestHost)
+	p.receivePing(g, 2)
+	time.Sleep(leaseTestExpiry)
+	l.confirmHeld()
+	g.Expect(l.handleQueued()).To(BeFalse(), "the ping was answered")
+	time.Sleep(leaseTestExpiry)
+	l.confirmHeld()
+	g.Expect(l.handleQueued() || l.handleQueued()).To(BeTrue())
+}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -42,6 +42,9 @@
 	// holdConfirmed is the last time at which the holder row that this node knows
 	// was certainly the newest one.
 	holdConfirmed time.Duration
+	// handledUpTo is a time up to which all queued events have been handled, among
+	// them the pings of sidecars that this node has answered.
+	handledUpTo time.Duration
 	// confirmRequested is when the holder row was last read to confirm that this
 	// node holds the shard.
 	confirmRequested time.Duration
@@ -83,7 +86,7 @@
 		start := clock.Boottime()
 		batch = l.node.events.TryTake(batch[:0])
 		events := len(batch)
-		l.runStep(batch)
+		l.runStep(batch, start)
 		clear(batch)
 		work := clock.Boottime() - start
 		l.logSlowStep(work, events)
@@ -96,8 +99,9 @@
 
 // runStep handles events and makes the decisions that they require. A panic leaves the
 // scheduling state undefined, so the node steps down and drops it; the process goes on,
-// and its next term starts from the table service.
-func (l *loop) runStep(batch []event) {
+// and its next term starts from the table service. The batch holds all events that were
+// queued before taken.
+func (l *loop) runStep(batch []event, taken time.Duration) {
 	defer func() {
 		cause := recover()
 		if cause == nil {
@@ -115,6 +119,7 @@
 	for _, handle := range batch {
 		handle(l)
 	}
+	l.handledUpTo = taken
 	l.step()
 }
 
@@ -135,7 +140,7 @@
 }
 
 func (l *loop) now() dispatch.Now {
-	return dispatch.Now{Monotonic: clock.Boottime(), Held: l.holdConfirmed, Wall: time.Now()}
+	return dispatch.Now{Monotonic: clock.Boottime(), Held: min(l.holdConfirmed, l.handledUpTo), Wall: time.Now()}
 }
 
 // nextTimeout returns the time until the loop must run again without an event.
--- a/scheduler/holder/panic_test.go
+++ b/scheduler/holder/panic_test.go
@@ -25,11 +25,11 @@
 	l.holdConfirmed = clock.Boottime()
 	l.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: time.Second}, l.now(), nil)
 	term := l.term
-	l.runStep([]event{func(*loop) { panic("index out of range") }})
+	l.runStep([]event{func(*loop) { panic("index out of range") }}, 0)
 	g.Expect(l.core).To(BeNil(), "state after a panic is undefined")
 	g.Expect(term.Err()).To(HaveOccurred())
 	g.Expect(n.Leading()).To(BeFalse())
 	handled := false
-	l.runStep([]event{func(*loop) { handled = true }})
+	l.runStep([]event{func(*loop) { handled = true }}, 0)
 	g.Expect(handled).To(BeTrue())
 }
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -149,7 +149,7 @@
 // the newest one of its host.
 func (p *peer) push(handle event) {
 	p.node.events.Push(func(l *loop) {
-		if current, ok := p.node.sidecars.Load(p.host); l.core != nil && ok && current == p {
+		if l.core != nil && p.isCurrent() {
 			handle(l)
 		}
 	})
@@ -175,15 +175,33 @@
 		})
 	}
 	if p.role == wire.RoleSidecar && n.Leading() {
-		p.push(func(l *loop) {
+		p.pushPinged(ping)
+	}
+	p.pong()
+	return nil
+}
+
+// pushPinged tells the core of a ping of a sidecar, before the answer is sent. The sidecar
+// may extend the worker's lease after that answer, even if the link is replaced by then.
+func (p *peer) pushPinged(ping wire.Ping) {
+	p.node.events.Push(func(l *loop) {
+		switch {
+		case l.core == nil:
+		case !p.isCurrent():
+			l.core.LeaseExtended(p.host)
+		default:
 			l.core.HostPinged(p.host, ping.Sequence)
 			if l.node.holderState.Load().Row.Epoch == ping.Epoch {
 				l.core.HostFollows(p.host)
 			}
-		})
-	}
-	p.pong()
-	return nil
+		}
+	})
+}
+
+// isCurrent reports whether the link is the newest one of its host.
+func (p *peer) isCurrent() bool {
+	current, linked := p.node.sidecars.Load(p.host)
+	return linked && current == p
 }
 
 // pong tells the peer whether this node holds the shard, and in which epoch.
