Let no dead link of a host replace its live one

Callers would see: tasks that wait up to a second longer after a holder was frozen, as their worker has no link.

Cause: a sidecar gives the link to a frozen holder up and dials again. The woken holder accepts all these links in any order, and the last hello won and closed the link before it.

Change: a hello numbers the links of the sidecar's process. An earlier link does not replace a later one.

Measured: TestLinkThatWasOpenedEarlierDoesNotReplaceALaterOne fails without the comparison and passes with it; scheduler/wire and sidecar/agent pass. The assertions of lease_test.go no longer call the same function twice in one expression.

Conclusion: links of one process are ordered by who opened them.

--- a/scheduler/holder/lease_test.go
+++ b/scheduler/holder/lease_test.go
@@ -89,7 +89,7 @@
 	g.Expect(l.handleQueued()).To(BeFalse())
 	time.Sleep(leaseTestExpiry)
 	l.confirmHeld()
-	g.Expect(l.handleQueued() || l.handleQueued()).To(BeTrue())
+	g.Expect(l.handleQueued()).To(BeTrue())
 }
 
 // Guards against TWICE: a holder that was delayed took a lease as expired while the ping
@@ -104,5 +104,5 @@
 	g.Expect(l.handleQueued()).To(BeFalse(), "the ping was answered")
 	time.Sleep(leaseTestExpiry)
 	l.confirmHeld()
-	g.Expect(l.handleQueued() || l.handleQueued()).To(BeTrue())
+	g.Expect(l.handleQueued()).To(BeTrue())
 }
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -37,10 +37,12 @@
 	link *link.Link
 	// id names the link in the decisions of the core.
 	id dispatch.LinkID
-	// role, host and incarnation are set by the hello, which is the first frame.
+	// role, host, incarnation and number are set by the hello, which is the first frame.
+	// The number counts the links that a sidecar's process has opened.
 	role        int
 	host        string
 	incarnation uint64
+	number      uint64
 	// pinged is the sequence number of the peer's last ping.
 	pinged atomic.Uint64
 	// holderAge is how long before its last ping the peer had last received a
@@ -131,12 +133,12 @@
 	if err := wire.Decode(f, &hello); err != nil {
 		return err
 	}
-	p.role, p.host, p.incarnation = hello.Role, hello.Host, hello.Incarnation
+	p.role, p.host, p.incarnation, p.number = hello.Role, hello.Host, hello.Incarnation, hello.Link
 	if p.role != wire.RoleSidecar {
 		return nil
 	}
-	if old, had := p.node.sidecars.Swap(p.host, p); had {
-		old.(*peer).link.Close()
+	if !p.becomeCurrent() {
+		return errors.New("the host has opened a later link")
 	}
 	p.push(func(l *loop) {
 		l.core.HostLinked(p.host, p.coreLink())
@@ -145,6 +147,26 @@
 	return nil
 }
 
+// becomeCurrent makes the link the current one of its host and closes the one before. It
+// returns false if the same process has opened a later one, as a holder that was frozen
+// accepts the links of that time in any order.
+func (p *peer) becomeCurrent() bool {
+	for {
+		current, had := p.node.sidecars.LoadOrStore(p.host, p)
+		if !had {
+			return true
+		}
+		old := current.(*peer)
+		if old.incarnation == p.incarnation && old.number > p.number {
+			return false
+		}
+		if p.node.sidecars.CompareAndSwap(p.host, old, p) {
+			old.link.Close()
+			return true
+		}
+	}
+}
+
 // push passes an event to the core if this node is the holder and the link is
 // the newest one of its host.
 func (p *peer) push(handle event) {
--- a/scheduler/holder/peer_test.go
+++ b/scheduler/holder/peer_test.go
@@ -56,3 +56,28 @@
 	l.sendOrders([]dispatch.Order{{Host: "host", Link: newer.id, Kind: dispatch.OrderStop}})
 	g.Expect(dropped()).To(Equal(int64(1)), "the order for the new link is sent")
 }
+
+// Guards against a host without a link: a woken holder accepted a dead link of a sidecar after
+// its live one, and closed the live one.
+func TestLinkThatWasOpenedEarlierDoesNotReplaceALaterOne(t *testing.T) {
+	g := NewWithT(t)
+	n := New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+	hello := func(process, number uint64) (*peer, error) {
+		frame, err := wire.Encode(wire.TypeHello, &wire.Hello{Role: wire.RoleSidecar, Host: "host", Incarnation: process, Link: number})
+		g.Expect(err).NotTo(HaveOccurred())
+		p := newSidecarPeer(n, "")
+		p.role = 0
+		return p, p.handle(frame)
+	}
+	live, err := hello(7, 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = hello(7, 2)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(live.isCurrent()).To(BeTrue())
+	next, err := hello(7, 4)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(next.isCurrent()).To(BeTrue())
+	restarted, err := hello(8, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(restarted.isCurrent()).To(BeTrue(), "another process of the sidecar numbers anew")
+}
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -19,6 +19,9 @@
 	Host string
 	// Incarnation is the incarnation of the sender's process.
 	Incarnation uint64
+	// Link numbers the links that a sidecar's process has opened, from one. An earlier
+	// link may be accepted after a later one.
+	Link uint64
 }
 
 // Ping is sent periodically by the peer that dialled the link.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -301,13 +301,14 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Hello) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt(o, z.Role)
 	o = msgp.AppendString(o, z.Host)
 	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendUint64(o, z.Link)
 	return
 }
 
@@ -319,8 +320,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Role, bts, err = msgp.ReadIntBytes(bts)
@@ -338,13 +339,18 @@
 		err = msgp.WrapError(err, "Incarnation")
 		return
 	}
+	z.Link, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Link")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Hello) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Host) + msgp.Uint64Size
+func (z *Hello) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.StringPrefixSize + len(z.Host) + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -71,6 +71,8 @@
 	// extendsFrom is the time from which a ping must have been sent whose answer
 	// extends the lease: the holder has been told by then that the worker answers.
 	extendsFrom atomic.Int64
+	// openedLinks is the number of links that this process has opened.
+	openedLinks atomic.Uint64
 	// listingNumber is the number of the last listing that was begun.
 	listingNumber atomic.Uint64
 
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -132,7 +132,9 @@
 	l := &entryLink{agent: a, address: address, link: link.New(conn, config)}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.send(wire.TypeHello, &wire.Hello{Role: wire.RoleSidecar, Host: a.config.Host, Incarnation: uint64(a.config.Incarnation)})
+	l.send(wire.TypeHello, &wire.Hello{
+		Role: wire.RoleSidecar, Host: a.config.Host, Incarnation: uint64(a.config.Incarnation), Link: a.openedLinks.Add(1),
+	})
 	go l.sendPings(ctx)
 	err := l.link.Run(ctx, l.handle)
 	if a.holderLink.CompareAndSwap(l, nil) {
