Release no run by a listing that may lack it

Change: a listing with as many ends as a worker lists at a time, or with a running row that can't be read, is partial. It releases nothing and is no sign of a stall.

Without the condition TestPartialListingReleasesNothing fails. platform, scheduler/dispatch, scheduler/wire and sidecar/agent pass.

Conclusion: absence from a list counts only where the list is complete.

--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -172,3 +172,23 @@
 	f.list(4, 4)
 	g.Expect(acknowledged()).To(BeTrue())
 }
+
+// Guards against TWICE: while the store is away a worker has more ends than it lists at a
+// time, and the runs of the others were taken as lost and run again.
+func TestPartialListingReleasesNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Partial: true})
+	g.Expect(f.starts()).To(BeEmpty(), "the run may be among the ends that are not listed")
+	f.core.Cancel(f.task.Job)
+	f.core.Finish()
+	f.answer(dispatch.OrderStop, run, runs.ResultOK, 2)
+	f.listing(dispatch.WorkerListing{Number: 3, Requested: 3, Partial: true})
+	for _, d := range f.core.Finish().Decisions {
+		g.Expect(d.Kind).NotTo(Equal(dispatch.DecidedRunEnded))
+	}
+	f.list(4, 4)
+	g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -18,6 +18,9 @@
 	Full    bool
 	Running []runs.Running
 	Ends    []runs.End
+	// Partial reports that a run that is not in the listing may still run, or may
+	// have ended.
+	Partial bool
 }
 
 // ApplyListing applies a worker's listing.
@@ -45,12 +48,14 @@
 			advanced = true
 		}
 	}
-	c.observeProgress(w, advanced)
+	c.observeProgress(w, advanced || l.Partial)
 	w.sharing = nil // the load metrics have changed
 	c.observeSharing(w)
 	first := !w.listed
 	w.listed = true
-	c.releaseMissing(w, l.Number, seen)
+	if !l.Partial {
+		c.releaseMissing(w, l.Number, seen)
+	}
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -58,6 +58,7 @@
 func FromListing(l dispatch.WorkerListing, epoch carobkeel.Epoch) *Listing {
 	message := &Listing{
 		Incarnation: WorkerIncarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Epoch: uint64(epoch), Full: l.Full,
+		Partial: l.Partial,
 	}
 	for _, r := range l.Running {
 		message.Running = append(message.Running, Running{
@@ -77,11 +78,13 @@
 func (l *Listing) Decoded(host string) (listing dispatch.WorkerListing, leftOut int) {
 	listing = dispatch.WorkerListing{
 		Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Full: l.Full,
+		Partial: l.Partial,
 	}
 	for _, r := range l.Running {
 		name, err := carobkeel.ParseTaskName(r.Task)
 		if err != nil {
 			leftOut++
+			listing.Partial = true
 			continue
 		}
 		listing.Running = append(listing.Running, runs.Running{
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -103,6 +103,7 @@
 	Running     []Running
 	Ends        []End
 	Requested   uint64
+	Partial     bool
 }
 
 // Answer is the encoding of a dispatch.OrderAnswer.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -357,8 +357,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Listing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Incarnation.ID)
@@ -383,6 +383,7 @@
 		}
 	}
 	o = msgp.AppendUint64(o, z.Requested)
+	o = msgp.AppendBool(o, z.Partial)
 	return
 }
 
@@ -394,8 +395,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -482,6 +483,11 @@
 		err = msgp.WrapError(err, "Requested")
 		return
 	}
+	z.Partial, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Partial")
+		return
+	}
 	o = bts
 	return
 }
@@ -496,7 +502,7 @@
 	for za0002 := range z.Ends {
 		s += z.Ends[za0002].Msgsize()
 	}
-	s += msgp.Uint64Size
+	s += msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -150,7 +150,7 @@
 	a.observeClock(d.Incarnation, answer)
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Incarnation: d.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
-		Running: listing.Running, Ends: listing.Ends,
+		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
 	}, holderLink.epoch()))
 }
 
@@ -169,6 +169,7 @@
 	}
 	report := dispatch.WorkerListing{
 		Incarnation: d.Incarnation, Number: number, Requested: l.agent.listingNumber.Load(), Full: full, Ends: listing.Ends,
+		Partial: listing.Partial,
 	}
 	if full {
 		report.Running = l.withoutKnownCheckpoints(listing.Running, holderLink, epoch)
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -111,6 +111,10 @@
 	Ends        []End
 	// LeftOut is the number of rows that could not be decoded.
 	LeftOut int
+	// Partial reports that a run that is in neither list may still run, or may have
+	// ended: the worker has more ends than it lists at a time, or a row of Running
+	// could not be decoded.
+	Partial bool
 }
 
 // Start is an order to begin a run.
