Take no description of an earlier incarnation for a restart

Cause: the holder took a description of any other incarnation as a restart of the worker and gave up what ran there at once.

Change: a description of an incarnation that began before the known one waits until no lease of the known one can be valid. It does not end a new holder's wait for a later incarnation either.

With the two conditions taken out, TestDescriptionOfAnEarlierIncarnationIsNoRestart and TestEarlierIncarnationDoesNotEndTheWaitForALaterOne fail. scheduler/dispatch passes.

Conclusion: an incarnation is ordered by its start, at the holder too.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -241,6 +241,9 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.awaitExpiry(w.leaseExpiry)
 		}
+		if w.successor != nil {
+			c.awaitExpiry(w.successorFrom)
+		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
 			c.awaitExpiry(w.inheritedExpiry)
 		}
--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -56,11 +56,21 @@
 
 // submit accepts the job and returns the orders that follow.
 func (f *evidenceFixture) submit() []dispatch.Order {
-	f.core.AddJob(&carobkeel.JobSpec{
+	f.core.AddJob(f.job(), false)
+	return f.core.Finish().Orders
+}
+
+func (f *evidenceFixture) job() *carobkeel.JobSpec {
+	return &carobkeel.JobSpec{
 		ID: f.task.Job, Queue: testQueue(0, 3), Payload: "payload",
 		Steps: []carobkeel.Step{{Count: 1, Demand: carobkeel.Resources{MilliCPU: 1000}, Estimate: time.Second}},
-	}, false)
-	return f.core.Finish().Orders
+	}
+}
+
+// advance lets time pass while the holder holds the shard.
+func (f *evidenceFixture) advance(d time.Duration) {
+	f.now += d
+	f.core.Advance(f.time())
 }
 
 // list applies a full listing with the given runs of the task.
@@ -192,3 +202,60 @@
 	f.list(4, 4)
 	g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
 }
+
+// Guards against TWICE: a late heartbeat of a worker's earlier incarnation, described by a new
+// process of its sidecar, was taken for a restart.
+func TestDescriptionOfAnEarlierIncarnationIsNoRestart(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+	f.link(2, 2)
+	f.core.DescribeWorker(evidenceHost, f.description(runs.Incarnation{ID: "w", StartedAtMs: 500}))
+	g.Expect(f.core.Finish().Decisions).NotTo(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
+	f.list(1, 1, run)
+	f.advance(2 * testLease)
+	g.Expect(f.starts()).To(BeEmpty(), "the worker lists the run")
+}
+
+// The time of day was set back between the two incarnations.
+func TestEarlierIncarnationIsAcceptedOnceTheLeaseOfTheKnownOneIsOver(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+	earlier := runs.Incarnation{ID: "w", StartedAtMs: 500}
+	f.core.DescribeWorker(evidenceHost, f.description(earlier))
+	f.advance(testLease)
+	f.core.HostPinged(evidenceHost, 2)
+	f.core.DescribeWorker(evidenceHost, f.description(earlier))
+	g.Expect(f.starts()).To(BeEmpty())
+	f.advance(testLease)
+	f.incarnation = earlier
+	f.list(2, 2)
+	f.core.Finish()
+	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
+	f.core.BatchStored(batch)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// Guards against TWICE: a new holder took a late heartbeat of an earlier incarnation for the
+// end of the one that an earlier holder had used.
+func TestEarlierIncarnationDoesNotEndTheWaitForALaterOne(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.core = dispatch.New(dispatch.Config{Epoch: 2, WorkerLease: testLease, InheritedLease: testAuthority + testLease}, f.time(),
+		[]dispatch.WorkerRecord{{Incarnation: f.incarnation, Host: evidenceHost}})
+	f.core.AddJob(f.job(), true)
+	f.link(1, 1)
+	present := f.incarnation
+	f.incarnation = runs.Incarnation{ID: "w", StartedAtMs: 500}
+	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
+	f.core.Finish()
+	g.Expect(f.core.HasBatch()).To(BeFalse(), "the record of the present incarnation is not dropped")
+	f.incarnation = present
+	f.core.DescribeWorker(evidenceHost, f.description(present))
+	f.list(1, 1, 1)
+	g.Expect(f.starts()).To(BeEmpty(), "its run is adopted")
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -105,6 +105,7 @@
 // may have extended those that expired after Now.Held.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
+		c.acceptSuccessor(w)
 		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
 			continue
 		}
@@ -126,5 +127,5 @@
 	}
 	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
 	w.recorded = false
-	c.forgetUnreported(w.host, runs.Incarnation{})
+	c.forgetAllUnreported(w.host)
 }
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -53,6 +54,10 @@
 	pendingEnds []pendingEnd
 	// acknowledged is the number up to which the effects of ends are durable.
 	acknowledged uint64
+	// successor is the last description of an incarnation that began before the known
+	// one, nil if there was none since. It is accepted from successorFrom on.
+	successor     *runs.Description
+	successorFrom time.Duration
 	// recorded reports that the store has a record of this incarnation, so that
 	// a later holder knows of it. No task starts on the worker before.
 	recorded bool
@@ -85,9 +90,14 @@
 func (c *Core) DescribeWorker(host string, d runs.Description) {
 	w := c.worker(host)
 	if w.description.Incarnation != d.Incarnation {
+		if c.mayBeOutdated(w, d) {
+			c.awaitSuccessor(w, d)
+			return
+		}
 		c.replaceIncarnation(w, d)
 		return
 	}
+	w.successor = nil
 	if d.Sequence < w.description.Sequence {
 		return
 	}
@@ -97,7 +107,35 @@
 	w.description = d
 }
 
+// mayBeOutdated reports whether a description of another incarnation may come from a late
+// heartbeat: the incarnation began before the known one, whose runs may go on.
+func (c *Core) mayBeOutdated(w *workerState, d runs.Description) bool {
+	return w.description.ID != "" && len(w.runs) > 0 && d.StartedAtMs < w.description.StartedAtMs
+}
+
+// awaitSuccessor keeps a description that may be outdated until no lease of the known
+// incarnation can be valid: its sidecar extends none while it describes another one.
+func (c *Core) awaitSuccessor(w *workerState, d runs.Description) {
+	w.reachable, w.listed = false, false
+	if w.successor != nil && w.successor.Incarnation == d.Incarnation {
+		w.successor = &d
+		return
+	}
+	w.successor = &d
+	w.successorFrom = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
+	c.recordDecision(Decision{Kind: DecidedSuccessorDoubted, Host: w.host, Detail: d.ID})
+}
+
+// acceptSuccessor replaces the known incarnation by the one that was described since, once
+// no lease of the known one can be valid.
+func (c *Core) acceptSuccessor(w *workerState) {
+	if w.successor != nil && c.now.Held >= w.successorFrom {
+		c.replaceIncarnation(w, *w.successor)
+	}
+}
+
 func (c *Core) replaceIncarnation(w *workerState, d runs.Description) {
+	w.successor = nil
 	if w.description.ID != "" {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.releaseRuns(w, "worker restarted")
@@ -113,17 +151,22 @@
 	w.control = paceControl{}
 }
 
-// forgetUnreported drops the incarnations of a host's worker other than the given
-// one.
+// forgetUnreported drops the incarnations of a host's worker that began before the given
+// one. It may be described by a late heartbeat, so later ones are kept.
 func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
 	for old, oldHost := range c.unreportedWorkers {
-		if oldHost == host && old != incarnation {
+		if oldHost == host && old != incarnation && old.StartedAtMs <= incarnation.StartedAtMs {
 			delete(c.unreportedWorkers, old)
 			c.dropRecord(old)
 		}
 	}
 }
 
+// forgetAllUnreported drops the incarnations of a host's worker that have not listed.
+func (c *Core) forgetAllUnreported(host string) {
+	c.forgetUnreported(host, runs.Incarnation{StartedAtMs: math.MaxInt64})
+}
+
 // forgetIncarnation drops the record of an incarnation without runs. If the
 // worker reports again, a new record is written before anything starts there.
 func (c *Core) forgetIncarnation(w *workerState) {
