--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -259,3 +259,19 @@
 	f.list(1, 1, 1)
 	g.Expect(f.starts()).To(BeEmpty(), "its run is adopted")
 }
+
+// Guards against TWICE: the sidecar reported that its worker answers again on a link that was
+// replaced before the holder had read it, and had its next ping answered.
+func TestPingOnAReplacedLinkExtendsTheLeaseOfAnUnresponsiveWorker(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+	f.core.WorkerUnreachable(evidenceHost, time.Second)
+	f.core.LeaseExtended(evidenceHost)
+	f.core.HostLost(evidenceHost)
+	f.advance(2 * time.Second)
+	g.Expect(f.core.Finish().Decisions).NotTo(ContainElement(HaveField("Kind", dispatch.DecidedLeaseExpired)))
+	f.advance(2 * time.Second)
+	g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedLeaseExpired)))
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -36,8 +36,12 @@
 }
 
 // LeaseExtended records that the sidecar of a host may extend the worker's lease, after an
-// answer on a link that is not the current one any more.
-func (c *Core) LeaseExtended(host string) { c.extendLease(c.worker(host)) }
+// answer on a link that is not the current one any more. That the worker answers again may
+// have been reported on such a link too, so an earlier report that it does not says nothing.
+func (c *Core) LeaseExtended(host string) {
+	w := c.worker(host)
+	w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+}
 
 // extendLease records that the sidecar may extend the worker's lease from now on.
 func (c *Core) extendLease(w *workerState) {
