Let leases be extended for 3 s after a read of the hold, not for 8

Callers would see (TWICE): a task on two workers, where a holder that was paused and replaced answers the ping of a sidecar that does not reach its successor.

Cause: one limit served two ends. A holder lets leases be extended for as long as it schedules without the store, 6 s, and 2 s more for a deaf feed, and its successor has to wait for that and a lease. And the answer to a ping said so for as long as the process had not noticed that its time was over.

Change: the answer to a ping states the permission by itself, for 3 s from the last read that showed the hold, checked when the answer is made. The holder reads its row every 500 ms. Leases count as expired up to that read only.

--- a/scheduler/holder/election.go
+++ b/scheduler/holder/election.go
@@ -36,9 +36,15 @@
 	// confirmation that it still holds the shard, so that a short outage of the
 	// table service does not interrupt scheduling.
 	authorityTimeout = 6 * time.Second
-	// authoritySlack covers a change feed that delivers nothing for a second
-	// while changes are made.
-	authoritySlack = 2 * time.Second
+	// leaseAuthority is how long a holder lets sidecars extend leases after it has read
+	// that it still holds the shard. A later holder waits for it, and for a lease, before
+	// it starts what may run on workers that it can't reach.
+	leaseAuthority = 3 * time.Second
+	// leaseAuthoritySlack covers the drift of the clocks of two holders.
+	leaseAuthoritySlack = 100 * time.Millisecond
+	// holdReadInterval is the time between two reads of the holder row by the holder. A
+	// feed of its changes may be deaf for a while.
+	holdReadInterval = 500 * time.Millisecond
 )
 
 // reasonSilent is the reason to take over from a holder that does not respond.
--- a/scheduler/holder/lease_test.go
+++ b/scheduler/holder/lease_test.go
@@ -47,7 +47,7 @@
 }
 
 // confirmHeld has the loop take the shard as held until now.
-func (l *loop) confirmHeld() { l.holdConfirmed = clock.Boottime() }
+func (l *loop) confirmHeld() { l.confirmHeldAt(clock.Boottime()) }
 
 // handleQueued handles the events that are queued now, and reports whether a lease was
 // taken as expired.
@@ -106,3 +106,19 @@
 	l.confirmHeld()
 	g.Expect(l.handleQueued()).To(BeTrue())
 }
+
+// Guards against TWICE: a holder that was paused while another one took over answered a ping as
+// the holder, and a sidecar that did not reach the other one extended the lease.
+func TestPausedHolderLetsNoLeaseBeExtended(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := newLeaseLoop()
+	now := clock.Boottime()
+	l.confirmHeldAt(now)
+	g.Expect(l.node.pongTo(1).ExtendsLease).To(BeTrue())
+	g.Expect(l.node.mayExtendLeases(now + leaseAuthority)).To(BeTrue())
+	g.Expect(l.node.mayExtendLeases(now + leaseAuthority + 1)).To(BeFalse())
+	l.node.holdRead.Store(int64(now - leaseAuthority - time.Millisecond))
+	pong := l.node.pongTo(1)
+	g.Expect(pong.IsHolder).To(BeTrue(), "it has not stepped down")
+	g.Expect(pong.ExtendsLease).To(BeFalse())
+}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -40,7 +40,7 @@
 	term    context.Context
 	endTerm context.CancelFunc
 	// holdConfirmed is the last time at which the holder row that this node knows
-	// was certainly the newest one.
+	// was the newest one, by a read or by the feed of its changes.
 	holdConfirmed time.Duration
 	// handledUpTo is a time up to which all queued events have been handled, among
 	// them the pings of sidecars that this node has answered.
@@ -140,7 +140,7 @@
 }
 
 func (l *loop) now() dispatch.Now {
-	return dispatch.Now{Monotonic: clock.Boottime(), Held: min(l.holdConfirmed, l.handledUpTo), Wall: time.Now()}
+	return dispatch.Now{Monotonic: clock.Boottime(), Held: min(time.Duration(l.node.holdRead.Load()), l.handledUpTo), Wall: time.Now()}
 }
 
 // nextTimeout returns the time until the loop must run again without an event.
@@ -167,16 +167,17 @@
 	l.execute(out)
 	l.wake = out.Wake
 	if out.ConfirmHold {
-		l.confirmHold()
+		l.confirmHold(tickInterval)
+	} else {
+		l.confirmHold(holdReadInterval)
 	}
 	l.store()
 }
 
-// confirmHold reads the holder row, at most once in each tickInterval. The feed of
-// its changes confirms it only every followTimeout.
-func (l *loop) confirmHold() {
+// confirmHold reads the holder row, at most once in each interval.
+func (l *loop) confirmHold(interval time.Duration) {
 	requestedAt := clock.Boottime()
-	if requestedAt-l.confirmRequested < tickInterval {
+	if requestedAt-l.confirmRequested < interval {
 		return
 	}
 	l.confirmRequested = requestedAt
@@ -190,13 +191,20 @@
 		}
 		n.events.Push(func(l *loop) {
 			if l.core != nil && l.term == term {
-				l.holdConfirmed = max(l.holdConfirmed, requestedAt)
+				l.confirmHeldAt(requestedAt)
 				l.core.Advance(l.now())
 			}
 		})
 	}()
 }
 
+// confirmHeldAt records that this node held the shard at a time, by a read or write of the
+// holder row.
+func (l *loop) confirmHeldAt(at time.Duration) {
+	l.holdConfirmed = max(l.holdConfirmed, at)
+	l.node.holdRead.Store(max(l.node.holdRead.Load(), int64(at)))
+}
+
 // execute carries out the output of the core.
 func (l *loop) execute(out dispatch.Output) {
 	l.logDecisions(out.Decisions)
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -102,6 +102,9 @@
 	takingOver atomic.Bool
 	resigned   atomic.Bool
 	sidecars   sync.Map
+	// holdRead is when the last read was requested that showed that this node holds the
+	// shard.
+	holdRead atomic.Int64
 	// acceptedLinks is the number of links that other processes have opened.
 	acceptedLinks atomic.Uint64
 }
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -329,6 +329,26 @@
 	g.Expect(f.violations()).To(BeEmpty())
 }
 
+// Guards against LOST: a new holder waited 11.9 s for the lease of a worker whose host was lost
+// together with that of the earlier holder.
+func TestTaskRestartsInTimeAfterTheHoldersHostAndAWorkersHostAreLost(t *testing.T) {
+	// A task that lasts may have no run for 3 s, from 6 s after its last run on.
+	const bound = 6*time.Second + 3*time.Second
+	g := NewWithT(t)
+	f := startCluster(t, 2, 0)
+	lost, loseHost := f.startWorker(t, "host-0")
+	g.Expect(f.entries[0].jobs.Submit(context.Background(), longRunningJob())).To(Succeed())
+	g.Eventually(lost.countTasks, waitTimeout).Should(Equal(1))
+	other, _ := f.startWorker(t, "host-1")
+	f.leader().stop()
+	loseHost()
+	f.mu.Lock()
+	lost.worker.Crash()
+	f.mu.Unlock()
+	g.Eventually(other.countTasks, bound).Should(Equal(1))
+	g.Expect(f.violations()).To(BeEmpty())
+}
+
 // Other entries must not take over because reading takes longer than a second.
 func TestNewHolderMayReadALargeShard(t *testing.T) {
 	g := NewWithT(t)
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -228,19 +228,31 @@
 
 // pong tells the peer whether this node holds the shard, and in which epoch.
 func (p *peer) pong() {
-	n := p.node
+	pong := p.node.pongTo(p.pinged.Load())
+	if p.node.takingOver.Load() {
+		p.send(wire.TypeTakingOver, &wire.TakingOver{Sequence: pong.Sequence})
+	}
+	p.send(wire.TypePong, pong)
+}
+
+// pongTo returns the answer to the ping with the given number.
+func (n *Node) pongTo(ping uint64) *wire.Pong {
 	pong := &wire.Pong{
-		Sequence:    p.pinged.Load(),
+		Sequence:    ping,
 		StoreAge:    n.StoreAge().Milliseconds(),
 		Incarnation: uint64(n.config.Incarnation),
 	}
 	if s := n.holderState.Load(); s != nil {
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
+		pong.ExtendsLease = s.Leading && n.mayExtendLeases(clock.Boottime())
 	}
-	if n.takingOver.Load() {
-		p.send(wire.TypeTakingOver, &wire.TakingOver{Sequence: pong.Sequence})
-	}
-	p.send(wire.TypePong, pong)
+	return pong
+}
+
+// mayExtendLeases reports whether this node, which leads as far as it knows, may let
+// sidecars extend leases. It may have been paused since it last checked that.
+func (n *Node) mayExtendLeases(now time.Duration) bool {
+	return now-time.Duration(n.holdRead.Load()) <= leaseAuthority
 }
 
 // notifySidecars sends a pong to all sidecars immediately after the holder has
--- a/scheduler/holder/predecessors.go
+++ b/scheduler/holder/predecessors.go
@@ -18,7 +18,7 @@
 
 // add adds a holder whose row was replaced by the given time.
 func (p *predecessors) add(row wire.HolderRow, replaced time.Duration) {
-	*p = append(*p, predecessor{row: row, extendsUntil: replaced + authorityTimeout + authoritySlack})
+	*p = append(*p, predecessor{row: row, extendsUntil: replaced + leaseAuthority + leaseAuthoritySlack})
 }
 
 // prune drops the holders whose leases have expired.
--- a/scheduler/holder/predecessors_test.go
+++ b/scheduler/holder/predecessors_test.go
@@ -12,7 +12,7 @@
 func TestInheritedLeaseAfterHolderChanges(t *testing.T) {
 	const lease = 3 * time.Second
 	replaced := time.Hour
-	authority := authorityTimeout + authoritySlack
+	authority := leaseAuthority + leaseAuthoritySlack
 	first := wire.HolderRow{Epoch: 4, Host: "a", Incarnation: 1}
 	second := wire.HolderRow{Epoch: 5, Host: "b", Incarnation: 2}
 	after := time.Second
@@ -53,8 +53,8 @@
 	const lease = 3 * time.Second
 	var p predecessors
 	p.add(wire.HolderRow{Epoch: 1, Host: "a"}, 0)
-	p.prune(authorityTimeout+authoritySlack+lease, lease)
+	p.prune(leaseAuthority+leaseAuthoritySlack+lease, lease)
 	g.Expect(p).To(HaveLen(1))
-	p.prune(authorityTimeout+authoritySlack+lease+1, lease)
+	p.prune(leaseAuthority+leaseAuthoritySlack+lease+1, lease)
 	g.Expect(p).To(BeEmpty())
 }
--- a/scheduler/holder/records_test.go
+++ b/scheduler/holder/records_test.go
@@ -35,5 +35,5 @@
 	l.applyHolderRow(table.VersionedRow{RowID: table.RowID{Key: holderKey}, Value: []byte{0xc1}, Version: 7})
 	g.Expect(n.holderState.Load().Version).To(Equal(table.Version(7)))
 	remaining := l.predecessors.remainingLease(clock.Boottime(), 3*time.Second)
-	g.Expect(remaining).To(BeNumerically("~", authorityTimeout+authoritySlack+3*time.Second, time.Second))
+	g.Expect(remaining).To(BeNumerically("~", leaseAuthority+leaseAuthoritySlack+3*time.Second, time.Second))
 }
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -202,7 +202,7 @@
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
 	l.term, l.endTerm = context.WithCancel(l.ctx)
-	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
+	l.confirmHeldAt(t.requestedAt)
 	l.batchInFlight = false
 	l.versions = make(map[carobkeel.JobID]table.Version)
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -45,6 +45,9 @@
 	StoreAge int64
 	// Incarnation is the incarnation of the sender's process.
 	Incarnation uint64
+	// ExtendsLease reports that the sidecar may extend the worker's lease, counted from
+	// the Ping.
+	ExtendsLease bool
 }
 
 // TakingOver precedes a Pong of an entry that is about to hold the shard: it writes
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -757,13 +757,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Pong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendBool(o, z.IsHolder)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendInt64(o, z.StoreAge)
 	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendBool(o, z.ExtendsLease)
 	return
 }
 
@@ -775,8 +776,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -804,13 +805,18 @@
 		err = msgp.WrapError(err, "Incarnation")
 		return
 	}
+	z.ExtendsLease, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ExtendsLease")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pong) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -198,11 +198,12 @@
 	return nil
 }
 
-// handlePong records the entry as the holder if the pong states that it leads the shard.
+// handlePong records the entry as the holder if the pong states that it leads the shard and
+// may extend leases.
 func (l *entryLink) handlePong(pong *wire.Pong) {
 	a := l.agent
 	pingTime, known := l.pingTime(pong.Sequence)
-	if !pong.IsHolder || !known {
+	if !pong.IsHolder || !pong.ExtendsLease || !known {
 		return
 	}
 	epoch := carobkeel.Epoch(pong.Epoch)
--- a/sidecar/agent/links_test.go
+++ b/sidecar/agent/links_test.go
@@ -50,3 +50,18 @@
 	a.maintainLink(ctx, listener.Addr().String())
 	g.Expect(accepted.Load()).To(BeNumerically("<=", 8))
 }
+
+// A holder that has not read for a while that it holds the shard does not let leases be
+// extended.
+func TestOnlyAPongThatSaysSoExtendsTheLease(t *testing.T) {
+	g := NewWithT(t)
+	a, order := linkedAgent(&scriptedWorker{})
+	before := a.holder.Load().Confirmed
+	order.link.ping()
+	pong := &wire.Pong{Sequence: order.link.sequence.Load(), IsHolder: true, Epoch: 3}
+	order.link.handlePong(pong)
+	g.Expect(a.holder.Load().Confirmed).To(Equal(before))
+	pong.ExtendsLease = true
+	order.link.handlePong(pong)
+	g.Expect(a.holder.Load().Confirmed).To(BeNumerically(">", before))
+}
