Read the newest configuration, not each version before it

Cause: the feed returns each version in full. An entry with little bandwidth read every version of a configuration that changed every 0.23 s, and while it read four, eight were written.

Change: a reader that needs only the newest versions applies the last one of an answer, and reads the rows as they are where an answer held several of one row.

Conclusion: what an entry reads no longer grows with how often the operator writes.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -99,7 +99,7 @@
 // followConfig applies the operator's configuration and every change of it.
 func (e *hostedEntry) followConfig(ctx context.Context) {
 	follower := follow.Follower{
-		Rows: e.store, Table: platform.ConfigTable, Wait: configPollTimeout, Log: e.log,
+		Rows: e.store, Table: platform.ConfigTable, Wait: configPollTimeout, NewestOnly: true, Log: e.log,
 		OnUpdate: e.applyConfig,
 	}
 	follower.Run(ctx, 0)
--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -38,6 +38,9 @@
 	Part  string
 	// Wait is the maximum time for which one call waits for a change.
 	Wait time.Duration
+	// NewestOnly is set for readers that need only the newest version of each row. Where
+	// rows change faster than their versions can be read, the rows are read as they are.
+	NewestOnly bool
 	// OnUpdate is called on Run's goroutine with every result, including empty ones.
 	OnUpdate func(Update)
 	Log      *log.Logger
@@ -112,6 +115,28 @@
 			rows = append(rows, row)
 		}
 	}
-	f.OnUpdate(Update{Rows: rows, RequestedAt: requestedAt})
+	newest := rows
+	if f.NewestOnly {
+		newest = newestVersions(rows)
+	}
+	f.OnUpdate(Update{Rows: newest, RequestedAt: requestedAt})
+	if len(newest) < len(rows) {
+		return 0, nil // more versions will have been written meanwhile
+	}
 	return max(from, changes.Next), nil
 }
+
+// newestVersions returns the last version of each row, in the order of the versions.
+func newestVersions(rows []table.VersionedRow) []table.VersionedRow {
+	last := make(map[table.RowID]int, len(rows))
+	for i, row := range rows {
+		last[row.RowID] = i
+	}
+	var newest []table.VersionedRow
+	for i, row := range rows {
+		if last[row.RowID] == i {
+			newest = append(newest, row)
+		}
+	}
+	return newest
+}
