Tell the core of each ping that a new holder answers; move pings to a file

Callers would see (TWICE): a task on two workers, where a host loses its link within a lease of a takeover that took longer than 150 ms to start its core.

Cause: pings that arrive while a new holder starts its core are answered by the notification that follows, and the core counted the lease from before. Found by reading the file while it was split.

Change: one function decides the answer, tells the core and sends it. The read that confirms the hold counts at once, also while the event loop is busy.

--- /dev/null
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -0,0 +1,493 @@
+package dispatch_test
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
+	"github.com/carobkeel/carobkeel/worker/runs"
+	"github.com/carobkeel/carobkeel/worker/runs/standin"
+)
+
+// modelSidecar is the sidecar of a host with its worker.
+type modelSidecar struct {
+	model   *messageModel
+	host    string
+	worker  *standin.Worker
+	process carobkeel.Incarnation
+	// started is when the sidecar's process started.
+	started time.Duration
+	// open holds all links whose messages may still arrive at the holder.
+	open []*modelLink
+	// link is the sidecar's link to the holder, and current the newest one at the
+	// holder.
+	link, current *modelLink
+	openedLinks   uint64
+	requested     uint64
+	listings      []*modelListing
+	queue         []modelOrder
+	withdrawn     map[runs.Stop]bool
+	holder        gate.Holder
+	clock         gate.Clock
+	deadline      time.Duration
+	extendsFrom   time.Duration
+	unresponsive  bool
+	// described is the incarnation that the sidecar believes in.
+	described    runs.Description
+	acknowledged uint64
+	// mute reports that the worker answers nothing. What it was sent meanwhile is in
+	// late, and is carried out some time.
+	mute bool
+	late []func()
+}
+
+// modelLink is a link with the messages under way in both directions.
+type modelLink struct {
+	id       dispatch.LinkID
+	process  carobkeel.Incarnation
+	number   uint64
+	up, down []func()
+	pings    []time.Duration
+	closed   bool
+	listed   bool
+}
+
+type modelListing struct {
+	number  uint64
+	link    *modelLink // nil for the lister, which takes the link at the time of the answer
+	taken   bool
+	listing runs.Listing
+	answer  runs.Answer
+	of      runs.Incarnation
+}
+
+type modelOrder struct {
+	order dispatch.Order
+	link  *modelLink
+}
+
+// reset begins a process of the sidecar.
+func (s *modelSidecar) reset() {
+	s.process++
+	s.requested, s.listings, s.queue = 0, nil, nil
+	s.withdrawn = make(map[runs.Stop]bool)
+	s.holder, s.clock, s.deadline, s.extendsFrom = gate.Holder{}, gate.Clock{}, 0, 0
+	s.unresponsive, s.acknowledged, s.openedLinks = false, 0, 0
+}
+
+// restart replaces the process of the sidecar. The first heartbeat that the next one has may
+// be a late one.
+func (s *modelSidecar) restart(late bool) {
+	s.hangUp()
+	s.reset()
+	s.started = s.model.now
+	s.described = s.worker.Description()
+	if late && s.described.StartedAtMs > 1 {
+		s.described.StartedAtMs--
+	}
+	s.dial()
+}
+
+// crash replaces the worker by its next incarnation.
+func (s *modelSidecar) crash() {
+	s.worker.Crash()
+	s.late = nil
+	s.heartbeat()
+}
+
+// heartbeat has the sidecar know the present incarnation of its worker.
+func (s *modelSidecar) heartbeat() {
+	if d := s.worker.Description(); d.Incarnation != s.described.Incarnation {
+		s.described = d
+		s.clock, s.deadline, s.acknowledged = gate.Clock{}, 0, 0
+		s.withdrawn = make(map[runs.Stop]bool)
+		s.describe(s.link)
+	}
+}
+
+func (s *modelSidecar) describe(link *modelLink) {
+	if link == nil {
+		return
+	}
+	d := s.described
+	s.report(link, func() { s.model.core.DescribeWorker(s.host, d) })
+}
+
+// report sends a report to the holder, which drops it if the link has been replaced.
+func (s *modelSidecar) report(link *modelLink, event func()) {
+	m := s.model
+	link.up = append(link.up, func() {
+		m.events = append(m.events, func() {
+			if s.current == link {
+				event()
+			}
+		})
+	})
+}
+
+// hangUp closes the sidecar's newest link. What was sent may still arrive.
+func (s *modelSidecar) hangUp() {
+	if len(s.open) == 0 || s.open[len(s.open)-1].closed {
+		return
+	}
+	link := s.open[len(s.open)-1]
+	link.closed, link.down = true, nil
+	m := s.model
+	link.up = append(link.up, func() {
+		if s.current == link {
+			s.current = nil
+			m.events = append(m.events, func() {
+				if s.current == nil {
+					m.core.HostLost(s.host)
+				}
+			})
+		}
+		s.open = slices.DeleteFunc(s.open, func(l *modelLink) bool { return l == link })
+	})
+	if s.link == link {
+		s.link = nil
+	}
+}
+
+// dial opens a link.
+func (s *modelSidecar) dial() {
+	s.hangUp()
+	m := s.model
+	m.links++
+	s.openedLinks++
+	link := &modelLink{id: m.links, process: s.process, number: s.openedLinks}
+	s.open = append(s.open, link)
+	link.up = append(link.up, func() {
+		if s.current != nil && s.current.process == link.process && s.current.number > link.number {
+			return
+		}
+		s.current = link
+		m.events = append(m.events, func() {
+			if s.current == link {
+				m.core.HostLinked(s.host, dispatch.Link{ID: link.id, Process: link.process})
+				m.core.HostPinged(s.host, 0)
+			}
+		})
+	})
+	s.ping()
+}
+
+// ping sends a ping on the newest link, which is dialled again if it was closed. The holder
+// answers it as soon as it reads it.
+func (s *modelSidecar) ping() {
+	if len(s.open) == 0 || s.open[len(s.open)-1].closed {
+		s.dial()
+		return
+	}
+	m, link := s.model, s.open[len(s.open)-1]
+	link.pings = append(link.pings, m.now)
+	number := uint64(len(link.pings))
+	link.up = append(link.up, func() {
+		m.events = append(m.events, func() {
+			switch {
+			case s.current == link:
+				m.core.HostPinged(s.host, number)
+			case !m.broken.forgottenPings:
+				m.core.LeaseExtended(s.host)
+			}
+		})
+		if !link.closed {
+			link.down = append(link.down, func() { s.confirm(link, number) })
+		}
+	})
+}
+
+func (s *modelSidecar) confirm(link *modelLink, number uint64) {
+	s.holder = s.holder.Confirm(modelEpoch, link.pings[number-1])
+	if s.link == link {
+		return
+	}
+	s.link = link
+	s.describe(link)
+	s.requested++
+	s.listings = append(s.listings, &modelListing{number: s.requested, link: link})
+}
+
+func (s *modelSidecar) receive(o modelOrder) {
+	switch o.order.Kind {
+	case dispatch.OrderAcknowledge:
+		if o.order.Incarnation == s.described.Incarnation {
+			s.acknowledged = o.order.Acknowledged
+		}
+		return
+	case dispatch.OrderStop:
+		s.withdrawn[runs.Stop{Task: o.order.Task, Run: o.order.Run}] = true
+	}
+	s.queue = append(s.queue, o)
+}
+
+func (s *modelSidecar) envelope() runs.Envelope {
+	e := runs.Envelope{Incarnation: s.described.Incarnation, Epoch: modelEpoch}
+	if s.unresponsive || s.holder.Confirmed < s.extendsFrom {
+		return e
+	}
+	e.Deadline = gate.LeaseDeadline(s.holder, s.clock, testLease)
+	s.deadline = max(s.deadline, e.Deadline)
+	return e
+}
+
+// execute carries out one of the waiting orders. The answer may be lost.
+func (s *modelSidecar) execute(index int, lost bool) {
+	if len(s.queue) == 0 {
+		return
+	}
+	index %= len(s.queue)
+	o := s.queue[index]
+	s.queue = slices.Delete(s.queue, index, index+1)
+	if s.link != o.link {
+		return
+	}
+	result := s.send(o, lost)
+	answer := dispatch.OrderAnswer{
+		Host: s.host, Incarnation: o.order.Incarnation, Kind: o.order.Kind, Task: o.order.Task, Run: o.order.Run,
+		Result: result, Listing: s.requested,
+	}
+	if o.order.Kind != dispatch.OrderPace {
+		s.report(o.link, func() { s.model.core.ApplyAnswer(answer) })
+	}
+}
+
+func (s *modelSidecar) send(o modelOrder, lost bool) runs.Result {
+	m := s.model
+	envelope := s.envelope()
+	stop := runs.Stop{Task: o.order.Task, Run: o.order.Run}
+	var call func() runs.Result
+	switch o.order.Kind {
+	case dispatch.OrderStart:
+		pinged := time.Duration(math.MinInt64)
+		if o.order.Ping > 0 {
+			pinged = o.link.pings[o.order.Ping-1]
+		}
+		switch {
+		case s.described.Incarnation != o.order.Incarnation:
+			return runs.ResultOtherIncarnation
+		case s.withdrawn[stop]:
+			return runs.ResultWithdrawn
+		case envelope.Deadline == 0:
+			return runs.ResultUnhealthy
+		case !m.broken.endlessStarts && gate.StartExpired(pinged, s.extendsFrom, m.now, testLease):
+			return runs.ResultExpired
+		}
+		call = func() runs.Result {
+			answer, _ := s.worker.Start(context.Background(), envelope, runs.Start{Task: o.order.Task, Run: o.order.Run, Payload: "payload"})
+			return answer.Result
+		}
+	case dispatch.OrderStop:
+		if s.described.Incarnation != o.order.Incarnation {
+			return runs.ResultOtherIncarnation
+		}
+		if s.unresponsive {
+			return runs.ResultUnknown
+		}
+		call = func() runs.Result {
+			answer, _ := s.worker.Stop(context.Background(), envelope, stop)
+			return answer.Result
+		}
+	default:
+		return runs.ResultOK
+	}
+	if s.mute || lost {
+		s.late = append(s.late, func() { call() })
+		return runs.ResultUnknown
+	}
+	result := call()
+	if o.order.Kind == dispatch.OrderStop {
+		delete(s.withdrawn, stop)
+	}
+	return result
+}
+
+// carryOutLate carries out one of the calls that were not answered.
+func (s *modelSidecar) carryOutLate() {
+	if len(s.late) > 0 {
+		call := s.late[0]
+		s.late = s.late[1:]
+		call()
+	}
+}
+
+// requestListing begins a listing of the lister, which has one at a time.
+func (s *modelSidecar) requestListing() {
+	if slices.ContainsFunc(s.listings, func(l *modelListing) bool { return l.link == nil }) {
+		return
+	}
+	s.requested++
+	s.listings = append(s.listings, &modelListing{number: s.requested})
+}
+
+// takeListing has the worker list its runs for one of the requests.
+func (s *modelSidecar) takeListing(index int) {
+	if len(s.listings) == 0 || s.mute {
+		return
+	}
+	l := s.listings[index%len(s.listings)]
+	if l.taken {
+		return
+	}
+	l.taken, l.of = true, s.described.Incarnation
+	l.listing, l.answer, _ = s.worker.List(context.Background(), s.envelope(), s.acknowledged, 0)
+}
+
+// answerListing has the answer to one of the requests arrive at the sidecar.
+func (s *modelSidecar) answerListing(index int) {
+	if len(s.listings) == 0 || !s.listings[index%len(s.listings)].taken {
+		return
+	}
+	index %= len(s.listings)
+	l := s.listings[index]
+	s.listings = slices.Delete(s.listings, index, index+1)
+	if l.answer.Result != runs.ResultOK || l.of != s.described.Incarnation || l.listing.StartedAtMs != l.of.StartedAtMs {
+		return
+	}
+	s.clock = gate.Clock{Reading: l.answer.Clock, Received: s.model.now, Known: true}
+	link := l.link
+	if link == nil {
+		link = s.link
+	}
+	if link == nil || link.closed {
+		return
+	}
+	s.forward(link, l)
+	if l.link == nil && s.unresponsive {
+		s.unresponsive, s.extendsFrom = false, s.model.now
+		s.ping()
+	}
+}
+
+func (s *modelSidecar) forward(link *modelLink, l *modelListing) {
+	report := dispatch.WorkerListing{
+		Host: s.host, Incarnation: l.of, Number: l.number, Requested: s.requested, Full: true,
+		Running: l.listing.Running, Ends: l.listing.Ends,
+	}
+	if s.model.broken.firstListingWins && !link.listed {
+		report.Number = math.MaxUint64
+	}
+	if s.model.broken.unmarkedListings {
+		report.Requested = 0
+	}
+	link.listed = true
+	s.report(link, func() { s.model.core.ApplyListing(report) })
+}
+
+// reportUnresponsive tells the holder that the worker does not answer.
+func (s *modelSidecar) reportUnresponsive() {
+	if !s.mute {
+		return
+	}
+	s.unresponsive = true
+	s.listings = slices.DeleteFunc(s.listings, func(l *modelListing) bool { return l.link == nil })
+	remaining := gate.LeaseRemaining(s.clock, s.deadline, s.model.now)
+	if earlier := s.started + gate.LongestLease(testLease) - s.model.now; earlier > 0 {
+		remaining = max(remaining, earlier)
+	}
+	if s.link != nil {
+		s.report(s.link, func() { s.model.core.WorkerUnreachable(s.host, remaining) })
+	}
+}
+
+// deliver has the next message in one direction of one link arrive.
+func (s *modelSidecar) deliver(index int, up bool) {
+	if len(s.open) == 0 {
+		return
+	}
+	link := s.open[index%len(s.open)]
+	messages := &link.down
+	if up {
+		messages = &link.up
+	}
+	if len(*messages) == 0 {
+		return
+	}
+	next := (*messages)[0]
+	*messages = (*messages)[1:]
+	next()
+}
+
+// list has the worker list its runs and the listings arrive at the sidecar.
+func (s *modelSidecar) list() {
+	s.requestListing()
+	for i := len(s.listings) - 1; i >= 0; i-- {
+		s.takeListing(i)
+		s.answerListing(i)
+	}
+}
+
+// exchange has all messages and orders that are under way for a host arrive.
+func (s *modelSidecar) exchange() {
+	s.heartbeat()
+	s.deliverAll()
+	s.model.handle()
+	s.deliverAll()
+	for len(s.queue) > 0 && !s.mute {
+		s.execute(0, false)
+	}
+	s.deliverAll()
+}
+
+// delay lets time pass in which all goes on but for what concerns one host, whose links, if
+// they are lost, are only dialled again.
+func (s *modelSidecar) delay(index int) {
+	const interval = 300 * time.Millisecond
+	for range 2 + 3*index {
+		s.model.advance(interval)
+		for _, other := range s.model.sidecars {
+			if other != s {
+				other.ping()
+				other.list()
+				other.exchange()
+			}
+		}
+	}
+}
+
+// pause lets time pass in which the holder is frozen. The host dials again at its end.
+func (s *modelSidecar) pause(index int) {
+	m := s.model
+	m.advance(testLease - time.Duration(index)*50*time.Millisecond)
+	for range 2 {
+		s.dial()
+		s.deliverAll()
+		s.list()
+	}
+	s.hangUp()
+	s.deliverAll()
+	m.handle()
+	m.advance(300 * time.Millisecond)
+}
+
+func (s *modelSidecar) deliverAll() {
+	for i := len(s.open) - 1; i >= 0; i-- {
+		for link := s.open[i]; len(link.up) > 0; {
+			s.deliver(i, true)
+			if i >= len(s.open) || s.open[i] != link {
+				break
+			}
+		}
+	}
+	for i := range s.open {
+		for len(s.open[i].down) > 0 {
+			s.deliver(i, false)
+		}
+	}
+}
+
+// restartOrCrash restarts the sidecar or its worker.
+func (s *modelSidecar) restartOrCrash(index int) {
+	switch index {
+	case 0:
+		s.crash()
+	case 1:
+		s.restart(true)
+	default:
+		s.restart(false)
+	}
+}
--- a/scheduler/holder/lease_test.go
+++ b/scheduler/holder/lease_test.go
@@ -47,7 +47,7 @@
 }
 
 // confirmHeld has the loop take the shard as held until now.
-func (l *loop) confirmHeld() { l.confirmHeldAt(clock.Boottime()) }
+func (l *loop) confirmHeld() { l.node.recordHoldRead(clock.Boottime()) }
 
 // handleQueued handles the events that are queued now, and reports whether a lease was
 // taken as expired.
@@ -113,7 +113,7 @@
 	g := NewWithT(t)
 	l, _ := newLeaseLoop()
 	now := clock.Boottime()
-	l.confirmHeldAt(now)
+	l.node.recordHoldRead(now)
 	g.Expect(l.node.pongTo(1).ExtendsLease).To(BeTrue())
 	g.Expect(l.node.mayExtendLeases(now + leaseAuthority)).To(BeTrue())
 	g.Expect(l.node.mayExtendLeases(now + leaseAuthority + 1)).To(BeFalse())
@@ -122,3 +122,16 @@
 	g.Expect(pong.IsHolder).To(BeTrue(), "it has not stepped down")
 	g.Expect(pong.ExtendsLease).To(BeFalse())
 }
+
+// Guards against TWICE: a new holder answered pings that arrived while it started its core, and the
+// core counted the lease from before.
+func TestCoreKnowsThePingsThatANewHolderAnswers(t *testing.T) {
+	g := NewWithT(t)
+	l, p := newLeaseLoop()
+	p.pinged.Store(7)
+	l.node.notifySidecars()
+	g.Expect(l.node.events.TryTake(nil)).To(HaveLen(1))
+	l.node.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 2}})
+	l.node.notifySidecars()
+	g.Expect(l.node.events.TryTake(nil)).To(BeEmpty(), "the pong extends no lease")
+}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -189,22 +189,16 @@
 		if err != nil || row.Version != version {
 			return // the feed delivers a newer row
 		}
+		n.recordHoldRead(requestedAt)
 		n.events.Push(func(l *loop) {
 			if l.core != nil && l.term == term {
-				l.confirmHeldAt(requestedAt)
+				l.holdConfirmed = max(l.holdConfirmed, requestedAt)
 				l.core.Advance(l.now())
 			}
 		})
 	}()
 }
 
-// confirmHeldAt records that this node held the shard at a time, by a read or write of the
-// holder row.
-func (l *loop) confirmHeldAt(at time.Duration) {
-	l.holdConfirmed = max(l.holdConfirmed, at)
-	l.node.holdRead.Store(max(l.node.holdRead.Load(), int64(at)))
-}
-
 // execute carries out the output of the core.
 func (l *loop) execute(out dispatch.Output) {
 	l.logDecisions(out.Decisions)
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -10,7 +10,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/carobkeel/carobkeel"
-	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/link"
 	"github.com/carobkeel/carobkeel/internal/logging"
@@ -177,102 +176,12 @@
 	})
 }
 
-func (p *peer) handlePing(f frame.Frame) error {
-	var ping wire.Ping
-	if err := wire.Decode(f, &ping); err != nil {
-		return err
-	}
-	p.holderAge.Store(ping.HolderAge)
-	p.pingedAt.Store(int64(clock.Boottime()))
-	first := p.pinged.Swap(ping.Sequence) == 0
-	n := p.node
-	if p.role == wire.RoleEntry && first {
-		n.events.Push(func(l *loop) { l.entrySeen(p.host, p.incarnation, ping.Epoch) })
-	}
-	if s := n.holderState.Load(); s != nil && s.Leading && ping.Epoch > s.Row.Epoch {
-		n.events.Push(func(l *loop) {
-			if s := l.node.holderState.Load(); l.core != nil && s.Row.Epoch < ping.Epoch {
-				l.stepDown("a sidecar reported a later epoch")
-			}
-		})
-	}
-	if p.role == wire.RoleSidecar && n.Leading() {
-		p.pushPinged(ping)
-	}
-	p.pong()
-	return nil
-}
-
-// pushPinged tells the core of a ping of a sidecar, before the answer is sent. The sidecar
-// may extend the worker's lease after that answer, even if the link is replaced by then.
-func (p *peer) pushPinged(ping wire.Ping) {
-	p.node.events.Push(func(l *loop) {
-		switch {
-		case l.core == nil:
-		case !p.isCurrent():
-			l.core.LeaseExtended(p.host)
-		default:
-			l.core.HostPinged(p.host, ping.Sequence)
-			if l.node.holderState.Load().Row.Epoch == ping.Epoch {
-				l.core.HostFollows(p.host)
-			}
-		}
-	})
-}
-
 // isCurrent reports whether the link is the newest one of its host.
 func (p *peer) isCurrent() bool {
 	current, linked := p.node.sidecars.Load(p.host)
 	return linked && current == p
 }
 
-// pong tells the peer whether this node holds the shard, and in which epoch.
-func (p *peer) pong() {
-	pong := p.node.pongTo(p.pinged.Load())
-	if p.node.takingOver.Load() {
-		p.send(wire.TypeTakingOver, &wire.TakingOver{Sequence: pong.Sequence})
-	}
-	p.send(wire.TypePong, pong)
-}
-
-// pongTo returns the answer to the ping with the given number.
-func (n *Node) pongTo(ping uint64) *wire.Pong {
-	pong := &wire.Pong{
-		Sequence:    ping,
-		StoreAge:    n.StoreAge().Milliseconds(),
-		Incarnation: uint64(n.config.Incarnation),
-	}
-	if s := n.holderState.Load(); s != nil {
-		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
-		pong.ExtendsLease = s.Leading && n.mayExtendLeases(clock.Boottime())
-	}
-	return pong
-}
-
-// mayExtendLeases reports whether this node, which leads as far as it knows, may let
-// sidecars extend leases. It may have been paused since it last checked that.
-func (n *Node) mayExtendLeases(now time.Duration) bool {
-	return now-time.Duration(n.holdRead.Load()) <= leaseAuthority
-}
-
-// notifySidecars sends a pong to all sidecars immediately after the holder has
-// changed.
-func (n *Node) notifySidecars() {
-	n.sidecars.Range(func(_, value any) bool {
-		value.(*peer).pong()
-		return true
-	})
-}
-
-// reachesHolder reports whether the peer has reached the holder within the timeout.
-func (p *peer) reachesHolder(now, timeout time.Duration) bool {
-	age := p.holderAge.Load()
-	if age < 0 || age > timeout.Milliseconds() {
-		return false
-	}
-	return now-time.Duration(p.pingedAt.Load())+time.Duration(age)*time.Millisecond < timeout
-}
-
 // handleReport passes a sidecar's report on its worker to the core.
 func (p *peer) handleReport(f frame.Frame) error {
 	handle, err := p.decodeReport(f)
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -202,7 +202,8 @@
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
 	l.term, l.endTerm = context.WithCancel(l.ctx)
-	l.confirmHeldAt(t.requestedAt)
+	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
+	n.recordHoldRead(t.requestedAt)
 	l.batchInFlight = false
 	l.versions = make(map[carobkeel.JobID]table.Version)
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
