Take a start that is still valid for one that a restarted worker may begin

Callers would see (TWICE): a task on two workers, where one of them restarts under its ID in the milliseconds in which a start is under way to it.

Cause: the first heartbeat of an incarnation was taken as the end of all runs of the one before, also of a start that reached the new one before that heartbeat was read.

Change: runs ordered less than a lease ago count as ordered from the next incarnation, if it is the same worker. Its first listing shows them, or the same run is ordered again once the incarnation is recorded.

TestStartOrderedJustBeforeARestartMayBeginAfterIt fails without the change. scheduler/dispatch passes; the message model holds in 20,000 plays, and its search now needs 2,420 plays for one of the broken rules, so it plays 3,000.

Conclusion: gangs and adopted runs are released as before.

--- a/scheduler/dispatch/evidence_model_test.go
+++ b/scheduler/dispatch/evidence_model_test.go
@@ -194,7 +194,7 @@
 }
 
 // modelSeeds is the number of plays that are searched for the effect of a broken rule.
-const modelSeeds = 2000
+const modelSeeds = 3000
 
 // TestSearchFindsBrokenEvidence checks that the model shows each rule on evidence that is
 // broken on purpose, and none without.
--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -275,3 +275,33 @@
 	f.advance(2 * time.Second)
 	g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedLeaseExpired)))
 }
+
+// Guards against TWICE: a worker that had just restarted under its ID began a run that was sent
+// to its earlier incarnation, and the task was started elsewhere.
+func TestStartOrderedJustBeforeARestartMayBeginAfterIt(t *testing.T) {
+	next := runs.Incarnation{ID: "w", StartedAtMs: 2000}
+	restart := func(wait time.Duration) (*evidenceFixture, int) {
+		f := newEvidenceFixture()
+		run := f.submit()[0].Run
+		f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+		f.advance(wait)
+		f.core.DescribeWorker(evidenceHost, f.description(next))
+		f.incarnation = next
+		return f, run
+	}
+	g := NewWithT(t)
+	f, run := restart(0)
+	f.list(2, 2, run)
+	g.Expect(f.starts()).To(BeEmpty(), "the next incarnation runs it")
+	f, run = restart(0)
+	f.list(2, 2)
+	g.Expect(f.starts()).To(BeEmpty(), "the incarnation is not recorded yet")
+	f.core.BatchStored(f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10}))
+	f.list(3, 3)
+	g.Expect(f.starts()).To(Equal([]int{run}), "the same run is ordered again, which begins once")
+	f, run = restart(3 * time.Second)
+	f.list(2, 2)
+	f.core.Finish()
+	f.core.BatchStored(f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10}))
+	g.Expect(f.starts()).To(Equal([]int{run + 1}), "an old start can't arrive any more")
+}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -203,6 +203,8 @@
 		switch {
 		case r.stopping:
 			c.orderStop(r)
+		case r.phase == runOrdered && !w.recorded:
+			r.inconclusive = true
 		case r.phase == runOrdered:
 			c.orderStart(r)
 		}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -138,7 +138,7 @@
 	w.successor = nil
 	if w.description.ID != "" {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
-		c.releaseRuns(w, "worker restarted")
+		c.endIncarnation(w, d)
 		c.dropRecord(w.description.Incarnation)
 	}
 	c.forgetUnreported(w.host, d.Incarnation)
@@ -151,6 +151,23 @@
 	w.control = paceControl{}
 }
 
+// endIncarnation releases the runs of an incarnation that another one replaces. A worker that
+// restarts under its ID may begin what was sent to its earlier incarnation just before its
+// first heartbeat, so runs whose start is still valid count as ordered from the next one.
+func (c *Core) endIncarnation(w *workerState, next runs.Description) {
+	sameWorker := next.ID == w.description.ID && next.Service == w.description.Service &&
+		next.Capacity == w.description.Capacity && slices.Equal(next.Labels, w.description.Labels)
+	for _, r := range w.runs {
+		valid := c.now.Monotonic-r.orderedAt < c.config.WorkerLease
+		if !sameWorker || !valid || r.adopted || r.task == nil || r.task.step.spec.Gang {
+			c.release(r, "worker restarted")
+			continue
+		}
+		r.phase, r.inconclusive, r.stopConfirmed = runOrdered, true, false
+		r.confirmed, r.stopConfirmedAt = listingMark{}, listingMark{}
+	}
+}
+
 // forgetUnreported drops the incarnations of a host's worker that began before the given
 // one. It may be described by a late heartbeat, so later ones are kept.
 func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
