--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -33,8 +33,7 @@
 	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
 	f.list(1, 1)
 	f.core.Finish()
-	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
-	f.core.BatchStored(batch) // a worker must be recorded before anything starts there
+	f.store() // a worker must be recorded before anything starts there
 	return f
 }
 
@@ -54,6 +53,11 @@
 	f.core.HostPinged(evidenceHost, 1)
 }
 
+// store has the core's records stored.
+func (f *evidenceFixture) store() {
+	f.core.BatchStored(f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10}))
+}
+
 // submit accepts the job and returns the orders that follow.
 func (f *evidenceFixture) submit() []dispatch.Order {
 	f.core.AddJob(f.job(), false)
@@ -165,8 +169,7 @@
 	run := f.submit()[0].Run
 	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Ends: []runs.End{{Number: 1, Task: f.task, Run: run}}})
 	f.core.Finish()
-	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
-	f.core.BatchStored(batch)
+	f.store()
 	acknowledged := func() bool {
 		for _, o := range f.core.Finish().Orders {
 			if o.Kind == dispatch.OrderAcknowledge && o.Acknowledged == 1 {
@@ -235,8 +238,7 @@
 	f.incarnation = earlier
 	f.list(2, 2)
 	f.core.Finish()
-	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
-	f.core.BatchStored(batch)
+	f.store()
 	g.Expect(f.starts()).To(HaveLen(1))
 }
 
@@ -296,12 +298,12 @@
 	f, run = restart(0)
 	f.list(2, 2)
 	g.Expect(f.starts()).To(BeEmpty(), "the incarnation is not recorded yet")
-	f.core.BatchStored(f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10}))
+	f.store()
 	f.list(3, 3)
 	g.Expect(f.starts()).To(Equal([]int{run}), "the same run is ordered again, which begins once")
 	f, run = restart(3 * time.Second)
 	f.list(2, 2)
 	f.core.Finish()
-	f.core.BatchStored(f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10}))
+	f.store()
 	g.Expect(f.starts()).To(Equal([]int{run + 1}), "an old start can't arrive any more")
 }
