--- a/scheduler/holder/lease_test.go
+++ b/scheduler/holder/lease_test.go
@@ -18,20 +18,20 @@
 
 const (
 	leaseTestHost  = "host"
-	leaseTestLease = 100 * time.Millisecond
+	leaseTestLease = time.Minute
 	// leaseTestExpiry is a time after which the holder certainly takes a lease of
 	// leaseTestLease as expired: it adds 2% and 150 ms.
-	leaseTestExpiry = leaseTestLease + 200*time.Millisecond
+	leaseTestExpiry = leaseTestLease + 2*time.Second
 )
 
 // newLeaseLoop returns a loop of a node that holds the shard, and the link of a host whose
-// worker runs a task.
+// worker runs a task. The worker's lease has expired by now, if no later ping extends it.
 func newLeaseLoop() (*loop, *peer) {
 	n := New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(tally.NoopScope), logging.Discard().For("test"))
 	n.holderState.Store(&HolderState{Leading: true, Row: wire.HolderRow{Epoch: 1}})
 	l := newLoop(n)
-	l.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: leaseTestLease}, l.now(), nil)
-	l.core.Advance(l.now())
+	pinged := clock.Boottime() - leaseTestExpiry
+	l.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: leaseTestLease}, dispatch.Now{Monotonic: pinged}, nil)
 	p := newSidecarPeer(n, leaseTestHost)
 	n.sidecars.Store(leaseTestHost, p)
 	incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
@@ -60,6 +60,18 @@
 	}
 	l.handledUpTo = taken
 	l.core.Advance(l.now())
+	return l.leaseExpired()
+}
+
+// expiresLater reports whether a lease is taken as expired after leaseTestExpiry.
+func (l *loop) expiresLater() bool {
+	later := clock.Boottime() + leaseTestExpiry
+	l.core.Advance(dispatch.Now{Monotonic: later, Held: later})
+	return l.leaseExpired()
+}
+
+// leaseExpired reports whether the core has just taken a lease as expired.
+func (l *loop) leaseExpired() bool {
 	for _, d := range l.core.Finish().Decisions {
 		if d.Kind == dispatch.DecidedLeaseExpired {
 			return true
@@ -79,7 +91,6 @@
 func TestPingAnsweredOnAReplacedLinkExtendsTheLease(t *testing.T) {
 	g := NewWithT(t)
 	l, _ := newLeaseLoop()
-	time.Sleep(leaseTestExpiry)
 	answered := newSidecarPeer(l.node, leaseTestHost)
 	l.node.sidecars.Store(leaseTestHost, answered)
 	answered.receivePing(g, 1)
@@ -87,9 +98,7 @@
 	l.core.HostLost(leaseTestHost)
 	l.confirmHeld()
 	g.Expect(l.handleQueued()).To(BeFalse())
-	time.Sleep(leaseTestExpiry)
-	l.confirmHeld()
-	g.Expect(l.handleQueued()).To(BeTrue())
+	g.Expect(l.expiresLater()).To(BeTrue())
 }
 
 // Guards against TWICE: a holder that was delayed took a lease as expired while the ping
@@ -99,12 +108,9 @@
 	l, p := newLeaseLoop()
 	l.core.HostLost(leaseTestHost)
 	p.receivePing(g, 2)
-	time.Sleep(leaseTestExpiry)
 	l.confirmHeld()
 	g.Expect(l.handleQueued()).To(BeFalse(), "the ping was answered")
-	time.Sleep(leaseTestExpiry)
-	l.confirmHeld()
-	g.Expect(l.handleQueued()).To(BeTrue())
+	g.Expect(l.expiresLater()).To(BeTrue())
 }
 
 // Guards against TWICE: a holder that was paused while another one took over answered a ping as
@@ -112,12 +118,12 @@
 func TestPausedHolderLetsNoLeaseBeExtended(t *testing.T) {
 	g := NewWithT(t)
 	l, _ := newLeaseLoop()
-	now := clock.Boottime()
+	now := clock.Boottime() + leaseTestLease // the test may take long
 	l.node.recordHoldRead(now)
 	g.Expect(l.node.pongTo(1).ExtendsLease).To(BeTrue())
 	g.Expect(l.node.mayExtendLeases(now + leaseAuthority)).To(BeTrue())
 	g.Expect(l.node.mayExtendLeases(now + leaseAuthority + 1)).To(BeFalse())
-	l.node.holdRead.Store(int64(now - leaseAuthority - time.Millisecond))
+	l.node.holdRead.Store(int64(clock.Boottime() - leaseAuthority - 1))
 	pong := l.node.pongTo(1)
 	g.Expect(pong.IsHolder).To(BeTrue(), "it has not stepped down")
 	g.Expect(pong.ExtendsLease).To(BeFalse())
