--- a/scheduler/holder/wait_test.go
+++ b/scheduler/holder/wait_test.go
@@ -22,7 +22,8 @@
 		bound = 6*time.Second + 3*time.Second
 		// workerLease is the one that cmd/carobkeel sets.
 		workerLease = 3500 * time.Millisecond
-		// takeoverTime is the longest time until a holder that is silent is replaced.
+		// takeoverTime is the longest time until a silent holder is replaced, unless it is
+		// young and replaced one that was silent too, which gets more time.
 		takeoverTime = holderSilenceTimeout + maxRankDelay + drawnDelay
 		step         = 10 * time.Millisecond
 	)
