--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -45,17 +45,6 @@
 	late []func()
 }
 
-// modelLink is a link with the messages under way in both directions.
-type modelLink struct {
-	id       dispatch.LinkID
-	process  carobkeel.Incarnation
-	number   uint64
-	up, down []func()
-	pings    []time.Duration
-	closed   bool
-	listed   bool
-}
-
 type modelListing struct {
 	number  uint64
 	link    *modelLink // nil for the lister, which takes the link at the time of the answer
@@ -109,109 +98,6 @@
 	}
 }
 
-func (s *modelSidecar) describe(link *modelLink) {
-	if link == nil {
-		return
-	}
-	d := s.described
-	s.report(link, func() { s.model.core.DescribeWorker(s.host, d) })
-}
-
-// report sends a report to the holder, which drops it if the link has been replaced.
-func (s *modelSidecar) report(link *modelLink, event func()) {
-	m := s.model
-	link.up = append(link.up, func() {
-		m.events = append(m.events, func() {
-			if s.current == link {
-				event()
-			}
-		})
-	})
-}
-
-// hangUp closes the sidecar's newest link. What was sent may still arrive.
-func (s *modelSidecar) hangUp() {
-	if len(s.open) == 0 || s.open[len(s.open)-1].closed {
-		return
-	}
-	link := s.open[len(s.open)-1]
-	link.closed, link.down = true, nil
-	m := s.model
-	link.up = append(link.up, func() {
-		if s.current == link {
-			s.current = nil
-			m.events = append(m.events, func() {
-				if s.current == nil {
-					m.core.HostLost(s.host)
-				}
-			})
-		}
-		s.open = slices.DeleteFunc(s.open, func(l *modelLink) bool { return l == link })
-	})
-	if s.link == link {
-		s.link = nil
-	}
-}
-
-// dial opens a link.
-func (s *modelSidecar) dial() {
-	s.hangUp()
-	m := s.model
-	m.links++
-	s.openedLinks++
-	link := &modelLink{id: m.links, process: s.process, number: s.openedLinks}
-	s.open = append(s.open, link)
-	link.up = append(link.up, func() {
-		if s.current != nil && s.current.process == link.process && s.current.number > link.number {
-			return
-		}
-		s.current = link
-		m.events = append(m.events, func() {
-			if s.current == link {
-				m.core.HostLinked(s.host, dispatch.Link{ID: link.id, Process: link.process})
-				m.core.HostPinged(s.host, 0)
-			}
-		})
-	})
-	s.ping()
-}
-
-// ping sends a ping on the newest link, which is dialled again if it was closed. The holder
-// answers it as soon as it reads it.
-func (s *modelSidecar) ping() {
-	if len(s.open) == 0 || s.open[len(s.open)-1].closed {
-		s.dial()
-		return
-	}
-	m, link := s.model, s.open[len(s.open)-1]
-	link.pings = append(link.pings, m.now)
-	number := uint64(len(link.pings))
-	link.up = append(link.up, func() {
-		m.events = append(m.events, func() {
-			switch {
-			case s.current == link:
-				m.core.HostPinged(s.host, number)
-			case !m.broken.forgottenPings:
-				m.core.LeaseExtended(s.host)
-			}
-		})
-		if !link.closed {
-			link.down = append(link.down, func() { s.confirm(link, number) })
-		}
-	})
-}
-
-func (s *modelSidecar) confirm(link *modelLink, number uint64) {
-	s.holder = s.holder.Confirm(modelEpoch, link.pings[number-1])
-	if s.link == link {
-		return
-	}
-	s.link = link
-	s.describe(link)
-	s.requested++
-	s.listings = append(s.listings, &modelListing{number: s.requested, link: link})
-}
-
 func (s *modelSidecar) receive(o modelOrder) {
 	switch o.order.Kind {
 	case dispatch.OrderAcknowledge:
@@ -394,24 +280,6 @@
 	}
 }
 
-// deliver has the next message in one direction of one link arrive.
-func (s *modelSidecar) deliver(index int, up bool) {
-	if len(s.open) == 0 {
-		return
-	}
-	link := s.open[index%len(s.open)]
-	messages := &link.down
-	if up {
-		messages = &link.up
-	}
-	if len(*messages) == 0 {
-		return
-	}
-	next := (*messages)[0]
-	*messages = (*messages)[1:]
-	next()
-}
-
 // list has the worker list its runs and the listings arrive at the sidecar.
 func (s *modelSidecar) list() {
 	s.requestListing()
@@ -464,22 +332,6 @@
 	m.advance(300 * time.Millisecond)
 }
 
-func (s *modelSidecar) deliverAll() {
-	for i := len(s.open) - 1; i >= 0; i-- {
-		for link := s.open[i]; len(link.up) > 0; {
-			s.deliver(i, true)
-			if i >= len(s.open) || s.open[i] != link {
-				break
-			}
-		}
-	}
-	for i := range s.open {
-		for len(s.open[i].down) > 0 {
-			s.deliver(i, false)
-		}
-	}
-}
-
 // restartOrCrash restarts the sidecar or its worker.
 func (s *modelSidecar) restartOrCrash(index int) {
 	switch index {
