Name the earlier incarnation for what it is; count an extended lease in one place

Cause: 'successor' named a description that began before the known one, and the sum of a lease stood twice. Change: earlier, holdBack and acceptEarlier; raiseLeaseExpiry; the number of a peer's link is linkNumber. No behaviour changes: no constant, expression, message or metric.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -241,8 +241,8 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.awaitExpiry(w.leaseExpiry)
 		}
-		if w.successor != nil {
-			c.awaitExpiry(w.successorFrom)
+		if w.earlier != nil {
+			c.awaitExpiry(w.earlierFrom)
 		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
 			c.awaitExpiry(w.inheritedExpiry)
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -43,9 +43,9 @@
 	DecidedWorkerShutDown DecisionKind = "worker shut down"
 	// DecidedWorkerRestarted reports a new incarnation of a worker.
 	DecidedWorkerRestarted DecisionKind = "worker restarted"
-	// DecidedSuccessorDoubted reports a description of an incarnation that began before
+	// DecidedEarlierIncarnation reports a description of an incarnation that began before
 	// the known one.
-	DecidedSuccessorDoubted DecisionKind = "earlier worker incarnation described"
+	DecidedEarlierIncarnation DecisionKind = "earlier worker incarnation described"
 	// DecidedWorkerQuarantined quarantines a worker: it gets no tasks for some
 	// time.
 	DecidedWorkerQuarantined DecisionKind = "worker quarantined"
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -39,17 +39,22 @@
 // answer on a link that is not the current one any more. That the worker answers again may
 // have been reported on such a link too, so an earlier report that it does not says nothing.
 func (c *Core) LeaseExtended(host string) {
-	w := c.worker(host)
-	w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+	c.raiseLeaseExpiry(c.worker(host))
 }
 
-// extendLease records that the sidecar may extend the worker's lease from now on.
+// extendLease records that the sidecar may extend the worker's lease from now on, unless it
+// has reported that the worker does not answer.
 func (c *Core) extendLease(w *workerState) {
 	if !w.unresponsive {
-		w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+		c.raiseLeaseExpiry(w)
 	}
 }
 
+// raiseLeaseExpiry counts a lease that is extended now at the latest.
+func (c *Core) raiseLeaseExpiry(w *workerState) {
+	w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
+}
+
 // HostLost records that the link of a host has ended.
 func (c *Core) HostLost(host string) {
 	w := c.worker(host)
@@ -109,7 +114,7 @@
 // may have extended those that expired after Now.Held.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
-		c.acceptSuccessor(w)
+		c.acceptEarlier(w)
 		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
 			continue
 		}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -54,10 +54,11 @@
 	pendingEnds []pendingEnd
 	// acknowledged is the number up to which the effects of ends are durable.
 	acknowledged uint64
-	// successor is the last description of an incarnation that began before the known
-	// one, nil if there was none since. It is accepted from successorFrom on.
-	successor     *runs.Description
-	successorFrom time.Duration
+	// earlier is a description of an incarnation that began before the known one, nil
+	// if the known one was described since. It comes from a late heartbeat, or the
+	// clock was set back; it is accepted from earlierFrom on.
+	earlier     *runs.Description
+	earlierFrom time.Duration
 	// recorded reports that the store has a record of this incarnation, so that
 	// a later holder knows of it. No task starts on the worker before.
 	recorded bool
@@ -91,13 +92,13 @@
 	w := c.worker(host)
 	if w.description.Incarnation != d.Incarnation {
 		if c.mayBeOutdated(w, d) {
-			c.awaitSuccessor(w, d)
+			c.holdBack(w, d)
 			return
 		}
 		c.replaceIncarnation(w, d)
 		return
 	}
-	w.successor = nil
+	w.earlier = nil
 	if d.Sequence < w.description.Sequence {
 		return
 	}
@@ -113,29 +114,29 @@
 	return w.description.ID != "" && len(w.runs) > 0 && d.StartedAtMs < w.description.StartedAtMs
 }
 
-// awaitSuccessor keeps a description that may be outdated until no lease of the known
+// holdBack keeps a description that may be outdated until no lease of the known
 // incarnation can be valid: its sidecar extends none while it describes another one.
-func (c *Core) awaitSuccessor(w *workerState, d runs.Description) {
+func (c *Core) holdBack(w *workerState, d runs.Description) {
 	w.reachable, w.listed = false, false
-	if w.successor != nil && w.successor.Incarnation == d.Incarnation {
-		w.successor = &d
+	if w.earlier != nil && w.earlier.Incarnation == d.Incarnation {
+		w.earlier = &d
 		return
 	}
-	w.successor = &d
-	w.successorFrom = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
-	c.recordDecision(Decision{Kind: DecidedSuccessorDoubted, Host: w.host, Detail: d.ID})
+	w.earlier = &d
+	w.earlierFrom = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
+	c.recordDecision(Decision{Kind: DecidedEarlierIncarnation, Host: w.host, Detail: d.ID})
 }
 
-// acceptSuccessor replaces the known incarnation by the one that was described since, once
-// no lease of the known one can be valid.
-func (c *Core) acceptSuccessor(w *workerState) {
-	if w.successor != nil && c.now.Held >= w.successorFrom {
-		c.replaceIncarnation(w, *w.successor)
+// acceptEarlier replaces the known incarnation by the earlier one that was described since,
+// once no lease of the known one can be valid.
+func (c *Core) acceptEarlier(w *workerState) {
+	if w.earlier != nil && c.now.Held >= w.earlierFrom {
+		c.replaceIncarnation(w, *w.earlier)
 	}
 }
 
 func (c *Core) replaceIncarnation(w *workerState, d runs.Description) {
-	w.successor = nil
+	w.earlier = nil
 	if w.description.ID != "" {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.endIncarnation(w, d)
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -36,12 +36,12 @@
 	link *link.Link
 	// id names the link in the decisions of the core.
 	id dispatch.LinkID
-	// role, host, incarnation and number are set by the hello, which is the first frame.
+	// role, host, incarnation and linkNumber are set by the hello, which is the first frame.
 	// The number counts the links that a sidecar's process has opened.
 	role        int
 	host        string
 	incarnation uint64
-	number      uint64
+	linkNumber  uint64
 	// pinged is the sequence number of the peer's last ping.
 	pinged atomic.Uint64
 	// holderAge is how long before its last ping the peer had last received a
@@ -132,7 +132,7 @@
 	if err := wire.Decode(f, &hello); err != nil {
 		return err
 	}
-	p.role, p.host, p.incarnation, p.number = hello.Role, hello.Host, hello.Incarnation, hello.Link
+	p.role, p.host, p.incarnation, p.linkNumber = hello.Role, hello.Host, hello.Incarnation, hello.Link
 	if p.role != wire.RoleSidecar {
 		return nil
 	}
@@ -156,7 +156,7 @@
 			return true
 		}
 		old := current.(*peer)
-		if old.incarnation == p.incarnation && old.number > p.number {
+		if old.incarnation == p.incarnation && old.linkNumber > p.linkNumber {
 			return false
 		}
 		if p.node.sidecars.CompareAndSwap(p.host, old, p) {
