Log how a configuration was received; log each 404; add metrics of its age

On-call could neither tell a late configuration from a wrong address, nor a slow link from a busy processor: 'configuration applied' named the version alone, a 404 left no line.

Change: the store's client reports when a response was received and its size. The follower of the configuration moves from the command to operator/configuration, which logs these and has three metrics. No decision changes.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -5,18 +5,17 @@
 	"net/http"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/balancer"
 	"github.com/carobkeel/carobkeel/caller/submission"
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/operator/configuration"
 	"github.com/carobkeel/carobkeel/platform"
 	"github.com/carobkeel/carobkeel/scheduler/directory"
 	"github.com/carobkeel/carobkeel/scheduler/holder"
-	"github.com/carobkeel/carobkeel/table/follow"
 )
 
 const (
-	// configPollTimeout is how long a poll for a new configuration waits.
-	configPollTimeout = time.Second
 	// leaveTime is how long a leaving entry still accepts requests: the balancer
 	// probes once a second and removes an entry after two failed probes.
 	leaveTime = 2500 * time.Millisecond
@@ -75,7 +74,8 @@
 		}
 	}()
 	go e.node.Run(ctx)
-	go e.followConfig(ctx)
+	reader := configuration.NewReader(e.store, platform.ConfigTable, platform.DecodeConfig, e.applyConfig, configuration.NewMetrics(e.metrics), e.log)
+	go reader.Run(ctx)
 	// Reloads are only logged: an entry's addresses are fixed while the process
 	// runs, and only sidecars use the seeds.
 	go e.watchSettings(ctx, func(platform.Settings) {})
@@ -96,29 +96,10 @@
 	return err
 }
 
-// followConfig applies the operator's configuration and every change of it.
-func (e *hostedEntry) followConfig(ctx context.Context) {
-	follower := follow.Follower{
-		Rows: e.store, Table: platform.ConfigTable, Wait: configPollTimeout, NewestOnly: true, Log: e.log,
-		OnUpdate: e.applyConfig,
-	}
-	follower.Run(ctx, 0)
-}
-
-func (e *hostedEntry) applyConfig(update follow.Update) {
-	for _, row := range update.Rows {
-		config, isConfig, err := platform.DecodeConfig(row)
-		if err != nil {
-			e.log.Error().Err(err).Msg("cannot decode the configuration; row skipped")
-			continue
-		}
-		if isConfig {
-			e.node.SetQueues(config)
-			e.readiness.Advance(balancer.PhaseReady)
-			e.log.Info().Uint64("version", uint64(config.Version)).Int("queues", len(config.Queues)).
-				Int("left_out", config.LeftOut).Msg("configuration applied")
-		}
-	}
+// applyConfig puts a configuration in force, unless it is older than the one in force.
+func (e *hostedEntry) applyConfig(config *carobkeel.QueueConfig) {
+	e.node.SetQueues(config)
+	e.readiness.Advance(balancer.PhaseReady)
 }
 
 // ready reports the readiness that the balancer's probe gets.
--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -29,6 +29,10 @@
 	// RequestedAt is the time at which the call was sent, by clock.Boottime. The rows
 	// reflect the table at that time or later.
 	RequestedAt time.Duration
+	// Transfer is that of the call, zero where several made the update.
+	Transfer table.Transfer
+	// Passed is the number of versions of rows that were left out as overtaken.
+	Passed int
 }
 
 // Follower follows one part of a table.
@@ -119,7 +123,7 @@
 	if f.NewestOnly {
 		newest = newestVersions(rows)
 	}
-	f.OnUpdate(Update{Rows: newest, RequestedAt: requestedAt})
+	f.OnUpdate(Update{Rows: newest, RequestedAt: requestedAt, Transfer: changes.Transfer, Passed: len(rows) - len(newest)})
 	if len(newest) < len(rows) {
 		return 0, nil // more versions will have been written meanwhile
 	}
--- a/table/rows.go
+++ b/table/rows.go
@@ -75,14 +75,26 @@
 	// Version is the newest version in the service at that time.
 	Version Version
 	// More reports that the part has rows after the last one of this page.
-	More bool
+	More     bool
+	Transfer Transfer
+}
+
+// Transfer says when a response of the service was received, by clock.Boottime. It is
+// zero for services in this process.
+type Transfer struct {
+	RequestedAt, FirstByteAt, LastByteAt, DecodedAt time.Duration
+	// Bytes is the size of the response's body.
+	Bytes int
+	// ServiceTime is the service's steady clock when it sent the response.
+	ServiceTime time.Duration
 }
 
 // RowChanges are changes of a table in the order of their versions.
 type RowChanges struct {
 	Rows []VersionedRow
 	// Next is the version to follow from in the next call.
-	Next Version
+	Next     Version
+	Transfer Transfer
 }
 
 // Rows is a transactional service with several tables, parts and a feed of
