Read the configuration's row where it has changed; poll the feed only when level

Cause: the feed of changes returns each version in full, and nothing of an answer is used before all of it has come. Where the link was slow, an answer held a small version and a large one behind it, and the small one came into force with the large one, over four seconds late. The full read after an answer with several versions brought the same version again and took the time in which the next two were written. The class: a reader that needs state reads history, and only then the state.

Change: operator/configuration reads the one row itself. After an answer that took over 100 ms or held several versions it sends a transaction that writes nothing and expects the version that it has: the answer is empty, or holds the newest version alone. It polls the feed when that says that nothing has changed. table/follow loses NewestOnly; its test moves to the new reader with its bound.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -74,7 +74,7 @@
 		}
 	}()
 	go e.node.Run(ctx)
-	reader := configuration.NewReader(e.store, platform.ConfigTable, platform.DecodeConfig, e.applyConfig, configuration.NewMetrics(e.metrics), e.log)
+	reader := configuration.NewReader(e.store, platform.ConfigRow, platform.DecodeConfig, e.applyConfig, configuration.NewMetrics(e.metrics), e.log)
 	go reader.Run(ctx)
 	// Reloads are only logged: an entry's addresses are fixed while the process
 	// runs, and only sidecars use the seeds.
--- a/operator/configuration/reader.go
+++ b/operator/configuration/reader.go
@@ -7,17 +7,24 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/table"
-	"github.com/carobkeel/carobkeel/table/follow"
 )
 
 const (
 	// pollTimeout is how long a poll for a new configuration waits.
 	pollTimeout = time.Second
+	// maxQuickRead is the longest transfer during which no further version is expected to
+	// have been written.
+	maxQuickRead = 100 * time.Millisecond
+	// firstPause and maxPause bound the delay after a failed call.
+	firstPause = 30 * time.Millisecond
+	maxPause   = 300 * time.Millisecond
 	// ageInterval is the interval at which the metric of the age is updated.
 	ageInterval = 5 * time.Second
 )
@@ -26,9 +33,13 @@
 type Decode func(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error)
 
 // Reader follows the configuration. All methods are safe for use by several goroutines.
+//
+// It needs only the newest version. The feed of changes has each version in full, so on a
+// slow link it would fall behind. It therefore polls the feed only while the version that
+// it has is the newest, and reads the row itself, if that has changed, until it is.
 type Reader struct {
 	rows    table.Rows
-	table   string
+	row     table.RowID
 	decode  Decode
 	apply   func(*carobkeel.QueueConfig)
 	metrics *Metrics
@@ -36,28 +47,83 @@
 	// confirmedAt is when the last call was sent whose answer confirmed the
 	// configuration in force, by clock.Boottime.
 	confirmedAt atomic.Int64
+
+	// The following are used on Run's goroutine only.
+
+	// read is the next call.
+	read readKind
+	// have is the version of the row that was read last, zero if there was none.
+	have table.Version
+	// followed is the version from which the feed is polled.
+	followed table.Version
 }
 
-// NewReader returns a reader of the configuration in a table. It calls apply with each
+// readKind is a way to read the configuration.
+type readKind uint8
+
+const (
+	// readRow reads the row.
+	readRow readKind = iota
+	// readIfChanged reads the row if it has another version than the reader has.
+	readIfChanged
+	// pollFeed waits for a change.
+	pollFeed
+)
+
+var readNames = [...]string{readRow: "row", readIfChanged: "if changed", pollFeed: "feed"}
+
+// String returns the name of the kind in logs.
+func (k readKind) String() string { return readNames[k] }
+
+// NewReader returns a reader of the configuration in a row. It calls apply with each
 // configuration that it reads, which may be older than the one in force.
-func NewReader(rows table.Rows, tableName string, decode Decode, apply func(*carobkeel.QueueConfig), metrics *Metrics, logger *log.Logger) *Reader {
-	r := &Reader{rows: rows, table: tableName, decode: decode, apply: apply, metrics: metrics, log: logger}
+func NewReader(rows table.Rows, row table.RowID, decode Decode, apply func(*carobkeel.QueueConfig), metrics *Metrics, logger *log.Logger) *Reader {
+	r := &Reader{rows: rows, row: row, decode: decode, apply: apply, metrics: metrics, log: logger}
 	r.confirmedAt.Store(int64(clock.Boottime()))
 	return r
 }
 
+// Age returns the time since the last call was sent whose answer confirmed the
+// configuration in force, or since the reader was made.
+func (r *Reader) Age() time.Duration { return clock.Boottime() - time.Duration(r.confirmedAt.Load()) }
+
 // Run follows the configuration until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
 	go r.updateAge(ctx)
-	follower := follow.Follower{
-		Rows: r.rows, Table: r.table, Wait: pollTimeout, NewestOnly: true, Log: r.log, OnUpdate: r.update,
+	pause, failing := newPause(), false
+	for ctx.Err() == nil {
+		err := r.readOnce(ctx)
+		if err == nil {
+			if failing {
+				r.log.Info().Msg("reading the configuration again")
+			}
+			pause.Reset()
+			failing = false
+			continue
+		}
+		if !failing && ctx.Err() == nil {
+			r.log.Warn().Stringer("read", r.read).Err(err).Msg("failed to read the configuration")
+		}
+		failing = true
+		r.read = afterFailure(r.read, err)
+		_ = clock.Sleep(ctx, pause.NextBackOff()) // the loop ends when ctx does
 	}
-	follower.Run(ctx, 0)
 }
 
-// Age returns the time since the last call was sent whose answer confirmed the
-// configuration in force, or since the reader was made.
-func (r *Reader) Age() time.Duration { return clock.Boottime() - time.Duration(r.confirmedAt.Load()) }
+// afterFailure returns the call to make after a failed one. The feed may hold several
+// versions by then. An answer to readIfChanged may be lost where one to readRow isn't.
+func afterFailure(failed readKind, err error) readKind {
+	if failed == pollFeed && !errors.Is(err, table.ErrHistoryLost) {
+		return readIfChanged
+	}
+	return readRow
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, maxPause
+	return pause
+}
 
 func (r *Reader) updateAge(ctx context.Context) {
 	for clock.Sleep(ctx, ageInterval) == nil {
@@ -65,30 +131,122 @@
 	}
 }
 
-func (r *Reader) update(update follow.Update) {
-	for _, row := range update.Rows {
-		config, isConfig, err := r.decode(row)
+// answer is the result of one call.
+type answer struct {
+	// rows are the versions of the row in the answer, the newest last.
+	rows []table.VersionedRow
+	// followed is the version from which the feed is polled next.
+	followed table.Version
+	transfer table.Transfer
+}
+
+// readOnce makes one call, applies what it returns and chooses the next one.
+func (r *Reader) readOnce(ctx context.Context) error {
+	requestedAt := clock.Boottime()
+	begunAt := time.Now()
+	a, err := r.call(ctx)
+	if err != nil {
+		return err
+	}
+	r.followed = max(r.followed, a.followed)
+	r.applyNewest(&a, requestedAt)
+	r.confirmedAt.Store(int64(requestedAt))
+	kind := r.read
+	r.read = r.nextRead(&a)
+	if kind == pollFeed && len(a.rows) == 0 && time.Since(begunAt) < firstPause {
+		return clock.Sleep(ctx, firstPause) // the feed did not wait
+	}
+	return nil
+}
+
+// nextRead returns the call to make after an answer.
+func (r *Reader) nextRead(a *answer) readKind {
+	if len(a.rows) > 1 || len(a.rows) == 1 && a.transfer.Receiving > maxQuickRead {
+		return readIfChanged
+	}
+	return pollFeed
+}
+
+func (r *Reader) call(ctx context.Context) (answer, error) {
+	switch r.read {
+	case pollFeed:
+		return r.poll(ctx)
+	case readIfChanged:
+		return r.getIfChanged(ctx)
+	}
+	return r.get(ctx)
+}
+
+func (r *Reader) get(ctx context.Context) (answer, error) {
+	scan, err := r.rows.Scan(ctx, r.row.Table, r.row.Part, r.row.Key)
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{rows: r.versionsOf(scan.Rows), followed: scan.Version, transfer: scan.Transfer}, nil
+}
+
+// getIfChanged reads the row by a transaction that writes nothing and fails if the row has
+// another version than the reader has. The answer holds the newest version alone.
+func (r *Reader) getIfChanged(ctx context.Context) (answer, error) {
+	begunAt := time.Now()
+	outcome, err := r.rows.Transact(ctx, table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: r.row, Version: r.have}},
+	})
+	if err != nil {
+		return answer{}, err
+	}
+	rows := r.versionsOf(outcome.Current)
+	a := answer{rows: rows, transfer: table.Transfer{Receiving: time.Since(begunAt)}}
+	if len(rows) > 0 {
+		a.followed = rows[0].Version
+		a.transfer.Bytes = len(rows[0].Value)
+	}
+	return a, nil
+}
+
+func (r *Reader) poll(ctx context.Context) (answer, error) {
+	changes, err := r.rows.Follow(ctx, r.row.Table, r.followed, pollTimeout)
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{rows: r.versionsOf(changes.Rows), followed: changes.Next, transfer: changes.Transfer}, nil
+}
+
+// versionsOf returns the versions of the row among rows.
+func (r *Reader) versionsOf(rows []table.VersionedRow) []table.VersionedRow {
+	var versions []table.VersionedRow
+	for _, row := range rows {
+		if row.RowID == r.row && !row.Deleted {
+			versions = append(versions, row)
+		}
+	}
+	return versions
+}
+
+// applyNewest applies the newest version in an answer that can be decoded.
+func (r *Reader) applyNewest(a *answer, requestedAt time.Duration) {
+	for i := len(a.rows) - 1; i >= 0; i-- {
+		row := &a.rows[i]
+		r.have = max(r.have, row.Version)
+		config, isConfig, err := r.decode(*row)
 		if err != nil {
 			r.log.Error().Err(err).Uint64("row_version", uint64(row.Version)).Msg("cannot decode the configuration; row skipped")
 			continue
 		}
 		if isConfig {
 			r.apply(config)
-			r.record(config, row.Version, &update)
+			r.record(config, row.Version, &a.transfer, clock.Boottime()-requestedAt)
+			return
 		}
 	}
-	r.confirmedAt.Store(int64(update.RequestedAt))
 }
 
 // record logs what was applied, and how the answer that held it was received.
-func (r *Reader) record(config *carobkeel.QueueConfig, rowVersion table.Version, update *follow.Update) {
-	t := &update.Transfer
+func (r *Reader) record(config *carobkeel.QueueConfig, rowVersion table.Version, t *table.Transfer, age time.Duration) {
 	r.metrics.Version.Update(float64(config.Version))
-	r.metrics.Transfer.RecordDuration(t.LastByteAt - t.FirstByteAt)
+	r.metrics.Transfer.RecordDuration(t.Receiving)
 	r.log.Info().Uint64("version", uint64(config.Version)).Int("queues", len(config.Queues)).
-		Int("left_out", config.LeftOut).Bool("full", update.Full).Int("passed", update.Passed).
-		Uint64("row_version", uint64(rowVersion)).Int64("store_ms", t.ServiceTime.Milliseconds()).
-		Int("bytes", t.Bytes).Dur("first_byte", t.FirstByteAt-t.RequestedAt).
-		Dur("transfer", t.LastByteAt-t.FirstByteAt).Dur("age", clock.Boottime()-update.RequestedAt).
-		Msg("configuration applied")
+		Int("left_out", config.LeftOut).Stringer("read", r.read).Uint64("row_version", uint64(rowVersion)).
+		Int64("store_ms", t.ServiceTime.Milliseconds()).Int("bytes", t.Bytes).Dur("first_byte", t.FirstByte).
+		Dur("transfer", t.Receiving).Dur("age", age).Msg("configuration applied")
 }
--- /dev/null
+++ b/operator/configuration/reader_test.go
@@ -0,0 +1,79 @@
+package configuration_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/operator/configuration"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+var testRow = table.RowID{Table: "op", Key: "config"}
+
+func newTestReader(rows table.Rows, decode configuration.Decode, apply func(*carobkeel.QueueConfig)) *configuration.Reader {
+	return configuration.NewReader(rows, testRow, decode, apply, configuration.NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+}
+
+// slowRows takes a second for each version of a row that it returns, while two more are
+// written.
+type slowRows struct {
+	table.Rows
+	newest table.Version
+}
+
+func (r *slowRows) read(versions table.Version) []table.VersionedRow {
+	var rows []table.VersionedRow
+	for version := r.newest - versions + 1; version <= r.newest; version++ {
+		rows = append(rows, table.VersionedRow{RowID: testRow, Version: version})
+	}
+	time.Sleep(time.Duration(versions) * time.Second)
+	r.newest += 2 * versions
+	return rows
+}
+
+func (r *slowRows) Scan(context.Context, string, string, string) (table.RowScan, error) {
+	version := r.newest
+	return table.RowScan{Rows: r.read(1), Version: version, Transfer: table.Transfer{Receiving: time.Second}}, nil
+}
+
+func (r *slowRows) Transact(_ context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
+	version := r.newest
+	if txn.Conditions[0].Version == version {
+		return table.RowOutcome{Applied: true, Version: version}, nil
+	}
+	return table.RowOutcome{Current: r.read(1), Version: version}, nil
+}
+
+func (r *slowRows) Follow(_ context.Context, _ string, from table.Version, _ time.Duration) (table.RowChanges, error) {
+	version := r.newest
+	rows := r.read(version - from)
+	return table.RowChanges{Rows: rows, Next: version, Transfer: table.Transfer{Receiving: time.Duration(len(rows)) * time.Second}}, nil
+}
+
+// Guards against CONFIG: an entry with little bandwidth read each version of a configuration that
+// changed faster than that, and fell further and further behind.
+func TestReaderOfTheNewestVersionsDoesNotFallBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		rows := &slowRows{newest: 1}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		worst := time.Duration(0)
+		decode := func(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error) {
+			return &carobkeel.QueueConfig{Version: carobkeel.Revision(row.Version)}, true, nil
+		}
+		apply := func(config *carobkeel.QueueConfig) {
+			behind := rows.newest - table.Version(config.Version)
+			worst = max(worst, time.Duration(behind)*time.Second/2)
+		}
+		newTestReader(rows, decode, apply).Run(ctx)
+		g.Expect(worst).To(BeNumerically("<=", 3*time.Second))
+	})
+}
--- a/scheduler/directory/directory.go
+++ b/scheduler/directory/directory.go
@@ -61,13 +61,13 @@
 // Addresses returns the addresses on which the listed entries accept links. A row
 // without a usable address is left out, and logged when it changes.
 func (r *Reader) Addresses(ctx context.Context) ([]string, error) {
-	found, _, err := table.ScanAll(ctx, r.rows, tableName, "")
+	scan, err := table.ScanAll(ctx, r.rows, tableName, "")
 	if err != nil {
 		return nil, err
 	}
 	var addresses []string
 	leftOut := make(map[string]table.Version)
-	for _, row := range found {
+	for _, row := range scan.Rows {
 		address, err := decodeAddress(row.Value)
 		if err == nil {
 			addresses = append(addresses, address)
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -147,8 +147,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	read := func(name string, rows *[]table.VersionedRow, from *table.Version) {
 		group.Go(func() error {
-			found, version, err := table.ScanAll(ctx, n.rows, name, n.config.Shard)
-			*rows, *from = found, version
+			scan, err := table.ScanAll(ctx, n.rows, name, n.config.Shard)
+			*rows, *from = scan.Rows, scan.Version
 			return errors.Wrap(err, name)
 		})
 	}
--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -29,10 +29,6 @@
 	// RequestedAt is the time at which the call was sent, by clock.Boottime. The rows
 	// reflect the table at that time or later.
 	RequestedAt time.Duration
-	// Transfer is that of the call, zero where several made the update.
-	Transfer table.Transfer
-	// Passed is the number of versions of rows that were left out as overtaken.
-	Passed int
 }
 
 // Follower follows one part of a table.
@@ -42,9 +38,6 @@
 	Part  string
 	// Wait is the maximum time for which one call waits for a change.
 	Wait time.Duration
-	// NewestOnly is set for readers that need only the newest version of each row. Where
-	// rows change faster than their versions can be read, the rows are read as they are.
-	NewestOnly bool
 	// OnUpdate is called on Run's goroutine with every result, including empty ones.
 	OnUpdate func(Update)
 	Log      *log.Logger
@@ -102,12 +95,12 @@
 func (f *Follower) once(ctx context.Context, from table.Version) (table.Version, error) {
 	requestedAt := clock.Boottime()
 	if from == 0 {
-		rows, version, err := table.ScanAll(ctx, f.Rows, f.Table, f.Part)
+		scan, err := table.ScanAll(ctx, f.Rows, f.Table, f.Part)
 		if err != nil {
 			return 0, err
 		}
-		f.OnUpdate(Update{Rows: rows, Full: true, RequestedAt: requestedAt})
-		return version, nil
+		f.OnUpdate(Update{Rows: scan.Rows, Full: true, RequestedAt: requestedAt})
+		return scan.Version, nil
 	}
 	changes, err := f.Rows.Follow(ctx, f.Table, from, f.Wait)
 	if err != nil {
@@ -119,28 +112,6 @@
 			rows = append(rows, row)
 		}
 	}
-	newest := rows
-	if f.NewestOnly {
-		newest = newestVersions(rows)
-	}
-	f.OnUpdate(Update{Rows: newest, RequestedAt: requestedAt, Transfer: changes.Transfer, Passed: len(rows) - len(newest)})
-	if len(newest) < len(rows) {
-		return 0, nil // more versions will have been written meanwhile
-	}
+	f.OnUpdate(Update{Rows: rows, RequestedAt: requestedAt})
 	return max(from, changes.Next), nil
 }
-
-// newestVersions returns the last version of each row, in the order of the versions.
-func newestVersions(rows []table.VersionedRow) []table.VersionedRow {
-	last := make(map[table.RowID]int, len(rows))
-	for i, row := range rows {
-		last[row.RowID] = i
-	}
-	var newest []table.VersionedRow
-	for i, row := range rows {
-		if last[row.RowID] == i {
-			newest = append(newest, row)
-		}
-	}
-	return newest
-}
--- a/table/memory/rows_test.go
+++ b/table/memory/rows_test.go
@@ -48,10 +48,10 @@
 		_, err := rows.Transact(context.Background(), table.RowTransaction{Writes: chunk})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	all, version, err := table.ScanAll(context.Background(), rows, "t", "p")
+	all, err := table.ScanAll(context.Background(), rows, "t", "p")
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(all).To(HaveLen(1200))
-	g.Expect(version).To(BeNumerically(">", 0))
+	g.Expect(all.Rows).To(HaveLen(1200))
+	g.Expect(all.Version).To(BeNumerically(">", 0))
 }
 
 func TestTransactionsHaveThePlatformsSizeLimits(t *testing.T) {
--- a/table/rows.go
+++ b/table/rows.go
@@ -79,10 +79,12 @@
 	Transfer Transfer
 }
 
-// Transfer says when a response of the service was received, by clock.Boottime. It is
-// zero for services in this process.
+// Transfer says how a response of the service was received. It is zero for services in this
+// process.
 type Transfer struct {
-	RequestedAt, FirstByteAt, LastByteAt, DecodedAt time.Duration
+	// FirstByte is the time from the request to the first byte of the response, and
+	// Receiving that from there to its last byte.
+	FirstByte, Receiving time.Duration
 	// Bytes is the size of the response's body.
 	Bytes int
 	// ServiceTime is the service's steady clock when it sent the response.
@@ -113,23 +115,22 @@
 	Follow(ctx context.Context, table string, after Version, wait time.Duration) (RowChanges, error)
 }
 
-// ScanAll reads all rows of a part. The version is that of the first page, so
-// that following from it misses no change.
-func ScanAll(ctx context.Context, rows Rows, tableName, part string) ([]VersionedRow, Version, error) {
-	var all []VersionedRow
-	var version Version
+// ScanAll reads all rows of a part. The version is that of the first page, so that following
+// from it misses no change. The transfer is that of the last page.
+func ScanAll(ctx context.Context, rows Rows, tableName, part string) (RowScan, error) {
+	var all RowScan
 	from := ""
 	for {
 		page, err := rows.Scan(ctx, tableName, part, from)
 		if err != nil {
-			return nil, 0, err
+			return RowScan{}, err
 		}
 		if from == "" {
-			version = page.Version
+			all.Version = page.Version
 		}
-		all = append(all, page.Rows...)
+		all.Rows, all.Transfer = append(all.Rows, page.Rows...), page.Transfer
 		if !page.More || len(page.Rows) == 0 {
-			return all, version, nil
+			return all, nil
 		}
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
