Name each step once in a listing of a worker

Cause: the holder's link. While it read version 83 of the configuration (445,052 bytes), it received 445,610 bytes of full listings of workers, which name each task by its job's id, occurrence, step and index as text, 5.5 times a second. It had half of its link for the configuration, the other entries had all of theirs.

TestFullListingsStayWithinTheTrafficForControl failed before: 3,789 bytes a second for a worker's share of the tasks, a node may spend 2,048 on control.

Change: a listing names each step once, and each run by the index of its step and its own. TestOddRowsAreLeftOutOfAListing has the odd rows that the new form can have: seven in place of five, and it holds Partial too.

Result: the test passes (below 2,048).

--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -54,56 +54,6 @@
 	}
 }
 
-// FromListing returns the message for a listing.
-func FromListing(l dispatch.WorkerListing, epoch carobkeel.Epoch) *Listing {
-	message := &Listing{
-		Incarnation: WorkerIncarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Epoch: uint64(epoch), Full: l.Full,
-		Partial: l.Partial,
-	}
-	for _, r := range l.Running {
-		message.Running = append(message.Running, Running{
-			Task: r.Task.String(), Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, LoadMetric: r.LoadMetric,
-		})
-	}
-	for _, e := range l.Ends {
-		message.Ends = append(message.Ends, End{
-			Number: e.Number, Task: e.Task.String(), Run: e.Run, Outcome: uint8(e.Outcome), Checkpoint: e.Checkpoint,
-		})
-	}
-	return message
-}
-
-// Decoded returns the listing in the message, for the worker of the given host, and the
-// number of rows left out of it because they name no task.
-func (l *Listing) Decoded(host string) (listing dispatch.WorkerListing, leftOut int) {
-	listing = dispatch.WorkerListing{
-		Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Full: l.Full,
-		Partial: l.Partial,
-	}
-	for _, r := range l.Running {
-		name, err := carobkeel.ParseTaskName(r.Task)
-		if err != nil {
-			leftOut++
-			listing.Partial = true
-			continue
-		}
-		listing.Running = append(listing.Running, runs.Running{
-			Task: name, Run: r.Run, Checkpoint: r.Checkpoint, Percent: r.Percent, LoadMetric: r.LoadMetric,
-		})
-	}
-	for _, e := range l.Ends {
-		name, err := carobkeel.ParseTaskName(e.Task)
-		if err != nil {
-			leftOut++
-			continue
-		}
-		listing.Ends = append(listing.Ends, runs.End{
-			Number: e.Number, Task: name, Run: e.Run, Outcome: runs.Outcome(e.Outcome), Checkpoint: e.Checkpoint,
-		})
-	}
-	return listing, leftOut
-}
-
 // Decoded returns the time until the worker's lease expires, which is negative if it is not
 // known.
 func (u *WorkerUnreachable) Decoded() time.Duration { return fromMillis(u.Remaining) }
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -5,7 +5,7 @@
 // No list, map or byte string is longer than a frame.
 //
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Hello Ping Pong TakingOver WorkerIncarnation Description Running End Listing Answer WorkerUnreachable WorkerShutDown Order Query Reply
+//msgp:tuple Hello Ping Pong TakingOver WorkerIncarnation Description ListedStep Running End Listing Answer WorkerUnreachable WorkerShutDown Order Query Reply
 
 // Roles of the peer that dials.
 const (
@@ -79,22 +79,29 @@
 	Sequence  uint64
 }
 
-// Running is the encoding of a runs.Running.
+// ListedStep is a step of one occurrence of a job.
+type ListedStep struct {
+	Job              string
+	Occurrence, Step int
+}
+
+// Running is the encoding of a runs.Running. Step is the index of the task's step in the
+// listing's Steps.
 type Running struct {
-	Task       string
-	Run        int
-	Checkpoint string
-	Percent    int
-	LoadMetric int
+	Step, Index int
+	Run         int
+	Checkpoint  string
+	Percent     int
+	LoadMetric  int
 }
 
-// End is the encoding of a runs.End.
+// End is the encoding of a runs.End. Step is as in Running.
 type End struct {
-	Number     uint64
-	Task       string
-	Run        int
-	Outcome    uint8
-	Checkpoint string
+	Number      uint64
+	Step, Index int
+	Run         int
+	Outcome     uint8
+	Checkpoint  string
 }
 
 // Listing is the encoding of a dispatch.WorkerListing.
@@ -103,10 +110,13 @@
 	Number      uint64
 	Epoch       uint64
 	Full        bool
-	Running     []Running
-	Ends        []End
-	Requested   uint64
-	Partial     bool
+	// Steps are those of the tasks below. Each is named once, as listings are most of what
+	// a holder receives.
+	Steps     []ListedStep
+	Running   []Running
+	Ends      []End
+	Requested uint64
+	Partial   bool
 }
 
 // Answer is the encoding of a dispatch.OrderAnswer.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -243,10 +243,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *End) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint64(o, z.Number)
-	o = msgp.AppendString(o, z.Task)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendUint8(o, z.Outcome)
 	o = msgp.AppendString(o, z.Checkpoint)
@@ -261,8 +262,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
@@ -270,9 +271,14 @@
 		err = msgp.WrapError(err, "Number")
 		return
 	}
-	z.Task, bts, err = msgp.ReadStringBytes(bts)
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Task")
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
 		return
 	}
 	z.Run, bts, err = msgp.ReadIntBytes(bts)
@@ -296,7 +302,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *End) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Task) + msgp.IntSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Checkpoint)
+	s = 1 + msgp.Uint64Size + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Uint8Size + msgp.StringPrefixSize + len(z.Checkpoint)
 	return
 }
 
@@ -354,11 +360,59 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ListedStep) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Job)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListedStep) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Job, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Job")
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ListedStep) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Job) + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Listing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Incarnation.ID)
@@ -366,19 +420,27 @@
 	o = msgp.AppendUint64(o, z.Number)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendBool(o, z.Full)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Steps)))
+	for za0001 := range z.Steps {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Steps[za0001].Job)
+		o = msgp.AppendInt(o, z.Steps[za0001].Occurrence)
+		o = msgp.AppendInt(o, z.Steps[za0001].Step)
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Running)))
-	for za0001 := range z.Running {
-		o, err = z.Running[za0001].MarshalMsg(o)
+	for za0002 := range z.Running {
+		o, err = z.Running[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Running", za0001)
+			err = msgp.WrapError(err, "Running", za0002)
 			return
 		}
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
-	for za0002 := range z.Ends {
-		o, err = z.Ends[za0002].MarshalMsg(o)
+	for za0003 := range z.Ends {
+		o, err = z.Ends[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0002)
+			err = msgp.WrapError(err, "Ends", za0003)
 			return
 		}
 	}
@@ -395,8 +457,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -437,44 +499,86 @@
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Running")
+		err = msgp.WrapError(err, "Steps")
 		return
 	}
 	if zb0003 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Running) >= int(zb0003) {
-		z.Running = (z.Running)[:zb0003]
+	if cap(z.Steps) >= int(zb0003) {
+		z.Steps = (z.Steps)[:zb0003]
 	} else {
-		z.Running = make([]Running, zb0003)
+		z.Steps = make([]ListedStep, zb0003)
 	}
-	for za0001 := range z.Running {
-		bts, err = z.Running[za0001].UnmarshalMsg(bts)
+	for za0001 := range z.Steps {
+		var zb0004 uint32
+		zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Steps", za0001)
+			return
+		}
+		if zb0004 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0004}
+			return
+		}
+		z.Steps[za0001].Job, bts, err = msgp.ReadStringBytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Running", za0001)
+			err = msgp.WrapError(err, "Steps", za0001, "Job")
+			return
+		}
+		z.Steps[za0001].Occurrence, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Steps", za0001, "Occurrence")
+			return
+		}
+		z.Steps[za0001].Step, bts, err = msgp.ReadIntBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Steps", za0001, "Step")
 			return
 		}
 	}
-	var zb0004 uint32
-	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0005 uint32
+	zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Running")
+		return
+	}
+	if zb0005 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Running) >= int(zb0005) {
+		z.Running = (z.Running)[:zb0005]
+	} else {
+		z.Running = make([]Running, zb0005)
+	}
+	for za0002 := range z.Running {
+		bts, err = z.Running[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Running", za0002)
+			return
+		}
+	}
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Ends")
 		return
 	}
-	if zb0004 > z2c18a699limitArrays {
+	if zb0006 > z2c18a699limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Ends) >= int(zb0004) {
-		z.Ends = (z.Ends)[:zb0004]
+	if cap(z.Ends) >= int(zb0006) {
+		z.Ends = (z.Ends)[:zb0006]
 	} else {
-		z.Ends = make([]End, zb0004)
+		z.Ends = make([]End, zb0006)
 	}
-	for za0002 := range z.Ends {
-		bts, err = z.Ends[za0002].UnmarshalMsg(bts)
+	for za0003 := range z.Ends {
+		bts, err = z.Ends[za0003].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0002)
+			err = msgp.WrapError(err, "Ends", za0003)
 			return
 		}
 	}
@@ -495,12 +599,16 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Listing) Msgsize() (s int) {
 	s = 1 + 1 + msgp.StringPrefixSize + len(z.Incarnation.ID) + msgp.Int64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.ArrayHeaderSize
-	for za0001 := range z.Running {
-		s += z.Running[za0001].Msgsize()
+	for za0001 := range z.Steps {
+		s += 1 + msgp.StringPrefixSize + len(z.Steps[za0001].Job) + msgp.IntSize + msgp.IntSize
+	}
+	s += msgp.ArrayHeaderSize
+	for za0002 := range z.Running {
+		s += z.Running[za0002].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
-	for za0002 := range z.Ends {
-		s += z.Ends[za0002].Msgsize()
+	for za0003 := range z.Ends {
+		s += z.Ends[za0003].Msgsize()
 	}
 	s += msgp.Uint64Size + msgp.BoolSize
 	return
@@ -937,9 +1045,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Running) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
-	o = msgp.AppendString(o, z.Task)
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendInt(o, z.Run)
 	o = msgp.AppendString(o, z.Checkpoint)
 	o = msgp.AppendInt(o, z.Percent)
@@ -955,13 +1064,18 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
-	z.Task, bts, err = msgp.ReadStringBytes(bts)
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Task")
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
 		return
 	}
 	z.Run, bts, err = msgp.ReadIntBytes(bts)
@@ -990,7 +1104,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Running) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Task) + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.IntSize + msgp.IntSize
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint) + msgp.IntSize + msgp.IntSize
 	return
 }
 
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -149,12 +149,16 @@
 	g := NewWithT(t)
 	task := carobkeel.TaskName{Job: "j", Index: 3}
 	message := wire.Listing{
-		Full:    true,
-		Running: []wire.Running{{Task: "x", Run: 1}, {Task: task.String(), Run: 2}, {Task: "j.0.0.-1", Run: 1}, {Task: "j.0.0.9999999999999999999"}},
-		Ends:    []wire.End{{Number: 1, Task: ""}, {Number: 2, Task: task.String(), Run: 1}, {Number: 3, Task: "a.b.c.d"}},
+		Full:  true,
+		Steps: []wire.ListedStep{{Job: "j"}, {Job: ""}, {Job: "a.b"}, {Job: "j", Occurrence: -1}, {Job: "j", Step: -1}},
+		Running: []wire.Running{
+			{Step: 5, Run: 1}, {Step: 0, Index: 3, Run: 2}, {Step: 0, Index: -1, Run: 1}, {Step: 1, Run: 1}, {Step: 3}, {Step: 4},
+		},
+		Ends: []wire.End{{Number: 1, Step: -1}, {Number: 2, Step: 0, Index: 3, Run: 1}, {Number: 3, Step: 2}},
 	}
 	listing, leftOut := message.Decoded("h")
-	g.Expect(leftOut).To(Equal(5))
+	g.Expect(leftOut).To(Equal(7))
+	g.Expect(listing.Partial).To(BeTrue())
 	g.Expect(listing.Running).To(Equal([]runs.Running{{Task: task, Run: 2}}))
 	g.Expect(listing.Ends).To(Equal([]runs.End{{Number: 2, Task: task, Run: 1}}))
 }
