Refuse no request for good by an outdated configuration

Cause: an entry answered 404 by the configuration in force, however long ago it had learnt that this is the newest. It knew better: a transfer of several seconds was under way, the store had not answered, or the process had just been paused. The class: a permission, here the knowledge on which a final answer rests, that is used after it has run out.

Change: a reader says how long ago the last call was sent whose answer confirmed the configuration. The store's answers are linearizable, so no version that was stored longer ago is missing.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -74,7 +74,10 @@
 		}
 	}()
 	go e.node.Run(ctx)
-	reader := configuration.NewReader(e.store, platform.ConfigRow, platform.DecodeConfig, e.applyConfig, configuration.NewMetrics(e.metrics), e.log)
+	reader := configuration.NewReader(configuration.Config{
+		Rows: e.store, Row: platform.ConfigRow, Decode: platform.DecodeConfig, Apply: e.applyConfig,
+		Metrics: configuration.NewMetrics(e.metrics), Log: e.log,
+	})
 	go reader.Run(ctx)
 	// Reloads are only logged: an entry's addresses are fixed while the process
 	// runs, and only sidecars use the seeds.
@@ -84,7 +87,8 @@
 	if err := e.serveMetrics(ctx); err != nil {
 		return err
 	}
-	if e.callerServer, err = e.serve(ctx, s.CallerAddress, platform.NewCallerHandler(jobs, e.log)); err != nil {
+	configAge := platform.ConfigAge{Age: reader.Age, Limit: s.Bounds.ConfigApply}
+	if e.callerServer, err = e.serve(ctx, s.CallerAddress, platform.NewCallerHandler(jobs, configAge, e.log)); err != nil {
 		return err
 	}
 	if _, err = e.serve(ctx, s.ReadyAddress, platform.NewReadyHandler(e.ready)); err != nil {
--- a/operator/configuration/reader.go
+++ b/operator/configuration/reader.go
@@ -32,20 +32,31 @@
 // Decode decodes a row. The second result is false if the row holds no configuration.
 type Decode func(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error)
 
+// Config says what a Reader reads and whom it tells.
+type Config struct {
+	Rows table.Rows
+	// Row is the row that holds the configuration.
+	Row    table.RowID
+	Decode Decode
+	// Apply is called with each configuration that is read, which may be older than the
+	// one in force.
+	Apply   func(*carobkeel.QueueConfig)
+	Metrics *Metrics
+	Log     *log.Logger
+	// Now reads a clock that advances while the host is suspended. It is clock.Boottime
+	// where it is nil.
+	Now func() time.Duration
+}
+
 // Reader follows the configuration. All methods are safe for use by several goroutines.
 //
 // It needs only the newest version. The feed of changes has each version in full, so on a
 // slow link it would fall behind. It therefore polls the feed only while the version that
 // it has is the newest, and reads the row itself, if that has changed, until it is.
 type Reader struct {
-	rows    table.Rows
-	row     table.RowID
-	decode  Decode
-	apply   func(*carobkeel.QueueConfig)
-	metrics *Metrics
-	log     *log.Logger
+	config Config
 	// confirmedAt is when the last call was sent whose answer confirmed the
-	// configuration in force, by clock.Boottime.
+	// configuration in force, by Config.Now.
 	confirmedAt atomic.Int64
 
 	// The following are used on Run's goroutine only.
@@ -75,17 +86,20 @@
 // String returns the name of the kind in logs.
 func (k readKind) String() string { return readNames[k] }
 
-// NewReader returns a reader of the configuration in a row. It calls apply with each
-// configuration that it reads, which may be older than the one in force.
-func NewReader(rows table.Rows, row table.RowID, decode Decode, apply func(*carobkeel.QueueConfig), metrics *Metrics, logger *log.Logger) *Reader {
-	r := &Reader{rows: rows, row: row, decode: decode, apply: apply, metrics: metrics, log: logger}
-	r.confirmedAt.Store(int64(clock.Boottime()))
+// NewReader returns a reader. Use Run.
+func NewReader(config Config) *Reader {
+	if config.Now == nil {
+		config.Now = clock.Boottime
+	}
+	r := &Reader{config: config}
+	r.confirmedAt.Store(int64(config.Now()))
 	return r
 }
 
 // Age returns the time since the last call was sent whose answer confirmed the
-// configuration in force, or since the reader was made.
-func (r *Reader) Age() time.Duration { return clock.Boottime() - time.Duration(r.confirmedAt.Load()) }
+// configuration in force, or since the reader was made. No version that was stored longer
+// ago is missing.
+func (r *Reader) Age() time.Duration { return r.config.Now() - time.Duration(r.confirmedAt.Load()) }
 
 // Run follows the configuration until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
@@ -95,14 +109,14 @@
 		err := r.readOnce(ctx)
 		if err == nil {
 			if failing {
-				r.log.Info().Msg("reading the configuration again")
+				r.config.Log.Info().Msg("reading the configuration again")
 			}
 			pause.Reset()
 			failing = false
 			continue
 		}
 		if !failing && ctx.Err() == nil {
-			r.log.Warn().Stringer("read", r.read).Err(err).Msg("failed to read the configuration")
+			r.config.Log.Warn().Stringer("read", r.read).Err(err).Msg("failed to read the configuration")
 		}
 		failing = true
 		r.read = afterFailure(r.read, err)
@@ -127,7 +141,7 @@
 
 func (r *Reader) updateAge(ctx context.Context) {
 	for clock.Sleep(ctx, ageInterval) == nil {
-		r.metrics.recordAge(r.Age())
+		r.config.Metrics.recordAge(r.Age())
 	}
 }
 
@@ -142,7 +156,7 @@
 
 // readOnce makes one call, applies what it returns and chooses the next one.
 func (r *Reader) readOnce(ctx context.Context) error {
-	requestedAt := clock.Boottime()
+	requestedAt := r.config.Now()
 	begunAt := time.Now()
 	a, err := r.call(ctx)
 	if err != nil {
@@ -178,7 +192,7 @@
 }
 
 func (r *Reader) get(ctx context.Context) (answer, error) {
-	scan, err := r.rows.Scan(ctx, r.row.Table, r.row.Part, r.row.Key)
+	scan, err := r.config.Rows.Scan(ctx, r.config.Row.Table, r.config.Row.Part, r.config.Row.Key)
 	if err != nil {
 		return answer{}, err
 	}
@@ -189,8 +203,8 @@
 // another version than the reader has. The answer holds the newest version alone.
 func (r *Reader) getIfChanged(ctx context.Context) (answer, error) {
 	begunAt := time.Now()
-	outcome, err := r.rows.Transact(ctx, table.RowTransaction{
-		Conditions: []table.RowCondition{{RowID: r.row, Version: r.have}},
+	outcome, err := r.config.Rows.Transact(ctx, table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: r.config.Row, Version: r.have}},
 	})
 	if err != nil {
 		return answer{}, err
@@ -205,7 +219,7 @@
 }
 
 func (r *Reader) poll(ctx context.Context) (answer, error) {
-	changes, err := r.rows.Follow(ctx, r.row.Table, r.followed, pollTimeout)
+	changes, err := r.config.Rows.Follow(ctx, r.config.Row.Table, r.followed, pollTimeout)
 	if err != nil {
 		return answer{}, err
 	}
@@ -216,7 +230,7 @@
 func (r *Reader) versionsOf(rows []table.VersionedRow) []table.VersionedRow {
 	var versions []table.VersionedRow
 	for _, row := range rows {
-		if row.RowID == r.row && !row.Deleted {
+		if row.RowID == r.config.Row && !row.Deleted {
 			versions = append(versions, row)
 		}
 	}
@@ -228,14 +242,14 @@
 	for i := len(a.rows) - 1; i >= 0; i-- {
 		row := &a.rows[i]
 		r.have = max(r.have, row.Version)
-		config, isConfig, err := r.decode(*row)
+		config, isConfig, err := r.config.Decode(*row)
 		if err != nil {
-			r.log.Error().Err(err).Uint64("row_version", uint64(row.Version)).Msg("cannot decode the configuration; row skipped")
+			r.config.Log.Error().Err(err).Uint64("row_version", uint64(row.Version)).Msg("cannot decode the configuration; row skipped")
 			continue
 		}
 		if isConfig {
-			r.apply(config)
-			r.record(config, row.Version, &a.transfer, clock.Boottime()-requestedAt)
+			r.config.Apply(config)
+			r.record(config, row.Version, &a.transfer, r.config.Now()-requestedAt)
 			return
 		}
 	}
@@ -243,9 +257,9 @@
 
 // record logs what was applied, and how the answer that held it was received.
 func (r *Reader) record(config *carobkeel.QueueConfig, rowVersion table.Version, t *table.Transfer, age time.Duration) {
-	r.metrics.Version.Update(float64(config.Version))
-	r.metrics.Transfer.RecordDuration(t.Receiving)
-	r.log.Info().Uint64("version", uint64(config.Version)).Int("queues", len(config.Queues)).
+	r.config.Metrics.Version.Update(float64(config.Version))
+	r.config.Metrics.Transfer.RecordDuration(t.Receiving)
+	r.config.Log.Info().Uint64("version", uint64(config.Version)).Int("queues", len(config.Queues)).
 		Int("left_out", config.LeftOut).Stringer("read", r.read).Uint64("row_version", uint64(rowVersion)).
 		Int64("store_ms", t.ServiceTime.Milliseconds()).Int("bytes", t.Bytes).Dur("first_byte", t.FirstByte).
 		Dur("transfer", t.Receiving).Dur("age", age).Msg("configuration applied")
--- a/operator/configuration/reader_test.go
+++ b/operator/configuration/reader_test.go
@@ -18,7 +18,10 @@
 var testRow = table.RowID{Table: "op", Key: "config"}
 
 func newTestReader(rows table.Rows, decode configuration.Decode, apply func(*carobkeel.QueueConfig)) *configuration.Reader {
-	return configuration.NewReader(rows, testRow, decode, apply, configuration.NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+	return configuration.NewReader(configuration.Config{
+		Rows: rows, Row: testRow, Decode: decode, Apply: apply, Metrics: configuration.NewMetrics(tally.NoopScope),
+		Log: logging.Discard().For("test"),
+	})
 }
 
 // slowRows takes a second for each version of a row that it returns, while two more are
