Run a job by its own configuration where that is newer than the holder's

Callers would see: a job that is run by the service of an older configuration, though it was sent after the change was in force at the entry that took it.

Cause: the holder took its own settings of a queue over those that the entry had stored with the job, also where its configuration was the older one, as it is while it reads a large version or after a takeover.

Change: a job keeps the version of the configuration by which it was accepted, and the holder uses its own settings only if they are not older.

Evidence: TestJobRunsByTheNewerOfTheHoldersAndItsOwnConfiguration: 2 of 4 cases failed before.

--- a/job.go
+++ b/job.go
@@ -137,6 +137,8 @@
 type JobSpec struct {
 	ID    JobID
 	Queue Queue
+	// ConfigVersion is the version of the configuration that Queue is of.
+	ConfigVersion Revision
 	// Payload is passed to every task.
 	Payload string
 	Steps   []Step
--- a/scheduler/dispatch/configuration_test.go
+++ b/scheduler/dispatch/configuration_test.go
@@ -40,3 +40,32 @@
 		g.Expect(sim.record.Starts[task]).To(BeNumerically(">=", 12), "a start a second or more")
 	}
 }
+
+// Guards against CONFIG: a holder that gets a configuration later than an entry runs a job by
+// the older one.
+func TestJobRunsByTheNewerOfTheHoldersAndItsOwnConfiguration(t *testing.T) {
+	moved := testQueue(0, 3)
+	moved.Service = "other"
+	for _, c := range []struct {
+		name               string
+		accepted, holders  carobkeel.Revision
+		atAcceptance, held carobkeel.Queue
+		want               int
+	}{
+		{"accepted by the newer one", 2, 1, testQueue(0, 3), moved, 1},
+		{"accepted by the older one", 1, 2, testQueue(0, 3), moved, 0},
+		{"accepted by the older one, moved here", 1, 2, moved, testQueue(0, 3), 1},
+		{"moved away by the newer one", 2, 1, moved, testQueue(0, 3), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := startedSimulation(8000)
+			sim.holders[0].core.SetQueues(&carobkeel.QueueConfig{Version: c.holders, Queues: []carobkeel.Queue{c.held}})
+			job := &carobkeel.JobSpec{
+				ID: "000000000000000a", Queue: c.atAcceptance, ConfigVersion: c.accepted, Steps: []carobkeel.Step{step(1, 1000)},
+			}
+			sim.accept(job)
+			sim.run(500 * time.Millisecond)
+			NewWithT(t).Expect(sim.record.Starts[carobkeel.TaskName{Job: job.ID}]).To(Equal(c.want))
+		})
+	}
+}
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -184,13 +184,15 @@
 	}
 }
 
-// queueOf returns the current settings of a job's queue. If the queue has been
-// removed, it returns the settings from the job's acceptance.
+// queueOf returns the current settings of a job's queue. If the queue has been removed, or
+// the job was accepted by a newer configuration than the core has, it returns the
+// settings from the job's acceptance.
 func (c *Core) queueOf(j *job) *carobkeel.Queue {
-	if q := c.queueByName[j.spec.Queue.Name]; q != nil {
-		return q
+	q := c.queueByName[j.spec.Queue.Name]
+	if q == nil || c.queues.Version < j.spec.ConfigVersion {
+		return &j.spec.Queue
 	}
-	return &j.spec.Queue
+	return q
 }
 
 // Advance sets the time and handles leases that have expired by then.
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -89,6 +89,8 @@
 		Payload:     j.Payload,
 		Repeats:     j.Repeats,
 		Period:      toMillis(j.Period),
+
+		ConfigVersion: uint64(j.ConfigVersion),
 	}
 	if a := j.Queue.Advice; a != nil {
 		row.Advice = &Advice{Decision: toMillis(a.BaseDelay), Interval: toMillis(a.DelayPerWorker), Validity: toMillis(a.Validity)}
@@ -121,9 +123,10 @@
 			Service: carobkeel.Service(r.Service), Priority: r.Priority, MaxAttempts: r.MaxAttempts,
 			SlowdownFactor: r.Stretch, Objective: fromMillis(r.Objective),
 		},
-		Payload: r.Payload,
-		Repeats: r.Repeats,
-		Period:  fromMillis(r.Period),
+		ConfigVersion: carobkeel.Revision(r.ConfigVersion),
+		Payload:       r.Payload,
+		Repeats:       r.Repeats,
+		Period:        fromMillis(r.Period),
 	}
 	if a := r.Advice; a != nil {
 		j.Queue.Advice = &carobkeel.AdvicePolicy{
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -49,6 +49,8 @@
 	Repeats   int     `msg:"r"`
 	First     int64   `msg:"f"`
 	Period    int64   `msg:"pe"`
+	// ConfigVersion is that of the configuration by which the job was accepted.
+	ConfigVersion uint64 `msg:"v"`
 }
 
 // Advice is the encoding of a carobkeel.AdvicePolicy. Times are in milliseconds.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -422,9 +422,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JobRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "q"
-	o = append(o, 0x8e, 0xa1, 0x71)
+	o = append(o, 0x8f, 0xa1, 0x71)
 	o = msgp.AppendString(o, z.Queue)
 	// string "qh"
 	o = append(o, 0xa2, 0x71, 0x68)
@@ -480,6 +480,9 @@
 	// string "pe"
 	o = append(o, 0xa2, 0x70, 0x65)
 	o = msgp.AppendInt64(o, z.Period)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.ConfigVersion)
 	return
 }
 
@@ -637,6 +640,12 @@
 				err = msgp.WrapError(err, "Period")
 				return
 			}
+		case "v":
+			z.ConfigVersion, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigVersion")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -661,7 +670,7 @@
 	for za0001 := range z.Steps {
 		s += z.Steps[za0001].Msgsize()
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 3 + msgp.Int64Size
+	s += 2 + msgp.IntSize + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -79,6 +79,8 @@
 					BaseDelay: millis(t, "decision"), DelayPerWorker: millis(t, "interval"), Validity: millis(t, "validity"),
 				},
 			},
+			ConfigVersion: carobkeel.Revision(rapid.Uint64().Draw(t, "version")),
+
 			Payload: rapid.String().Draw(t, "payload"),
 			Repeats: rapid.IntRange(0, 9).Draw(t, "repeats"),
 			Period:  millis(t, "period"),
