Let a reader of the configuration back off where feed or transactions fail

Callers would see: an entry that reads its configuration up to 34 times a second while the store keeps no history or refuses transactions without writes, beside their own requests.

Cause: each read that succeeded set the pause back, also where it was the fallback for a call that failed. After a slow read the reader went on to the call that had failed.

Change: only a poll of the feed that succeeds sets the pause back, and after a read that follows a refused transaction the feed is polled.

Evidence: TestTableThatAnswersOddlyIsNotReadInATightLoop failed in 5 of 5 cases: 331 to 344 reads of the row in 10 s, or 670 calls.

--- a/operator/configuration/reader.go
+++ b/operator/configuration/reader.go
@@ -63,6 +63,10 @@
 
 	// read is the next call.
 	read readKind
+	// failing reports that a call failed since the last poll that succeeded.
+	failing bool
+	// ifChangedFailed reports that the last call of that kind failed.
+	ifChangedFailed bool
 	// have is the version of the row that was read last, zero if there was none.
 	have table.Version
 	// followed is the version from which the feed is polled.
@@ -104,26 +108,36 @@
 // Run follows the configuration until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
 	go r.updateAge(ctx)
-	pause, failing := newPause(), false
+	pause := newPause()
 	for ctx.Err() == nil {
+		kind := r.read
 		err := r.readOnce(ctx)
-		if err == nil {
-			if failing {
-				r.config.Log.Info().Msg("reading the configuration again")
-			}
-			pause.Reset()
-			failing = false
+		if err != nil {
+			r.failed(ctx, err)
+			_ = clock.Sleep(ctx, pause.NextBackOff()) // the loop ends when ctx does
 			continue
 		}
-		if !failing && ctx.Err() == nil {
-			r.config.Log.Warn().Stringer("read", r.read).Err(err).Msg("failed to read the configuration")
+		if kind != pollFeed {
+			continue // the feed may still be away
+		}
+		pause.Reset()
+		if r.failing {
+			r.config.Log.Info().Msg("following the configuration again")
 		}
-		failing = true
-		r.read = afterFailure(r.read, err)
-		_ = clock.Sleep(ctx, pause.NextBackOff()) // the loop ends when ctx does
+		r.failing = false
 	}
 }
 
+// failed logs the first of several failures and chooses the next call.
+func (r *Reader) failed(ctx context.Context, err error) {
+	if !r.failing && ctx.Err() == nil {
+		r.config.Log.Warn().Stringer("read", r.read).Err(err).Msg("failed to read the configuration")
+	}
+	r.failing = true
+	r.ifChangedFailed = r.ifChangedFailed || r.read == readIfChanged
+	r.read = afterFailure(r.read, err)
+}
+
 // afterFailure returns the call to make after a failed one. The feed may hold several
 // versions by then. An answer to readIfChanged may be lost where one to readRow isn't.
 func afterFailure(failed readKind, err error) readKind {
@@ -175,10 +189,14 @@
 
 // nextRead returns the call to make after an answer.
 func (r *Reader) nextRead(a *answer) readKind {
-	if len(a.rows) > 1 || len(a.rows) == 1 && a.transfer.Receiving > maxQuickRead {
-		return readIfChanged
+	if r.read == readIfChanged {
+		r.ifChangedFailed = false
+	}
+	mayBeBehind := len(a.rows) > 1 || len(a.rows) == 1 && a.transfer.Receiving > maxQuickRead
+	if !mayBeBehind || r.read == readRow && r.ifChangedFailed {
+		return pollFeed
 	}
-	return pollFeed
+	return readIfChanged
 }
 
 func (r *Reader) call(ctx context.Context) (answer, error) {
--- a/operator/configuration/reader_test.go
+++ b/operator/configuration/reader_test.go
@@ -69,14 +69,63 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		worst := time.Duration(0)
-		decode := func(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error) {
-			return &carobkeel.QueueConfig{Version: carobkeel.Revision(row.Version)}, true, nil
-		}
 		apply := func(config *carobkeel.QueueConfig) {
 			behind := rows.newest - table.Version(config.Version)
 			worst = max(worst, time.Duration(behind)*time.Second/2)
 		}
-		newTestReader(rows, decode, apply).Run(ctx)
+		newTestReader(rows, decodeVersion, apply).Run(ctx)
 		g.Expect(worst).To(BeNumerically("<=", 3*time.Second))
 	})
 }
+
+// oddRows is a table with a single row, whose feed or whose transactions fail.
+type oddRows struct {
+	table.Rows
+	followErr, transactErr error
+	scans, others          int
+}
+
+func (r *oddRows) Scan(context.Context, string, string, string) (table.RowScan, error) {
+	r.scans++
+	return table.RowScan{
+		Rows: []table.VersionedRow{{RowID: testRow, Version: 3}}, Version: 5, Transfer: table.Transfer{Receiving: time.Second},
+	}, nil
+}
+
+func (r *oddRows) Transact(context.Context, table.RowTransaction) (table.RowOutcome, error) {
+	r.others++
+	return table.RowOutcome{Applied: true}, r.transactErr
+}
+
+func (r *oddRows) Follow(ctx context.Context, _ string, after table.Version, wait time.Duration) (table.RowChanges, error) {
+	r.others++
+	if r.followErr == nil {
+		time.Sleep(wait)
+	}
+	return table.RowChanges{Next: after}, r.followErr
+}
+
+func TestTableThatAnswersOddlyIsNotReadInATightLoop(t *testing.T) {
+	for name, rows := range map[string]*oddRows{
+		"no history":              {followErr: table.ErrHistoryLost},
+		"feed away":               {followErr: table.ErrUnavailable},
+		"transactions refused":    {transactErr: table.ErrInvalid},
+		"neither":                 {followErr: table.ErrUnavailable, transactErr: table.ErrInvalid},
+		"neither, and no history": {followErr: table.ErrHistoryLost, transactErr: table.ErrUnsettled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				newTestReader(rows, decodeVersion, func(*carobkeel.QueueConfig) {}).Run(ctx)
+				g := NewWithT(t)
+				g.Expect(rows.scans).To(BeNumerically("<", 50), "reads of the whole row in 10 s")
+				g.Expect(rows.others).To(BeNumerically("<", 100))
+			})
+		})
+	}
+}
+
+func decodeVersion(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error) {
+	return &carobkeel.QueueConfig{Version: carobkeel.Revision(row.Version)}, true, nil
+}
