Read the configuration's row where an answer says that it changed and lacks it

Callers would see: 404 for an acknowledged route, for ever. Not seen: the platform's store sends the row. Found in a review of the reader of this work, before it landed.

Cause: a refused transaction without the row counted as 'not changed'.

Change: it is a failed call, after which the row itself is read.

Evidence: TestChangedRowThatIsMissingInAnAnswerIsRead reads version 3 in place of 4 without the check.

--- a/operator/configuration/reader.go
+++ b/operator/configuration/reader.go
@@ -29,6 +29,9 @@
 	ageInterval = 5 * time.Second
 )
 
+// errNoRow means that the row has changed and that the answer does not hold it.
+var errNoRow = errors.New("changed row is not in the answer")
+
 // Decode decodes a row. The second result is false if the row holds no configuration.
 type Decode func(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error)
 
@@ -227,13 +230,17 @@
 	if err != nil {
 		return answer{}, err
 	}
+	if outcome.Applied {
+		return answer{}, nil
+	}
 	rows := r.versionsOf(outcome.Current)
-	a := answer{rows: rows, transfer: table.Transfer{Receiving: time.Since(begunAt)}}
-	if len(rows) > 0 {
-		a.followed = rows[0].Version
-		a.transfer.Bytes = len(rows[0].Value)
+	if len(rows) == 0 {
+		return answer{}, errNoRow
 	}
-	return a, nil
+	return answer{
+		rows: rows, followed: rows[0].Version,
+		transfer: table.Transfer{Receiving: time.Since(begunAt), Bytes: len(rows[0].Value)},
+	}, nil
 }
 
 func (r *Reader) poll(ctx context.Context) (answer, error) {
--- a/operator/configuration/reader_test.go
+++ b/operator/configuration/reader_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// changedRows is a table whose row changes once, which transactions report without the row.
+type changedRows struct{ oddRows }
+
+func (r *changedRows) Scan(context.Context, string, string, string) (table.RowScan, error) {
+	r.scans++
+	version := table.Version(2 + r.scans)
+	return table.RowScan{
+		Rows: []table.VersionedRow{{RowID: testRow, Version: version}}, Version: version, Transfer: table.Transfer{Receiving: time.Second},
+	}, nil
+}
+
+func (r *changedRows) Transact(context.Context, table.RowTransaction) (table.RowOutcome, error) {
+	return table.RowOutcome{}, nil
+}
+
+func TestChangedRowThatIsMissingInAnAnswerIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		newest := carobkeel.Revision(0)
+		newTestReader(&changedRows{}, decodeVersion, func(config *carobkeel.QueueConfig) { newest = config.Version }).Run(ctx)
+		NewWithT(t).Expect(newest).To(Equal(carobkeel.Revision(4)))
+	})
+}
+
 func decodeVersion(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error) {
 	return &carobkeel.QueueConfig{Version: carobkeel.Revision(row.Version)}, true, nil
 }
