Split the calls of the configuration's reader from its loop

Moves and two names alone, rowVersion and feedVersion: no constant, expression, message or metric changes.

--- a/operator/configuration/reader.go
+++ b/operator/configuration/reader.go
@@ -29,9 +29,6 @@
 	ageInterval = 5 * time.Second
 )
 
-// errNoRow means that the row has changed and that the answer does not hold it.
-var errNoRow = errors.New("changed row is not in the answer")
-
 // Decode decodes a row. The second result is false if the row holds no configuration.
 type Decode func(row table.VersionedRow) (*carobkeel.QueueConfig, bool, error)
 
@@ -70,29 +67,12 @@
 	failing bool
 	// ifChangedFailed reports that the last call of that kind failed.
 	ifChangedFailed bool
-	// have is the version of the row that was read last, zero if there was none.
-	have table.Version
-	// followed is the version from which the feed is polled.
-	followed table.Version
+	// rowVersion is the version of the row that was read last, zero if there was none.
+	rowVersion table.Version
+	// feedVersion is the version from which the feed is polled.
+	feedVersion table.Version
 }
 
-// readKind is a way to read the configuration.
-type readKind uint8
-
-const (
-	// readRow reads the row.
-	readRow readKind = iota
-	// readIfChanged reads the row if it has another version than the reader has.
-	readIfChanged
-	// pollFeed waits for a change.
-	pollFeed
-)
-
-var readNames = [...]string{readRow: "row", readIfChanged: "if changed", pollFeed: "feed"}
-
-// String returns the name of the kind in logs.
-func (k readKind) String() string { return readNames[k] }
-
 // NewReader returns a reader. Use Run.
 func NewReader(config Config) *Reader {
 	if config.Now == nil {
@@ -105,7 +85,7 @@
 
 // Age returns the time since the last call was sent whose answer confirmed the
 // configuration in force, or since the reader was made. No version that was stored longer
-// ago is missing.
+// ago is missing, but for one that can't be decoded.
 func (r *Reader) Age() time.Duration { return r.config.Now() - time.Duration(r.confirmedAt.Load()) }
 
 // Run follows the configuration until ctx is done.
@@ -162,15 +142,6 @@
 	}
 }
 
-// answer is the result of one call.
-type answer struct {
-	// rows are the versions of the row in the answer, the newest last.
-	rows []table.VersionedRow
-	// followed is the version from which the feed is polled next.
-	followed table.Version
-	transfer table.Transfer
-}
-
 // readOnce makes one call, applies what it returns and chooses the next one.
 func (r *Reader) readOnce(ctx context.Context) error {
 	requestedAt := r.config.Now()
@@ -179,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	r.followed = max(r.followed, a.followed)
+	r.feedVersion = max(r.feedVersion, a.feedVersion)
 	r.applyNewest(&a, requestedAt)
 	r.confirmedAt.Store(int64(requestedAt))
 	kind := r.read
@@ -202,71 +173,11 @@
 	return readIfChanged
 }
 
-func (r *Reader) call(ctx context.Context) (answer, error) {
-	switch r.read {
-	case pollFeed:
-		return r.poll(ctx)
-	case readIfChanged:
-		return r.getIfChanged(ctx)
-	}
-	return r.get(ctx)
-}
-
-func (r *Reader) get(ctx context.Context) (answer, error) {
-	scan, err := r.config.Rows.Scan(ctx, r.config.Row.Table, r.config.Row.Part, r.config.Row.Key)
-	if err != nil {
-		return answer{}, err
-	}
-	return answer{rows: r.versionsOf(scan.Rows), followed: scan.Version, transfer: scan.Transfer}, nil
-}
-
-// getIfChanged reads the row by a transaction that writes nothing and fails if the row has
-// another version than the reader has. The answer holds the newest version alone.
-func (r *Reader) getIfChanged(ctx context.Context) (answer, error) {
-	begunAt := time.Now()
-	outcome, err := r.config.Rows.Transact(ctx, table.RowTransaction{
-		Conditions: []table.RowCondition{{RowID: r.config.Row, Version: r.have}},
-	})
-	if err != nil {
-		return answer{}, err
-	}
-	if outcome.Applied {
-		return answer{}, nil
-	}
-	rows := r.versionsOf(outcome.Current)
-	if len(rows) == 0 {
-		return answer{}, errNoRow
-	}
-	return answer{
-		rows: rows, followed: rows[0].Version,
-		transfer: table.Transfer{Receiving: time.Since(begunAt), Bytes: len(rows[0].Value)},
-	}, nil
-}
-
-func (r *Reader) poll(ctx context.Context) (answer, error) {
-	changes, err := r.config.Rows.Follow(ctx, r.config.Row.Table, r.followed, pollTimeout)
-	if err != nil {
-		return answer{}, err
-	}
-	return answer{rows: r.versionsOf(changes.Rows), followed: changes.Next, transfer: changes.Transfer}, nil
-}
-
-// versionsOf returns the versions of the row among rows.
-func (r *Reader) versionsOf(rows []table.VersionedRow) []table.VersionedRow {
-	var versions []table.VersionedRow
-	for _, row := range rows {
-		if row.RowID == r.config.Row && !row.Deleted {
-			versions = append(versions, row)
-		}
-	}
-	return versions
-}
-
 // applyNewest applies the newest version in an answer that can be decoded.
 func (r *Reader) applyNewest(a *answer, requestedAt time.Duration) {
 	for i := len(a.rows) - 1; i >= 0; i-- {
 		row := &a.rows[i]
-		r.have = max(r.have, row.Version)
+		r.rowVersion = max(r.rowVersion, row.Version)
 		config, isConfig, err := r.config.Decode(*row)
 		if err != nil {
 			r.config.Log.Error().Err(err).Uint64("row_version", uint64(row.Version)).Msg("cannot decode the configuration; row skipped")
