Log ends that a worker forgot unread, and runs that begin after they were given up

The holder's log could not tell a run that a worker began late from one of an earlier holder, and said nothing where a worker lists end 10 after end 6.

Change: the decision `ends missed` with a metric, and a detail on `run adopted`. No logic changes. Result: TestEndsThatWereForgottenUnreadAreReported, TestRunThatBeginsAfterItWasGivenUpIsNamedSo.

--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -43,6 +43,9 @@
 	DecidedWorkerShutDown DecisionKind = "worker shut down"
 	// DecidedWorkerRestarted reports a new incarnation of a worker.
 	DecidedWorkerRestarted DecisionKind = "worker restarted"
+	// DecidedEndsMissed reports ends that a worker lists no more although this holder has
+	// not read them.
+	DecidedEndsMissed DecisionKind = "ends missed"
 	// DecidedEarlierIncarnation reports a description of an incarnation that began before
 	// the known one.
 	DecidedEarlierIncarnation DecisionKind = "earlier worker incarnation described"
--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -307,3 +308,29 @@
 	f.store()
 	g.Expect(f.starts()).To(Equal([]int{run + 1}), "an old start can't arrive any more")
 }
+
+// Guards against TWICE that can't be traced: ends that a worker forgot unread leave a line.
+func TestEndsThatWereForgottenUnreadAreReported(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	missed := func(number uint64) []dispatch.Decision {
+		f.listing(dispatch.WorkerListing{Number: number, Requested: number, Ends: []runs.End{{Number: number, Task: f.task, Run: 99}}})
+		return slices.DeleteFunc(f.core.Finish().Decisions, func(d dispatch.Decision) bool { return d.Kind != dispatch.DecidedEndsMissed })
+	}
+	g.Expect(missed(6)).To(BeEmpty(), "an earlier holder has read the ends before")
+	g.Expect(missed(10)).To(ConsistOf(HaveField("Detail", "7 to 9")))
+	f.incarnation = runs.Incarnation{ID: "w", StartedAtMs: 2000}
+	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
+	g.Expect(missed(2)).To(ConsistOf(HaveField("Detail", "1 to 1")), "the next incarnation numbers its ends anew")
+}
+
+func TestRunThatBeginsAfterItWasGivenUpIsNamedSo(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultUnhealthy, 1)
+	f.core.Finish()
+	f.list(2, 2, run)
+	g.Expect(f.core.Finish().Decisions).To(ContainElement(And(
+		HaveField("Kind", dispatch.DecidedRunAdopted), HaveField("Detail", "given up before"))))
+}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -131,12 +131,15 @@
 func (c *Core) nextRun(t *task) int {
 	previousMax := 0
 	if t.job().inherited {
-		previousMax = int(c.config.Epoch-1) * runsPerEpoch
+		previousMax = c.inheritedRuns()
 	}
 	t.lastRun = max(t.lastRun, previousMax) + 1
 	return t.lastRun
 }
 
+// inheritedRuns returns the highest number that a run of an earlier epoch can have.
+func (c *Core) inheritedRuns() int { return int(c.config.Epoch-1) * runsPerEpoch }
+
 // AddJob adds an accepted job. Inherited reports that it was accepted before
 // this epoch began. A job that is already known is not changed.
 func (c *Core) AddJob(spec *carobkeel.JobSpec, inherited bool) {
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -72,7 +74,8 @@
 	if end.Number <= w.lastEnd {
 		return
 	}
-	w.lastEnd = end.Number
+	c.reportMissedEnds(w, end.Number)
+	w.lastEnd, w.followsEnds = end.Number, true
 	w.stall.lastProgress = c.now.Monotonic
 	t := c.task(end.Task)
 	c.applyEnd(w, t, end)
@@ -83,6 +86,15 @@
 	w.pendingEnds = append(w.pendingEnds, pending)
 }
 
+// reportMissedEnds reports a gap before the end with the given number. Ends are numbered
+// without gaps, and are listed until this holder has had them acknowledged.
+func (c *Core) reportMissedEnds(w *workerState, number uint64) {
+	if !w.followsEnds || number == w.lastEnd+1 {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedEndsMissed, Host: w.host, Detail: fmt.Sprintf("%d to %d", w.lastEnd+1, number-1)})
+}
+
 // applyEnd updates the run and the task after an end. The task is nil if it is
 // unknown.
 func (c *Core) applyEnd(w *workerState, t *task, end runs.End) {
@@ -158,6 +170,7 @@
 func (c *Core) adopt(w *workerState, running runs.Running) *runState {
 	t := c.task(running.Task)
 	needed := t != nil && t.isWaiting() && !c.isFinal(t.job())
+	detail := c.explainUnknownRun(t, running.Run)
 	r := c.reserve(w, t, running.Task, running.Run)
 	r.phase = runConfirmed
 	r.adopted = true
@@ -169,13 +182,27 @@
 			c.publishState(t.job(), carobkeel.JobActive)
 		}
 	}
-	c.recordDecision(Decision{Kind: DecidedRunAdopted, Task: running.Task, Run: running.Run, Host: w.host})
+	c.recordDecision(Decision{Kind: DecidedRunAdopted, Task: running.Task, Run: running.Run, Host: w.host, Detail: detail})
 	if !needed {
 		c.stop(r, "not needed")
 	}
 	return r
 }
 
+// explainUnknownRun returns why a worker may list a run of the task that this holder does
+// not know, for the log: it began after this holder had given it up, or under an earlier one.
+func (c *Core) explainUnknownRun(t *task, run int) string {
+	switch {
+	case t == nil:
+		return "unknown task"
+	case run > t.lastRun || (t.job().inherited && run <= c.inheritedRuns()):
+		return "of an earlier holder"
+	case t.done:
+		return "given up before, and the task is done"
+	}
+	return "given up before"
+}
+
 // releaseMissing releases runs that are missing from a full listing although
 // the worker should list them. A run is released only by a listing that was requested
 // after the last message that could have started it.
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -50,7 +50,10 @@
 	sharing *sharingState
 	// lastEnd is the number of the last end handled, and pendingEnds are the
 	// ends whose effects are not durable yet.
-	lastEnd     uint64
+	lastEnd uint64
+	// followsEnds reports that this holder has read the incarnation's ends from the first
+	// one, or from one that an earlier holder left to it.
+	followsEnds bool
 	pendingEnds []pendingEnd
 	// acknowledged is the number up to which the effects of ends are durable.
 	acknowledged uint64
@@ -137,7 +140,8 @@
 
 func (c *Core) replaceIncarnation(w *workerState, d runs.Description) {
 	w.earlier = nil
-	if w.description.ID != "" {
+	known := w.description.ID != ""
+	if known {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.endIncarnation(w, d)
 		c.dropRecord(w.description.Incarnation)
@@ -147,6 +151,7 @@
 	w.listed = false
 	w.recorded = c.recordedIncarnations[d.Incarnation]
 	w.lastEnd, w.pendingEnds, w.acknowledged = 0, nil, 0
+	w.followsEnds = known
 	w.health = health{}
 	w.stall = stallState{lastProgress: c.now.Monotonic}
 	w.control = paceControl{}
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -46,6 +46,7 @@
 			dispatch.DecidedLinkLost:          scope.Counter("links_lost"),
 			dispatch.DecidedWorkerUnreachable: scope.Counter("workers_unreachable"),
 			dispatch.DecidedWorkerRestarted:   scope.Counter("workers_replaced"),
+			dispatch.DecidedEndsMissed:        scope.Counter("ends_missed"),
 			dispatch.DecidedWorkerQuarantined: scope.Counter("workers_set_aside"),
 			dispatch.DecidedWorkerDraining:    scope.Counter("workers_draining"),
 			dispatch.DecidedLeaseExpired:      scope.Counter("leases_lapsed"),
