Refuse calls that were sent to an earlier incarnation of a worker

A start that got no answer began in the worker's next incarnation, seconds after its run was done or stopped; a late request for a listing took away ends that nobody had read.

Cause: a worker that restarts under its ID knows nothing of before, and a call names the ID only. The fence was the holder's epoch, so calls to the earlier incarnation had the same one as calls to the next. The class is that of a permission without the incarnation that it was meant for.

Change: the sidecar numbers its calls in generations below the epoch and raises the generation whenever another incarnation may have begun: a new heartbeat, a listing without an answer, a denial, a new process. While the worker has not listed in the generation, no end is acknowledged and no lease requested, as numbers and clock may be those of another incarnation. The first listing after a failed one is requested at once. An order that a later generation overtook is sent again.

Holder rows count as odd from an epoch of 2^20 on, so that a token is exact as a number.

--- a/scheduler/dispatch/drawn_days_test.go
+++ b/scheduler/dispatch/drawn_days_test.go
@@ -267,7 +267,7 @@
 // once or, if it was scaled in, some time later.
 func (d *disturbance) shutDown(s *host) {
 	d.sim.holders[0].core.WorkerShutDown(s.name, s.worker.Description().Incarnation)
-	s.worker.Crash()
+	s.crash()
 	if d.between(0, 1) == 0 {
 		d.removed[s.name] = true
 		s.partitioned = true
@@ -292,7 +292,7 @@
 	}
 	s.setFault(faultKind(d.between(int(failing), int(isolated))))
 	if d.random.IntN(5) == 0 {
-		s.worker.Crash()
+		s.crash()
 	}
 	d.check.lastFault = d.sim.now
 }
--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -112,7 +112,7 @@
 }
 
 func (s *modelSidecar) envelope() runs.Envelope {
-	e := runs.Envelope{Incarnation: s.described.Incarnation, Epoch: modelEpoch}
+	e := runs.Envelope{Incarnation: s.described.Incarnation, Fence: runs.Fence{Epoch: modelEpoch}}
 	if s.unresponsive || s.holder.Confirmed < s.extendsFrom {
 		return e
 	}
--- a/scheduler/dispatch/faults_test.go
+++ b/scheduler/dispatch/faults_test.go
@@ -110,7 +110,7 @@
 	case 6:
 		s.partitioned = !s.partitioned
 	case 7:
-		s.worker.Crash()
+		s.crash()
 	case 8:
 		sim.store.unavailable = !sim.store.unavailable
 	case 9:
--- a/scheduler/dispatch/longrunning_test.go
+++ b/scheduler/dispatch/longrunning_test.go
@@ -154,7 +154,7 @@
 	case 7:
 		s.partitioned = !s.partitioned
 	case 8:
-		s.worker.Crash()
+		s.crash()
 		s.workerDown = false
 	case 9:
 		s.endWorker()
--- a/scheduler/dispatch/shutdown_test.go
+++ b/scheduler/dispatch/shutdown_test.go
@@ -22,7 +22,7 @@
 		left = sim.workers[name]
 	}
 	sim.holders[0].core.WorkerShutDown(left.name, left.worker.Description().Incarnation)
-	left.worker.Crash()
+	left.crash()
 	left.departed = true
 	sim.run(time.Second)
 	g.Expect(sim.hostsOf(job)).To(HaveLen(1))
--- a/scheduler/dispatch/simulation_hosts_test.go
+++ b/scheduler/dispatch/simulation_hosts_test.go
@@ -18,11 +18,12 @@
 
 // host is a worker with its sidecar.
 type host struct {
-	name        string
-	worker      *standin.Worker
-	holder      gate.Holder
-	clock       gate.Clock
-	incarnation runs.Incarnation
+	name   string
+	worker *standin.Worker
+	holder gate.Holder
+	clock  gate.Clock
+	// state is the sidecar's record of the worker.
+	state       gate.Worker
 	listing     uint64
 	acked       map[runs.Incarnation]uint64
 	partitioned bool
@@ -63,7 +64,8 @@
 // restartSidecar replaces the process of a host's sidecar by one that has the first
 // heartbeat of its worker at the given time.
 func (sim *simulation) restartSidecar(s *host, heartbeatAt time.Duration) {
-	s.holder, s.clock, s.incarnation = gate.Holder{}, gate.Clock{}, runs.Incarnation{}
+	s.holder, s.clock = gate.Holder{}, gate.Clock{}
+	s.state = gate.Worker{Generation: s.state.Suspect(time.Time{}).Generation} // it rises with the time of day
 	s.listing, s.requestedLease = 0, 0
 	s.process++
 	s.acked = make(map[runs.Incarnation]uint64)
@@ -71,9 +73,30 @@
 	s.linked, s.unlinkedAt, s.described = nil, 0, nil
 }
 
+// crash replaces the worker by its next incarnation. The sidecar has its heartbeat, and lists
+// its runs, before any call to the earlier one is carried out late.
+func (s *host) crash() {
+	s.worker.Crash()
+	s.describe()
+	_, _, _ = s.worker.List(context.Background(), runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: s.fence(s.holder.Epoch)}, 0, 0)
+}
+
+// describe has the sidecar know the present incarnation of its worker.
+func (s *host) describe() {
+	d := s.worker.Description()
+	if s.state.Description == nil || s.state.Description.Incarnation != d.Incarnation {
+		s.clock, s.requestedLease = gate.Clock{}, 0
+	}
+	s.state = s.state.Describe(&d, time.Time{})
+}
+
+func (s *host) fence(epoch carobkeel.Epoch) runs.Fence {
+	return runs.Fence{Epoch: epoch, Generation: s.state.Generation}
+}
+
 // endWorker ends a worker without a successor.
 func (s *host) endWorker() {
-	s.worker.Crash()
+	s.crash()
 	s.workerDown = true
 }
 
@@ -153,10 +176,8 @@
 	if s.departed || !sim.reportsWorker(h, s) {
 		return
 	}
-	d := s.worker.Description()
-	if s.incarnation != d.Incarnation {
-		s.incarnation, s.clock, s.requestedLease = d.Incarnation, gate.Clock{}, 0
-	}
+	s.describe()
+	d := *s.state.Description
 	s.described = &d
 	h.core.DescribeWorker(s.name, d)
 	s.listing++
@@ -176,7 +197,7 @@
 func (s *host) envelope(epoch carobkeel.Epoch) runs.Envelope {
 	deadline := gate.LeaseDeadline(s.holder, s.clock, testLease)
 	s.requestedLease = max(s.requestedLease, deadline)
-	return runs.Envelope{Incarnation: s.worker.Description().Incarnation, Epoch: epoch, Deadline: deadline}
+	return runs.Envelope{Incarnation: s.worker.Description().Incarnation, Fence: s.fence(epoch), Deadline: deadline}
 }
 
 // order carries out an order immediately or after the simulation's delay.
@@ -230,7 +251,7 @@
 		if sim.broken.withoutFencing {
 			known.Epoch = h.epoch
 		}
-		if result := gate.AdmitOrder(known, h.epoch, &d, o.Incarnation); result != runs.ResultOK {
+		if result := gate.AdmitOrder(known, h.epoch, gate.Worker{Description: &d}, o.Incarnation); result != runs.ResultOK {
 			sim.answer(h, s, o, result)
 			return
 		}
@@ -246,7 +267,7 @@
 	envelope := s.envelope(h.epoch)
 	envelope.Incarnation = o.Incarnation
 	if sim.broken.withoutFencing {
-		envelope.Epoch = sim.store.epoch
+		envelope.Fence.Epoch = sim.store.epoch
 	}
 	send := func() runs.Answer {
 		var answer runs.Answer
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -113,7 +113,7 @@
 	sim := newSimulation(8000, 8000)
 	h, lost := isolateWorkerAndReplaceHolder(g, sim)
 	left := lost.worker.Description().Incarnation
-	lost.worker.Crash()
+	lost.crash()
 	h.core.WorkerShutDown(lost.name, left)
 	sim.run(500 * time.Millisecond)
 	g.Expect(countReachableRuns(sim)).To(Equal(1))
@@ -191,7 +191,7 @@
 	sim.store.unavailable = true
 	sim.takeOver()
 	sim.run(time.Second)
-	sim.workers["host-0"].worker.Crash()
+	sim.workers["host-0"].crash()
 	sim.run(time.Second)
 	sim.store.unavailable = false
 	sim.run(time.Second)
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -24,8 +24,8 @@
 	// to read the same rows.
 	takeoverTimeout = 15 * time.Second
 	// maxEpoch bounds the epoch of a holder row, so that the run numbers of its epoch
-	// don't overflow.
-	maxEpoch = 1 << 40
+	// and its fences don't overflow.
+	maxEpoch = 1 << 20
 )
 
 // considerTakeover starts a takeover if one is due.
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -45,12 +45,13 @@
 	// started is when this process was started.
 	started time.Duration
 
-	// holder, description and clock are immutable snapshots that are replaced as
-	// a unit.
-	holder      atomic.Pointer[gate.Holder]
-	description atomic.Pointer[runs.Description]
-	clock       atomic.Pointer[gate.Clock]
-	seeds       atomic.Pointer[[]string]
+	// holder, state and clock are immutable snapshots that are replaced as a unit.
+	// A call to the worker uses one snapshot of its state, so that what is addressed to
+	// one incarnation never carries the generation of the next.
+	holder atomic.Pointer[gate.Holder]
+	state  atomic.Pointer[gate.Worker]
+	clock  atomic.Pointer[gate.Clock]
+	seeds  atomic.Pointer[[]string]
 	// holderLink is the link to the holder, nil while the holder is unknown.
 	holderLink atomic.Pointer[entryLink]
 	// deadline is the latest end of a lease that was requested, on the worker's
@@ -62,8 +63,6 @@
 	// leftIncarnation is the worker's incarnation that shut down in an orderly
 	// way, nil for none.
 	leftIncarnation atomic.Pointer[runs.Incarnation]
-	// denied is the last incarnation that the worker answered not to be, nil for none.
-	denied atomic.Pointer[runs.Incarnation]
 	// leftOut limits the log lines about rows left out of listings.
 	leftOut logging.RateLimit
 	// unresponsive reports that the worker does not answer, or is not known yet.
@@ -114,6 +113,8 @@
 	}
 	a.SetSeeds(config.Seeds)
 	a.holder.Store(&gate.Holder{})
+	state := gate.NewWorker(time.Now())
+	a.state.Store(&state)
 	a.clock.Store(&gate.Clock{})
 	a.acknowledged.Store(&acknowledgement{})
 	return a
@@ -134,15 +135,26 @@
 // for a description of a draining worker, no start is sent to that worker.
 func (a *Agent) RecordHeartbeat(d runs.Description) {
 	for {
-		old := a.description.Load()
+		state := a.state.Load()
+		old := state.Description
 		if old != nil && old.Incarnation == d.Incarnation && d.Sequence <= old.Sequence {
 			return
 		}
-		if old != nil && d.StartedAtMs < old.StartedAtMs && !a.isDenied(old.Incarnation) && !a.workerIsGone() {
+		if old != nil && d.StartedAtMs < old.StartedAtMs && !state.Denied && !a.workerIsGone() {
 			return // a late heartbeat of an earlier incarnation
 		}
-		if a.description.CompareAndSwap(old, &d) {
-			a.handleHeartbeat(old, &d)
+		if next := state.Describe(&d, time.Now()); a.state.CompareAndSwap(state, &next) {
+			a.handleHeartbeat(old, &next)
+			return
+		}
+	}
+}
+
+// updateState replaces the state of the worker by what change makes of it.
+func (a *Agent) updateState(change func(gate.Worker) gate.Worker) {
+	for {
+		state := a.state.Load()
+		if next := change(*state); next == *state || a.state.CompareAndSwap(state, &next) {
 			return
 		}
 	}
@@ -155,18 +167,14 @@
 	return a.unresponsive.Load() && max(a.leaseRemaining(), a.earlierLeaseRemaining()) <= 0
 }
 
-// isDenied reports whether the worker has answered that it is another incarnation.
-func (a *Agent) isDenied(incarnation runs.Incarnation) bool {
-	denied := a.denied.Load()
-	return denied != nil && *denied == incarnation
-}
-
-func (a *Agent) handleHeartbeat(old, d *runs.Description) {
+func (a *Agent) handleHeartbeat(old *runs.Description, state *gate.Worker) {
+	d := state.Description
 	if old == nil || old.Incarnation != d.Incarnation {
 		a.withdrawn.Clear()
 		a.clock.Store(&gate.Clock{})
 		a.deadline.Store(0)
-		a.log.Info().Str("worker", d.ID).Int64("born", d.StartedAtMs).Msg("first heartbeat of a worker incarnation")
+		a.log.Info().Str("worker", d.ID).Int64("born", d.StartedAtMs).Uint32("generation", uint32(state.Generation)).
+			Msg("first heartbeat of a worker incarnation")
 	}
 	if d.Draining && (old == nil || !old.Draining) {
 		a.log.Info().Str("worker", d.ID).Dur("remaining", d.Remaining).Msg("worker draining")
@@ -180,16 +188,22 @@
 // Deregister records that the worker shuts down in an orderly way. The worker exits
 // once it has returned, so the last ends are listed before.
 func (a *Agent) Deregister(id string) {
-	d := a.description.Load()
+	state := a.state.Load()
+	d := state.Description
 	if d == nil || d.ID != id {
 		return
 	}
 	if holderLink := a.holderLink.Load(); holderLink != nil {
-		a.sendListing(holderLink, d, runs.Envelope{Incarnation: d.Incarnation, Epoch: holderLink.epoch()})
+		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.epoch()))
 	}
-	next := *d
-	next.Draining = true
-	a.description.CompareAndSwap(d, &next)
+	drained := *d
+	drained.Draining = true
+	a.updateState(func(w gate.Worker) gate.Worker {
+		if w.Description == d {
+			w.Description = &drained
+		}
+		return w
+	})
 	a.leftIncarnation.Store(&d.Incarnation)
 	a.log.Info().Str("worker", id).Msg("worker shut down")
 	a.sendLeft(a.holderLink.Load(), d.Incarnation)
@@ -202,12 +216,20 @@
 	}
 }
 
+// envelopeWithoutLease returns the envelope of a request to the described worker that
+// leaves its lease as it is.
+func envelopeWithoutLease(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
+	return runs.Envelope{
+		Incarnation: state.Description.Incarnation, Fence: runs.Fence{Epoch: epoch, Generation: state.Generation},
+	}
+}
+
 // envelope returns the envelope of a request to the worker. It extends the lease only
 // while the worker answers and the holder knows that.
-func (a *Agent) envelope(incarnation runs.Incarnation, epoch carobkeel.Epoch) runs.Envelope {
-	e := runs.Envelope{Incarnation: incarnation, Epoch: epoch}
+func (a *Agent) envelope(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
+	e := envelopeWithoutLease(state, epoch)
 	holder := a.holder.Load()
-	if a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
+	if !state.Confirmed || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
 		return e
 	}
 	deadline := gate.LeaseDeadline(*holder, *a.clock.Load(), a.config.WorkerLease)
@@ -245,8 +267,7 @@
 // observeClock records the worker's clock from an answer. Answers of an earlier
 // incarnation are ignored.
 func (a *Agent) observeClock(incarnation runs.Incarnation, answer runs.Answer) {
-	d := a.description.Load()
-	if answer.Clock == 0 || d == nil || d.Incarnation != incarnation {
+	if answer.Clock == 0 || !a.state.Load().Is(incarnation) {
 		return
 	}
 	a.clock.Store(&gate.Clock{Reading: answer.Clock, Received: clock.Boottime(), Known: true})
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -258,7 +258,7 @@
 }
 
 func (a *Agent) sendDescription(l *entryLink) {
-	if d := a.description.Load(); l != nil && d != nil {
+	if d := a.state.Load().Description; l != nil && d != nil {
 		l.send(wire.TypeDescription, wire.FromDescription(*d))
 	}
 }
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -41,6 +41,9 @@
 type lister struct {
 	agent    *Agent
 	failures int
+	// refusals counts the listings that the worker has refused for their fence, since the
+	// last one that it answered.
+	refusals int
 	// lastFullAt and lastFullLink are the sending time and the link of the last
 	// full listing.
 	lastFullAt   time.Duration
@@ -55,14 +58,14 @@
 func (a *Agent) runListings(ctx context.Context) {
 	l := &lister{agent: a}
 	for ctx.Err() == nil {
-		d := a.description.Load()
-		if d == nil {
+		state := a.state.Load()
+		if state.Description == nil {
 			a.unresponsive.Store(true)
 			sendUnreachable(a.holderLink.Load(), gate.UnknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
 		}
-		l.listOnce(ctx, d)
+		l.listOnce(ctx, state)
 	}
 }
 
@@ -78,17 +81,17 @@
 }
 
 // listOnce requests one listing and forwards it to the holder.
-func (l *lister) listOnce(ctx context.Context, d *runs.Description) {
-	a := l.agent
+func (l *lister) listOnce(ctx context.Context, state *gate.Worker) {
+	a, d := l.agent, state.Description
 	number := a.listingNumber.Add(1)
 	wait := listWait
-	if !a.clock.Load().Known {
-		wait = 0 // the worker's clock is needed before a lease can be requested
+	if !state.Confirmed || !a.clock.Load().Known {
+		wait = 0 // the answer is needed before a lease can be requested
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+listTimeout)
 	defer cancel()
 	epoch := a.holder.Load().Epoch
-	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, epoch), a.acknowledgedUpTo(d.Incarnation), wait)
+	listing, answer, err := a.worker.List(ctx, a.envelope(state, epoch), a.acknowledgedUpTo(state), wait)
 	if err == nil && isOfOtherIncarnation(&listing, d) {
 		answer.Result = runs.ResultOtherIncarnation
 	}
@@ -96,13 +99,14 @@
 		l.handleFailure(ctx, d, answer, err)
 		return
 	}
-	l.failures = 0
+	l.failures, l.refusals = 0, 0
+	a.confirmState(state)
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
 	if l.forward(d, number, epoch, listing) {
 		a.recordAnswering(d)
 	}
-	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation)
+	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(a.state.Load())
 	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
 	}
@@ -128,25 +132,27 @@
 // that may still wait under an older epoch. Once the worker has answered it, it
 // refuses older holders.
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
-	d := a.description.Load()
-	if d == nil {
+	state := a.state.Load()
+	if state.Description == nil {
 		a.unresponsive.Store(true)
 		sendUnreachable(holderLink, gate.UnknownRemaining)
 		return
 	}
-	a.sendListing(holderLink, d, a.envelope(d.Incarnation, holderLink.epoch()))
+	a.sendListing(holderLink, state, a.envelope(state, holderLink.epoch()))
 }
 
 // sendListing requests a listing and sends it to the holder. A failure is left to the
 // lister, whose next listing reports the state.
-func (a *Agent) sendListing(holderLink *entryLink, d *runs.Description, e runs.Envelope) {
+func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
+	d := state.Description
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	number := a.listingNumber.Add(1)
-	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(d.Incarnation), 0)
+	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
 		return
 	}
+	a.confirmState(state)
 	a.observeClock(d.Incarnation, answer)
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Incarnation: d.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
@@ -154,6 +160,16 @@
 	}, holderLink.epoch()))
 }
 
+// confirmState records that the worker has answered a listing requested in the given state.
+func (a *Agent) confirmState(state *gate.Worker) {
+	a.updateState(func(w gate.Worker) gate.Worker {
+		if w.Description == nil || w.Description.Incarnation != state.Description.Incarnation {
+			return w
+		}
+		return w.Confirm(state.Generation)
+	})
+}
+
 // forward sends a listing to the holder. A listing that was requested under another
 // epoch is dropped, as it has not fenced the worker for this holder. It reports whether
 // the holder knows the worker's state.
@@ -206,19 +222,41 @@
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
-	if err == nil && answer.Result == runs.ResultOtherIncarnation {
-		a.denied.Store(&d.Incarnation)
-	}
+	l.suspectRestart(d, answer, err)
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
+	if l.failures == 1 {
+		return // nothing starts on the worker before it has answered
+	}
 	// The listing's context may have ended, which must not cut the pause short.
 	a.waitForChange(context.WithoutCancel(ctx), retryPause)
 }
 
+// suspectRestart raises the generation of the calls to the worker after a listing without a
+// usable answer.
+func (l *lister) suspectRestart(d *runs.Description, answer runs.Answer, err error) {
+	refused := err == nil && answer.Result == runs.ResultStaleEpoch
+	denied := err == nil && answer.Result == runs.ResultOtherIncarnation
+	if refused {
+		l.refusals++
+	}
+	l.agent.updateState(func(w gate.Worker) gate.Worker {
+		switch {
+		case w.Description == nil || w.Description.Incarnation != d.Incarnation:
+			return w
+		case refused:
+			return w.Overtake(l.refusals)
+		case denied:
+			return w.Deny(time.Now())
+		}
+		return w.Suspect(time.Now())
+	})
+}
+
 // reportUnresponsive tells the holder that the worker does not answer, and how long
 // its lease may still be valid.
 func (l *lister) reportUnresponsive(d *runs.Description, err error) {
@@ -257,9 +295,10 @@
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
-// acknowledged.
-func (a *Agent) acknowledgedUpTo(incarnation runs.Incarnation) uint64 {
-	if acknowledged := a.acknowledged.Load(); acknowledged.incarnation == incarnation {
+// acknowledged. It is zero while another incarnation, whose ends are numbered anew, may have
+// followed.
+func (a *Agent) acknowledgedUpTo(state *gate.Worker) uint64 {
+	if acknowledged := a.acknowledged.Load(); state.Confirmed && acknowledged.incarnation == state.Description.Incarnation {
 		return acknowledged.upTo
 	}
 	return 0
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -35,7 +36,7 @@
 		l := &lister{agent: a}
 		started := time.Now()
 		for range 100 {
-			l.listOnce(t.Context(), a.description.Load())
+			l.listOnce(t.Context(), a.state.Load())
 		}
 		NewWithT(t).Expect(time.Since(started)).To(BeNumerically(">", 100*acknowledgeWait/2))
 	})
@@ -56,9 +57,9 @@
 				a, _ := linkedAgent(worker)
 				a.RecordHeartbeat(runs.Description{Incarnation: c.odd, Sequence: 1})
 				l := &lister{agent: a}
-				l.listOnce(t.Context(), a.description.Load())
+				l.listOnce(t.Context(), a.state.Load())
 				a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2})
-				NewWithT(t).Expect(a.description.Load().Incarnation).To(Equal(testIncarnation))
+				NewWithT(t).Expect(a.state.Load().Description.Incarnation).To(Equal(testIncarnation))
 			})
 		})
 	}
@@ -68,7 +69,7 @@
 	g := NewWithT(t)
 	a, _ := linkedAgent(&scriptedWorker{})
 	g.Expect(a.leaseRemaining()).To(Equal(gate.UnknownRemaining))
-	a.envelope(testIncarnation, 3)
+	a.envelope(a.state.Load(), 3)
 	g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
 }
 
@@ -81,15 +82,15 @@
 	a.confirm(3, clock.Boottime())
 	l := &lister{agent: a}
 	for range unresponsiveAfter {
-		l.listOnce(context.Background(), a.description.Load())
+		l.listOnce(context.Background(), a.state.Load())
 	}
-	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeZero())
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero())
 	a.confirm(3, clock.Boottime())
 	worker.listing = &runs.Listing{}
-	l.listOnce(context.Background(), a.description.Load())
-	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeZero(), "the last ping was answered before the listing")
+	l.listOnce(context.Background(), a.state.Load())
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero(), "the last ping was answered before the listing")
 	a.confirm(3, clock.Boottime())
-	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeNumerically(">", 0))
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeNumerically(">", 0))
 }
 
 func TestEndsBeforeAShutdownAreListedBeforeTheWorkerExits(t *testing.T) {
@@ -109,10 +110,10 @@
 	a.holderLink.Load().currentEpoch.Store(4) // the listing is requested under epoch 3
 	a.unresponsive.Store(true)
 	l := &lister{agent: a}
-	l.listOnce(context.Background(), a.description.Load())
+	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(a.unresponsive.Load()).To(BeTrue())
 	a.confirm(4, clock.Boottime())
-	l.listOnce(context.Background(), a.description.Load())
+	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(a.unresponsive.Load()).To(BeFalse())
 }
 
@@ -135,3 +136,56 @@
 	l.lastFullLink = nil
 	g.Expect(report(second, 4, "b")).To(Equal("b"), "after a failed listing")
 }
+
+// callRecorder is a worker that answers listings with a result, and keeps what it was sent.
+type callRecorder struct {
+	scriptedWorker
+	result       runs.Result
+	fails        bool
+	envelopes    []runs.Envelope
+	acknowledged []uint64
+}
+
+func (w *callRecorder) List(_ context.Context, e runs.Envelope, acknowledged uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
+	w.envelopes = append(w.envelopes, e)
+	w.acknowledged = append(w.acknowledged, acknowledged)
+	if w.fails {
+		return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
+	}
+	return runs.Listing{StartedAtMs: testIncarnation.StartedAtMs}, runs.Answer{Result: w.result, Clock: time.Minute}, nil
+}
+
+// Guards against TWICE: a worker that had restarted forgot ends that nobody had read, as the
+// acknowledgement was meant for its earlier incarnation, and had a lease by its earlier clock.
+func TestNothingIsAcknowledgedOrExtendedWhileTheWorkerMayHaveRestarted(t *testing.T) {
+	g := NewWithT(t)
+	worker := &callRecorder{}
+	a, _ := linkedAgent(worker)
+	a.acknowledge(dispatch.Order{Incarnation: testIncarnation, Acknowledged: 9})
+	l := &lister{agent: a}
+	list := func() { l.listOnce(context.Background(), a.state.Load()) }
+	list()
+	g.Expect(worker.acknowledged).To(Equal([]uint64{9}))
+	g.Expect(worker.envelopes[0].Deadline).To(BeNumerically(">", 0))
+	worker.fails = true
+	list()
+	worker.fails = false
+	list()
+	g.Expect(worker.acknowledged[2]).To(BeZero())
+	g.Expect(worker.envelopes[2].Deadline).To(BeZero())
+	g.Expect(worker.envelopes[1].Fence.Less(worker.envelopes[2].Fence)).To(BeTrue())
+	list()
+	g.Expect(worker.acknowledged[3]).To(Equal(uint64(9)), "the worker has listed as the described incarnation")
+	g.Expect(worker.envelopes[3].Deadline).To(BeNumerically(">", 0))
+	g.Expect(worker.envelopes[3].Fence).To(Equal(worker.envelopes[2].Fence))
+}
+
+func TestListingRefusedForItsFenceIsRequestedInALaterGeneration(t *testing.T) {
+	g := NewWithT(t)
+	worker := &callRecorder{result: runs.ResultStaleEpoch}
+	a, _ := linkedAgent(worker)
+	l := &lister{agent: a}
+	l.listOnce(context.Background(), a.state.Load())
+	l.listOnce(context.Background(), a.state.Load())
+	g.Expect(worker.envelopes[0].Fence.Less(worker.envelopes[1].Fence)).To(BeTrue())
+}
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -113,16 +113,17 @@
 			// Starts must not wait behind it. The holder repeats it once the worker lists.
 			return runs.ResultUnknown, true
 		}
-		result := a.admit(o)
+		state := a.state.Load()
+		result := a.admit(state, o)
 		if result == runs.ResultOK && a.isWithdrawn(o.order) {
 			result = runs.ResultWithdrawn
 		}
 		if result == runs.ResultOK {
-			result = a.sendOnce(ctx, o)
+			result = a.sendOnce(ctx, state, o)
 		} else {
 			a.metrics.Refused.Inc(1)
 		}
-		if result == runs.ResultUnknown {
+		if result == runs.ResultUnknown || a.isOvertaken(result, o) {
 			continue
 		}
 		if result != runs.ResultOK && attempt > 0 {
@@ -134,6 +135,12 @@
 	return runs.ResultUnknown, true
 }
 
+// isOvertaken reports whether the worker has refused a call under the current epoch for its
+// fence: it has received a call of a later generation.
+func (a *Agent) isOvertaken(result runs.Result, o receivedOrder) bool {
+	return result == runs.ResultStaleEpoch && a.holder.Load().Epoch <= o.epoch
+}
+
 func (a *Agent) recordResult(result runs.Result, elapsed time.Duration) {
 	a.metrics.OrderLatency.RecordDuration(elapsed)
 	if result == runs.ResultUnknown {
@@ -145,8 +152,8 @@
 
 // admit decides whether to send an order to the worker. A draining worker gets all
 // orders but starts.
-func (a *Agent) admit(o receivedOrder) runs.Result {
-	result := gate.AdmitOrder(*a.holder.Load(), o.epoch, a.description.Load(), o.order.Incarnation)
+func (a *Agent) admit(state *gate.Worker, o receivedOrder) runs.Result {
+	result := gate.AdmitOrder(*a.holder.Load(), o.epoch, *state, o.order.Incarnation)
 	if result == runs.ResultDraining && o.order.Kind != dispatch.OrderStart {
 		return runs.ResultOK
 	}
@@ -154,10 +161,10 @@
 }
 
 // sendOnce makes one attempt to send an order.
-func (a *Agent) sendOnce(ctx context.Context, o receivedOrder) runs.Result {
+func (a *Agent) sendOnce(ctx context.Context, state *gate.Worker, o receivedOrder) runs.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	envelope := a.envelope(o.order.Incarnation, o.epoch)
+	envelope := a.envelope(state, o.epoch)
 	if envelope.Deadline == 0 && o.order.Kind == dispatch.OrderStart {
 		return runs.ResultUnhealthy // there is no lease to start under, so nothing is sent
 	}
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,6 +81,7 @@
 func linkedAgent(worker runs.Client) (*Agent, receivedOrder) {
 	a := New(Config{Host: "h", WorkerLease: 3 * time.Second}, worker, nil, NewMetrics(tally.NoopScope), logging.Discard().For("test"))
 	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 1})
+	a.confirmState(a.state.Load())
 	now := clock.Boottime()
 	a.started = now - time.Hour
 	a.clock.Store(&gate.Clock{Reading: time.Minute, Received: now, Known: true})
@@ -156,7 +158,7 @@
 		}},
 		{"after the worker was reported as unresponsive", func(a *Agent, holderLink *entryLink) {
 			a.unresponsive.Store(true)
-			a.recordAnswering(a.description.Load())
+			a.recordAnswering(a.state.Load().Description)
 			a.confirm(3, clock.Boottime())
 		}},
 		{"more pings than are kept", func(_ *Agent, holderLink *entryLink) {
@@ -220,7 +222,7 @@
 	a, _ := linkedAgent(&scriptedWorker{})
 	a.RecordHeartbeat(runs.Description{Incarnation: runs.Incarnation{ID: "w2", StartedAtMs: 5}, Sequence: 1})
 	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 9})
-	g.Expect(a.description.Load().Incarnation.StartedAtMs).To(Equal(int64(5)))
+	g.Expect(a.state.Load().Description.Incarnation.StartedAtMs).To(Equal(int64(5)))
 }
 
 // Another incarnation with the same ID has replaced the described one.
@@ -229,7 +231,7 @@
 	a, _ := linkedAgent(&scriptedWorker{listing: &runs.Listing{StartedAtMs: testIncarnation.StartedAtMs + 1}})
 	l := &lister{agent: a}
 	for range unresponsiveAfter {
-		l.listOnce(context.Background(), a.description.Load())
+		l.listOnce(context.Background(), a.state.Load())
 	}
 	g.Expect(a.unresponsive.Load()).To(BeTrue())
 }
@@ -242,10 +244,10 @@
 	a.unresponsive.Store(true)
 	a.deadline.Store(int64(2 * time.Minute))
 	a.RecordHeartbeat(earlier)
-	g.Expect(a.description.Load().Incarnation).To(Equal(testIncarnation), "its lease is still valid")
+	g.Expect(a.state.Load().Description.Incarnation).To(Equal(testIncarnation), "its lease is still valid")
 	a.deadline.Store(int64(time.Second))
 	a.RecordHeartbeat(earlier)
-	g.Expect(a.description.Load().Incarnation).To(Equal(earlier.Incarnation))
+	g.Expect(a.state.Load().Description.Incarnation).To(Equal(earlier.Incarnation))
 }
 
 // This process does not know the lease that the earlier one requested.
@@ -258,8 +260,45 @@
 	g.Expect(a.leaseRemaining()).To(BeNumerically(">", 2*time.Second))
 	a.clock.Store(&gate.Clock{})
 	a.RecordHeartbeat(earlier)
-	g.Expect(a.description.Load().Incarnation).To(Equal(testIncarnation))
+	g.Expect(a.state.Load().Description.Incarnation).To(Equal(testIncarnation))
 	a.started -= 2 * a.config.WorkerLease
 	a.RecordHeartbeat(earlier)
-	g.Expect(a.description.Load().Incarnation).To(Equal(earlier.Incarnation))
+	g.Expect(a.state.Load().Description.Incarnation).To(Equal(earlier.Incarnation))
+}
+
+// Guards against TWICE: after a restart, the next incarnation was sent what was addressed to the
+// one before.
+func TestNoOrderIsSentToAWorkerThatIsAnotherIncarnation(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{answers: []runs.Result{runs.ResultOK}}
+	a, order := linkedAgent(worker)
+	a.updateState(func(w gate.Worker) gate.Worker { return w.Deny(time.Now()) })
+	result, _ := a.sendWithRetries(context.Background(), order)
+	g.Expect(result).To(Equal(runs.ResultOtherIncarnation))
+	g.Expect(worker.starts).To(BeEmpty())
+}
+
+// A call of a later generation may overtake an order on another connection.
+func TestOrderOvertakenByALaterGenerationIsSentAgainInIt(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{answers: []runs.Result{runs.ResultStaleEpoch, runs.ResultOK}}
+	a, order := linkedAgent(worker)
+	worker.onStart = func() {
+		if len(worker.starts) == 1 {
+			a.updateState(func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) })
+			a.confirmState(a.state.Load())
+		}
+	}
+	result, _ := a.sendWithRetries(context.Background(), order)
+	g.Expect(result).To(Equal(runs.ResultOK))
+	g.Expect(worker.starts[0].Fence.Less(worker.starts[1].Fence)).To(BeTrue())
+}
+
+// The holder takes a refusal for its epoch as final, and this one is not.
+func TestOrderRefusedForItsGenerationIsInconclusive(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{answers: slices.Repeat([]runs.Result{runs.ResultStaleEpoch}, orderAttempts)}
+	a, order := linkedAgent(worker)
+	result, _ := a.sendWithRetries(context.Background(), order)
+	g.Expect(result).To(Equal(runs.ResultUnknown))
 }
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -101,13 +101,13 @@
 // AdmitOrder decides whether to send the worker a start that was ordered under the
 // epoch for the given incarnation of the worker. It returns ResultOK if so, and
 // otherwise the reason for the refusal.
-func AdmitOrder(h Holder, epoch carobkeel.Epoch, worker *runs.Description, incarnation runs.Incarnation) runs.Result {
+func AdmitOrder(h Holder, epoch carobkeel.Epoch, worker Worker, incarnation runs.Incarnation) runs.Result {
 	switch {
 	case epoch < h.Epoch:
 		return runs.ResultStaleEpoch
-	case worker == nil || worker.Incarnation != incarnation:
+	case !worker.Is(incarnation):
 		return runs.ResultOtherIncarnation
-	case worker.Draining:
+	case worker.Description.Draining:
 		return runs.ResultDraining
 	}
 	return runs.ResultOK
--- a/sidecar/gate/gate_test.go
+++ b/sidecar/gate/gate_test.go
@@ -61,20 +61,22 @@
 
 func TestStartsAreAdmittedOnlyForTheRightWorker(t *testing.T) {
 	incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
-	ready := &runs.Description{Incarnation: incarnation}
-	draining := &runs.Description{Incarnation: incarnation, Draining: true}
+	ready := gate.Worker{Description: &runs.Description{Incarnation: incarnation}}
+	denied := gate.Worker{Description: ready.Description, Denied: true}
+	draining := gate.Worker{Description: &runs.Description{Incarnation: incarnation, Draining: true}}
 	holder := gate.Holder{}.Confirm(4, time.Second)
 	for _, c := range []struct {
 		name        string
 		epoch       carobkeel.Epoch
-		worker      *runs.Description
+		worker      gate.Worker
 		incarnation runs.Incarnation
 		want        runs.Result
 	}{
 		{"admitted", 4, ready, incarnation, runs.ResultOK},
 		{"an older epoch", 3, ready, incarnation, runs.ResultStaleEpoch},
 		{"another incarnation", 4, ready, runs.Incarnation{ID: "w", StartedAtMs: 2}, runs.ResultOtherIncarnation},
-		{"no worker yet", 4, nil, incarnation, runs.ResultOtherIncarnation},
+		{"no worker yet", 4, gate.Worker{}, incarnation, runs.ResultOtherIncarnation},
+		{"the worker says that it is another one", 4, denied, incarnation, runs.ResultOtherIncarnation},
 		{"the worker drains", 4, draining, incarnation, runs.ResultDraining},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -149,7 +149,7 @@
 const (
 	// ResultOK means that the order was carried out, now or earlier.
 	ResultOK Result = iota
-	// ResultStaleEpoch means that the worker has received a higher epoch.
+	// ResultStaleEpoch means that the worker has received a higher fence.
 	ResultStaleEpoch
 	// ResultOldRun means that this run, or a later one of the task, has ended or
 	// was stopped on the worker.
@@ -198,13 +198,32 @@
 	Clock  time.Duration
 }
 
+// Generation numbers the calls to a worker beyond the epoch. Its sidecar raises it whenever
+// another incarnation of the worker may have begun.
+type Generation uint32
+
+// Fence orders calls to a worker, by epoch and then by generation. A worker does nothing for
+// a call with a lower fence than it has received. An incarnation that has just begun has
+// received none.
+type Fence struct {
+	Epoch      carobkeel.Epoch
+	Generation Generation
+}
+
+// Less reports whether f is lower than other.
+func (f Fence) Less(other Fence) bool {
+	if f.Epoch != other.Epoch {
+		return f.Epoch < other.Epoch
+	}
+	return f.Generation < other.Generation
+}
+
 // Envelope holds the fields that are common to all orders.
 type Envelope struct {
-	// Incarnation is the incarnation that the order is addressed to.
+	// Incarnation is the incarnation that the order is addressed to. A worker checks its
+	// ID only, so the fence keeps calls off that were sent to an earlier incarnation.
 	Incarnation Incarnation
-	// Epoch is the fencing token of the sender. A worker refuses an order with a
-	// lower epoch than it has received.
-	Epoch carobkeel.Epoch
+	Fence       Fence
 	// Deadline is the end of the worker's lease, on the worker's clock. Zero leaves
 	// the lease unchanged.
 	Deadline time.Duration
--- a/worker/runs/standin/standin.go
+++ b/worker/runs/standin/standin.go
@@ -83,7 +83,7 @@
 	config Config
 	// now is the worker's monotonic clock.
 	now      time.Duration
-	epoch    carobkeel.Epoch
+	fence    runs.Fence
 	deadline time.Duration
 	running  map[key]*activeRun
 	ends     []runs.End
@@ -107,7 +107,8 @@
 
 func (w *Worker) reset() {
 	w.now = time.Second
-	w.epoch, w.deadline, w.lastEnd, w.expiredEnd = 0, 0, 0, 0
+	w.fence = runs.Fence{}
+	w.deadline, w.lastEnd, w.expiredEnd = 0, 0, 0
 	w.running = make(map[key]*activeRun)
 	w.refused = make(map[carobkeel.TaskName]int)
 	w.ends = nil
@@ -116,6 +117,9 @@
 // Description returns the worker's description of itself.
 func (w *Worker) Description() runs.Description { return w.config.Description }
 
+// Lease returns the rest of the worker's lease.
+func (w *Worker) Lease() time.Duration { return max(0, w.deadline-w.now) }
+
 // Drain makes the worker describe itself as draining.
 func (w *Worker) Drain(remaining time.Duration) {
 	w.config.Description.Draining = true
@@ -198,18 +202,19 @@
 	w.config.Record.ended(l.task, outcome)
 }
 
-// admit checks the envelope of an order, and stores its epoch and deadline. The
-// order may be carried out if the result is ResultOK.
+// admit checks the envelope of an order, and stores its fence and deadline. The
+// order may be carried out if the result is ResultOK. An order that was sent to an earlier
+// incarnation under the same ID is no other than one to this incarnation.
 func (w *Worker) admit(e runs.Envelope) runs.Answer {
 	answer := runs.Answer{Clock: w.now}
 	switch {
-	case e.Incarnation.ID != w.config.Description.ID || e.Incarnation.StartedAtMs != w.config.Description.StartedAtMs:
+	case e.Incarnation.ID != w.config.Description.ID:
 		return runs.Answer{Result: runs.ResultOtherIncarnation}
-	case e.Epoch < w.epoch:
+	case e.Fence.Less(w.fence):
 		answer.Result = runs.ResultStaleEpoch
 		return answer
 	}
-	w.epoch = e.Epoch
+	w.fence = e.Fence
 	w.deadline = max(w.deadline, min(e.Deadline, w.now+w.config.MaxLease))
 	return answer
 }
