Keep the runs of a worker that restarted under its ID until it has listed them

Runs that were ordered longer than a lease ago, adopted ones and those of gangs were given up with the first heartbeat of the next incarnation, although that one could begin them late.

Cause: a heartbeat says nothing about what reaches the worker until its sidecar's first call does.

Change: all runs are kept until the next incarnation has listed. Its sidecar requests that listing in a later generation, so what it lacks can't begin any more. The record of the earlier incarnation is kept as long, for the next holder. The same start is not ordered again: it is released, and the task starts anew.

--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -119,7 +119,8 @@
 			continue
 		}
 		c.expireInheritedOn(w)
-		if (len(w.runs) == 0 && !w.recorded) || c.mayHaveInheritedRuns(w) {
+		idle := len(w.runs) == 0 && len(w.replaced) == 0 && !w.recorded
+		if idle || c.mayHaveInheritedRuns(w) {
 			continue
 		}
 		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host})
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -61,6 +61,8 @@
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
+		c.forgetReplaced(w)
+		c.forgetUnreported(w.host, w.description.Incarnation, false)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
@@ -150,6 +152,7 @@
 	if r == nil {
 		r = c.adopt(w, running)
 	}
+	r.carriedOver = false
 	if r.phase == runOrdered {
 		r.phase = runConfirmed
 	}
@@ -210,6 +213,8 @@
 	for key, r := range w.runs {
 		switch {
 		case seen[key]:
+		case r.carriedOver:
+			c.release(r, reasonRestarted)
 		case r.stopping && r.stopConfirmed && r.stopConfirmedAt.precedes(w, number):
 			c.release(r, "stopped before it started: "+r.stopConfirmedAt.describe(w, number))
 		case r.phase == runConfirmed && r.confirmed.precedes(w, number):
@@ -230,7 +235,7 @@
 		switch {
 		case r.stopping:
 			c.orderStop(r)
-		case r.phase == runOrdered && !w.recorded:
+		case r.phase == runOrdered && (r.carriedOver || !w.recorded):
 			r.inconclusive = true
 		case r.phase == runOrdered:
 			c.orderStart(r)
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -37,7 +37,10 @@
 	// adopted reports that an earlier holder started the run. It began some
 	// time before started.
 	adopted bool
-	started time.Duration
+	// carriedOver reports that the run was ordered from an incarnation that another one with
+	// the same ID has replaced. That one may begin it, until it has listed its runs.
+	carriedOver bool
+	started     time.Duration
 	// confirmed is the mark at which the run was last known to have started.
 	confirmed listingMark
 	stopping  bool
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -62,6 +62,9 @@
 	// clock was set back; it is accepted from earlierFrom on.
 	earlier     *runs.Description
 	earlierFrom time.Duration
+	// replaced are the earlier incarnations under the same ID whose runs this one may
+	// begin, until it has listed its runs.
+	replaced []runs.Incarnation
 	// recorded reports that the store has a record of this incarnation, so that
 	// a later holder knows of it. No task starts on the worker before.
 	recorded bool
@@ -144,9 +147,9 @@
 	if known {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.endIncarnation(w, d)
-		c.dropRecord(w.description.Incarnation)
+		w.replaced = append(w.replaced, w.description.Incarnation)
 	}
-	c.forgetUnreported(w.host, d.Incarnation)
+	c.forgetUnreported(w.host, d.Incarnation, true)
 	w.description = d
 	w.listed = false
 	w.recorded = c.recordedIncarnations[d.Incarnation]
@@ -157,42 +160,58 @@
 	w.control = paceControl{}
 }
 
+// forgetReplaced drops the incarnations that the present one has replaced, of whose runs none
+// can begin any more.
+func (c *Core) forgetReplaced(w *workerState) {
+	for _, incarnation := range w.replaced {
+		c.dropRecord(incarnation)
+	}
+	w.replaced = nil
+}
+
 // endIncarnation releases the runs of an incarnation that another one replaces. A worker that
-// restarts under its ID may begin what was sent to its earlier incarnation just before its
-// first heartbeat, so runs whose start is still valid count as ordered from the next one.
+// restarts under its ID may begin what was sent to its earlier incarnation until its sidecar
+// has reached it, so those runs are kept until the next incarnation has listed what it runs.
 func (c *Core) endIncarnation(w *workerState, next runs.Description) {
-	sameWorker := next.ID == w.description.ID && next.Service == w.description.Service &&
-		next.Capacity == w.description.Capacity && slices.Equal(next.Labels, w.description.Labels)
 	for _, r := range w.runs {
-		valid := c.now.Monotonic-r.orderedAt < c.config.WorkerLease
-		if !sameWorker || !valid || r.adopted || r.task == nil || r.task.step.spec.Gang {
-			c.release(r, "worker restarted")
+		if next.ID != w.description.ID {
+			c.release(r, reasonRestarted)
 			continue
 		}
-		r.phase, r.inconclusive, r.stopConfirmed = runOrdered, true, false
+		r.carriedOver, r.percent, r.observedFrom = true, 0, c.now.Monotonic
+		r.phase, r.inconclusive, r.stopConfirmed = runOrdered, false, false
 		r.confirmed, r.stopConfirmedAt = listingMark{}, listingMark{}
 	}
 }
 
+// reasonRestarted is the reason for the release of runs that ended with an incarnation.
+const reasonRestarted = "worker restarted"
+
 // forgetUnreported drops the incarnations of a host's worker that began before the given
-// one. It may be described by a late heartbeat, so later ones are kept.
-func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
+// one. It may be described by a late heartbeat, so later ones are kept. With otherIDs, those
+// under its ID are kept too: it may begin what was sent to them.
+func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation, otherIDs bool) {
 	for old, oldHost := range c.unreportedWorkers {
-		if oldHost == host && old != incarnation && old.StartedAtMs <= incarnation.StartedAtMs {
-			delete(c.unreportedWorkers, old)
-			c.dropRecord(old)
+		if oldHost != host || old == incarnation || old.StartedAtMs > incarnation.StartedAtMs {
+			continue
+		}
+		if otherIDs && old.ID == incarnation.ID {
+			continue
 		}
+		delete(c.unreportedWorkers, old)
+		c.dropRecord(old)
 	}
 }
 
 // forgetAllUnreported drops the incarnations of a host's worker that have not listed.
 func (c *Core) forgetAllUnreported(host string) {
-	c.forgetUnreported(host, runs.Incarnation{StartedAtMs: math.MaxInt64})
+	c.forgetUnreported(host, runs.Incarnation{StartedAtMs: math.MaxInt64}, false)
 }
 
 // forgetIncarnation drops the record of an incarnation without runs. If the
 // worker reports again, a new record is written before anything starts there.
 func (c *Core) forgetIncarnation(w *workerState) {
+	c.forgetReplaced(w)
 	if !w.recorded {
 		return
 	}
