Fence a worker by the epoch that entries know until the holder has answered

Cause: the new process listed under epoch zero until it had found the holder, so that late calls of the earlier process, which had the holder's epoch, passed.

Change: a pong of an entry that does not hold the shard states the epoch that it knows. Until a holder has answered, the sidecar takes that epoch for its calls and for what it refuses. Result: TestSidecarWithoutAHolderFencesItsWorkerByTheEpochThatEntriesKnow, which failed before (epoch 0 in place of 5).

--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -15,6 +15,7 @@
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -203,6 +204,9 @@
 func (l *entryLink) handlePong(pong *wire.Pong) {
 	a := l.agent
 	pingTime, known := l.pingTime(pong.Sequence)
+	if !pong.IsHolder {
+		a.updateHolder(func(h gate.Holder) (gate.Holder, bool) { return h.Observe(carobkeel.Epoch(pong.Epoch)), true })
+	}
 	if !pong.IsHolder || !pong.ExtendsLease || !known {
 		return
 	}
@@ -225,13 +229,21 @@
 // confirm records an answer of a holder. It returns false for an answer under an
 // older epoch.
 func (a *Agent) confirm(epoch carobkeel.Epoch, pingTime time.Duration) bool {
+	return a.updateHolder(func(h gate.Holder) (gate.Holder, bool) {
+		return h.Confirm(epoch, pingTime), epoch >= h.Epoch
+	})
+}
+
+// updateHolder replaces the record of the holder by what change makes of it, unless change
+// rejects it.
+func (a *Agent) updateHolder(change func(gate.Holder) (gate.Holder, bool)) bool {
 	for {
 		old := a.holder.Load()
-		if epoch < old.Epoch {
+		next, accepted := change(*old)
+		if !accepted {
 			return false
 		}
-		next := old.Confirm(epoch, pingTime)
-		if a.holder.CompareAndSwap(old, &next) {
+		if next == *old || a.holder.CompareAndSwap(old, &next) {
 			return true
 		}
 	}
--- a/sidecar/agent/links_test.go
+++ b/sidecar/agent/links_test.go
@@ -9,9 +9,12 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
 )
 
 func TestOddOrdersDoNotEndTheLink(t *testing.T) {
@@ -65,3 +68,21 @@
 	order.link.handlePong(pong)
 	g.Expect(a.holder.Load().Confirmed).To(BeNumerically(">", before))
 }
+
+// Guards against TWICE: a host came back with a new sidecar and a new incarnation of its worker,
+// and calls of before were carried out until the sidecar had found the holder.
+func TestSidecarWithoutAHolderFencesItsWorkerByTheEpochThatEntriesKnow(t *testing.T) {
+	g := NewWithT(t)
+	worker := &callRecorder{}
+	a, _ := linkedAgent(worker)
+	a.holder.Store(&gate.Holder{})
+	entry := newEntryLink(a)
+	entry.ping()
+	entry.handlePong(&wire.Pong{Sequence: 1, Epoch: 5})
+	(&lister{agent: a}).listOnce(context.Background(), a.state.Load())
+	g.Expect(worker.envelopes[0].Fence.Epoch).To(Equal(carobkeel.Epoch(5)))
+	g.Expect(a.confirm(4, clock.Boottime())).To(BeFalse(), "an earlier holder")
+	g.Expect(a.confirm(5, clock.Boottime())).To(BeTrue())
+	entry.handlePong(&wire.Pong{Sequence: 1, Epoch: 6})
+	g.Expect(a.holder.Load().Epoch).To(Equal(carobkeel.Epoch(5)), "the holder itself says that it leads")
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -14,6 +14,7 @@
 
 // Holder is the sidecar's record of the holder of its shard.
 type Holder struct {
+	// Epoch is the holder's or, until one has answered, the last that an entry knew.
 	Epoch carobkeel.Epoch
 	// Confirmed is the sending time of the last ping that the holder answered.
 	// The worker's lease is counted from it.
@@ -36,6 +37,15 @@
 	return h
 }
 
+// Observe returns h after an entry that does not hold the shard has stated an epoch. Calls to
+// the worker from before the sidecar's process began may have had it.
+func (h Holder) Observe(epoch carobkeel.Epoch) Holder {
+	if !h.Known {
+		h.Epoch = max(h.Epoch, epoch)
+	}
+	return h
+}
+
 // Clock maps the sidecar's time to the worker's clock.
 type Clock struct {
 	// Reading is the worker's clock as stated in an answer that arrived at
