Close connections of callers that have no request for five minutes

A caller's or worker's connection that went silent between two requests stayed open for ever and kept its file descriptor, of which a host has 4,100: servers had a time limit for headers only. The kernel's probes don't show it where a middlebox answers them.

--- a/cmd/carobkeel/process.go
+++ b/cmd/carobkeel/process.go
@@ -24,6 +24,9 @@
 const (
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
+	// idleTimeout is how long a connection may have no request. It may have gone silent, and
+	// each takes a file descriptor.
+	idleTimeout = 5 * time.Minute
 )
 
 // newIncarnation returns a random identifier for this start of the process.
@@ -67,6 +70,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
