Poll without waiting after a poll of the store that failed

Callers got 503 for up to a second although the store had long answered again ("the table service has not answered for 2857 ms" to "... 3286 ms"): a poll on a connection that goes silent ends after 1 s and 1.5 s, and the next one waited up to 1 s for a change before it showed that the store is reachable: 3.6 s, over the 2.5 s after which submissions are refused and the 3 s after which an entry is not ready.

The first poll after a failure waits for nothing.

TestTableCountsAsReachableAtOnceAfterASilentCall failed before (3.57 s without an answer, 2.6 s allowed) and holds now.

--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -50,7 +50,11 @@
 	failing := false
 	for ctx.Err() == nil {
 		started := clock.Boottime()
-		next, err := f.once(ctx, from)
+		wait := f.Wait
+		if failing {
+			wait = 0 // an answer at once shows that the table is reachable again
+		}
+		next, err := f.once(ctx, from, wait)
 		if err == nil {
 			if failing {
 				f.Log.Info().Str("table", f.Table).Msg("following table changes again")
@@ -91,8 +95,9 @@
 	return pause
 }
 
-// once makes one call and returns the version from which the next one follows.
-func (f *Follower) once(ctx context.Context, from table.Version) (table.Version, error) {
+// once makes one call, which waits for a change for a time at most, and returns the version
+// from which the next one follows.
+func (f *Follower) once(ctx context.Context, from table.Version, wait time.Duration) (table.Version, error) {
 	requestedAt := clock.Boottime()
 	if from == 0 {
 		scan, err := table.ScanAll(ctx, f.Rows, f.Table, f.Part)
@@ -102,7 +107,7 @@
 		f.OnUpdate(Update{Rows: scan.Rows, Full: true, RequestedAt: requestedAt})
 		return scan.Version, nil
 	}
-	changes, err := f.Rows.Follow(ctx, f.Table, from, f.Wait)
+	changes, err := f.Rows.Follow(ctx, f.Table, from, wait)
 	if err != nil {
 		return from, err
 	}
--- a/table/follow/follow_test.go
+++ b/table/follow/follow_test.go
@@ -68,3 +68,39 @@
 		NewWithT(t).Expect(rows.calls).To(BeNumerically("<", 20))
 	})
 }
+
+// silentRows gives one call no answer for silentTimeout longer than it waits for a change.
+type silentRows struct {
+	instantRows
+	silentCall int
+}
+
+const silentTimeout = 1500 * time.Millisecond
+
+func (r *silentRows) Follow(_ context.Context, _ string, after table.Version, wait time.Duration) (table.RowChanges, error) {
+	r.calls++
+	time.Sleep(wait)
+	if r.calls == r.silentCall {
+		time.Sleep(silentTimeout)
+		return table.RowChanges{}, table.ErrUnavailable
+	}
+	return table.RowChanges{Next: after}, nil
+}
+
+// Guards against refused callers: after a call without an answer, the next one waited for a change.
+func TestTableCountsAsReachableAtOnceAfterASilentCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		last, longest := time.Now(), time.Duration(0)
+		f := follow.Follower{
+			Rows: &silentRows{silentCall: 5}, Table: "jobs", Wait: time.Second, Log: logging.Discard().For("test"),
+			OnUpdate: func(follow.Update) {
+				longest = max(longest, time.Since(last))
+				last = time.Now()
+			},
+		}
+		f.Run(ctx, 1)
+		NewWithT(t).Expect(longest).To(BeNumerically("<", f.Wait+silentTimeout+100*time.Millisecond))
+	})
+}
