Count answers to the configuration's reader as answers of the store

An entry judges by its feed of the holder row alone whether the store is reachable, and refuses submissions after 2.5 s without an answer there. A poll on a connection that goes silent takes 2.5 s by itself, so that even one such connection refuses callers for a moment, although the reader of the configuration, which polls as well, has its answers. Both now count.

TestAnyAnswerShowsThatTheStoreIsReachable shows it for the node; that the reader uses this table is one line in cmd/carobkeel, which no test covers.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -75,7 +75,7 @@
 	}()
 	go e.node.Run(ctx)
 	reader := configuration.NewReader(configuration.Config{
-		Rows: e.store, Row: platform.ConfigRow, Decode: platform.DecodeConfig, Apply: e.applyConfig,
+		Rows: e.node.Rows(), Row: platform.ConfigRow, Decode: platform.DecodeConfig, Apply: e.applyConfig,
 		Metrics: configuration.NewMetrics(e.metrics), Log: e.log,
 	})
 	go reader.Run(ctx)
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -123,6 +123,10 @@
 	return n
 }
 
+// Rows returns the table service as this node uses it: what it answers there counts for
+// StoreAge.
+func (n *Node) Rows() table.Rows { return n.rows }
+
 // Run takes part in the election and in scheduling until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	go n.followHolder(ctx)
--- a/scheduler/holder/records_test.go
+++ b/scheduler/holder/records_test.go
@@ -37,3 +37,13 @@
 	remaining := l.predecessors.remainingLease(clock.Boottime(), 3*time.Second)
 	g.Expect(remaining).To(BeNumerically("~", leaseAuthority+leaseAuthoritySlack+3*time.Second, time.Second))
 }
+
+// Guards against refused callers: while one feed was silent, answers to other reads did not count.
+func TestAnyAnswerShowsThatTheStoreIsReachable(t *testing.T) {
+	g := NewWithT(t)
+	n := New(Config{Shard: "shard"}, memory.NewRows(), nil, logging.Discard().For("test"))
+	g.Expect(n.StoreAge()).To(BeNumerically(">", time.Second))
+	_, err := n.Rows().Scan(t.Context(), "op", "", "config")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n.StoreAge()).To(BeNumerically("<", time.Second))
+}
