Finish a takeover whose write got no answer

The shard was without a holder for 1.7 to 1.85 s: the candidate's write of the holder row went out on a connection that had gone silent, stalled for 1.5 s and counted as failed, whether or not it had been carried out. With the time in which a lost holder is noticed and the candidate's turn, that is over a lease.

The first attempt now has 0.5 s. A second one, under the same condition, goes over a new connection and finds out whether the first was carried out: then the row has the bytes that were written, which name the process, its incarnation and the epoch. An attempt that is carried out later still fails at its condition.

TestTakeoverWhoseAnswerIsLostGoesOn failed before ("table transaction unsettled"), as did TestTakeoverWhoseAnswerIsLostEndsIfAnotherProcessHolds, which got that error for "another process holds the shard".

--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"slices"
@@ -23,6 +24,9 @@
 	// takeoverTimeout bounds one attempt to take over. Another attempt would have
 	// to read the same rows.
 	takeoverTimeout = 15 * time.Second
+	// firstWriteTimeout bounds the first attempt to write the holder row. A transaction
+	// takes 8 ms.
+	firstWriteTimeout = 500 * time.Millisecond
 	// maxEpoch bounds the epoch of a holder row, so that the run numbers of its epoch
 	// don't overflow.
 	maxEpoch = 1 << 40
@@ -110,23 +114,42 @@
 		Incarnation: uint64(n.config.Incarnation), Address: n.config.Address,
 		Successions: old.nextSuccessions(t.requestedAt, reason),
 	}
-	outcome, err := n.rows.Transact(ctx, table.RowTransaction{
-		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old.Version}},
-		Writes: []table.RowWrite{
-			{RowID: n.holderRow(), Value: mustEncode(&row)},
-			{RowID: n.epochRow(), Value: mustEncode(&row)},
-		},
-	})
+	version, err := n.writeHolderRow(ctx, old.Version, mustEncode(&row))
 	if err != nil {
-		return nil, errors.Wrap(err, "write holder row")
-	}
-	if !outcome.Applied {
-		return nil, errSuperseded
+		return nil, err
 	}
-	t.holderState = HolderState{Row: row, Version: outcome.Version, Since: clock.Boottime(), Leading: true}
+	t.holderState = HolderState{Row: row, Version: version, Since: clock.Boottime(), Leading: true}
 	return t, n.readShard(ctx, t)
 }
 
+// writeHolderRow replaces a version of the holder row and returns the version of the new
+// row. The first attempt may be sent on a connection that has gone silent, so it has little
+// time. A second one finds out whether it was carried out.
+func (n *Node) writeHolderRow(ctx context.Context, old table.Version, value []byte) (table.Version, error) {
+	txn := table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old}},
+		Writes:     []table.RowWrite{{RowID: n.holderRow(), Value: value}, {RowID: n.epochRow(), Value: value}},
+	}
+	first, cancel := context.WithTimeout(ctx, firstWriteTimeout)
+	defer cancel()
+	outcome, err := n.rows.Transact(first, txn)
+	if errors.Is(err, table.ErrUnsettled) {
+		outcome, err = n.rows.Transact(ctx, txn)
+	}
+	if err != nil {
+		return 0, errors.Wrap(err, "write holder row")
+	}
+	if outcome.Applied {
+		return outcome.Version, nil
+	}
+	for _, row := range outcome.Current {
+		if row.RowID == n.holderRow() && bytes.Equal(row.Value, value) {
+			return row.Version, nil
+		}
+	}
+	return 0, errSuperseded
+}
+
 // lastEpoch returns the epoch of the last holder. If the holder row is unreadable, it
 // takes the epoch from the row that is written together with it.
 func (n *Node) lastEpoch(ctx context.Context, old HolderState) (uint64, error) {
