--- a/design_test.go
+++ b/design_test.go
@@ -12,7 +12,7 @@
 )
 
 // designPages are the pages that cite tests as evidence for their claims.
-var designPages = []string{"docs/DESIGN.md", "docs/design/platform.md"}
+var designPages = []string{"docs/DESIGN.md", "docs/design/platform.md", "docs/design/connections.md"}
 
 var (
 	testName       = regexp.MustCompile("`((?:Test|Fuzz)[A-Za-z0-9]+)`")
