Learn who holds the shard from a refused takeover

An entry whose feed of the holder row had gone silent tried to take over every 0.2 s until the feed answered, up to five times, each a transaction of the store that its condition refused. Meanwhile it knew no holder, and answered for jobs from the store and for waiting jobs with 503.

The refusal holds the current row, which the entry now applies like one from its feed.

TestCandidateLearnsOfTheHolderFromARefusal failed before (no holder known) and holds now.

--- a/scheduler/holder/lost_takeover_test.go
+++ b/scheduler/holder/lost_takeover_test.go
@@ -79,3 +79,21 @@
 		})
 	}
 }
+
+// Guards against lost answers to callers: a candidate whose feed of the holder row was silent tried
+// to take over again and again, and asked nobody, although each refusal names the holder.
+func TestCandidateLearnsOfTheHolderFromARefusal(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	n := New(Config{Host: "a", Incarnation: 7, Shard: "shard"}, rows, nil, logging.Discard().For("test"))
+	other := wire.HolderRow{Epoch: 2, Host: "b", Incarnation: 8, Address: "127.0.0.1:7000"}
+	_, err := rows.Transact(t.Context(), table.RowTransaction{Writes: []table.RowWrite{{RowID: n.holderRow(), Value: mustEncode(&other)}}})
+	g.Expect(err).NotTo(HaveOccurred())
+	l := newLoop(n)
+	n.holderState.Store(&HolderState{})
+	state, err := n.takeOver(t.Context(), *n.holderState.Load(), "no holder")
+	g.Expect(err).To(MatchError(errSuperseded))
+	l.finishTakeover(state, err)
+	g.Expect(n.holderState.Load().Row).To(Equal(other))
+	g.Expect(n.Leading()).To(BeFalse())
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -100,13 +100,16 @@
 	interference []table.VersionedRow
 	// from is the version to follow the jobs table from.
 	from table.Version
+	// refusedBy is the holder row of another process, which refused the takeover. Its version
+	// is zero if there is none.
+	refusedBy table.VersionedRow
 }
 
 // takeOver writes this process into the holder row and reads the shard.
 func (n *Node) takeOver(ctx context.Context, old HolderState, reason string) (*takeoverState, error) {
 	epoch, err := n.lastEpoch(ctx, old)
 	if err != nil {
-		return nil, err
+		return &takeoverState{}, err
 	}
 	t := &takeoverState{requestedAt: clock.Boottime()}
 	row := wire.HolderRow{
@@ -114,18 +117,19 @@
 		Incarnation: uint64(n.config.Incarnation), Address: n.config.Address,
 		Successions: old.nextSuccessions(t.requestedAt, reason),
 	}
-	version, err := n.writeHolderRow(ctx, old.Version, mustEncode(&row))
+	current, err := n.writeHolderRow(ctx, old.Version, mustEncode(&row))
 	if err != nil {
-		return nil, err
+		t.refusedBy = current
+		return t, err
 	}
-	t.holderState = HolderState{Row: row, Version: version, Since: clock.Boottime(), Leading: true}
+	t.holderState = HolderState{Row: row, Version: current.Version, Since: clock.Boottime(), Leading: true}
 	return t, n.readShard(ctx, t)
 }
 
-// writeHolderRow replaces a version of the holder row and returns the version of the new
-// row. The first attempt may be sent on a connection that has gone silent, so it has little
-// time. A second one finds out whether it was carried out.
-func (n *Node) writeHolderRow(ctx context.Context, old table.Version, value []byte) (table.Version, error) {
+// writeHolderRow replaces a version of the holder row and returns the new row, or the row of
+// another process with errSuperseded. The first attempt may be sent on a connection that has
+// gone silent, so it has little time. A second one finds out whether it was carried out.
+func (n *Node) writeHolderRow(ctx context.Context, old table.Version, value []byte) (table.VersionedRow, error) {
 	txn := table.RowTransaction{
 		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old}},
 		Writes:     []table.RowWrite{{RowID: n.holderRow(), Value: value}, {RowID: n.epochRow(), Value: value}},
@@ -137,17 +141,21 @@
 		outcome, err = n.rows.Transact(ctx, txn)
 	}
 	if err != nil {
-		return 0, errors.Wrap(err, "write holder row")
+		return table.VersionedRow{}, errors.Wrap(err, "write holder row")
 	}
 	if outcome.Applied {
-		return outcome.Version, nil
+		return table.VersionedRow{RowID: n.holderRow(), Value: value, Version: outcome.Version}, nil
 	}
 	for _, row := range outcome.Current {
-		if row.RowID == n.holderRow() && bytes.Equal(row.Value, value) {
-			return row.Version, nil
+		if row.RowID != n.holderRow() {
+			continue
 		}
+		if bytes.Equal(row.Value, value) {
+			return row, nil
+		}
+		return row, errSuperseded
 	}
-	return 0, errSuperseded
+	return table.VersionedRow{}, errSuperseded
 }
 
 // lastEpoch returns the epoch of the last holder. If the holder row is unreadable, it
@@ -199,6 +207,9 @@
 	defer n.takingOver.Store(false) // after Leading, as another process takes over if both are false
 	if err != nil {
 		n.log.Warn().Err(err).Msg("takeover failed")
+		if t.refusedBy.Version > 0 {
+			l.applyHolderRow(t.refusedBy) // the feed may be silent
+		}
 		return
 	}
 	if n.resigned.Load() {
