Offer a job's progress to the store also where it exceeds a transaction

Callers would see: a job of more than some 8,000 tasks that does not end once its progress has that many.

Cause: a record was taken into a batch only if the estimate of its size, 64 bytes a task, fits in the bytes of one transaction, so a larger one was never taken.

Change: the last record of a batch may exceed its bytes.

Evidence: TestProgressLargerThanATransactionIsOffered failed before (no record offered).

Measured: the tests of scheduler/dispatch with -race: passed, 329 s at a load of 25.

--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -14,7 +14,7 @@
 	Job   carobkeel.JobID
 	State carobkeel.JobState
 	// Tasks lists the tasks that are done, have failed runs or have saved a
-	// checkpoint.
+	// checkpoint, in the order of their names.
 	Tasks []TaskProgress
 }
 
@@ -44,12 +44,13 @@
 	states    map[carobkeel.JobID]carobkeel.JobState
 }
 
-// BatchLimit bounds a batch to what the table service accepts in one
-// transaction.
+// BatchLimit bounds a batch to what the table service accepts in one transaction.
 type BatchLimit struct {
-	// Entries bounds the total number of writes and of conditions on rows.
+	// Entries bounds the total number of writes and of conditions on rows, with one row
+	// for a job's progress.
 	Entries int
-	// Bytes bounds the total size of the values.
+	// Bytes bounds the total size of the values. The last record may exceed it: the
+	// progress of a large job does not fit in any transaction.
 	Bytes int
 	// Single restricts the batch to one record.
 	Single bool
@@ -75,10 +76,10 @@
 	learnedBytes      = 64 << 10
 )
 
-// take subtracts the needs of a record from the limit, and reports whether they
-// fit.
+// take subtracts the needs of a record from the limit, and reports whether the record may
+// be taken.
 func (l *BatchLimit) take(entries, bytes int) bool {
-	if l.Entries < entries || l.Bytes < bytes || (l.Single && l.taken) {
+	if l.Entries < entries || l.Bytes <= 0 || (l.Single && l.taken) {
 		return false
 	}
 	l.taken = true
