Store the progress of a job in as many rows as it takes

Cause: the progress of a job was one row. Above row_bytes the store rejects it, so it was never stored, and what waits for it was never acknowledged. The class: a record that grows with what a caller asks for is taken to fit in one unit of the store.

Change: further rows, whose key is the name of their first task, hold the tasks up to the next row's first one. A row that is too large is divided; new rows are written first, those of later tasks before those of earlier ones, so that each transaction leaves rows that can be read. Only changed rows are written, under the conditions of before; a batch takes several transactions if it must, and counts as stored after the last one. Further rows are removed when the job ends. row_bytes of the settings is read. Progress that fits in a row is stored as before, to the byte; the version before ignores further rows, which it could not have written. batch_writer.go and wire/progress.go hold moved code of store.go and convert.go.

Evidence: TestJobWhoseProgressExceedsARowEndsAcrossATakeover failed on the code before (no progress row beyond the first in 20 s). The property test fails if rows are written in the other order, or if outdated entries count; TestLateWriteDoesNotBringBackTheRowsOfAnEndedJob fails without the condition on the row with the state.

Tests changed: limitedRows of the holder's tests takes a bound on progress, startEntry passes a row bound; FuzzShardRows reads its progress as two rows. No assertion changes.

The property test with 1,500 draws and 40 s of FuzzShardRows passed.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -57,8 +57,8 @@
 	address := s.LinkAddress(s.IP)
 	config := holder.Config{
 		Host: s.Host, Incarnation: e.incarnation, Address: address, Shard: defaultShard,
-		WorkerLease: workerLease,
-		Capacity:    holder.Capacity{Processors: s.Processors, LinkBytesPerSecond: s.LinkBytesPerSecond},
+		WorkerLease: workerLease, RowBytes: s.Store.RowBytes,
+		Capacity: holder.Capacity{Processors: s.Processors, LinkBytesPerSecond: s.LinkBytesPerSecond},
 	}
 	if s.AdviceAddress != "" {
 		config.Advisor = platform.NewAdvisor(s.AdviceAddress)
--- /dev/null
+++ b/scheduler/holder/batch_writer.go
@@ -0,0 +1,161 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// firstRetryPause and maxRetryPause bound the time between two attempts.
+const (
+	firstRetryPause = 20 * time.Millisecond
+	maxRetryPause   = 250 * time.Millisecond
+)
+
+// errSuperseded reports that another process holds the shard.
+var errSuperseded = errors.New("another process holds the shard")
+
+// batchWriter stores one batch, in as many transactions and attempts as it takes.
+type batchWriter struct {
+	node   *Node
+	holder HolderState
+	batch  dispatch.Batch
+	// rows are the rows of the progress of the batch's jobs. They follow what is stored.
+	rows map[carobkeel.JobID]*progressRows
+}
+
+// run stores the batch.
+func (w *batchWriter) run(ctx context.Context) error {
+	holds := table.RowCondition{RowID: w.node.holderRow(), Version: w.holder.Version}
+	for _, txn := range packTransactions(w.changes(), holds) {
+		if err := w.transact(ctx, txn); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// transact executes a transaction. Every write is conditional on the holder row and on the
+// version of the row that it replaces, so that a transaction that is carried out late
+// changes nothing.
+func (w *batchWriter) transact(ctx context.Context, txn table.RowTransaction) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstRetryPause, maxRetryPause
+	for {
+		outcome, err := w.node.rows.Transact(ctx, txn)
+		switch {
+		case err == nil && outcome.Applied:
+			w.record(txn.Writes, outcome.Version)
+			return nil
+		case err == nil:
+			if err := w.refreshVersions(txn.Conditions, &outcome); err != nil {
+				return err
+			}
+			continue
+		case errors.Is(err, table.ErrInvalid):
+			w.logRejected(err)
+			return err
+		}
+		w.node.log.Warn().Err(err).Int("jobs", len(w.batch.Progress)).Msg("records not stored, retrying")
+		if err := clock.Sleep(ctx, pause.NextBackOff()); err != nil {
+			return err
+		}
+	}
+}
+
+// record follows the rows of progress that a transaction has written.
+func (w *batchWriter) record(writes []table.RowWrite, version table.Version) {
+	for _, write := range writes {
+		if write.Table == TableProgress {
+			w.rows[jobOfProgressKey(write.Key)].record(write, version)
+		}
+	}
+}
+
+// refreshVersions adopts the current versions of the rows. They differ when an
+// earlier attempt of this holder was carried out without its answer arriving.
+func (w *batchWriter) refreshVersions(conditions []table.RowCondition, outcome *table.RowOutcome) error {
+	if outcome.CurrentVersion(w.node.holderRow()) != w.holder.Version {
+		return errSuperseded
+	}
+	for i := range conditions {
+		conditions[i].Version = outcome.CurrentVersion(conditions[i].RowID)
+	}
+	return nil
+}
+
+func (w *batchWriter) logRejected(err error) {
+	line := w.node.log.Error().Err(err).Int("records", w.batch.Len())
+	if len(w.batch.Progress) > 0 {
+		line = line.Str("job", string(w.batch.Progress[0].Job))
+	}
+	if len(w.batch.Workers) > 0 {
+		line = line.Str("host", w.batch.Workers[0].Host)
+	}
+	line.Msg("table service rejected the records")
+}
+
+// changes returns the changes of the batch, each of which takes effect as a whole.
+func (w *batchWriter) changes() []table.RowTransaction {
+	n := w.node
+	var changes []table.RowTransaction
+	set := func(id table.RowID, value []byte) {
+		changes = append(changes, table.RowTransaction{Writes: []table.RowWrite{{RowID: id, Value: value}}})
+	}
+	for i := range w.batch.Progress {
+		p := &w.batch.Progress[i]
+		changes = append(changes, w.rows[p.Job].changes(p, n.config.valueBytes())...)
+	}
+	for _, record := range w.batch.Workers {
+		row := wire.WorkerRow{Host: record.Host, ID: record.Incarnation.ID, StartedAtMs: record.Incarnation.StartedAtMs}
+		set(n.workerRow(record.Incarnation), mustEncode(&row))
+	}
+	for _, job := range w.batch.Expired {
+		changes = append(changes, w.rows[job].removal(n.jobRow(job), n.cancelRow(job))...)
+	}
+	if len(w.batch.Interference) > 0 {
+		set(n.learnedRow(), mustEncode(wire.FromInterference(w.batch.Interference)))
+	}
+	for _, incarnation := range w.batch.Forgotten {
+		changes = append(changes, table.RowTransaction{Writes: []table.RowWrite{{RowID: n.workerRow(incarnation), Delete: true}}})
+	}
+	return changes
+}
+
+// packTransactions joins changes, in their order, into as few transactions as the table
+// service accepts. Each has the given condition.
+func packTransactions(changes []table.RowTransaction, holds table.RowCondition) []table.RowTransaction {
+	var packed []table.RowTransaction
+	for _, change := range changes {
+		if len(packed) == 0 || !hasRoom(&packed[len(packed)-1], change) {
+			packed = append(packed, table.RowTransaction{Conditions: []table.RowCondition{holds}})
+		}
+		last := &packed[len(packed)-1]
+		for _, condition := range change.Conditions {
+			if !slices.Contains(last.Conditions, condition) {
+				last.Conditions = append(last.Conditions, condition)
+			}
+		}
+		last.Writes = append(last.Writes, change.Writes...)
+	}
+	return packed
+}
+
+// hasRoom reports whether a change fits in a transaction.
+func hasRoom(txn *table.RowTransaction, change table.RowTransaction) bool {
+	entries := len(txn.Conditions) + len(txn.Writes) + len(change.Conditions) + len(change.Writes)
+	bytes := 0
+	for _, write := range slices.Concat(txn.Writes, change.Writes) {
+		bytes += len(write.Value)
+	}
+	return entries <= maxEntries && bytes <= batchBytes
+}
--- a/scheduler/holder/fuzz_test.go
+++ b/scheduler/holder/fuzz_test.go
@@ -9,6 +9,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/table"
@@ -27,6 +28,9 @@
 	f.Add("j", mustEncode(&job), mustEncode(&progress), mustEncode(&wire.InterferenceRow{}))
 	f.Add("0.0", deep, deep, deep)
 	f.Add("", []byte{0x81, 0xa5, 's', 't', 'e', 'p', 's', 0xdd, 0, 0, 0xff, 0xff}, []byte{0xc1}, []byte{0x81, 0xa1, 'i', 0xdc, 0xff, 0xff})
+	part := wire.FromProgressPart(carobkeel.TaskName{Job: "j", Index: 1}, nil)
+	f.Add("j", mustEncode(&job), mustEncode(part), mustEncode(&wire.InterferenceRow{}))
+	logger := logging.Discard().For("test")
 	f.Fuzz(func(_ *testing.T, key string, jobValue, progressValue, learnedValue []byte) {
 		now := dispatch.Now{Monotonic: time.Hour, Wall: time.UnixMilli(1 << 41)}
 		core := dispatch.New(dispatch.Config{Epoch: 2, WorkerLease: time.Second}, now, nil)
@@ -37,8 +41,13 @@
 		if spec, err := decodeJob(table.VersionedRow{RowID: table.RowID{Key: key}, Value: jobValue}); err == nil {
 			core.AddJob(spec, true)
 		}
-		if restored, err := wire.DecodeProgress(progressValue, carobkeel.JobID(key)); err == nil {
-			core.Restore(restored)
+		for _, progress := range groupProgress([]table.VersionedRow{
+			{RowID: table.RowID{Key: key}, Value: progressValue, Version: 1},
+			{RowID: table.RowID{Key: key + ".0.0.1"}, Value: progressValue, Version: 2},
+		}) {
+			if restored, found := progress.decode(logger); found {
+				core.Restore(restored)
+			}
 		}
 		incarnation := runs.Incarnation{ID: "w", StartedAtMs: 1}
 		core.HostLinked("h", dispatch.Link{ID: 1})
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -9,7 +9,6 @@
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
-	"github.com/carobkeel/carobkeel/table"
 )
 
 const (
@@ -63,7 +62,8 @@
 	// singleBatches is the number of batches of one record each that follow a rejected
 	// batch.
 	singleBatches int
-	versions      map[carobkeel.JobID]table.Version
+	// progress has the rows of each job's progress, as this holder knows them.
+	progress map[carobkeel.JobID]*progressRows
 	// pending maps the jobs that have not started to their queues.
 	pending map[carobkeel.JobID]carobkeel.QueueName
 	wake    time.Duration
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -53,6 +53,8 @@
 	Shard string
 	// WorkerLease is the duration of a worker's lease, counted from a ping.
 	WorkerLease time.Duration
+	// RowBytes bounds the value of a row. Zero means defaultRowBytes.
+	RowBytes int
 	// Capacity ranks this host among those that may take over.
 	Capacity Capacity
 	// Advisor is asked which workers may run the steps of queues that need
@@ -60,6 +62,19 @@
 	Advisor Advisor
 }
 
+// defaultRowBytes bounds the value of a row where the settings have no bound.
+const defaultRowBytes = 64 << 10
+
+// valueBytes returns the size up to which rows are filled. It keeps a fourth free, so that
+// a bound on the encoded text, which is a third longer, is kept too.
+func (c *Config) valueBytes() int {
+	limit := c.RowBytes
+	if limit == 0 {
+		limit = defaultRowBytes
+	}
+	return limit - limit/4
+}
+
 // HolderState is this process's knowledge of who holds the shard.
 type HolderState struct {
 	Row     wire.HolderRow
--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -113,8 +113,10 @@
 	stopAgents []context.CancelFunc
 	// endless lets runs last until they are stopped.
 	endless bool
-	config  *carobkeel.QueueConfig
-	logger  *log.Logger
+	// rowBytes is the bound on the value of a row, zero for the default.
+	rowBytes int
+	config   *carobkeel.QueueConfig
+	logger   *log.Logger
 }
 
 func startCluster(t *testing.T, entries, workers int) *cluster {
@@ -148,7 +150,7 @@
 	host := fmt.Sprintf("entry-%d", len(f.entries))
 	node := holder.New(holder.Config{
 		Host: host, Incarnation: carobkeel.Incarnation(len(f.entries) + 1), Address: listener.Addr().String(),
-		Shard: testShard, WorkerLease: testWorkerLease,
+		Shard: testShard, WorkerLease: testWorkerLease, RowBytes: f.rowBytes,
 	}, f.rows, holder.NewMetrics(tally.NoopScope), f.logger)
 	go func() {
 		if err := node.Serve(ctx, listener); err != nil {
--- a/scheduler/holder/rejected_records_test.go
+++ b/scheduler/holder/rejected_records_test.go
@@ -17,21 +17,26 @@
 const maxKeyBytes = 200
 
 // limitedRows rejects rows as the table service does: keys and values that are too
-// large, and the progress of one job.
+// large, and the progress of one job. Progress may have a smaller bound.
 type limitedRows struct {
 	table.Rows
-	rejected carobkeel.JobID
+	rejected      carobkeel.JobID
+	progressBytes int
 }
 
 func (r *limitedRows) Transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
 	for _, w := range txn.Writes {
-		if len(w.Key) > maxKeyBytes || len(w.Value) > maxRowBytes || (w.Table == holder.TableProgress && w.Key == string(r.rejected)) {
+		if len(w.Key) > maxKeyBytes || len(w.Value) > maxRowBytes || (w.Table == holder.TableProgress && r.rejects(w)) {
 			return table.RowOutcome{}, table.ErrInvalid
 		}
 	}
 	return r.Rows.Transact(ctx, txn)
 }
 
+func (r *limitedRows) rejects(progress table.RowWrite) bool {
+	return progress.Key == string(r.rejected) || (r.progressBytes > 0 && len(progress.Value) > r.progressBytes)
+}
+
 func TestRecordsThatAreRejectedDoNotHoldBackOthers(t *testing.T) {
 	for _, c := range []struct {
 		name, host string
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -29,15 +31,14 @@
 	return incarnation.ID + "." + strconv.FormatInt(incarnation.StartedAtMs, 10)
 }
 
-func (l *loop) restore(row table.VersionedRow) {
-	job := carobkeel.JobID(row.Key)
-	l.versions[job] = row.Version
-	progress, err := wire.DecodeProgress(row.Value, job)
-	if err != nil {
-		l.node.log.Error().Err(err).Str("job", row.Key).Msg("progress row left out")
-		return
+// restoreProgress applies the stored progress of jobs, in the order of their IDs.
+func (l *loop) restoreProgress(rows []table.VersionedRow) {
+	l.progress = groupProgress(rows)
+	for _, job := range slices.Sorted(maps.Keys(l.progress)) {
+		if progress, found := l.progress[job].decode(l.node.log); found {
+			l.core.Restore(progress)
+		}
 	}
-	l.core.Restore(progress)
 }
 
 func (l *loop) restoreInterference(rows []table.VersionedRow) {
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -205,7 +205,6 @@
 	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
 	n.recordHoldRead(t.requestedAt)
 	l.batchInFlight = false
-	l.versions = make(map[carobkeel.JobID]table.Version)
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
 	l.core = dispatch.New(dispatch.Config{
@@ -217,9 +216,7 @@
 	l.restoreInterference(t.interference)
 	slices.SortFunc(t.jobs, func(a, b table.VersionedRow) int { return cmp.Compare(a.Version, b.Version) })
 	l.addJobs(t.jobs, t.holderState.Version)
-	for _, row := range t.progress {
-		l.restore(row)
-	}
+	l.restoreProgress(t.progress)
 	l.applyCancellations(t.jobs) // a job that had already ended keeps its final state
 	n.sidecars.Range(func(host, value any) bool {
 		p := value.(*peer)
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/interference"
@@ -153,42 +151,6 @@
 	}
 }
 
-// FromProgress returns the row for the progress of a job.
-func FromProgress(p *dispatch.Progress) *ProgressRow {
-	row := &ProgressRow{State: uint8(p.State)}
-	for _, t := range p.Tasks {
-		row.Tasks = append(row.Tasks, TaskProgress{
-			Occurrence: t.Task.Occurrence, Step: t.Task.Step, Index: t.Task.Index,
-			Done: t.Done, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint,
-		})
-	}
-	return row
-}
-
-// DecodeProgress decodes a row of the progress of the job with the given id.
-func DecodeProgress(value []byte, id carobkeel.JobID) (dispatch.Progress, error) {
-	var row ProgressRow
-	if _, err := row.UnmarshalMsg(value); err != nil {
-		return dispatch.Progress{}, errors.Wrap(err, "decode progress")
-	}
-	if carobkeel.JobState(row.State) > carobkeel.JobCancelled {
-		return dispatch.Progress{}, errors.Errorf("decode progress: unknown state %d", row.State)
-	}
-	return row.Decoded(id), nil
-}
-
-// Decoded returns the progress of the job with the given id.
-func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
-	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State)}
-	for _, t := range r.Tasks {
-		p.Tasks = append(p.Tasks, dispatch.TaskProgress{
-			Task: carobkeel.TaskName{Job: id, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index},
-			Done: t.Done, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint,
-		})
-	}
-	return p
-}
-
 // FromInterference returns the row for the measured records of images.
 func FromInterference(records []interference.ImageRecord) *InterferenceRow {
 	row := &InterferenceRow{}
--- /dev/null
+++ b/scheduler/wire/progress.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+)
+
+// FromProgress returns the row for the progress of a job.
+func FromProgress(p *dispatch.Progress) *ProgressRow {
+	row := &ProgressRow{State: uint8(p.State)}
+	for i := range p.Tasks {
+		row.Tasks = append(row.Tasks, fromTaskProgress(&p.Tasks[i]))
+	}
+	return row
+}
+
+// FromProgressPart returns the row for the tasks of a job from the given one on.
+func FromProgressPart(first carobkeel.TaskName, tasks []dispatch.TaskProgress) *ProgressRow {
+	row := FromProgress(&dispatch.Progress{Tasks: tasks})
+	row.First = first.String()
+	return row
+}
+
+func fromTaskProgress(t *dispatch.TaskProgress) TaskProgress {
+	return TaskProgress{
+		Occurrence: t.Task.Occurrence, Step: t.Task.Step, Index: t.Task.Index,
+		Done: t.Done, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint,
+	}
+}
+
+// rowOverhead bounds the size of a progress row without its tasks and the job's ID.
+const rowOverhead = 96
+
+// SplitProgress divides the tasks of a job into lists that each fit in a row of the given
+// size. If there are several, they are filled by half, so that they can grow.
+func SplitProgress(tasks []dispatch.TaskProgress, rowBytes int) [][]dispatch.TaskProgress {
+	if len(tasks) == 0 {
+		return [][]dispatch.TaskProgress{nil}
+	}
+	sizes := make([]int, len(tasks))
+	overhead := rowOverhead + len(tasks[0].Task.Job)
+	total := overhead
+	var buffer []byte
+	for i := range tasks {
+		encoded := fromTaskProgress(&tasks[i])
+		buffer, _ = encoded.MarshalMsg(buffer[:0]) // can't fail: numbers and texts only
+		sizes[i] = len(buffer)
+		total += sizes[i]
+	}
+	if total <= rowBytes {
+		return [][]dispatch.TaskProgress{tasks}
+	}
+	return splitBySize(tasks, sizes, rowBytes/2-overhead)
+}
+
+// splitBySize divides tasks into lists of at most the given size, or of one task.
+func splitBySize(tasks []dispatch.TaskProgress, sizes []int, limit int) [][]dispatch.TaskProgress {
+	var lists [][]dispatch.TaskProgress
+	begin, size := 0, 0
+	for i := range tasks {
+		if i > begin && size+sizes[i] > limit {
+			lists = append(lists, tasks[begin:i])
+			begin, size = i, 0
+		}
+		size += sizes[i]
+	}
+	return append(lists, tasks[begin:])
+}
+
+// DecodeProgress decodes the row with the state of the job with the given ID.
+func DecodeProgress(value []byte, id carobkeel.JobID) (dispatch.Progress, error) {
+	var row ProgressRow
+	if _, err := row.UnmarshalMsg(value); err != nil {
+		return dispatch.Progress{}, errors.Wrap(err, "decode progress")
+	}
+	if carobkeel.JobState(row.State) > carobkeel.JobCancelled {
+		return dispatch.Progress{}, errors.Errorf("decode progress: unknown state %d", row.State)
+	}
+	return row.Decoded(id), nil
+}
+
+// DecodeProgressPart decodes the row of the tasks of a job from the given one on.
+func DecodeProgressPart(value []byte, first carobkeel.TaskName) ([]dispatch.TaskProgress, error) {
+	var row ProgressRow
+	if _, err := row.UnmarshalMsg(value); err != nil {
+		return nil, errors.Wrap(err, "decode a part of progress")
+	}
+	if row.First != first.String() {
+		return nil, errors.Errorf("decode a part of progress: it begins with %q", row.First)
+	}
+	return row.Decoded(first.Job).Tasks, nil
+}
+
+// Decoded returns the progress of the job with the given ID.
+func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
+	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State)}
+	for _, t := range r.Tasks {
+		p.Tasks = append(p.Tasks, dispatch.TaskProgress{
+			Task: carobkeel.TaskName{Job: id, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index},
+			Done: t.Done, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint,
+		})
+	}
+	return p
+}
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -82,10 +82,13 @@
 	MaxUnavailable   int
 }
 
-// ProgressRow is the encoding of a dispatch.Progress.
+// ProgressRow is the encoding of a dispatch.Progress, or of a part of one that does not fit
+// in a row.
 type ProgressRow struct {
 	State uint8          `msg:"s"`
 	Tasks []TaskProgress `msg:"t"`
+	// First names the first task of a part. It is empty in the row that has the state.
+	First string `msg:"f,omitempty"`
 }
 
 // TaskProgress is the encoding of a dispatch.TaskProgress.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -725,18 +725,36 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "s"
-	o = append(o, 0x82, 0xa1, 0x73)
-	o = msgp.AppendUint8(o, z.State)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
-	for za0001 := range z.Tasks {
-		o, err = z.Tasks[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.First == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint8(o, z.State)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
+		for za0001 := range z.Tasks {
+			o, err = z.Tasks[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "f"
+			o = append(o, 0xa1, 0x66)
+			o = msgp.AppendString(o, z.First)
 		}
 	}
 	return
@@ -793,6 +811,12 @@
 					return
 				}
 			}
+		case "f":
+			z.First, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -811,6 +835,7 @@
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
+	s += 2 + msgp.StringPrefixSize + len(z.First)
 	return
 }
 
