Play the path of jobs in the soak: stand-ins of the store and workers, troubles by a seed

platform/standin plays the store (silent, answers lost, writes applied late), workers (lease, epoch, numbered ends, a clock up to 2% slow, incarnations under one id, calls without an answer that are carried out at once or 2 to 12 s later, also in the next incarnation, silent, slow and grey) and callers. cmd/soak -path jobs runs 3 entries and 11 sidecars against them and draws troubles by -seed in -streams side by side. A broken play leaves command, findings, record and logs in a folder.

--- /dev/null
+++ b/cmd/soak/jobs/fleet.go
@@ -0,0 +1,222 @@
+package jobs
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/judge"
+	"github.com/carobkeel/carobkeel/internal/logging"
+	"github.com/carobkeel/carobkeel/platform/standin"
+	"github.com/carobkeel/carobkeel/table"
+)
+
+// Ports of each host, which has an address of its own.
+const (
+	callerPort   = 8161
+	workerPort   = 8165
+	registryPort = 8166
+	readyPort    = 8167
+	storePort    = 8169
+	linkPort     = 7720
+)
+
+// Hosts are numbered: the store has storeHost, entries and sidecars follow from there.
+const (
+	storeHost    = 1
+	firstEntry   = 11
+	firstSidecar = 21
+)
+
+const (
+	// workerMilliCPU and workerMemoryMB are the capacity of each worker, and hostsPerRack
+	// is how many share a rack.
+	workerMilliCPU = 32_000
+	workerMemoryMB = 128_000
+	hostsPerRack   = 3
+	// slowestClock is the share by which a worker's clock may be slow.
+	slowestClock = 0.02
+	readyTimeout = 20 * time.Second
+	readyPoll    = 100 * time.Millisecond
+	logSuffix    = ".log"
+	standinsLog  = "standins" + logSuffix
+)
+
+// fleet is a small deployment on loopback addresses: the system's processes, and stand-ins
+// of the store and the workers in this process.
+type fleet struct {
+	binary, folder string
+	prefix         string
+	record         *judge.Record
+	logs           *logging.Factory
+	logFile        *os.File
+	store          *standin.Store
+	entries        []*process
+	// sidecars and workers have the same order.
+	sidecars []*process
+	workers  []*standin.Worker
+	servers  []*http.Server
+}
+
+// startFleet starts a deployment that logs into a folder. On an error it returns what has
+// started, for stop.
+func startFleet(ctx context.Context, c Config, folder string) (*fleet, error) {
+	f := &fleet{binary: c.Binary, folder: folder, record: judge.NewRecord(clock.System{})}
+	var err error
+	if f.logFile, err = os.Create(filepath.Join(folder, standinsLog)); err != nil {
+		return f, errors.WithStack(err)
+	}
+	f.logs = logging.NewFactory(logging.Config{Level: "info"}, f.logFile)
+	f.store = standin.NewStore(c.Seed, f.logs.For("store"))
+	if err := f.serveStore(); err != nil {
+		return f, err
+	}
+	if err := f.configure(&configuration); err != nil {
+		return f, err
+	}
+	for i := range c.Entries {
+		if err := f.addEntry(i); err != nil {
+			return f, err
+		}
+	}
+	random := rand.New(rand.NewPCG(c.Seed, uint64(c.Workers)))
+	for i := range c.Workers {
+		if err := f.addWorker(ctx, i, random); err != nil {
+			return f, err
+		}
+	}
+	return f, f.awaitReady(ctx)
+}
+
+// serveStore serves the store in a loopback network in which its port is free.
+func (f *fleet) serveStore() error {
+	var err error
+	for range 20 {
+		f.prefix = fmt.Sprintf("127.%d.%d.", 32+rand.IntN(200), 1+rand.IntN(250))
+		if err = f.serve(f.address(storeHost, storePort), f.store.Handler()); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// configure writes the operator's configuration.
+func (f *fleet) configure(config *carobkeel.QueueConfig) error {
+	f.record.Add(judge.ConfigurationSent{Config: *config})
+	if err := f.store.PutConfiguration(config); err != nil {
+		return errors.Wrap(err, "write the configuration")
+	}
+	f.record.Add(judge.ConfigurationAcknowledged{Version: config.Version})
+	return nil
+}
+
+func (f *fleet) ip(host int) string { return f.prefix + fmt.Sprint(host) }
+
+func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s:%d", f.ip(host), port) }
+
+// caller returns the address of an entry for callers.
+func (f *fleet) caller(entry int) string { return f.address(firstEntry+entry, callerPort) }
+
+func (f *fleet) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "serve a stand-in")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// host returns the settings that all hosts have.
+func (f *fleet) host(name string, number int) standin.Host {
+	h := standin.Host{
+		Name: name, IP: f.ip(number), LinkPort: linkPort,
+		Store: f.address(storeHost, storePort), Registry: f.address(number, registryPort),
+	}
+	for i := range 3 {
+		h.Seeds = append(h.Seeds, f.address(firstEntry+i, registryPort))
+	}
+	return h
+}
+
+func (f *fleet) addEntry(i int) error {
+	number := firstEntry + i
+	host := f.host(fmt.Sprintf("edge-%d", i+1), number)
+	host.Caller, host.Ready = f.address(number, callerPort), f.address(number, readyPort)
+	p, err := newProcess(f.binary, f.folder, entryRole, host)
+	if p != nil {
+		f.entries = append(f.entries, p)
+	}
+	return err
+}
+
+func (f *fleet) addWorker(ctx context.Context, i int, random *rand.Rand) error {
+	number := firstSidecar + i
+	host := f.host(fmt.Sprintf("side-%d", i+1), number)
+	host.Worker, host.Service = f.address(number, workerPort), service
+	w := standin.NewWorker(standin.WorkerConfig{
+		Name: fmt.Sprintf("worker-%d", i+1), Service: service, Address: host.Worker, Registry: host.Registry,
+		Sidecar: host.Name, DataCentre: standin.DataCentre, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB,
+		Rack: fmt.Sprintf("r-%d", 1+i/hostsPerRack), ClockSlowness: slowestClock * random.Float64(), Seed: random.Uint64(),
+	}, f.record, f.logs.For("worker"))
+	if err := f.serve(host.Worker, w.Handler()); err != nil {
+		return err
+	}
+	f.workers = append(f.workers, w)
+	p, err := newProcess(f.binary, f.folder, sidecarRole, host)
+	if p != nil {
+		f.sidecars = append(f.sidecars, p)
+	}
+	go w.Run(ctx)
+	return err
+}
+
+// awaitReady waits until every entry reports that it is ready.
+func (f *fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for i := range f.entries {
+		for !standin.Ready(ctx, f.address(firstEntry+i, readyPort)) {
+			if clock.Sleep(ctx, readyPoll) != nil {
+				return errors.New("entries are not ready in time")
+			}
+		}
+	}
+	return nil
+}
+
+var holderRow = table.RowID{Table: "holders", Part: "shard-0", Key: "holder"}
+
+// holder returns the entry that wrote its name last into the row of the holder.
+func (f *fleet) holder() *process {
+	value := f.store.Row(holderRow)
+	for _, p := range f.entries {
+		if bytes.Contains(value, []byte(p.name)) {
+			return p
+		}
+	}
+	return f.entries[0]
+}
+
+// stop ends all processes and stand-ins.
+func (f *fleet) stop() {
+	for _, p := range append(f.entries, f.sidecars...) {
+		p.kill()
+		_ = p.log.Close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	_ = f.logFile.Close()
+}
--- /dev/null
+++ b/cmd/soak/jobs/plan.go
@@ -0,0 +1,119 @@
+package jobs
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// Kinds of troubles.
+const (
+	// FreezeHolder and FreezeSidecars suspend processes.
+	FreezeHolder   Kind = "freeze-holder"
+	FreezeSidecars Kind = "freeze-sidecars"
+	// KillEntry kills an entry, TerminateEntry asks it to end. Both start it again.
+	KillEntry      Kind = "kill-entry"
+	TerminateEntry Kind = "terminate-entry"
+	// RestartWorkers crashes workers, which start again under their ids.
+	RestartWorkers Kind = "restart-workers"
+	// DarkHosts takes away hosts with their sidecars and workers.
+	DarkHosts Kind = "dark-hosts"
+	// LateCalls leaves calls to workers unanswered and carries them out at once or later.
+	LateCalls Kind = "late-calls"
+	// LateWrites does so with transactions of the store.
+	LateWrites    Kind = "late-writes"
+	SilentStore   Kind = "silent-store"
+	SilentWorkers Kind = "silent-workers"
+	// SlowWorkers work and answer slowly.
+	SlowWorkers Kind = "slow-workers"
+	// GreyWorkers fail a share of the calls.
+	GreyWorkers Kind = "grey-workers"
+	// RepeatRequests repeats submissions seconds after they were answered.
+	RepeatRequests Kind = "repeat-requests"
+)
+
+// span is how long a trouble lasts.
+type span struct{ shortest, longest time.Duration }
+
+// spans are the lengths of troubles, of those that end a process or a worker the time until
+// it starts again.
+var spans = map[Kind]span{
+	FreezeHolder:   {500 * time.Millisecond, 6 * time.Second},
+	FreezeSidecars: {500 * time.Millisecond, 6 * time.Second},
+	KillEntry:      {100 * time.Millisecond, 2 * time.Second},
+	TerminateEntry: {100 * time.Millisecond, 2 * time.Second},
+	RestartWorkers: {200 * time.Millisecond, 2 * time.Second},
+	DarkHosts:      {time.Second, 6 * time.Second},
+	LateCalls:      {2 * time.Second, 6 * time.Second},
+	LateWrites:     {2 * time.Second, 6 * time.Second},
+	SilentStore:    {500 * time.Millisecond, 5 * time.Second},
+	SilentWorkers:  {time.Second, 6 * time.Second},
+	SlowWorkers:    {3 * time.Second, 8 * time.Second},
+	GreyWorkers:    {2 * time.Second, 6 * time.Second},
+	RepeatRequests: {2 * time.Second, 6 * time.Second},
+}
+
+// Kinds returns all kinds of troubles in a fixed order.
+func Kinds() []Kind {
+	var kinds []Kind
+	for k := range spans {
+		kinds = append(kinds, k)
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+// ParseKinds returns the kinds in a list with commas, all of them for "all".
+func ParseKinds(list string) ([]Kind, error) {
+	if list == "all" {
+		return Kinds(), nil
+	}
+	var kinds []Kind
+	for name := range strings.SplitSeq(list, ",") {
+		kind := Kind(strings.TrimSpace(name))
+		if _, known := spans[kind]; !known {
+			return nil, errors.Errorf("no kind of trouble is called %q", kind)
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds, nil
+}
+
+const (
+	// calmTime is how long the fleet runs before the first trouble.
+	calmTime = 4 * time.Second
+	// meanGap is the mean time between two troubles of a stream.
+	meanGap = time.Second
+)
+
+// trouble is a planned trouble.
+type trouble struct {
+	At, For time.Duration
+	Kind    Kind
+	// Draw is the seed of all else that is drawn for it.
+	Draw uint64
+}
+
+// planStream returns the troubles of a stream in order of time. The same arguments give the
+// same troubles.
+func planStream(seed uint64, stream int, kinds []Kind, duration time.Duration) []trouble {
+	random := rand.New(rand.NewPCG(seed, uint64(stream)))
+	var planned []trouble
+	at := calmTime
+	for {
+		at += time.Duration(random.ExpFloat64() * float64(meanGap))
+		t := trouble{At: at, Kind: kinds[random.IntN(len(kinds))], Draw: random.Uint64()}
+		s := spans[t.Kind]
+		t.For = s.shortest + time.Duration(random.Int64N(int64(s.longest-s.shortest)))
+		if at += t.For; at > duration {
+			return planned
+		}
+		planned = append(planned, t)
+	}
+}
--- /dev/null
+++ b/cmd/soak/jobs/play.go
@@ -0,0 +1,163 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/judge"
+)
+
+const (
+	// settleTime is how long all that late calls and writes do may take, and endTime how
+	// long jobs may take to end after that.
+	settleTime = 13 * time.Second
+	endTime    = 20 * time.Second
+	endPoll    = 200 * time.Millisecond
+)
+
+// Config holds the settings of a play.
+type Config struct {
+	Binary string
+	Seed   uint64
+	// Duration is how long jobs are submitted and troubles come.
+	Duration time.Duration
+	Kinds    []Kind
+	// Streams is how many troubles come side by side.
+	Streams int
+	// ReachNext lets calls that are carried out late reach a worker's next incarnation.
+	ReachNext        bool
+	Entries, Workers int
+	// Folder is where broken plays leave what was seen.
+	Folder string
+	// Command is the command line that repeats the play.
+	Command string
+}
+
+// Result is the outcome of a play.
+type Result struct {
+	Seed     uint64
+	Troubles int
+	Jobs     int64
+	Accepted int64
+	// Ended are the jobs that callers were told have ended.
+	Ended    int64
+	Runs     int
+	Findings []judge.Finding
+	// Folder is where a broken play is kept, empty for a whole one.
+	Folder string
+}
+
+// Broken reports whether a rule was broken.
+func (r *Result) Broken() bool { return len(r.Findings) > 0 }
+
+// Print writes what happened and what broke.
+func (r *Result) Print(out io.Writer) {
+	fmt.Fprintf(out, "seed %d: %d jobs, %d accepted, %d ended; %d runs, %d troubles; broken: %d\n",
+		r.Seed, r.Jobs, r.Accepted, r.Ended, r.Runs, r.Troubles, len(r.Findings))
+	for _, f := range r.Findings {
+		fmt.Fprintln(out, f)
+	}
+	if r.Folder != "" {
+		fmt.Fprintln(out, "kept in", r.Folder)
+	}
+}
+
+// Play runs a fleet under load with troubles, and judges what callers and workers saw.
+func Play(ctx context.Context, c Config) (*Result, error) {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(folder)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := startFleet(ctx, c, folder)
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	r := f.play(ctx, c)
+	seen := f.record.Play()
+	r.Findings, r.Runs = findings(seen), countRuns(seen)
+	if !r.Broken() {
+		return r, nil
+	}
+	r.Folder, err = keep(c, folder, seen, r.Findings)
+	return r, err
+}
+
+// play submits jobs while troubles come, and waits until late calls are over and jobs have
+// ended.
+func (f *fleet) play(ctx context.Context, c Config) *Result {
+	follow, stopFollowing := context.WithCancel(ctx)
+	defer stopFollowing()
+	t := newTraffic(f, c.Seed)
+	p := &player{fleet: f, traffic: t, reachNext: c.ReachNext}
+	var streams sync.WaitGroup
+	r := &Result{Seed: c.Seed}
+	began := time.Now()
+	for stream := range c.Streams {
+		planned := planStream(c.Seed, stream, c.Kinds, c.Duration)
+		r.Troubles += len(planned)
+		streams.Go(func() { p.playStream(ctx, began, stream, planned) })
+	}
+	t.run(ctx, follow, c.Duration)
+	streams.Wait()
+	_ = clock.Sleep(ctx, settleTime) // an interrupted play is judged as it is
+	t.awaitEnds(ctx)
+	r.Jobs, r.Accepted, r.Ended = t.sent.Load(), t.accepted.Load(), t.ended.Load()
+	return r
+}
+
+// awaitEnds waits until all jobs but the lasting one have ended.
+func (t *traffic) awaitEnds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, endTime)
+	defer cancel()
+	for t.ended.Load() < t.accepted.Load()-1 && clock.Sleep(ctx, endPoll) == nil {
+	}
+}
+
+// disruptions numbers the troubles of this process.
+var disruptions atomic.Int64
+
+// playStream plays troubles one after the other.
+func (p *player) playStream(ctx context.Context, began time.Time, stream int, planned []trouble) {
+	for _, t := range planned {
+		if clock.Sleep(ctx, time.Until(began.Add(t.At))) != nil {
+			return
+		}
+		p.play(ctx, stream, t)
+	}
+}
+
+func (p *player) play(ctx context.Context, stream int, t trouble) {
+	a := p.action(t)
+	seen := a.disruption(t)
+	p.fleet.record.Add(seen)
+	line := p.fleet.logs.For("trouble")
+	line.Info().Int("id", seen.ID).Int("stream", stream).Str("kind", string(t.Kind)).Dur("for", t.For).
+		Strs("processes", seen.Processes).Strs("workers", seen.Workers).Msg("begins")
+	a.begin()
+	_ = clock.Sleep(ctx, t.For) // what began is ended also when the play is interrupted
+	a.end()
+	line.Info().Int("id", seen.ID).Str("kind", string(t.Kind)).Msg("ends")
+	p.fleet.record.Add(judge.DisruptionEnded{ID: seen.ID})
+}
+
+// disruption returns the trouble as the record names it.
+func (a *action) disruption(t trouble) judge.Disruption {
+	d := judge.Disruption{ID: int(disruptions.Add(1)), Trouble: string(t.Kind), Store: a.store}
+	for _, p := range a.processes {
+		d.Processes = append(d.Processes, p.name)
+	}
+	for _, w := range a.workers {
+		d.Workers = append(d.Workers, w.Name())
+	}
+	return d
+}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -37,6 +37,7 @@
 	entries, sidecars int
 	out, logs, commit string
 	history           string
+	jobs              jobsConfig
 }
 
 // result is the outcome of a soak test as it is written to the JSON file.
@@ -72,10 +73,14 @@
 	fs.StringVar(&c.history, "history", "", "page of measurements that the result is added to")
 	fs.StringVar(&c.logs, "logs", "", "file for the logs of the processes; none where empty")
 	fs.StringVar(&c.commit, "commit", "unknown", "commit that is tested")
+	c.jobs.register(fs)
 	if err := settings.Parse(fs, args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	if c.jobs.path == jobsPath {
+		return c.playJobs(ctx)
+	}
 	r, err := soak(ctx, c)
 	if err == nil {
 		err = r.save(c)
@@ -98,15 +103,10 @@
 		return nil, err
 	}
 	defer logs.Close()
-	if c.binary == "" {
-		folder, err := os.MkdirTemp("", "soak")
-		if err != nil {
-			return nil, errors.WithStack(err)
-		}
-		defer os.RemoveAll(folder)
-		if c.binary, err = build(ctx, folder); err != nil {
-			return nil, err
-		}
+	remove, err := c.buildBinary(ctx)
+	defer remove()
+	if err != nil {
+		return nil, err
 	}
 	f, err := startFleet(ctx, c, logs)
 	defer f.stop()
@@ -116,6 +116,20 @@
 	return f.runLoad(ctx, c)
 }
 
+// buildBinary builds the binary unless the settings name one. The function that it returns
+// removes what was built.
+func (c *config) buildBinary(ctx context.Context) (remove func(), err error) {
+	if c.binary != "" {
+		return func() {}, nil
+	}
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return func() {}, errors.WithStack(err)
+	}
+	c.binary, err = build(ctx, folder)
+	return func() { _ = os.RemoveAll(folder) }, err
+}
+
 func build(ctx context.Context, folder string) (string, error) {
 	binary := filepath.Join(folder, "carobkeel")
 	command := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/carobkeel")
