--- a/internal/judge/bounds.go
+++ b/internal/judge/bounds.go
@@ -22,4 +22,6 @@
 	Drain time.Duration
 	// Finish is how long after the end of traffic jobs are asked for.
 	Finish time.Duration
+	// Status is how long a finished job stays known. Zero means for good.
+	Status time.Duration
 }
--- a/internal/judge/event.go
+++ b/internal/judge/event.go
@@ -133,7 +133,9 @@
 type (
 	// WorkerStarted means that an incarnation of a worker began.
 	WorkerStarted struct {
-		Worker   Worker              `json:"worker"`
+		Worker Worker `json:"worker"`
+		// Sidecar is the name of the process that the worker takes orders from.
+		Sidecar  string              `json:"sidecar"`
 		Service  carobkeel.Service   `json:"service"`
 		Capacity carobkeel.Resources `json:"capacity"`
 		// EnforcesCapacity reports that the worker itself rejects what doesn't fit.
@@ -205,7 +207,8 @@
 		Version carobkeel.Revision `json:"version"`
 	}
 	// Disruption means that something was done to a process or a worker, to the links of
-	// one, or to the store. DisruptionEnded ends it; one without an end lasts.
+	// one, or to the store. DisruptionEnded ends it; one without an end lasts. Versions of
+	// the configuration, cancellations, and workers that drain or are added are none.
 	Disruption struct {
 		// ID is unique in the record.
 		ID int `json:"id"`
--- a/internal/judge/finding.go
+++ b/internal/judge/finding.go
@@ -1,7 +1,9 @@
 package judge
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -23,6 +25,7 @@
 	RuleConfiguration Rule = "CONFIG"
 	RuleDrain         Rule = "DRAIN"
 	RuleAcknowledged  Rule = "Acks"
+	RuleShown         Rule = "MIXED"
 )
 
 // Finding is one case of a broken rule.
@@ -46,3 +49,11 @@
 	}
 	return fmt.Sprintf("%8.3f  %s %s: %s", f.At.Seconds(), f.Rule, subject, f.Text)
 }
+
+// compare orders findings by time, then by what they rest on.
+func (f Finding) compare(o Finding) int {
+	if f.At != o.At {
+		return cmp.Compare(f.At, o.At)
+	}
+	return slices.Compare(f.Events, o.Events)
+}
