--- /dev/null
+++ b/cmd/soak/jobs/explain.go
@@ -0,0 +1,158 @@
+package jobs
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/judge"
+	"github.com/carobkeel/carobkeel/internal/judge/recordfile"
+)
+
+// maxLineBytes bounds a line of a log.
+const maxLineBytes = 4 << 20
+
+// timelineEntry is a line of a timeline.
+type timelineEntry struct {
+	at     time.Time
+	source string
+	text   string
+}
+
+// Explain writes all lines on a task from the record and the logs of a broken play in order
+// of time: those that name the task, or its job and no other task, the troubles, and the
+// calls without a task that workers carried out late where the task ran.
+func Explain(out io.Writer, folder, taskName string) error {
+	task, err := carobkeel.ParseTaskName(taskName)
+	if err != nil {
+		return err
+	}
+	seen, err := readRecord(filepath.Join(folder, recordFile))
+	if err != nil {
+		return err
+	}
+	entries := recordEntries(seen, task)
+	logs, err := filepath.Glob(filepath.Join(folder, "*"+logSuffix))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	filter := newLineFilter(seen, task)
+	for _, path := range logs {
+		found, err := logEntries(path, filter)
+		if err != nil {
+			return err
+		}
+		entries = append(entries, found...)
+	}
+	slices.SortStableFunc(entries, func(a, b timelineEntry) int { return a.at.Compare(b.at) })
+	for _, e := range entries {
+		fmt.Fprintf(out, "%8.3f  %-9s %s\n", e.at.Sub(seen.Began).Seconds(), e.source, e.text)
+	}
+	return nil
+}
+
+func readRecord(path string) (judge.Play, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return judge.Play{}, errors.WithStack(err)
+	}
+	defer file.Close()
+	return recordfile.Read(file)
+}
+
+func recordEntries(seen judge.Play, task carobkeel.TaskName) []timelineEntry {
+	var entries []timelineEntry
+	for _, e := range judge.Timeline(seen, task) {
+		text, err := json.Marshal(e.Observation)
+		if err != nil {
+			text = []byte(err.Error())
+		}
+		entries = append(entries, timelineEntry{
+			at: seen.Began.Add(e.At), source: "record", text: fmt.Sprintf("#%d %s %s", e.Number, e.Kind(), text),
+		})
+	}
+	return entries
+}
+
+// lineFilter chooses lines of logs.
+type lineFilter struct {
+	task string
+	job  string
+	// tasks matches the names of the job's tasks.
+	tasks *regexp.Regexp
+	// workers are the names of the workers that ran the task.
+	workers map[string]bool
+}
+
+func newLineFilter(seen judge.Play, task carobkeel.TaskName) *lineFilter {
+	f := &lineFilter{
+		task: task.String(), job: string(task.Job), tasks: regexp.MustCompile(string(task.Job) + `(\.\d+){3}`),
+		workers: make(map[string]bool),
+	}
+	for _, e := range seen.Events {
+		if run, ok := e.Observation.(judge.RunStarted); ok && run.Task == task {
+			f.workers[run.Worker.ID] = true
+		}
+	}
+	return f
+}
+
+// logLine is what the filter reads of a line.
+type logLine struct {
+	Time   time.Time `json:"time"`
+	Part   string    `json:"part"`
+	Task   string    `json:"task"`
+	Worker string    `json:"worker"`
+	Late   bool      `json:"late"`
+}
+
+// concerns reports whether a line belongs to the timeline.
+func (f *lineFilter) concerns(line logLine, text string) bool {
+	names := f.tasks.FindAllString(text, -1)
+	switch {
+	case slices.Contains(names, f.task):
+		return true
+	case len(names) == 0 && strings.Contains(text, f.job):
+		return true
+	case line.Part == troublePart:
+		return true
+	}
+	return line.Late && line.Task == "" && f.workers[line.Worker]
+}
+
+// logEntries returns the lines of a log that the filter chooses. A line that is not JSON, as
+// of a panic, belongs to every timeline; it has the time of the line before.
+func logEntries(path string, filter *lineFilter) ([]timelineEntry, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer file.Close()
+	source := strings.TrimSuffix(filepath.Base(path), logSuffix)
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLineBytes)
+	var entries []timelineEntry
+	var last time.Time
+	for scanner.Scan() {
+		text := scanner.Text()
+		var line logLine
+		plain := json.Unmarshal([]byte(text), &line) != nil
+		if !plain {
+			last = line.Time
+		}
+		if plain || filter.concerns(line, text) {
+			entries = append(entries, timelineEntry{at: last, source: source, text: text})
+		}
+	}
+	return entries, errors.Wrap(scanner.Err(), "read "+path)
+}
--- a/cmd/soak/jobs/fleet.go
+++ b/cmd/soak/jobs/fleet.go
@@ -76,7 +76,7 @@
 	if f.logFile, err = os.Create(filepath.Join(folder, standinsLog)); err != nil {
 		return f, errors.WithStack(err)
 	}
-	f.logs = logging.NewFactory(logging.Config{Level: "info"}, f.logFile)
+	f.logs = logging.NewFactory(logging.Config{Level: "info", JSON: true}, f.logFile)
 	f.store = standin.NewStore(c.Seed, f.logs.For("store"))
 	if err := f.serveStore(); err != nil {
 		return f, err
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -58,8 +58,8 @@
 
 // Print writes what happened and what broke.
 func (r *Result) Print(out io.Writer) {
-	fmt.Fprintf(out, "seed %d: %d jobs, %d accepted, %d ended; %d runs, %d troubles; broken: %d\n",
-		r.Seed, r.Jobs, r.Accepted, r.Ended, r.Runs, r.Troubles, len(r.Findings))
+	fmt.Fprintf(out, "seed %d: %d jobs, %d accepted, %d ended; %d runs, %d troubles; broken: %s\n",
+		r.Seed, r.Jobs, r.Accepted, r.Ended, r.Runs, r.Troubles, countByRule(r.Findings))
 	for _, f := range r.Findings {
 		fmt.Fprintln(out, f)
 	}
@@ -84,7 +84,7 @@
 	}
 	r := f.play(ctx, c)
 	seen := f.record.Play()
-	r.Findings, r.Runs = findings(seen), countRuns(seen)
+	r.Findings, r.Runs = judge.Evaluate(seen, bounds), countRuns(seen)
 	if !r.Broken() {
 		return r, nil
 	}
@@ -123,6 +123,9 @@
 	}
 }
 
+// troublePart is what the lines of the log about troubles name as their part.
+const troublePart = "trouble"
+
 // disruptions numbers the troubles of this process.
 var disruptions atomic.Int64
 
@@ -140,7 +143,7 @@
 	a := p.action(t)
 	seen := a.disruption(t)
 	p.fleet.record.Add(seen)
-	line := p.fleet.logs.For("trouble")
+	line := p.fleet.logs.For(troublePart)
 	line.Info().Int("id", seen.ID).Int("stream", stream).Str("kind", string(t.Kind)).Dur("for", t.For).
 		Strs("processes", seen.Processes).Strs("workers", seen.Workers).Msg("begins")
 	a.begin()
