Explain a task of a broken play from its record and logs; record submissions that connected

go run ./cmd/soak -explain FOLDER TASK prints all lines on a task in order of time. A submission that found no connection isn't recorded as sent, so that it doesn't excuse a job that ran though all attempts were refused.

Run: go test -race ./cmd/soak/jobs, passed.

--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -23,6 +23,7 @@
 	seeds     int
 	reachNext bool
 	folder    string
+	explain   string
 }
 
 func (c *jobsConfig) register(fs *flag.FlagSet) {
@@ -32,6 +33,7 @@
 	fs.IntVar(&c.seeds, "seeds", 1, "how many seeds are played, from -seed on")
 	fs.BoolVar(&c.reachNext, "late-calls-reach-next", true, "calls carried out late may reach a worker's next incarnation")
 	fs.StringVar(&c.folder, "folder", "soak-results", "folder for what was seen of broken plays")
+	fs.StringVar(&c.explain, "explain", "", "folder of a broken play, of which the lines on the task in the argument are printed")
 }
 
 // Size of the fleet that the path of jobs is played in.
@@ -40,6 +42,15 @@
 	jobWorkers = 11
 )
 
+// explainTask prints the lines on a task of a broken play, and returns the exit code.
+func (c *jobsConfig) explainTask(task string) int {
+	if err := jobs.Explain(os.Stdout, c.explain, task); err != nil {
+		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
+		return 1
+	}
+	return 0
+}
+
 // playJobs plays the path of jobs with each seed, and returns the exit code.
 func (c *config) playJobs(ctx context.Context) int {
 	kinds, err := jobs.ParseKinds(c.jobs.kinds)
--- a/cmd/soak/jobs/rules.go
+++ b/cmd/soak/jobs/rules.go
@@ -16,12 +16,13 @@
 	Acknowledge:    4 * time.Second,
 	Cancel:         3 * time.Second,
 	StopGrace:      400 * time.Millisecond,
-	Visible:        2 * time.Second,
+	Visible:        3 * time.Second,
 	Early:          250 * time.Millisecond,
 	ConfigApply:    2 * time.Second,
-	ConfigRollback: time.Second,
+	ConfigRollback: 250 * time.Millisecond,
 	Drain:          2 * time.Second,
 	Finish:         14 * time.Second,
+	Status:         2 * time.Minute,
 }
 
 func countRuns(seen judge.Play) int {
--- a/cmd/soak/jobs/traffic.go
+++ b/cmd/soak/jobs/traffic.go
@@ -187,9 +187,14 @@
 func (t *traffic) attempt(ctx context.Context, job *carobkeel.JobSpec, entry, attempt int) bool {
 	to, address := t.to(entry)
 	target := judge.Target{Host: job.Queue.Host, Path: job.Queue.PathPrefix}
-	t.fleet.record.Add(judge.SubmissionSent{Job: job.ID, Attempt: attempt, Entry: to, Target: target, Spec: *job})
-	reply := t.caller.Submit(ctx, address, job)
-	t.fleet.record.Add(judge.SubmissionAnswered{Job: job.ID, Attempt: attempt, Answer: reply.Answer})
+	sent := false
+	reply := t.caller.Submit(ctx, address, job, func() {
+		sent = true
+		t.fleet.record.Add(judge.SubmissionSent{Job: job.ID, Attempt: attempt, Entry: to, Target: target, Spec: *job})
+	})
+	if sent {
+		t.fleet.record.Add(judge.SubmissionAnswered{Job: job.ID, Attempt: attempt, Answer: reply.Answer})
+	}
 	return reply.Answer == judge.AnswerAccepted
 }
 
--- a/cmd/soak/jobs/troubles.go
+++ b/cmd/soak/jobs/troubles.go
@@ -10,7 +10,7 @@
 
 const (
 	// terminationGrace is how long a process may take to end.
-	terminationGrace = 8 * time.Second
+	terminationGrace = 6 * time.Second
 	// mostSidecars is how many sidecars or hosts one trouble takes, mostWorkers how many
 	// workers it restarts.
 	mostSidecars = 3
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -78,6 +78,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	if c.jobs.explain != "" {
+		return c.jobs.explainTask(fs.Arg(0))
+	}
 	if c.jobs.path == jobsPath {
 		return c.playJobs(ctx)
 	}
