--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -19,6 +19,8 @@
 	settleTime = 13 * time.Second
 	endTime    = 20 * time.Second
 	endPoll    = 200 * time.Millisecond
+	// printedFindings is how many cases of one broken rule are printed. All are kept.
+	printedFindings = 5
 )
 
 // Config holds the settings of a play.
@@ -60,8 +62,11 @@
 func (r *Result) Print(out io.Writer) {
 	fmt.Fprintf(out, "seed %d: %d jobs, %d accepted, %d ended; %d runs, %d troubles; broken: %s\n",
 		r.Seed, r.Jobs, r.Accepted, r.Ended, r.Runs, r.Troubles, countByRule(r.Findings))
+	printed := make(map[judge.Rule]int)
 	for _, f := range r.Findings {
-		fmt.Fprintln(out, f)
+		if printed[f.Rule]++; printed[f.Rule] <= printedFindings {
+			fmt.Fprintln(out, f)
+		}
 	}
 	if r.Folder != "" {
 		fmt.Fprintln(out, "kept in", r.Folder)
--- /dev/null
+++ b/cmd/soak/jobs/play_test.go
@@ -0,0 +1,35 @@
+package jobs
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// shortPlay is how long jobs are submitted in the plays of the tests.
+const shortPlay = 12 * time.Second
+
+// playSeed plays a seed with all kinds of troubles in processes of this code.
+func playSeed(t *testing.T, seed uint64) {
+	g := NewWithT(t)
+	binary := filepath.Join(t.TempDir(), "carobkeel")
+	out, err := exec.Command("go", "build", "-o", binary, "../../carobkeel").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	r, err := Play(t.Context(), Config{
+		Binary: binary, Seed: seed, Duration: shortPlay, Kinds: Kinds(), Streams: 3, ReachNext: true,
+		Entries: 3, Workers: 11, Folder: filepath.Join("..", "..", "..", "soak-results"), Command: fmt.Sprintf("the test's play of seed %d", seed),
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	r.Print(os.Stdout)
+	g.Expect(r.Runs).To(BeNumerically(">", 0))
+	g.Expect(r.Findings).To(BeEmpty(), "kept in %s", r.Folder)
+}
+
+func TestSoakOfJobsWithSeed1(t *testing.T) { playSeed(t, 1) }
+
+func TestSoakOfJobsWithSeed2(t *testing.T) { playSeed(t, 2) }
--- a/cmd/soak/jobs/traffic.go
+++ b/cmd/soak/jobs/traffic.go
@@ -39,6 +39,7 @@
 	urgentShare  = 0.6
 	twoStepShare = 0.4
 	cancelShare  = 0.05
+	saveShare    = 0.3
 	// repeatShare is the share of submissions that are repeated, seconds after their
 	// answers, while callers repeat requests.
 	repeatShare   = 0.5
@@ -69,7 +70,8 @@
 		job, longest, largest = j.spec(batch), 6, 4000
 	}
 	work := time.Duration(j.between(0.1, longest) * float64(time.Second))
-	job.Payload = standin.Spec(work)
+	saves := j.random.Float64() < saveShare
+	job.Payload = standin.Spec(work, saves)
 	job.Steps = []carobkeel.Step{j.step(work, largest)}
 	if j.random.Float64() < twoStepShare {
 		second := j.step(work, largest)
@@ -77,6 +79,9 @@
 		second.After = []int{0}
 		job.Steps = append(job.Steps, second)
 	}
+	for i := range job.Steps {
+		job.Steps[i].SavesProgress = saves
+	}
 	return job
 }
 
