Put relays between the soak's processes; add drains, busy and forgetful stores, sizes and JSON

The processes' links, the calls to workers and the calls to the store go through relays: kinds reset-links, silent-links, deaf-links, slow-links, cut-links. An entry accepts links at -link-listen where that is set, so that a relay can stand at the address that others are told.

--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -50,12 +50,16 @@
 	nodeFile string
 	// metricsPort is the port on the host's address that serves metrics.
 	metricsPort int
+	// linkListen is the address at which links are accepted, if connections to the one
+	// that others are told are forwarded there.
+	linkListen string
 }
 
 func registerHostedFlags(fs *flag.FlagSet) *hostedConfig {
 	c := &hostedConfig{}
 	fs.StringVar(&c.nodeFile, "node-file", "", "settings file of the platform that hosts this process")
 	fs.IntVar(&c.metricsPort, "metrics-port", 9464, "port of the host's address for /metrics")
+	fs.StringVar(&c.linkListen, "link-listen", "", "address for links of other processes; that of the settings file where empty")
 	return c
 }
 
@@ -95,6 +99,7 @@
 	metrics        tally.Scope
 	metricsPage    http.Handler
 	metricsAddress string
+	linkListen     string
 }
 
 // startHosted reads the settings and sets up logging, metrics and the store.
@@ -120,6 +125,7 @@
 		metrics:        scope,
 		metricsPage:    page,
 		metricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(config.metricsPort)),
+		linkListen:     config.linkListen,
 		path:           config.nodeFile,
 		settings:       s,
 		incarnation:    newIncarnation(),
@@ -194,5 +200,8 @@
 
 // listenLinks opens the listener for links of other processes.
 func (h *hostedProcess) listenLinks() (net.Listener, error) {
+	if h.linkListen != "" {
+		return listen(h.linkListen)
+	}
 	return listen(h.settings.LinkAddress(h.settings.IP))
 }
--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel/cmd/soak/jobs"
+	"github.com/carobkeel/carobkeel/internal/settings"
 )
 
 // Paths that the soak plays.
@@ -24,6 +28,8 @@
 	reachNext bool
 	folder    string
 	explain   string
+	entries   int
+	workers   int
 }
 
 func (c *jobsConfig) register(fs *flag.FlagSet) {
@@ -33,56 +39,88 @@
 	fs.IntVar(&c.seeds, "seeds", 1, "how many seeds are played, from -seed on")
 	fs.BoolVar(&c.reachNext, "late-calls-reach-next", true, "calls carried out late may reach a worker's next incarnation")
 	fs.StringVar(&c.folder, "folder", "soak-results", "folder for what was seen of broken plays")
+	fs.IntVar(&c.entries, "job-entries", 3, "number of entries on the path of jobs")
+	fs.IntVar(&c.workers, "job-workers", 11, "number of workers with a sidecar on the path of jobs")
 	fs.StringVar(&c.explain, "explain", "", "folder of a broken play, of which the lines on the task in the argument are printed")
 }
 
-// Size of the fleet that the path of jobs is played in.
-const (
-	jobEntries = 3
-	jobWorkers = 11
-)
+// Check implements settings.Checker.
+func (c *jobsConfig) Check() []settings.Problem {
+	var problems []settings.Problem
+	report := func(wrong bool, name, reason string) {
+		if wrong {
+			problems = append(problems, settings.Problem{Name: name, Reason: reason})
+		}
+	}
+	report(c.path != requestsPath && c.path != jobsPath, "path", "must be requests or jobs")
+	_, err := jobs.ParseKinds(c.kinds)
+	report(err != nil, "kinds", fmt.Sprint(err))
+	report(c.streams < 0, "streams", "must not be below 0")
+	report(c.seeds < 1, "seeds", "must be above 0")
+	report(c.entries < 1 || c.entries > jobs.MaxEntries, "job-entries", fmt.Sprintf("must be from 1 to %d", jobs.MaxEntries))
+	report(c.workers < 1 || c.workers > jobs.MaxWorkers, "job-workers", fmt.Sprintf("must be from 1 to %d", jobs.MaxWorkers))
+	return problems
+}
 
 // explainTask prints the lines on a task of a broken play, and returns the exit code.
 func (c *jobsConfig) explainTask(task string) int {
 	if err := jobs.Explain(os.Stdout, c.explain, task); err != nil {
-		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
-		return 1
+		return fail(err)
 	}
 	return 0
 }
 
 // playJobs plays the path of jobs with each seed, and returns the exit code.
 func (c *config) playJobs(ctx context.Context) int {
-	kinds, err := jobs.ParseKinds(c.jobs.kinds)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
 	remove, err := c.buildBinary(ctx)
 	defer remove()
+	if err != nil {
+		return fail(err)
+	}
+	var results []*jobs.Result
 	code := 0
-	for seed := c.seed; err == nil && seed < c.seed+uint64(c.jobs.seeds) && ctx.Err() == nil; seed++ {
-		var r *jobs.Result
-		if r, err = jobs.Play(ctx, c.jobsOf(seed, kinds)); err == nil {
-			r.Print(os.Stdout)
+	for seed := c.seed; seed < c.seed+uint64(c.jobs.seeds) && ctx.Err() == nil; seed++ {
+		r, err := jobs.Play(ctx, c.jobsOf(seed))
+		if err != nil {
+			return fail(err)
 		}
-		if err == nil && r.Broken() {
+		r.Print(os.Stdout)
+		results = append(results, r)
+		if r.Broken() {
 			code = 1
 		}
 	}
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
-		return 1
+	if err := c.saveJobs(results); err != nil {
+		return fail(err)
 	}
 	return code
 }
 
+func fail(err error) int {
+	fmt.Fprintf(os.Stderr, "soak: %v\n", err)
+	return 1
+}
+
+// saveJobs writes the results as JSON where the settings name a file.
+func (c *config) saveJobs(results []*jobs.Result) error {
+	if c.out == "" {
+		return nil
+	}
+	data, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.Wrap(os.WriteFile(c.out, data, 0o644), "write the results")
+}
+
 // jobsOf returns the settings of the play with a seed.
-func (c *config) jobsOf(seed uint64, kinds []jobs.Kind) jobs.Config {
+func (c *config) jobsOf(seed uint64) jobs.Config {
+	kinds, _ := jobs.ParseKinds(c.jobs.kinds) // checked with the settings
 	return jobs.Config{
 		Binary: c.binary, Seed: seed, Duration: c.duration, Kinds: kinds, Streams: c.jobs.streams, ReachNext: c.jobs.reachNext,
-		Entries: jobEntries, Workers: jobWorkers, Folder: c.jobs.folder,
-		Command: fmt.Sprintf("go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -commit %s",
-			seed, c.duration, c.jobs.kinds, c.jobs.streams, c.jobs.reachNext, c.commit),
+		Entries: c.jobs.entries, Workers: c.jobs.workers, Folder: c.jobs.folder,
+		Command: fmt.Sprintf(
+			"go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -job-entries %d -job-workers %d -commit %s",
+			seed, c.duration, c.jobs.kinds, c.jobs.streams, c.jobs.reachNext, c.jobs.entries, c.jobs.workers, c.commit),
 	}
 }
--- a/cmd/soak/jobs/explain.go
+++ b/cmd/soak/jobs/explain.go
@@ -73,6 +73,9 @@
 func recordEntries(seen judge.Play, task carobkeel.TaskName) []timelineEntry {
 	var entries []timelineEntry
 	for _, e := range judge.Timeline(seen, task) {
+		if aboutOtherEnds(e.Observation) {
+			continue
+		}
 		text, err := json.Marshal(e.Observation)
 		if err != nil {
 			text = []byte(err.Error())
@@ -84,6 +87,16 @@
 	return entries
 }
 
+// aboutOtherEnds reports whether an observation is about all ends of a worker. The log of the
+// stand-ins has a line on the task's own.
+func aboutOtherEnds(o judge.Observation) bool {
+	switch o.(type) {
+	case judge.EndsListed, judge.EndsAcknowledged:
+		return true
+	}
+	return false
+}
+
 // lineFilter chooses lines of logs.
 type lineFilter struct {
 	task string
--- a/cmd/soak/jobs/fleet.go
+++ b/cmd/soak/jobs/fleet.go
@@ -29,6 +29,9 @@
 	readyPort    = 8167
 	storePort    = 8169
 	linkPort     = 7720
+	// Behind the relays of a host are the process's own links and its worker.
+	ownLinkPort   = 7721
+	ownWorkerPort = 8175
 )
 
 // Hosts are numbered: the store has storeHost, entries and sidecars follow from there.
@@ -36,6 +39,13 @@
 	storeHost    = 1
 	firstEntry   = 11
 	firstSidecar = 21
+	lastHost     = 254
+)
+
+// Bounds of the size of a fleet.
+const (
+	MaxEntries = firstSidecar - firstEntry
+	MaxWorkers = lastHost - firstSidecar + 1
 )
 
 const (
@@ -44,9 +54,11 @@
 	workerMilliCPU = 32_000
 	workerMemoryMB = 128_000
 	hostsPerRack   = 3
+	// seeds is how many entries the settings name.
+	seeds = 3
 	// slowestClock is the share by which a worker's clock may be slow.
 	slowestClock = 0.02
-	readyTimeout = 20 * time.Second
+	readyTimeout = time.Minute
 	readyPoll    = 100 * time.Millisecond
 	logSuffix    = ".log"
 	standinsLog  = "standins" + logSuffix
@@ -57,6 +69,7 @@
 type fleet struct {
 	binary, folder string
 	prefix         string
+	entryCount     int
 	record         *judge.Record
 	logs           *logging.Factory
 	logFile        *os.File
@@ -66,12 +79,13 @@
 	sidecars []*process
 	workers  []*standin.Worker
 	servers  []*http.Server
+	links    links
 }
 
 // startFleet starts a deployment that logs into a folder. On an error it returns what has
 // started, for stop.
 func startFleet(ctx context.Context, c Config, folder string) (*fleet, error) {
-	f := &fleet{binary: c.Binary, folder: folder, record: judge.NewRecord(clock.System{})}
+	f := &fleet{binary: c.Binary, folder: folder, entryCount: c.Entries, record: judge.NewRecord(clock.System{})}
 	var err error
 	if f.logFile, err = os.Create(filepath.Join(folder, standinsLog)); err != nil {
 		return f, errors.WithStack(err)
@@ -138,23 +152,30 @@
 	return nil
 }
 
-// host returns the settings that all hosts have.
-func (f *fleet) host(name string, number int) standin.Host {
+// host returns the settings that all hosts have, and opens the relay to the store.
+func (f *fleet) host(name string, number int) (standin.Host, error) {
 	h := standin.Host{
 		Name: name, IP: f.ip(number), LinkPort: linkPort,
-		Store: f.address(storeHost, storePort), Registry: f.address(number, registryPort),
+		Store: f.address(number, storePort), Registry: f.address(number, registryPort),
 	}
-	for i := range 3 {
+	for i := range min(seeds, f.entryCount) {
 		h.Seeds = append(h.Seeds, f.address(firstEntry+i, registryPort))
 	}
-	return h
+	return h, f.links.open(storeLink, name, h.Store, f.address(storeHost, storePort))
 }
 
 func (f *fleet) addEntry(i int) error {
-	number := firstEntry + i
-	host := f.host(fmt.Sprintf("edge-%d", i+1), number)
+	number, name := firstEntry+i, fmt.Sprintf("edge-%d", i+1)
+	host, err := f.host(name, number)
+	if err != nil {
+		return err
+	}
 	host.Caller, host.Ready = f.address(number, callerPort), f.address(number, readyPort)
-	p, err := newProcess(f.binary, f.folder, entryRole, host)
+	listen := f.address(number, ownLinkPort)
+	if err := f.links.open(entryLink, name, f.address(number, linkPort), listen); err != nil {
+		return err
+	}
+	p, err := newProcess(f.binary, f.folder, entryRole, host, listen)
 	if p != nil {
 		f.entries = append(f.entries, p)
 	}
@@ -162,19 +183,22 @@
 }
 
 func (f *fleet) addWorker(ctx context.Context, i int, random *rand.Rand) error {
-	number := firstSidecar + i
-	host := f.host(fmt.Sprintf("side-%d", i+1), number)
+	number, name := firstSidecar+i, fmt.Sprintf("side-%d", i+1)
+	host, err := f.host(name, number)
+	if err != nil {
+		return err
+	}
 	host.Worker, host.Service = f.address(number, workerPort), service
-	w := standin.NewWorker(standin.WorkerConfig{
-		Name: fmt.Sprintf("worker-%d", i+1), Service: service, Address: host.Worker, Registry: host.Registry,
-		Sidecar: host.Name, DataCentre: standin.DataCentre, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB,
-		Rack: fmt.Sprintf("r-%d", 1+i/hostsPerRack), ClockSlowness: slowestClock * random.Float64(), Seed: random.Uint64(),
-	}, f.record, f.logs.For("worker"))
-	if err := f.serve(host.Worker, w.Handler()); err != nil {
+	own := f.address(number, ownWorkerPort)
+	if err := f.links.open(workerLink, name, host.Worker, own); err != nil {
+		return err
+	}
+	w := standin.NewWorker(f.workerConfig(i, host, random), f.record, f.logs.For("worker"))
+	if err := f.serve(own, w.Handler()); err != nil {
 		return err
 	}
 	f.workers = append(f.workers, w)
-	p, err := newProcess(f.binary, f.folder, sidecarRole, host)
+	p, err := newProcess(f.binary, f.folder, sidecarRole, host, "")
 	if p != nil {
 		f.sidecars = append(f.sidecars, p)
 	}
@@ -182,6 +206,14 @@
 	return err
 }
 
+func (f *fleet) workerConfig(i int, host standin.Host, random *rand.Rand) standin.WorkerConfig {
+	return standin.WorkerConfig{
+		Name: fmt.Sprintf("worker-%d", i+1), Service: service, Address: host.Worker, Registry: host.Registry,
+		Sidecar: host.Name, DataCentre: standin.DataCentre, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB,
+		Rack: fmt.Sprintf("r-%d", 1+i/hostsPerRack), ClockSlowness: slowestClock * random.Float64(), Seed: random.Uint64(),
+	}
+}
+
 // awaitReady waits until every entry reports that it is ready.
 func (f *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -218,5 +250,6 @@
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
+	f.links.close()
 	_ = f.logFile.Close()
 }
--- a/cmd/soak/jobs/plan.go
+++ b/cmd/soak/jobs/plan.go
@@ -22,13 +22,18 @@
 	TerminateEntry Kind = "terminate-entry"
 	// RestartWorkers crashes workers, which start again under their ids.
 	RestartWorkers Kind = "restart-workers"
+	// DrainWorkers lets workers drain and leave. Others come in their place.
+	DrainWorkers Kind = "drain-workers"
 	// DarkHosts takes away hosts with their sidecars and workers.
 	DarkHosts Kind = "dark-hosts"
 	// LateCalls leaves calls to workers unanswered and carries them out at once or later.
 	LateCalls Kind = "late-calls"
 	// LateWrites does so with transactions of the store.
-	LateWrites    Kind = "late-writes"
-	SilentStore   Kind = "silent-store"
+	LateWrites  Kind = "late-writes"
+	SilentStore Kind = "silent-store"
+	// BusyStore refuses a share of the calls, DropHistory makes the store forget changes.
+	BusyStore     Kind = "busy-store"
+	DropHistory   Kind = "drop-history"
 	SilentWorkers Kind = "silent-workers"
 	// SlowWorkers work and answer slowly.
 	SlowWorkers Kind = "slow-workers"
@@ -36,6 +41,13 @@
 	GreyWorkers Kind = "grey-workers"
 	// RepeatRequests repeats submissions seconds after they were answered.
 	RepeatRequests Kind = "repeat-requests"
+	// ResetLinks resets the open connections of links, SilentLinks makes them silent for
+	// good. DeafLinks loses one direction, SlowLinks delays, CutLinks carries nothing.
+	ResetLinks  Kind = "reset-links"
+	SilentLinks Kind = "silent-links"
+	DeafLinks   Kind = "deaf-links"
+	SlowLinks   Kind = "slow-links"
+	CutLinks    Kind = "cut-links"
 )
 
 // span is how long a trouble lasts.
@@ -49,14 +61,22 @@
 	KillEntry:      {100 * time.Millisecond, 2 * time.Second},
 	TerminateEntry: {100 * time.Millisecond, 2 * time.Second},
 	RestartWorkers: {200 * time.Millisecond, 2 * time.Second},
+	DrainWorkers:   {3 * time.Second, 8 * time.Second},
 	DarkHosts:      {time.Second, 6 * time.Second},
 	LateCalls:      {2 * time.Second, 6 * time.Second},
 	LateWrites:     {2 * time.Second, 6 * time.Second},
 	SilentStore:    {500 * time.Millisecond, 5 * time.Second},
+	BusyStore:      {time.Second, 5 * time.Second},
+	DropHistory:    {0, time.Second},
 	SilentWorkers:  {time.Second, 6 * time.Second},
 	SlowWorkers:    {3 * time.Second, 8 * time.Second},
 	GreyWorkers:    {2 * time.Second, 6 * time.Second},
 	RepeatRequests: {2 * time.Second, 6 * time.Second},
+	ResetLinks:     {0, time.Second},
+	SilentLinks:    {0, time.Second},
+	DeafLinks:      {500 * time.Millisecond, 5 * time.Second},
+	SlowLinks:      {2 * time.Second, 8 * time.Second},
+	CutLinks:       {500 * time.Millisecond, 5 * time.Second},
 }
 
 // Kinds returns all kinds of troubles in a fixed order.
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -43,16 +43,17 @@
 
 // Result is the outcome of a play.
 type Result struct {
-	Seed     uint64
-	Troubles int
-	Jobs     int64
-	Accepted int64
+	Seed     uint64 `json:"seed"`
+	Command  string `json:"command"`
+	Troubles int    `json:"troubles"`
+	Jobs     int64  `json:"jobs"`
+	Accepted int64  `json:"accepted"`
 	// Ended are the jobs that callers were told have ended.
-	Ended    int64
-	Runs     int
-	Findings []judge.Finding
+	Ended    int64           `json:"ended"`
+	Runs     int             `json:"runs"`
+	Findings []judge.Finding `json:"findings"`
 	// Folder is where a broken play is kept, empty for a whole one.
-	Folder string
+	Folder string `json:"folder,omitempty"`
 }
 
 // Broken reports whether a rule was broken.
@@ -105,7 +106,7 @@
 	t := newTraffic(f, c.Seed)
 	p := &player{fleet: f, traffic: t, reachNext: c.ReachNext}
 	var streams sync.WaitGroup
-	r := &Result{Seed: c.Seed}
+	r := &Result{Seed: c.Seed, Command: c.Command}
 	began := time.Now()
 	for stream := range c.Streams {
 		planned := planStream(c.Seed, stream, c.Kinds, c.Duration)
@@ -160,7 +161,7 @@
 
 // disruption returns the trouble as the record names it.
 func (a *action) disruption(t trouble) judge.Disruption {
-	d := judge.Disruption{ID: int(disruptions.Add(1)), Trouble: string(t.Kind), Store: a.store}
+	d := judge.Disruption{ID: int(disruptions.Add(1)), Trouble: string(t.Kind), Store: a.store, Processes: a.hosts}
 	for _, p := range a.processes {
 		d.Processes = append(d.Processes, p.name)
 	}
--- a/cmd/soak/jobs/process.go
+++ b/cmd/soak/jobs/process.go
@@ -27,20 +27,29 @@
 	role     role
 	binary   string
 	settings string
-	log      *os.File
+	// linkListen is where the process accepts links that a relay forwards.
+	linkListen string
+	log        *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
 }
 
-// newProcess writes the settings of a host and starts the process there.
-func newProcess(binary, folder string, role role, host standin.Host) (*process, error) {
+// linkListenVariable names the environment variable for the address at which a process
+// accepts links.
+const linkListenVariable = "CAROBKEEL_LINK_LISTEN"
+
+// newProcess writes the settings of a host and starts the process there, which accepts links
+// at another address than it tells.
+func newProcess(binary, folder string, role role, host standin.Host, linkListen string) (*process, error) {
 	data, err := host.Encode()
 	if err != nil {
 		return nil, errors.Wrap(err, "settings of "+host.Name)
 	}
-	p := &process{name: host.Name, role: role, binary: binary, settings: filepath.Join(folder, host.Name+".json")}
+	p := &process{
+		name: host.Name, role: role, binary: binary, settings: filepath.Join(folder, host.Name+".json"), linkListen: linkListen,
+	}
 	if err := os.WriteFile(p.settings, data, 0o600); err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -58,7 +67,10 @@
 		return nil
 	}
 	command := exec.Command(p.binary, string(p.role))
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), standin.SettingsVariable + "=" + p.settings}
+	command.Env = []string{
+		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"),
+		standin.SettingsVariable + "=" + p.settings, linkListenVariable + "=" + p.linkListen,
+	}
 	command.Stdout, command.Stderr = p.log, p.log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
--- a/cmd/soak/jobs/traffic.go
+++ b/cmd/soak/jobs/traffic.go
@@ -54,27 +54,29 @@
 	statePause    = time.Second
 )
 
-// jobs draws jobs by a seed.
-type jobs struct{ random *rand.Rand }
+// generator draws jobs by a seed.
+type generator struct{ random *rand.Rand }
 
-func (j *jobs) between(least, most float64) float64 { return least + (most-least)*j.random.Float64() }
+func (g *generator) between(least, most float64) float64 {
+	return least + (most-least)*g.random.Float64()
+}
 
-func (j *jobs) spec(queue carobkeel.Queue) *carobkeel.JobSpec {
-	return &carobkeel.JobSpec{ID: carobkeel.JobID(fmt.Sprintf("%016x", j.random.Uint64())), Queue: queue, ConfigVersion: configuration.Version}
+func (g *generator) spec(queue carobkeel.Queue) *carobkeel.JobSpec {
+	return &carobkeel.JobSpec{ID: carobkeel.JobID(fmt.Sprintf("%016x", g.random.Uint64())), Queue: queue, ConfigVersion: configuration.Version}
 }
 
 // next returns the next job, of one or two steps. Estimates are off by up to estimateError.
-func (j *jobs) next() *carobkeel.JobSpec {
-	job, longest, largest := j.spec(urgent), 2.5, 1400.0
-	if j.random.Float64() > urgentShare {
-		job, longest, largest = j.spec(batch), 6, 4000
+func (g *generator) next() *carobkeel.JobSpec {
+	job, longest, largest := g.spec(urgent), 2.5, 1400.0
+	if g.random.Float64() > urgentShare {
+		job, longest, largest = g.spec(batch), 6, 4000
 	}
-	work := time.Duration(j.between(0.1, longest) * float64(time.Second))
-	saves := j.random.Float64() < saveShare
+	work := time.Duration(g.between(0.1, longest) * float64(time.Second))
+	saves := g.random.Float64() < saveShare
 	job.Payload = standin.Spec(work, saves)
-	job.Steps = []carobkeel.Step{j.step(work, largest)}
-	if j.random.Float64() < twoStepShare {
-		second := j.step(work, largest)
+	job.Steps = []carobkeel.Step{g.step(work, largest)}
+	if g.random.Float64() < twoStepShare {
+		second := g.step(work, largest)
 		second.Count = 1 + second.Count/3
 		second.After = []int{0}
 		job.Steps = append(job.Steps, second)
@@ -85,17 +87,17 @@
 	return job
 }
 
-func (j *jobs) step(work time.Duration, largest float64) carobkeel.Step {
-	wrong := math.Pow(estimateError, j.between(-1, 1))
+func (g *generator) step(work time.Duration, largest float64) carobkeel.Step {
+	wrong := math.Pow(estimateError, g.between(-1, 1))
 	return carobkeel.Step{
-		Count: 1 + j.random.IntN(mostTasks), Demand: carobkeel.Resources{MilliCPU: int64(j.between(200, largest)), MemoryBytes: jobMemory},
+		Count: 1 + g.random.IntN(mostTasks), Demand: carobkeel.Resources{MilliCPU: int64(g.between(200, largest)), MemoryBytes: jobMemory},
 		Estimate: time.Duration(float64(work) * wrong).Truncate(time.Millisecond),
 	}
 }
 
 // lasting returns a job whose tasks last.
-func (j *jobs) lasting() *carobkeel.JobSpec {
-	job := j.spec(batch)
+func (g *generator) lasting() *carobkeel.JobSpec {
+	job := g.spec(batch)
 	job.Payload = standin.EndlessSpec
 	job.Steps = []carobkeel.Step{{Count: lastingTasks, Demand: carobkeel.Resources{MilliCPU: 3000, MemoryBytes: jobMemory}, LongRunning: true}}
 	return job
@@ -105,7 +107,7 @@
 type traffic struct {
 	fleet  *fleet
 	caller *standin.Caller
-	jobs   *jobs
+	jobs   *generator
 	// repeats reports that callers repeat requests.
 	repeats  atomic.Bool
 	submits  sync.WaitGroup
@@ -115,7 +117,7 @@
 }
 
 func newTraffic(f *fleet, seed uint64) *traffic {
-	return &traffic{fleet: f, caller: standin.NewCaller(), jobs: &jobs{rand.New(rand.NewPCG(seed, 1))}}
+	return &traffic{fleet: f, caller: standin.NewCaller(), jobs: &generator{rand.New(rand.NewPCG(seed, 1))}}
 }
 
 // run submits jobs for a time. It returns once all are submitted; they are followed until
@@ -123,56 +125,56 @@
 func (t *traffic) run(ctx, follow context.Context, duration time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
-	t.start(follow, t.jobs.lasting(), plan{entry: 0})
+	t.start(follow, t.jobs.lasting(), handling{})
 	gap := float64(time.Second) * meanTasks / tasksASecond
 	for clock.Sleep(ctx, time.Duration(t.jobs.random.ExpFloat64()*gap)) == nil {
-		t.start(follow, t.jobs.next(), t.plan())
+		t.start(follow, t.jobs.next(), t.handling())
 	}
 	t.submits.Wait()
 	t.fleet.record.Add(judge.TrafficEnded{})
 }
 
-// plan is what a caller does with a job.
-type plan struct {
+// handling is what a caller does with a job.
+type handling struct {
 	// entry is where the caller begins.
 	entry int
 	// repeatAfter and cancelAfter count from the acceptance; zero for never.
 	repeatAfter, cancelAfter time.Duration
 }
 
-func (t *traffic) plan() plan {
-	p := plan{entry: t.jobs.random.IntN(len(t.fleet.entries))}
+func (t *traffic) handling() handling {
+	h := handling{entry: t.jobs.random.IntN(len(t.fleet.entries))}
 	repeat, cancel := t.jobs.random.Float64() < repeatShare, t.jobs.random.Float64() < cancelShare
 	if repeat && t.repeats.Load() {
-		p.repeatAfter = time.Duration(t.jobs.between(1, 4) * float64(time.Second))
+		h.repeatAfter = time.Duration(t.jobs.between(1, 4) * float64(time.Second))
 	}
 	if cancel {
-		p.cancelAfter = time.Duration(t.jobs.between(0.1, 3) * float64(time.Second))
+		h.cancelAfter = time.Duration(t.jobs.between(0.1, 3) * float64(time.Second))
 	}
-	return p
+	return h
 }
 
-func (t *traffic) start(ctx context.Context, job *carobkeel.JobSpec, p plan) {
+func (t *traffic) start(ctx context.Context, job *carobkeel.JobSpec, h handling) {
 	t.sent.Add(1)
 	t.submits.Add(1)
-	go t.play(ctx, job, p)
+	go t.play(ctx, job, h)
 }
 
 // play submits a job, and then repeats, cancels and follows it as planned.
-func (t *traffic) play(ctx context.Context, job *carobkeel.JobSpec, p plan) {
-	accepted := t.submit(ctx, job, p.entry)
+func (t *traffic) play(ctx context.Context, job *carobkeel.JobSpec, h handling) {
+	accepted := t.submit(ctx, job, h.entry)
 	t.submits.Done()
 	if !accepted {
 		return
 	}
 	t.accepted.Add(1)
-	if p.repeatAfter > 0 && clock.Sleep(ctx, p.repeatAfter) == nil {
-		t.attempt(ctx, job, p.entry+1, submitTries)
+	if h.repeatAfter > 0 && clock.Sleep(ctx, h.repeatAfter) == nil {
+		t.attempt(ctx, job, h.entry+1, submitTries)
 	}
-	if p.cancelAfter > 0 && clock.Sleep(ctx, p.cancelAfter) == nil {
-		t.cancel(ctx, job, p.entry)
+	if h.cancelAfter > 0 && clock.Sleep(ctx, h.cancelAfter) == nil {
+		t.cancel(ctx, job, h.entry)
 	}
-	t.follow(ctx, job, p.entry)
+	t.follow(ctx, job, h.entry)
 }
 
 // submit submits a job through one entry after the other until it is accepted.
--- a/cmd/soak/jobs/troubles.go
+++ b/cmd/soak/jobs/troubles.go
@@ -27,9 +27,11 @@
 type action struct {
 	processes []*process
 	workers   []*standin.Worker
-	store     bool
-	begin     func()
-	end       func()
+	// hosts are the processes at the ends of links.
+	hosts []string
+	store bool
+	begin func()
+	end   func()
 }
 
 // player plays troubles in a fleet.
@@ -53,10 +55,14 @@
 		return terminate(pick(random, p.fleet.entries, 1)[0])
 	case RestartWorkers:
 		return restart(pick(random, p.fleet.workers, mostWorkers))
+	case DrainWorkers:
+		return drain(pick(random, p.fleet.workers, mostSidecars))
 	case DarkHosts:
 		return p.darken(random)
-	case LateWrites, SilentStore:
+	case LateWrites, SilentStore, BusyStore, DropHistory:
 		return p.storeAction(t.Kind, random)
+	case ResetLinks, SilentLinks, DeafLinks, SlowLinks, CutLinks:
+		return p.linkAction(t.Kind, random)
 	case RepeatRequests:
 		return action{
 			begin: func() { p.traffic.repeats.Store(true) },
@@ -105,6 +111,25 @@
 	}
 }
 
+// drain lets workers drain and leave, and others come in their place.
+func drain(workers []*standin.Worker) action {
+	var leave []func()
+	return action{
+		workers: workers,
+		begin: func() {
+			for _, w := range workers {
+				leave = append(leave, w.Drain())
+			}
+		},
+		end: func() {
+			for i, w := range workers {
+				leave[i]()
+				w.Restart()
+			}
+		},
+	}
+}
+
 func each(workers []*standin.Worker, do func(*standin.Worker)) {
 	for _, w := range workers {
 		do(w)
@@ -201,17 +226,23 @@
 
 // storeAction returns the action of troubles of the store.
 func (p *player) storeAction(kind Kind, random *rand.Rand) action {
-	late, lost := share(random, mostShare), share(random, mostShare)
+	first, second := share(random, mostShare), share(random, mostShare)
 	change := func(on bool) func() {
 		return func() {
 			p.fleet.store.Change(func(t *standin.StoreTrouble) {
-				if kind == SilentStore {
+				switch kind {
+				case SilentStore:
 					t.Silent = on
-					return
+				case BusyStore:
+					t.Busy = only(on, first)
+				case LateWrites:
+					t.LateWrites, t.LostAnswers = only(on, first), only(on, second)
 				}
-				t.LateWrites, t.LostAnswers = only(on, late), only(on, lost)
 			})
 		}
 	}
+	if kind == DropHistory {
+		return action{store: true, begin: p.fleet.store.DropHistory, end: func() {}}
+	}
 	return action{store: true, begin: change(true), end: change(false)}
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -74,7 +74,7 @@
 	fs.StringVar(&c.logs, "logs", "", "file for the logs of the processes; none where empty")
 	fs.StringVar(&c.commit, "commit", "unknown", "commit that is tested")
 	c.jobs.register(fs)
-	if err := settings.Parse(fs, args); err != nil {
+	if err := settings.Parse(fs, args, &c.jobs); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
