--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -12,7 +12,7 @@
 var testBounds = Bounds{
 	Contact: 3 * time.Second, Acknowledge: 4 * time.Second, Cancel: 3 * time.Second, StopGrace: 400 * time.Millisecond,
 	Visible: 3 * time.Second, Early: 250 * time.Millisecond, ConfigApply: 2 * time.Second,
-	ConfigRollback: 250 * time.Millisecond, Drain: 2 * time.Second, Finish: 14 * time.Second,
+	ConfigRollback: 250 * time.Millisecond, Drain: 2 * time.Second, Finish: 14 * time.Second, Status: 10 * time.Second,
 }
 
 var (
@@ -90,6 +90,7 @@
 var (
 	copies = with(func(s *carobkeel.Step) { s.AllowsDuplicates = true })
 	lasts  = with(func(s *carobkeel.Step) { s.LongRunning = true })
+	gang   = with(func(s *carobkeel.Step) { s.Count, s.Gang = 2, true })
 )
 
 // judged is a play and the rules that it breaks, none for a whole one.
@@ -180,6 +181,21 @@
 			s.at(300, started(run1))
 			s.at(400, end1, EndsListed{worker1, []uint64{1}}, started(run2))
 		}, one), nil},
+		{"after an end that was listed, and the lease lapsed at once", play(func(s *script) {
+			s.at(300, started(run1))
+			s.at(400, end1, EndsListed{worker1, []uint64{1}}, started(run2))
+			s.at(450, LeaseExpired{worker1})
+			s.at(4000, WorkerEnded{worker1})
+		}, one), nil},
+		{"after an end that was listed, and its worker ended at once", play(func(s *script) {
+			s.at(300, started(run1))
+			s.at(400, end1, EndsListed{worker1, []uint64{1}}, started(run2))
+			s.at(450, WorkerEnded{worker1})
+		}, one), nil},
+		{"an acknowledgement that came before the end", play(func(s *script) {
+			s.at(300, started(run1), EndsAcknowledged{worker1, 5})
+			s.at(400, end1, started(run2))
+		}, one), nil},
 		{"a copy long after a noted end", play(func(s *script) {
 			s.at(300, started(run1))
 			s.at(400, end1, EndsAcknowledged{worker1, 1})
@@ -216,6 +232,12 @@
 			s.at(300, started(run1))
 			s.at(400, CheckpointSaved{run1, "c"}, stop, RunStarted{RunID: run2, By: sidecar, Checkpoint: "c"})
 		}, one), nil},
+		{"the checkpoint of another member of its gang", play(func(s *script) {
+			s.at(300, started(run1), CheckpointSaved{run1, "c"}, RunStarted{RunID: runID(worker2, task(0, 1), 1), By: sidecar, Checkpoint: "c"})
+		}, gang), nil},
+		{"the checkpoint of another task", play(func(s *script) {
+			s.at(300, started(run1), CheckpointSaved{run1, "c"}, RunStarted{RunID: runID(worker2, task(0, 1), 1), By: sidecar, Checkpoint: "c"})
+		}, with(func(s *carobkeel.Step) { s.Count = 2 })), unasked},
 		{"a checkpoint from nowhere", play(func(s *script) { s.at(300, RunStarted{RunID: run1, By: sidecar, Checkpoint: "c"}) }, one), unasked},
 		{"a start soon after the cancellation", play(func(s *script) {
 			cancel(s)
@@ -272,16 +294,15 @@
 func TestOrder(t *testing.T) {
 	second := with(func(s *carobkeel.Step) { s.After = []int{0} })
 	two := with(func(s *carobkeel.Step) { s.Count = 2 })
-	gang := with(func(s *carobkeel.Step) { s.Count, s.Gang = 2, true })
 	follows := started(runID(worker2, task(1, 0), 1))
-	timed := func(ms int) func() *script {
+	timed := func(ms int, late bool) func() *script {
 		return func() *script {
 			s := accepted(one)
 			sent := s.events[4].Observation.(SubmissionSent)
 			sent.Spec.Repeats, sent.Spec.First, sent.Spec.Period = 2, began.Add(time.Second), time.Second
 			s.events[4].Observation = sent
 			again := carobkeel.TaskName{Job: "job", Occurrence: 1}
-			s.at(ms, started(runID(worker1, again, 1)))
+			s.at(ms, RunStarted{RunID: runID(worker1, again, 1), By: sidecar, Late: late})
 			return s
 		}
 	}
@@ -303,8 +324,9 @@
 			s.at(300, started(run1))
 			s.at(400, end1, follows)
 		}, gang, second), nil},
-		{"at its time", timed(1800), nil},
-		{"before its time", timed(1700), []Rule{RuleOrder}},
+		{"at its time", timed(1800, false), nil},
+		{"before its time", timed(1700, false), []Rule{RuleOrder}},
+		{"before its time, carried out late", timed(1700, true), nil},
 	})
 }
 
@@ -375,6 +397,7 @@
 	}
 	expectRules(t, []judged{
 		{"all refused", answered(AnswerRejected, AnswerRejected), []Rule{RuleRefused}},
+		{"refused, and no such queue", answered(AnswerRejected, AnswerNoQueue), []Rule{RuleRefused}},
 		{"one unanswered", answered(AnswerRejected, AnswerNone), nil},
 		{"one accepted", answered(AnswerRejected, AnswerAccepted), nil},
 	})
@@ -400,6 +423,7 @@
 			s.at(300, started(runID(w, task(0, i), 1)))
 		}
 	}
+	after := with(func(s *carobkeel.Step) { s.After = []int{0} })
 	large := with(func(s *carobkeel.Step) { s.Count, s.Demand.MilliCPU = 2, 2500 })
 	expectRules(t, []judged{
 		{"unknown at first", play(state(3000, AnswerGone, 0), one), nil},
@@ -413,6 +437,14 @@
 			s.at(300, CancelSent{"job", entry}, CancelAcknowledged{"job"})
 			state(3300, AnswerGone, 0)(s)
 		}, one), nil},
+		{"unknown long after it was completed", play(func(s *script) {
+			s.at(300, started(run1), end1, shown(300, AnswerAccepted, carobkeel.JobCompleted))
+			state(11000, AnswerGone, 0)(s)
+		}, one), nil},
+		{"unknown soon after it was completed", play(func(s *script) {
+			s.at(300, started(run1), end1, shown(300, AnswerAccepted, carobkeel.JobCompleted))
+			state(10000, AnswerGone, 0)(s)
+		}, one), lost},
 		{"cancelled without cause", play(state(300, AnswerAccepted, carobkeel.JobCancelled), one), lost},
 		{"failed without cause", play(state(300, AnswerAccepted, carobkeel.JobFailed), one), lost},
 		{"failed with cause", play(func(s *script) {
@@ -439,8 +471,22 @@
 		{"nothing runs at the end, workers unreachable", play(ends(func(s *script) {
 			s.at(1100, Disruption{ID: 1, Workers: []string{"worker-1"}}, Disruption{ID: 2, Processes: []string{"sidecar-1"}})
 		}), one), nil},
-		{"the second step waits for the first", play(ends(func(s *script) { s.at(300, started(run1)) }),
-			one, with(func(s *carobkeel.Step) { s.After = []int{0} })), nil},
+		{"nothing runs at the end, too large", play(ends(nothing), with(func(s *carobkeel.Step) { s.Demand.MilliCPU = 4001 })), nil},
+		{"nothing runs at the end, room for one", play(ends(nothing), with(func(s *carobkeel.Step) { s.MaxPerWorker, s.RequiredLabel = 1, "b" })), nil},
+		{"nothing runs at the end, room for one gang", play(ends(nothing), with(func(s *carobkeel.Step) {
+			s.Count, s.Gang, s.Demand.MilliCPU = 2, true, 2500
+		})), nil},
+		{"nothing runs at the end, room for two gangs", play(ends(nothing), gang), lost},
+		{"the second step waits for the first, which is too large", play(ends(nothing),
+			with(func(s *carobkeel.Step) { s.Demand.MilliCPU = 4001 }), after), nil},
+		{"the second step's turn came late", play(ends(func(s *script) {
+			s.at(300, started(run1))
+			s.at(18000, end1)
+		}), one, after), nil},
+		{"the second step's turn came in time", play(ends(func(s *script) {
+			s.at(300, started(run1))
+			s.at(16000, end1)
+		}), one, after), lost},
 		{"a long-running task never begins", play(nothing, lasts), lost},
 		{"a long-running task runs again in time", play(func(s *script) {
 			s.at(300, started(run1))
@@ -499,14 +545,28 @@
 			s.at(3200, asked(3150, newer, AnswerNoQueue))
 		}, one), nil},
 		{"a later version before it is acknowledged", play(func(s *script) {
-			s.at(1050, asked(1010, newer, AnswerAccepted))
 			change(s)
+			s.at(1050, asked(1010, newer, AnswerAccepted))
 		}, one), nil},
 		{"back", play(func(s *script) {
 			change(s)
 			s.at(1200, asked(1150, newer, AnswerAccepted))
 			s.at(1600, asked(1500, newer, AnswerNoQueue))
 		}, one), broken},
+		{"back, disturbed", play(func(s *script) {
+			change(s)
+			s.at(1200, asked(1150, newer, AnswerAccepted), Disruption{ID: 1, Processes: []string{"entry-1"}})
+			s.at(3100, asked(3050, newer, AnswerNoQueue))
+		}, one), nil},
+		{"back, long after it was disturbed", play(func(s *script) {
+			change(s)
+			s.at(1200, asked(1150, newer, AnswerAccepted), Disruption{ID: 1, Processes: []string{"entry-1"}})
+			s.at(3400, asked(3300, newer, AnswerNoQueue))
+		}, one), broken},
+		{"by a version that isn't sent yet", play(func(s *script) {
+			s.at(3050, asked(3000, newer, AnswerAccepted))
+			s.at(3100, ConfigurationSent{carobkeel.QueueConfig{Version: 5, Queues: []carobkeel.Queue{queueOf("/newer/")}}})
+		}, one), broken},
 		{"back, another incarnation", play(func(s *script) {
 			change(s)
 			s.at(1200, asked(1150, newer, AnswerAccepted))
@@ -563,6 +623,11 @@
 	expectRules(t, []judged{
 		{"two cancellations unanswered", play(cancels(2), one), nil},
 		{"three cancellations unanswered", play(cancels(3), one), broken},
+		{"three cancellations of jobs that were not accepted", play(func(s *script) {
+			for _, id := range []carobkeel.JobID{"a", "b", "c"} {
+				s.at(300, CancelSent{id, entry})
+			}
+		}, one), nil},
 		{"an end noted in time", play(ends(4300), one), nil},
 		{"an end noted late", play(ends(4500), one), broken},
 		{"a drain acknowledged", play(func(s *script) { s.at(300, DrainReported{worker1}, DrainAcknowledged{worker1, sidecar}) }, one), nil},
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -144,10 +144,24 @@
 	conn := dial(t, r)
 	g.Expect(echo(conn, "before", long)).To(Succeed())
 	r.Impair(Impairment{Lose: LoseToClient})
+	g.Expect(echo(conn, "one", short)).To(beHeldBack())
+	r.Impair(Impairment{Lose: LoseToServer})
+	g.Expect(hear(conn, "one", long)).To(Succeed())
+	r.Impair(Impairment{Lose: LoseToClient})
 	g.Expect(conn.CloseWrite()).To(Succeed())
 	g.Eventually(ended, long).Should(Receive(BeNil()))
 }
 
+func TestNewConnectionsDuringALossDoNotReachTheServer(t *testing.T) {
+	g := NewWithT(t)
+	r, ended := newLink(t)
+	r.Impair(Impairment{Lose: LoseToClient})
+	g.Expect(dial(t, r).CloseWrite()).To(Succeed())
+	g.Consistently(ended, short).ShouldNot(Receive())
+	r.Impair(Impairment{})
+	g.Eventually(ended, long).Should(Receive(BeNil()))
+}
+
 func TestSilentConnectionStaysSilentWhileNewOnesWork(t *testing.T) {
 	g := NewWithT(t)
 	r, ended := newLink(t)
