--- a/cmd/soak/jobs/troubles.go
+++ b/cmd/soak/jobs/troubles.go
@@ -19,7 +19,7 @@
 	leastShare  = 0.1
 	mostShare   = 0.5
 	mostGrey    = 0.8
-	mostSlow    = 10
+	mostSlow    = 4
 	slowAnswers = time.Second
 )
 
