--- a/cmd/soak/jobs/explain_test.go
+++ b/cmd/soak/jobs/explain_test.go
@@ -40,7 +40,7 @@
 	g.Expect(Explain(&out, folder, task.String())).To(Succeed())
 	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
 	g.Expect(lines).To(HaveLen(6))
-	for i, text := range []string{"first", "second", "run-started", "fourth", "run-ended", "last"} {
+	for i, text := range []string{"first", "second", "run-began", "fourth", "run-ended", "last"} {
 		g.Expect(lines[i]).To(ContainSubstring(text))
 	}
 }
