--- a/cmd/soak/jobs/links.go
+++ b/cmd/soak/jobs/links.go
@@ -25,9 +25,10 @@
 
 // Troubles of links.
 const (
-	leastDelay     = 20 * time.Millisecond
-	mostDelay      = 300 * time.Millisecond
-	mostLinkedHost = 4
+	leastDelay = 20 * time.Millisecond
+	mostDelay  = 300 * time.Millisecond
+	// mostHosts is how many hosts one trouble takes the links of.
+	mostHosts = 4
 )
 
 // link is a relay to or from a process.
@@ -79,7 +80,7 @@
 		kind := kinds[random.IntN(len(kinds))]
 		return l.only(func(one *link) bool { return one.kind == kind })
 	default:
-		hosts := pick(random, l.hosts(), mostLinkedHost)
+		hosts := pick(random, l.hosts(), mostHosts)
 		return l.only(func(one *link) bool { return slices.Contains(hosts, one.host) })
 	}
 }
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/judge"
 )
@@ -78,7 +80,7 @@
 func Play(ctx context.Context, c Config) (*Result, error) {
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
-		return nil, err
+		return nil, errors.WithStack(err)
 	}
 	defer os.RemoveAll(folder)
 	ctx, cancel := context.WithCancel(ctx)
@@ -89,6 +91,9 @@
 		return nil, err
 	}
 	r := f.play(ctx, c)
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "the play was interrupted")
+	}
 	seen := f.record.Play()
 	r.Findings, r.Runs = judge.Evaluate(seen, bounds), countRuns(seen)
 	if !r.Broken() {
@@ -115,7 +120,7 @@
 	}
 	t.run(ctx, follow, c.Duration)
 	streams.Wait()
-	_ = clock.Sleep(ctx, settleTime) // an interrupted play is judged as it is
+	_ = clock.Sleep(ctx, settleTime) // an interrupted play is not judged
 	t.awaitEnds(ctx)
 	r.Jobs, r.Accepted, r.Ended = t.sent.Load(), t.accepted.Load(), t.ended.Load()
 	return r
--- a/cmd/soak/jobs/process.go
+++ b/cmd/soak/jobs/process.go
@@ -33,7 +33,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	exited  chan struct{}
+	// exited is closed while the process does not run.
+	exited chan struct{}
 }
 
 // linkListenVariable names the environment variable for the address at which a process
@@ -49,7 +50,9 @@
 	}
 	p := &process{
 		name: host.Name, role: role, binary: binary, settings: filepath.Join(folder, host.Name+".json"), linkListen: linkListen,
+		exited: make(chan struct{}),
 	}
+	close(p.exited)
 	if err := os.WriteFile(p.settings, data, 0o600); err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -87,9 +90,6 @@
 
 // runs reports whether the process runs. The caller holds the lock.
 func (p *process) runs() bool {
-	if p.command == nil {
-		return false
-	}
 	select {
 	case <-p.exited:
 		return false
