--- a/cmd/soak/jobs/explain_test.go
+++ b/cmd/soak/jobs/explain_test.go
@@ -36,9 +36,10 @@
 		`{"time":"2026-01-01T00:00:04Z","part":"trouble","kind":"freeze-holder","message":"fourth"}`,
 		`{"time":"2026-01-01T00:00:06Z","part":"worker","worker":"worker-1","task":"","late":true,"message":"last"}`,
 		`{"time":"2026-01-01T00:00:06Z","part":"worker","worker":"worker-3","task":"","late":true,"message":"another worker"}`)
-	var out strings.Builder
-	g.Expect(Explain(&out, folder, task.String())).To(Succeed())
-	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	g.Expect(explainAll(folder, []judge.Finding{{Task: task.String()}, {Task: task.String()}})).To(Succeed())
+	out, err := os.ReadFile(filepath.Join(folder, explainedPrefix+task.String()+".txt"))
+	g.Expect(err).NotTo(HaveOccurred())
+	lines := strings.Split(strings.TrimSpace(string(out)), "\n")
 	g.Expect(lines).To(HaveLen(6))
 	for i, text := range []string{"first", "second", "run-began", "fourth", "run-ended", "last"} {
 		g.Expect(lines[i]).To(ContainSubstring(text))
