--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: dev test lint generate check-generate bench history capacity soak fmt
+.PHONY: dev test lint generate check-generate bench history capacity soak soak-jobs fmt
 
 dev:
 	$(GO) run ./cmd/carobkeel dev
@@ -44,3 +44,9 @@
 
 soak:
 	$(GO) run ./cmd/soak -commit $(COMMIT) -out soak-results/$(COMMIT).json -logs soak-results/$(COMMIT).log
+
+# SEEDS=10 make soak-jobs plays fewer seeds.
+SEEDS ?= 50
+
+soak-jobs:
+	$(GO) run ./cmd/soak -path jobs -seeds $(SEEDS) -commit $(COMMIT) -out soak-results/$(COMMIT)-jobs.json
--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/pkg/errors"
 
@@ -110,6 +111,9 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	if err := os.MkdirAll(filepath.Dir(c.out), 0o755); err != nil {
+		return errors.Wrap(err, "write the results")
+	}
 	return errors.Wrap(os.WriteFile(c.out, data, 0o644), "write the results")
 }
 
