--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -238,6 +238,10 @@
 		{"the checkpoint of another task", play(func(s *script) {
 			s.at(300, started(run1), CheckpointSaved{run1, "c"}, RunStarted{RunID: runID(worker2, task(0, 1), 1), By: sidecar, Checkpoint: "c"})
 		}, with(func(s *carobkeel.Step) { s.Count = 2 })), unasked},
+		{"a checkpoint that is saved later", play(func(s *script) {
+			s.at(300, RunStarted{RunID: run1, By: sidecar, Checkpoint: "c"})
+			s.at(400, CheckpointSaved{run1, "c"})
+		}, one), unasked},
 		{"a checkpoint from nowhere", play(func(s *script) { s.at(300, RunStarted{RunID: run1, By: sidecar, Checkpoint: "c"}) }, one), unasked},
 		{"a start soon after the cancellation", play(func(s *script) {
 			cancel(s)
@@ -423,6 +427,16 @@
 			s.at(300, started(runID(w, task(0, i), 1)))
 		}
 	}
+	dueAt := func(due time.Duration) func() *script {
+		return func() *script {
+			s := accepted(one)
+			sent := s.events[4].Observation.(SubmissionSent)
+			sent.Spec.Repeats, sent.Spec.First = 1, began.Add(due)
+			s.events[4].Observation = sent
+			ends(nothing)(s)
+			return s
+		}
+	}
 	after := with(func(s *carobkeel.Step) { s.After = []int{0} })
 	large := with(func(s *carobkeel.Step) { s.Count, s.Demand.MilliCPU = 2, 2500 })
 	expectRules(t, []judged{
@@ -483,6 +497,15 @@
 			s.at(300, started(run1))
 			s.at(18000, end1)
 		}), one, after), nil},
+		{"the second step's turn came with the first end of a gang", play(func(s *script) {
+			member := runID(worker2, task(0, 1), 1)
+			s.at(250, TrafficEnded{})
+			s.at(300, started(run1), end1)
+			s.at(17500, started(member))
+			s.at(17600, ended(member, OutcomeDone, 1))
+		}, gang, after), lost},
+		{"due shortly before the end", dueAt(18 * time.Second), nil},
+		{"due well before the end", dueAt(16 * time.Second), lost},
 		{"the second step's turn came in time", play(ends(func(s *script) {
 			s.at(300, started(run1))
 			s.at(16000, end1)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,7 +105,7 @@
 		_, _ = conn.Write(sent)
 		_ = conn.CloseWrite()
 	}()
-	heard, err := io.ReadAll(conn)
+	heard, err := io.ReadAll(deadline(conn))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(bytes.Equal(heard, sent)).To(BeTrue())
 	g.Eventually(ended, long).Should(Receive(BeNil()))
