Name the record's kind of a run that began in the project's words

Cause: the kind run-started of the record contains the name of a call of the platform, which only platform/ may use. Measured: the test failed before the change and passes after it; go test -race of the root, internal/judge and review/standin passes. Conclusion: none of the type's names change.

--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -676,6 +676,6 @@
 		kinds = append(kinds, event.Kind())
 	}
 	g.Expect(kinds).To(Equal([]string{
-		"worker-started", "submission-sent", "submission-answered", "run-started", "lease-expired", "disruption",
+		"worker-started", "submission-sent", "submission-answered", "run-began", "lease-expired", "disruption",
 	}))
 }
--- a/internal/judge/kind.go
+++ b/internal/judge/kind.go
@@ -30,7 +30,7 @@
 func (WorkerEnded) Kind() string { return "worker-ended" }
 
 // Kind implements Observation.
-func (RunStarted) Kind() string { return "run-started" }
+func (RunStarted) Kind() string { return "run-began" }
 
 // Kind implements Observation.
 func (CheckpointSaved) Kind() string { return "checkpoint-saved" }
