Keep the record of an incarnation that is described again

A new holder could start tasks that a worker still ran, as it did not know of the worker.

Cause: the records of replaced incarnations are dropped with the first listing of the next. After a late heartbeat of an earlier incarnation, the present one is replaced and described again, and counted among those that it had replaced itself. Its record was dropped while tasks started.

Change: an incarnation that is described is none of the replaced ones. Result: TestIncarnationThatIsDescribedAgainStaysRecorded, which failed before the fix.

--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -350,6 +350,21 @@
 	g.Expect(f.starts()).To(HaveLen(1))
 }
 
+// Guards against TWICE: a late heartbeat of an earlier incarnation came between two of the
+// present one, whose record was then dropped, so that a later holder did not wait for it.
+func TestIncarnationThatIsDescribedAgainStaysRecorded(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.core.DescribeWorker(evidenceHost, f.description(runs.Incarnation{ID: "w", StartedAtMs: 500}))
+	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
+	f.list(2, 2)
+	f.core.Finish()
+	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
+	g.Expect(batch.Forgotten).NotTo(ContainElement(f.incarnation))
+	f.core.BatchStored(batch)
+	g.Expect(f.submit()).To(HaveLen(1), "tasks start on the worker")
+}
+
 // Guards against TWICE that can't be traced: ends that a worker forgot unread leave a line.
 func TestEndsThatWereForgottenUnreadAreReported(t *testing.T) {
 	g := NewWithT(t)
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -149,6 +149,8 @@
 		c.endIncarnation(w, d)
 		w.replaced = append(w.replaced, w.description.Incarnation)
 	}
+	// After a late heartbeat of an earlier incarnation, the present one is described again.
+	w.replaced = slices.DeleteFunc(w.replaced, func(i runs.Incarnation) bool { return i == d.Incarnation })
 	c.forgetUnreported(w.host, d.Incarnation, true)
 	w.description = d
 	w.listed = false
