Do not take refusals for the epoch as those for the generation

Calls of one sidecar process could be carried out by the next incarnation of the worker, after the calls of the next process.

Cause: a process that has restarted knows no holder at first, and the worker refuses its listings for their epoch. Each refusal was taken as one for the generation, which rose twice as far each time: by 126 after a second, by 2^25 after four. The generation of the next process begins at the time of day, so it was lower for the same time (half a minute, or 97 days). Two processes of this kind could also leave the worker refusing a third one.

Change: a refusal counts for the generation only if the listing was of the present epoch.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -96,7 +96,7 @@
 		answer.Result = runs.ResultOtherIncarnation
 	}
 	if err != nil || answer.Result != runs.ResultOK {
-		l.handleFailure(ctx, d, answer, err)
+		l.handleFailure(ctx, d, epoch, answer, err)
 		return
 	}
 	l.failures, l.refusals = 0, 0
@@ -217,12 +217,12 @@
 
 // handleFailure records a listing that was refused or not answered, and waits before
 // the next one.
-func (l *lister) handleFailure(ctx context.Context, d *runs.Description, answer runs.Answer, err error) {
+func (l *lister) handleFailure(ctx context.Context, d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
 	a := l.agent
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
-	l.suspectRestart(d, answer, err)
+	l.suspectRestart(d, epoch, answer, err)
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
@@ -237,9 +237,12 @@
 }
 
 // suspectRestart raises the generation of the calls to the worker after a listing without a
-// usable answer.
-func (l *lister) suspectRestart(d *runs.Description, answer runs.Answer, err error) {
+// usable answer. A refusal under no epoch, or one that is over, says nothing about it.
+func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
 	refused := err == nil && answer.Result == runs.ResultStaleEpoch
+	if holder := l.agent.holder.Load(); refused && (!holder.Known || epoch != holder.Epoch) {
+		return
+	}
 	denied := err == nil && answer.Result == runs.ResultOtherIncarnation
 	if refused {
 		l.refusals++
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -149,6 +149,9 @@
 func (w *callRecorder) List(_ context.Context, e runs.Envelope, acknowledged uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
 	w.envelopes = append(w.envelopes, e)
 	w.acknowledged = append(w.acknowledged, acknowledged)
+	if w.onList != nil {
+		w.onList()
+	}
 	if w.fails {
 		return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
 	}
@@ -189,3 +192,37 @@
 	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(worker.envelopes[0].Fence.Less(worker.envelopes[1].Fence)).To(BeTrue())
 }
+
+// Guards against TWICE: a sidecar that knew no holder yet took refusals for its epoch as a reason
+// to raise the generation far above the time of day. The next process began below it, so the
+// calls of this one were carried out after its own.
+func TestRefusalForTheEpochDoesNotRaiseTheGeneration(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		holder gate.Holder
+	}{
+		{"no holder is known", gate.Holder{}},
+		{"a later epoch has become known since", gate.Holder{Epoch: 2, Known: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &callRecorder{result: runs.ResultStaleEpoch}
+				a, _ := linkedAgent(worker)
+				later := a.holder.Load()
+				a.holder.Store(&c.holder)
+				worker.onList = func() {
+					if c.holder.Known {
+						a.holder.Store(later)
+					}
+				}
+				generation := a.state.Load().Generation
+				l := &lister{agent: a}
+				for range 10 {
+					a.holder.Store(&c.holder)
+					l.listOnce(t.Context(), a.state.Load())
+				}
+				NewWithT(t).Expect(a.state.Load().Generation).To(Equal(generation))
+			})
+		})
+	}
+}
