Raise the generation no faster than that of a later process

Cause: the generation of a new process is taken from the time of day, four a second. A process whose listings fail raised its own by seven a second, so the next process began below it and its worker still took the calls of the one before.

Change: ten generations a second by the time of day, and one retry without a pause a second.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -27,8 +27,12 @@
 	// acknowledgeWait bounds the wait for ended runs to be acknowledged before the
 	// next listing, which would otherwise return them again immediately.
 	acknowledgeWait = 60 * time.Millisecond
-	// retryPause is the delay after a failed listing.
+	// retryPause is the delay after a failed listing. It is longer than the time in which
+	// the generation of a later process of the sidecar rises by one.
 	retryPause = 150 * time.Millisecond
+	// immediateRetryInterval is the least time between two failed listings that the next
+	// one follows at once.
+	immediateRetryInterval = time.Second
 	// noWorkerPause is the interval of the checks for a worker that has sent no
 	// heartbeat yet. A heartbeat ends the wait.
 	noWorkerPause = time.Second
@@ -44,6 +48,8 @@
 	// refusals counts the listings that the worker has refused for their fence, since the
 	// last one that it answered.
 	refusals int
+	// retriedAt is when a listing last followed a failed one at once.
+	retriedAt time.Time
 	// lastFullAt and lastFullLink are the sending time and the link of the last
 	// full listing.
 	lastFullAt   time.Duration
@@ -229,7 +235,8 @@
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
-	if l.failures == 1 {
+	if now := time.Now(); l.failures == 1 && now.Sub(l.retriedAt) >= immediateRetryInterval {
+		l.retriedAt = now
 		return // nothing starts on the worker before it has answered
 	}
 	// The listing's context may have ended, which must not cut the pause short.
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -226,3 +226,32 @@
 		})
 	}
 }
+
+// Guards against TWICE: the generation of a process rose faster than the time of day, so that
+// the calls of the next process were below it. The listings were also read in a tight loop.
+func TestGenerationRisesNoFasterThanThatOfALaterProcess(t *testing.T) {
+	const plays = time.Minute
+	for _, c := range []struct {
+		name  string
+		every int
+	}{{"each listing fails", 1}, {"every second listing fails", 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &callRecorder{}
+				worker.onList = func() {
+					worker.fails = len(worker.envelopes)%c.every == 0
+					time.Sleep(time.Millisecond)
+				}
+				a, _ := linkedAgent(worker)
+				generation := a.state.Load().Generation
+				l := &lister{agent: a}
+				for started := time.Now(); time.Since(started) < plays; {
+					l.listOnce(t.Context(), a.state.Load())
+				}
+				day := time.Date(2026, time.June, 1, 0, 0, 0, 0, time.UTC)
+				later := gate.NewWorker(day.Add(plays)).Generation - gate.NewWorker(day).Generation
+				NewWithT(t).Expect(a.state.Load().Generation - generation).To(BeNumerically("<", later))
+			})
+		})
+	}
+}
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -81,9 +81,10 @@
 	return w
 }
 
-// generationInterval is the time in which the generation of a new process rises by one, so
-// that it is above those of earlier processes.
-const generationInterval = 250 * time.Millisecond
+// generationInterval is the time in which the generation of a new process rises by one. A
+// process raises its own less often, so that those of later processes are above it. The
+// generations last for 13 years.
+const generationInterval = 100 * time.Millisecond
 
 // generationEpoch is the time of day of generation zero.
 var generationEpoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
