List the next incarnation of a worker with its first heartbeat

Cause: a heartbeat of the next incarnation raises the generation, but only a call in it keeps earlier calls off. The lister makes that call, and may wait for the earlier incarnation for up to 600 ms if its connection was not reset.

Change: a new incarnation is listed at once, in parallel to the lister. The listing extends no lease and is not forwarded. An unread counter of a test's worker is gone, as it raced. Result: TestNextIncarnationIsListedAtOnce, which failed before the fix.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -182,6 +182,11 @@
 	if old == nil || old.Incarnation != d.Incarnation || old.Draining != d.Draining {
 		a.sendDescription(a.holderLink.Load())
 	}
+	if old != nil && old.Incarnation != d.Incarnation {
+		// The lister may still wait for the earlier incarnation, and until this one has been
+		// reached, it carries out what was sent to that one.
+		go a.requestListing(state, envelopeWithoutLease(state, a.holder.Load().Epoch))
+	}
 	a.wakeLister()
 }
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -150,20 +150,30 @@
 // sendListing requests a listing and sends it to the holder. A failure is left to the
 // lister, whose next listing reports the state.
 func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
+	number := a.listingNumber.Add(1)
+	listing, ok := a.requestListing(state, e)
+	if !ok {
+		return
+	}
+	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
+		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
+		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
+	}, holderLink.epoch()))
+}
+
+// requestListing requests a listing that does not wait for a run to end. It returns false if
+// the described incarnation has not listed.
+func (a *Agent) requestListing(state *gate.Worker, e runs.Envelope) (runs.Listing, bool) {
 	d := state.Description
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	number := a.listingNumber.Add(1)
 	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
-		return
+		return runs.Listing{}, false
 	}
 	a.confirmState(state)
 	a.observeClock(d.Incarnation, answer)
-	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
-		Incarnation: d.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
-		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
-	}, holderLink.epoch()))
+	return listing, true
 }
 
 // confirmState records that the worker has answered a listing requested in the given state.
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -21,11 +21,9 @@
 	scriptedWorker
 	listing runs.Listing
 	result  runs.Result
-	lists   int
 }
 
 func (w *listingWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
-	w.lists++
 	return w.listing, runs.Answer{Result: w.result, Clock: time.Minute}, nil
 }
 
@@ -255,3 +253,15 @@
 		})
 	}
 }
+
+// Guards against TWICE: calls to the earlier incarnation were carried out by the next for as
+// long as a listing of the earlier one waited for its answer.
+func TestNextIncarnationIsListedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &callRecorder{}
+		a, _ := linkedAgent(worker)
+		a.RecordHeartbeat(runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 2}, Sequence: 1})
+		synctest.Wait()
+		NewWithT(t).Expect(worker.envelopes).To(ConsistOf(HaveField("Fence.Generation", a.state.Load().Generation)))
+	})
+}
