--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -27,8 +27,12 @@
 	// acknowledgeWait bounds the wait for ended runs to be acknowledged before the
 	// next listing, which would otherwise return them again immediately.
 	acknowledgeWait = 60 * time.Millisecond
-	// retryPause is the delay after a failed listing.
+	// retryPause is the delay after a failed listing. It is longer than the time in which
+	// the generation of a later process of the sidecar rises by one.
 	retryPause = 150 * time.Millisecond
+	// immediateRetryInterval is the least time between two failed listings that the next
+	// one follows at once.
+	immediateRetryInterval = time.Second
 	// noWorkerPause is the interval of the checks for a worker that has sent no
 	// heartbeat yet. A heartbeat ends the wait.
 	noWorkerPause = time.Second
@@ -44,6 +48,8 @@
 	// refusals counts the listings that the worker has refused for their fence, since the
 	// last one that it answered.
 	refusals int
+	// retriedAt is when a listing last followed a failed one at once.
+	retriedAt time.Time
 	// lastFullAt and lastFullLink are the sending time and the link of the last
 	// full listing.
 	lastFullAt   time.Duration
@@ -96,7 +102,7 @@
 		answer.Result = runs.ResultOtherIncarnation
 	}
 	if err != nil || answer.Result != runs.ResultOK {
-		l.handleFailure(ctx, d, answer, err)
+		l.handleFailure(ctx, d, epoch, answer, err)
 		return
 	}
 	l.failures, l.refusals = 0, 0
@@ -144,20 +150,30 @@
 // sendListing requests a listing and sends it to the holder. A failure is left to the
 // lister, whose next listing reports the state.
 func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
+	number := a.listingNumber.Add(1)
+	listing, ok := a.requestListing(state, e)
+	if !ok {
+		return
+	}
+	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
+		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
+		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
+	}, holderLink.epoch()))
+}
+
+// requestListing requests a listing that does not wait for a run to end. It returns false if
+// the described incarnation has not listed.
+func (a *Agent) requestListing(state *gate.Worker, e runs.Envelope) (runs.Listing, bool) {
 	d := state.Description
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	number := a.listingNumber.Add(1)
 	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
-		return
+		return runs.Listing{}, false
 	}
 	a.confirmState(state)
 	a.observeClock(d.Incarnation, answer)
-	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
-		Incarnation: d.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
-		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
-	}, holderLink.epoch()))
+	return listing, true
 }
 
 // confirmState records that the worker has answered a listing requested in the given state.
@@ -217,19 +233,20 @@
 
 // handleFailure records a listing that was refused or not answered, and waits before
 // the next one.
-func (l *lister) handleFailure(ctx context.Context, d *runs.Description, answer runs.Answer, err error) {
+func (l *lister) handleFailure(ctx context.Context, d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
 	a := l.agent
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
-	l.suspectRestart(d, answer, err)
+	l.suspectRestart(d, epoch, answer, err)
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
-	if l.failures == 1 {
+	if now := time.Now(); l.failures == 1 && now.Sub(l.retriedAt) >= immediateRetryInterval {
+		l.retriedAt = now
 		return // nothing starts on the worker before it has answered
 	}
 	// The listing's context may have ended, which must not cut the pause short.
@@ -237,9 +254,12 @@
 }
 
 // suspectRestart raises the generation of the calls to the worker after a listing without a
-// usable answer.
-func (l *lister) suspectRestart(d *runs.Description, answer runs.Answer, err error) {
+// usable answer. A refusal under no epoch, or one that is over, says nothing about it.
+func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
 	refused := err == nil && answer.Result == runs.ResultStaleEpoch
+	if holder := l.agent.holder.Load(); refused && (!holder.Known || epoch != holder.Epoch) {
+		return
+	}
 	denied := err == nil && answer.Result == runs.ResultOtherIncarnation
 	if refused {
 		l.refusals++
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -21,11 +21,9 @@
 	scriptedWorker
 	listing runs.Listing
 	result  runs.Result
-	lists   int
 }
 
 func (w *listingWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
-	w.lists++
 	return w.listing, runs.Answer{Result: w.result, Clock: time.Minute}, nil
 }
 
@@ -149,6 +147,9 @@
 func (w *callRecorder) List(_ context.Context, e runs.Envelope, acknowledged uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
 	w.envelopes = append(w.envelopes, e)
 	w.acknowledged = append(w.acknowledged, acknowledged)
+	if w.onList != nil {
+		w.onList()
+	}
 	if w.fails {
 		return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
 	}
@@ -189,3 +190,78 @@
 	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(worker.envelopes[0].Fence.Less(worker.envelopes[1].Fence)).To(BeTrue())
 }
+
+// Guards against TWICE: a sidecar that knew no holder yet took refusals for its epoch as a reason
+// to raise the generation far above the time of day. The next process began below it, so the
+// calls of this one were carried out after its own.
+func TestRefusalForTheEpochDoesNotRaiseTheGeneration(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		holder gate.Holder
+	}{
+		{"no holder is known", gate.Holder{}},
+		{"a later epoch has become known since", gate.Holder{Epoch: 2, Known: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &callRecorder{result: runs.ResultStaleEpoch}
+				a, _ := linkedAgent(worker)
+				later := a.holder.Load()
+				a.holder.Store(&c.holder)
+				worker.onList = func() {
+					if c.holder.Known {
+						a.holder.Store(later)
+					}
+				}
+				generation := a.state.Load().Generation
+				l := &lister{agent: a}
+				for range 10 {
+					a.holder.Store(&c.holder)
+					l.listOnce(t.Context(), a.state.Load())
+				}
+				NewWithT(t).Expect(a.state.Load().Generation).To(Equal(generation))
+			})
+		})
+	}
+}
+
+// Guards against TWICE: the generation of a process rose faster than the time of day, so that
+// the calls of the next process were below it. The listings were also read in a tight loop.
+func TestGenerationRisesNoFasterThanThatOfALaterProcess(t *testing.T) {
+	const plays = time.Minute
+	for _, c := range []struct {
+		name  string
+		every int
+	}{{"each listing fails", 1}, {"every second listing fails", 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &callRecorder{}
+				worker.onList = func() {
+					worker.fails = len(worker.envelopes)%c.every == 0
+					time.Sleep(time.Millisecond)
+				}
+				a, _ := linkedAgent(worker)
+				generation := a.state.Load().Generation
+				l := &lister{agent: a}
+				for started := time.Now(); time.Since(started) < plays; {
+					l.listOnce(t.Context(), a.state.Load())
+				}
+				day := time.Date(2026, time.June, 1, 0, 0, 0, 0, time.UTC)
+				later := gate.NewWorker(day.Add(plays)).Generation - gate.NewWorker(day).Generation
+				NewWithT(t).Expect(a.state.Load().Generation - generation).To(BeNumerically("<", later))
+			})
+		})
+	}
+}
+
+// Guards against TWICE: calls to the earlier incarnation were carried out by the next for as
+// long as a listing of the earlier one waited for its answer.
+func TestNextIncarnationIsListedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &callRecorder{}
+		a, _ := linkedAgent(worker)
+		a.RecordHeartbeat(runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 2}, Sequence: 1})
+		synctest.Wait()
+		NewWithT(t).Expect(worker.envelopes).To(ConsistOf(HaveField("Fence.Generation", a.state.Load().Generation)))
+	})
+}
