--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -20,6 +21,9 @@
 	jobsPath     = "jobs"
 )
 
+// jobEndTime is how long jobs may take to end at the end of a play.
+const jobEndTime = 20 * time.Second
+
 // jobsConfig holds the settings that only the path of jobs has.
 type jobsConfig struct {
 	path      string
@@ -121,7 +125,7 @@
 func (c *config) jobsOf(seed uint64) jobs.Config {
 	kinds, _ := jobs.ParseKinds(c.jobs.kinds) // checked with the settings
 	return jobs.Config{
-		Binary: c.binary, Seed: seed, Duration: c.duration, Kinds: kinds, Streams: c.jobs.streams, ReachNext: c.jobs.reachNext,
+		Binary: c.binary, Seed: seed, Duration: c.duration, EndTime: jobEndTime, Kinds: kinds, Streams: c.jobs.streams, ReachNext: c.jobs.reachNext,
 		Entries: c.jobs.entries, Workers: c.jobs.workers, Folder: c.jobs.folder,
 		Command: fmt.Sprintf(
 			"go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -job-entries %d -job-workers %d -commit %s",
--- a/cmd/soak/jobs/plan.go
+++ b/cmd/soak/jobs/plan.go
@@ -107,7 +107,7 @@
 
 const (
 	// calmTime is how long the fleet runs before the first trouble.
-	calmTime = 4 * time.Second
+	calmTime = 2 * time.Second
 	// meanGap is the mean time between two troubles of a stream.
 	meanGap = time.Second
 )
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	// settleTime is how long all that late calls and writes do may take, and endTime how
-	// long jobs may take to end after that.
+	// settleTime is how long all that late calls and writes do may take.
 	settleTime = 13 * time.Second
-	endTime    = 20 * time.Second
 	endPoll    = 200 * time.Millisecond
 	// printedFindings is how many cases of one broken rule are printed. All are kept.
 	printedFindings = 5
@@ -31,7 +29,9 @@
 	Seed   uint64
 	// Duration is how long jobs are submitted and troubles come.
 	Duration time.Duration
-	Kinds    []Kind
+	// EndTime is how long jobs may take to end once late calls are over.
+	EndTime time.Duration
+	Kinds   []Kind
 	// Streams is how many troubles come side by side.
 	Streams int
 	// ReachNext lets calls that are carried out late reach a worker's next incarnation.
@@ -121,14 +121,14 @@
 	t.run(ctx, follow, c.Duration)
 	streams.Wait()
 	_ = clock.Sleep(ctx, settleTime) // an interrupted play is not judged
-	t.awaitEnds(ctx)
+	t.awaitEnds(ctx, c.EndTime)
 	r.Jobs, r.Accepted, r.Ended = t.sent.Load(), t.accepted.Load(), t.ended.Load()
 	return r
 }
 
-// awaitEnds waits until all jobs but the lasting one have ended.
-func (t *traffic) awaitEnds(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, endTime)
+// awaitEnds waits until all jobs but the lasting one have ended, or a time has passed.
+func (t *traffic) awaitEnds(ctx context.Context, longest time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, longest)
 	defer cancel()
 	for t.ended.Load() < t.accepted.Load()-1 && clock.Sleep(ctx, endPoll) == nil {
 	}
