--- a/cmd/soak/jobs/fleet.go
+++ b/cmd/soak/jobs/fleet.go
@@ -86,6 +86,8 @@
 // started, for stop.
 func startFleet(ctx context.Context, c Config, folder string) (*fleet, error) {
 	f := &fleet{binary: c.Binary, folder: folder, entryCount: c.Entries, record: judge.NewRecord(clock.System{})}
+	ready := f.recordStart(c)
+	defer ready()
 	var err error
 	if f.logFile, err = os.Create(filepath.Join(folder, standinsLog)); err != nil {
 		return f, errors.WithStack(err)
@@ -134,6 +136,12 @@
 	return nil
 }
 
+func entryName(i int) string { return fmt.Sprintf("edge-%d", i+1) }
+
+func sidecarName(i int) string { return fmt.Sprintf("side-%d", i+1) }
+
+func workerName(i int) string { return fmt.Sprintf("worker-%d", i+1) }
+
 func (f *fleet) ip(host int) string { return f.prefix + fmt.Sprint(host) }
 
 func (f *fleet) address(host, port int) string { return fmt.Sprintf("%s:%d", f.ip(host), port) }
@@ -165,7 +173,7 @@
 }
 
 func (f *fleet) addEntry(i int) error {
-	number, name := firstEntry+i, fmt.Sprintf("edge-%d", i+1)
+	number, name := firstEntry+i, entryName(i)
 	host, err := f.host(name, number)
 	if err != nil {
 		return err
@@ -183,7 +191,7 @@
 }
 
 func (f *fleet) addWorker(ctx context.Context, i int, random *rand.Rand) error {
-	number, name := firstSidecar+i, fmt.Sprintf("side-%d", i+1)
+	number, name := firstSidecar+i, sidecarName(i)
 	host, err := f.host(name, number)
 	if err != nil {
 		return err
@@ -208,7 +216,7 @@
 
 func (f *fleet) workerConfig(i int, host standin.Host, random *rand.Rand) standin.WorkerConfig {
 	return standin.WorkerConfig{
-		Name: fmt.Sprintf("worker-%d", i+1), Service: service, Address: host.Worker, Registry: host.Registry,
+		Name: workerName(i), Service: service, Address: host.Worker, Registry: host.Registry,
 		Sidecar: host.Name, DataCentre: standin.DataCentre, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB,
 		Rack: fmt.Sprintf("r-%d", 1+i/hostsPerRack), ClockSlowness: slowestClock * random.Float64(), Seed: random.Uint64(),
 	}
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -140,6 +140,25 @@
 // disruptions numbers the troubles of this process.
 var disruptions atomic.Int64
 
+// startTrouble names the start of a fleet in the record: no rule with a bound of time holds
+// until its processes have run for a while.
+const startTrouble = "start"
+
+// recordStart records that the store and all hosts start. The function that it returns
+// records the end of that.
+func (f *fleet) recordStart(c Config) (ready func()) {
+	d := judge.Disruption{ID: int(disruptions.Add(1)), Trouble: startTrouble, Store: true}
+	for i := range c.Entries {
+		d.Processes = append(d.Processes, entryName(i))
+	}
+	for i := range c.Workers {
+		d.Processes = append(d.Processes, sidecarName(i))
+		d.Workers = append(d.Workers, workerName(i))
+	}
+	f.record.Add(d)
+	return func() { f.record.Add(judge.DisruptionEnded{ID: d.ID}) }
+}
+
 // playStream plays troubles one after the other.
 func (p *player) playStream(ctx context.Context, began time.Time, stream int, planned []trouble) {
 	for _, t := range planned {
