Play late stops and listings that acknowledge nothing before an incarnation is reached

The model left out all late calls but starts as long as the sidecar had not reached the next incarnation. Only an acknowledgement, and a start of a run that is over, can't be kept off.

--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -57,6 +57,8 @@
 	// start is the run that the call starts, nil for other calls.
 	start *runs.Stop
 	call  func(runs.Envelope) runs.Result
+	// acknowledged is the end up to which a listing acknowledges.
+	acknowledged uint64
 }
 
 type modelListing struct {
@@ -232,7 +234,7 @@
 		return runs.ResultOK
 	}
 	if s.mute || lost {
-		s.late = append(s.late, modelCall{envelope, start, call})
+		s.late = append(s.late, modelCall{envelope: envelope, start: start, call: call})
 		return runs.ResultUnknown
 	}
 	result := s.reach(envelope, call)
@@ -272,7 +274,7 @@
 	late := s.late[0]
 	s.late = s.late[1:]
 	if s.unreached && late.envelope.Fence.Generation <= s.crashedAt {
-		if late.start == nil || s.model.over[*late.start] {
+		if late.acknowledged > 0 || (late.start != nil && s.model.over[*late.start]) {
 			return
 		}
 	}
@@ -310,7 +312,7 @@
 	if s.mute {
 		l.lost = true
 		if !slices.ContainsFunc(s.late, func(c modelCall) bool { return c.start == nil }) {
-			s.late = append(s.late, modelCall{envelope: envelope, call: list})
+			s.late = append(s.late, modelCall{envelope: envelope, call: list, acknowledged: acknowledged})
 		}
 		return
 	}
