Extend no lease by the clock of an earlier incarnation

Between the heartbeat of the next incarnation and the reset of the clock, or after an answer that was recorded late, a confirmed incarnation got a lease by the clock of the one before, up to the longest one, which the holder does not count on.

Change: a reading counts only for its incarnation. Result: TestClockOfAnEarlierIncarnationIsNotThatOfTheNext, which failed before the fix.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -50,7 +50,7 @@
 	// one incarnation never carries the generation of the next.
 	holder atomic.Pointer[gate.Holder]
 	state  atomic.Pointer[gate.Worker]
-	clock  atomic.Pointer[gate.Clock]
+	clock  atomic.Pointer[workerClock]
 	seeds  atomic.Pointer[[]string]
 	// holderLink is the link to the holder, nil while the holder is unknown.
 	holderLink atomic.Pointer[entryLink]
@@ -84,6 +84,12 @@
 	changed chan struct{}
 }
 
+// workerClock is the clock of an incarnation of the worker. Each incarnation's begins anew.
+type workerClock struct {
+	gate.Clock
+	incarnation runs.Incarnation
+}
+
 // acknowledgement is the number up to which the ended runs of a worker's incarnation
 // are stored by the holder.
 type acknowledgement struct {
@@ -115,7 +121,7 @@
 	a.holder.Store(&gate.Holder{})
 	state := gate.NewWorker(time.Now())
 	a.state.Store(&state)
-	a.clock.Store(&gate.Clock{})
+	a.clock.Store(&workerClock{})
 	a.acknowledged.Store(&acknowledgement{})
 	return a
 }
@@ -171,7 +177,7 @@
 	d := state.Description
 	if old == nil || old.Incarnation != d.Incarnation {
 		a.withdrawn.Clear()
-		a.clock.Store(&gate.Clock{})
+		a.clock.Store(&workerClock{})
 		a.deadline.Store(0)
 		a.log.Info().Str("worker", d.ID).Int64("born", d.StartedAtMs).Uint32("generation", uint32(state.Generation)).
 			Msg("first heartbeat of a worker incarnation")
@@ -237,7 +243,7 @@
 	if !state.Confirmed || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
 		return e
 	}
-	deadline := gate.LeaseDeadline(*holder, *a.clock.Load(), a.config.WorkerLease)
+	deadline := gate.LeaseDeadline(*holder, a.clockOf(state.Description), a.config.WorkerLease)
 	a.raiseDeadline(deadline)
 	if !a.unresponsive.Load() { // otherwise the report may not include this deadline
 		e.Deadline = deadline
@@ -275,5 +281,16 @@
 	if answer.Clock == 0 || !a.state.Load().Is(incarnation) {
 		return
 	}
-	a.clock.Store(&gate.Clock{Reading: answer.Clock, Received: clock.Boottime(), Known: true})
+	reading := gate.Clock{Reading: answer.Clock, Received: clock.Boottime(), Known: true}
+	a.clock.Store(&workerClock{Clock: reading, incarnation: incarnation})
+}
+
+// clockOf returns the clock of the described incarnation, which may be nil. It is unknown while
+// the last reading is that of another incarnation.
+func (a *Agent) clockOf(d *runs.Description) gate.Clock {
+	c := a.clock.Load()
+	if d == nil || c.incarnation != d.Incarnation {
+		return gate.Clock{}
+	}
+	return c.Clock
 }
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -91,7 +91,7 @@
 	a, d := l.agent, state.Description
 	number := a.listingNumber.Add(1)
 	wait := listWait
-	if !state.Confirmed || !a.clock.Load().Known {
+	if !state.Confirmed || !a.clockOf(d).Known {
 		wait = 0 // the answer is needed before a lease can be requested
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+listTimeout)
@@ -301,7 +301,7 @@
 // leaseRemaining returns how long the worker's lease may still be valid, or
 // gate.UnknownRemaining.
 func (a *Agent) leaseRemaining() time.Duration {
-	remaining := gate.LeaseRemaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
+	remaining := gate.LeaseRemaining(a.clockOf(a.state.Load().Description), time.Duration(a.deadline.Load()), clock.Boottime())
 	if earlier := a.earlierLeaseRemaining(); earlier > 0 {
 		return max(earlier, remaining)
 	}
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -265,3 +265,15 @@
 		NewWithT(t).Expect(worker.envelopes).To(ConsistOf(HaveField("Fence.Generation", a.state.Load().Generation)))
 	})
 }
+
+// Guards against TWICE: the next incarnation got a lease by the clock of the earlier one, from
+// a call to that one whose answer was recorded late.
+func TestClockOfAnEarlierIncarnationIsNotThatOfTheNext(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{})
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeNumerically(">", 0))
+	next := a.state.Load().Describe(&runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 2}}, time.Now())
+	a.state.Store(&next)
+	a.confirmState(&next)
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero())
+}
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -84,7 +84,7 @@
 	a.confirmState(a.state.Load())
 	now := clock.Boottime()
 	a.started = now - time.Hour
-	a.clock.Store(&gate.Clock{Reading: time.Minute, Received: now, Known: true})
+	a.clock.Store(&workerClock{gate.Clock{Reading: time.Minute, Received: now, Known: true}, testIncarnation})
 	holder := gate.Holder{}.Confirm(3, now)
 	a.holder.Store(&holder)
 	holderLink := newEntryLink(a)
@@ -258,7 +258,7 @@
 	a.started = clock.Boottime()
 	a.unresponsive.Store(true)
 	g.Expect(a.leaseRemaining()).To(BeNumerically(">", 2*time.Second))
-	a.clock.Store(&gate.Clock{})
+	a.clock.Store(&workerClock{})
 	a.RecordHeartbeat(earlier)
 	g.Expect(a.state.Load().Description.Incarnation).To(Equal(testIncarnation))
 	a.started -= 2 * a.config.WorkerLease
