Repeat a stop that was refused while its worker was taken for another incarnation

A stopped run could go on.

Cause: since a sidecar refuses all orders while the worker denies to be the described incarnation, a denial that is taken back (one odd listing) refuses stops too. The holder waited for a next description, which does not come.

Change: such a stop is repeated with the next listing of the same incarnation. Result: TestStopRefusedForAnotherIncarnationIsRepeatedOnceTheWorkerLists, which failed before.

--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -365,6 +365,19 @@
 	g.Expect(f.submit()).To(HaveLen(1), "tasks start on the worker")
 }
 
+// Guards against UNASKED: a stop was refused while the sidecar took the worker for another
+// incarnation, for one odd listing, and was never sent again.
+func TestStopRefusedForAnotherIncarnationIsRepeatedOnceTheWorkerLists(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultUnknown, 1)
+	g.Expect(f.core.Finish().Orders).To(ContainElement(HaveField("Kind", dispatch.OrderStop)))
+	f.answer(dispatch.OrderStop, run, runs.ResultOtherIncarnation, 2)
+	f.list(3, 3, run)
+	g.Expect(f.core.Finish().Orders).To(ContainElement(HaveField("Kind", dispatch.OrderStop)))
+}
+
 // Guards against TWICE that can't be traced: ends that a worker forgot unread leave a line.
 func TestEndsThatWereForgottenUnreadAreReported(t *testing.T) {
 	g := NewWithT(t)
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -306,9 +306,11 @@
 	case runs.ResultOK, runs.ResultOldRun:
 		r.stopConfirmed = true
 		r.stopConfirmedAt = markAt(r.worker, a.Listing)
-	case runs.ResultStaleEpoch, runs.ResultOtherIncarnation:
-		// The next holder or the worker's next description resolves this run.
+	case runs.ResultStaleEpoch:
+		// The next holder resolves this run.
 	default:
+		// The worker's next description resolves the run of another incarnation, unless the
+		// worker was taken for one by mistake.
 		r.inconclusive = true
 	}
 }
