Take one failed listing neither for ill health nor, if it was answered, for a restart

After a single listing without an answer starts were refused as unhealthy, which quarantined a sound worker for up to 4 s. A worker that answered every second listing as unhealthy was never acknowledged, and its lease lapsed. After the time of day was set back by an hour, a sidecar's listings were refused for 2.3 s of a lease of 3.5 s. A heartbeat at the moment of a shutdown ended the draining.

Change: a start that is not sent since the worker may have restarted has a result of its own. An unhealthy answer raises no generation. Refusals for the generation are repeated without a pause, up to their bound. A shutdown marks the description that there is then.

Result: TestStartIsRefusedWithoutBlameWhileTheWorkerMayHaveRestarted, TestUnhealthyAnswerIsNoSignOfARestart, TestListingsRefusedForTheirGenerationFollowAtOnceUntilOneIsAccepted, TestShutdownIsNotForgottenByAHeartbeatAtThatMoment; all failed before or could not run, as they use the new result.

--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -403,3 +403,12 @@
 	g.Expect(f.core.Finish().Decisions).To(ContainElement(And(
 		HaveField("Kind", dispatch.DecidedRunAdopted), HaveField("Detail", "given up before"))))
 }
+
+func TestStartToAnUnconfirmedWorkerIsNoReasonForAQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.answer(dispatch.OrderStart, f.submit()[0].Run, runs.ResultUnconfirmed, 1)
+	decisions := f.core.Finish().Decisions
+	g.Expect(decisions).To(ContainElement(HaveField("Detail", "start refused: unconfirmed")))
+	g.Expect(decisions).NotTo(ContainElement(HaveField("Kind", dispatch.DecidedWorkerQuarantined)))
+}
--- a/scheduler/dispatch/health.go
+++ b/scheduler/dispatch/health.go
@@ -164,7 +164,7 @@
 		c.quarantine(w, min(quarantineDuration, refusalBackoff<<h.refusals), 0, "starts refused")
 	case runs.ResultUnknown:
 		c.quarantine(w, quarantineDuration, 0, "a start without an answer")
-	case runs.ResultNoRoom, runs.ResultDraining, runs.ResultInvalid, runs.ResultExpired:
+	case runs.ResultNoRoom, runs.ResultDraining, runs.ResultInvalid, runs.ResultExpired, runs.ResultUnconfirmed:
 	default:
 		return
 	}
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -29,13 +29,11 @@
 	// startOrders counts the start orders sent. If there was more than one, the
 	// refusal of one of them does not show that the run did not start.
 	startOrders int
-	// orderedAt is when the start was last ordered.
-	orderedAt time.Duration
 	// inconclusive reports that the answer to the last order left it open whether
 	// the order was or will be carried out. The next full listing repeats it.
 	inconclusive bool
-	// adopted reports that an earlier holder started the run. It began some
-	// time before started.
+	// adopted reports that an earlier holder started the run. It began some time before
+	// started.
 	adopted bool
 	// carriedOver reports that the run was ordered from an incarnation that another one with
 	// the same ID has replaced. That one may begin it, until it has listed its runs.
@@ -181,7 +179,6 @@
 
 func (c *Core) orderStart(r *runState) {
 	r.startOrders++
-	r.orderedAt = c.now.Monotonic
 	c.order(r.worker, Order{
 		Kind: OrderStart, Task: r.name, Run: r.number,
 		Payload: r.task.job().spec.Payload, Checkpoint: r.task.checkpoint, Ticket: r.ticket, Ping: r.worker.lastPing,
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -190,14 +190,14 @@
 const reasonRestarted = "worker restarted"
 
 // forgetUnreported drops the incarnations of a host's worker that began before the given
-// one. It may be described by a late heartbeat, so later ones are kept. With otherIDs, those
+// one. It may be described by a late heartbeat, so later ones are kept. With keepSameID, those
 // under its ID are kept too: it may begin what was sent to them.
-func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation, otherIDs bool) {
+func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation, keepSameID bool) {
 	for old, oldHost := range c.unreportedWorkers {
 		if oldHost != host || old == incarnation || old.StartedAtMs > incarnation.StartedAtMs {
 			continue
 		}
-		if otherIDs && old.ID == incarnation.ID {
+		if keepSameID && old.ID == incarnation.ID {
 			continue
 		}
 		delete(c.unreportedWorkers, old)
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -207,12 +207,13 @@
 	if holderLink := a.holderLink.Load(); holderLink != nil {
 		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.epoch()))
 	}
-	drained := *d
-	drained.Draining = true
 	a.updateState(func(w gate.Worker) gate.Worker {
-		if w.Description == d {
-			w.Description = &drained
+		if w.Description.Incarnation != d.Incarnation {
+			return w
 		}
+		drained := *w.Description // a heartbeat may have come since
+		drained.Draining = true
+		w.Description = &drained
 		return w
 	})
 	a.leftIncarnation.Store(&d.Incarnation)
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -238,43 +238,60 @@
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
-	l.suspectRestart(d, epoch, answer, err)
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
-	if now := time.Now(); l.failures == 1 && now.Sub(l.retriedAt) >= immediateRetryInterval {
-		l.retriedAt = now
+	if l.suspectRestart(d, epoch, answer, err) {
 		return // nothing starts on the worker before it has answered
 	}
 	// The listing's context may have ended, which must not cut the pause short.
 	a.waitForChange(context.WithoutCancel(ctx), retryPause)
 }
 
-// suspectRestart raises the generation of the calls to the worker after a listing without a
-// usable answer. A refusal under no epoch, or one that is over, says nothing about it.
-func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
-	refused := err == nil && answer.Result == runs.ResultStaleEpoch
-	if holder := l.agent.holder.Load(); refused && (!holder.Known || epoch != holder.Epoch) {
-		return
+// mayRetryAtOnce reports whether the next listing follows one without an answer without a
+// pause.
+func (l *lister) mayRetryAtOnce() bool {
+	now := time.Now()
+	if l.failures > 1 || now.Sub(l.retriedAt) < immediateRetryInterval {
+		return false
 	}
-	denied := err == nil && answer.Result == runs.ResultOtherIncarnation
-	if refused {
+	l.retriedAt = now
+	return true
+}
+
+// suspectRestart raises the generation of the calls to the worker after a listing without a
+// usable answer, and reports whether the next one is due at once. A refusal under no epoch, or
+// one that is over, says nothing about the generation, nor does a worker that answers that it
+// is unhealthy.
+func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) bool {
+	holder := l.agent.holder.Load()
+	isCurrent := holder.Known && epoch == holder.Epoch
+	var change func(gate.Worker) gate.Worker
+	atOnce := false
+	switch {
+	case err != nil:
+		atOnce = l.mayRetryAtOnce()
+		change = func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) }
+	case answer.Result == runs.ResultOtherIncarnation:
+		atOnce = l.mayRetryAtOnce()
+		change = func(w gate.Worker) gate.Worker { return w.Deny(time.Now()) }
+	case answer.Result == runs.ResultStaleEpoch && isCurrent:
 		l.refusals++
+		atOnce = l.refusals <= gate.MaxRefusals
+		change = func(w gate.Worker) gate.Worker { return w.Overtake(l.refusals) }
+	default:
+		return false
 	}
 	l.agent.updateState(func(w gate.Worker) gate.Worker {
-		switch {
-		case w.Description == nil || w.Description.Incarnation != d.Incarnation:
+		if w.Description == nil || w.Description.Incarnation != d.Incarnation {
 			return w
-		case refused:
-			return w.Overtake(l.refusals)
-		case denied:
-			return w.Deny(time.Now())
 		}
-		return w.Suspect(time.Now())
+		return change(w)
 	})
+	return atOnce
 }
 
 // reportUnresponsive tells the holder that the worker does not answer, and how long
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -277,3 +277,31 @@
 	a.confirmState(&next)
 	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero())
 }
+
+// A worker that is unhealthy answers, and has done nothing.
+func TestUnhealthyAnswerIsNoSignOfARestart(t *testing.T) {
+	g := NewWithT(t)
+	worker := &callRecorder{result: runs.ResultUnhealthy}
+	a, _ := linkedAgent(worker)
+	state := *a.state.Load()
+	(&lister{agent: a}).listOnce(context.Background(), a.state.Load())
+	g.Expect(*a.state.Load()).To(Equal(state))
+}
+
+// The time of day was set back while the worker lived. Its lease goes on meanwhile.
+func TestListingsRefusedForTheirGenerationFollowAtOnceUntilOneIsAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		worker := &callRecorder{result: runs.ResultStaleEpoch}
+		a, _ := linkedAgent(worker)
+		<-a.changed // of the heartbeat
+		l := &lister{agent: a}
+		started := time.Now()
+		for range gate.MaxRefusals {
+			l.listOnce(t.Context(), a.state.Load())
+		}
+		g.Expect(time.Since(started)).To(BeZero())
+		l.listOnce(t.Context(), a.state.Load())
+		g.Expect(time.Since(started)).To(Equal(retryPause))
+	})
+}
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -164,6 +164,9 @@
 func (a *Agent) sendOnce(ctx context.Context, state *gate.Worker, o receivedOrder) runs.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	if !state.Confirmed && !a.unresponsive.Load() && o.order.Kind == dispatch.OrderStart {
+		return runs.ResultUnconfirmed // that says nothing about the worker's health
+	}
 	envelope := a.envelope(state, o.epoch)
 	if envelope.Deadline == 0 && o.order.Kind == dispatch.OrderStart {
 		return runs.ResultUnhealthy // there is no lease to start under, so nothing is sent
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -302,3 +302,23 @@
 	result, _ := a.sendWithRetries(context.Background(), order)
 	g.Expect(result).To(Equal(runs.ResultUnknown))
 }
+
+// Guards against the quarantine of a sound worker after a single listing without an answer.
+func TestStartIsRefusedWithoutBlameWhileTheWorkerMayHaveRestarted(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{answers: []runs.Result{runs.ResultOK}}
+	a, order := linkedAgent(worker)
+	(&lister{agent: a}).listOnce(context.Background(), a.state.Load())
+	result, _ := a.sendWithRetries(context.Background(), order)
+	g.Expect(result).To(Equal(runs.ResultUnconfirmed))
+	g.Expect(worker.starts).To(BeEmpty())
+}
+
+func TestShutdownIsNotForgottenByAHeartbeatAtThatMoment(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{listing: &runs.Listing{}}
+	a, _ := linkedAgent(worker)
+	worker.onList = func() { a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2}) }
+	a.Deregister(testIncarnation.ID)
+	g.Expect(a.state.Load().Description.Draining).To(BeTrue())
+}
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -66,15 +66,15 @@
 	return w
 }
 
-// maxRefusals bounds the refusals after which a generation is raised, so that those under
+// MaxRefusals bounds the refusals after which a generation is raised, so that those under
 // an epoch that is over do not use all generations up.
-const maxRefusals = 24
+const MaxRefusals = 24
 
 // Overtake returns w after the worker has refused a listing for its fence, for the given
 // number of times on end. The worker knows a higher generation of an earlier process if the
 // time of day was set back since, or a later epoch, which the sidecar learns of by itself.
 func (w Worker) Overtake(refusals int) Worker {
-	if refusals <= maxRefusals {
+	if refusals <= MaxRefusals {
 		w.Generation = addGenerations(w.Generation, 1<<refusals)
 	}
 	w.Confirmed = false
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -176,11 +176,14 @@
 	ResultWithdrawn
 	// ResultExpired means that a start was not sent because its validity had ended.
 	ResultExpired
+	// ResultUnconfirmed means that a start was not sent because the worker may have
+	// restarted since it last listed its runs.
+	ResultUnconfirmed
 )
 
 var resultNames = [...]string{
 	"ok", "stale epoch", "old run", "late", "no room", "no ticket", "invalid",
-	"unhealthy", "other life", "unknown", "draining", "withdrawn", "expired",
+	"unhealthy", "other life", "unknown", "draining", "withdrawn", "expired", "unconfirmed",
 }
 
 // String returns the result's name.
