--- a/cmd/soak/jobs/play_test.go
+++ b/cmd/soak/jobs/play_test.go
@@ -18,12 +18,29 @@
 	shortEnd = 4 * time.Second
 )
 
+// binary is built once for all plays.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(runWithBinary(m))
+}
+
+func runWithBinary(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	binary = filepath.Join(folder, "carobkeel")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../carobkeel").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
 // playSeed plays a seed with all kinds of troubles in processes of this code.
 func playSeed(t *testing.T, seed uint64) {
 	g := NewWithT(t)
-	binary := filepath.Join(t.TempDir(), "carobkeel")
-	out, err := exec.Command("go", "build", "-o", binary, "../../carobkeel").CombinedOutput()
-	g.Expect(err).NotTo(HaveOccurred(), string(out))
 	r, err := Play(t.Context(), Config{
 		Binary: binary, Seed: seed, Duration: shortPlay, EndTime: shortEnd, Kinds: Kinds(), Streams: 4, ReachNext: true,
 		Entries: 3, Workers: 11, Folder: filepath.Join("..", "..", "..", "soak-results"), Command: fmt.Sprintf("the test's play of seed %d", seed),
