--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -59,6 +61,8 @@
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
+		c.forgetReplaced(w)
+		c.forgetUnreported(w.host, w.description.Incarnation, false)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
@@ -72,7 +76,8 @@
 	if end.Number <= w.lastEnd {
 		return
 	}
-	w.lastEnd = end.Number
+	c.reportMissedEnds(w, end.Number)
+	w.lastEnd, w.followsEnds = end.Number, true
 	w.stall.lastProgress = c.now.Monotonic
 	t := c.task(end.Task)
 	c.applyEnd(w, t, end)
@@ -83,6 +88,15 @@
 	w.pendingEnds = append(w.pendingEnds, pending)
 }
 
+// reportMissedEnds reports a gap before the end with the given number. Ends are numbered
+// without gaps, and are listed until this holder has had them acknowledged.
+func (c *Core) reportMissedEnds(w *workerState, number uint64) {
+	if !w.followsEnds || number == w.lastEnd+1 {
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedEndsMissed, Host: w.host, Detail: fmt.Sprintf("%d to %d", w.lastEnd+1, number-1)})
+}
+
 // applyEnd updates the run and the task after an end. The task is nil if it is
 // unknown.
 func (c *Core) applyEnd(w *workerState, t *task, end runs.End) {
@@ -138,6 +152,7 @@
 	if r == nil {
 		r = c.adopt(w, running)
 	}
+	r.carriedOver = false
 	if r.phase == runOrdered {
 		r.phase = runConfirmed
 	}
@@ -158,6 +173,7 @@
 func (c *Core) adopt(w *workerState, running runs.Running) *runState {
 	t := c.task(running.Task)
 	needed := t != nil && t.isWaiting() && !c.isFinal(t.job())
+	detail := c.explainUnknownRun(t, running.Run)
 	r := c.reserve(w, t, running.Task, running.Run)
 	r.phase = runConfirmed
 	r.adopted = true
@@ -169,13 +185,27 @@
 			c.publishState(t.job(), carobkeel.JobActive)
 		}
 	}
-	c.recordDecision(Decision{Kind: DecidedRunAdopted, Task: running.Task, Run: running.Run, Host: w.host})
+	c.recordDecision(Decision{Kind: DecidedRunAdopted, Task: running.Task, Run: running.Run, Host: w.host, Detail: detail})
 	if !needed {
 		c.stop(r, "not needed")
 	}
 	return r
 }
 
+// explainUnknownRun returns why a worker may list a run of the task that this holder does
+// not know, for the log: it began after this holder had given it up, or under an earlier one.
+func (c *Core) explainUnknownRun(t *task, run int) string {
+	switch {
+	case t == nil:
+		return "unknown task"
+	case run > t.lastRun || (t.job().inherited && run <= c.inheritedRuns()):
+		return "of an earlier holder"
+	case t.done:
+		return "given up before, and the task is done"
+	}
+	return "given up before"
+}
+
 // releaseMissing releases runs that are missing from a full listing although
 // the worker should list them. A run is released only by a listing that was requested
 // after the last message that could have started it.
@@ -183,6 +213,8 @@
 	for key, r := range w.runs {
 		switch {
 		case seen[key]:
+		case r.carriedOver:
+			c.release(r, reasonRestarted)
 		case r.stopping && r.stopConfirmed && r.stopConfirmedAt.precedes(w, number):
 			c.release(r, "stopped before it started: "+r.stopConfirmedAt.describe(w, number))
 		case r.phase == runConfirmed && r.confirmed.precedes(w, number):
@@ -203,7 +235,7 @@
 		switch {
 		case r.stopping:
 			c.orderStop(r)
-		case r.phase == runOrdered && !w.recorded:
+		case r.phase == runOrdered && (r.carriedOver || !w.recorded):
 			r.inconclusive = true
 		case r.phase == runOrdered:
 			c.orderStart(r)
@@ -274,9 +306,11 @@
 	case runs.ResultOK, runs.ResultOldRun:
 		r.stopConfirmed = true
 		r.stopConfirmedAt = markAt(r.worker, a.Listing)
-	case runs.ResultStaleEpoch, runs.ResultOtherIncarnation:
-		// The next holder or the worker's next description resolves this run.
+	case runs.ResultStaleEpoch:
+		// The next holder resolves this run.
 	default:
+		// The worker's next description resolves the run of another incarnation, unless the
+		// worker was taken for one by mistake.
 		r.inconclusive = true
 	}
 }
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"slices"
@@ -23,9 +24,12 @@
 	// takeoverTimeout bounds one attempt to take over. Another attempt would have
 	// to read the same rows.
 	takeoverTimeout = 15 * time.Second
+	// firstWriteTimeout bounds the first attempt to write the holder row. A transaction
+	// takes 8 ms.
+	firstWriteTimeout = 500 * time.Millisecond
 	// maxEpoch bounds the epoch of a holder row, so that the run numbers of its epoch
-	// don't overflow.
-	maxEpoch = 1 << 40
+	// and its fences don't overflow.
+	maxEpoch = 1 << 20
 )
 
 // considerTakeover starts a takeover if one is due.
@@ -96,13 +100,16 @@
 	interference []table.VersionedRow
 	// from is the version to follow the jobs table from.
 	from table.Version
+	// refusedBy is the holder row of another process, which refused the takeover. Its version
+	// is zero if there is none.
+	refusedBy table.VersionedRow
 }
 
 // takeOver writes this process into the holder row and reads the shard.
 func (n *Node) takeOver(ctx context.Context, old HolderState, reason string) (*takeoverState, error) {
 	epoch, err := n.lastEpoch(ctx, old)
 	if err != nil {
-		return nil, err
+		return &takeoverState{}, err
 	}
 	t := &takeoverState{requestedAt: clock.Boottime()}
 	row := wire.HolderRow{
@@ -110,23 +117,47 @@
 		Incarnation: uint64(n.config.Incarnation), Address: n.config.Address,
 		Successions: old.nextSuccessions(t.requestedAt, reason),
 	}
-	outcome, err := n.rows.Transact(ctx, table.RowTransaction{
-		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old.Version}},
-		Writes: []table.RowWrite{
-			{RowID: n.holderRow(), Value: mustEncode(&row)},
-			{RowID: n.epochRow(), Value: mustEncode(&row)},
-		},
-	})
+	current, err := n.writeHolderRow(ctx, old.Version, mustEncode(&row))
 	if err != nil {
-		return nil, errors.Wrap(err, "write holder row")
-	}
-	if !outcome.Applied {
-		return nil, errSuperseded
+		t.refusedBy = current
+		return t, err
 	}
-	t.holderState = HolderState{Row: row, Version: outcome.Version, Since: clock.Boottime(), Leading: true}
+	t.holderState = HolderState{Row: row, Version: current.Version, Since: clock.Boottime(), Leading: true}
 	return t, n.readShard(ctx, t)
 }
 
+// writeHolderRow replaces a version of the holder row and returns the new row, or the row of
+// another process with errSuperseded. The first attempt may be sent on a connection that has
+// gone silent, so it has little time. A second one finds out whether it was carried out.
+func (n *Node) writeHolderRow(ctx context.Context, old table.Version, value []byte) (table.VersionedRow, error) {
+	txn := table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: n.holderRow(), Version: old}},
+		Writes:     []table.RowWrite{{RowID: n.holderRow(), Value: value}, {RowID: n.epochRow(), Value: value}},
+	}
+	first, cancel := context.WithTimeout(ctx, firstWriteTimeout)
+	defer cancel()
+	outcome, err := n.rows.Transact(first, txn)
+	if errors.Is(err, table.ErrUnsettled) {
+		outcome, err = n.rows.Transact(ctx, txn)
+	}
+	if err != nil {
+		return table.VersionedRow{}, errors.Wrap(err, "write holder row")
+	}
+	if outcome.Applied {
+		return table.VersionedRow{RowID: n.holderRow(), Value: value, Version: outcome.Version}, nil
+	}
+	for _, row := range outcome.Current {
+		if row.RowID != n.holderRow() {
+			continue
+		}
+		if bytes.Equal(row.Value, value) {
+			return row, nil
+		}
+		return row, errSuperseded
+	}
+	return table.VersionedRow{}, errSuperseded
+}
+
 // lastEpoch returns the epoch of the last holder. If the holder row is unreadable, it
 // takes the epoch from the row that is written together with it.
 func (n *Node) lastEpoch(ctx context.Context, old HolderState) (uint64, error) {
@@ -176,6 +207,9 @@
 	defer n.takingOver.Store(false) // after Leading, as another process takes over if both are false
 	if err != nil {
 		n.log.Warn().Err(err).Msg("takeover failed")
+		if t.refusedBy.Version > 0 {
+			l.applyHolderRow(t.refusedBy) // the feed may be silent
+		}
 		return
 	}
 	if n.resigned.Load() {
@@ -205,7 +239,6 @@
 	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
 	n.recordHoldRead(t.requestedAt)
 	l.batchInFlight = false
-	l.versions = make(map[carobkeel.JobID]table.Version)
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
 	l.core = dispatch.New(dispatch.Config{
@@ -217,9 +250,7 @@
 	l.restoreInterference(t.interference)
 	slices.SortFunc(t.jobs, func(a, b table.VersionedRow) int { return cmp.Compare(a.Version, b.Version) })
 	l.addJobs(t.jobs, t.holderState.Version)
-	for _, row := range t.progress {
-		l.restore(row)
-	}
+	l.restoreProgress(t.progress)
 	l.applyCancellations(t.jobs) // a job that had already ended keeps its final state
 	n.sidecars.Range(func(host, value any) bool {
 		p := value.(*peer)
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -27,8 +27,12 @@
 	// acknowledgeWait bounds the wait for ended runs to be acknowledged before the
 	// next listing, which would otherwise return them again immediately.
 	acknowledgeWait = 60 * time.Millisecond
-	// retryPause is the delay after a failed listing.
+	// retryPause is the delay after a failed listing. It is longer than the time in which
+	// the generation of a later process of the sidecar rises by one.
 	retryPause = 150 * time.Millisecond
+	// immediateRetryInterval is the least time between two failed listings that the next
+	// one follows at once.
+	immediateRetryInterval = time.Second
 	// noWorkerPause is the interval of the checks for a worker that has sent no
 	// heartbeat yet. A heartbeat ends the wait.
 	noWorkerPause = time.Second
@@ -41,6 +45,11 @@
 type lister struct {
 	agent    *Agent
 	failures int
+	// refusals counts the listings that the worker has refused for their fence, since the
+	// last one that it answered.
+	refusals int
+	// retriedAt is when a listing last followed a failed one at once.
+	retriedAt time.Time
 	// lastFullAt and lastFullLink are the sending time and the link of the last
 	// full listing.
 	lastFullAt   time.Duration
@@ -55,14 +64,14 @@
 func (a *Agent) runListings(ctx context.Context) {
 	l := &lister{agent: a}
 	for ctx.Err() == nil {
-		d := a.description.Load()
-		if d == nil {
+		state := a.state.Load()
+		if state.Description == nil {
 			a.unresponsive.Store(true)
 			sendUnreachable(a.holderLink.Load(), gate.UnknownRemaining)
 			a.waitForChange(ctx, noWorkerPause)
 			continue
 		}
-		l.listOnce(ctx, d)
+		l.listOnce(ctx, state)
 	}
 }
 
@@ -78,31 +87,32 @@
 }
 
 // listOnce requests one listing and forwards it to the holder.
-func (l *lister) listOnce(ctx context.Context, d *runs.Description) {
-	a := l.agent
+func (l *lister) listOnce(ctx context.Context, state *gate.Worker) {
+	a, d := l.agent, state.Description
 	number := a.listingNumber.Add(1)
 	wait := listWait
-	if !a.clock.Load().Known {
-		wait = 0 // the worker's clock is needed before a lease can be requested
+	if !state.Confirmed || !a.clockOf(d).Known {
+		wait = 0 // the answer is needed before a lease can be requested
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+listTimeout)
 	defer cancel()
 	epoch := a.holder.Load().Epoch
-	listing, answer, err := a.worker.List(ctx, a.envelope(d.Incarnation, epoch), a.acknowledgedUpTo(d.Incarnation), wait)
+	listing, answer, err := a.worker.List(ctx, a.envelope(state, epoch), a.acknowledgedUpTo(state), wait)
 	if err == nil && isOfOtherIncarnation(&listing, d) {
 		answer.Result = runs.ResultOtherIncarnation
 	}
 	if err != nil || answer.Result != runs.ResultOK {
-		l.handleFailure(ctx, d, answer, err)
+		l.handleFailure(ctx, d, epoch, answer, err)
 		return
 	}
-	l.failures = 0
+	l.failures, l.refusals = 0, 0
+	a.confirmState(state)
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
 	if l.forward(d, number, epoch, listing) {
 		a.recordAnswering(d)
 	}
-	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(d.Incarnation)
+	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(a.state.Load())
 	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
 	}
@@ -128,32 +138,54 @@
 // that may still wait under an older epoch. Once the worker has answered it, it
 // refuses older holders.
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
-	d := a.description.Load()
-	if d == nil {
+	state := a.state.Load()
+	if state.Description == nil {
 		a.unresponsive.Store(true)
 		sendUnreachable(holderLink, gate.UnknownRemaining)
 		return
 	}
-	a.sendListing(holderLink, d, a.envelope(d.Incarnation, holderLink.epoch()))
+	a.sendListing(holderLink, state, a.envelope(state, holderLink.epoch()))
 }
 
 // sendListing requests a listing and sends it to the holder. A failure is left to the
 // lister, whose next listing reports the state.
-func (a *Agent) sendListing(holderLink *entryLink, d *runs.Description, e runs.Envelope) {
-	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
-	defer cancel()
+func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
 	number := a.listingNumber.Add(1)
-	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(d.Incarnation), 0)
-	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
+	listing, ok := a.requestListing(state, e)
+	if !ok {
 		return
 	}
-	a.observeClock(d.Incarnation, answer)
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
-		Incarnation: d.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
+		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
 		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
 	}, holderLink.epoch()))
 }
 
+// requestListing requests a listing that does not wait for a run to end. It returns false if
+// the described incarnation has not listed.
+func (a *Agent) requestListing(state *gate.Worker, e runs.Envelope) (runs.Listing, bool) {
+	d := state.Description
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state), 0)
+	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
+		return runs.Listing{}, false
+	}
+	a.confirmState(state)
+	a.observeClock(d.Incarnation, answer)
+	return listing, true
+}
+
+// confirmState records that the worker has answered a listing requested in the given state.
+func (a *Agent) confirmState(state *gate.Worker) {
+	a.updateState(func(w gate.Worker) gate.Worker {
+		if w.Description == nil || w.Description.Incarnation != state.Description.Incarnation {
+			return w
+		}
+		return w.Confirm(state.Generation)
+	})
+}
+
 // forward sends a listing to the holder. A listing that was requested under another
 // epoch is dropped, as it has not fenced the worker for this holder. It reports whether
 // the holder knows the worker's state.
@@ -201,24 +233,50 @@
 
 // handleFailure records a listing that was refused or not answered, and waits before
 // the next one.
-func (l *lister) handleFailure(ctx context.Context, d *runs.Description, answer runs.Answer, err error) {
+func (l *lister) handleFailure(ctx context.Context, d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
 	a := l.agent
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
-	if err == nil && answer.Result == runs.ResultOtherIncarnation {
-		a.denied.Store(&d.Incarnation)
-	}
+	l.suspectRestart(d, epoch, answer, err)
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
+	if now := time.Now(); l.failures == 1 && now.Sub(l.retriedAt) >= immediateRetryInterval {
+		l.retriedAt = now
+		return // nothing starts on the worker before it has answered
+	}
 	// The listing's context may have ended, which must not cut the pause short.
 	a.waitForChange(context.WithoutCancel(ctx), retryPause)
 }
 
+// suspectRestart raises the generation of the calls to the worker after a listing without a
+// usable answer. A refusal under no epoch, or one that is over, says nothing about it.
+func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
+	refused := err == nil && answer.Result == runs.ResultStaleEpoch
+	if holder := l.agent.holder.Load(); refused && (!holder.Known || epoch != holder.Epoch) {
+		return
+	}
+	denied := err == nil && answer.Result == runs.ResultOtherIncarnation
+	if refused {
+		l.refusals++
+	}
+	l.agent.updateState(func(w gate.Worker) gate.Worker {
+		switch {
+		case w.Description == nil || w.Description.Incarnation != d.Incarnation:
+			return w
+		case refused:
+			return w.Overtake(l.refusals)
+		case denied:
+			return w.Deny(time.Now())
+		}
+		return w.Suspect(time.Now())
+	})
+}
+
 // reportUnresponsive tells the holder that the worker does not answer, and how long
 // its lease may still be valid.
 func (l *lister) reportUnresponsive(d *runs.Description, err error) {
@@ -243,7 +301,7 @@
 // leaseRemaining returns how long the worker's lease may still be valid, or
 // gate.UnknownRemaining.
 func (a *Agent) leaseRemaining() time.Duration {
-	remaining := gate.LeaseRemaining(*a.clock.Load(), time.Duration(a.deadline.Load()), clock.Boottime())
+	remaining := gate.LeaseRemaining(a.clockOf(a.state.Load().Description), time.Duration(a.deadline.Load()), clock.Boottime())
 	if earlier := a.earlierLeaseRemaining(); earlier > 0 {
 		return max(earlier, remaining)
 	}
@@ -257,9 +315,10 @@
 }
 
 // acknowledgedUpTo returns the number up to which the incarnation's ended runs are
-// acknowledged.
-func (a *Agent) acknowledgedUpTo(incarnation runs.Incarnation) uint64 {
-	if acknowledged := a.acknowledged.Load(); acknowledged.incarnation == incarnation {
+// acknowledged. It is zero while another incarnation, whose ends are numbered anew, may have
+// followed.
+func (a *Agent) acknowledgedUpTo(state *gate.Worker) uint64 {
+	if acknowledged := a.acknowledged.Load(); state.Confirmed && acknowledged.incarnation == state.Description.Incarnation {
 		return acknowledged.upTo
 	}
 	return 0
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -20,11 +21,9 @@
 	scriptedWorker
 	listing runs.Listing
 	result  runs.Result
-	lists   int
 }
 
 func (w *listingWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
-	w.lists++
 	return w.listing, runs.Answer{Result: w.result, Clock: time.Minute}, nil
 }
 
@@ -35,7 +34,7 @@
 		l := &lister{agent: a}
 		started := time.Now()
 		for range 100 {
-			l.listOnce(t.Context(), a.description.Load())
+			l.listOnce(t.Context(), a.state.Load())
 		}
 		NewWithT(t).Expect(time.Since(started)).To(BeNumerically(">", 100*acknowledgeWait/2))
 	})
@@ -56,9 +55,9 @@
 				a, _ := linkedAgent(worker)
 				a.RecordHeartbeat(runs.Description{Incarnation: c.odd, Sequence: 1})
 				l := &lister{agent: a}
-				l.listOnce(t.Context(), a.description.Load())
+				l.listOnce(t.Context(), a.state.Load())
 				a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2})
-				NewWithT(t).Expect(a.description.Load().Incarnation).To(Equal(testIncarnation))
+				NewWithT(t).Expect(a.state.Load().Description.Incarnation).To(Equal(testIncarnation))
 			})
 		})
 	}
@@ -68,7 +67,7 @@
 	g := NewWithT(t)
 	a, _ := linkedAgent(&scriptedWorker{})
 	g.Expect(a.leaseRemaining()).To(Equal(gate.UnknownRemaining))
-	a.envelope(testIncarnation, 3)
+	a.envelope(a.state.Load(), 3)
 	g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
 }
 
@@ -81,15 +80,15 @@
 	a.confirm(3, clock.Boottime())
 	l := &lister{agent: a}
 	for range unresponsiveAfter {
-		l.listOnce(context.Background(), a.description.Load())
+		l.listOnce(context.Background(), a.state.Load())
 	}
-	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeZero())
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero())
 	a.confirm(3, clock.Boottime())
 	worker.listing = &runs.Listing{}
-	l.listOnce(context.Background(), a.description.Load())
-	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeZero(), "the last ping was answered before the listing")
+	l.listOnce(context.Background(), a.state.Load())
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero(), "the last ping was answered before the listing")
 	a.confirm(3, clock.Boottime())
-	g.Expect(a.envelope(testIncarnation, 3).Deadline).To(BeNumerically(">", 0))
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeNumerically(">", 0))
 }
 
 func TestEndsBeforeAShutdownAreListedBeforeTheWorkerExits(t *testing.T) {
@@ -109,10 +108,10 @@
 	a.holderLink.Load().currentEpoch.Store(4) // the listing is requested under epoch 3
 	a.unresponsive.Store(true)
 	l := &lister{agent: a}
-	l.listOnce(context.Background(), a.description.Load())
+	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(a.unresponsive.Load()).To(BeTrue())
 	a.confirm(4, clock.Boottime())
-	l.listOnce(context.Background(), a.description.Load())
+	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(a.unresponsive.Load()).To(BeFalse())
 }
 
@@ -135,3 +134,146 @@
 	l.lastFullLink = nil
 	g.Expect(report(second, 4, "b")).To(Equal("b"), "after a failed listing")
 }
+
+// callRecorder is a worker that answers listings with a result, and keeps what it was sent.
+type callRecorder struct {
+	scriptedWorker
+	result       runs.Result
+	fails        bool
+	envelopes    []runs.Envelope
+	acknowledged []uint64
+}
+
+func (w *callRecorder) List(_ context.Context, e runs.Envelope, acknowledged uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
+	w.envelopes = append(w.envelopes, e)
+	w.acknowledged = append(w.acknowledged, acknowledged)
+	if w.onList != nil {
+		w.onList()
+	}
+	if w.fails {
+		return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
+	}
+	return runs.Listing{StartedAtMs: testIncarnation.StartedAtMs}, runs.Answer{Result: w.result, Clock: time.Minute}, nil
+}
+
+// Guards against TWICE: a worker that had restarted forgot ends that nobody had read, as the
+// acknowledgement was meant for its earlier incarnation, and had a lease by its earlier clock.
+func TestNothingIsAcknowledgedOrExtendedWhileTheWorkerMayHaveRestarted(t *testing.T) {
+	g := NewWithT(t)
+	worker := &callRecorder{}
+	a, _ := linkedAgent(worker)
+	a.acknowledge(dispatch.Order{Incarnation: testIncarnation, Acknowledged: 9})
+	l := &lister{agent: a}
+	list := func() { l.listOnce(context.Background(), a.state.Load()) }
+	list()
+	g.Expect(worker.acknowledged).To(Equal([]uint64{9}))
+	g.Expect(worker.envelopes[0].Deadline).To(BeNumerically(">", 0))
+	worker.fails = true
+	list()
+	worker.fails = false
+	list()
+	g.Expect(worker.acknowledged[2]).To(BeZero())
+	g.Expect(worker.envelopes[2].Deadline).To(BeZero())
+	g.Expect(worker.envelopes[1].Fence.Less(worker.envelopes[2].Fence)).To(BeTrue())
+	list()
+	g.Expect(worker.acknowledged[3]).To(Equal(uint64(9)), "the worker has listed as the described incarnation")
+	g.Expect(worker.envelopes[3].Deadline).To(BeNumerically(">", 0))
+	g.Expect(worker.envelopes[3].Fence).To(Equal(worker.envelopes[2].Fence))
+}
+
+func TestListingRefusedForItsFenceIsRequestedInALaterGeneration(t *testing.T) {
+	g := NewWithT(t)
+	worker := &callRecorder{result: runs.ResultStaleEpoch}
+	a, _ := linkedAgent(worker)
+	l := &lister{agent: a}
+	l.listOnce(context.Background(), a.state.Load())
+	l.listOnce(context.Background(), a.state.Load())
+	g.Expect(worker.envelopes[0].Fence.Less(worker.envelopes[1].Fence)).To(BeTrue())
+}
+
+// Guards against TWICE: a sidecar that knew no holder yet took refusals for its epoch as a reason
+// to raise the generation far above the time of day. The next process began below it, so the
+// calls of this one were carried out after its own.
+func TestRefusalForTheEpochDoesNotRaiseTheGeneration(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		holder gate.Holder
+	}{
+		{"no holder is known", gate.Holder{}},
+		{"a later epoch has become known since", gate.Holder{Epoch: 2, Known: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &callRecorder{result: runs.ResultStaleEpoch}
+				a, _ := linkedAgent(worker)
+				later := a.holder.Load()
+				a.holder.Store(&c.holder)
+				worker.onList = func() {
+					if c.holder.Known {
+						a.holder.Store(later)
+					}
+				}
+				generation := a.state.Load().Generation
+				l := &lister{agent: a}
+				for range 10 {
+					a.holder.Store(&c.holder)
+					l.listOnce(t.Context(), a.state.Load())
+				}
+				NewWithT(t).Expect(a.state.Load().Generation).To(Equal(generation))
+			})
+		})
+	}
+}
+
+// Guards against TWICE: the generation of a process rose faster than the time of day, so that
+// the calls of the next process were below it. The listings were also read in a tight loop.
+func TestGenerationRisesNoFasterThanThatOfALaterProcess(t *testing.T) {
+	const plays = time.Minute
+	for _, c := range []struct {
+		name  string
+		every int
+	}{{"each listing fails", 1}, {"every second listing fails", 2}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				worker := &callRecorder{}
+				worker.onList = func() {
+					worker.fails = len(worker.envelopes)%c.every == 0
+					time.Sleep(time.Millisecond)
+				}
+				a, _ := linkedAgent(worker)
+				generation := a.state.Load().Generation
+				l := &lister{agent: a}
+				for started := time.Now(); time.Since(started) < plays; {
+					l.listOnce(t.Context(), a.state.Load())
+				}
+				day := time.Date(2026, time.June, 1, 0, 0, 0, 0, time.UTC)
+				later := gate.NewWorker(day.Add(plays)).Generation - gate.NewWorker(day).Generation
+				NewWithT(t).Expect(a.state.Load().Generation - generation).To(BeNumerically("<", later))
+			})
+		})
+	}
+}
+
+// Guards against TWICE: calls to the earlier incarnation were carried out by the next for as
+// long as a listing of the earlier one waited for its answer.
+func TestNextIncarnationIsListedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		worker := &callRecorder{}
+		a, _ := linkedAgent(worker)
+		a.RecordHeartbeat(runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 2}, Sequence: 1})
+		synctest.Wait()
+		NewWithT(t).Expect(worker.envelopes).To(ConsistOf(HaveField("Fence.Generation", a.state.Load().Generation)))
+	})
+}
+
+// Guards against TWICE: the next incarnation got a lease by the clock of the earlier one, from
+// a call to that one whose answer was recorded late.
+func TestClockOfAnEarlierIncarnationIsNotThatOfTheNext(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{})
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeNumerically(">", 0))
+	next := a.state.Load().Describe(&runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 2}}, time.Now())
+	a.state.Store(&next)
+	a.confirmState(&next)
+	g.Expect(a.envelope(a.state.Load(), 3).Deadline).To(BeZero())
+}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -14,6 +14,7 @@
 
 // Holder is the sidecar's record of the holder of its shard.
 type Holder struct {
+	// Epoch is the holder's or, until one has answered, the last that an entry knew.
 	Epoch carobkeel.Epoch
 	// Confirmed is the sending time of the last ping that the holder answered.
 	// The worker's lease is counted from it.
@@ -36,6 +37,15 @@
 	return h
 }
 
+// Observe returns h after an entry that does not hold the shard has stated an epoch. Calls to
+// the worker from before the sidecar's process began may have had it.
+func (h Holder) Observe(epoch carobkeel.Epoch) Holder {
+	if !h.Known {
+		h.Epoch = max(h.Epoch, epoch)
+	}
+	return h
+}
+
 // Clock maps the sidecar's time to the worker's clock.
 type Clock struct {
 	// Reading is the worker's clock as stated in an answer that arrived at
@@ -101,13 +111,13 @@
 // AdmitOrder decides whether to send the worker a start that was ordered under the
 // epoch for the given incarnation of the worker. It returns ResultOK if so, and
 // otherwise the reason for the refusal.
-func AdmitOrder(h Holder, epoch carobkeel.Epoch, worker *runs.Description, incarnation runs.Incarnation) runs.Result {
+func AdmitOrder(h Holder, epoch carobkeel.Epoch, worker Worker, incarnation runs.Incarnation) runs.Result {
 	switch {
 	case epoch < h.Epoch:
 		return runs.ResultStaleEpoch
-	case worker == nil || worker.Incarnation != incarnation:
+	case !worker.Is(incarnation):
 		return runs.ResultOtherIncarnation
-	case worker.Draining:
+	case worker.Description.Draining:
 		return runs.ResultDraining
 	}
 	return runs.ResultOK
