Let the stand-in count a start after an end that is acknowledged later

Cause: the rule TWICE also forbids a start after a run has ended as done if that end is acknowledged later, unless the lease lapses between. The stand-in's record knew only the ends that were acknowledged before the start, so no test on it judged the rest.

Change: the record holds the runs that ended as done and whether the task was started since, and adds a violation when such an end is acknowledged. It also counts runs that were stopped or lost their lease.

--- a/worker/runs/standin/standin.go
+++ b/worker/runs/standin/standin.go
@@ -127,7 +127,7 @@
 // under the same id.
 func (w *Worker) Crash() {
 	for k := range w.running {
-		w.config.Record.ended(k.task, runs.OutcomeExpired)
+		w.config.Record.ended(k.task, k.run, runs.OutcomeExpired)
 	}
 	w.config.Description.StartedAtMs++
 	w.config.Description.Sequence = 1
@@ -195,7 +195,7 @@
 	w.refused[l.task] = max(w.refused[l.task], l.run)
 	w.lastEnd++
 	w.ends = append(w.ends, runs.End{Number: w.lastEnd, Task: l.task, Run: l.run, Outcome: outcome})
-	w.config.Record.ended(l.task, outcome)
+	w.config.Record.ended(l.task, l.run, outcome)
 }
 
 // admit checks the envelope of an order, and stores its epoch and deadline. The
