Show that lost links keep the task of a dead worker waiting without end (red)

Callers would see: a worker dies and its sidecar's process restarts; its tasks run nowhere for as long as that sidecar loses its link to the holder at least every 3.2 s.

Cause: a sidecar that does not know its worker says that the rest of the lease is unknown (gate.UnknownRemaining, twice in sidecar/agent/listing.go). The holder counts a whole lease from the first ping on each new link, as it can't know better, and nothing reduces it. The class: a wait that is counted from each sign of life begins anew with each of them.

--- a/scheduler/holder/partition_test.go
+++ b/scheduler/holder/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,12 +17,23 @@
 	"github.com/carobkeel/carobkeel/sidecar/agent"
 	"github.com/carobkeel/carobkeel/table"
 	"github.com/carobkeel/carobkeel/table/faulty"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // relay forwards connections to an address until it is cut. Then it drops all bytes.
 type relay struct {
 	address string
 	cut     atomic.Bool
+	// open holds the connections.
+	open sync.Map
+}
+
+// breakLinks ends all connections.
+func (r *relay) breakLinks() {
+	r.open.Range(func(conn, _ any) bool {
+		_ = conn.(net.Conn).Close()
+		return true
+	})
 }
 
 func startRelay(t *testing.T, target string) *relay {
@@ -51,7 +63,11 @@
 }
 
 func (r *relay) forward(from, to net.Conn) {
-	defer func() { _ = to.Close() }()
+	r.open.Store(to, true)
+	defer func() {
+		r.open.Delete(to)
+		_ = to.Close()
+	}()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -91,15 +107,22 @@
 
 // startWorkerOf starts a worker whose sidecar knows only the given entries.
 func (f *cluster) startWorkerOf(t *testing.T, host string, addresses ...string) *realTimeWorker {
+	t.Helper()
+	worker := f.newWorker(host)
+	a, _ := f.startSidecarOf(t, host, worker, addresses...)
+	a.RecordHeartbeat(worker.worker.Description())
+	return worker
+}
+
+// startSidecarOf starts a sidecar that knows only the given entries.
+func (f *cluster) startSidecarOf(t *testing.T, host string, worker runs.Client, addresses ...string) (*agent.Agent, context.CancelFunc) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	worker := f.newWorker(host)
 	find := func(context.Context) ([]string, error) { return addresses, nil }
 	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, find, agent.NewMetrics(tally.NoopScope), f.logger)
 	go a.Run(ctx)
-	a.RecordHeartbeat(worker.worker.Description())
-	return worker
+	return a, cancel
 }
 
 // The cut-off holder must not restart what its successor keeps running elsewhere.
@@ -130,3 +153,30 @@
 	task := carobkeel.TaskName{Job: longRunningJobID}
 	g.Expect(f.record.Starts[task]-f.record.Interrupted[task]).To(Equal(1), "one run that was not interrupted")
 }
+
+// The restarted sidecar does not know its worker. Each new link must not begin the wait for
+// the lease anew.
+func TestTaskOfADeadWorkerRestartsAlthoughItsSidecarLosesItsLinks(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 0, 0)
+	e, _, address, _ := f.startNode(t, 1)
+	g.Eventually(e.node.Leading, waitTimeout).Should(BeTrue())
+	unstable := startRelay(t, address)
+	dead := f.newWorker("host-0")
+	sidecar, stop := f.startSidecarOf(t, "host-0", dead, unstable.address)
+	sidecar.RecordHeartbeat(dead.worker.Description())
+	g.Expect(e.jobs.Submit(context.Background(), longRunningJob())).To(Succeed())
+	g.Eventually(dead.countTasks, waitTimeout).Should(Equal(1))
+	other := f.startWorkerOf(t, "host-1", address)
+	stop()
+	f.mu.Lock()
+	dead.worker.Crash()
+	f.mu.Unlock()
+	f.startSidecarOf(t, "host-0", nil, unstable.address)
+	restarted := func() int {
+		unstable.breakLinks()
+		return other.countTasks()
+	}
+	g.Eventually(restarted, waitTimeout, testWorkerLease/2).Should(Equal(1))
+	g.Expect(f.violations()).To(BeEmpty())
+}
