Report no unknown lease where a sidecar knows no worker

Cause: a sidecar that knows no worker reported that the rest of its lease is unknown, so the holder counted a whole lease from each new link. The class: a wait that is counted from each sign of life begins anew with each of them.

Change: this process has extended no lease, so it reports the rest of one that an earlier process may have extended.

--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -117,6 +117,8 @@
 	rowBytes int
 	config   *carobkeel.QueueConfig
 	logger   *log.Logger
+	// sidecarMetrics are those of all sidecars.
+	sidecarMetrics tally.TestScope
 }
 
 func startCluster(t *testing.T, entries, workers int) *cluster {
@@ -125,6 +127,8 @@
 		memory: memory.NewRows(),
 		record: standin.NewRecord(),
 		logger: logging.Discard().For("test"),
+
+		sidecarMetrics: tally.NewTestScope("", nil),
 		config: &carobkeel.QueueConfig{Version: 1, Queues: []carobkeel.Queue{{
 			Name: "quotes", Host: "desk.example", PathPrefix: "/q/", Service: testService, MaxAttempts: 3, SlowdownFactor: 2,
 		}}},
@@ -194,12 +198,18 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(tally.NoopScope), f.logger)
+	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(f.sidecarMetrics), f.logger)
 	go a.Run(ctx)
 	f.agents, f.stopAgents = append(f.agents, a), append(f.stopAgents, cancel)
 	return a, cancel
 }
 
+// ordersAnswered reports whether the workers have answered all orders.
+func (f *cluster) ordersAnswered() bool {
+	unanswered, counted := f.sidecarMetrics.Snapshot().Counters()["agent.orders_unanswered+"]
+	return !counted || unanswered.Value() == 0
+}
+
 // countTasks returns the number of tasks that run on the worker.
 func (w *realTimeWorker) countTasks() int {
 	w.mu.Lock()
@@ -300,6 +310,9 @@
 	for task, starts := range f.record.Starts {
 		g.Expect(starts-f.record.Interrupted[task]).To(Equal(1), task.String())
 	}
+	if f.ordersAnswered() {
+		g.Expect(f.clients[0].stops).To(BeZero(), "no run is stopped without need")
+	}
 }
 
 // The pings of a sidecar that has not heard of its worker extend no lease.
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -66,8 +66,7 @@
 	for ctx.Err() == nil {
 		state := a.state.Load()
 		if state.Description == nil {
-			a.unresponsive.Store(true)
-			sendUnreachable(a.holderLink.Load(), gate.UnknownRemaining)
+			a.reportUnknownWorker(a.holderLink.Load())
 			a.waitForChange(ctx, noWorkerPause)
 			continue
 		}
@@ -140,8 +139,7 @@
 func (a *Agent) listForNewHolder(holderLink *entryLink) {
 	state := a.state.Load()
 	if state.Description == nil {
-		a.unresponsive.Store(true)
-		sendUnreachable(holderLink, gate.UnknownRemaining)
+		a.reportUnknownWorker(holderLink)
 		return
 	}
 	a.sendListing(holderLink, state, a.envelope(state, holderLink.epoch()))
@@ -306,6 +304,13 @@
 	sendUnreachable(a.holderLink.Load(), remaining)
 }
 
+// reportUnknownWorker tells the holder that this process knows no worker yet. It has extended no
+// lease, so only one that an earlier process extended may still be valid.
+func (a *Agent) reportUnknownWorker(holderLink *entryLink) {
+	a.unresponsive.Store(true)
+	sendUnreachable(holderLink, max(0, a.earlierLeaseRemaining()))
+}
+
 // sendUnreachable tells the holder that the worker is not reached, and how long its
 // lease may still be valid.
 func sendUnreachable(holderLink *entryLink, remaining time.Duration) {
