Read the list of entries again once the link to the holder is lost

What callers would see: an entry that was added while a holder was known, and replaced that holder, was unknown to sidecars for up to 5 s, longer than a worker's lease.

Cause: the list is read every 5 s while a holder is known, and losing its link did not end that wait.

Result: TestEntriesAreReadAgainOnceTheLinkToTheHolderIsLost, which fails with the signal taken out (no second read in 500 ms). It calls linkEnded, which is new.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -82,6 +82,8 @@
 	// changed wakes the lister after a heartbeat of the worker or an
 	// acknowledgement.
 	changed chan struct{}
+	// holderLost wakes the search for entries once the link to the holder is lost.
+	holderLost chan struct{}
 }
 
 // workerClock is the clock of an incarnation of the worker. Each incarnation's begins anew.
@@ -116,6 +118,7 @@
 		started:     clock.Boottime(),
 		orders:      mailbox.New[receivedOrder](),
 		changed:     make(chan struct{}, 1),
+		holderLost:  make(chan struct{}, 1),
 	}
 	a.SetSeeds(config.Seeds)
 	a.holder.Store(&gate.Holder{})
@@ -221,13 +224,27 @@
 	a.sendLeft(a.holderLink.Load(), d.Incarnation)
 }
 
-func (a *Agent) wakeLister() {
+func (a *Agent) wakeLister() { signal(a.changed) }
+
+// signal wakes the goroutine that waits for the signal, or its next wait.
+func signal(c chan<- struct{}) {
 	select {
-	case a.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
+// wait waits until a signal is given, the timeout passes or ctx ends.
+func wait(ctx context.Context, signalled <-chan struct{}, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-signalled:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // envelopeWithoutLease returns the envelope of a request to the described worker that
 // leaves its lease as it is.
 func envelopeWithoutLease(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -74,9 +74,7 @@
 		if a.holderLink.Load() != nil {
 			interval = linkedDiscoveryInterval
 		}
-		if clock.Sleep(ctx, interval) != nil {
-			return
-		}
+		wait(ctx, a.holderLost, interval)
 	}
 }
 
@@ -138,12 +136,19 @@
 	})
 	go l.sendPings(ctx)
 	err := l.link.Run(ctx, l.handle)
-	if a.holderLink.CompareAndSwap(l, nil) {
-		a.log.Warn().Str("entry", address).Err(err).Msg("link to the holder lost")
-	}
+	a.linkEnded(l, err)
 	return clock.Boottime() - started
 }
 
+// linkEnded records the end of a link.
+func (a *Agent) linkEnded(l *entryLink, err error) {
+	if !a.holderLink.CompareAndSwap(l, nil) {
+		return
+	}
+	signal(a.holderLost) // the next holder may be an entry that is not known yet
+	a.log.Warn().Str("entry", l.address).Err(err).Msg("link to the holder lost")
+}
+
 func (l *entryLink) send(kind frame.Type, message msgp.Marshaler) {
 	if err := wire.Send(l.link, kind, message); err != nil {
 		l.agent.log.Error().Err(err).Msg("failed to encode message")
--- a/sidecar/agent/links_test.go
+++ b/sidecar/agent/links_test.go
@@ -86,3 +86,23 @@
 	entry.handlePong(&wire.Pong{Sequence: 1, Epoch: 6})
 	g.Expect(a.holder.Load().Epoch).To(Equal(carobkeel.Epoch(5)), "the holder itself says that it leads")
 }
+
+// Guards against lapsed leases: an entry that was added while the holder was known, and replaced
+// it, was not found for up to 5 s.
+func TestEntriesAreReadAgainOnceTheLinkToTheHolderIsLost(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&scriptedWorker{})
+	var reads atomic.Int64
+	a.findEntries = func(context.Context) ([]string, error) {
+		reads.Add(1)
+		return nil, nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go a.maintainLinks(ctx)
+	g.Eventually(reads.Load).Should(Equal(int64(1)))
+	a.linkEnded(newEntryLink(a), nil)
+	g.Consistently(reads.Load, "200ms").Should(Equal(int64(1)), "it was not the holder's")
+	a.linkEnded(a.holderLink.Load(), nil)
+	g.Eventually(reads.Load, "500ms").Should(Equal(int64(2)))
+}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -76,13 +76,7 @@
 
 // waitForChange waits until a change is signalled, the timeout passes or ctx ends.
 func (a *Agent) waitForChange(ctx context.Context, timeout time.Duration) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-a.changed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	wait(ctx, a.changed, timeout)
 }
 
 // listOnce requests one listing and forwards it to the holder.
