--- a/worker/runs/standin/record_test.go
+++ b/worker/runs/standin/record_test.go
@@ -29,7 +29,7 @@
 				},
 			})
 			task := carobkeel.TaskName{Job: "a"}
-			envelope := runs.Envelope{Incarnation: life, Epoch: 1, Deadline: 5 * time.Second}
+			envelope := runs.Envelope{Incarnation: life, Fence: runs.Fence{Epoch: 1}, Deadline: 5 * time.Second}
 			start := func(run int) {
 				answer, err := w.Start(context.Background(), envelope, runs.Start{Task: task, Run: run})
 				g.Expect(err).NotTo(HaveOccurred())
