Take a heartbeat as a hint, and what answers at the worker's address as evidence

Cause: a heartbeat of another incarnation, of another worker or under the worker's own ID, replaced the known one at the sidecar, which described it to the holder; the holder released what the live worker ran. Change: an incarnation that the sidecar doesn't know is asked for at the worker's address. It replaces the known one once it has listed under its own ID and start, or once the known one is gone (no answer, no lease). It is described to the holder only after it has answered. A test that gave a sidecar its worker by a heartbeat alone sets that state directly now; the one on late heartbeats has a worker that answers.

--- a/cmd/carobkeel/hosted_sidecar.go
+++ b/cmd/carobkeel/hosted_sidecar.go
@@ -18,7 +18,8 @@
 	defer h.flushLogs()
 	s := &h.settings
 	a := agent.New(agent.Config{
-		Host: s.Host, Incarnation: h.incarnation, Seeds: seedAddresses(s), WorkerLease: min(workerLease, s.Bounds.MaxLease),
+		Host: s.Host, Incarnation: h.incarnation, Seeds: seedAddresses(s), WorkerAddress: s.WorkerAddress,
+		WorkerLease: min(workerLease, s.Bounds.MaxLease),
 	}, platform.NewWorker(s.WorkerAddress), directory.NewReader(h.store, h.log).Addresses, agent.NewMetrics(h.metrics), h.log)
 	if err := h.serveMetrics(ctx); err != nil {
 		return fail(io, err)
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -27,6 +27,8 @@
 	// Seeds are link addresses of entries that are dialled even if they are not
 	// discovered.
 	Seeds []string
+	// WorkerAddress is the address of the worker on this host, empty if it is not known.
+	WorkerAddress string
 	// WorkerLease is the duration of the worker's lease from a confirmed ping.
 	WorkerLease time.Duration
 }
@@ -63,6 +65,11 @@
 	// leftIncarnation is the worker's incarnation that shut down in an orderly
 	// way, nil for none.
 	leftIncarnation atomic.Pointer[runs.Incarnation]
+	// candidate is an incarnation that has sent a heartbeat and has not answered, nil for none.
+	// It is asked again when the known one does not answer either.
+	candidate atomic.Pointer[runs.Description]
+	// refused limits the log lines about heartbeats of other workers.
+	refused logging.RateLimit
 	// leftOut limits the log lines about rows left out of listings.
 	leftOut logging.RateLimit
 	// unresponsive reports that the worker does not answer, or is not known yet.
@@ -140,25 +147,6 @@
 	a.maintainLinks(ctx)
 }
 
-// RecordHeartbeat records the worker's description of itself. After it has returned
-// for a description of a draining worker, no start is sent to that worker.
-func (a *Agent) RecordHeartbeat(d runs.Description) {
-	for {
-		state := a.state.Load()
-		old := state.Description
-		if old != nil && old.Incarnation == d.Incarnation && d.Sequence <= old.Sequence {
-			return
-		}
-		if old != nil && d.StartedAtMs < old.StartedAtMs && !state.Denied && !a.workerIsGone() {
-			return // a late heartbeat of an earlier incarnation
-		}
-		if next := state.Describe(&d, time.Now()); a.state.CompareAndSwap(state, &next) {
-			a.handleHeartbeat(old, &next)
-			return
-		}
-	}
-}
-
 // updateState replaces the state of the worker by what change makes of it.
 func (a *Agent) updateState(change func(gate.Worker) gate.Worker) {
 	for {
@@ -169,61 +157,6 @@
 	}
 }
 
-// workerIsGone reports whether the described incarnation of the worker does not answer
-// and has no lease any more. Another one may then follow it, even one with an earlier
-// start by a clock that was set back.
-func (a *Agent) workerIsGone() bool {
-	return a.unresponsive.Load() && max(a.leaseRemaining(), a.earlierLeaseRemaining()) <= 0
-}
-
-func (a *Agent) handleHeartbeat(old *runs.Description, state *gate.Worker) {
-	d := state.Description
-	if old == nil || old.Incarnation != d.Incarnation {
-		a.withdrawn.Clear()
-		a.clock.Store(&workerClock{})
-		a.deadline.Store(0)
-		a.log.Info().Str("worker", d.ID).Int64("born", d.StartedAtMs).Uint32("generation", uint32(state.Generation)).
-			Msg("first heartbeat of a worker incarnation")
-	}
-	if d.Draining && (old == nil || !old.Draining) {
-		a.log.Info().Str("worker", d.ID).Dur("remaining", d.Remaining).Msg("worker draining")
-	}
-	if old == nil || old.Incarnation != d.Incarnation || old.Draining != d.Draining {
-		a.sendDescription(a.holderLink.Load())
-	}
-	if old != nil && old.Incarnation != d.Incarnation {
-		// The lister may still wait for the earlier incarnation, and until this one has been
-		// reached, it carries out what was sent to that one.
-		go a.requestListing(state, envelopeWithoutLease(state, a.holder.Load().Epoch))
-	}
-	a.wakeLister()
-}
-
-// Deregister records that the worker shuts down in an orderly way. The worker exits
-// once it has returned, so the last ends are listed before.
-func (a *Agent) Deregister(id string) {
-	state := a.state.Load()
-	d := state.Description
-	if d == nil || d.ID != id {
-		return
-	}
-	if holderLink := a.holderLink.Load(); holderLink != nil {
-		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.epoch()))
-	}
-	a.updateState(func(w gate.Worker) gate.Worker {
-		if w.Description.Incarnation != d.Incarnation {
-			return w
-		}
-		drained := *w.Description // a heartbeat may have come since
-		drained.Draining = true
-		w.Description = &drained
-		return w
-	})
-	a.leftIncarnation.Store(&d.Incarnation)
-	a.log.Info().Str("worker", id).Msg("worker shut down")
-	a.sendLeft(a.holderLink.Load(), d.Incarnation)
-}
-
 func (a *Agent) wakeLister() { signal(a.changed) }
 
 // signal wakes the goroutine that waits for the signal, or its next wait.
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -274,9 +274,10 @@
 	}
 }
 
+// sendDescription describes the worker to the holder, once it has answered at its address.
 func (a *Agent) sendDescription(l *entryLink) {
-	if d := a.state.Load().Description; l != nil && d != nil {
-		l.send(wire.TypeDescription, wire.FromDescription(*d))
+	if state := a.state.Load(); l != nil && state.Verified {
+		l.send(wire.TypeDescription, wire.FromDescription(*state.Description))
 	}
 }
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -99,6 +99,7 @@
 		return
 	}
 	l.failures, l.refusals = 0, 0
+	a.candidate.Store(nil)
 	a.confirmState(state)
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
@@ -169,13 +170,19 @@
 }
 
 // confirmState records that the worker has answered a listing requested in the given state.
+// The holder hears of an incarnation once it has answered.
 func (a *Agent) confirmState(state *gate.Worker) {
+	first := false
 	a.updateState(func(w gate.Worker) gate.Worker {
-		if w.Description == nil || w.Description.Incarnation != state.Description.Incarnation {
+		if !w.Describes(state.Description.Incarnation) {
 			return w
 		}
+		first = !w.Verified
 		return w.Confirm(state.Generation)
 	})
+	if first {
+		a.sendDescription(a.holderLink.Load())
+	}
 }
 
 // forward sends a listing to the holder. A listing that was requested under another
@@ -233,6 +240,7 @@
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
+	a.examineCandidate()
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
@@ -259,31 +267,49 @@
 // one that is over, says nothing about the generation, nor does a worker that answers that it
 // is unhealthy.
 func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) bool {
-	holder := l.agent.holder.Load()
+	a := l.agent
+	holder := a.holder.Load()
 	isCurrent := holder.Known && epoch == holder.Epoch
-	var change func(gate.Worker) gate.Worker
-	atOnce := false
 	switch {
 	case err != nil:
-		atOnce = l.mayRetryAtOnce()
-		change = func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) }
+		a.doubt(d.Incarnation, doubtNoAnswer, func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) })
+		return l.mayRetryAtOnce()
 	case answer.Result == runs.ResultOtherIncarnation:
-		atOnce = l.mayRetryAtOnce()
-		change = func(w gate.Worker) gate.Worker { return w.Deny(time.Now()) }
+		a.doubt(d.Incarnation, doubtOtherIncarnation, func(w gate.Worker) gate.Worker { return w.Deny(time.Now()) })
+		return l.mayRetryAtOnce()
 	case answer.Result == runs.ResultStaleEpoch && isCurrent:
 		l.refusals++
-		atOnce = l.refusals <= gate.MaxRefusals
-		change = func(w gate.Worker) gate.Worker { return w.Overtake(l.refusals) }
-	default:
-		return false
+		a.doubt(d.Incarnation, doubtOvertaken, func(w gate.Worker) gate.Worker { return w.Overtake(l.refusals) })
+		return l.refusals <= gate.MaxRefusals
 	}
-	l.agent.updateState(func(w gate.Worker) gate.Worker {
-		if w.Description == nil || w.Description.Incarnation != d.Incarnation {
+	return false
+}
+
+// Reasons for which the generation of the calls to a worker rises.
+const (
+	doubtNoAnswer         = "a listing got no answer"
+	doubtOtherIncarnation = "another incarnation answered"
+	doubtOvertaken        = "the worker knows a later generation"
+	doubtHeartbeat        = "a heartbeat under its ID states another start"
+)
+
+// doubt changes the state of an incarnation that may have ended, and returns the state. The
+// first doubt about a confirmed incarnation is logged.
+func (a *Agent) doubt(incarnation runs.Incarnation, reason string, change func(gate.Worker) gate.Worker) *gate.Worker {
+	confirmed := false
+	a.updateState(func(w gate.Worker) gate.Worker {
+		if confirmed = w.Confirmed; !w.Describes(incarnation) {
+			confirmed = false
 			return w
 		}
 		return change(w)
 	})
-	return atOnce
+	state := a.state.Load()
+	if confirmed {
+		a.log.Warn().Str("reason", reason).Str("worker", incarnation.ID).Int64("born", incarnation.StartedAtMs).
+			Uint32("generation", uint32(state.Generation)).Msg("generation raised")
+	}
+	return state
 }
 
 // reportUnresponsive tells the holder that the worker does not answer, and how long
--- a/sidecar/agent/metrics.go
+++ b/sidecar/agent/metrics.go
@@ -15,6 +15,10 @@
 	OrderLatency tally.Histogram
 	// ListingsFailed counts listings that were refused or not answered.
 	ListingsFailed tally.Counter
+	// HeartbeatsRefused counts heartbeats of other workers than the one on this host.
+	HeartbeatsRefused tally.Counter
+	// IncarnationsReplaced counts changes of the known incarnation of the worker.
+	IncarnationsReplaced tally.Counter
 	// HoldersFound counts changes of the holder, of its link and of its epoch.
 	HoldersFound tally.Counter
 }
@@ -28,6 +32,10 @@
 		Refused:        scope.Counter("orders_refused"),
 		OrderLatency:   scope.Histogram("order_latency", telemetry.LatencyBuckets()),
 		ListingsFailed: scope.Counter("listings_failed"),
-		HoldersFound:   scope.Counter("holders_found"),
+
+		HeartbeatsRefused:    scope.Counter("heartbeats_refused"),
+		IncarnationsReplaced: scope.Counter("incarnations_replaced"),
+
+		HoldersFound: scope.Counter("holders_found"),
 	}
 }
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -80,8 +80,10 @@
 // answered its ping, and a start order from that holder.
 func linkedAgent(worker runs.Client) (*Agent, receivedOrder) {
 	a := New(Config{Host: "h", WorkerLease: 3 * time.Second}, worker, nil, NewMetrics(tally.NoopScope), logging.Discard().For("test"))
-	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 1})
-	a.confirmState(a.state.Load())
+	known := a.state.Load().Describe(&runs.Description{Incarnation: testIncarnation, Sequence: 1}, time.Now())
+	known = known.Confirm(known.Generation)
+	a.state.Store(&known)
+	a.wakeLister()
 	now := clock.Boottime()
 	a.started = now - time.Hour
 	a.clock.Store(&workerClock{gate.Clock{Reading: time.Minute, Received: now, Known: true}, testIncarnation})
@@ -219,8 +221,9 @@
 
 func TestLateHeartbeatOfEarlierIncarnationIsIgnored(t *testing.T) {
 	g := NewWithT(t)
-	a, _ := linkedAgent(&scriptedWorker{})
-	a.RecordHeartbeat(runs.Description{Incarnation: runs.Incarnation{ID: "w2", StartedAtMs: 5}, Sequence: 1})
+	next := runs.Incarnation{ID: "w2", StartedAtMs: 5}
+	a, _ := linkedAgent(&addressedWorker{incarnation: next})
+	a.RecordHeartbeat(runs.Description{Incarnation: next, Sequence: 1})
 	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 9})
 	g.Expect(a.state.Load().Description.Incarnation.StartedAtMs).To(Equal(int64(5)))
 }
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -18,6 +18,9 @@
 	Description *runs.Description
 	// Generation is that of the calls to the worker.
 	Generation runs.Generation
+	// Verified reports that the described incarnation has answered at the worker's address.
+	// Until then the description may be that of another worker.
+	Verified bool
 	// Confirmed reports that the described incarnation has listed its runs in this
 	// generation. What is known of its clock and its ends counts only then.
 	Confirmed bool
@@ -34,11 +37,16 @@
 	return w.Description != nil && w.Description.Incarnation == incarnation && !w.Denied
 }
 
+// Describes reports whether the incarnation is the described one, which may have ended since.
+func (w Worker) Describes(incarnation runs.Incarnation) bool {
+	return w.Description != nil && w.Description.Incarnation == incarnation
+}
+
 // Describe returns w with another description of the worker.
 func (w Worker) Describe(d *runs.Description, now time.Time) Worker {
-	if w.Description == nil || w.Description.Incarnation != d.Incarnation {
+	if !w.Describes(d.Incarnation) {
 		w.Generation = nextGeneration(w.Generation, now)
-		w.Confirmed, w.Denied = false, false
+		w.Verified, w.Confirmed, w.Denied = false, false, false
 	}
 	w.Description = d
 	return w
@@ -46,6 +54,7 @@
 
 // Confirm returns w after the described incarnation has listed its runs in a generation.
 func (w Worker) Confirm(generation runs.Generation) Worker {
+	w.Verified = true
 	if generation == w.Generation {
 		w.Confirmed, w.Denied = true, false
 	}
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -23,6 +23,8 @@
 // Description is a worker's description of itself.
 type Description struct {
 	Incarnation
+	// Address is where the worker says that it answers, empty if it doesn't say.
+	Address    string
 	Service    carobkeel.Service
 	DataCentre carobkeel.DataCentre
 	Capacity   carobkeel.Resources
