Report a departure once nothing answers at the worker's address

Cause: a departure names an ID only. Evidence: TestDepartureOfAWorkerThatStillAnswersIsNotReported; the former code reported each departure at once. Change: an announced shutdown stops starts, as before. It is passed on once the worker's address refuses connections or another incarnation answers there; without either, the lease counts. A later heartbeat of the worker that is ready takes it back.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -62,9 +62,9 @@
 	// acknowledged is the last end of a run that the holder has acknowledged as
 	// stored.
 	acknowledged atomic.Pointer[acknowledgement]
-	// leftIncarnation is the worker's incarnation that shut down in an orderly
-	// way, nil for none.
-	leftIncarnation atomic.Pointer[runs.Incarnation]
+	// leaving is the worker's incarnation that has announced its shutdown, and
+	// leftIncarnation the one that has shut down, nil for none.
+	leaving, leftIncarnation atomic.Pointer[runs.Incarnation]
 	// candidate is an incarnation that has sent a heartbeat and has not answered, nil for none.
 	// It is asked again when the known one does not answer either.
 	candidate atomic.Pointer[runs.Description]
--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -42,6 +44,9 @@
 	if d.Draining != old.Draining && verified {
 		a.sendDescription(a.holderLink.Load())
 	}
+	if !d.Draining {
+		a.leaving.Store(nil) // what announced the shutdown of this incarnation was mistaken
+	}
 	a.wakeLister()
 }
 
@@ -160,6 +165,7 @@
 		a.sendDescription(a.holderLink.Load())
 	}
 	if old != nil {
+		a.reportShutdown(old.Incarnation)
 		// The lister may still wait for the earlier incarnation, and until this one has been
 		// reached, it carries out what was sent to that one.
 		go a.requestListing(state, envelopeWithoutLease(state, a.holder.Load().Epoch))
@@ -174,12 +180,14 @@
 	return a.unresponsive.Load() && max(a.leaseRemaining(), a.earlierLeaseRemaining()) <= 0
 }
 
-// Deregister records that the worker shuts down in an orderly way. The worker exits
-// once it has returned, so the last ends are listed before.
+// Deregister records that a worker announces its shutdown. It exits once Deregister has
+// returned, so the last ends are listed before. The announcement may be late, or that of
+// another worker, so the holder is told once nothing answers any more.
 func (a *Agent) Deregister(id string) {
 	state := a.state.Load()
 	d := state.Description
 	if d == nil || d.ID != id {
+		a.log.Info().Str("worker", id).Msg("shutdown of another worker ignored")
 		return
 	}
 	if holderLink := a.holderLink.Load(); holderLink != nil {
@@ -194,7 +202,26 @@
 		w.Description = &drained
 		return w
 	})
-	a.leftIncarnation.Store(&d.Incarnation)
-	a.log.Info().Str("worker", id).Msg("worker shut down")
-	a.sendLeft(a.holderLink.Load(), d.Incarnation)
+	a.leaving.Store(&d.Incarnation)
+	a.log.Info().Str("worker", id).Msg("worker shutting down")
+	a.wakeLister()
+}
+
+// hasEnded reports whether a failed listing shows that the incarnation has ended.
+func hasEnded(answer runs.Answer, err error) bool {
+	if err != nil {
+		return errors.Is(err, runs.ErrNotListening)
+	}
+	return answer.Result == runs.ResultOtherIncarnation
+}
+
+// reportShutdown tells the holder that an incarnation has shut down, if it has announced that.
+func (a *Agent) reportShutdown(incarnation runs.Incarnation) {
+	leaving := a.leaving.Load()
+	if leaving == nil || *leaving != incarnation || !a.leaving.CompareAndSwap(leaving, nil) {
+		return
+	}
+	a.leftIncarnation.Store(leaving)
+	a.log.Info().Str("worker", incarnation.ID).Int64("born", incarnation.StartedAtMs).Msg("worker shut down")
+	a.sendLeft(a.holderLink.Load(), incarnation)
 }
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -109,3 +109,43 @@
 	(&lister{agent: fresh}).listOnce(t.Context(), fresh.state.Load())
 	g.Expect(fresh.state.Load().Verified).To(BeTrue())
 }
+
+// Guards against runs that are given up on the word of a late or foreign departure.
+func TestDepartureOfAWorkerThatStillAnswersIsNotReported(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{incarnation: testIncarnation}
+	a, _ := linkedAgent(worker)
+	l := &lister{agent: a}
+	a.Deregister(testIncarnation.ID)
+	l.listOnce(t.Context(), a.state.Load())
+	worker.failure = context.DeadlineExceeded
+	l.listOnce(t.Context(), a.state.Load())
+	g.Expect(a.leftIncarnation.Load()).To(BeNil())
+	worker.failure = runs.ErrNotListening
+	l.listOnce(t.Context(), a.state.Load())
+	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
+}
+
+func TestHeartbeatAfterAMistakenDepartureTakesItBack(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{incarnation: testIncarnation}
+	a, _ := linkedAgent(worker)
+	a.Deregister(testIncarnation.ID)
+	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2})
+	g.Expect(a.state.Load().Description.Draining).To(BeFalse())
+	worker.failure = runs.ErrNotListening
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.leftIncarnation.Load()).To(BeNil(), "it has crashed, and its lease may last")
+}
+
+func TestSuccessorAtTheSameAddressCompletesAShutdown(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	worker := &addressedWorker{incarnation: testIncarnation}
+	a, _ := linkedAgent(worker)
+	a.Deregister(testIncarnation.ID)
+	worker.incarnation = next
+	a.RecordHeartbeat(runs.Description{Incarnation: next, Sequence: 1})
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
+}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -240,6 +240,9 @@
 	if err == nil && answer.Result != runs.ResultUnhealthy {
 		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
 	}
+	if hasEnded(answer, err) {
+		a.reportShutdown(d.Incarnation)
+	}
 	a.examineCandidate()
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -96,10 +96,10 @@
 	worker := &scriptedWorker{listing: &runs.Listing{}}
 	a, _ := linkedAgent(worker)
 	listed := false
-	worker.onList = func() { listed = a.leftIncarnation.Load() == nil }
+	worker.onList = func() { listed = a.leaving.Load() == nil }
 	a.Deregister(testIncarnation.ID)
 	g.Expect(listed).To(BeTrue())
-	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
+	g.Expect(*a.leaving.Load()).To(Equal(testIncarnation))
 }
 
 func TestDroppedListingDoesNotExtendTheLease(t *testing.T) {
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -9,6 +9,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/carobkeel/carobkeel"
 )
 
@@ -234,8 +236,12 @@
 	Deadline time.Duration
 }
 
+// ErrNotListening means that nothing listens at the worker's address: the worker has ended, or
+// has not begun yet.
+var ErrNotListening = errors.New("nothing listens at the worker's address")
+
 // Client sends orders to the worker on this host. An error means that no answer was
-// received.
+// received. It wraps ErrNotListening where that is known.
 type Client interface {
 	Start(ctx context.Context, e Envelope, order Start) (Answer, error)
 	Stop(ctx context.Context, e Envelope, order Stop) (Answer, error)
