Let the test of a restarted worker's first call wait for the listing beside it

Cause: the listing that follows a replacement ran while the test read the record of the stand-in. Change: the test runs in virtual time and waits.

--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -86,14 +87,17 @@
 
 // A restarted worker has seen no fence, so the first call that reaches it keeps earlier ones off.
 func TestFirstCallToARestartedWorkerHasAHigherGeneration(t *testing.T) {
-	g := NewWithT(t)
-	next := runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: testIncarnation.StartedAtMs + 1}
-	worker := &addressedWorker{incarnation: next}
-	a, _ := linkedAgent(worker)
-	before := a.state.Load().Generation
-	g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Sequence: 1})).To(BeTrue())
-	g.Expect(worker.fences[0].Generation).To(BeNumerically(">", before))
-	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		next := runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: testIncarnation.StartedAtMs + 1}
+		worker := &addressedWorker{incarnation: next}
+		a, _ := linkedAgent(worker)
+		before := a.state.Load().Generation
+		g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Sequence: 1})).To(BeTrue())
+		synctest.Wait() // for the listing that follows the replacement
+		g.Expect(worker.fences[0].Generation).To(BeNumerically(">", before))
+		g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+	})
 }
 
 // Guards against TWICE: a new process of a sidecar described a foreign worker to the holder.
