Play heartbeats of other workers and troubles of sidecars alone in the soak of jobs

Cause: the soak had no heartbeat of somebody else and no trouble that leaves a worker without its sidecar. Change: kinds foreign-heartbeats-id, -born, -earlier and -address, foreign-departures, release-workers, kill-, terminate-, restart- and throttle-sidecars. Workers call other hosts' sidecars if their own does not acknowledge (-heartbeats-to-neighbours). Two seeded tests play the foreign kinds and the sidecars alone.

--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -26,15 +26,16 @@
 
 // jobsConfig holds the settings that only the path of jobs has.
 type jobsConfig struct {
-	path      string
-	kinds     string
-	streams   int
-	seeds     int
-	reachNext bool
-	folder    string
-	explain   string
-	entries   int
-	workers   int
+	path       string
+	kinds      string
+	streams    int
+	seeds      int
+	reachNext  bool
+	neighbours bool
+	folder     string
+	explain    string
+	entries    int
+	workers    int
 }
 
 func (c *jobsConfig) register(fs *flag.FlagSet) {
@@ -43,6 +44,7 @@
 	fs.IntVar(&c.streams, "streams", 3, "troubles side by side")
 	fs.IntVar(&c.seeds, "seeds", 1, "how many seeds are played, from -seed on")
 	fs.BoolVar(&c.reachNext, "late-calls-reach-next", true, "calls carried out late may reach a worker's next incarnation")
+	fs.BoolVar(&c.neighbours, "heartbeats-to-neighbours", true, "workers send heartbeats to other hosts' sidecars if their own does not acknowledge them")
 	fs.StringVar(&c.folder, "folder", "soak-results", "folder for what was seen of broken plays")
 	fs.IntVar(&c.entries, "job-entries", 3, "number of entries on the path of jobs")
 	fs.IntVar(&c.workers, "job-workers", 11, "number of workers with a sidecar on the path of jobs")
@@ -125,10 +127,10 @@
 func (c *config) jobsOf(seed uint64) jobs.Config {
 	kinds, _ := jobs.ParseKinds(c.jobs.kinds) // checked with the settings
 	return jobs.Config{
-		Binary: c.binary, Seed: seed, Duration: c.duration, EndTime: jobEndTime, Kinds: kinds, Streams: c.jobs.streams, ReachNext: c.jobs.reachNext,
+		Binary: c.binary, Seed: seed, Duration: c.duration, EndTime: jobEndTime, Kinds: kinds, Streams: c.jobs.streams, ReachNext: c.jobs.reachNext, Neighbours: c.jobs.neighbours,
 		Entries: c.jobs.entries, Workers: c.jobs.workers, Folder: c.jobs.folder,
 		Command: fmt.Sprintf(
-			"go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -job-entries %d -job-workers %d -commit %s",
-			seed, c.duration, c.jobs.kinds, c.jobs.streams, c.jobs.reachNext, c.jobs.entries, c.jobs.workers, c.commit),
+			"go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -heartbeats-to-neighbours=%v -job-entries %d -job-workers %d -commit %s",
+			seed, c.duration, c.jobs.kinds, c.jobs.streams, c.jobs.reachNext, c.jobs.neighbours, c.jobs.entries, c.jobs.workers, c.commit),
 	}
 }
--- a/cmd/soak/jobs/fleet.go
+++ b/cmd/soak/jobs/fleet.go
@@ -32,6 +32,8 @@
 	// Behind the relays of a host are the process's own links and its worker.
 	ownLinkPort   = 7721
 	ownWorkerPort = 8175
+	// successorPort is that of a worker that begins while another has workerPort.
+	successorPort = 8185
 )
 
 // Hosts are numbered: the store has storeHost, entries and sidecars follow from there.
@@ -70,11 +72,15 @@
 	binary, folder string
 	prefix         string
 	entryCount     int
-	record         *judge.Record
-	logs           *logging.Factory
-	logFile        *os.File
-	store          *standin.Store
-	entries        []*process
+	// neighbours reports that workers send heartbeats to other hosts' sidecars if their own
+	// does not acknowledge them.
+	neighbours  bool
+	workerCount int
+	record      *judge.Record
+	logs        *logging.Factory
+	logFile     *os.File
+	store       *standin.Store
+	entries     []*process
 	// sidecars and workers have the same order.
 	sidecars []*process
 	workers  []*standin.Worker
@@ -85,7 +91,7 @@
 // startFleet starts a deployment that logs into a folder. On an error it returns what has
 // started, for stop.
 func startFleet(ctx context.Context, c Config, folder string) (*fleet, error) {
-	f := &fleet{binary: c.Binary, folder: folder, entryCount: c.Entries, record: judge.NewRecord(clock.System{})}
+	f := &fleet{binary: c.Binary, folder: folder, entryCount: c.Entries, workerCount: c.Workers, neighbours: c.Neighbours, record: judge.NewRecord(clock.System{})}
 	ready := f.recordStart(c)
 	defer ready()
 	var err error
@@ -217,11 +223,26 @@
 func (f *fleet) workerConfig(i int, host standin.Host, random *rand.Rand) standin.WorkerConfig {
 	return standin.WorkerConfig{
 		Name: workerName(i), Service: service, Address: host.Worker, Registry: host.Registry,
-		Sidecar: host.Name, DataCentre: standin.DataCentre, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB,
+		Sidecar: host.Name, Neighbours: f.neighboursOf(i), DataCentre: standin.DataCentre, MilliCPU: workerMilliCPU, MemoryMB: workerMemoryMB,
 		Rack: fmt.Sprintf("r-%d", 1+i/hostsPerRack), ClockSlowness: slowestClock * random.Float64(), Seed: random.Uint64(),
 	}
 }
 
+// neighboursOf returns the hosts that follow that of a worker, in order.
+func (f *fleet) neighboursOf(i int) []standin.Neighbour {
+	if !f.neighbours {
+		return nil
+	}
+	var following []standin.Neighbour
+	for step := 1; step < f.workerCount; step++ {
+		other := (i + step) % f.workerCount
+		following = append(following, standin.Neighbour{
+			Name: sidecarName(other), Registry: f.address(firstSidecar+other, registryPort),
+		})
+	}
+	return following
+}
+
 // awaitReady waits until every entry reports that it is ready.
 func (f *fleet) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
--- a/cmd/soak/jobs/plan.go
+++ b/cmd/soak/jobs/plan.go
@@ -48,6 +48,24 @@
 	DeafLinks   Kind = "deaf-links"
 	SlowLinks   Kind = "slow-links"
 	CutLinks    Kind = "cut-links"
+	// KillSidecars, TerminateSidecars and RestartSidecars end sidecars alone, the last over
+	// and over. ThrottleSidecars suspends them for a part of the time.
+	KillSidecars      Kind = "kill-sidecars"
+	TerminateSidecars Kind = "terminate-sidecars"
+	RestartSidecars   Kind = "restart-sidecars"
+	ThrottleSidecars  Kind = "throttle-sidecars"
+	// ForeignHeartbeatsID sends sidecars heartbeats of another worker, at another address,
+	// that began later, ForeignHeartbeatsBorn those of the worker's id with a later start,
+	// ForeignHeartbeatsEarlier those of either id with an earlier start, and
+	// ForeignHeartbeatsAddress those of another worker at the worker's own address.
+	ForeignHeartbeatsID      Kind = "foreign-heartbeats-id"
+	ForeignHeartbeatsBorn    Kind = "foreign-heartbeats-born"
+	ForeignHeartbeatsEarlier Kind = "foreign-heartbeats-earlier"
+	ForeignHeartbeatsAddress Kind = "foreign-heartbeats-address"
+	// ForeignDepartures sends departures of workers that live.
+	ForeignDepartures Kind = "foreign-departures"
+	// ReleaseWorkers begins new workers beside others that drain.
+	ReleaseWorkers Kind = "release-workers"
 )
 
 // span is how long a trouble lasts.
@@ -77,6 +95,18 @@
 	DeafLinks:      {500 * time.Millisecond, 5 * time.Second},
 	SlowLinks:      {2 * time.Second, 8 * time.Second},
 	CutLinks:       {500 * time.Millisecond, 5 * time.Second},
+
+	KillSidecars:      {100 * time.Millisecond, 2 * time.Second},
+	TerminateSidecars: {100 * time.Millisecond, 2 * time.Second},
+	RestartSidecars:   {2 * time.Second, 6 * time.Second},
+	ThrottleSidecars:  {2 * time.Second, 8 * time.Second},
+
+	ForeignHeartbeatsID:      {2 * time.Second, 5 * time.Second},
+	ForeignHeartbeatsBorn:    {2 * time.Second, 5 * time.Second},
+	ForeignHeartbeatsEarlier: {2 * time.Second, 5 * time.Second},
+	ForeignHeartbeatsAddress: {2 * time.Second, 5 * time.Second},
+	ForeignDepartures:        {2 * time.Second, 5 * time.Second},
+	ReleaseWorkers:           {3 * time.Second, 8 * time.Second},
 }
 
 // Kinds returns all kinds of troubles in a fixed order.
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -13,6 +13,7 @@
 
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/internal/judge"
+	"github.com/carobkeel/carobkeel/platform/standin"
 )
 
 const (
@@ -35,7 +36,10 @@
 	// Streams is how many troubles come side by side.
 	Streams int
 	// ReachNext lets calls that are carried out late reach a worker's next incarnation.
-	ReachNext        bool
+	ReachNext bool
+	// Neighbours lets workers send their heartbeats to other hosts' sidecars if their own
+	// does not acknowledge them.
+	Neighbours       bool
 	Entries, Workers int
 	// Folder is where broken plays leave what was seen.
 	Folder string
@@ -175,7 +179,8 @@
 	p.fleet.record.Add(seen)
 	line := p.fleet.logs.For(troublePart)
 	line.Info().Int("id", seen.ID).Int("stream", stream).Str("kind", string(t.Kind)).Dur("for", t.For).
-		Strs("processes", seen.Processes).Strs("workers", seen.Workers).Msg("begins")
+		Strs("processes", seen.Processes).Strs("workers", seen.Workers).
+		Strs("targets", names(a.targets)).Msg("begins")
 	a.begin()
 	_ = clock.Sleep(ctx, t.For) // what began is ended also when the play is interrupted
 	a.end()
@@ -189,8 +194,14 @@
 	for _, p := range a.processes {
 		d.Processes = append(d.Processes, p.name)
 	}
-	for _, w := range a.workers {
-		d.Workers = append(d.Workers, w.Name())
-	}
+	d.Workers = names(a.workers)
 	return d
 }
+
+func names(workers []*standin.Worker) []string {
+	var all []string
+	for _, w := range workers {
+		all = append(all, w.Name())
+	}
+	return all
+}
--- a/cmd/soak/jobs/play_test.go
+++ b/cmd/soak/jobs/play_test.go
@@ -38,12 +38,27 @@
 	return m.Run()
 }
 
-// playSeed plays a seed with all kinds of troubles in processes of this code.
-func playSeed(t *testing.T, seed uint64) {
+// firstKinds are the kinds among which the seeds of earlier tests draw.
+var firstKinds = []Kind{
+	BusyStore, CutLinks, DarkHosts, DeafLinks, DrainWorkers, DropHistory, FreezeHolder, FreezeSidecars, GreyWorkers, KillEntry,
+	LateCalls, LateWrites, RepeatRequests, ResetLinks, RestartWorkers, SilentLinks, SilentStore, SilentWorkers, SlowLinks,
+	SlowWorkers, TerminateEntry,
+}
+
+// foreignKinds are those in which sidecars hear of workers from somebody else.
+var foreignKinds = []Kind{
+	ForeignHeartbeatsID, ForeignHeartbeatsBorn, ForeignHeartbeatsEarlier, ForeignHeartbeatsAddress, ForeignDepartures,
+}
+
+// sidecarKinds are those in which a worker lives on while its sidecar does not answer.
+var sidecarKinds = []Kind{FreezeSidecars, KillSidecars, TerminateSidecars, RestartSidecars, ThrottleSidecars}
+
+// playSeed plays a seed with some kinds of troubles in processes of this code.
+func playSeed(t *testing.T, seed uint64, kinds []Kind, neighbours bool) {
 	g := NewWithT(t)
 	r, err := Play(t.Context(), Config{
-		Binary: binary, Seed: seed, Duration: shortPlay, EndTime: shortEnd, Kinds: Kinds(), Streams: 4, ReachNext: true,
-		Entries: 3, Workers: 11, Folder: filepath.Join("..", "..", "..", "soak-results"), Command: fmt.Sprintf("the test's play of seed %d", seed),
+		Binary: binary, Seed: seed, Duration: shortPlay, EndTime: shortEnd, Kinds: kinds, Streams: 4, ReachNext: true,
+		Neighbours: neighbours, Entries: 3, Workers: 11, Folder: filepath.Join("..", "..", "..", "soak-results"), Command: fmt.Sprintf("the test's play of seed %d", seed),
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	r.Print(os.Stdout)
@@ -51,6 +66,10 @@
 	g.Expect(r.Findings).To(BeEmpty(), "kept in %s", r.Folder)
 }
 
-func TestSoakOfJobsWithSeed83(t *testing.T) { playSeed(t, 83) }
+func TestSoakOfJobsWithSeed83(t *testing.T) { playSeed(t, 83, firstKinds, false) }
+
+func TestSoakOfJobsWithSeed136(t *testing.T) { playSeed(t, 136, firstKinds, false) }
+
+func TestForeignHeartbeatsDoNotRunTasksTwice(t *testing.T) { playSeed(t, 55, foreignKinds, false) }
 
-func TestSoakOfJobsWithSeed136(t *testing.T) { playSeed(t, 136) }
+func TestHeartbeatsToNeighboursDoNotRunTasksTwice(t *testing.T) { playSeed(t, 1, sidecarKinds, true) }
--- a/cmd/soak/jobs/troubles.go
+++ b/cmd/soak/jobs/troubles.go
@@ -30,8 +30,10 @@
 	// hosts are the processes at the ends of links.
 	hosts []string
 	store bool
-	begin func()
-	end   func()
+	// targets are workers whose sidecars hear of them from somebody else.
+	targets []*standin.Worker
+	begin   func()
+	end     func()
 }
 
 // player plays troubles in a fleet.
@@ -57,6 +59,12 @@
 		return restart(pick(random, p.fleet.workers, mostWorkers))
 	case DrainWorkers:
 		return drain(pick(random, p.fleet.workers, mostSidecars))
+	case ReleaseWorkers:
+		return p.release(pick(random, p.fleet.workers, mostSidecars))
+	case KillSidecars, TerminateSidecars, RestartSidecars, ThrottleSidecars:
+		return p.sidecarAction(t.Kind, random)
+	case ForeignHeartbeatsID, ForeignHeartbeatsBorn, ForeignHeartbeatsEarlier, ForeignHeartbeatsAddress, ForeignDepartures:
+		return p.foreignAction(t.Kind, random)
 	case DarkHosts:
 		return p.darken(random)
 	case LateWrites, SilentStore, BusyStore, DropHistory:
