Count a refusal for the fence as a sign that the worker's ID lives at its address

Cause: a new process of a sidecar knows no epoch, and its worker refuses the question that follows a heartbeat for its fence. That counted as no answer. If the heartbeat names another address than the settings, which the settings of a host may do, the worker was turned away with 421 by its own sidecar at each heartbeat until an epoch was known. Evidence: TestOwnWorkerThatRefusesAnEarlierFenceIsNotTurnedAway failed before. Change: a worker compares its ID before the fence, so such a refusal, and a listing under the known ID that states no start, is evidence of the ID alone. The address in a heartbeat counts only if nothing has answered.

--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -55,11 +55,10 @@
 func (a *Agent) recordOther(d *runs.Description) (acknowledged, decided bool) {
 	known := a.state.Load()
 	evidence := a.examine(known, d)
-	elsewhere := d.Address != "" && a.config.WorkerAddress != "" && d.Address != a.config.WorkerAddress
 	switch {
 	case evidence == gate.AnsweredAsIt:
 		return true, a.replaceWorker(known, d, evidence)
-	case evidence == gate.AnsweredAsAnother || elsewhere:
+	case evidence == gate.AnsweredAsAnother || (evidence == gate.NotAnswered && a.isElsewhere(d)):
 		a.refuseHeartbeat(known.Description, d, evidence)
 		return false, true
 	case known.Description == nil || a.workerIsGone():
@@ -69,6 +68,11 @@
 	return true, true
 }
 
+// isElsewhere reports whether a worker says that it answers at another address.
+func (a *Agent) isElsewhere(d *runs.Description) bool {
+	return d.Address != "" && a.config.WorkerAddress != "" && d.Address != a.config.WorkerAddress
+}
+
 // setCandidate records the last heartbeat of an incarnation that has not answered.
 func (a *Agent) setCandidate(d *runs.Description) {
 	for {
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -153,3 +153,16 @@
 	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
 	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
 }
+
+// Guards against a sidecar that turns its own worker away, whose other address its heartbeats name.
+func TestOwnWorkerThatRefusesAnEarlierFenceIsNotTurnedAway(t *testing.T) {
+	g := NewWithT(t)
+	worker := &listingWorker{result: runs.ResultStaleEpoch}
+	a, _ := linkedAgent(worker)
+	fresh := New(a.config, worker, nil, a.metrics, a.log)
+	fresh.config.WorkerAddress = ownAddress
+	heartbeat := runs.Description{Incarnation: testIncarnation, Address: otherAddress, Sequence: 1}
+	g.Expect(fresh.RecordHeartbeat(heartbeat)).To(BeTrue())
+	g.Expect(fresh.state.Load().Describes(testIncarnation)).To(BeTrue())
+	g.Expect(fresh.state.Load().Verified).To(BeFalse(), "its start is not known")
+}
--- a/sidecar/gate/evidence.go
+++ b/sidecar/gate/evidence.go
@@ -9,13 +9,16 @@
 const (
 	// NotAnswered means that nothing is known: there was no answer, or one without a listing.
 	NotAnswered Evidence = iota
+	// AnsweredUnderItsID means that a worker with its ID lives at the address, by an answer that
+	// does not tell which incarnation it is.
+	AnsweredUnderItsID
 	// AnsweredAsIt means that the incarnation lives at the worker's address.
 	AnsweredAsIt
 	// AnsweredAsAnother means that another incarnation does.
 	AnsweredAsAnother
 )
 
-var evidenceNames = [...]string{"no answer", "answered as it", "answered as another"}
+var evidenceNames = [...]string{"no answer", "answered under its ID", "answered as it", "answered as another"}
 
 // String returns the evidence's name.
 func (e Evidence) String() string {
@@ -33,6 +36,8 @@
 	switch {
 	case result == runs.ResultOtherIncarnation:
 		return AnsweredAsAnother
+	case result == runs.ResultStaleEpoch: // a worker compares its ID before the fence
+		return AnsweredUnderItsID
 	case result != runs.ResultOK:
 		return NotAnswered
 	case startedAtMs == incarnation.StartedAtMs:
@@ -40,7 +45,7 @@
 	case startedAtMs != 0:
 		return AnsweredAsAnother
 	case known.Description != nil && known.Description.ID == incarnation.ID:
-		return NotAnswered
+		return AnsweredUnderItsID
 	}
 	return AnsweredAsIt
 }
