Keep a worker that still answers beside its successor at the same address

Cause: another incarnation replaced the known one as soon as it had listed under its own ID. That shows that it lives, not that the known one is gone. Where both answer at one address for a while, as two workers of a host at a release may, the holder released what the old one ran. Change: before it is replaced by an incarnation with another ID, the known one is asked for, and has to be denied, unless it has been already. Until then the other one stays a candidate, which is acknowledged. That costs one call for each replacement under another ID, none under the same.

--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -14,8 +14,8 @@
 // acknowledged. After it was for a draining worker, no start is sent to that worker.
 //
 // A heartbeat is only a hint: it may be late, or that of another worker. Another incarnation
-// replaces the known one once it has answered at the worker's address, or once the known one
-// is gone.
+// replaces the known one once it has answered at the worker's address, which denies the known
+// one, or once the known one is gone.
 func (a *Agent) RecordHeartbeat(d runs.Description) bool {
 	for {
 		state := a.state.Load()
@@ -56,7 +56,7 @@
 	known := a.state.Load()
 	evidence := a.examine(known, d)
 	switch {
-	case evidence == gate.AnsweredAsIt:
+	case evidence == gate.AnsweredAsIt && a.isDenied(known, d):
 		return true, a.replaceWorker(known, d, evidence)
 	case evidence == gate.AnsweredAsAnother || (evidence == gate.NotAnswered && a.isElsewhere(d)):
 		a.refuseHeartbeat(known.Description, d, evidence)
@@ -102,19 +102,34 @@
 		suspect := func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) }
 		state = a.doubt(known.Description.Incarnation, doubtHeartbeat, suspect)
 	}
+	return a.ask(d.Incarnation, state)
+}
+
+// ask requests a listing of an incarnation, in a state of the worker that may describe another.
+func (a *Agent) ask(incarnation runs.Incarnation, state *gate.Worker) gate.Evidence {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	envelope := runs.Envelope{
-		Incarnation: d.Incarnation, Fence: runs.Fence{Epoch: a.holder.Load().Epoch, Generation: state.Generation},
+		Incarnation: incarnation, Fence: runs.Fence{Epoch: a.holder.Load().Epoch, Generation: state.Generation},
 	}
 	listing, answer, err := a.worker.List(ctx, envelope, 0, 0)
 	if err != nil {
 		return gate.NotAnswered
 	}
-	if answer.Result == runs.ResultOK && state.Describes(runs.Incarnation{ID: d.ID, StartedAtMs: listing.StartedAtMs}) {
+	if answer.Result == runs.ResultOK && state.Describes(runs.Incarnation{ID: incarnation.ID, StartedAtMs: listing.StartedAtMs}) {
 		a.confirmState(state)
 	}
-	return gate.Examine(d.Incarnation, state, answer.Result, listing.StartedAtMs)
+	return gate.Examine(incarnation, state, answer.Result, listing.StartedAtMs)
+}
+
+// isDenied reports whether the worker's address denies the known incarnation. An answer of
+// another one under the same ID has done so. Otherwise both may live there for a while, as at a
+// release, and the known one keeps its runs until it is gone.
+func (a *Agent) isDenied(known *gate.Worker, other *runs.Description) bool {
+	if known.Description == nil || known.Denied || known.Description.ID == other.ID {
+		return true
+	}
+	return a.ask(known.Description.Incarnation, known) == gate.AnsweredAsAnother
 }
 
 // refuseHeartbeat records a heartbeat of another worker than the one on this host.
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -166,3 +166,32 @@
 	g.Expect(fresh.state.Load().Describes(testIncarnation)).To(BeTrue())
 	g.Expect(fresh.state.Load().Verified).To(BeFalse(), "its start is not known")
 }
+
+// sharedAddress answers for two incarnations, as at a release whose workers share a port.
+type sharedAddress struct {
+	scriptedWorker
+	living map[string]runs.Incarnation
+}
+
+func (w *sharedAddress) List(_ context.Context, e runs.Envelope, _ uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
+	found, lives := w.living[e.Incarnation.ID]
+	if !lives {
+		return runs.Listing{}, runs.Answer{Result: runs.ResultOtherIncarnation}, nil
+	}
+	return runs.Listing{StartedAtMs: found.StartedAtMs}, runs.Answer{Result: runs.ResultOK, Clock: time.Minute}, nil
+}
+
+// Guards against TWICE: the successor of a worker that still runs its tasks replaced it.
+func TestWorkerThatStillAnswersIsKeptBesideItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	address := &sharedAddress{living: map[string]runs.Incarnation{"w": testIncarnation, "x": next}}
+	a, _ := linkedAgent(address)
+	heartbeat := runs.Description{Incarnation: next, Address: ownAddress, Sequence: 1}
+	g.Expect(a.RecordHeartbeat(heartbeat)).To(BeTrue(), "it lives at the worker's address")
+	g.Expect(a.state.Load().Is(testIncarnation)).To(BeTrue())
+	g.Expect(a.state.Load().Confirmed).To(BeTrue())
+	delete(address.living, testIncarnation.ID)
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue(), "the known one has denied itself")
+}
