Report no departure of a worker that has never answered at the worker's address

Cause: a new process of a sidecar whose worker is silent takes in the first incarnation that sends a heartbeat, without evidence. Its departure was passed on once another one answered, though it never was at this address. A holder that waits for what this incarnation may still run drops that on such a report, from whatever host it comes. Evidence: TestDepartureOfAWorkerThatNeverAnsweredIsNotReported failed before. Change: a departure is followed up only for an incarnation that has answered. For others the lease counts, as for one that crashes. Result: sidecar/agent passes with -race.

--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -212,15 +212,21 @@
 	if holderLink := a.holderLink.Load(); holderLink != nil {
 		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.epoch()))
 	}
+	verified := state.Verified
 	a.updateState(func(w gate.Worker) gate.Worker {
 		if !w.Describes(d.Incarnation) {
 			return w
 		}
+		verified = w.Verified
 		drained := *w.Description // a heartbeat may have come since
 		drained.Draining = true
 		w.Description = &drained
 		return w
 	})
+	if !verified {
+		a.log.Info().Str("worker", id).Msg("shutdown ignored of a worker that has never answered here")
+		return // that it does not answer here shows nothing
+	}
 	a.leaving.Store(&d.Incarnation)
 	a.log.Info().Str("worker", id).Msg("worker shutting down")
 	a.wakeLister()
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -195,3 +195,18 @@
 	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
 	g.Expect(a.state.Load().Describes(next)).To(BeTrue(), "the known one has denied itself")
 }
+
+// Guards against runs that are given up: that a worker is not at this host's address says
+// nothing if it never was.
+func TestDepartureOfAWorkerThatNeverAnsweredIsNotReported(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{failure: context.DeadlineExceeded}
+	a, _ := linkedAgent(worker)
+	fresh := New(a.config, worker, nil, a.metrics, a.log)
+	neighbour := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	fresh.RecordHeartbeat(runs.Description{Incarnation: neighbour, Sequence: 1})
+	fresh.Deregister(neighbour.ID)
+	worker.failure, worker.incarnation = nil, testIncarnation
+	(&lister{agent: fresh}).listOnce(t.Context(), fresh.state.Load())
+	g.Expect(fresh.leftIncarnation.Load()).To(BeNil())
+}
