Do not count the failures of the incarnation before against its successor

Cause: a failed listing asks for the candidate. If that replaced the known incarnation, the lister still reported the worker as unresponsive, after it had described the new one to the holder: the next starts would be refused as unhealthy until a listing and a ping had passed. Evidence: TestSuccessorIsNotUnresponsiveByTheFailuresBeforeIt failed before. Change: once another incarnation is known, the lister begins anew, without a pause. Result: sidecar/agent passes with -race.

--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -210,3 +210,18 @@
 	(&lister{agent: fresh}).listOnce(t.Context(), fresh.state.Load())
 	g.Expect(fresh.leftIncarnation.Load()).To(BeNil())
 }
+
+// Guards against a start that is refused for the failures of the incarnation before.
+func TestSuccessorIsNotUnresponsiveByTheFailuresBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{failure: context.DeadlineExceeded}
+	a, _ := linkedAgent(worker)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	l := &lister{agent: a}
+	l.listOnce(t.Context(), a.state.Load())
+	a.RecordHeartbeat(runs.Description{Incarnation: next, Address: ownAddress, Sequence: 1})
+	worker.failure, worker.incarnation = nil, next
+	l.listOnce(t.Context(), a.state.Load())
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+	g.Expect(a.unresponsive.Load()).To(BeFalse())
+}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -244,6 +244,10 @@
 		a.reportShutdown(d.Incarnation)
 	}
 	a.examineCandidate()
+	if !a.state.Load().Describes(d.Incarnation) {
+		l.failures, l.refusals = 0, 0 // they say nothing about the incarnation that is known now
+		return
+	}
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
