Ask for a refuted incarnation at most five times a second

Cause: each heartbeat of another start under the worker's ID raises the generation of the calls by one. A generation counts tenths of a second, so heartbeats that come more often than that take it ahead of the time of day, and so ahead of the next process of the sidecar: its calls to a new incarnation would not keep late ones of the earlier process off. Each heartbeat also cost a call to the worker. Evidence: TestHeartbeatsOfOthersRaiseTheGenerationNoFasterThanTime failed before: 50 heartbeats raised the generation by 50. Change: what was refuted within the last 200 ms, beside the same known incarnation, is refused without asking again.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -68,6 +68,8 @@
 	// candidate is an incarnation that has sent a heartbeat and has not answered, nil for none.
 	// It is asked again when the known one does not answer either.
 	candidate atomic.Pointer[runs.Description]
+	// refutation is the last one, nil before the first.
+	refutation atomic.Pointer[refutation]
 	// refused limits the log lines about heartbeats of other workers.
 	refused logging.RateLimit
 	// leftOut limits the log lines about rows left out of listings.
--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -54,11 +54,16 @@
 // one. The second result is false if the known one has changed meanwhile.
 func (a *Agent) recordOther(d *runs.Description) (acknowledged, decided bool) {
 	known := a.state.Load()
+	if a.wasRefuted(known, d) {
+		a.refuseHeartbeat(known.Description, d, gate.AnsweredAsAnother)
+		return false, true
+	}
 	evidence := a.examine(known, d)
 	switch {
 	case evidence == gate.AnsweredAsIt && a.isDenied(known, d):
 		return true, a.replaceWorker(known, d, evidence)
 	case evidence == gate.AnsweredAsAnother || (evidence == gate.NotAnswered && a.isElsewhere(d)):
+		a.recordRefutation(known, d, evidence)
 		a.refuseHeartbeat(known.Description, d, evidence)
 		return false, true
 	case known.Description == nil || a.workerIsGone():
@@ -68,6 +73,29 @@
 	return true, true
 }
 
+// refutedTime is how long a refuted incarnation is not asked for again. Each question under the
+// known ID raises the generation, which must not run ahead of that of a later process.
+const refutedTime = 200 * time.Millisecond
+
+// refutation is the last answer that another incarnation than the asked one lives at the
+// worker's address.
+type refutation struct {
+	known, refuted runs.Incarnation
+	at             time.Time
+}
+
+func (a *Agent) recordRefutation(known *gate.Worker, d *runs.Description, evidence gate.Evidence) {
+	if evidence == gate.AnsweredAsAnother && known.Description != nil {
+		a.refutation.Store(&refutation{known: known.Description.Incarnation, refuted: d.Incarnation, at: time.Now()})
+	}
+}
+
+// wasRefuted reports whether the incarnation was refuted a moment ago beside the same known one.
+func (a *Agent) wasRefuted(known *gate.Worker, d *runs.Description) bool {
+	r := a.refutation.Load()
+	return r != nil && r.refuted == d.Incarnation && known.Is(r.known) && time.Since(r.at) < refutedTime
+}
+
 // isElsewhere reports whether a worker says that it answers at another address.
 func (a *Agent) isElsewhere(d *runs.Description) bool {
 	return d.Address != "" && a.config.WorkerAddress != "" && d.Address != a.config.WorkerAddress
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -225,3 +226,17 @@
 	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
 	g.Expect(a.unresponsive.Load()).To(BeFalse())
 }
+
+// Guards against late calls that are not kept off: the generation ran ahead of the time of day,
+// and with it of the next process of the sidecar.
+func TestHeartbeatsOfOthersRaiseTheGenerationNoFasterThanTime(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&addressedWorker{incarnation: testIncarnation})
+	other := runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: testIncarnation.StartedAtMs + 1}
+	began := a.state.Load().Generation
+	for sequence := range uint64(50) {
+		g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: other, Sequence: sequence + 1})).To(BeFalse())
+	}
+	g.Expect(a.state.Load().Generation).To(BeNumerically("<=", began+5))
+	g.Expect(gate.NewWorker(time.Now().Add(time.Second)).Generation).To(BeNumerically(">", a.state.Load().Generation))
+}
