--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -14,8 +14,8 @@
 // acknowledged. After it was for a draining worker, no start is sent to that worker.
 //
 // A heartbeat is only a hint: it may be late, or that of another worker. Another incarnation
-// replaces the known one once it has answered at the worker's address, or once the known one
-// is gone.
+// replaces the known one once it has answered at the worker's address, which denies the known
+// one, or once the known one is gone.
 func (a *Agent) RecordHeartbeat(d runs.Description) bool {
 	for {
 		state := a.state.Load()
@@ -54,12 +54,16 @@
 // one. The second result is false if the known one has changed meanwhile.
 func (a *Agent) recordOther(d *runs.Description) (acknowledged, decided bool) {
 	known := a.state.Load()
+	if a.wasRefuted(known, d) {
+		a.refuseHeartbeat(known.Description, d, gate.AnsweredAsAnother)
+		return false, true
+	}
 	evidence := a.examine(known, d)
-	elsewhere := d.Address != "" && a.config.WorkerAddress != "" && d.Address != a.config.WorkerAddress
 	switch {
-	case evidence == gate.AnsweredAsIt:
+	case evidence == gate.AnsweredAsIt && a.isDenied(known, d):
 		return true, a.replaceWorker(known, d, evidence)
-	case evidence == gate.AnsweredAsAnother || elsewhere:
+	case evidence == gate.AnsweredAsAnother || (evidence == gate.NotAnswered && a.isElsewhere(d)):
+		a.recordRefutation(known, d, evidence)
 		a.refuseHeartbeat(known.Description, d, evidence)
 		return false, true
 	case known.Description == nil || a.workerIsGone():
@@ -69,6 +73,34 @@
 	return true, true
 }
 
+// refutedTime is how long a refuted incarnation is not asked for again. Each question under the
+// known ID raises the generation, which must not run ahead of that of a later process.
+const refutedTime = 200 * time.Millisecond
+
+// refutation is the last answer that another incarnation than the asked one lives at the
+// worker's address.
+type refutation struct {
+	known, refuted runs.Incarnation
+	at             time.Time
+}
+
+func (a *Agent) recordRefutation(known *gate.Worker, d *runs.Description, evidence gate.Evidence) {
+	if evidence == gate.AnsweredAsAnother && known.Description != nil {
+		a.refutation.Store(&refutation{known: known.Description.Incarnation, refuted: d.Incarnation, at: time.Now()})
+	}
+}
+
+// wasRefuted reports whether the incarnation was refuted a moment ago beside the same known one.
+func (a *Agent) wasRefuted(known *gate.Worker, d *runs.Description) bool {
+	r := a.refutation.Load()
+	return r != nil && r.refuted == d.Incarnation && known.Is(r.known) && time.Since(r.at) < refutedTime
+}
+
+// isElsewhere reports whether a worker says that it answers at another address.
+func (a *Agent) isElsewhere(d *runs.Description) bool {
+	return d.Address != "" && a.config.WorkerAddress != "" && d.Address != a.config.WorkerAddress
+}
+
 // setCandidate records the last heartbeat of an incarnation that has not answered.
 func (a *Agent) setCandidate(d *runs.Description) {
 	for {
@@ -98,19 +130,34 @@
 		suspect := func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) }
 		state = a.doubt(known.Description.Incarnation, doubtHeartbeat, suspect)
 	}
+	return a.ask(d.Incarnation, state)
+}
+
+// ask requests a listing of an incarnation, in a state of the worker that may describe another.
+func (a *Agent) ask(incarnation runs.Incarnation, state *gate.Worker) gate.Evidence {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	envelope := runs.Envelope{
-		Incarnation: d.Incarnation, Fence: runs.Fence{Epoch: a.holder.Load().Epoch, Generation: state.Generation},
+		Incarnation: incarnation, Fence: runs.Fence{Epoch: a.holder.Load().Epoch, Generation: state.Generation},
 	}
 	listing, answer, err := a.worker.List(ctx, envelope, 0, 0)
 	if err != nil {
 		return gate.NotAnswered
 	}
-	if answer.Result == runs.ResultOK && state.Describes(runs.Incarnation{ID: d.ID, StartedAtMs: listing.StartedAtMs}) {
+	if answer.Result == runs.ResultOK && state.Describes(runs.Incarnation{ID: incarnation.ID, StartedAtMs: listing.StartedAtMs}) {
 		a.confirmState(state)
 	}
-	return gate.Examine(d.Incarnation, state, answer.Result, listing.StartedAtMs)
+	return gate.Examine(incarnation, state, answer.Result, listing.StartedAtMs)
+}
+
+// isDenied reports whether the worker's address denies the known incarnation. An answer of
+// another one under the same ID has done so. Otherwise both may live there for a while, as at a
+// release, and the known one keeps its runs until it is gone.
+func (a *Agent) isDenied(known *gate.Worker, other *runs.Description) bool {
+	if known.Description == nil || known.Denied || known.Description.ID == other.ID {
+		return true
+	}
+	return a.ask(known.Description.Incarnation, known) == gate.AnsweredAsAnother
 }
 
 // refuseHeartbeat records a heartbeat of another worker than the one on this host.
@@ -193,15 +240,21 @@
 	if holderLink := a.holderLink.Load(); holderLink != nil {
 		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.epoch()))
 	}
+	verified := state.Verified
 	a.updateState(func(w gate.Worker) gate.Worker {
 		if !w.Describes(d.Incarnation) {
 			return w
 		}
+		verified = w.Verified
 		drained := *w.Description // a heartbeat may have come since
 		drained.Draining = true
 		w.Description = &drained
 		return w
 	})
+	if !verified {
+		a.log.Info().Str("worker", id).Msg("shutdown ignored of a worker that has never answered here")
+		return // that it does not answer here shows nothing
+	}
 	a.leaving.Store(&d.Incarnation)
 	a.log.Info().Str("worker", id).Msg("worker shutting down")
 	a.wakeLister()
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -153,3 +154,89 @@
 	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
 	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
 }
+
+// Guards against a sidecar that turns its own worker away, whose other address its heartbeats name.
+func TestOwnWorkerThatRefusesAnEarlierFenceIsNotTurnedAway(t *testing.T) {
+	g := NewWithT(t)
+	worker := &listingWorker{result: runs.ResultStaleEpoch}
+	a, _ := linkedAgent(worker)
+	fresh := New(a.config, worker, nil, a.metrics, a.log)
+	fresh.config.WorkerAddress = ownAddress
+	heartbeat := runs.Description{Incarnation: testIncarnation, Address: otherAddress, Sequence: 1}
+	g.Expect(fresh.RecordHeartbeat(heartbeat)).To(BeTrue())
+	g.Expect(fresh.state.Load().Describes(testIncarnation)).To(BeTrue())
+	g.Expect(fresh.state.Load().Verified).To(BeFalse(), "its start is not known")
+}
+
+// sharedAddress answers for two incarnations, as at a release whose workers share a port.
+type sharedAddress struct {
+	scriptedWorker
+	living map[string]runs.Incarnation
+}
+
+func (w *sharedAddress) List(_ context.Context, e runs.Envelope, _ uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
+	found, lives := w.living[e.Incarnation.ID]
+	if !lives {
+		return runs.Listing{}, runs.Answer{Result: runs.ResultOtherIncarnation}, nil
+	}
+	return runs.Listing{StartedAtMs: found.StartedAtMs}, runs.Answer{Result: runs.ResultOK, Clock: time.Minute}, nil
+}
+
+// Guards against TWICE: the successor of a worker that still runs its tasks replaced it.
+func TestWorkerThatStillAnswersIsKeptBesideItsSuccessor(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	address := &sharedAddress{living: map[string]runs.Incarnation{"w": testIncarnation, "x": next}}
+	a, _ := linkedAgent(address)
+	heartbeat := runs.Description{Incarnation: next, Address: ownAddress, Sequence: 1}
+	g.Expect(a.RecordHeartbeat(heartbeat)).To(BeTrue(), "it lives at the worker's address")
+	g.Expect(a.state.Load().Is(testIncarnation)).To(BeTrue())
+	g.Expect(a.state.Load().Confirmed).To(BeTrue())
+	delete(address.living, testIncarnation.ID)
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue(), "the known one has denied itself")
+}
+
+// Guards against runs that are given up: that a worker is not at this host's address says
+// nothing if it never was.
+func TestDepartureOfAWorkerThatNeverAnsweredIsNotReported(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{failure: context.DeadlineExceeded}
+	a, _ := linkedAgent(worker)
+	fresh := New(a.config, worker, nil, a.metrics, a.log)
+	neighbour := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	fresh.RecordHeartbeat(runs.Description{Incarnation: neighbour, Sequence: 1})
+	fresh.Deregister(neighbour.ID)
+	worker.failure, worker.incarnation = nil, testIncarnation
+	(&lister{agent: fresh}).listOnce(t.Context(), fresh.state.Load())
+	g.Expect(fresh.leftIncarnation.Load()).To(BeNil())
+}
+
+// Guards against a start that is refused for the failures of the incarnation before.
+func TestSuccessorIsNotUnresponsiveByTheFailuresBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{failure: context.DeadlineExceeded}
+	a, _ := linkedAgent(worker)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	l := &lister{agent: a}
+	l.listOnce(t.Context(), a.state.Load())
+	a.RecordHeartbeat(runs.Description{Incarnation: next, Address: ownAddress, Sequence: 1})
+	worker.failure, worker.incarnation = nil, next
+	l.listOnce(t.Context(), a.state.Load())
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+	g.Expect(a.unresponsive.Load()).To(BeFalse())
+}
+
+// Guards against late calls that are not kept off: the generation ran ahead of the time of day,
+// and with it of the next process of the sidecar.
+func TestHeartbeatsOfOthersRaiseTheGenerationNoFasterThanTime(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&addressedWorker{incarnation: testIncarnation})
+	other := runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: testIncarnation.StartedAtMs + 1}
+	began := a.state.Load().Generation
+	for sequence := range uint64(50) {
+		g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: other, Sequence: sequence + 1})).To(BeFalse())
+	}
+	g.Expect(a.state.Load().Generation).To(BeNumerically("<=", began+5))
+	g.Expect(gate.NewWorker(time.Now().Add(time.Second)).Generation).To(BeNumerically(">", a.state.Load().Generation))
+}
