Replace a worker's incarnation only once another one has listed

Cause: the holder took a description of another incarnation at its word unless it began earlier. It released the runs, forgot the ends that were read, and dropped records of incarnations that an earlier holder had used. The lease that a sidecar gave for the described incarnation was counted for the known one. Change: such a description is held as a candidate. Only a listing of the candidate, which the sidecar has from the worker's address, or the end of the known one's lease ends the known one's runs. A description of the known one ends the doubt, and so does a change of links, over which the sidecar describes its worker anew. A listing of the known one makes it usable again, but the candidate may still list: listings overtake each other. The wait by time for incarnations that began earlier is gone. The log line is now "other worker incarnation described".

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -243,9 +243,6 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.awaitExpiry(w.leaseExpiry)
 		}
-		if w.earlier != nil {
-			c.awaitExpiry(w.earlierFrom)
-		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
 			c.awaitExpiry(w.inheritedExpiry)
 		}
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -46,9 +46,9 @@
 	// DecidedEndsMissed reports ends that a worker lists no more although this holder has
 	// not read them.
 	DecidedEndsMissed DecisionKind = "ends missed"
-	// DecidedEarlierIncarnation reports a description of an incarnation that began before
-	// the known one.
-	DecidedEarlierIncarnation DecisionKind = "earlier worker incarnation described"
+	// DecidedOtherIncarnation reports a description of another incarnation than the known
+	// one, which has not listed its runs.
+	DecidedOtherIncarnation DecisionKind = "other worker incarnation described"
 	// DecidedWorkerQuarantined quarantines a worker: it gets no tasks for some
 	// time.
 	DecidedWorkerQuarantined DecisionKind = "worker quarantined"
--- /dev/null
+++ b/scheduler/dispatch/incarnation_test.go
@@ -0,0 +1,182 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// otherIncarnations are those that a heartbeat may name which reaches the sidecar of a worker
+// that lives.
+var otherIncarnations = map[string]runs.Incarnation{
+	"another ID, born later":         {ID: "v", StartedAtMs: 2000},
+	"another ID, born earlier":       {ID: "v", StartedAtMs: 500},
+	"the worker's ID, born later":    {ID: "w", StartedAtMs: 2000},
+	"the worker's ID, born earlier":  {ID: "w", StartedAtMs: 500},
+	"another ID, born with this one": {ID: "v", StartedAtMs: 1000},
+}
+
+// runTask starts the task on the worker, and returns its run.
+func (f *evidenceFixture) runTask() int {
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+	return run
+}
+
+// describe has the sidecar describe an incarnation of the worker.
+func (f *evidenceFixture) describe(i runs.Incarnation) {
+	f.core.DescribeWorker(evidenceHost, f.description(i))
+}
+
+// addFreeHost links another host, whose worker runs nothing.
+func (f *evidenceFixture) addFreeHost() {
+	const host = "free"
+	d := f.description(runs.Incarnation{ID: host, StartedAtMs: 7})
+	f.core.HostLinked(host, dispatch.Link{ID: 9, Process: 9})
+	f.core.HostPinged(host, 1)
+	f.core.DescribeWorker(host, d)
+	f.core.ApplyListing(dispatch.WorkerListing{Host: host, Incarnation: d.Incarnation, Number: 1, Requested: 1, Full: true})
+	f.core.Finish()
+	f.store()
+}
+
+// takeOver replaces the holder by one that knows of the given worker records and the job.
+func (f *evidenceFixture) takeOver(records ...dispatch.WorkerRecord) {
+	config := dispatch.Config{Epoch: 2, WorkerLease: testLease, InheritedLease: testAuthority + testLease}
+	f.core = dispatch.New(config, f.time(), records)
+	f.core.AddJob(f.job(), true)
+	f.addFreeHost()
+	f.link(2, 1)
+	f.core.HostFollows(evidenceHost)
+}
+
+// forgotten returns the incarnations whose records are removed now.
+func (f *evidenceFixture) forgotten() []runs.Incarnation {
+	f.core.Finish()
+	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
+	f.core.BatchStored(batch)
+	return batch.Forgotten
+}
+
+// Guards against TWICE: heartbeats of another worker released the runs of a live one.
+func TestDescriptionsOfAnotherIncarnationReleaseNothing(t *testing.T) {
+	for name, other := range otherIncarnations {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newEvidenceFixture()
+			run := f.runTask()
+			f.addFreeHost()
+			for number := uint64(2); number < 20; number++ {
+				f.describe(other)
+				g.Expect(f.starts()).To(BeEmpty())
+				f.advance(300 * time.Millisecond)
+				f.core.HostPinged(evidenceHost, number)
+				f.core.HostPinged("free", number)
+				f.describe(f.incarnation)
+				f.list(number, number, run)
+				g.Expect(f.starts()).To(BeEmpty())
+			}
+		})
+	}
+}
+
+func TestWorkerGetsNothingNewWhileItIsDescribedAsAnother(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.describe(otherIncarnations["another ID, born later"])
+	g.Expect(f.submit()).To(BeEmpty())
+	f.describe(f.incarnation)
+	f.list(2, 2)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// The answers of the sidecar's requests may overtake each other.
+func TestIncarnationThatListsAfterALateListingOfTheEarlierOneReplacesIt(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.runTask()
+	f.addFreeHost()
+	other := otherIncarnations["another ID, born later"]
+	f.describe(other)
+	f.list(2, 3, run)
+	g.Expect(f.starts()).To(BeEmpty())
+	f.incarnation = other
+	f.list(3, 3)
+	g.Expect(f.starts()).To(Equal([]int{run + 1}))
+}
+
+// A call names the ID of the incarnation that it is sent to.
+func TestRunOfAWorkerIsOverAtTheFirstListingOfOneWithAnotherID(t *testing.T) {
+	for _, other := range []runs.Incarnation{{ID: "v", StartedAtMs: 2000}, {ID: "v", StartedAtMs: 500}} {
+		g := NewWithT(t)
+		f := newEvidenceFixture()
+		f.runTask()
+		f.describe(other)
+		g.Expect(f.core.Finish().Decisions).NotTo(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+		f.core.ApplyListing(dispatch.WorkerListing{Host: evidenceHost, Incarnation: other, Number: 2, Requested: 2})
+		g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+	}
+}
+
+// Guards against TWICE: the lease of a worker was taken for that of another one.
+func TestLeaseLeftOfAnotherIncarnationIsNotThatOfTheKnownOne(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.runTask()
+	f.addFreeHost()
+	f.describe(otherIncarnations["another ID, born later"])
+	f.core.WorkerUnreachable(evidenceHost, 0)
+	f.advance(testLease)
+	g.Expect(f.starts()).To(BeEmpty())
+	f.core.HostPinged("free", 2)
+	f.advance(time.Second)
+	g.Expect(f.starts()).To(HaveLen(1), "its lease is over, and the sidecar reaches no worker")
+}
+
+// Guards against ends that are handled anew, and records that are dropped, after a heartbeat of
+// another worker.
+func TestStateOfAWorkerSurvivesDescriptionsOfAnotherOne(t *testing.T) {
+	for name, other := range otherIncarnations {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newEvidenceFixture()
+			ends := []runs.End{{Number: 1, Task: f.task, Run: f.runTask()}}
+			f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Ends: ends})
+			f.describe(other)
+			f.describe(f.incarnation)
+			f.list(3, 3)
+			g.Expect(f.forgotten()).To(BeEmpty())
+			out := f.core.Finish()
+			g.Expect(out.Orders).To(ConsistOf(HaveField("Acknowledged", uint64(1))))
+			ends = []runs.End{{Number: 2, Task: f.task, Run: 99}}
+			f.listing(dispatch.WorkerListing{Number: 4, Requested: 4, Ends: ends})
+			g.Expect(f.core.Finish().Decisions).NotTo(ContainElement(HaveField("Kind", dispatch.DecidedEndsMissed)))
+		})
+	}
+}
+
+// Guards against TWICE: a new holder took a heartbeat of another worker for the end of the one
+// that an earlier holder had used.
+func TestDescriptionOfAnotherIncarnationDoesNotEndTheWaitOfANewHolder(t *testing.T) {
+	for name, other := range otherIncarnations {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newEvidenceFixture()
+			f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+			f.describe(other)
+			f.core.WorkerUnreachable(evidenceHost, 0)
+			f.advance(testLease)
+			f.core.HostPinged("free", 2)
+			g.Expect(f.starts()).To(BeEmpty())
+			g.Expect(f.forgotten()).To(BeEmpty())
+			f.describe(f.incarnation)
+			f.list(1, 1, 1)
+			g.Expect(f.starts()).To(BeEmpty(), "its run is adopted")
+			g.Expect(f.forgotten()).NotTo(ContainElement(f.incarnation))
+		})
+	}
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -14,7 +14,7 @@
 	}
 	w.linked, w.link = true, link
 	w.listed, w.reachable, w.unresponsive, w.follows = false, false, false, false
-	w.lastPing = 0
+	w.candidate, w.lastPing = nil, 0
 }
 
 // HostFollows records that the sidecar of a host follows this holder.
@@ -59,6 +59,7 @@
 func (c *Core) HostLost(host string) {
 	w := c.worker(host)
 	w.linked, w.reachable, w.listed = false, false, false
+	w.candidate = nil
 	c.recordDecision(Decision{Kind: DecidedLinkLost, Host: host, Waited: w.leaseExpiry - c.now.Monotonic})
 }
 
@@ -71,7 +72,7 @@
 		return
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
-	if remaining >= 0 && remaining < c.config.WorkerLease {
+	if remaining >= 0 && remaining < c.config.WorkerLease && !c.isInDoubt(w) {
 		expiry := c.now.Monotonic + maxLeaseDuration(remaining)
 		w.leaseExpiry = min(w.leaseExpiry, expiry)
 		w.inheritedExpiry = min(w.inheritedExpiry, expiry)
@@ -79,6 +80,20 @@
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
 
+// isInDoubt reports whether what the sidecar of a host says of its worker's lease may be about
+// another incarnation than the one whose runs this holder waits for.
+func (c *Core) isInDoubt(w *workerState) bool {
+	if w.candidate != nil {
+		return true
+	}
+	for incarnation, host := range c.unreportedWorkers {
+		if host == w.host && w.description.ID != "" && w.description.Incarnation != incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // mayHaveInheritedRuns reports whether runs that an earlier holder started may
 // be active on the worker although it has not listed them.
 func (c *Core) mayHaveInheritedRuns(w *workerState) bool {
@@ -114,7 +129,6 @@
 // may have extended those that expired after Now.Held.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
-		c.acceptEarlier(w)
 		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
 			continue
 		}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -28,6 +28,7 @@
 // ApplyListing applies a worker's listing.
 func (c *Core) ApplyListing(l WorkerListing) {
 	w := c.worker(l.Host)
+	c.acceptCandidate(w, l.Incarnation)
 	if w.description.Incarnation != l.Incarnation {
 		return
 	}
@@ -62,7 +63,7 @@
 	if first {
 		c.recordIncarnation(w)
 		c.forgetReplaced(w)
-		c.forgetUnreported(w.host, w.description.Incarnation, false)
+		c.forgetUnreported(w.host, w.description.Incarnation)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
@@ -309,8 +310,8 @@
 	case runs.ResultStaleEpoch:
 		// The next holder resolves this run.
 	default:
-		// The worker's next description resolves the run of another incarnation, unless the
-		// worker was taken for one by mistake.
+		// The next listing resolves the run of another incarnation, unless the worker was
+		// taken for one by mistake.
 		r.inconclusive = true
 	}
 }
