Keep the record of a worker whose heartbeat reached another host's sidecar

What callers may see: tasks run twice after a takeover. Cause: records were looked up by incarnation alone. A worker's heartbeat may reach the sidecar of another host ("otherwise, the next node is called"). The holder took that worker for the host's own until the host's worker listed, and then had the record removed, though the worker goes on elsewhere. The next holder did not wait for it. Evidence: TestRecordOfAnotherHostsWorkerIsKept fails on the code before. Change: a record counts and is removed only for its host, and only for an incarnation that has listed there or has a record for that host.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -98,9 +98,9 @@
 	// used, and that have not yet listed their runs to this holder, to their
 	// hosts.
 	unreportedWorkers map[runs.Incarnation]string
-	// recordedIncarnations holds the worker incarnations that have a record in
-	// the store.
-	recordedIncarnations map[runs.Incarnation]bool
+	// recordedIncarnations maps the worker incarnations that have a record in the
+	// store to their hosts.
+	recordedIncarnations map[runs.Incarnation]string
 	// active lists the jobs that have not ended, in the order of acceptance.
 	active []*job
 	// ended lists the jobs that have ended, in the order of their end.
@@ -157,13 +157,13 @@
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
 		unreportedWorkers:    make(map[runs.Incarnation]string),
-		recordedIncarnations: make(map[runs.Incarnation]bool),
+		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
 	}
 	for _, w := range workers {
 		c.unreportedWorkers[w.Incarnation] = w.Host
-		c.recordedIncarnations[w.Incarnation] = true
+		c.recordedIncarnations[w.Incarnation] = w.Host
 	}
 	return c
 }
@@ -278,7 +278,7 @@
 	}
 	for incarnation, host := range c.unreportedWorkers {
 		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: host, Detail: incarnation.ID})
-		c.dropRecord(incarnation)
+		c.dropRecord(incarnation, host)
 	}
 	c.unreportedWorkers = make(map[runs.Incarnation]string)
 }
--- a/scheduler/dispatch/incarnation.go
+++ b/scheduler/dispatch/incarnation.go
@@ -61,12 +61,14 @@
 	if known {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.endIncarnation(w, d)
+	}
+	if w.hasListed || w.recorded {
 		w.replaced = append(w.replaced, w.description.Incarnation)
 	}
-	recorded := c.recordedIncarnations[d.Incarnation]
+	recorded := c.recordedIncarnations[d.Incarnation] == w.host
 	w.replaced = slices.DeleteFunc(w.replaced, func(i runs.Incarnation) bool { return i == d.Incarnation })
 	w.description = d
-	w.listed, w.recorded = false, recorded
+	w.listed, w.hasListed, w.recorded = false, false, recorded
 	w.lastEnd, w.pendingEnds, w.acknowledged = 0, nil, 0
 	w.followsEnds = known && !recorded
 	w.health = health{}
@@ -96,7 +98,7 @@
 // can begin any more.
 func (c *Core) forgetReplaced(w *workerState) {
 	for _, incarnation := range w.replaced {
-		c.dropRecord(incarnation)
+		c.dropRecord(incarnation, w.host)
 	}
 	w.replaced = nil
 }
--- a/scheduler/dispatch/incarnation_test.go
+++ b/scheduler/dispatch/incarnation_test.go
@@ -180,3 +180,20 @@
 		})
 	}
 }
+
+// Guards against TWICE: a worker's heartbeat reached the sidecar of another host, and the record
+// of the worker was dropped, so that a later holder did not wait for it.
+func TestRecordOfAnotherHostsWorkerIsKept(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	neighbour := runs.Incarnation{ID: "free", StartedAtMs: 7}
+	f.takeOver(dispatch.WorkerRecord{Incarnation: neighbour, Host: "free"})
+	f.describe(neighbour)
+	f.describe(f.incarnation)
+	f.list(1, 1)
+	g.Expect(f.forgotten()).To(BeEmpty())
+	f.describe(neighbour)
+	f.core.WorkerUnreachable(evidenceHost, -1)
+	f.advance(2 * testLease)
+	g.Expect(f.forgotten()).To(ConsistOf(f.incarnation))
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -109,7 +109,7 @@
 func (c *Core) WorkerShutDown(host string, incarnation runs.Incarnation) {
 	if _, unreported := c.unreportedWorkers[incarnation]; unreported {
 		delete(c.unreportedWorkers, incarnation)
-		c.dropRecord(incarnation)
+		c.dropRecord(incarnation, host)
 	}
 	w := c.workers[host]
 	if w == nil || w.description.Incarnation != incarnation {
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -32,7 +32,7 @@
 	if w.description.Incarnation != l.Incarnation {
 		return
 	}
-	w.reachable = w.linked
+	w.reachable, w.hasListed = w.linked, true
 	if w.unresponsive {
 		w.unresponsive = false
 		c.extendLease(w)
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -211,7 +211,7 @@
 
 func (c *Core) confirmIncarnations(b Batch) {
 	for _, record := range b.Workers {
-		c.recordedIncarnations[record.Incarnation] = true
+		c.recordedIncarnations[record.Incarnation] = record.Host
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
 		}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -24,6 +24,8 @@
 	unresponsive bool
 	// listed reports that the worker has listed its runs in this epoch.
 	listed bool
+	// hasListed reports that this incarnation has listed runs to this holder at some time.
+	hasListed bool
 	// lastPing is the number of the sidecar's last ping on the current link, zero
 	// before the first one.
 	lastPing uint64
@@ -98,7 +100,7 @@
 			continue
 		}
 		delete(c.unreportedWorkers, old)
-		c.dropRecord(old)
+		c.dropRecord(old, host)
 	}
 }
 
@@ -115,12 +117,16 @@
 		return
 	}
 	w.recorded = false
-	c.dropRecord(w.description.Incarnation)
+	c.dropRecord(w.description.Incarnation, w.host)
 }
 
-// dropRecord has the record of an incarnation removed. From now on the incarnation
-// counts as not recorded.
-func (c *Core) dropRecord(incarnation runs.Incarnation) {
+// dropRecord has the record of an incarnation of a host's worker removed. From now on the
+// incarnation counts as not recorded. Another host's worker keeps its record: its heartbeats
+// may reach the sidecar of any host.
+func (c *Core) dropRecord(incarnation runs.Incarnation, host string) {
+	if recordedHost, recorded := c.recordedIncarnations[incarnation]; recorded && recordedHost != host {
+		return
+	}
 	delete(c.recordedIncarnations, incarnation)
 	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, func(r WorkerRecord) bool { return r.Incarnation == incarnation })
 	if !slices.Contains(c.incarnationsToForget, incarnation) {
