Record a worker again that lists after its record was dropped

What callers may see: tasks run twice after a takeover. Cause: a new holder drops the records of workers that list nothing until the inherited leases are over. A worker that was described by then still counted as recorded, and got tasks as soon as it listed. A later holder did not know of it. Evidence: TestWorkerThatListsAfterItsRecordWasDroppedIsRecordedAgain fails on the code before. Change: dropping a record also marks the host's worker as not recorded. Result: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/incarnation_test.go
+++ b/scheduler/dispatch/incarnation_test.go
@@ -197,3 +197,19 @@
 	f.advance(2 * testLease)
 	g.Expect(f.forgotten()).To(ConsistOf(f.incarnation))
 }
+
+// Guards against TWICE: a worker whose record was dropped before it listed its runs got tasks
+// without a record, so that a later holder did not wait for it.
+func TestWorkerThatListsAfterItsRecordWasDroppedIsRecordedAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.advance(testAuthority + 2*testLease)
+	g.Expect(f.forgotten()).To(ConsistOf(f.incarnation))
+	f.core.HostPinged(evidenceHost, 2)
+	f.list(1, 1)
+	g.Expect(f.starts()).To(BeEmpty())
+	f.store()
+	g.Expect(f.starts()).To(HaveLen(1))
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -150,6 +150,5 @@
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
-	w.recorded = false
 	c.forgetAllUnreported(w.host)
 }
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -113,11 +113,9 @@
 // worker reports again, a new record is written before anything starts there.
 func (c *Core) forgetIncarnation(w *workerState) {
 	c.forgetReplaced(w)
-	if !w.recorded {
-		return
+	if w.recorded {
+		c.dropRecord(w.description.Incarnation, w.host)
 	}
-	w.recorded = false
-	c.dropRecord(w.description.Incarnation, w.host)
 }
 
 // dropRecord has the record of an incarnation of a host's worker removed. From now on the
@@ -128,6 +126,9 @@
 		return
 	}
 	delete(c.recordedIncarnations, incarnation)
+	if w := c.workers[host]; w != nil && w.description.Incarnation == incarnation {
+		w.recorded = false
+	}
 	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, func(r WorkerRecord) bool { return r.Incarnation == incarnation })
 	if !slices.Contains(c.incarnationsToForget, incarnation) {
 		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
