Let a listing undo a worker's departure, and wait for the exit of an inherited one

What callers may see: tasks run twice after a departure was reported of a worker that lives, at once if a new holder had not heard of the worker yet. Cause: a new holder dropped the record of a departed worker at once, whichever sidecar had reported it, and started what an earlier holder had started there. A known worker was marked as draining for good, so it got no tasks after it had listed again. Change: an incarnation that an earlier holder used counts as gone half a second after its own host's sidecar reported the departure, as a known one does, unless it lists before. A departure leaves the description as it is. TestNewHolderWaitsForTheListingOfARestartedWorker drops another worker by a departure first, so it lets the time for the exit pass now.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -94,10 +95,9 @@
 	queueByName map[carobkeel.QueueName]*carobkeel.Queue
 	jobs        map[carobkeel.JobID]*job
 	workers     map[string]*workerState
-	// unreportedWorkers maps the worker incarnations that the previous holder
-	// used, and that have not yet listed their runs to this holder, to their
-	// hosts.
-	unreportedWorkers map[runs.Incarnation]string
+	// unreportedWorkers holds the worker incarnations that the previous holder
+	// used, and that have not yet listed their runs to this holder.
+	unreportedWorkers map[runs.Incarnation]unreportedWorker
 	// recordedIncarnations maps the worker incarnations that have a record in the
 	// store to their hosts.
 	recordedIncarnations map[runs.Incarnation]string
@@ -156,13 +156,13 @@
 		queues:               &carobkeel.QueueConfig{},
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
-		unreportedWorkers:    make(map[runs.Incarnation]string),
+		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
 		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
 	}
 	for _, w := range workers {
-		c.unreportedWorkers[w.Incarnation] = w.Host
+		c.unreportedWorkers[w.Incarnation] = unreportedWorker{host: w.Host, goneFrom: math.MaxInt64}
 		c.recordedIncarnations[w.Incarnation] = w.Host
 	}
 	return c
@@ -247,8 +247,8 @@
 			c.awaitExpiry(w.inheritedExpiry)
 		}
 	}
-	if len(c.unreportedWorkers) > 0 {
-		c.awaitExpiry(c.inheritedExpiry)
+	for _, u := range c.unreportedWorkers {
+		c.awaitExpiry(c.expiryOf(u))
 	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
@@ -273,12 +273,15 @@
 }
 
 func (c *Core) expireInherited() {
-	if len(c.unreportedWorkers) == 0 || c.now.Held < c.inheritedExpiry {
-		return
-	}
-	for incarnation, host := range c.unreportedWorkers {
-		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: host, Detail: incarnation.ID})
-		c.dropRecord(incarnation, host)
+	for incarnation, u := range c.unreportedWorkers {
+		if c.now.Held < c.expiryOf(u) {
+			continue
+		}
+		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: u.host, Detail: incarnation.ID})
+		delete(c.unreportedWorkers, incarnation)
+		c.dropRecord(incarnation, u.host)
 	}
-	c.unreportedWorkers = make(map[runs.Incarnation]string)
 }
+
+// expiryOf returns the time from which no run of an unreported worker can go on.
+func (c *Core) expiryOf(u unreportedWorker) time.Duration { return min(c.inheritedExpiry, u.goneFrom) }
--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -331,6 +331,7 @@
 	f.core.DescribeWorker("free", free)
 	f.core.ApplyListing(dispatch.WorkerListing{Host: "free", Incarnation: free.Incarnation, Number: 1, Requested: 1, Full: true})
 	f.core.WorkerShutDown("other", runs.Incarnation{ID: "other", StartedAtMs: 5})
+	f.advance(justAfterExit)
 	f.core.Finish()
 	f.store()
 	f.link(1, 1)
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -86,8 +86,8 @@
 	if w.candidate != nil {
 		return true
 	}
-	for incarnation, host := range c.unreportedWorkers {
-		if host == w.host && w.description.ID != "" && w.description.Incarnation != incarnation {
+	for incarnation, u := range c.unreportedWorkers {
+		if u.host == w.host && w.description.ID != "" && w.description.Incarnation != incarnation {
 			return true
 		}
 	}
@@ -97,32 +97,33 @@
 // mayHaveInheritedRuns reports whether runs that an earlier holder started may
 // be active on the worker although it has not listed them.
 func (c *Core) mayHaveInheritedRuns(w *workerState) bool {
-	for _, host := range c.unreportedWorkers {
-		if host == w.host {
+	for _, u := range c.unreportedWorkers {
+		if u.host == w.host {
 			return true
 		}
 	}
 	return false
 }
 
-// WorkerShutDown records that a worker has shut down in an orderly way.
+// WorkerShutDown records that an incarnation of a host's worker has shut down. The sidecar
+// reports that once the incarnation does not answer at the worker's address any more. A
+// listing of it in the next moments refutes the report.
 func (c *Core) WorkerShutDown(host string, incarnation runs.Incarnation) {
-	if _, unreported := c.unreportedWorkers[incarnation]; unreported {
-		delete(c.unreportedWorkers, incarnation)
-		c.dropRecord(incarnation, host)
+	goneFrom := c.now.Monotonic + exitGrace
+	if u, unreported := c.unreportedWorkers[incarnation]; unreported && u.host == host {
+		u.goneFrom = goneFrom
+		c.unreportedWorkers[incarnation] = u
 	}
 	w := c.workers[host]
 	if w == nil || w.description.Incarnation != incarnation {
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
-	w.description.Draining = true
 	w.reachable, w.listed, w.unresponsive = false, false, true
-	w.leaseExpiry = min(w.leaseExpiry, c.now.Monotonic+exitGrace)
+	w.leaseExpiry = min(w.leaseExpiry, goneFrom)
 }
 
-// exitGrace is how long a worker may take to exit after it has announced its
-// shutdown.
+// exitGrace is how long a worker may take to exit after its departure was reported.
 const exitGrace = 500 * time.Millisecond
 
 // expireLeases releases the runs of workers whose lease has expired. A later holder
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -50,10 +50,10 @@
 			jobs++
 		}
 	}
-	for _, host := range c.unreportedWorkers {
+	for _, u := range c.unreportedWorkers {
 		c.heldBackReportedAt = c.now.Monotonic
 		c.recordDecision(Decision{
-			Kind: DecidedJobsHeldBack, Host: host, Waited: c.inheritedExpiry - c.now.Monotonic,
+			Kind: DecidedJobsHeldBack, Host: u.host, Waited: c.expiryOf(u) - c.now.Monotonic,
 			Detail: fmt.Sprintf("jobs=%d unreported=%d", jobs, len(c.unreportedWorkers)),
 		})
 		return
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -73,6 +73,13 @@
 	control  paceControl
 }
 
+// unreportedWorker is a worker incarnation that an earlier holder used.
+type unreportedWorker struct {
+	host string
+	// goneFrom is when it has certainly exited after its departure was reported.
+	goneFrom time.Duration
+}
+
 // markChanged records that a worker has changed, so that tasks may start there
 // that could not before.
 func (c *Core) markChanged(w *workerState) {
@@ -95,8 +102,8 @@
 // forgetUnreported drops the incarnations of a host's worker that began before the given
 // one, which has listed its runs.
 func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
-	for old, oldHost := range c.unreportedWorkers {
-		if oldHost != host || old == incarnation || old.StartedAtMs > incarnation.StartedAtMs {
+	for old, u := range c.unreportedWorkers {
+		if u.host != host || old == incarnation || old.StartedAtMs > incarnation.StartedAtMs {
 			continue
 		}
 		delete(c.unreportedWorkers, old)
