--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -94,13 +95,12 @@
 	queueByName map[carobkeel.QueueName]*carobkeel.Queue
 	jobs        map[carobkeel.JobID]*job
 	workers     map[string]*workerState
-	// unreportedWorkers maps the worker incarnations that the previous holder
-	// used, and that have not yet listed their runs to this holder, to their
-	// hosts.
-	unreportedWorkers map[runs.Incarnation]string
-	// recordedIncarnations holds the worker incarnations that have a record in
-	// the store.
-	recordedIncarnations map[runs.Incarnation]bool
+	// unreportedWorkers holds the worker incarnations that the previous holder
+	// used, and that have not yet listed their runs to this holder.
+	unreportedWorkers map[runs.Incarnation]unreportedWorker
+	// recordedIncarnations maps the worker incarnations that have a record in the
+	// store to their hosts.
+	recordedIncarnations map[runs.Incarnation]string
 	// active lists the jobs that have not ended, in the order of acceptance.
 	active []*job
 	// ended lists the jobs that have ended, in the order of their end.
@@ -156,14 +156,14 @@
 		queues:               &carobkeel.QueueConfig{},
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
-		unreportedWorkers:    make(map[runs.Incarnation]string),
-		recordedIncarnations: make(map[runs.Incarnation]bool),
+		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
+		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
 	}
 	for _, w := range workers {
-		c.unreportedWorkers[w.Incarnation] = w.Host
-		c.recordedIncarnations[w.Incarnation] = true
+		c.unreportedWorkers[w.Incarnation] = unreportedWorker{host: w.Host, goneFrom: math.MaxInt64}
+		c.recordedIncarnations[w.Incarnation] = w.Host
 	}
 	return c
 }
@@ -243,15 +243,12 @@
 		if !w.reachable && len(w.runs) > 0 {
 			c.awaitExpiry(w.leaseExpiry)
 		}
-		if w.earlier != nil {
-			c.awaitExpiry(w.earlierFrom)
-		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
 			c.awaitExpiry(w.inheritedExpiry)
 		}
 	}
-	if len(c.unreportedWorkers) > 0 {
-		c.awaitExpiry(c.inheritedExpiry)
+	for _, u := range c.unreportedWorkers {
+		c.awaitExpiry(c.expiryOf(u))
 	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
@@ -276,12 +273,15 @@
 }
 
 func (c *Core) expireInherited() {
-	if len(c.unreportedWorkers) == 0 || c.now.Held < c.inheritedExpiry {
-		return
-	}
-	for incarnation, host := range c.unreportedWorkers {
-		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: host, Detail: incarnation.ID})
-		c.dropRecord(incarnation)
+	for incarnation, u := range c.unreportedWorkers {
+		if c.now.Held < c.expiryOf(u) {
+			continue
+		}
+		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: u.host, Detail: incarnation.ID})
+		delete(c.unreportedWorkers, incarnation)
+		c.dropRecord(incarnation, u.host)
 	}
-	c.unreportedWorkers = make(map[runs.Incarnation]string)
 }
+
+// expiryOf returns the time from which no run of an unreported worker can go on.
+func (c *Core) expiryOf(u unreportedWorker) time.Duration { return min(c.inheritedExpiry, u.goneFrom) }
