Refuse a second hello on a link

A process that sends two hellos with two hosts made the second host's link its own, and the first host's stayed linked for good after the link had ended: run removes only the last host. Cause: handleHello set role, host and incarnation anew with each hello, while events of the link read them in the loop. Evidence: TestSecondHelloOnALinkIsRefused failed before. Change: a hello after the first ends the link. Result: the test passes with -race, with the other tests of hellos.

--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -128,6 +128,9 @@
 }
 
 func (p *peer) handleHello(f frame.Frame) error {
+	if p.role != 0 {
+		return errors.New("second hello on a link")
+	}
 	var hello wire.Hello
 	if err := wire.Decode(f, &hello); err != nil {
 		return err
--- a/scheduler/holder/peer_test.go
+++ b/scheduler/holder/peer_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/tinylib/msgp/msgp"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
@@ -22,6 +24,24 @@
 	return p
 }
 
+func newTestNode() *Node {
+	return New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(tally.NoopScope), logging.Discard().For("test"))
+}
+
+func receive(g Gomega, p *peer, kind frame.Type, message msgp.Marshaler) error {
+	f, err := wire.Encode(kind, message)
+	g.Expect(err).NotTo(HaveOccurred())
+	return p.handle(f)
+}
+
+// openLink returns a peer after the hello of a process of the host's sidecar, on its link with
+// a number.
+func openLink(g Gomega, n *Node, process, number uint64) (*peer, error) {
+	p := newSidecarPeer(n, "")
+	p.role = 0
+	return p, receive(g, p, wire.TypeHello, &wire.Hello{Role: wire.RoleSidecar, Host: "host", Incarnation: process, Link: number})
+}
+
 // The loss of the old link is handled after the new link has opened.
 func TestEndOfAnOldLinkDoesNotLoseARelinkedHost(t *testing.T) {
 	g := NewWithT(t)
@@ -61,14 +81,8 @@
 // its live one, and closed the live one.
 func TestLinkThatWasOpenedEarlierDoesNotReplaceALaterOne(t *testing.T) {
 	g := NewWithT(t)
-	n := New(Config{Host: "entry", Shard: "shard"}, memory.NewRows(), NewMetrics(tally.NoopScope), logging.Discard().For("test"))
-	hello := func(process, number uint64) (*peer, error) {
-		frame, err := wire.Encode(wire.TypeHello, &wire.Hello{Role: wire.RoleSidecar, Host: "host", Incarnation: process, Link: number})
-		g.Expect(err).NotTo(HaveOccurred())
-		p := newSidecarPeer(n, "")
-		p.role = 0
-		return p, p.handle(frame)
-	}
+	n := newTestNode()
+	hello := func(process, number uint64) (*peer, error) { return openLink(g, n, process, number) }
 	live, err := hello(7, 3)
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = hello(7, 2)
@@ -81,3 +95,16 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(restarted.isCurrent()).To(BeTrue(), "another process of the sidecar numbers anew")
 }
+
+// Guards against a host that stays linked after its link has ended, as a second hello gave the
+// link to another host.
+func TestSecondHelloOnALinkIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	p, err := openLink(g, n, 7, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(receive(g, p, wire.TypeHello, &wire.Hello{Role: wire.RoleSidecar, Host: "other", Incarnation: 7, Link: 2})).NotTo(Succeed())
+	_, linked := n.sidecars.Load("other")
+	g.Expect(linked).To(BeFalse())
+	g.Expect(p.isCurrent()).To(BeTrue())
+}
