Keep a sidecar's link that goes on when another process says hello for its host

A hello of any other process under a host's name closed the link of the live one. Two processes, or a stranger under the same name, then closed each other's links in turn. What a process says while its link is the current one counts for the host: one that woke after its generation was overtaken reports its worker as unreachable and its own lease as over, and the holder releases at once what runs under the lease that the other process extends. Cause: becomeCurrent compared the numbers of links of one process only. A hello says that a process has begun, not that the other one has ended; the data of a killed process may also arrive seconds later. Evidence: TestAnotherProcessDoesNotReplaceALinkThatGoesOn failed before. Change: a link of another process takes the place only of a link that has ended. TestLinkThatWasOpenedEarlierDoesNotReplaceALaterOne expected the replacement of a live link by another process; it now ends that link before, and the new test expects the refusal, so both sides are held.

--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -140,7 +140,7 @@
 		return nil
 	}
 	if !p.becomeCurrent() {
-		return errors.New("the host has opened a later link")
+		return errors.New("the host has a later link, or one of another process that goes on")
 	}
 	p.push(func(l *loop) {
 		l.core.HostLinked(p.host, p.coreLink())
@@ -150,8 +150,7 @@
 }
 
 // becomeCurrent makes the link the current one of its host and closes the one before. It
-// returns false if the same process has opened a later one, as a holder that was frozen
-// accepts the links of that time in any order.
+// returns false if that one has to stay.
 func (p *peer) becomeCurrent() bool {
 	for {
 		current, had := p.node.sidecars.LoadOrStore(p.host, p)
@@ -159,7 +158,7 @@
 			return true
 		}
 		old := current.(*peer)
-		if old.incarnation == p.incarnation && old.linkNumber > p.linkNumber {
+		if !p.mayReplace(old) {
 			return false
 		}
 		if p.node.sidecars.CompareAndSwap(p.host, old, p) {
@@ -169,6 +168,21 @@
 	}
 }
 
+// mayReplace reports whether the link may take the place of its host's current one. A holder
+// that was frozen accepts the links of that time in any order, and the hello of a process that
+// has ended may arrive late. So only the end of a link shows that its process has ended.
+func (p *peer) mayReplace(old *peer) bool {
+	if old.incarnation == p.incarnation {
+		return old.linkNumber <= p.linkNumber
+	}
+	select {
+	case <-old.link.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // push passes an event to the core if this node is the holder and the link is
 // the newest one of its host.
 func (p *peer) push(handle event) {
--- a/scheduler/holder/peer_test.go
+++ b/scheduler/holder/peer_test.go
@@ -91,11 +91,25 @@
 	next, err := hello(7, 4)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(next.isCurrent()).To(BeTrue())
+	next.link.Close()
 	restarted, err := hello(8, 1)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(restarted.isCurrent()).To(BeTrue(), "another process of the sidecar numbers anew")
 }
 
+// Guards against TWICE: two processes under one host's name closed each other's links, and what
+// the one knew of the worker's lease released what the other had started.
+func TestAnotherProcessDoesNotReplaceALinkThatGoesOn(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	live, err := openLink(g, n, 7, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = openLink(g, n, 8, 2)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(live.isCurrent()).To(BeTrue())
+	g.Expect(live.link.Done()).NotTo(BeClosed())
+}
+
 // Guards against a host that stays linked after its link has ended, as a second hello gave the
 // link to another host.
 func TestSecondHelloOnALinkIsRefused(t *testing.T) {
