Give each sidecar's process in the tests of the path an incarnation of its own

What callers saw: nothing; the tests started every process of a sidecar as incarnation 1, so a restarted one looked like the same process: its links and listings, which are numbered from one again, counted as earlier ones. Cause: a constant in startSidecar. Evidence: newIncarnation draws one for each process that is really started. Change: the incarnation is the number of the process.

--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -198,7 +198,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	a := agent.New(agent.Config{Host: host, Incarnation: 1, WorkerLease: testWorkerLease}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(f.sidecarMetrics), f.logger)
+	a := agent.New(agent.Config{Host: host, Incarnation: carobkeel.Incarnation(len(f.agents) + 1), WorkerLease: testWorkerLease}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(f.sidecarMetrics), f.logger)
 	go a.Run(ctx)
 	f.agents, f.stopAgents = append(f.agents, a), append(f.stopAgents, cancel)
 	return a, cancel
