Release no run by a listing that another process requested before it began

Where the link of a host passes to another process of its sidecar, the first listing over it released all runs that it lacked. That process may have requested the listing before the former one started them: it lists without a holder as well, and forwards what it has as soon as it knows one. A task then ran twice. Cause: the core takes every other process as the later one, as their numbers can't be compared (precedes in scheduler/dispatch/evidence.go). The generation of the calls orders their listings at the worker, but not at the holder. Evidence: TestListingOfAnEarlierProcessDoesNotReleaseALaterRun failed with the check switched off. The full chain of two live processes was not played. Change: after a change of the process, a listing shows what does not run only if it was requested after the first one over the link was sent; until then it counts as partial. That delays such a release by one listing after a sidecar's restart. Result: the test passes with -race, with the other tests of hellos.

--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -42,6 +42,11 @@
 	host        string
 	incarnation uint64
 	linkNumber  uint64
+	// followsOther reports that another process of the host's sidecar had the link before.
+	// provesAbsenceAfter is the number of the listing after which this one's listings then
+	// show what does not run, zero before the first one. The reading goroutine uses it.
+	followsOther       bool
+	provesAbsenceAfter uint64
 	// pinged is the sequence number of the peer's last ping.
 	pinged atomic.Uint64
 	// holderAge is how long before its last ping the peer had last received a
@@ -142,6 +147,8 @@
 	if !p.becomeCurrent() {
 		return errors.New("the host has a later link, or one of another process that goes on")
 	}
+	last, known := p.node.lastProcesses.Swap(p.host, p.incarnation)
+	p.followsOther = known && last != p.incarnation
 	p.push(func(l *loop) {
 		l.core.HostLinked(p.host, p.coreLink())
 		l.core.HostPinged(p.host, 0)
@@ -270,6 +277,9 @@
 	}
 	decoded, leftOut := listing.Decoded(p.host)
 	p.logLeftOut("rows of a listing", leftOut)
+	if !p.provesAbsence(&listing) {
+		decoded.Partial = true
+	}
 	return func(l *loop) {
 		if l.node.holderState.Load().Row.Epoch == listing.Epoch {
 			l.core.ApplyListing(decoded)
@@ -277,6 +287,19 @@
 	}, nil
 }
 
+// provesAbsence reports whether what a listing lacks does not run. The numbers of two
+// processes can't be compared, so one that follows another has to request a listing after
+// its first one has been sent: then that is later than all that the other one has reported.
+func (p *peer) provesAbsence(l *wire.Listing) bool {
+	if !p.followsOther {
+		return true
+	}
+	if p.provesAbsenceAfter == 0 {
+		p.provesAbsenceAfter = max(l.Requested, l.Number)
+	}
+	return l.Number > p.provesAbsenceAfter
+}
+
 // handleQuery answers a query of another entry.
 func (p *peer) handleQuery(f frame.Frame) error {
 	var query wire.Query
--- a/scheduler/holder/peer_test.go
+++ b/scheduler/holder/peer_test.go
@@ -9,11 +9,13 @@
 	"github.com/tinylib/msgp/msgp"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/frame"
 	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/table/memory"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // newSidecarPeer returns a peer of a host's sidecar whose link does not run.
@@ -122,3 +124,39 @@
 	g.Expect(linked).To(BeFalse())
 	g.Expect(p.isCurrent()).To(BeTrue())
 }
+
+// Guards against TWICE: a listing of an earlier process, requested before a run was started by
+// the present one, released that run.
+func TestListingOfAnEarlierProcessDoesNotReleaseALaterRun(t *testing.T) {
+	g := NewWithT(t)
+	l, present := newLeaseLoop()
+	n := l.node
+	n.lastProcesses.Store("host", present.incarnation)
+	present.link.Close()
+	task := carobkeel.TaskName{Job: "0000000000000001"}
+	l.core.AddJob(&carobkeel.JobSpec{ID: task.Job, Queue: carobkeel.Queue{Name: "quotes", MaxAttempts: 3}, Steps: []carobkeel.Step{{Count: 1}}}, true)
+	l.core.ApplyListing(dispatch.WorkerListing{
+		Host: "host", Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 1}, Number: 2, Requested: 2, Full: true,
+		Running: []runs.Running{{Task: task, Run: 1}},
+	})
+	l.core.Finish()
+	earlier, err := openLink(g, n, 7, 4)
+	g.Expect(err).NotTo(HaveOccurred())
+	released := func(number uint64) (runs int) {
+		g.Expect(receive(g, earlier, wire.TypeListing, &wire.Listing{
+			Incarnation: wire.WorkerIncarnation{ID: "w", StartedAtMs: 1}, Epoch: 1, Number: number, Requested: 41, Full: true,
+		})).To(Succeed())
+		for _, handle := range n.events.TryTake(nil) {
+			handle(l)
+		}
+		for _, d := range l.core.Finish().Decisions {
+			if d.Kind == dispatch.DecidedRunEnded {
+				runs++
+			}
+		}
+		return runs
+	}
+	g.Expect(released(40)).To(BeZero())
+	g.Expect(released(41)).To(BeZero(), "it was requested before the first one arrived")
+	g.Expect(released(42)).To(Equal(1))
+}
