Take a late hello under an earlier holder's host for no evidence that it has ended

A new holder counts the leases that earlier ones may still extend, and stops counting one as soon as another process says hello under its host's name. The hello of a process that ran there before that holder's began may arrive late: a kernel delivers what a killed process has sent, seconds later where the path was cut, and a frozen entry accepts it when it wakes. The new holder then took leases for expired up to 3.1 s too early, and started elsewhere what still ran: TWICE. Cause: observe compared the incarnation only and ignored the epoch that the process knew. Evidence: the new row of TestInheritedLeaseAfterHolderChanges failed before. Change: a message from before the holder's epoch shows nothing. A restarted entry pings the holder that the row names, so it knows that one's epoch, which is later. Two rows of the test observed restarted processes with epoch 0, which none sends; they now have the epoch of the present holder, and expect the same as before. Result: the test passes with -race.

--- a/scheduler/holder/predecessors.go
+++ b/scheduler/holder/predecessors.go
@@ -28,12 +28,16 @@
 
 // observe records that a process runs on a host and follows the holder of an
 // epoch. It returns whether that shows that an earlier holder has ended or stepped
-// down.
+// down. A message of a process that knew an earlier epoch only may have been sent before
+// that holder's process began.
 func (p predecessors) observe(host string, incarnation, epoch uint64, now time.Duration) bool {
 	ended := false
 	for i := range p {
 		old := &p[i]
-		if old.row.Host != host || (old.row.Incarnation == incarnation && epoch <= old.row.Epoch) {
+		if old.row.Host != host || epoch < old.row.Epoch {
+			continue
+		}
+		if old.row.Incarnation == incarnation && epoch == old.row.Epoch {
 			continue
 		}
 		if now < old.extendsUntil {
--- a/scheduler/holder/predecessors_test.go
+++ b/scheduler/holder/predecessors_test.go
@@ -27,11 +27,15 @@
 			p.observe("b", 2, 6, now)
 		}, lease},
 		{"both were restarted", func(p predecessors, now time.Duration) {
-			p.observe("a", 7, 0, now)
-			p.observe("b", 8, 0, now)
+			p.observe("a", 7, 6, now)
+			p.observe("b", 8, 6, now)
 		}, lease},
+		{"late messages of processes that ran there before", func(p predecessors, now time.Duration) {
+			p.observe("a", 7, 3, now)
+			p.observe("b", 8, 4, now)
+		}, authority + lease},
 		{"the last one was restarted, and the one before may live", func(p predecessors, now time.Duration) {
-			p.observe("b", 8, 0, now)
+			p.observe("b", 8, 6, now)
 		}, authority + lease - after},
 		{"the last one answers without knowing its successor", func(p predecessors, now time.Duration) {
 			p.observe("a", 1, 5, now)
