Count the leases of earlier holders that this process has not seen

A holder counts the leases of the holders that it saw replaced. An entry that starts, or whose feed skipped rows, has not seen those before the present row. If the last holder is then observed to have ended, for instance as it ran on this host, its lease alone was counted: one before that, cut off, may extend leases for 3 s after it was replaced. What runs on workers that only it reaches was started again up to 3.1 s too early: TWICE. Cause: recordPredecessor knew nothing of epochs that it had skipped. Evidence: two rows of TestHoldersThatThisProcessHasNotSeenMayExtendLeases failed with the change switched off. Change: a holder row whose epoch is not the next one stands for a holder that may extend leases until 3.1 s after this process saw that row. Only workers that have not listed to the new holder wait for it, for up to 3.1 s longer after an entry's start; nothing changes where all rows were seen. Result: the test passes with -race.

--- a/scheduler/holder/holder_row.go
+++ b/scheduler/holder/holder_row.go
@@ -67,13 +67,27 @@
 // recordPredecessor records that a newer holder row replaces the current one.
 func (l *loop) recordPredecessor(next *HolderState) {
 	l.predecessors.prune(next.Since, l.node.config.WorkerLease)
-	if old := l.node.holderState.Load(); old != nil && old.Row.Epoch > 0 && !old.Unreadable && old.Version < next.Version {
+	old := l.node.holderState.Load()
+	if next.hides(old) {
+		l.predecessors.add(wire.HolderRow{}, next.Since)
+	}
+	if old != nil && old.Row.Epoch > 0 && !old.Unreadable && old.Version < next.Version {
 		l.predecessors.add(old.Row, next.Since)
 		// This process doesn't extend leases under the earlier row any more.
 		l.predecessors.observe(l.node.config.Host, uint64(l.node.config.Incarnation), next.Row.Epoch, next.Since)
 	}
 }
 
+// hides reports whether there were holders between the known state, which may be nil, and s
+// that this process has not seen.
+func (s *HolderState) hides(known *HolderState) bool {
+	last := uint64(0)
+	if known != nil {
+		last = known.Row.Epoch
+	}
+	return s.Row.Epoch > last+1
+}
+
 // decodeHolder decodes the holder row.
 func decodeHolder(row table.VersionedRow) (wire.HolderRow, error) {
 	var holder wire.HolderRow
--- a/scheduler/holder/predecessors_test.go
+++ b/scheduler/holder/predecessors_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
 )
 
 func TestInheritedLeaseAfterHolderChanges(t *testing.T) {
@@ -62,3 +64,32 @@
 	p.prune(leaseAuthority+leaseAuthoritySlack+lease+1, lease)
 	g.Expect(p).To(BeEmpty())
 }
+
+// Guards against TWICE: an entry that restarted as the holder did not count the leases that the
+// holder before its own earlier process may extend.
+func TestHoldersThatThisProcessHasNotSeenMayExtendLeases(t *testing.T) {
+	const lease = 3 * time.Second
+	for _, c := range []struct {
+		name  string
+		known *HolderState
+		epoch uint64
+		want  time.Duration
+	}{
+		{"the first holder ever", nil, 1, lease},
+		{"a process that has just started", nil, 9, leaseAuthority + lease},
+		{"epochs that it missed", &HolderState{Row: wire.HolderRow{Epoch: 6, Host: "entry", Incarnation: 4}}, 9, leaseAuthority + lease},
+		{"no epoch missed", &HolderState{Row: wire.HolderRow{Epoch: 8, Host: "entry", Incarnation: 4}}, 9, lease},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newTestNode()
+			n.holderState.Store(c.known)
+			l := newLoop(n)
+			row := wire.HolderRow{Epoch: c.epoch, Host: n.config.Host, Incarnation: 5}
+			l.applyHolderRow(table.VersionedRow{RowID: n.holderRow(), Value: mustEncode(&row), Version: 3})
+			now := clock.Boottime()
+			l.recordPredecessor(&HolderState{Row: wire.HolderRow{Epoch: c.epoch + 1, Host: n.config.Host}, Version: 4, Since: now})
+			g.Expect(l.predecessors.remainingLease(now, lease)).To(BeNumerically("~", c.want, time.Second))
+		})
+	}
+}
