Remove only the known version of a worker's record

The holder removes the record of a worker whose lease has expired. If that transaction got no answer, it was sent again, and its first copy could be carried out seconds later: after the same worker had come back, been recorded anew and started tasks. The next holder then knew nothing of that worker. If it couldn't reach it, it didn't wait for its lease, and started its tasks a second time. Cause: the removal had no condition but the holder row, which was the same. Evidence: TestLateRemovalOfAWorkersRecordLeavesItsNewOne failed without the condition. Change: the removal is conditional on the version of the record, which the batches follow from the takeover on. An unknown version costs one more attempt. Result: the test passes with -race, with the other tests of records.

--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -31,6 +31,8 @@
 	batch  dispatch.Batch
 	// rows are the rows of the progress of the batch's jobs. They follow what is stored.
 	rows map[carobkeel.JobID]*progressRows
+	// workers are the versions of the records of workers, by key. They follow what is stored.
+	workers map[string]table.Version
 }
 
 // run stores the batch.
@@ -44,9 +46,8 @@
 	return nil
 }
 
-// transact executes a transaction. Every write is conditional on the holder row and on the
-// version of the row that it replaces, so that a transaction that is carried out late
-// changes nothing.
+// transact executes a transaction. Every write is conditional on the holder row, and each
+// that could do harm if it is carried out late on the version of the row that it replaces.
 func (w *batchWriter) transact(ctx context.Context, txn table.RowTransaction) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstRetryPause, maxRetryPause
@@ -72,11 +73,16 @@
 	}
 }
 
-// record follows the rows of progress that a transaction has written.
+// record follows the rows of progress and of workers that a transaction has written.
 func (w *batchWriter) record(writes []table.RowWrite, version table.Version) {
 	for _, write := range writes {
-		if write.Table == TableProgress {
+		switch {
+		case write.Table == TableProgress:
 			w.rows[jobOfProgressKey(write.Key)].record(write, version)
+		case write.Table == TableWorkers && write.Delete:
+			delete(w.workers, write.Key)
+		case write.Table == TableWorkers:
+			w.workers[write.Key] = version
 		}
 	}
 }
@@ -126,11 +132,20 @@
 		set(n.learnedRow(), mustEncode(wire.FromInterference(w.batch.Interference)))
 	}
 	for _, incarnation := range w.batch.Forgotten {
-		changes = append(changes, table.RowTransaction{Writes: []table.RowWrite{{RowID: n.workerRow(incarnation), Delete: true}}})
+		changes = append(changes, w.removeWorker(n.workerRow(incarnation)))
 	}
 	return changes
 }
 
+// removeWorker returns the change that removes the known version of a worker's record. The
+// worker may be recorded anew before the removal is carried out.
+func (w *batchWriter) removeWorker(id table.RowID) table.RowTransaction {
+	return table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: id, Version: w.workers[id.Key]}},
+		Writes:     []table.RowWrite{{RowID: id, Delete: true}},
+	}
+}
+
 // packTransactions joins changes, in their order, into as few transactions as the table
 // service accepts. Each has the given condition.
 func packTransactions(changes []table.RowTransaction, holds table.RowCondition) []table.RowTransaction {
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -9,6 +9,7 @@
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/table"
 )
 
 const (
@@ -64,6 +65,9 @@
 	singleBatches int
 	// progress has the rows of each job's progress, as this holder knows them.
 	progress map[carobkeel.JobID]*progressRows
+	// workerRows has the versions of the records of workers, by key. The batch in flight
+	// follows them.
+	workerRows map[string]table.Version
 	// pending maps the jobs that have not started to their queues.
 	pending map[carobkeel.JobID]carobkeel.QueueName
 	wake    time.Duration
--- a/scheduler/holder/records_test.go
+++ b/scheduler/holder/records_test.go
@@ -1,6 +1,8 @@
 package holder
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,6 +30,51 @@
 	g.Expect(records).To(Equal([]dispatch.WorkerRecord{{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 5}, Host: "h"}}))
 }
 
+// lateRows keeps the first transaction, which gets no answer, to be carried out later.
+type lateRows struct {
+	table.Rows
+	late *table.RowTransaction
+}
+
+func (r *lateRows) Transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
+	if r.late == nil {
+		txn.Conditions = slices.Clone(txn.Conditions)
+		r.late = &txn
+		return table.RowOutcome{}, table.ErrUnsettled
+	}
+	return r.Rows.Transact(ctx, txn)
+}
+
+// Guards against TWICE: a later holder knew nothing of a worker whose record was removed late,
+// after the worker was back, and did not wait for its lease.
+func TestLateRemovalOfAWorkersRecordLeavesItsNewOne(t *testing.T) {
+	g := NewWithT(t)
+	rows := &lateRows{Rows: memory.NewRows(), late: &table.RowTransaction{}}
+	n := New(Config{Shard: "shard"}, rows, nil, logging.Discard().For("test"))
+	worker := runs.Incarnation{ID: "w", StartedAtMs: 5}
+	versions := make(map[string]table.Version)
+	store := func(batch dispatch.Batch) {
+		w := &batchWriter{node: n, batch: batch, workers: versions}
+		g.Expect(w.run(t.Context())).To(Succeed())
+	}
+	record := dispatch.Batch{Workers: []dispatch.WorkerRecord{{Incarnation: worker, Host: "h"}}}
+	isRecorded := func() bool {
+		_, found, err := rows.Get(t.Context(), n.workerRow(worker))
+		g.Expect(err).NotTo(HaveOccurred())
+		return found
+	}
+	store(record)
+	rows.late = nil
+	store(dispatch.Batch{Forgotten: []runs.Incarnation{worker}})
+	g.Expect(isRecorded()).To(BeFalse())
+	store(record)
+	_, err := rows.Transact(t.Context(), *rows.late)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(isRecorded()).To(BeTrue())
+	store(dispatch.Batch{Forgotten: []runs.Incarnation{worker}})
+	g.Expect(isRecorded()).To(BeFalse())
+}
+
 func TestHolderRowThatNamesNoHolderMayHideOne(t *testing.T) {
 	g := NewWithT(t)
 	n := New(Config{Shard: "shard"}, memory.NewRows(), nil, logging.Discard().For("test"))
--- a/scheduler/holder/store.go
+++ b/scheduler/holder/store.go
@@ -46,6 +46,8 @@
 		holder: *l.node.holderState.Load(),
 		batch:  batch,
 		rows:   make(map[carobkeel.JobID]*progressRows),
+		// Only the batch in flight uses the map.
+		workers: l.workerRows,
 	}
 	for _, p := range batch.Progress {
 		writer.rows[p.Job] = l.progressRows(p.Job)
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -246,6 +246,10 @@
 		WorkerLease:    n.config.WorkerLease,
 		InheritedLease: l.predecessors.remainingLease(clock.Boottime(), n.config.WorkerLease),
 	}, l.now(), n.decodeWorkers(t.workers))
+	l.workerRows = make(map[string]table.Version)
+	for _, row := range t.workers {
+		l.workerRows[row.Key] = row.Version
+	}
 	l.core.SetQueues(n.queues.Load())
 	l.restoreInterference(t.interference)
 	slices.SortFunc(t.jobs, func(a, b table.VersionedRow) int { return cmp.Compare(a.Version, b.Version) })
