Keep a late registration of an entry's earlier process from replacing that of the next

An entry writes its row once, without a condition. The write of a process that ended may be carried out seconds later, over the row of the process that follows it under the same host. If that one has another address, sidecars that don't have it as a seed never link to it, and nothing ever corrects the row. Cause: Register wrote the row unconditionally. Evidence: TestLateRowOfAnEarlierProcessDoesNotReplaceThatOfTheNext failed without the condition. Change: the row is read first and replaced by its version; a row that has the value already, as of an attempt without an answer, is left. It costs one read at a start.

--- a/scheduler/directory/directory.go
+++ b/scheduler/directory/directory.go
@@ -3,6 +3,7 @@
 package directory
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"time"
@@ -23,7 +24,8 @@
 const retryInterval = 200 * time.Millisecond
 
 // Register writes the row of an entry. It retries until it succeeds or the context
-// ends.
+// ends. The write is conditional on the row that it replaces, so that one of an earlier
+// process that is carried out late does not replace it in turn.
 func Register(ctx context.Context, rows table.Rows, host string, incarnation carobkeel.Incarnation, address string, logger *log.Logger) {
 	row := wire.EntryRow{Host: host, Incarnation: uint64(incarnation), Address: address}
 	value, err := row.MarshalMsg(nil)
@@ -31,9 +33,8 @@
 		logger.Error().Err(err).Msg("directory row of this entry could not be encoded")
 		return
 	}
-	txn := table.RowTransaction{Writes: []table.RowWrite{{RowID: rowID(host), Value: value}}}
 	for ctx.Err() == nil {
-		if _, err = rows.Transact(ctx, txn); err == nil {
+		if err = replaceRow(ctx, rows, rowID(host), value); err == nil {
 			return
 		}
 		logger.Warn().Err(err).Msg("directory row of this entry not written yet, retrying")
@@ -43,6 +44,28 @@
 	}
 }
 
+// errReplaced reports that another process has written the row since it was read.
+var errReplaced = errors.New("row replaced meanwhile")
+
+// replaceRow writes a row unless it has the value already.
+func replaceRow(ctx context.Context, rows table.Rows, id table.RowID, value []byte) error {
+	row, found, err := rows.Get(ctx, id)
+	if err != nil {
+		return err
+	}
+	if found && bytes.Equal(row.Value, value) {
+		return nil
+	}
+	outcome, err := rows.Transact(ctx, table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: id, Version: row.Version}},
+		Writes:     []table.RowWrite{{RowID: id, Value: value}},
+	})
+	if err == nil && !outcome.Applied {
+		err = errReplaced
+	}
+	return err
+}
+
 func rowID(host string) table.RowID { return table.RowID{Table: tableName, Key: host} }
 
 // Reader reads the list of entries. It is used by one goroutine at a time.
--- a/scheduler/directory/directory_test.go
+++ b/scheduler/directory/directory_test.go
@@ -46,3 +46,33 @@
 	g.Expect(reader.Addresses(context.Background())).To(HaveLen(1))
 	g.Expect(strings.Count(out.String(), "left out")).To(Equal(len(odd)+1), "a changed row is logged again")
 }
+
+// lateRows answers no transaction, and keeps the first one to be carried out later.
+type lateRows struct {
+	table.Rows
+	late   *table.RowTransaction
+	giveUp context.CancelFunc
+}
+
+func (r *lateRows) Transact(_ context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
+	r.late = &txn
+	r.giveUp()
+	return table.RowOutcome{}, table.ErrUnsettled
+}
+
+// Guards against an entry that no sidecar finds: the late write of its earlier process gave its
+// row an address where nothing listens.
+func TestLateRowOfAnEarlierProcessDoesNotReplaceThatOfTheNext(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	logger := logging.Discard().For("test")
+	ctx, cancel := context.WithCancel(t.Context())
+	earlier := &lateRows{Rows: rows, giveUp: cancel}
+	directory.Register(ctx, earlier, "edge", 1, "10.0.0.1:7720", logger)
+	directory.Register(t.Context(), rows, "edge", 2, "10.0.0.2:7720", logger)
+	_, err := rows.Transact(t.Context(), *earlier.late)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(directory.NewReader(rows, logger).Addresses(t.Context())).To(Equal([]string{"10.0.0.2:7720"}))
+	directory.Register(t.Context(), rows, "edge", 3, "10.0.0.3:7720", logger)
+	g.Expect(directory.NewReader(rows, logger).Addresses(t.Context())).To(Equal([]string{"10.0.0.3:7720"}))
+}
