Keep the last address of an entry whose row another writer has spoilt

Sidecars end their links to entries that are not listed. A row that can't be read was left out of the list, so bytes of another writer in the row of the holder ended the links of all sidecars to it that don't have it as a seed, within 5 s. Cause: an unreadable row was taken for an entry that is gone. Change: a row without a usable address keeps the last one that the reader has seen. A row that was removed is left out as before.

--- a/scheduler/directory/directory.go
+++ b/scheduler/directory/directory.go
@@ -74,6 +74,8 @@
 	log  *log.Logger
 	// leftOut has the versions of the rows that were left out at the last read.
 	leftOut map[string]table.Version
+	// known has the last usable address of each row that there was at the last read.
+	known map[string]string
 }
 
 // NewReader returns a reader of the list of entries.
@@ -82,18 +84,25 @@
 }
 
 // Addresses returns the addresses on which the listed entries accept links. A row
-// without a usable address is left out, and logged when it changes.
+// without a usable address is left out, and logged when it changes. If it had one before,
+// that one is returned: another writer's row doesn't show that the entry has ended.
 func (r *Reader) Addresses(ctx context.Context) ([]string, error) {
 	scan, err := table.ScanAll(ctx, r.rows, tableName, "")
 	if err != nil {
 		return nil, err
 	}
 	var addresses []string
-	leftOut := make(map[string]table.Version)
+	leftOut, known := make(map[string]table.Version), make(map[string]string)
 	for _, row := range scan.Rows {
 		address, err := decodeAddress(row.Value)
-		if err == nil {
+		if err != nil {
+			address = r.known[row.Key]
+		}
+		if address != "" {
 			addresses = append(addresses, address)
+			known[row.Key] = address
+		}
+		if err == nil {
 			continue
 		}
 		leftOut[row.Key] = row.Version
@@ -101,7 +110,7 @@
 			r.log.Warn().Err(err).Str("host", row.Key).Msg("directory row of an entry left out")
 		}
 	}
-	r.leftOut = leftOut
+	r.leftOut, r.known = leftOut, known
 	return addresses, nil
 }
 
--- a/scheduler/directory/directory_test.go
+++ b/scheduler/directory/directory_test.go
@@ -76,3 +76,19 @@
 	directory.Register(t.Context(), rows, "edge", 3, "10.0.0.3:7720", logger)
 	g.Expect(directory.NewReader(rows, logger).Addresses(t.Context())).To(Equal([]string{"10.0.0.3:7720"}))
 }
+
+// Guards against a holder without links: a row that another writer had spoilt ended the links of
+// all sidecars to a live entry.
+func TestSpoiltRowOfAnEntryKeepsItsLastAddress(t *testing.T) {
+	g := NewWithT(t)
+	rows := memory.NewRows()
+	logger := logging.Discard().For("test")
+	directory.Register(t.Context(), rows, "edge", 1, "10.0.0.1:7720", logger)
+	reader := directory.NewReader(rows, logger)
+	g.Expect(reader.Addresses(t.Context())).To(HaveLen(1))
+	write(g, rows, "edge", []byte{0xc1})
+	for range 2 {
+		g.Expect(reader.Addresses(t.Context())).To(Equal([]string{"10.0.0.1:7720"}))
+	}
+	g.Expect(directory.NewReader(rows, logger).Addresses(t.Context())).To(BeEmpty())
+}
