Keep a choice among sidecars from ending the process while the last one drains

A choice draws two members. If the only one left was marked as draining or ejected by another request between the draws, the second draw was nil, and comparing it ended the entry's process with all its requests. Cause: cheaperOfTwo took it that a member that was available a moment ago still is. Change: without a second one the first is taken; its link refuses the request if it drains, and the request goes on as it does today.

--- a/sidecar/pick.go
+++ b/sidecar/pick.go
@@ -80,7 +80,8 @@
 		return nil
 	}
 	second := nextAvailable(members, (c.Random&0xffffffff)%count, c.Tried, now)
-	if isCheaper(second, first, c.Class, now) {
+	// The first one may have become unavailable since.
+	if second != nil && isCheaper(second, first, c.Class, now) {
 		return second
 	}
 	return first
--- a/sidecar/pick_test.go
+++ b/sidecar/pick_test.go
@@ -299,3 +299,28 @@
 		pool.Pick(sidecar.PickOptions{From: "near", Random: rand.Uint64(), Now: afterSlowStart})
 	})).To(BeZero())
 }
+
+// Guards against the end of the whole process: the only member became unavailable between the two
+// draws of a choice.
+func TestPickWhileTheOnlyMemberBecomesUnavailable(t *testing.T) {
+	const picks = 50_000
+	g := NewWithT(t)
+	view, members := announceFleet("near")
+	pool := view.Pool("echo")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for sequence := uint64(2); sequence < picks; sequence++ {
+			members[0].Stats.MarkDraining()
+			a := members[0].Announcement
+			a.Sequence = sequence
+			view, _ = view.ApplyAnnouncement(a, start)
+		}
+	}()
+	g.Expect(func() {
+		for range picks {
+			pool.Pick(sidecar.PickOptions{From: "near", Now: afterSlowStart})
+		}
+	}).NotTo(Panic())
+	<-done
+}
