Accept links again after an error of one connection

An entry that once had too many open files, while a host's sidecars dialled anew for instance, accepted no link any more, yet it went on as ready, and as the holder: the sidecars that dial it later are never reached. Cause: the first error of Accept ended the loop, in the listeners of links, of event links and of the request path. The HTTP servers go on after such an error. Evidence: a trial whose listener fails once with EMFILE: Serve returned the error at once before, and goes on now.

--- a/entry/eventlink/endpoints.go
+++ b/entry/eventlink/endpoints.go
@@ -41,21 +41,14 @@
 
 // Run accepts links from the listener until ctx ends.
 func (l *Listener) Run(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	return link.Accept(ctx, listener, func(err error) {
+		l.log.Error().Err(err).Msg("failed to accept event links")
+	}, func(conn net.Conn) {
 		go func() {
 			err := l.run(ctx, link.New(conn, l.timing), func() {})
 			l.log.Debug().Str("peer", conn.RemoteAddr().String()).Err(err).Msg("event link ended")
 		}()
-	}
+	})
 }
 
 // Dialer is the dialling end of event links: it maintains a link to each of
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -64,20 +64,13 @@
 
 // Run accepts links from the listener until ctx ends.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
 	go s.slotQueue.run(ctx)
 	go s.sweep(ctx)
-	for {
-		conn, err := listener.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
+	return link.Accept(ctx, listener, func(err error) {
+		s.log.Error().Err(err).Msg("failed to accept links")
+	}, func(conn net.Conn) {
 		go s.serveLink(ctx, conn)
-	}
+	})
 }
 
 func (s *Server) serveLink(ctx context.Context, conn net.Conn) {
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -58,19 +58,12 @@
 
 // Serve accepts links from other processes until ctx ends.
 func (n *Node) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept link")
-		}
+	return link.Accept(ctx, listener, func(err error) {
+		n.log.Error().Err(err).Msg("failed to accept links")
+	}, func(conn net.Conn) {
 		p := n.newPeer(conn)
 		go p.run(ctx)
-	}
+	})
 }
 
 // newPeer returns a peer that has dialled this node.
