--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -42,6 +42,11 @@
 	host        string
 	incarnation uint64
 	linkNumber  uint64
+	// followsOther reports that another process of the host's sidecar had the link before.
+	// provesAbsenceAfter is the number of the listing after which this one's listings then
+	// show what does not run, zero before the first one. The reading goroutine uses it.
+	followsOther       bool
+	provesAbsenceAfter uint64
 	// pinged is the sequence number of the peer's last ping.
 	pinged atomic.Uint64
 	// holderAge is how long before its last ping the peer had last received a
@@ -53,19 +58,12 @@
 
 // Serve accepts links from other processes until ctx ends.
 func (n *Node) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept link")
-		}
+	return link.Accept(ctx, listener, func(err error) {
+		n.log.Error().Err(err).Msg("failed to accept links")
+	}, func(conn net.Conn) {
 		p := n.newPeer(conn)
 		go p.run(ctx)
-	}
+	})
 }
 
 // newPeer returns a peer that has dialled this node.
@@ -128,6 +126,9 @@
 }
 
 func (p *peer) handleHello(f frame.Frame) error {
+	if p.role != 0 {
+		return errors.New("second hello on a link")
+	}
 	var hello wire.Hello
 	if err := wire.Decode(f, &hello); err != nil {
 		return err
@@ -137,8 +138,10 @@
 		return nil
 	}
 	if !p.becomeCurrent() {
-		return errors.New("the host has opened a later link")
+		return errors.New("the host has a later link, or one of another process that goes on")
 	}
+	last, known := p.node.lastProcesses.Swap(p.host, p.incarnation)
+	p.followsOther = known && last != p.incarnation
 	p.push(func(l *loop) {
 		l.core.HostLinked(p.host, p.coreLink())
 		l.core.HostPinged(p.host, 0)
@@ -147,8 +150,7 @@
 }
 
 // becomeCurrent makes the link the current one of its host and closes the one before. It
-// returns false if the same process has opened a later one, as a holder that was frozen
-// accepts the links of that time in any order.
+// returns false if that one has to stay.
 func (p *peer) becomeCurrent() bool {
 	for {
 		current, had := p.node.sidecars.LoadOrStore(p.host, p)
@@ -156,7 +158,7 @@
 			return true
 		}
 		old := current.(*peer)
-		if old.incarnation == p.incarnation && old.linkNumber > p.linkNumber {
+		if !p.mayReplace(old) {
 			return false
 		}
 		if p.node.sidecars.CompareAndSwap(p.host, old, p) {
@@ -166,6 +168,21 @@
 	}
 }
 
+// mayReplace reports whether the link may take the place of its host's current one. A holder
+// that was frozen accepts the links of that time in any order, and the hello of a process that
+// has ended may arrive late. So only the end of a link shows that its process has ended.
+func (p *peer) mayReplace(old *peer) bool {
+	if old.incarnation == p.incarnation {
+		return old.linkNumber <= p.linkNumber
+	}
+	select {
+	case <-old.link.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // push passes an event to the core if this node is the holder and the link is
 // the newest one of its host.
 func (p *peer) push(handle event) {
@@ -253,6 +270,9 @@
 	}
 	decoded, leftOut := listing.Decoded(p.host)
 	p.logLeftOut("rows of a listing", leftOut)
+	if !p.provesAbsence(&listing) {
+		decoded.Partial = true
+	}
 	return func(l *loop) {
 		if l.node.holderState.Load().Row.Epoch == listing.Epoch {
 			l.core.ApplyListing(decoded)
@@ -260,6 +280,19 @@
 	}, nil
 }
 
+// provesAbsence reports whether what a listing lacks does not run. The numbers of two
+// processes can't be compared, so one that follows another has to request a listing after
+// its first one has been sent: then that is later than all that the other one has reported.
+func (p *peer) provesAbsence(l *wire.Listing) bool {
+	if !p.followsOther {
+		return true
+	}
+	if p.provesAbsenceAfter == 0 {
+		p.provesAbsenceAfter = max(l.Requested, l.Number)
+	}
+	return l.Number > p.provesAbsenceAfter
+}
+
 // handleQuery answers a query of another entry.
 func (p *peer) handleQuery(f frame.Frame) error {
 	var query wire.Query
