Write the message of each log line right behind time, level and part

Cause: the logger writes the message as the last field of a JSON line. Change: a writer in internal/logging moves a line's message in front of the other fields. TestBoundedLoggerNeverBlocksAndCountsDroppedLines held the old order of the line "lines dropped"; it now holds the new one, up to the end of the line.

--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -37,7 +37,7 @@
 	g.Expect(f.Close()).To(Succeed())
 	written := strings.Count(out.text.String(), `"message":"line"`)
 	g.Expect(written).To(BeNumerically("<=", 2*buffered))
-	g.Expect(out.text.String()).To(MatchRegexp(`"level":"warn","part":"log","lines":\d+,"message":"lines dropped"`))
+	g.Expect(out.text.String()).To(MatchRegexp(`"level":"warn","part":"log","message":"lines dropped","lines":\d+}`))
 }
 
 func TestCloseWritesBufferedLines(t *testing.T) {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,5 +1,5 @@
 // Package logging creates the loggers of the components. A line begins with the
-// time, the level and the name of the component that wrote it.
+// time, the level, the name of the component that wrote it and the message.
 package logging
 
 import (
@@ -39,21 +39,16 @@
 
 // Factory creates loggers that share one configuration and one destination.
 type Factory struct {
-	level  log.Level
-	writer log.Writer
+	level log.Level
+	out   io.Writer
+	json  bool
 	// closer writes the buffered lines, nil for a factory without a buffer.
 	closer io.Closer
 }
 
 // NewFactory returns a factory that writes to out.
 func NewFactory(c Config, out io.Writer) *Factory {
-	f := &Factory{level: log.ParseLevel(c.Level)}
-	if c.JSON {
-		f.writer = log.IOWriter{Writer: out}
-		return f
-	}
-	f.writer = &log.ConsoleWriter{Writer: out, Formatter: formatLine}
-	return f
+	return &Factory{level: log.ParseLevel(c.Level), out: out, json: c.JSON}
 }
 
 // NewBoundedFactory returns a factory whose loggers never block: lines that exceed
@@ -84,9 +79,16 @@
 func (f *Factory) For(component string) *log.Logger {
 	return &log.Logger{
 		Level:   f.level,
-		Writer:  f.writer,
-		Context: log.NewContext(nil).Str("part", component).Value(),
+		Writer:  f.writer(component),
+		Context: log.NewContext(nil).Str(partField, component).Value(),
+	}
+}
+
+func (f *Factory) writer(component string) log.Writer {
+	if f.json {
+		return log.IOWriter{Writer: newMessageFirst(f.out, component)}
 	}
+	return &log.ConsoleWriter{Writer: f.out, Formatter: formatLine}
 }
 
 func formatLine(w io.Writer, args *log.FormatterArgs) (int, error) {
@@ -95,11 +97,11 @@
 	line = append(line, ' ')
 	line = append(line, args.Level...)
 	line = append(line, ' ')
-	line = append(line, args.Get("part")...)
+	line = append(line, args.Get(partField)...)
 	line = append(line, ": "...)
 	line = append(line, args.Message...)
 	for _, field := range args.KeyValues {
-		if field.Key == "part" {
+		if field.Key == partField {
 			continue
 		}
 		line = append(line, ' ')
