Name events without apostrophes, so that a search finds their lines

What callers saw: a search for `worker's lease expired`, as the operations page advises, finds no line. Cause: the logger escapes an apostrophe as \u0027.

--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -60,7 +60,7 @@
 	// DecidedAdviceReceived applies the advice service's answer for a step.
 	DecidedAdviceReceived DecisionKind = "advice received"
 	// DecidedLeaseExpired releases the runs of a worker whose lease has expired.
-	DecidedLeaseExpired DecisionKind = "worker's lease expired"
+	DecidedLeaseExpired DecisionKind = "worker lease expired"
 	// DecidedInheritedLeaseExpired drops a worker that never listed its runs to this
 	// holder.
 	DecidedInheritedLeaseExpired DecisionKind = "inherited lease expired"
--- a/scheduler/runner/runner.go
+++ b/scheduler/runner/runner.go
@@ -216,7 +216,7 @@
 	}
 	txn, err := r.store.LeaseTransaction(write)
 	if err != nil {
-		r.config.Log.Error().Err(err).Msg("Can't encode the lease")
+		r.config.Log.Error().Err(err).Msg("cannot encode the lease")
 		return
 	}
 	r.leaseWrite, r.leaseTxn = write, &txn
@@ -284,7 +284,7 @@
 		r.lazyWrittenAt = now
 		txn, err := r.store.BatchTransaction(r.batch, r.lease.EpochVersion())
 		if err != nil {
-			r.config.Log.Error().Err(err).Msg("Can't encode a batch")
+			r.config.Log.Error().Err(err).Msg("cannot encode a batch")
 			r.stepDown("a batch can't be encoded")
 			return
 		}
