Put the reason of a line right behind its message, and ids behind the reason

Cause: fields were written in the order of ids first. Evidence: the users' record has no line with a detail. Change: decisions write detail, task, run, host, and then epoch, queue and ms; the job is left out where the task names it. Other lines write detail, reason or error first.

--- a/entry/eventlink/endpoints.go
+++ b/entry/eventlink/endpoints.go
@@ -53,7 +53,7 @@
 		}
 		go func() {
 			err := l.run(ctx, link.New(conn, l.timing), func() {})
-			l.log.Debug().Str("peer", conn.RemoteAddr().String()).Err(err).Msg("event link ended")
+			l.log.Debug().Err(err).Str("peer", conn.RemoteAddr().String()).Msg("event link ended")
 		}()
 	}
 }
@@ -126,11 +126,11 @@
 func (d *Dialer) connect(ctx context.Context, address string) bool {
 	conn, err := d.dial(ctx, address)
 	if err != nil {
-		d.log.Debug().Str("entry", address).Err(err).Msg("failed to open event link")
+		d.log.Debug().Err(err).Str("entry", address).Msg("failed to open event link")
 		return false
 	}
 	l := link.New(conn, d.timing)
 	err = d.run(ctx, l, func() { go d.onConnect() })
-	d.log.Debug().Str("entry", address).Err(err).Msg("event link ended")
+	d.log.Debug().Err(err).Str("entry", address).Msg("event link ended")
 	return true
 }
--- a/entry/server/server.go
+++ b/entry/server/server.go
@@ -83,7 +83,7 @@
 func (s *Server) serveLink(ctx context.Context, conn net.Conn) {
 	sess := newSession(ctx, s, link.New(conn, s.config.Timing))
 	err := sess.run(ctx)
-	s.log.Debug().Str("peer", conn.RemoteAddr().String()).Err(err).Msg("link ended")
+	s.log.Debug().Err(err).Str("peer", conn.RemoteAddr().String()).Msg("link ended")
 }
 
 // Load returns the current numbers of running and waiting requests and the
--- a/operator/configuration/reader.go
+++ b/operator/configuration/reader.go
@@ -114,7 +114,7 @@
 // failed logs the first of several failures and chooses the next call.
 func (r *Reader) failed(ctx context.Context, err error) {
 	if !r.failing && ctx.Err() == nil {
-		r.config.Log.Warn().Stringer("read", r.read).Err(err).Msg("failed to read the configuration")
+		r.config.Log.Warn().Err(err).Stringer("read", r.read).Msg("failed to read the configuration")
 	}
 	r.failing = true
 	r.ifChangedFailed = r.ifChangedFailed || r.read == readIfChanged
--- /dev/null
+++ b/scheduler/holder/decision_log.go
@@ -0,0 +1,41 @@
+package holder
+
+import (
+	"github.com/phuslu/log"
+
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+)
+
+// logDecisions counts and logs the decisions of a step.
+func (l *loop) logDecisions(decisions []dispatch.Decision) {
+	epoch := l.node.holderState.Load().Row.Epoch
+	for i := range decisions {
+		l.node.metrics.recordDecision(&decisions[i])
+		logDecision(l.node.log, epoch, &decisions[i])
+	}
+}
+
+// logDecision writes the line of a decision: its reason stands first and what it is about
+// second, since readers may cut lines off. The name of a task contains that of its job.
+func logDecision(logger *log.Logger, epoch uint64, d *dispatch.Decision) {
+	line := logger.Info()
+	if d.Detail != "" {
+		line = line.Str("detail", d.Detail)
+	}
+	if d.Task.Job != "" {
+		line = line.Stringer("task", d.Task).Int("run", d.Run)
+	} else if d.Job != "" {
+		line = line.Str("job", string(d.Job))
+	}
+	if d.Host != "" {
+		line = line.Str("host", d.Host)
+	}
+	line = line.Uint64("epoch", epoch)
+	if d.Queue != "" {
+		line = line.Str("queue", string(d.Queue))
+	}
+	if d.Waited != 0 {
+		line = line.Int64("ms", d.Waited.Milliseconds())
+	}
+	line.Msg(string(d.Kind))
+}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -229,33 +229,6 @@
 	}
 }
 
-func (l *loop) logDecisions(decisions []dispatch.Decision) {
-	epoch := l.node.holderState.Load().Row.Epoch
-	for i := range decisions {
-		d := &decisions[i]
-		l.node.metrics.recordDecision(d)
-		line := l.node.log.Info().Uint64("epoch", epoch)
-		if d.Task.Job != "" {
-			line = line.Str("job", string(d.Task.Job)).Stringer("task", d.Task).Int("run", d.Run)
-		} else if d.Job != "" {
-			line = line.Str("job", string(d.Job))
-		}
-		if d.Queue != "" {
-			line = line.Str("queue", string(d.Queue))
-		}
-		if d.Host != "" {
-			line = line.Str("host", d.Host)
-		}
-		if d.Waited != 0 {
-			line = line.Int64("ms", d.Waited.Milliseconds())
-		}
-		if d.Detail != "" {
-			line = line.Str("detail", d.Detail)
-		}
-		line.Msg(string(d.Kind))
-	}
-}
-
 // publish makes states of jobs visible to callers.
 func (l *loop) publish(views []dispatch.StateChange) {
 	if len(views) == 0 {
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -87,7 +87,7 @@
 	if p.role != wire.RoleSidecar || !n.sidecars.CompareAndDelete(p.host, p) {
 		return
 	}
-	n.log.Info().Str("host", p.host).Err(err).Msg("sidecar link ended")
+	n.log.Info().Err(err).Str("host", p.host).Msg("sidecar link ended")
 	p.pushLost()
 }
 
--- a/scheduler/runner/runner.go
+++ b/scheduler/runner/runner.go
@@ -264,7 +264,7 @@
 	}
 	r.shard, r.registry, r.batchTxn = nil, nil, nil
 	r.config.Metrics.stepDowns.Inc(1)
-	r.config.Log.Info().Str("shard", string(r.config.Shard)).Str("reason", reason).Msg("Stepped down as holder of the shard")
+	r.config.Log.Info().Str("reason", reason).Str("shard", string(r.config.Shard)).Msg("Stepped down as holder of the shard")
 }
 
 // lazyInterval is the longest time for which changes that workers report
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -189,7 +189,7 @@
 		answer, err = a.worker.Pace(ctx, envelope, runs.Pace{Task: o.order.Task, Run: o.order.Run, Percent: o.order.Percent})
 	}
 	if err != nil {
-		a.log.Warn().Stringer("task", o.order.Task).Int("run", o.order.Run).Err(err).Msg("worker did not answer an order")
+		a.log.Warn().Err(err).Stringer("task", o.order.Task).Int("run", o.order.Run).Msg("worker did not answer an order")
 		return runs.ResultUnknown
 	}
 	a.observeClock(o.order.Incarnation, answer)
--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		if !failing && ctx.Err() == nil {
-			f.Log.Warn().Str("table", f.Table).Err(err).Msg("failed to follow table changes")
+			f.Log.Warn().Err(err).Str("table", f.Table).Msg("failed to follow table changes")
 		}
 		failing = true
 		if clock.Sleep(ctx, pause.NextBackOff()) != nil {
