Name orders by words in the log, and log paces at level debug only

Cause: an order was logged as a number, and each change of a pace at level info, at the sidecar and at the holder. Evidence: the users' record. Change: OrderKind has names; a sidecar's line has the order and its result first; `pace set` and orders of a pace are logged at debug.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -58,6 +58,16 @@
 	OrderAcknowledge
 )
 
+var orderNames = [...]string{"start", "stop", "pace", "acknowledge"}
+
+// String returns the name of the kind.
+func (k OrderKind) String() string {
+	if int(k) >= len(orderNames) {
+		return "unknown"
+	}
+	return orderNames[k]
+}
+
 // Order is an order for the worker of one host.
 type Order struct {
 	Host        string
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -15,10 +15,19 @@
 	}
 }
 
+// levelOf returns the level of a decision's line. Paces are set all the time, so that their
+// lines would crowd out those of starts and ends.
+func levelOf(kind dispatch.DecisionKind) log.Level {
+	if kind == dispatch.DecidedPaceSet {
+		return log.DebugLevel
+	}
+	return log.InfoLevel
+}
+
 // logDecision writes the line of a decision: its reason stands first and what it is about
 // second, since readers may cut lines off. The name of a task contains that of its job.
 func logDecision(logger *log.Logger, epoch uint64, d *dispatch.Decision) {
-	line := logger.Info()
+	line := logger.WithLevel(levelOf(d.Kind))
 	if d.Detail != "" {
 		line = line.Str("detail", d.Detail)
 	}
--- a/scheduler/holder/decision_log_test.go
+++ b/scheduler/holder/decision_log_test.go
@@ -43,3 +43,7 @@
 		g.Expect(line).NotTo(ContainSubstring(`"job"`))
 	}
 }
+
+func TestLinesOfStartsAndEndsAreNotCrowdedOutByPaces(t *testing.T) {
+	NewWithT(t).Expect(decisionLine(dispatch.Decision{Kind: dispatch.DecidedPaceSet, Detail: "30"})).To(BeEmpty())
+}
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
@@ -91,8 +93,7 @@
 		a.withdrawn.Delete(runKeyOf(o.order)) // the worker itself refuses the run from now on
 	}
 	a.recordResult(result, time.Since(started))
-	a.log.Info().Stringer("task", o.order.Task).Int("run", o.order.Run).Uint8("order", uint8(o.order.Kind)).
-		Uint64("epoch", uint64(o.epoch)).Stringer("result", result).Msg("order")
+	a.logOrder(o, result)
 	if o.order.Kind == dispatch.OrderPace {
 		return
 	}
@@ -102,6 +103,17 @@
 	}, o.epoch))
 }
 
+// logOrder logs an order and its result. Paces are set all the time, so that their lines
+// would crowd out those of starts and stops.
+func (a *Agent) logOrder(o receivedOrder, result runs.Result) {
+	level := log.InfoLevel
+	if o.order.Kind == dispatch.OrderPace {
+		level = log.DebugLevel
+	}
+	a.log.WithLevel(level).Stringer("order", o.order.Kind).Stringer("result", result).
+		Stringer("task", o.order.Task).Int("run", o.order.Run).Uint64("epoch", uint64(o.epoch)).Msg("order")
+}
+
 // sendWithRetries sends an order until it is answered, at most orderAttempts times. The
 // second result is false if the order's link is no longer the link to the holder.
 func (a *Agent) sendWithRetries(ctx context.Context, o receivedOrder) (runs.Result, bool) {
