Log a run that is given up without a listed end as a warning with its evidence

Cause: a run that its worker listed as ended, and one that the holder gave up, were one kind of decision that differed by the text of its detail. Evidence: the users' record; the code. Change: `run given up` is a kind of its own, with the metric runs_given_up; its detail names the listing, the lease or both incarnations. `worker restarted` and `earlier worker incarnation described` name both IDs and starts, `worker lease expired` how long ago and why nothing extended it. These, `worker does not answer`, `ends missed`, `stop overdue` and `inherited lease expired` are warnings. Tests: the three tests of evidence and the model that took `run ended` for any release now take both kinds; where a run is given up they name the kind and the detail, so none is less strict.

--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -27,8 +27,11 @@
 	// DecidedStopOverdue reports a run that has not ended in time after its stop
 	// was ordered.
 	DecidedStopOverdue DecisionKind = "stop overdue"
-	// DecidedRunEnded releases the resources of a run.
+	// DecidedRunEnded releases the resources of a run whose end its worker has listed.
 	DecidedRunEnded DecisionKind = "run ended"
+	// DecidedRunGivenUp releases the resources of a run that has ended although its
+	// worker has listed no end of it. The detail names the evidence.
+	DecidedRunGivenUp DecisionKind = "run given up"
 	// DecidedRunAdopted adopts a run that an earlier holder started.
 	DecidedRunAdopted DecisionKind = "run adopted"
 	// DecidedPaceSet sets the pace of a best-effort run.
@@ -41,7 +44,7 @@
 	DecidedWorkerDraining DecisionKind = "worker draining"
 	// DecidedWorkerShutDown reports that a worker has shut down in an orderly way.
 	DecidedWorkerShutDown DecisionKind = "worker shut down"
-	// DecidedWorkerRestarted reports a new incarnation of a worker.
+	// DecidedWorkerRestarted reports a new incarnation of a worker. The detail names both.
 	DecidedWorkerRestarted DecisionKind = "worker restarted"
 	// DecidedEndsMissed reports ends that a worker lists no more although this holder has
 	// not read them.
--- a/scheduler/dispatch/evidence.go
+++ b/scheduler/dispatch/evidence.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // LinkID names a link among those that the process of the holder has accepted.
@@ -41,3 +43,39 @@
 func (m listingMark) describe(w *workerState, listing uint64) string {
 	return fmt.Sprintf("listing %d of link %d, after listing %d", listing, w.link.ID, m.number)
 }
+
+// describeReplacement names a worker's known incarnation and the one that replaces it, for the
+// log.
+func describeReplacement(w *workerState, next runs.Incarnation) string {
+	return w.description.ID + " then " + next.ID
+}
+
+// describeStarts names a worker's known incarnation and the one that is described next, with
+// their starts in Unix milliseconds, for the log.
+func describeStarts(w *workerState, next runs.Incarnation) string {
+	return fmt.Sprintf("%s, started %d, %d", describeReplacement(w, next), w.description.StartedAtMs, next.StartedAtMs)
+}
+
+// describeMissing names the listing of a worker's incarnation that lacks a run, for the log.
+func describeMissing(w *workerState, listing uint64) string {
+	return fmt.Sprintf("not in listing %d of %s", listing, w.description.ID)
+}
+
+// describeExpiry returns how long before held a worker's lease expired, and why nothing has
+// extended it, for the log.
+func describeExpiry(w *workerState, held time.Duration) string {
+	return fmt.Sprintf("%d ms ago, %s", (held - w.leaseExpiry).Milliseconds(), describeSilence(w))
+}
+
+// describeSilence returns why nothing has extended a worker's lease.
+func describeSilence(w *workerState) string {
+	switch {
+	case !w.linked:
+		return "link lost"
+	case w.unresponsive:
+		return "worker does not answer"
+	case w.earlier != nil:
+		return "an earlier incarnation described"
+	}
+	return "nothing listed"
+}
--- a/scheduler/dispatch/evidence_model_test.go
+++ b/scheduler/dispatch/evidence_model_test.go
@@ -108,7 +108,7 @@
 	m.handledUpTo = taken
 	out := m.core.Finish()
 	for _, d := range out.Decisions {
-		if d.Kind == dispatch.DecidedRunEnded {
+		if d.Kind == dispatch.DecidedRunEnded || d.Kind == dispatch.DecidedRunGivenUp {
 			m.over[runs.Stop{Task: d.Task, Run: d.Run}] = true
 		}
 	}
--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -201,10 +201,12 @@
 	f.answer(dispatch.OrderStop, run, runs.ResultOK, 2)
 	f.listing(dispatch.WorkerListing{Number: 3, Requested: 3, Partial: true})
 	for _, d := range f.core.Finish().Decisions {
-		g.Expect(d.Kind).NotTo(Equal(dispatch.DecidedRunEnded))
+		g.Expect(d.Kind).NotTo(BeElementOf(dispatch.DecidedRunEnded, dispatch.DecidedRunGivenUp))
 	}
 	f.list(4, 4)
-	g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+	g.Expect(f.core.Finish().Decisions).To(ContainElement(And(
+		HaveField("Kind", dispatch.DecidedRunGivenUp),
+		HaveField("Detail", "stopped before it started: listing 4 of link 1, after listing 2"))))
 }
 
 // Guards against TWICE: a late heartbeat of a worker's earlier incarnation, described by a new
@@ -216,7 +218,7 @@
 	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
 	f.link(2, 2)
 	f.core.DescribeWorker(evidenceHost, f.description(runs.Incarnation{ID: "w", StartedAtMs: 500}))
-	g.Expect(f.core.Finish().Decisions).NotTo(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+	g.Expect(f.core.Finish().Decisions).NotTo(ContainElement(HaveField("Kind", BeElementOf(dispatch.DecidedRunEnded, dispatch.DecidedRunGivenUp))))
 	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
 	f.list(1, 1, run)
 	f.advance(2 * testLease)
@@ -323,7 +325,9 @@
 	f := newEvidenceFixture()
 	f.answer(dispatch.OrderStart, f.submit()[0].Run, runs.ResultOK, 1)
 	f.core.DescribeWorker(evidenceHost, f.description(runs.Incarnation{ID: "v", StartedAtMs: 2000}))
-	g.Expect(f.core.Finish().Decisions).To(ContainElement(HaveField("Kind", dispatch.DecidedRunEnded)))
+	g.Expect(f.core.Finish().Decisions).To(ContainElements(
+		And(HaveField("Kind", dispatch.DecidedWorkerRestarted), HaveField("Detail", "w then v, started 1000, 2000")),
+		And(HaveField("Kind", dispatch.DecidedRunGivenUp), HaveField("Detail", "worker restarted: w then v"))))
 }
 
 // Guards against TWICE: a new holder did not wait for what the worker, restarted under its ID,
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -123,8 +123,9 @@
 		if idle || c.mayHaveInheritedRuns(w) {
 			continue
 		}
-		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host})
-		c.releaseRuns(w, "lease expired")
+		evidence := describeExpiry(w, c.now.Held)
+		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host, Detail: evidence})
+		c.releaseRuns(w, "lease expired: "+evidence)
 		c.forgetIncarnation(w)
 	}
 }
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -106,7 +106,7 @@
 	}
 	if r != nil {
 		c.recordOutcome(r, end.Outcome)
-		c.release(r, end.Outcome.String())
+		c.releaseEnded(r, end.Outcome)
 	}
 	if t == nil {
 		return
@@ -214,7 +214,7 @@
 		switch {
 		case seen[key]:
 		case r.carriedOver:
-			c.release(r, reasonRestarted)
+			c.release(r, reasonRestarted+": "+describeMissing(w, number))
 		case r.stopping && r.stopConfirmed && r.stopConfirmedAt.precedes(w, number):
 			c.release(r, "stopped before it started: "+r.stopConfirmedAt.describe(w, number))
 		case r.phase == runConfirmed && r.confirmed.precedes(w, number):
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // runPhase is the confirmed progress of a run's start.
@@ -76,8 +77,19 @@
 	}
 }
 
-// release frees the resources of a run. Its task waits again unless it is done.
+// release gives up a run: it has ended although its worker has listed no end of it. The reason
+// names the evidence.
 func (c *Core) release(r *runState, reason string) {
+	c.remove(r, DecidedRunGivenUp, reason)
+}
+
+// releaseEnded releases a run whose end its worker has listed.
+func (c *Core) releaseEnded(r *runState, outcome runs.Outcome) {
+	c.remove(r, DecidedRunEnded, outcome.String())
+}
+
+// remove frees the resources of a run. Its task waits again unless it is done.
+func (c *Core) remove(r *runState, kind DecisionKind, reason string) {
 	w := r.worker
 	c.recordEndedBestEffort(r)
 	delete(w.runs, runKey{r.name, r.number})
@@ -102,7 +114,7 @@
 	if t.isWaiting() {
 		t.waitingSince = c.now.Monotonic
 	}
-	c.recordDecision(Decision{Kind: DecidedRunEnded, Task: r.name, Run: r.number, Host: w.host, Detail: reason, Waited: c.now.Monotonic - r.started})
+	c.recordDecision(Decision{Kind: kind, Task: r.name, Run: r.number, Host: w.host, Detail: reason, Waited: c.now.Monotonic - r.started})
 }
 
 // reserve adds a run to a worker and reserves its resources.
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -130,7 +130,7 @@
 	}
 	w.earlier = &d
 	w.earlierFrom = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
-	c.recordDecision(Decision{Kind: DecidedEarlierIncarnation, Host: w.host, Detail: d.ID})
+	c.recordDecision(Decision{Kind: DecidedEarlierIncarnation, Host: w.host, Detail: describeStarts(w, d.Incarnation)})
 }
 
 // acceptEarlier replaces the known incarnation by the earlier one that was described since,
@@ -145,7 +145,7 @@
 	w.earlier = nil
 	known := w.description.ID != ""
 	if known {
-		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
+		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: describeStarts(w, d.Incarnation)})
 		c.endIncarnation(w, d)
 		w.replaced = append(w.replaced, w.description.Incarnation)
 	}
@@ -177,7 +177,7 @@
 func (c *Core) endIncarnation(w *workerState, next runs.Description) {
 	for _, r := range w.runs {
 		if next.ID != w.description.ID {
-			c.release(r, reasonRestarted)
+			c.release(r, reasonRestarted+": "+describeReplacement(w, next.Incarnation))
 			continue
 		}
 		r.carriedOver, r.percent, r.observedFrom = true, 0, c.now.Monotonic
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -15,11 +15,24 @@
 	}
 }
 
-// levelOf returns the level of a decision's line. Paces are set all the time, so that their
-// lines would crowd out those of starts and ends.
+// levels has the levels of decisions that are not logged at info. What takes a run from a
+// worker without a listed end is a warning. Paces are set all the time, so that their lines
+// would crowd out those of starts and ends.
+var levels = map[dispatch.DecisionKind]log.Level{
+	dispatch.DecidedRunGivenUp:            log.WarnLevel,
+	dispatch.DecidedWorkerRestarted:       log.WarnLevel,
+	dispatch.DecidedEarlierIncarnation:    log.WarnLevel,
+	dispatch.DecidedWorkerUnreachable:     log.WarnLevel,
+	dispatch.DecidedLeaseExpired:          log.WarnLevel,
+	dispatch.DecidedInheritedLeaseExpired: log.WarnLevel,
+	dispatch.DecidedEndsMissed:            log.WarnLevel,
+	dispatch.DecidedStopOverdue:           log.WarnLevel,
+	dispatch.DecidedPaceSet:               log.DebugLevel,
+}
+
 func levelOf(kind dispatch.DecisionKind) log.Level {
-	if kind == dispatch.DecidedPaceSet {
-		return log.DebugLevel
+	if level, listed := levels[kind]; listed {
+		return level
 	}
 	return log.InfoLevel
 }
--- a/scheduler/holder/decision_log_test.go
+++ b/scheduler/holder/decision_log_test.go
@@ -27,9 +27,10 @@
 func TestLinesOfDecisionsThatAreCutOffShowWhatWasDecidedAndWhy(t *testing.T) {
 	for kind, reason := range map[dispatch.DecisionKind]string{
 		dispatch.DecidedRunEnded:        "lapsed",
+		dispatch.DecidedRunGivenUp:      "worker restarted: i-610f8b29 then i-a21a87bb",
 		dispatch.DecidedRunStopped:      "start unknown",
 		dispatch.DecidedRunAdopted:      "given up before, and the task is done",
-		dispatch.DecidedWorkerRestarted: "i-610f8b29 replaced by i-a21a87bb",
+		dispatch.DecidedWorkerRestarted: "i-610f8b29 then i-a21a87bb",
 		dispatch.DecidedLeaseExpired:    "12 ms ago, link lost",
 	} {
 		g := NewWithT(t)
@@ -44,6 +45,12 @@
 	}
 }
 
+func TestRunGivenUpWithoutAListedEndIsAWarning(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(decisionLine(dispatch.Decision{Kind: dispatch.DecidedRunGivenUp})).To(ContainSubstring(`"level":"warn"`))
+	g.Expect(decisionLine(dispatch.Decision{Kind: dispatch.DecidedRunEnded})).To(ContainSubstring(`"level":"info"`))
+}
+
 func TestLinesOfStartsAndEndsAreNotCrowdedOutByPaces(t *testing.T) {
 	NewWithT(t).Expect(decisionLine(dispatch.Decision{Kind: dispatch.DecidedPaceSet, Detail: "30"})).To(BeEmpty())
 }
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -67,6 +67,7 @@
 			dispatch.DecidedRunStopped:   scope.Counter("runs_stopped"),
 			dispatch.DecidedRunAdopted:   scope.Counter("runs_found"),
 			dispatch.DecidedRunEnded:     scope.Counter("runs_over"),
+			dispatch.DecidedRunGivenUp:   scope.Counter("runs_given_up"),
 			dispatch.DecidedPaceSet:      scope.Counter("paces_set"),
 		},
 	}
