Let trace print a task's timeline, with the reason behind the message

What callers saw: trace printed the reason in the order of the alphabet, and for a task's name the lines of its namesakes (0.0.1 gave 0.0.11) but none of its job's. Cause: an id was searched as plain text, and fields were sorted by name. Change: for the name of a task, trace prints the lines that name it and those that name its job alone; detail, reason, error, order and result come first. Result: new test; go test -race of the trace tests and go test ./cmd/carobkeel pass.

--- a/cmd/carobkeel/trace.go
+++ b/cmd/carobkeel/trace.go
@@ -8,10 +8,13 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
 )
 
 // maxLogLine is the maximum length of a log line, in bytes.
@@ -25,7 +28,36 @@
 	time string
 }
 
-// traceCommand prints the log lines of several processes that contain an id.
+// idFilter chooses the lines that name an id. For the name of a task these are also the lines
+// that name its job and no other task.
+type idFilter struct {
+	id string
+	// job and tasks are set for the name of a task: tasks matches the names of the job's.
+	job   string
+	tasks *regexp.Regexp
+}
+
+func newIDFilter(id string) idFilter {
+	task, err := carobkeel.ParseTaskName(id)
+	if err != nil {
+		return idFilter{id: id}
+	}
+	job := string(task.Job)
+	return idFilter{id: id, job: job, tasks: regexp.MustCompile(regexp.QuoteMeta(job) + `(\.\d+){3}`)}
+}
+
+func (f idFilter) matches(text string) bool {
+	if f.tasks == nil {
+		return strings.Contains(text, f.id)
+	}
+	named := f.tasks.FindAllString(text, -1)
+	if len(named) == 0 {
+		return strings.Contains(text, f.job)
+	}
+	return slices.Contains(named, f.id)
+}
+
+// traceCommand prints the log lines of several processes that name an id.
 func traceCommand() command {
 	return command{
 		name:    "trace",
@@ -56,12 +88,13 @@
 	}
 }
 
-// readTrace returns the log lines of the files that contain the id, sorted by
+// readTrace returns the log lines of the files that name the id, sorted by
 // time. The file name "-" is standard input.
 func readTrace(id string, files []string, stdin io.Reader) ([]logLine, error) {
 	var found []logLine
+	filter := newIDFilter(id)
 	for _, name := range files {
-		lines, err := readTraceFile(id, name, stdin)
+		lines, err := readTraceFile(filter, name, stdin)
 		if err != nil {
 			return nil, err
 		}
@@ -71,7 +104,7 @@
 	return found, nil
 }
 
-func readTraceFile(id, name string, stdin io.Reader) ([]logLine, error) {
+func readTraceFile(filter idFilter, name string, stdin io.Reader) ([]logLine, error) {
 	source := stdin
 	if name != "-" {
 		file, err := os.Open(name)
@@ -85,18 +118,18 @@
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
-		if line, ok := parseLogLine(scanner.Text(), id); ok {
+		if line, ok := parseLogLine(scanner.Text(), filter); ok {
 			found = append(found, line)
 		}
 	}
 	return found, errors.Wrap(scanner.Err(), name)
 }
 
-// parseLogLine parses a log line that contains the id. A log collector may have
+// parseLogLine parses a log line that the filter chooses. A log collector may have
 // put text before the JSON object, which is skipped.
-func parseLogLine(text, id string) (logLine, bool) {
+func parseLogLine(text string, filter idFilter) (logLine, bool) {
 	start := strings.IndexByte(text, '{')
-	if start < 0 || !strings.Contains(text, id) {
+	if start < 0 || !filter.matches(text) {
 		return logLine{}, false
 	}
 	line := logLine{raw: text[start:]}
@@ -107,8 +140,13 @@
 	return line, true
 }
 
-// leadingFields are the fields printed first, without their names.
-var leadingFields = []string{"time", "level", "part", "message"}
+var (
+	// leadingFields are the fields printed first, without their names.
+	leadingFields = []string{"time", "level", "part", "message"}
+	// nextFields are printed behind them in this order: what was decided and why, and
+	// what it is about.
+	nextFields = []string{"detail", "reason", "error", "order", "result", "job", "task", "run", "host"}
+)
 
 func printLogLine(w io.Writer, line *logLine, asJSON bool) {
 	if asJSON {
@@ -119,15 +157,26 @@
 	for _, name := range leadingFields {
 		text = append(text, fmt.Sprint(line.fields[name]))
 	}
-	var names []string
-	for name := range line.fields {
-		if !slices.Contains(leadingFields, name) {
+	for _, name := range fieldOrder(line.fields) {
+		text = append(text, fmt.Sprintf("%s=%v", name, line.fields[name]))
+	}
+	fmt.Fprintln(w, strings.Join(text, " "))
+}
+
+// fieldOrder returns the names of the fields behind the leading ones: nextFields, and then
+// the others in the order of the alphabet.
+func fieldOrder(fields map[string]any) []string {
+	var names, others []string
+	for _, name := range nextFields {
+		if _, has := fields[name]; has {
 			names = append(names, name)
 		}
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		text = append(text, fmt.Sprintf("%s=%v", name, line.fields[name]))
+	for name := range fields {
+		if !slices.Contains(leadingFields, name) && !slices.Contains(nextFields, name) {
+			others = append(others, name)
+		}
 	}
-	fmt.Fprintln(w, strings.Join(text, " "))
+	slices.Sort(others)
+	return append(names, others...)
 }
--- a/cmd/carobkeel/trace_test.go
+++ b/cmd/carobkeel/trace_test.go
@@ -36,6 +36,21 @@
 	g.Expect(out).To(HavePrefix(`{"time":"2026-01-01T00:00:03.000Z"`))
 }
 
+func TestTraceOfATaskHasTheLinesOfItsJobAndOfNoOtherTask(t *testing.T) {
+	g := NewWithT(t)
+	logs := `{"time":"2026-01-01T00:00:01.000Z","level":"info","part":"entry","message":"job accepted","job":"00000000000000aa","queue":"q"}
+{"time":"2026-01-01T00:00:02.000Z","level":"warn","part":"scheduler","message":"run given up","detail":"lease expired: 2 ms ago, link lost","task":"00000000000000aa.0.0.1","run":1,"host":"h","epoch":1}
+{"time":"2026-01-01T00:00:03.000Z","level":"info","part":"scheduler","message":"run ended","detail":"done","task":"00000000000000aa.0.0.11","run":1,"host":"h","epoch":1}
+`
+	code, out, _ := runTrace([]string{"00000000000000aa.0.0.1", "-"}, logs)
+	g.Expect(code).To(Equal(exitOK))
+	g.Expect(out).To(Equal(`2026-01-01T00:00:01.000Z info entry job accepted job=00000000000000aa queue=q
+2026-01-01T00:00:02.000Z warn scheduler run given up detail=lease expired: 2 ms ago, link lost task=00000000000000aa.0.0.1 run=1 host=h epoch=1
+`))
+	_, out, _ = runTrace([]string{"00000000000000aa", "-"}, logs)
+	g.Expect(strings.Count(out, "\n")).To(Equal(3), "the lines of its tasks do not repeat the job")
+}
+
 func TestTraceReportsErrors(t *testing.T) {
 	g := NewWithT(t)
 	code, _, errs := runTrace([]string{"aa11"}, "")
