Leave counts of zero out of a waiting task's line

What was seen: the detail of `task waiting` has some 220 characters, so that the task stands beyond the length at which users cut lines; and it names run 0. Cause: all fifteen counts are written, zero or not. Change: counts of zero, and a run of zero, are left out. The test now names the whole detail.

--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -82,12 +83,34 @@
 	freeMilliCPU, largestMilliCPU int64
 }
 
-// String returns the counts in the order in which a worker is checked.
+// String returns the counts above zero in the order in which a worker is checked.
 func (n workerCounts) String() string {
-	return fmt.Sprintf("unlinked=%d unresponsive=%d unlisted=%d unrecorded=%d draining=%d expired=%d excluded=%d "+
-		"not_allowed=%d full=%d after_stops=%d reserved=%d unchanged=%d room=%d free_mcpu=%d largest_free_mcpu=%d",
-		n.unlinked, n.unresponsive, n.unlisted, n.unrecorded, n.draining, n.expired, n.excluded,
-		n.notAllowed, n.full, n.afterStops, n.reserved, n.unchanged, n.room, n.freeMilliCPU, n.largestMilliCPU)
+	var counts []string
+	for _, count := range []struct {
+		name  string
+		value int64
+	}{
+		{"unlinked", int64(n.unlinked)},
+		{"unresponsive", int64(n.unresponsive)},
+		{"unlisted", int64(n.unlisted)},
+		{"unrecorded", int64(n.unrecorded)},
+		{"draining", int64(n.draining)},
+		{"expired", int64(n.expired)},
+		{"excluded", int64(n.excluded)},
+		{"not_allowed", int64(n.notAllowed)},
+		{"full", int64(n.full)},
+		{"after_stops", int64(n.afterStops)},
+		{"reserved", int64(n.reserved)},
+		{"unchanged", int64(n.unchanged)},
+		{"room", int64(n.room)},
+		{"free_mcpu", n.freeMilliCPU},
+		{"largest_free_mcpu", n.largestMilliCPU},
+	} {
+		if count.value > 0 {
+			counts = append(counts, fmt.Sprintf("%s=%d", count.name, count.value))
+		}
+	}
+	return strings.Join(counts, " ")
 }
 
 func (c *Core) countWorkers(p *pass, t *task) workerCounts {
--- a/scheduler/dispatch/waiting_test.go
+++ b/scheduler/dispatch/waiting_test.go
@@ -26,7 +26,7 @@
 	sim.submit(1, 0, step(1, 8000))
 	sim.run(3 * time.Second)
 	g.Expect(len(*lines)).To(BeNumerically("~", 2, 1), "one report a second, after the first second")
-	g.Expect((*lines)[0]).To(ContainSubstring("full=1"))
+	g.Expect((*lines)[0]).To(HaveSuffix("needs_mcpu=8000 full=1 free_mcpu=4000 largest_free_mcpu=4000"), "counts of zero would push the task out of a cut line")
 }
 
 func TestJobsHeldBackAtATakeoverAreReported(t *testing.T) {
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -45,10 +45,13 @@
 		line = line.Str("detail", d.Detail)
 	}
 	if d.Task.Job != "" {
-		line = line.Stringer("task", d.Task).Int("run", d.Run)
+		line = line.Stringer("task", d.Task)
 	} else if d.Job != "" {
 		line = line.Str("job", string(d.Job))
 	}
+	if d.Run != 0 {
+		line = line.Int("run", d.Run)
+	}
 	if d.Host != "" {
 		line = line.Str("host", d.Host)
 	}
