--- a/scheduler/dispatch/incarnation.go
+++ b/scheduler/dispatch/incarnation.go
@@ -39,7 +39,7 @@
 func (c *Core) holdCandidate(w *workerState, d runs.Description) {
 	w.reachable, w.listed = false, false
 	if w.candidate == nil || w.candidate.Incarnation != d.Incarnation {
-		c.recordDecision(Decision{Kind: DecidedOtherIncarnation, Host: w.host, Detail: d.ID})
+		c.recordDecision(Decision{Kind: DecidedOtherIncarnation, Host: w.host, Detail: describeStarts(w, d.Incarnation)})
 	} else if d.Sequence < w.candidate.Sequence {
 		return
 	}
@@ -59,7 +59,7 @@
 	w.candidate = nil
 	known := w.description.ID != ""
 	if known {
-		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
+		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: describeStarts(w, d.Incarnation)})
 		c.endIncarnation(w, d)
 	}
 	if w.hasListed || w.recorded {
@@ -82,7 +82,7 @@
 func (c *Core) endIncarnation(w *workerState, next runs.Description) {
 	for _, r := range w.runs {
 		if next.ID != w.description.ID {
-			c.release(r, reasonRestarted)
+			c.release(r, reasonRestarted+": "+describeReplacement(w, next.Incarnation))
 			continue
 		}
 		r.carriedOver, r.percent, r.observedFrom = true, 0, c.now.Monotonic
--- a/scheduler/runner/runner.go
+++ b/scheduler/runner/runner.go
@@ -216,7 +216,7 @@
 	}
 	txn, err := r.store.LeaseTransaction(write)
 	if err != nil {
-		r.config.Log.Error().Err(err).Msg("Can't encode the lease")
+		r.config.Log.Error().Err(err).Msg("cannot encode the lease")
 		return
 	}
 	r.leaseWrite, r.leaseTxn = write, &txn
@@ -264,7 +264,7 @@
 	}
 	r.shard, r.registry, r.batchTxn = nil, nil, nil
 	r.config.Metrics.stepDowns.Inc(1)
-	r.config.Log.Info().Str("shard", string(r.config.Shard)).Str("reason", reason).Msg("Stepped down as holder of the shard")
+	r.config.Log.Info().Str("reason", reason).Str("shard", string(r.config.Shard)).Msg("Stepped down as holder of the shard")
 }
 
 // lazyInterval is the longest time for which changes that workers report
@@ -284,7 +284,7 @@
 		r.lazyWrittenAt = now
 		txn, err := r.store.BatchTransaction(r.batch, r.lease.EpochVersion())
 		if err != nil {
-			r.config.Log.Error().Err(err).Msg("Can't encode a batch")
+			r.config.Log.Error().Err(err).Msg("cannot encode a batch")
 			r.stepDown("a batch can't be encoded")
 			return
 		}
