Split the troubles of the soak of jobs by their class

What callers saw: nothing, this is for readers. Cause: one file held the troubles of processes, workers and the store and grew with the incident's kinds; plan.go held the kinds. Change: a file a class (process, sidecar, worker, foreign, store, link), and kinds.go; declarations are moved as they were. Result: go test ./cmd/soak/jobs -run 'Troubles|Kinds|Lines' is green; no fleet was played for this commit.

--- a/cmd/soak/jobs/foreign.go
+++ b/cmd/soak/jobs/troubles_foreign.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/carobkeel/carobkeel/platform/standin"
@@ -19,24 +18,6 @@
 	mostEarlier  = time.Minute
 )
 
-// during returns functions that begin what goes on for as long as a trouble, and end it.
-func during(goOn func(ctx context.Context)) (begin, end func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	begin = func() { running.Go(func() { goOn(ctx) }) }
-	end = func() { cancel(); running.Wait() }
-	return begin, end
-}
-
-// withEach does something with all workers at the same time.
-func withEach(workers []*standin.Worker, do func(*standin.Worker)) {
-	var running sync.WaitGroup
-	for _, w := range workers {
-		running.Go(func() { do(w) })
-	}
-	running.Wait()
-}
-
 // foreignAction returns the action of troubles in which sidecars hear of workers from somebody
 // else. They disturb no process and no worker, so that all rules hold meanwhile.
 func (p *player) foreignAction(kind Kind, random *rand.Rand) action {
@@ -87,19 +68,3 @@
 	}
 	return a
 }
-
-// release lets others begin beside workers that drain and then leave, whose places they take.
-func (p *player) release(workers []*standin.Worker) action {
-	drained := drain(workers)
-	return action{
-		workers: workers,
-		begin: func() {
-			drained.begin()
-			for _, w := range workers {
-				host := firstSidecar + slices.Index(p.fleet.workers, w)
-				w.BeginSuccessor(context.Background(), p.fleet.address(host, successorPort))
-			}
-		},
-		end: drained.end,
-	}
-}
--- a/cmd/soak/jobs/sidecars.go
+++ b/cmd/soak/jobs/troubles_sidecar.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"syscall"
 	"time"
 
@@ -42,27 +41,6 @@
 	}
 }
 
-// all does the same to several processes at the same time.
-func all(processes []*process, do func(*process) action) action {
-	var actions []action
-	for _, p := range processes {
-		actions = append(actions, do(p))
-	}
-	return action{
-		processes: processes,
-		begin:     func() { together(actions, func(a action) { a.begin() }) },
-		end:       func() { together(actions, func(a action) { a.end() }) },
-	}
-}
-
-func together(actions []action, do func(action)) {
-	var running sync.WaitGroup
-	for _, a := range actions {
-		running.Go(func() { do(a) })
-	}
-	running.Wait()
-}
-
 // restartOver kills a process again and again shortly after its start.
 func restartOver(s *process, seed uint64) action {
 	random := rand.New(rand.NewPCG(seed, 0))
