Submit jobs of up to four steps in the soak of jobs

Cause: the soak's jobs had two at most. Change: half of the jobs of two steps have a third, half of these a fourth, which follow the one before and some an earlier one too (-job-steps).

--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -34,6 +34,7 @@
 	neighbours bool
 	folder     string
 	explain    string
+	steps      int
 	entries    int
 	workers    int
 }
@@ -46,6 +47,7 @@
 	fs.BoolVar(&c.reachNext, "late-calls-reach-next", true, "calls carried out late may reach a worker's next incarnation")
 	fs.BoolVar(&c.neighbours, "heartbeats-to-neighbours", true, "workers send heartbeats to other hosts' sidecars if their own does not acknowledge them")
 	fs.StringVar(&c.folder, "folder", "soak-results", "folder for what was seen of broken plays")
+	fs.IntVar(&c.steps, "job-steps", 4, "most steps of a job")
 	fs.IntVar(&c.entries, "job-entries", 3, "number of entries on the path of jobs")
 	fs.IntVar(&c.workers, "job-workers", 11, "number of workers with a sidecar on the path of jobs")
 	fs.StringVar(&c.explain, "explain", "", "folder of a broken play, of which the lines on the task in the argument are printed")
@@ -64,6 +66,7 @@
 	report(err != nil, "kinds", fmt.Sprint(err))
 	report(c.streams < 0, "streams", "must not be below 0")
 	report(c.seeds < 1, "seeds", "must be above 0")
+	report(c.steps < 2, "job-steps", "must be above 1")
 	report(c.entries < 1 || c.entries > jobs.MaxEntries, "job-entries", fmt.Sprintf("must be from 1 to %d", jobs.MaxEntries))
 	report(c.workers < 1 || c.workers > jobs.MaxWorkers, "job-workers", fmt.Sprintf("must be from 1 to %d", jobs.MaxWorkers))
 	return problems
@@ -128,9 +131,10 @@
 	kinds, _ := jobs.ParseKinds(c.jobs.kinds) // checked with the settings
 	return jobs.Config{
 		Binary: c.binary, Seed: seed, Duration: c.duration, EndTime: jobEndTime, Kinds: kinds, Streams: c.jobs.streams, ReachNext: c.jobs.reachNext, Neighbours: c.jobs.neighbours,
-		Entries: c.jobs.entries, Workers: c.jobs.workers, Folder: c.jobs.folder,
+		MostSteps: c.jobs.steps,
+		Entries:   c.jobs.entries, Workers: c.jobs.workers, Folder: c.jobs.folder,
 		Command: fmt.Sprintf(
-			"go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -heartbeats-to-neighbours=%v -job-entries %d -job-workers %d -commit %s",
-			seed, c.duration, c.jobs.kinds, c.jobs.streams, c.jobs.reachNext, c.jobs.neighbours, c.jobs.entries, c.jobs.workers, c.commit),
+			"go run ./cmd/soak -path jobs -seed %d -duration %v -kinds %s -streams %d -late-calls-reach-next=%v -heartbeats-to-neighbours=%v -job-steps %d -job-entries %d -job-workers %d -commit %s",
+			seed, c.duration, c.jobs.kinds, c.jobs.streams, c.jobs.reachNext, c.jobs.neighbours, c.jobs.steps, c.jobs.entries, c.jobs.workers, c.commit),
 	}
 }
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -33,6 +33,8 @@
 	// EndTime is how long jobs may take to end once late calls are over.
 	EndTime time.Duration
 	Kinds   []Kind
+	// MostSteps is how many steps a job has at most.
+	MostSteps int
 	// Streams is how many troubles come side by side.
 	Streams int
 	// ReachNext lets calls that are carried out late reach a worker's next incarnation.
@@ -112,7 +114,7 @@
 func (f *fleet) play(ctx context.Context, c Config) *Result {
 	follow, stopFollowing := context.WithCancel(ctx)
 	defer stopFollowing()
-	t := newTraffic(f, c.Seed)
+	t := newTraffic(f, c.Seed, c.MostSteps)
 	p := &player{fleet: f, traffic: t, reachNext: c.ReachNext}
 	var streams sync.WaitGroup
 	r := &Result{Seed: c.Seed, Command: c.Command}
--- a/cmd/soak/jobs/play_test.go
+++ b/cmd/soak/jobs/play_test.go
@@ -53,23 +53,32 @@
 // sidecarKinds are those in which a worker lives on while its sidecar does not answer.
 var sidecarKinds = []Kind{FreezeSidecars, KillSidecars, TerminateSidecars, RestartSidecars, ThrottleSidecars}
 
-// playSeed plays a seed with some kinds of troubles in processes of this code.
-func playSeed(t *testing.T, seed uint64, kinds []Kind, neighbours bool) {
+// playSeed plays a seed in processes of this code. Of the settings, the kinds of troubles and
+// what the seed draws are the test's.
+func playSeed(t *testing.T, c Config) {
 	g := NewWithT(t)
-	r, err := Play(t.Context(), Config{
-		Binary: binary, Seed: seed, Duration: shortPlay, EndTime: shortEnd, Kinds: kinds, Streams: 4, ReachNext: true,
-		Neighbours: neighbours, Entries: 3, Workers: 11, Folder: filepath.Join("..", "..", "..", "soak-results"), Command: fmt.Sprintf("the test's play of seed %d", seed),
-	})
+	c.Binary, c.Duration, c.EndTime, c.Entries, c.Workers = binary, shortPlay, shortEnd, 3, 11
+	c.Streams, c.ReachNext = 4, true
+	c.Folder, c.Command = filepath.Join("..", "..", "..", "soak-results"), fmt.Sprintf("the play of seed %d in %s", c.Seed, t.Name())
+	r, err := Play(t.Context(), c)
 	g.Expect(err).NotTo(HaveOccurred())
 	r.Print(os.Stdout)
 	g.Expect(r.Runs).To(BeNumerically(">", 0))
 	g.Expect(r.Findings).To(BeEmpty(), "kept in %s", r.Folder)
 }
 
-func TestSoakOfJobsWithSeed83(t *testing.T) { playSeed(t, 83, firstKinds, false) }
+func TestSoakOfJobsWithSeed83(t *testing.T) {
+	playSeed(t, Config{Seed: 83, Kinds: firstKinds, MostSteps: 2})
+}
 
-func TestSoakOfJobsWithSeed136(t *testing.T) { playSeed(t, 136, firstKinds, false) }
+func TestSoakOfJobsWithSeed136(t *testing.T) {
+	playSeed(t, Config{Seed: 136, Kinds: firstKinds, MostSteps: 2})
+}
 
-func TestForeignHeartbeatsDoNotRunTasksTwice(t *testing.T) { playSeed(t, 55, foreignKinds, false) }
+func TestForeignHeartbeatsDoNotRunTasksTwice(t *testing.T) {
+	playSeed(t, Config{Seed: 55, Kinds: foreignKinds, MostSteps: 4})
+}
 
-func TestHeartbeatsToNeighboursDoNotRunTasksTwice(t *testing.T) { playSeed(t, 1, sidecarKinds, true) }
+func TestHeartbeatsToNeighboursDoNotRunTasksTwice(t *testing.T) {
+	playSeed(t, Config{Seed: 1, Kinds: sidecarKinds, Neighbours: true, MostSteps: 4})
+}
--- a/cmd/soak/jobs/traffic.go
+++ b/cmd/soak/jobs/traffic.go
@@ -38,8 +38,10 @@
 const (
 	urgentShare  = 0.6
 	twoStepShare = 0.4
-	cancelShare  = 0.05
-	saveShare    = 0.3
+	// moreStepsShare is the share of jobs of two steps that have more.
+	moreStepsShare = 0.5
+	cancelShare    = 0.05
+	saveShare      = 0.3
 	// repeatShare is the share of submissions that are repeated, seconds after their
 	// answers, while callers repeat requests.
 	repeatShare   = 0.5
@@ -55,7 +57,20 @@
 )
 
 // generator draws jobs by a seed.
-type generator struct{ random *rand.Rand }
+type generator struct {
+	random *rand.Rand
+	// more draws the steps beyond the second, so that all else is drawn alike without them.
+	more *generator
+	// mostSteps is how many steps a job has at most.
+	mostSteps int
+}
+
+func newGenerator(seed uint64, mostSteps int) *generator {
+	return &generator{
+		random: rand.New(rand.NewPCG(seed, 1)), mostSteps: mostSteps,
+		more: &generator{random: rand.New(rand.NewPCG(seed, 2))},
+	}
+}
 
 func (g *generator) between(least, most float64) float64 {
 	return least + (most-least)*g.random.Float64()
@@ -65,7 +80,7 @@
 	return &carobkeel.JobSpec{ID: carobkeel.JobID(fmt.Sprintf("%016x", g.random.Uint64())), Queue: queue, ConfigVersion: configuration.Version}
 }
 
-// next returns the next job, of one or two steps. Estimates are off by up to estimateError.
+// next returns the next job. Estimates are off by up to estimateError.
 func (g *generator) next() *carobkeel.JobSpec {
 	job, longest, largest := g.spec(urgent), 2.5, 1400.0
 	if g.random.Float64() > urgentShare {
@@ -76,10 +91,8 @@
 	job.Payload = standin.Spec(work, saves)
 	job.Steps = []carobkeel.Step{g.step(work, largest)}
 	if g.random.Float64() < twoStepShare {
-		second := g.step(work, largest)
-		second.Count = 1 + second.Count/3
-		second.After = []int{0}
-		job.Steps = append(job.Steps, second)
+		job.Steps = append(job.Steps, g.following(work, largest, 0))
+		job.Steps = append(job.Steps, g.more.moreSteps(work, largest, g.mostSteps)...)
 	}
 	for i := range job.Steps {
 		job.Steps[i].SavesProgress = saves
@@ -87,6 +100,28 @@
 	return job
 }
 
+// following returns a step that follows others.
+func (g *generator) following(work time.Duration, largest float64, after ...int) carobkeel.Step {
+	s := g.step(work, largest)
+	s.Count = 1 + s.Count/3
+	s.After = after
+	return s
+}
+
+// moreSteps returns the steps beyond the second. Each follows the one before it, some follow
+// an earlier one too.
+func (g *generator) moreSteps(work time.Duration, largest float64, most int) []carobkeel.Step {
+	var steps []carobkeel.Step
+	for number := 2; number < most && g.random.Float64() < moreStepsShare; number++ {
+		after := []int{number - 1}
+		if g.random.IntN(2) == 0 {
+			after = []int{g.random.IntN(number - 1), number - 1}
+		}
+		steps = append(steps, g.following(work, largest, after...))
+	}
+	return steps
+}
+
 func (g *generator) step(work time.Duration, largest float64) carobkeel.Step {
 	wrong := math.Pow(estimateError, g.between(-1, 1))
 	return carobkeel.Step{
@@ -116,8 +151,8 @@
 	ended    atomic.Int64
 }
 
-func newTraffic(f *fleet, seed uint64) *traffic {
-	return &traffic{fleet: f, caller: standin.NewCaller(), jobs: &generator{rand.New(rand.NewPCG(seed, 1))}}
+func newTraffic(f *fleet, seed uint64, mostSteps int) *traffic {
+	return &traffic{fleet: f, caller: standin.NewCaller(), jobs: newGenerator(seed, mostSteps)}
 }
 
 // run submits jobs for a time. It returns once all are submitted; they are followed until
