Refuse connections to a stand-in's worker that is down

What callers saw: nothing, the soak could not show it. Cause: calls to a worker that was down were accepted by the relay and reset, which leaves open whether they were carried out; a host on which nothing listens refuses them, and the sidecar takes that as the end of a worker that announced its shutdown. Change: a relay can stop listening and resume; a link of a worker does so when the worker ends and begins, and resets what is open.

--- a/cmd/soak/jobs/fleet.go
+++ b/cmd/soak/jobs/fleet.go
@@ -207,7 +207,9 @@
 	if err := f.links.open(workerLink, name, host.Worker, own); err != nil {
 		return err
 	}
-	w := standin.NewWorker(f.workerConfig(i, host, random), f.record, f.logs.For("worker"))
+	config := f.workerConfig(i, host, random)
+	config.Listening = f.listening(f.links[len(f.links)-1])
+	w := standin.NewWorker(config, f.record, f.logs.For("worker"))
 	if err := f.serve(own, w.Handler()); err != nil {
 		return err
 	}
@@ -220,6 +222,15 @@
 	return err
 }
 
+// listening returns what lets a link refuse connections while its worker does not listen.
+func (f *fleet) listening(l *link) func(listens bool) {
+	return func(listens bool) {
+		if err := l.listen(listens); err != nil {
+			f.logs.For("link").Error().Err(err).Str("host", l.host).Msg("link stays closed")
+		}
+	}
+}
+
 func (f *fleet) workerConfig(i int, host standin.Host, random *rand.Rand) standin.WorkerConfig {
 	return standin.WorkerConfig{
 		Name: workerName(i), Service: service, Address: host.Worker, Registry: host.Registry,
--- a/cmd/soak/jobs/links.go
+++ b/cmd/soak/jobs/links.go
@@ -34,6 +34,17 @@
 // sound lets the link work without trouble.
 func (l *link) sound() { l.Impair(l.soundState()) }
 
+// listen makes the link refuse connections and resets the open ones, as where a process has
+// ended, or accept connections again.
+func (l *link) listen(listens bool) error {
+	if listens {
+		return l.Resume()
+	}
+	l.Refuse()
+	l.Reset()
+	return nil
+}
+
 func (l *link) soundState() relay.Impairment {
 	if l.kind == entryLink {
 		return relay.Impairment{Delay: soundDelay}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,14 +18,16 @@
 // Relay accepts connections and carries each of them to a target. Waiting parks on a
 // channel, a timer or the network.
 type Relay struct {
-	listener *net.TCPListener
-	target   string
-	state    atomic.Pointer[state]
-	serving  sync.WaitGroup
+	address string
+	target  string
+	state   atomic.Pointer[state]
+	serving sync.WaitGroup
 
 	// mu guards what follows, which only opening, closing and switching need.
-	mu          sync.Mutex
-	closed      bool
+	mu     sync.Mutex
+	closed bool
+	// listener is nil while the relay does not listen.
+	listener    *net.TCPListener
 	connections map[*connection]struct{}
 }
 
@@ -37,16 +39,47 @@
 			return nil, err
 		}
 	}
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "relay")
-	}
-	r := &Relay{listener: listener.(*net.TCPListener), target: target, connections: make(map[*connection]struct{})}
+	r := &Relay{address: address, target: target, connections: make(map[*connection]struct{})}
 	r.state.Store(newState(Impairment{}))
-	r.serving.Go(r.accept)
+	if err := r.Resume(); err != nil {
+		return nil, err
+	}
 	return r, nil
 }
 
+// Refuse makes the relay refuse new connections, as an address at which nothing listens.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopListening()
+}
+
+// Resume makes the relay listen again.
+func (r *Relay) Resume() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || r.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return errors.Wrap(err, "relay")
+	}
+	r.listener = listener.(*net.TCPListener)
+	r.address = r.listener.Addr().String()
+	accepting := r.listener
+	r.serving.Go(func() { r.accept(accepting) })
+	return nil
+}
+
+// stopListening closes the listener. The caller holds the lock.
+func (r *Relay) stopListening() {
+	if r.listener != nil {
+		_ = r.listener.Close() // fails only if it is closed
+		r.listener = nil
+	}
+}
+
 func checkLoopback(address string) error {
 	resolved, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
@@ -59,7 +92,11 @@
 }
 
 // Addr returns the address that the relay listens at.
-func (r *Relay) Addr() string { return r.listener.Addr().String() }
+func (r *Relay) Addr() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.address
+}
 
 // Impair replaces the impairment that is in force, for open and for new connections.
 func (r *Relay) Impair(i Impairment) {
@@ -86,15 +123,15 @@
 func (r *Relay) Close() {
 	r.mu.Lock()
 	r.closed = true
+	r.stopListening()
 	r.mu.Unlock()
-	_ = r.listener.Close() // fails only if it is closed
 	r.Reset()
 	r.serving.Wait()
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(listener *net.TCPListener) {
 	for {
-		client, err := r.listener.AcceptTCP()
+		client, err := listener.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -289,3 +289,16 @@
 	_, err := Listen("127.0.0.1:0", "192.0.2.1:80")
 	g.Expect(err).To(MatchError(ContainSubstring("loopback")))
 }
+
+func TestRelayRefusesConnectionsUntilItResumes(t *testing.T) {
+	g := NewWithT(t)
+	r, _ := newLink(t)
+	open := dial(t, r)
+	r.Refuse()
+	_, err := net.Dial("tcp", r.Addr())
+	g.Expect(errors.Is(err, syscall.ECONNREFUSED)).To(BeTrue(), "%v", err)
+	g.Expect(open.Write([]byte("a"))).To(Equal(1))
+	g.Expect(io.ReadFull(open, make([]byte, 1))).To(Equal(1))
+	g.Expect(r.Resume()).To(Succeed())
+	g.Expect(dial(t, r).Close()).To(Succeed())
+}
