--- a/scheduler/dispatch/evidence.go
+++ b/scheduler/dispatch/evidence.go
@@ -41,7 +41,7 @@
 
 // describe returns the evidence for a release, for the log.
 func (m listingMark) describe(w *workerState, listing uint64) string {
-	return fmt.Sprintf("listing %d of link %d, after listing %d", listing, w.link.ID, m.number)
+	return fmt.Sprintf("listing %d of link %d, after %d", listing, w.link.ID, m.number)
 }
 
 // describeReplacement names a worker's known incarnation and the one that replaces it, for the
