Hold inherited tasks back until a worker's first complete listing

What callers may see: tasks run twice after a takeover, if a worker has more ends than it lists at a time, as after a silence of the store. Cause: the first listing ended a new holder's wait for a worker, also a partial one. The run of an earlier holder may be among the ends that it lacks, and its task was started elsewhere. Evidence: TestPartialListingDoesNotEndTheWaitOfANewHolder fails on the code before. Change: a host whose worker's first listing is partial goes on holding back inherited tasks until it lists completely, its lease is over, or the inherited leases are: a row that can't be decoded must not hold them back for good.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -98,6 +98,9 @@
 	// unreportedWorkers holds the worker incarnations that the previous holder
 	// used, and that have not yet listed their runs to this holder.
 	unreportedWorkers map[runs.Incarnation]unreportedWorker
+	// partlyListed holds the hosts whose workers may have runs of an earlier holder that
+	// they have not listed yet, although they have listed others.
+	partlyListed map[string]bool
 	// recordedIncarnations maps the worker incarnations that have a record in the
 	// store to their hosts.
 	recordedIncarnations map[runs.Incarnation]string
@@ -157,6 +160,7 @@
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
 		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
+		partlyListed:         make(map[string]bool),
 		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
@@ -250,6 +254,9 @@
 	for _, u := range c.unreportedWorkers {
 		c.awaitExpiry(c.expiryOf(u))
 	}
+	if len(c.partlyListed) > 0 {
+		c.awaitExpiry(c.inheritedExpiry)
+	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
 	}
@@ -273,6 +280,9 @@
 }
 
 func (c *Core) expireInherited() {
+	if c.now.Held >= c.inheritedExpiry {
+		clear(c.partlyListed) // a row that can't be decoded may stay
+	}
 	for incarnation, u := range c.unreportedWorkers {
 		if c.now.Held < c.expiryOf(u) {
 			continue
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -116,7 +116,7 @@
 
 // isHeldBack reports whether a worker that has not listed its runs may run the task.
 func (c *Core) isHeldBack(t *task) bool {
-	return t.job().inherited && len(c.unreportedWorkers) > 0 && !t.located
+	return t.job().inherited && len(c.unreportedWorkers)+len(c.partlyListed) > 0 && !t.located
 }
 
 // canStart reports whether the task needs to be started and surely runs nowhere.
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -133,6 +133,7 @@
 		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
 			continue
 		}
+		delete(c.partlyListed, w.host)
 		c.expireInheritedOn(w)
 		idle := len(w.runs) == 0 && len(w.replaced) == 0 && !w.recorded
 		if idle || c.mayHaveInheritedRuns(w) {
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -57,12 +57,16 @@
 	first := !w.listed
 	w.listed = true
 	if !l.Partial {
+		delete(c.partlyListed, w.host)
 		c.releaseMissing(w, l.Number, seen)
 	}
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
 		c.forgetReplaced(w)
+		if l.Partial && c.mayHaveInheritedRuns(w) {
+			c.partlyListed[w.host] = true
+		}
 		c.forgetUnreported(w.host, w.description.Incarnation)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
--- /dev/null
+++ b/scheduler/dispatch/partial_test.go
@@ -0,0 +1,44 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+)
+
+// Guards against TWICE: a worker had more ends than it lists at a time when a new holder came,
+// which started the tasks of the others again.
+func TestPartialListingDoesNotEndTheWaitOfANewHolder(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
+	g.Expect(f.starts()).To(BeEmpty(), "the task's run may be among the ends that are not listed")
+	f.list(2, 2)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// Guards against LOST: a row that can't be decoded makes all listings of a worker partial.
+func TestListingsThatStayPartialHoldBackInheritedTasksForAWhileOnly(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	started := 0
+	for number := uint64(1); number < 40; number++ {
+		f.core.HostPinged(evidenceHost, number)
+		f.core.HostPinged("free", number)
+		f.listing(dispatch.WorkerListing{Number: number, Requested: number, Partial: true})
+		f.advance(300 * time.Millisecond)
+		started += len(f.starts())
+		g.Expect(f.forgotten()).To(BeEmpty(), "the worker has listed")
+		if time.Duration(number)*300*time.Millisecond < testAuthority+testLease {
+			g.Expect(started).To(BeZero())
+		}
+	}
+	g.Expect(started).To(BeNumerically(">", 0))
+}
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -39,9 +39,10 @@
 }
 
 // reportHeldBack records how many jobs wait for worker incarnations that the
-// previous holder used and that have not reported yet, and one of their hosts.
+// previous holder used and that have not listed all their runs yet, and one of their
+// hosts.
 func (c *Core) reportHeldBack() {
-	if len(c.unreportedWorkers) == 0 || c.now.Monotonic-c.heldBackReportedAt < waitReportInterval {
+	if len(c.unreportedWorkers)+len(c.partlyListed) == 0 || c.now.Monotonic-c.heldBackReportedAt < waitReportInterval {
 		return
 	}
 	jobs := 0
@@ -50,14 +51,18 @@
 			jobs++
 		}
 	}
+	d := Decision{
+		Kind:   DecidedJobsHeldBack,
+		Detail: fmt.Sprintf("jobs=%d unreported=%d partly_listed=%d", jobs, len(c.unreportedWorkers), len(c.partlyListed)),
+	}
+	for host := range c.partlyListed {
+		d.Host = host
+	}
 	for _, u := range c.unreportedWorkers {
-		c.heldBackReportedAt = c.now.Monotonic
-		c.recordDecision(Decision{
-			Kind: DecidedJobsHeldBack, Host: u.host, Waited: c.expiryOf(u) - c.now.Monotonic,
-			Detail: fmt.Sprintf("jobs=%d unreported=%d", jobs, len(c.unreportedWorkers)),
-		})
-		return
+		d.Host, d.Waited = u.host, c.expiryOf(u)-c.now.Monotonic
 	}
+	c.heldBackReportedAt = c.now.Monotonic
+	c.recordDecision(d)
 }
 
 // workerCounts counts the workers of a shard by the first reason for which a
