Don't remove a worker's record after a later one was stored

What callers may see: tasks run twice after a takeover. Cause: a batch takes records before removals. If it was full, restricted to one record or failed, the removal of an earlier record of an incarnation that has listed again came after the new record, and the next holder did not wait for the worker. Evidence: TestRemovalOfARecordIsNotStoredAfterALaterRecord fails on the code before. Change: a record that is due withdraws the removal that is due. Result: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/incarnation_test.go
+++ b/scheduler/dispatch/incarnation_test.go
@@ -213,3 +213,26 @@
 	f.store()
 	g.Expect(f.starts()).To(HaveLen(1))
 }
+
+// Guards against TWICE: the removal of a worker's record was stored after the record that
+// followed it, so that a later holder did not wait for the worker.
+func TestRemovalOfARecordIsNotStoredAfterALaterRecord(t *testing.T) {
+	for _, failed := range []bool{false, true} {
+		g := NewWithT(t)
+		f := newEvidenceFixture()
+		f.core.HostLost(evidenceHost)
+		f.advance(2 * testLease)
+		single := dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10, Single: true}
+		removal := dispatch.Batch{}
+		if failed {
+			removal = f.core.NextBatch(single)
+		}
+		f.link(2, 1)
+		f.list(2, 2)
+		f.core.BatchFailed(removal)
+		record := f.core.NextBatch(single)
+		g.Expect(record.Workers).To(HaveLen(1))
+		f.core.BatchStored(record)
+		g.Expect(f.forgotten()).To(BeEmpty())
+	}
+}
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -226,6 +226,7 @@
 func (c *Core) BatchFailed(b Batch) {
 	c.workersToRecord = append(b.Workers, c.workersToRecord...)
 	c.incarnationsToForget = append(b.Forgotten, c.incarnationsToForget...)
+	c.keepRecorded(c.workersToRecord)
 }
 
 // rejectedPause is how long a job's progress that the table service has rejected is not
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -149,4 +149,13 @@
 		return
 	}
 	c.workersToRecord = append(c.workersToRecord, WorkerRecord{Incarnation: w.description.Incarnation, Host: w.host})
+	c.keepRecorded(c.workersToRecord)
+}
+
+// keepRecorded withdraws the removals of earlier records of incarnations that are to be
+// recorded: a batch may hold the record without the removal, which would follow it.
+func (c *Core) keepRecorded(records []WorkerRecord) {
+	c.incarnationsToForget = slices.DeleteFunc(c.incarnationsToForget, func(i runs.Incarnation) bool {
+		return slices.ContainsFunc(records, func(r WorkerRecord) bool { return r.Incarnation == i })
+	})
 }
