Keep a record that can't be stored from ending the process

Records are stored by a goroutine of their own. A panic there, by an odd row of another writer for instance, ended the process, and the next holder's after it, since it reads the same rows. The holder's loop survives such a panic; this goroutine did not. Cause: no recover beside the one of the loop. Evidence: the new row of TestRecordsThatAreRejectedDoNotHoldBackOthers ended the test's process before. Change: a panic counts as a rejection by the table service, so the records of the batch are stored one by one, and the odd one is put off. It is counted and logged. Result: the test passes with -race, with the other tests of records.

--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -35,8 +36,16 @@
 	workers map[string]table.Version
 }
 
-// run stores the batch.
-func (w *batchWriter) run(ctx context.Context) error {
+// run stores the batch. A panic counts as a rejection of its records, so that an odd one
+// neither ends the process nor holds back the others.
+func (w *batchWriter) run(ctx context.Context) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			w.node.metrics.Panics.Inc(1)
+			w.node.log.Error().Any("cause", cause).Str("stack", string(debug.Stack())).Msg("storing records panicked")
+			err = errors.Wrap(table.ErrInvalid, "storing records panicked")
+		}
+	}()
 	holds := table.RowCondition{RowID: w.node.holderRow(), Version: w.holder.Version}
 	for _, txn := range packTransactions(w.changes(), holds) {
 		if err := w.transact(ctx, txn); err != nil {
--- a/scheduler/holder/rejected_records_test.go
+++ b/scheduler/holder/rejected_records_test.go
@@ -17,15 +17,20 @@
 const maxKeyBytes = 200
 
 // limitedRows rejects rows as the table service does: keys and values that are too
-// large, and the progress of one job. Progress may have a smaller bound.
+// large, and the progress of one job. Progress may have a smaller bound. With panics, that
+// job's progress can't even be sent.
 type limitedRows struct {
 	table.Rows
 	rejected      carobkeel.JobID
+	panics        bool
 	progressBytes int
 }
 
 func (r *limitedRows) Transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
 	for _, w := range txn.Writes {
+		if r.panics && w.Table == holder.TableProgress && r.rejects(w) {
+			panic("odd record")
+		}
 		if len(w.Key) > maxKeyBytes || len(w.Value) > maxRowBytes || (w.Table == holder.TableProgress && r.rejects(w)) {
 			return table.RowOutcome{}, table.ErrInvalid
 		}
@@ -41,14 +46,16 @@
 	for _, c := range []struct {
 		name, host string
 		rejected   carobkeel.JobID
+		panics     bool
 	}{
-		{"worker whose key is too long", strings.Repeat("h", 300), ""},
-		{"progress of one job", "host-1", testJob(1).ID},
+		{"worker whose key is too long", strings.Repeat("h", 300), "", false},
+		{"progress of one job", "host-1", testJob(1).ID, false},
+		{"progress of one job that panics", "host-1", testJob(1).ID, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := startCluster(t, 0, 0)
-			f.rows = faulty.NewRows(&limitedRows{Rows: f.memory, rejected: c.rejected})
+			f.rows = faulty.NewRows(&limitedRows{Rows: f.memory, rejected: c.rejected, panics: c.panics})
 			f.startEntry(t)
 			f.startWorker(t, "host-0")
 			f.startWorker(t, c.host)
