Don't take a refusal at an earlier holder's address for one of the present holder

A candidate that dialled the earlier holder while the row changed noted that the holder refuses connections, after the change had reset that note. While its next dial hung, it took the shard 0.1 s after the change from a holder that had just begun. Cause: the note was stored without a look at whose address had refused. Evidence: TestRefusalOfAnEarlierHolderSaysNothingOfThePresentOne failed before. Change: the result of a dial counts only while the row is the one that it was for. Result: the test passes with -race, with TestWhoTakesOver.

--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -72,7 +72,10 @@
 
 func (n *Node) dialHolder(ctx context.Context, dialer *net.Dialer, s *HolderState) {
 	conn, err := dialer.DialContext(ctx, "tcp", s.Row.Address)
-	n.holderRefuses.Store(errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
+	// What an earlier holder's address does says nothing of the present one.
+	if n.holderState.Load() == s {
+		n.holderRefuses.Store(errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET))
+	}
 	if err != nil {
 		return
 	}
--- a/scheduler/holder/election_test.go
+++ b/scheduler/holder/election_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -100,3 +101,21 @@
 	g.Expect(s.nextSuccessions(s.Since+youngHolder, reasonSilent)).To(BeZero())
 	g.Expect(s.nextSuccessions(s.Since, "holder stepped down")).To(Equal(s.Row.Successions))
 }
+
+// Guards against a takeover from a live holder: the address of the one before it refused a
+// connection that was dialled before the row changed.
+func TestRefusalOfAnEarlierHolderSaysNothingOfThePresentOne(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	n := newTestNode()
+	earlier := &HolderState{Row: wire.HolderRow{Epoch: 1, Address: listener.Addr().String()}}
+	n.holderState.Store(earlier)
+	n.dialHolder(t.Context(), &net.Dialer{}, earlier)
+	g.Expect(n.holderRefuses.Load()).To(BeTrue())
+	n.holderRefuses.Store(false)
+	n.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 2}})
+	n.dialHolder(t.Context(), &net.Dialer{}, earlier)
+	g.Expect(n.holderRefuses.Load()).To(BeFalse())
+}
