Judge the present holder by no link to an earlier one

An entry's link to the earlier holder goes on for up to 0.25 s after the row has changed. If that holder's process had restarted, which is why it was replaced, a third entry took the shard at once from the one that had just replaced it, as candidates wait 0.1 s or so. Cause: observe used the link without a look at whose it is. Evidence: TestLinkToAnEarlierHolderSaysNothingOfThePresentOne failed before. Change: a link counts only for the process that the row names. Result: the test passes with -race, with TestWhoTakesOver.

--- a/scheduler/holder/election_test.go
+++ b/scheduler/holder/election_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 )
 
@@ -119,3 +120,24 @@
 	n.dialHolder(t.Context(), &net.Dialer{}, earlier)
 	g.Expect(n.holderRefuses.Load()).To(BeFalse())
 }
+
+// Guards against holders that replace each other: that the earlier holder's process had restarted
+// was taken for a reason to replace the present one, which had just replaced it.
+func TestLinkToAnEarlierHolderSaysNothingOfThePresentOne(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	n.storeAnswered.Store(int64(clock.Boottime()))
+	n.sidecars.Store("host", newSidecarPeer(n, "host"))
+	toEarlier := &holderLink{node: n, holder: 1}
+	toEarlier.lastPong.Store(int64(clock.Boottime()))
+	toEarlier.restarted.Store(true)
+	n.linkToHolder.Store(toEarlier)
+	takesOver := func(incarnation uint64) bool {
+		n.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 2, Incarnation: incarnation}, Since: clock.Boottime()})
+		o := n.observe()
+		_, due := o.shouldTakeOver()
+		return due
+	}
+	g.Expect(takesOver(1)).To(BeTrue())
+	g.Expect(takesOver(2)).To(BeFalse())
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -71,13 +71,15 @@
 		storeFailed:   time.Duration(n.storeFailed.Load()),
 		holderRefuses: n.holderRefuses.Load(),
 	}
-	if s := n.holderState.Load(); s != nil {
+	s := n.holderState.Load()
+	if s != nil {
 		o.rowKnown = true
 		o.vacant = s.Row.Epoch == 0
 		o.rowSince = s.Since
 		o.silenceTimeout = s.silenceTimeout(o.now)
 	}
-	if toHolder := n.linkToHolder.Load(); toHolder != nil {
+	// The link to an earlier holder goes on for a moment after the row has changed.
+	if toHolder := n.linkToHolder.Load(); toHolder != nil && s != nil && toHolder.holder == s.Row.Incarnation {
 		toHolder.observe(&o)
 	}
 	n.sidecars.Range(func(_, value any) bool {
