--- a/scheduler/holder/election_test.go
+++ b/scheduler/holder/election_test.go
@@ -1,11 +1,13 @@
 package holder
 
 import (
+	"net"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 )
 
@@ -100,3 +102,42 @@
 	g.Expect(s.nextSuccessions(s.Since+youngHolder, reasonSilent)).To(BeZero())
 	g.Expect(s.nextSuccessions(s.Since, "holder stepped down")).To(Equal(s.Row.Successions))
 }
+
+// Guards against a takeover from a live holder: the address of the one before it refused a
+// connection that was dialled before the row changed.
+func TestRefusalOfAnEarlierHolderSaysNothingOfThePresentOne(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(listener.Close()).To(Succeed())
+	n := newTestNode()
+	earlier := &HolderState{Row: wire.HolderRow{Epoch: 1, Address: listener.Addr().String()}}
+	n.holderState.Store(earlier)
+	n.dialHolder(t.Context(), &net.Dialer{}, earlier)
+	g.Expect(n.holderRefuses.Load()).To(BeTrue())
+	n.holderRefuses.Store(false)
+	n.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 2}})
+	n.dialHolder(t.Context(), &net.Dialer{}, earlier)
+	g.Expect(n.holderRefuses.Load()).To(BeFalse())
+}
+
+// Guards against holders that replace each other: that the earlier holder's process had restarted
+// was taken for a reason to replace the present one, which had just replaced it.
+func TestLinkToAnEarlierHolderSaysNothingOfThePresentOne(t *testing.T) {
+	g := NewWithT(t)
+	n := newTestNode()
+	n.storeAnswered.Store(int64(clock.Boottime()))
+	n.sidecars.Store("host", newSidecarPeer(n, "host"))
+	toEarlier := &holderLink{node: n, holder: 1}
+	toEarlier.lastPong.Store(int64(clock.Boottime()))
+	toEarlier.restarted.Store(true)
+	n.linkToHolder.Store(toEarlier)
+	takesOver := func(incarnation uint64) bool {
+		n.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 2, Incarnation: incarnation}, Since: clock.Boottime()})
+		o := n.observe()
+		_, due := o.shouldTakeOver()
+		return due
+	}
+	g.Expect(takesOver(1)).To(BeTrue())
+	g.Expect(takesOver(2)).To(BeFalse())
+}
