--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -146,7 +146,7 @@
 		return
 	}
 	signal(a.holderLost) // the next holder may be an entry that is not known yet
-	a.log.Warn().Str("entry", l.address).Err(err).Msg("link to the holder lost")
+	a.log.Warn().Err(err).Str("entry", l.address).Msg("link to the holder lost")
 }
 
 func (l *entryLink) send(kind frame.Type, message msgp.Marshaler) {
@@ -270,7 +270,7 @@
 
 func (l *entryLink) logLeftOut(err error) {
 	if skipped, ok := l.leftOut.Allow(time.Now()); ok {
-		l.agent.log.Warn().Str("entry", l.address).Int64("skipped", skipped).Err(err).Msg("order left out")
+		l.agent.log.Warn().Err(err).Str("entry", l.address).Int64("skipped", skipped).Msg("order left out")
 	}
 }
 
