Fence a worker before its first heartbeat reaches a new process of its sidecar

Cause: a host came back with its sidecar and, under the same ID, its worker. The worker's first heartbeat came 7 ms before the sidecar listened, the next one 1.1 s later. Until then nothing had told the worker of a later generation, and it carried out a start that its earlier incarnation had been sent. Evidence: worker began 49.554 s, late start 50.240, first heartbeat recorded 50.69; TestLateCallsAreRefusedBeforeTheFirstHeartbeatAfterARestartOfTheHost failed before. Change: as long as a process of the sidecar has had no heartbeat, it requests a listing that names no incarnation, each 150 ms, once it knows the holder's epoch. The window falls from 1.1 s and more to the time in which the sidecar finds an epoch, and 150 ms. Refused listings are logged at most each ten seconds, with the result first. Result: the test passes; sidecar/agent and the stand-ins pass.

--- a/scheduler/holder/late_calls_test.go
+++ b/scheduler/holder/late_calls_test.go
@@ -75,3 +75,33 @@
 	}
 	g.Expect(f.violations()).To(BeEmpty())
 }
+
+// countLate returns the number of calls since the last time.
+func (w *recordedCalls) countLate() int {
+	w.calls.Lock()
+	defer w.calls.Unlock()
+	return len(w.late)
+}
+
+// Guards against TWICE: the worker of a host that came back carried out what its earlier
+// incarnation had been sent, until its first heartbeat reached the sidecar.
+func TestLateCallsAreRefusedBeforeTheFirstHeartbeatAfterARestartOfTheHost(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 1, 0)
+	worker := &recordedCalls{realTimeWorker: f.newWorker("host-0")}
+	a, stop := f.startSidecar(t, "host-0", worker)
+	a.RecordHeartbeat(worker.worker.Description())
+	job := f.submit(g, f.entries[0], 1)
+	g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+	stop()
+	f.mu.Lock()
+	worker.worker.Crash()
+	f.mu.Unlock()
+	late := worker.takeLate()
+	f.startSidecar(t, "host-0", worker)
+	g.Eventually(worker.countLate, waitTimeout).Should(BeNumerically(">", 1))
+	for _, call := range late {
+		g.Expect(call()).To(Equal(runs.ResultStaleEpoch))
+	}
+	g.Expect(f.violations()).To(BeEmpty())
+}
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -70,8 +70,9 @@
 	candidate atomic.Pointer[runs.Description]
 	// refutation is the last one, nil before the first.
 	refutation atomic.Pointer[refutation]
-	// refused limits the log lines about heartbeats of other workers.
-	refused logging.RateLimit
+	// refused limits the log lines about heartbeats of other workers, listingsRefused those
+	// about listings that the worker refuses.
+	refused, listingsRefused logging.RateLimit
 	// leftOut limits the log lines about rows left out of listings.
 	leftOut logging.RateLimit
 	// unresponsive reports that the worker does not answer, or is not known yet.
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -33,9 +33,10 @@
 	// immediateRetryInterval is the least time between two failed listings that the next
 	// one follows at once.
 	immediateRetryInterval = time.Second
-	// noWorkerPause is the interval of the checks for a worker that has sent no
-	// heartbeat yet. A heartbeat ends the wait.
-	noWorkerPause = time.Second
+	// firstHeartbeatTime is how long the first heartbeat of a worker may take. Until then the
+	// worker is asked after each retryPause, later after idlePause. A heartbeat ends the wait.
+	firstHeartbeatTime = 5 * time.Second
+	idlePause          = time.Second
 	// unresponsiveAfter is the number of consecutive failed listings after which
 	// the worker counts as unresponsive.
 	unresponsiveAfter = 2
@@ -67,13 +68,36 @@
 		state := a.state.Load()
 		if state.Description == nil {
 			a.reportUnknownWorker(a.holderLink.Load())
-			a.waitForChange(ctx, noWorkerPause)
+			a.fenceUnknownWorker(ctx, state)
+			a.waitForChange(ctx, a.noWorkerPause())
 			continue
 		}
 		l.listOnce(ctx, state)
 	}
 }
 
+// fenceUnknownWorker has whatever worker answers at the address refuse calls of earlier
+// generations. It may have begun together with this process, and until its first heartbeat
+// it carries out what was sent to its earlier incarnation.
+func (a *Agent) fenceUnknownWorker(ctx context.Context, state *gate.Worker) {
+	epoch := a.holder.Load().Epoch
+	if epoch == 0 {
+		return // the fence would be below those of earlier calls
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	// What it lists is not used: its ID is not known, and whose heartbeat comes first neither.
+	_, _, _ = a.worker.List(ctx, runs.Envelope{Fence: runs.Fence{Epoch: epoch, Generation: state.Generation}}, 0, 0)
+}
+
+// noWorkerPause returns the interval of the checks for a worker that has sent no heartbeat yet.
+func (a *Agent) noWorkerPause() time.Duration {
+	if clock.Boottime()-a.started < firstHeartbeatTime {
+		return retryPause
+	}
+	return idlePause
+}
+
 // waitForChange waits until a change is signalled, the timeout passes or ctx ends.
 func (a *Agent) waitForChange(ctx context.Context, timeout time.Duration) {
 	wait(ctx, a.changed, timeout)
@@ -238,7 +262,7 @@
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
 	if err == nil && answer.Result != runs.ResultUnhealthy {
-		a.log.Warn().Str("worker", d.ID).Stringer("result", answer.Result).Msg("listing refused")
+		a.logRefused(d, answer.Result)
 	}
 	if hasEnded(answer, err) {
 		a.reportShutdown(d.Incarnation)
@@ -258,6 +282,12 @@
 	a.waitForChange(context.WithoutCancel(ctx), retryPause)
 }
 
+func (a *Agent) logRefused(d *runs.Description, result runs.Result) {
+	if skipped, ok := a.listingsRefused.Allow(time.Now()); ok {
+		a.log.Warn().Stringer("result", result).Str("worker", d.ID).Int64("skipped", skipped).Msg("listing refused")
+	}
+}
+
 // mayRetryAtOnce reports whether the next listing follows one without an answer without a
 // pause.
 func (l *lister) mayRetryAtOnce() bool {
@@ -326,7 +356,7 @@
 	first := !a.unresponsive.Swap(true)
 	remaining := a.leaseRemaining()
 	if first {
-		a.log.Warn().Str("worker", d.ID).Dur("lease_left", remaining).Err(err).Msg("worker does not answer")
+		a.log.Warn().Err(err).Str("worker", d.ID).Dur("lease_left", remaining).Msg("worker does not answer")
 	}
 	sendUnreachable(a.holderLink.Load(), remaining)
 }
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -228,7 +228,8 @@
 // Envelope holds the fields that are common to all orders.
 type Envelope struct {
 	// Incarnation is the incarnation that the order is addressed to. A worker checks its
-	// ID only, so the fence keeps calls off that were sent to an earlier incarnation.
+	// ID only, so the fence keeps calls off that were sent to an earlier incarnation. Without
+	// an ID, any worker carries the order out.
 	Incarnation Incarnation
 	Fence       Fence
 	// Deadline is the end of the worker's lease, on the worker's clock. Zero leaves
--- a/worker/runs/standin/standin.go
+++ b/worker/runs/standin/standin.go
@@ -208,7 +208,7 @@
 func (w *Worker) admit(e runs.Envelope) runs.Answer {
 	answer := runs.Answer{Clock: w.now}
 	switch {
-	case e.Incarnation.ID != w.config.Description.ID:
+	case e.Incarnation.ID != "" && e.Incarnation.ID != w.config.Description.ID:
 		return runs.Answer{Result: runs.ResultOtherIncarnation}
 	case e.Fence.Less(w.fence):
 		answer.Result = runs.ResultStaleEpoch
