--- a/scheduler/holder/partition_test.go
+++ b/scheduler/holder/partition_test.go
@@ -154,6 +154,13 @@
 	g.Expect(f.record.Starts[task]-f.record.Interrupted[task]).To(Equal(1), "one run that was not interrupted")
 }
 
+// goneWorker is the address of a worker that has ended.
+type goneWorker struct{ runs.Client }
+
+func (goneWorker) List(context.Context, runs.Envelope, uint64, time.Duration) (runs.Listing, runs.Answer, error) {
+	return runs.Listing{}, runs.Answer{}, runs.ErrNotListening
+}
+
 // The restarted sidecar does not know its worker. Each new link must not begin the wait for
 // the lease anew.
 func TestTaskOfADeadWorkerRestartsAlthoughItsSidecarLosesItsLinks(t *testing.T) {
@@ -172,7 +179,7 @@
 	f.mu.Lock()
 	dead.worker.Crash()
 	f.mu.Unlock()
-	f.startSidecarOf(t, "host-0", nil, unstable.address)
+	f.startSidecarOf(t, "host-0", goneWorker{}, unstable.address)
 	restarted := func() int {
 		unstable.breakLinks()
 		return other.countTasks()
