--- a/scheduler/holder/path_test.go
+++ b/scheduler/holder/path_test.go
@@ -421,7 +421,7 @@
 	f.mu.Lock()
 	f.workers[dead].Crash()
 	f.mu.Unlock()
-	f.startSidecar(t, fmt.Sprintf("host-%d", dead), nil)
+	f.startSidecar(t, fmt.Sprintf("host-%d", dead), goneWorker{})
 	g.Eventually(f.busyWorker, 2*testWorkerLease).Should(Equal(1 - dead))
 	g.Expect(f.violations()).To(BeEmpty())
 }
