Describe a worker to the holder before its first listing

Cause: who finds that an incarnation answers describes it, while the lister may already list it. The holder ignores the listing of an incarnation that it doesn't know, but the sidecar took it as received: it had the lease extended, and sent the next full listing 180 ms later. A listing of a new incarnation over the same link could also lack the runs. Evidence: TestHolderHearsOfAWorkerBeforeItsFirstListing failed before. Change: the lister sends the description before the first listing of an incarnation over a link, and that listing is a full one.

--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -240,3 +245,28 @@
 	g.Expect(a.state.Load().Generation).To(BeNumerically("<=", began+5))
 	g.Expect(gate.NewWorker(time.Now().Add(time.Second)).Generation).To(BeNumerically(">", a.state.Load().Generation))
 }
+
+// Guards against listings that the holder ignores, as it knows nothing of the incarnation yet.
+func TestHolderHearsOfAWorkerBeforeItsFirstListing(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	a, _ := linkedAgent(&addressedWorker{incarnation: next})
+	near, far := net.Pipe()
+	holderLink := &entryLink{agent: a, link: link.New(near, link.DefaultConfig())}
+	holderLink.currentEpoch.Store(3)
+	a.holderLink.Store(holderLink)
+	received := make(chan frame.Type, 8)
+	go func() { _ = holderLink.link.Run(t.Context(), func(frame.Frame) error { return nil }) }()
+	go func() {
+		_ = link.New(far, link.DefaultConfig()).Run(t.Context(), func(f frame.Frame) error {
+			received <- f.Type
+			return nil
+		})
+	}()
+	verified := a.state.Load().Describe(&runs.Description{Incarnation: next, Sequence: 1}, time.Now())
+	verified.Verified = true
+	a.state.Store(&verified) // and the description is still to be sent
+	(&lister{agent: a, lastFullLink: holderLink, lastFullAt: clock.Boottime()}).listOnce(t.Context(), &verified)
+	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeDescription))))
+	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeListing))))
+}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -50,10 +50,11 @@
 	refusals int
 	// retriedAt is when a listing last followed a failed one at once.
 	retriedAt time.Time
-	// lastFullAt and lastFullLink are the sending time and the link of the last
-	// full listing.
+	// lastFullAt, lastFullLink and lastListed are the sending time, the link and the
+	// incarnation of the last full listing.
 	lastFullAt   time.Duration
 	lastFullLink *entryLink
+	lastListed   runs.Incarnation
 	// checkpoints are those in the last full listing. The holder keeps them, so that
 	// only changed ones are sent again over that link and under that epoch.
 	checkpoints      map[runKey]string
@@ -194,7 +195,8 @@
 		return false
 	}
 	now := clock.Boottime()
-	full := holderLink != l.lastFullLink || l.agent.unresponsive.Load() || now-l.lastFullAt >= fullInterval
+	first := holderLink != l.lastFullLink || d.Incarnation != l.lastListed
+	full := first || l.agent.unresponsive.Load() || now-l.lastFullAt >= fullInterval
 	if !full && len(listing.Ends) == 0 {
 		return true
 	}
@@ -202,9 +204,12 @@
 		Incarnation: d.Incarnation, Number: number, Requested: l.agent.listingNumber.Load(), Full: full, Ends: listing.Ends,
 		Partial: listing.Partial,
 	}
+	if first {
+		l.agent.sendDescription(holderLink) // who has verified the worker may not have sent it yet
+	}
 	if full {
 		report.Running = l.withoutKnownCheckpoints(listing.Running, holderLink, epoch)
-		l.lastFullAt, l.lastFullLink = now, holderLink
+		l.lastFullAt, l.lastFullLink, l.lastListed = now, holderLink, d.Incarnation
 	}
 	holderLink.send(wire.TypeListing, wire.FromListing(report, epoch))
 	return true
