Ask at once for a successor that was refused before it took the worker's place

Cause: a refuted incarnation was not asked for again for 200 ms. At a release the successor sends heartbeats while the old worker lives. If that one left within those 200 ms, the next heartbeat of the successor was refused as well, and it was taken in a heartbeat's interval later. Change: only a refutation under the known ID is kept, as only those questions raise the generation. There the answer itself shows that the known one lives.

--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -73,19 +73,19 @@
 	return true, true
 }
 
-// refutedTime is how long a refuted incarnation is not asked for again. Each question under the
-// known ID raises the generation, which must not run ahead of that of a later process.
+// refutedTime is how long a refuted incarnation under the known ID is not asked for again. Each
+// such question raises the generation, which must not run ahead of that of a later process.
 const refutedTime = 200 * time.Millisecond
 
-// refutation is the last answer that another incarnation than the asked one lives at the
-// worker's address.
+// refutation is the last answer that the known incarnation, and not the asked one under its ID,
+// lives at the worker's address.
 type refutation struct {
 	known, refuted runs.Incarnation
 	at             time.Time
 }
 
 func (a *Agent) recordRefutation(known *gate.Worker, d *runs.Description, evidence gate.Evidence) {
-	if evidence == gate.AnsweredAsAnother && known.Description != nil {
+	if evidence == gate.AnsweredAsAnother && known.Description != nil && known.Description.ID == d.ID {
 		a.refutation.Store(&refutation{known: known.Description.Incarnation, refuted: d.Incarnation, at: time.Now()})
 	}
 }
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -270,3 +270,15 @@
 	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeDescription))))
 	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeListing))))
 }
+
+// Guards against a successor that is turned away for a heartbeat from before it took the place.
+func TestSuccessorIsTakenInAtOnceAfterARefusedHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	worker := &addressedWorker{incarnation: testIncarnation}
+	a, _ := linkedAgent(worker)
+	g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Address: otherAddress, Sequence: 1})).To(BeFalse())
+	worker.incarnation = next
+	g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Address: ownAddress, Sequence: 2})).To(BeTrue())
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+}
