Take in a restarted worker whose listings state no start

Cause: kept the known incarnation if a listing under its ID stated none. After a restart the next incarnation then passed for the one before, whose acknowledgements were sent to it: its ends up to that number were forgotten before the holder had seen them. Evidence: TestEndsOfARestartedWorkerWithoutAStartAreNotAcknowledgedUnseen failed before, with 140 acknowledged. Where a start is listed, nothing changes. Result: sidecar/agent and sidecar/gate pass with -race.

--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -282,3 +282,16 @@
 	g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Address: ownAddress, Sequence: 2})).To(BeTrue())
 	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
 }
+
+// Guards against lost ends: those of a worker that restarted, and states no start in its listings,
+// were acknowledged by the numbers of the incarnation before.
+func TestEndsOfARestartedWorkerWithoutAStartAreNotAcknowledgedUnseen(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: testIncarnation.StartedAtMs + 1}
+	a, _ := linkedAgent(&listingWorker{})
+	a.acknowledged.Store(&acknowledgement{incarnation: testIncarnation, upTo: 140})
+	a.RecordHeartbeat(runs.Description{Incarnation: next, Sequence: 1})
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.state.Load().Confirmed).To(BeTrue())
+	g.Expect(a.acknowledgedUpTo(a.state.Load())).To(BeZero())
+}
--- a/sidecar/gate/evidence.go
+++ b/sidecar/gate/evidence.go
@@ -30,8 +30,8 @@
 
 // Examine returns the evidence of an answer to a request for a listing that was addressed to
 // an incarnation. Its listing stated the given start, zero if it stated none. A worker
-// compares only its ID, so without a start an incarnation can't be told from another one under
-// that ID.
+// compares only its ID, so without a start the incarnation that began last under that ID counts:
+// the ends of a worker that has restarted must not be taken for those of the one before.
 func Examine(incarnation runs.Incarnation, known *Worker, result runs.Result, startedAtMs int64) Evidence {
 	switch {
 	case result == runs.ResultOtherIncarnation:
@@ -44,8 +44,15 @@
 		return AnsweredAsIt
 	case startedAtMs != 0:
 		return AnsweredAsAnother
-	case known.Description != nil && known.Description.ID == incarnation.ID:
-		return AnsweredUnderItsID
+	case known.mayBeFollowedBy(incarnation):
+		return AnsweredAsIt
 	}
-	return AnsweredAsIt
+	return AnsweredUnderItsID
+}
+
+// mayBeFollowedBy reports whether an incarnation has another ID than the described one, or
+// began later.
+func (w *Worker) mayBeFollowedBy(incarnation runs.Incarnation) bool {
+	d := w.Description
+	return d == nil || d.ID != incarnation.ID || d.StartedAtMs < incarnation.StartedAtMs
 }
