Take a worker's last description as long as none of its incarnations has listed

What callers may see: after a takeover, tasks wait for a lease that is over, if the first description of a worker went back to a heartbeat of another one. Cause: the first description counted as that of the known incarnation, also before it had listed, and the next one was held as a candidate. Evidence: TestNewHolderBelievesTheLeaseLeftOfTheWorkerDescribedLast fails on the code before. Change: only an incarnation that has listed to a holder is known. Until one has, the last description counts, and no restart is logged. Result: go test ./scheduler/dispatch passes.

--- a/scheduler/dispatch/incarnation.go
+++ b/scheduler/dispatch/incarnation.go
@@ -12,15 +12,19 @@
 func (c *Core) DescribeWorker(host string, d runs.Description) {
 	w := c.worker(host)
 	switch {
-	case w.description.ID == "":
-		c.replaceIncarnation(w, d)
-	case w.description.Incarnation != d.Incarnation:
+	case w.description.Incarnation == d.Incarnation:
+		c.describeKnown(w, d)
+	case w.isEstablished():
 		c.holdCandidate(w, d)
 	default:
-		c.describeKnown(w, d)
+		c.replaceIncarnation(w, d)
 	}
 }
 
+// isEstablished reports whether the known incarnation has listed its runs to a holder. Otherwise
+// its description, if there is one, is only a hint too.
+func (w *workerState) isEstablished() bool { return w.hasListed || w.recorded }
+
 // describeKnown applies a description of the known incarnation.
 func (c *Core) describeKnown(w *workerState, d runs.Description) {
 	w.candidate = nil
@@ -57,12 +61,10 @@
 // replaceIncarnation makes an incarnation the known one.
 func (c *Core) replaceIncarnation(w *workerState, d runs.Description) {
 	w.candidate = nil
-	known := w.description.ID != ""
-	if known {
+	restarted := w.isEstablished()
+	if restarted {
 		c.recordDecision(Decision{Kind: DecidedWorkerRestarted, Host: w.host, Detail: d.ID})
 		c.endIncarnation(w, d)
-	}
-	if w.hasListed || w.recorded {
 		w.replaced = append(w.replaced, w.description.Incarnation)
 	}
 	recorded := c.recordedIncarnations[d.Incarnation] == w.host
@@ -70,7 +72,7 @@
 	w.description = d
 	w.listed, w.hasListed, w.recorded = false, false, recorded
 	w.lastEnd, w.pendingEnds, w.acknowledged = 0, nil, 0
-	w.followsEnds = known && !recorded
+	w.followsEnds = restarted && !recorded
 	w.health = health{}
 	w.stall = stallState{lastProgress: c.now.Monotonic}
 	w.control = paceControl{}
--- a/scheduler/dispatch/incarnation_test.go
+++ b/scheduler/dispatch/incarnation_test.go
@@ -236,3 +236,17 @@
 		g.Expect(f.forgotten()).To(BeEmpty())
 	}
 }
+
+// Guards against LOST: after a heartbeat of another worker, a new holder waited for a lease that
+// the sidecar knew to be over.
+func TestNewHolderBelievesTheLeaseLeftOfTheWorkerDescribedLast(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(otherIncarnations["another ID, born later"])
+	f.describe(f.incarnation)
+	f.core.WorkerUnreachable(evidenceHost, 0)
+	g.Expect(f.starts()).To(BeEmpty())
+	f.advance(200 * time.Millisecond)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
