Forget a departure once the worker has sent another heartbeat

What callers may see: a lease that is cut to half a second with each new link. Cause: a departure that was passed on was sent again over each new link, also after the worker had shown that it lives. Evidence: TestDepartureOfAWorkerThatIsBackIsNotReportedAgain failed before. Change: a heartbeat of a ready worker takes the departure back. Result: sidecar/agent passes.

--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -44,8 +44,9 @@
 	if d.Draining != old.Draining && verified {
 		a.sendDescription(a.holderLink.Load())
 	}
-	if !d.Draining {
-		a.leaving.Store(nil) // what announced the shutdown of this incarnation was mistaken
+	if !d.Draining { // what announced the shutdown of this incarnation was mistaken
+		a.leaving.Store(nil)
+		a.leftIncarnation.Store(nil)
 	}
 	a.wakeLister()
 }
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -148,6 +148,18 @@
 	g.Expect(a.leftIncarnation.Load()).To(BeNil(), "it has crashed, and its lease may last")
 }
 
+// Guards against a lease that is cut with each new link after a departure that was mistaken.
+func TestDepartureOfAWorkerThatIsBackIsNotReportedAgain(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{incarnation: testIncarnation, failure: runs.ErrNotListening}
+	a, _ := linkedAgent(worker)
+	a.Deregister(testIncarnation.ID)
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.leftIncarnation.Load()).NotTo(BeNil())
+	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2})
+	g.Expect(a.leftIncarnation.Load()).To(BeNil())
+}
+
 func TestSuccessorAtTheSameAddressCompletesAShutdown(t *testing.T) {
 	g := NewWithT(t)
 	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
