--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -96,12 +96,6 @@
 	holderLost chan struct{}
 }
 
-// workerClock is the clock of an incarnation of the worker. Each incarnation's begins anew.
-type workerClock struct {
-	gate.Clock
-	incarnation runs.Incarnation
-}
-
 // acknowledgement is the number up to which the ended runs of a worker's incarnation
 // are stored by the holder.
 type acknowledgement struct {
@@ -180,71 +174,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// envelopeWithoutLease returns the envelope of a request to the described worker that
-// leaves its lease as it is.
-func envelopeWithoutLease(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
-	return runs.Envelope{
-		Incarnation: state.Description.Incarnation, Fence: runs.Fence{Epoch: epoch, Generation: state.Generation},
-	}
-}
-
-// envelope returns the envelope of a request to the worker. It extends the lease only
-// while the worker answers and the holder knows that.
-func (a *Agent) envelope(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
-	e := envelopeWithoutLease(state, epoch)
-	holder := a.holder.Load()
-	if !state.Confirmed || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
-		return e
-	}
-	deadline := gate.LeaseDeadline(*holder, a.clockOf(state.Description), a.config.WorkerLease)
-	a.raiseDeadline(deadline)
-	if !a.unresponsive.Load() { // otherwise the report may not include this deadline
-		e.Deadline = deadline
-	}
-	return e
-}
-
-// recordAnswering records that the worker answers and that its listing was sent to the
-// holder.
-func (a *Agent) recordAnswering(d *runs.Description) {
-	if !a.unresponsive.Load() {
-		return
-	}
-	a.extendsFrom.Store(int64(clock.Boottime()))
-	a.unresponsive.Store(false)
-	a.log.Info().Str("worker", d.ID).Msg("worker answers")
-	if holderLink := a.holderLink.Load(); holderLink != nil {
-		holderLink.ping()
-	}
-}
-
-// raiseDeadline sets the latest requested deadline unless a later one is recorded.
-func (a *Agent) raiseDeadline(deadline time.Duration) {
-	for {
-		old := a.deadline.Load()
-		if int64(deadline) <= old || a.deadline.CompareAndSwap(old, int64(deadline)) {
-			return
-		}
-	}
-}
-
-// observeClock records the worker's clock from an answer. Answers of an earlier
-// incarnation are ignored.
-func (a *Agent) observeClock(incarnation runs.Incarnation, answer runs.Answer) {
-	if answer.Clock == 0 || !a.state.Load().Is(incarnation) {
-		return
-	}
-	reading := gate.Clock{Reading: answer.Clock, Received: clock.Boottime(), Known: true}
-	a.clock.Store(&workerClock{Clock: reading, incarnation: incarnation})
-}
-
-// clockOf returns the clock of the described incarnation, which may be nil. It is unknown while
-// the last reading is that of another incarnation.
-func (a *Agent) clockOf(d *runs.Description) gate.Clock {
-	c := a.clock.Load()
-	if d == nil || c.incarnation != d.Incarnation {
-		return gate.Clock{}
-	}
-	return c.Clock
-}
--- /dev/null
+++ b/sidecar/agent/lease.go
@@ -0,0 +1,129 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// workerClock is the clock of an incarnation of the worker. Each incarnation's begins anew.
+type workerClock struct {
+	gate.Clock
+	incarnation runs.Incarnation
+}
+
+// envelopeWithoutLease returns the envelope of a request to the described worker that
+// leaves its lease as it is.
+func envelopeWithoutLease(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
+	return runs.Envelope{
+		Incarnation: state.Description.Incarnation, Fence: runs.Fence{Epoch: epoch, Generation: state.Generation},
+	}
+}
+
+// envelope returns the envelope of a request to the worker. It extends the lease only
+// while the worker answers and the holder knows that.
+func (a *Agent) envelope(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
+	e := envelopeWithoutLease(state, epoch)
+	holder := a.holder.Load()
+	if !state.Confirmed || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
+		return e
+	}
+	deadline := gate.LeaseDeadline(*holder, a.clockOf(state.Description), a.config.WorkerLease)
+	a.raiseDeadline(deadline)
+	if !a.unresponsive.Load() { // otherwise the report may not include this deadline
+		e.Deadline = deadline
+	}
+	return e
+}
+
+// recordAnswering records that the worker answers and that its listing was sent to the
+// holder.
+func (a *Agent) recordAnswering(d *runs.Description) {
+	if !a.unresponsive.Load() {
+		return
+	}
+	a.extendsFrom.Store(int64(clock.Boottime()))
+	a.unresponsive.Store(false)
+	a.log.Info().Str("worker", d.ID).Msg("worker answers")
+	if holderLink := a.holderLink.Load(); holderLink != nil {
+		holderLink.ping()
+	}
+}
+
+// raiseDeadline sets the latest requested deadline unless a later one is recorded.
+func (a *Agent) raiseDeadline(deadline time.Duration) {
+	for {
+		old := a.deadline.Load()
+		if int64(deadline) <= old || a.deadline.CompareAndSwap(old, int64(deadline)) {
+			return
+		}
+	}
+}
+
+// observeClock records the worker's clock from an answer. Answers of an earlier
+// incarnation are ignored.
+func (a *Agent) observeClock(incarnation runs.Incarnation, answer runs.Answer) {
+	if answer.Clock == 0 || !a.state.Load().Is(incarnation) {
+		return
+	}
+	reading := gate.Clock{Reading: answer.Clock, Received: clock.Boottime(), Known: true}
+	a.clock.Store(&workerClock{Clock: reading, incarnation: incarnation})
+}
+
+// clockOf returns the clock of the described incarnation, which may be nil. It is unknown while
+// the last reading is that of another incarnation.
+func (a *Agent) clockOf(d *runs.Description) gate.Clock {
+	c := a.clock.Load()
+	if d == nil || c.incarnation != d.Incarnation {
+		return gate.Clock{}
+	}
+	return c.Clock
+}
+
+// reportUnresponsive tells the holder that the worker does not answer, and how long
+// its lease may still be valid.
+func (l *lister) reportUnresponsive(d *runs.Description, err error) {
+	a := l.agent
+	first := !a.unresponsive.Swap(true)
+	remaining := a.leaseRemaining()
+	if first {
+		a.log.Warn().Err(err).Str("worker", d.ID).Dur("lease_left", remaining).Msg("worker does not answer")
+	}
+	sendUnreachable(a.holderLink.Load(), remaining)
+}
+
+// reportUnknownWorker tells the holder that this process knows no worker yet. It has extended no
+// lease, so only one that an earlier process extended may still be valid.
+func (a *Agent) reportUnknownWorker(holderLink *entryLink) {
+	a.unresponsive.Store(true)
+	sendUnreachable(holderLink, max(0, a.earlierLeaseRemaining()))
+}
+
+// sendUnreachable tells the holder that the worker is not reached, and how long its
+// lease may still be valid.
+func sendUnreachable(holderLink *entryLink, remaining time.Duration) {
+	if holderLink == nil {
+		return
+	}
+	holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{Remaining: remaining.Milliseconds()})
+}
+
+// leaseRemaining returns how long the worker's lease may still be valid, or
+// gate.UnknownRemaining.
+func (a *Agent) leaseRemaining() time.Duration {
+	remaining := gate.LeaseRemaining(a.clockOf(a.state.Load().Description), time.Duration(a.deadline.Load()), clock.Boottime())
+	if earlier := a.earlierLeaseRemaining(); earlier > 0 {
+		return max(earlier, remaining)
+	}
+	return remaining
+}
+
+// earlierLeaseRemaining returns how long a lease that an earlier process of this sidecar
+// extended may still be valid.
+func (a *Agent) earlierLeaseRemaining() time.Duration {
+	return a.started + gate.LongestLease(a.config.WorkerLease) - clock.Boottime()
+}
