--- a/sidecar/agent/departure.go
+++ b/sidecar/agent/departure.go
@@ -7,9 +7,10 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
-// Deregister records that a worker announces its shutdown. It exits once Deregister has
-// returned, so the last ends are listed before. The announcement may be late, or that of
-// another worker, so the holder is told once nothing answers any more.
+// Deregister records that a worker announces its shutdown. The worker exits once Deregister has
+// returned, so its last ends are listed before. The announcement may be late, or that of another
+// worker: it ends the starts at once, and the holder hears of the departure once the worker
+// does not answer any more.
 func (a *Agent) Deregister(id string) {
 	state := a.state.Load()
 	d := state.Description
--- a/sidecar/agent/failure.go
+++ b/sidecar/agent/failure.go
@@ -88,16 +88,15 @@
 // doubt changes the state of an incarnation that may have ended, and returns the state. The
 // first doubt about a confirmed incarnation is logged.
 func (a *Agent) doubt(incarnation runs.Incarnation, reason string, change func(gate.Worker) gate.Worker) *gate.Worker {
-	confirmed := false
+	wasConfirmed := false
 	a.updateState(func(w gate.Worker) gate.Worker {
-		if confirmed = w.Confirmed; !w.Describes(incarnation) {
-			confirmed = false
+		if wasConfirmed = w.Describes(incarnation) && w.Confirmed; !w.Describes(incarnation) {
 			return w
 		}
 		return change(w)
 	})
 	state := a.state.Load()
-	if confirmed {
+	if wasConfirmed {
 		a.log.Warn().Str("reason", reason).Str("worker", incarnation.ID).Int64("born", incarnation.StartedAtMs).
 			Uint32("generation", uint32(state.Generation)).Msg("generation raised")
 	}
