--- a/cmd/soak/jobs/play_test.go
+++ b/cmd/soak/jobs/play_test.go
@@ -82,3 +82,7 @@
 func TestHeartbeatsToNeighboursDoNotRunTasksTwice(t *testing.T) {
 	playSeed(t, Config{Seed: 1, Kinds: sidecarKinds, Neighbours: true, MostSteps: 4})
 }
+
+func TestReleasesDoNotRunTasksTwice(t *testing.T) {
+	playSeed(t, Config{Seed: 1, Kinds: []Kind{ReleaseWorkers}, MostSteps: 4})
+}
