--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -83,6 +83,8 @@
 	done  bool
 	// lastRun is the highest run number assigned so far.
 	lastRun int
+	// givenUp is the number of the last run that was given up, zero if none was.
+	givenUp int
 	// failedRuns holds the numbers of the runs that failed. Numbers are needed
 	// because a worker also reports an end to the next holder until the end is
 	// acknowledged, and workers list in any order.
@@ -116,7 +118,7 @@
 
 // isHeldBack reports whether a worker that has not listed its runs may run the task.
 func (c *Core) isHeldBack(t *task) bool {
-	return t.job().inherited && len(c.unreportedWorkers) > 0 && !t.located
+	return t.job().inherited && len(c.unreportedWorkers)+len(c.partlyListed) > 0 && !t.located
 }
 
 // canStart reports whether the task needs to be started and surely runs nowhere.
--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -44,8 +44,9 @@
 	if d.Draining != old.Draining && verified {
 		a.sendDescription(a.holderLink.Load())
 	}
-	if !d.Draining {
-		a.leaving.Store(nil) // what announced the shutdown of this incarnation was mistaken
+	if !d.Draining { // what announced the shutdown of this incarnation was mistaken
+		a.leaving.Store(nil)
+		a.leftIncarnation.Store(nil)
 	}
 	a.wakeLister()
 }
@@ -73,19 +74,19 @@
 	return true, true
 }
 
-// refutedTime is how long a refuted incarnation is not asked for again. Each question under the
-// known ID raises the generation, which must not run ahead of that of a later process.
+// refutedTime is how long a refuted incarnation under the known ID is not asked for again. Each
+// such question raises the generation, which must not run ahead of that of a later process.
 const refutedTime = 200 * time.Millisecond
 
-// refutation is the last answer that another incarnation than the asked one lives at the
-// worker's address.
+// refutation is the last answer that the known incarnation, and not the asked one under its ID,
+// lives at the worker's address.
 type refutation struct {
 	known, refuted runs.Incarnation
 	at             time.Time
 }
 
 func (a *Agent) recordRefutation(known *gate.Worker, d *runs.Description, evidence gate.Evidence) {
-	if evidence == gate.AnsweredAsAnother && known.Description != nil {
+	if evidence == gate.AnsweredAsAnother && known.Description != nil && known.Description.ID == d.ID {
 		a.refutation.Store(&refutation{known: known.Description.Incarnation, refuted: d.Incarnation, at: time.Now()})
 	}
 }
@@ -257,6 +258,7 @@
 	}
 	a.leaving.Store(&d.Incarnation)
 	a.log.Info().Str("worker", id).Msg("worker shutting down")
+	a.sendDescription(a.holderLink.Load())
 	a.wakeLister()
 }
 
--- a/sidecar/agent/heartbeat_test.go
+++ b/sidecar/agent/heartbeat_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/internal/frame"
+	"github.com/carobkeel/carobkeel/internal/link"
+	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -131,6 +136,15 @@
 	g.Expect(*a.leftIncarnation.Load()).To(Equal(testIncarnation))
 }
 
+// Guards against starts that are sent to a worker that leaves, and refused by its sidecar.
+func TestHolderHearsOfADepartureThatIsAnnounced(t *testing.T) {
+	g := NewWithT(t)
+	a, _ := linkedAgent(&addressedWorker{incarnation: testIncarnation})
+	_, received := captureLink(t, a)
+	a.Deregister(testIncarnation.ID)
+	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeDescription))))
+}
+
 func TestHeartbeatAfterAMistakenDepartureTakesItBack(t *testing.T) {
 	g := NewWithT(t)
 	worker := &addressedWorker{incarnation: testIncarnation}
@@ -143,6 +157,18 @@
 	g.Expect(a.leftIncarnation.Load()).To(BeNil(), "it has crashed, and its lease may last")
 }
 
+// Guards against a lease that is cut with each new link after a departure that was mistaken.
+func TestDepartureOfAWorkerThatIsBackIsNotReportedAgain(t *testing.T) {
+	g := NewWithT(t)
+	worker := &addressedWorker{incarnation: testIncarnation, failure: runs.ErrNotListening}
+	a, _ := linkedAgent(worker)
+	a.Deregister(testIncarnation.ID)
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.leftIncarnation.Load()).NotTo(BeNil())
+	a.RecordHeartbeat(runs.Description{Incarnation: testIncarnation, Sequence: 2})
+	g.Expect(a.leftIncarnation.Load()).To(BeNil())
+}
+
 func TestSuccessorAtTheSameAddressCompletesAShutdown(t *testing.T) {
 	g := NewWithT(t)
 	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
@@ -240,3 +266,59 @@
 	g.Expect(a.state.Load().Generation).To(BeNumerically("<=", began+5))
 	g.Expect(gate.NewWorker(time.Now().Add(time.Second)).Generation).To(BeNumerically(">", a.state.Load().Generation))
 }
+
+// captureLink replaces the link to the holder, and returns it with the types of the messages on it.
+func captureLink(t *testing.T, a *Agent) (*entryLink, <-chan frame.Type) {
+	near, far := net.Pipe()
+	holderLink := &entryLink{agent: a, link: link.New(near, link.DefaultConfig())}
+	holderLink.currentEpoch.Store(3)
+	a.holderLink.Store(holderLink)
+	received := make(chan frame.Type, 8)
+	go func() { _ = holderLink.link.Run(t.Context(), func(frame.Frame) error { return nil }) }()
+	go func() {
+		_ = link.New(far, link.DefaultConfig()).Run(t.Context(), func(f frame.Frame) error {
+			received <- f.Type
+			return nil
+		})
+	}()
+	return holderLink, received
+}
+
+// Guards against listings that the holder ignores, as it knows nothing of the incarnation yet.
+func TestHolderHearsOfAWorkerBeforeItsFirstListing(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	a, _ := linkedAgent(&addressedWorker{incarnation: next})
+	holderLink, received := captureLink(t, a)
+	verified := a.state.Load().Describe(&runs.Description{Incarnation: next, Sequence: 1}, time.Now())
+	verified.Verified = true
+	a.state.Store(&verified) // and the description is still to be sent
+	(&lister{agent: a, lastFullLink: holderLink, lastFullAt: clock.Boottime()}).listOnce(t.Context(), &verified)
+	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeDescription))))
+	g.Eventually(received).Should(Receive(Equal(frame.Type(wire.TypeListing))))
+}
+
+// Guards against a successor that is turned away for a heartbeat from before it took the place.
+func TestSuccessorIsTakenInAtOnceAfterARefusedHeartbeat(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: "x", StartedAtMs: 9}
+	worker := &addressedWorker{incarnation: testIncarnation}
+	a, _ := linkedAgent(worker)
+	g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Address: otherAddress, Sequence: 1})).To(BeFalse())
+	worker.incarnation = next
+	g.Expect(a.RecordHeartbeat(runs.Description{Incarnation: next, Address: ownAddress, Sequence: 2})).To(BeTrue())
+	g.Expect(a.state.Load().Describes(next)).To(BeTrue())
+}
+
+// Guards against lost ends: those of a worker that restarted, and states no start in its listings,
+// were acknowledged by the numbers of the incarnation before.
+func TestEndsOfARestartedWorkerWithoutAStartAreNotAcknowledgedUnseen(t *testing.T) {
+	g := NewWithT(t)
+	next := runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: testIncarnation.StartedAtMs + 1}
+	a, _ := linkedAgent(&listingWorker{})
+	a.acknowledged.Store(&acknowledgement{incarnation: testIncarnation, upTo: 140})
+	a.RecordHeartbeat(runs.Description{Incarnation: next, Sequence: 1})
+	(&lister{agent: a}).listOnce(t.Context(), a.state.Load())
+	g.Expect(a.state.Load().Confirmed).To(BeTrue())
+	g.Expect(a.acknowledgedUpTo(a.state.Load())).To(BeZero())
+}
