Count the lease that a late call may have given to a restarted worker

Cause: a start of the incarnation before, carried out 37 ms after the next one began under the same ID and 84 ms before its sidecar reached it, had its deadline on the earlier clock, 15.7 s ahead. The worker cut the lease to the longest one, 10 s. The host was cut off 5.5 s later, and the holder took the lease for expired by its own count. Evidence: TestLeaseThatALateStartHasLengthenedIsWaitedFor failed before. Change: if the first listing of an incarnation that follows another one under its ID has runs or ends, late calls have reached it, and its lease counts as the longest one from then on. That is the case only after a late start; others wait as before. A late request for a listing, or a start that was refused, leaves no trace and is not counted; nor does a later holder know. Result: scheduler/dispatch's tests of incarnations, evidence and leases pass.

--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -57,7 +57,7 @@
 	address := s.LinkAddress(s.IP)
 	config := holder.Config{
 		Host: s.Host, Incarnation: e.incarnation, Address: address, Shard: defaultShard,
-		WorkerLease: workerLease, RowBytes: s.Store.RowBytes,
+		WorkerLease: workerLease, MaxLease: s.Bounds.MaxLease, RowBytes: s.Store.RowBytes,
 		Capacity: holder.Capacity{Processors: s.Processors, LinkBytesPerSecond: s.LinkBytesPerSecond},
 	}
 	if s.AdviceAddress != "" {
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -16,6 +16,8 @@
 	// WorkerLease is the duration of a worker's lease, counted from the
 	// sidecar's ping.
 	WorkerLease time.Duration
+	// MaxLease is the longest lease that a worker accepts, from whatever call.
+	MaxLease time.Duration
 	// InheritedLease bounds how long, from now on, runs that earlier holders may
 	// have started can continue on unreachable workers.
 	InheritedLease time.Duration
@@ -255,7 +257,7 @@
 func (c *Core) scheduleWake() {
 	for _, w := range c.workers {
 		if !w.reachable && len(w.runs) > 0 {
-			c.awaitExpiry(w.leaseExpiry)
+			c.awaitExpiry(w.expiry())
 		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
 			c.awaitExpiry(w.inheritedExpiry)
--- a/scheduler/dispatch/evidence.go
+++ b/scheduler/dispatch/evidence.go
@@ -64,7 +64,7 @@
 // describeExpiry returns how long before held a worker's lease expired, and why nothing has
 // extended it, for the log.
 func describeExpiry(w *workerState, held time.Duration) string {
-	return fmt.Sprintf("%d ms ago, %s", (held - w.leaseExpiry).Milliseconds(), describeSilence(w))
+	return fmt.Sprintf("%d ms ago, %s", (held - w.expiry()).Milliseconds(), describeSilence(w))
 }
 
 // describeSilence returns why nothing has extended a worker's lease.
--- a/scheduler/dispatch/evidence_test.go
+++ b/scheduler/dispatch/evidence_test.go
@@ -29,7 +29,7 @@
 		incarnation: runs.Incarnation{ID: "w", StartedAtMs: 1000}, now: time.Hour,
 		task: carobkeel.TaskName{Job: "0000000000000001"},
 	}
-	f.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: testLease}, f.time(), nil)
+	f.core = dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: testLease, MaxLease: testMaxLease}, f.time(), nil)
 	f.link(1, 1)
 	f.core.DescribeWorker(evidenceHost, f.description(f.incarnation))
 	f.list(1, 1)
--- a/scheduler/dispatch/incarnation_test.go
+++ b/scheduler/dispatch/incarnation_test.go
@@ -139,6 +139,27 @@
 	g.Expect(f.starts()).To(HaveLen(1), "its lease is over, and the sidecar reaches no worker")
 }
 
+// Guards against TWICE: a late start gave a restarted worker a lease by the earlier clock, and the
+// holder took it for expired by its own count.
+func TestLeaseThatALateStartHasLengthenedIsWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.runTask()
+	f.addFreeHost()
+	f.incarnation = otherIncarnations["the worker's ID, born later"]
+	f.describe(f.incarnation)
+	f.list(2, 2, run)
+	f.core.WorkerUnreachable(evidenceHost, 0)
+	for range 9 {
+		f.core.HostPinged("free", 2)
+		f.advance(time.Second)
+		g.Expect(f.starts()).To(BeEmpty())
+	}
+	f.core.HostPinged("free", 2)
+	f.advance(2 * time.Second)
+	g.Expect(f.starts()).To(Equal([]int{run + 1}))
+}
+
 // Guards against ends that are handled anew, and records that are dropped, after a heartbeat of
 // another worker.
 func TestStateOfAWorkerSurvivesDescriptionsOfAnotherOne(t *testing.T) {
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -55,6 +56,30 @@
 	w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
 }
 
+// countLateCalls counts the lease that a late call may have given to an incarnation that follows
+// another one under its ID. The deadline of such a call is on the earlier clock, far ahead of the
+// present one. That there were late calls shows in a first listing that is not empty.
+func (c *Core) countLateCalls(w *workerState, l *WorkerListing) {
+	if w.hasListed || len(l.Running)+len(l.Ends) == 0 || !c.followsUnderItsID(w) {
+		return
+	}
+	w.lateExpiry = c.now.Monotonic + maxLeaseDuration(c.config.MaxLease)
+}
+
+// followsUnderItsID reports whether another incarnation under the worker's ID preceded it.
+func (c *Core) followsUnderItsID(w *workerState) bool {
+	known := w.description.Incarnation
+	for incarnation, u := range c.unreportedWorkers {
+		if u.host == w.host && incarnation.ID == known.ID && incarnation != known {
+			return true
+		}
+	}
+	return slices.ContainsFunc(w.replaced, func(i runs.Incarnation) bool { return i.ID == known.ID })
+}
+
+// expiry returns when no lease of the worker can be valid any more.
+func (w *workerState) expiry() time.Duration { return max(w.leaseExpiry, w.lateExpiry) }
+
 // HostLost records that the link of a host has ended.
 func (c *Core) HostLost(host string) {
 	w := c.worker(host)
@@ -120,7 +145,7 @@
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
 	w.reachable, w.listed, w.unresponsive = false, false, true
-	w.leaseExpiry = min(w.leaseExpiry, goneFrom)
+	w.leaseExpiry, w.lateExpiry = min(w.leaseExpiry, goneFrom), min(w.lateExpiry, goneFrom)
 }
 
 // exitGrace is how long a worker may take to exit after its departure was reported.
@@ -130,7 +155,7 @@
 // may have extended those that expired after Now.Held.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
-		if w.reachable || w.listed || c.now.Held < w.leaseExpiry {
+		if w.reachable || w.listed || c.now.Held < w.expiry() {
 			continue
 		}
 		delete(c.partlyListed, w.host)
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -32,6 +32,7 @@
 	if w.description.Incarnation != l.Incarnation {
 		return
 	}
+	c.countLateCalls(w, &l)
 	w.reachable, w.hasListed = w.linked, true
 	if w.unresponsive {
 		w.unresponsive = false
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -29,8 +29,9 @@
 	// lastPing is the number of the sidecar's last ping on the current link, zero
 	// before the first one.
 	lastPing uint64
-	// leaseExpiry is when the worker's lease has certainly expired.
-	leaseExpiry time.Duration
+	// leaseExpiry is when a lease that was extended for this holder has certainly expired, and
+	// lateExpiry when one has that a late call may have given the incarnation.
+	leaseExpiry, lateExpiry time.Duration
 	// follows reports that the sidecar follows this holder, so that it extends no
 	// lease for an earlier one. inheritedExpiry is then when the leases that it
 	// extended for earlier holders have certainly expired.
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -53,6 +53,8 @@
 	Shard string
 	// WorkerLease is the duration of a worker's lease, counted from a ping.
 	WorkerLease time.Duration
+	// MaxLease is the longest lease that a worker accepts.
+	MaxLease time.Duration
 	// RowBytes bounds the value of a row. Zero means defaultRowBytes.
 	RowBytes int
 	// Capacity ranks this host among those that may take over.
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -246,6 +246,7 @@
 	l.core = dispatch.New(dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
+		MaxLease:       n.config.MaxLease,
 		InheritedLease: l.predecessors.remainingLease(clock.Boottime(), n.config.WorkerLease),
 	}, l.now(), n.decodeWorkers(t.workers))
 	l.workerRows = make(map[string]table.Version)
