Wait for the lease that a new holder has let be extended before the first listing

Cause: a sidecar that finds a new holder extends its worker's lease with its first request for a listing. Until that listing has arrived, the holder counted for the worker only the leases of the holders before it. When these had expired, it started the worker's tasks elsewhere, while they ran on, or ended, under the extension that it had itself allowed. The class: a permission that was given and is not counted.

Evidence: TestTaskDoesNotRestartUnderALeaseThatWasExtendedBeforeTheFirstListing failed before in its three cases (started 0.25 s after the extension; a lease has 3 s).

Change: the runs of a worker that has not listed are over once the lease is, whichever holder let it be extended. Another incarnation that lists there ends the wait as before.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -263,8 +263,8 @@
 			c.awaitExpiry(w.inheritedExpiry)
 		}
 	}
-	for _, u := range c.unreportedWorkers {
-		c.awaitExpiry(c.expiryOf(u))
+	for incarnation, u := range c.unreportedWorkers {
+		c.awaitExpiry(c.expiryOf(incarnation, u))
 	}
 	if len(c.partlyListed) > 0 {
 		c.awaitExpiry(c.inheritedExpiry)
@@ -296,7 +296,7 @@
 		clear(c.partlyListed) // a row that can't be decoded may stay
 	}
 	for incarnation, u := range c.unreportedWorkers {
-		if c.now.Held < c.expiryOf(u) {
+		if c.now.Held < c.expiryOf(incarnation, u) {
 			continue
 		}
 		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: u.host, Detail: incarnation.ID})
@@ -305,5 +305,23 @@
 	}
 }
 
-// expiryOf returns the time from which no run of an unreported worker can go on.
-func (c *Core) expiryOf(u unreportedWorker) time.Duration { return min(c.inheritedExpiry, u.goneFrom) }
+// expiryOf returns the time from which no run of an unreported worker can go on: its last lease
+// has expired, whichever holder let it be extended, or it is gone.
+func (c *Core) expiryOf(incarnation runs.Incarnation, u unreportedWorker) time.Duration {
+	return min(u.goneFrom, max(c.inheritedExpiry, c.extendedUntil(incarnation, u.host)))
+}
+
+// extendedUntil returns when the lease has expired that this holder has let a host's sidecar
+// extend for an incarnation that has not listed. It is zero if another one has listed there.
+func (c *Core) extendedUntil(incarnation runs.Incarnation, host string) time.Duration {
+	w := c.workers[host]
+	switch {
+	case w == nil:
+		return 0
+	case !w.hasListed:
+		return w.expiry()
+	case w.candidate != nil && w.candidate.Incarnation == incarnation:
+		return w.expiry()
+	}
+	return 0
+}
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -59,8 +59,8 @@
 	for host := range c.partlyListed {
 		d.Host = host
 	}
-	for _, u := range c.unreportedWorkers {
-		d.Host, d.Waited = u.host, c.expiryOf(u)-c.now.Monotonic
+	for incarnation, u := range c.unreportedWorkers {
+		d.Host, d.Waited = u.host, c.expiryOf(incarnation, u)-c.now.Monotonic
 	}
 	c.heldBackReportedAt = c.now.Monotonic
 	c.recordDecision(d)
