Wait for the lease of a worker that has listed only a part of its runs

Cause: at the end of the earlier holders' leases such a worker was forgotten also while it did not list any more, though this holder had extended its lease.

Evidence: TestTaskThatMayBeUnlistedDoesNotRestartUnderALeaseThatThisHolderExtended failed before: started 0.25 s after the extension.

Change: a worker that does not list now is waited for until its lease is over. One that lists is forgotten as before, since a row that can't be decoded may stay.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -293,7 +293,7 @@
 
 func (c *Core) expireInherited() {
 	if c.now.Held >= c.inheritedExpiry {
-		clear(c.partlyListed) // a row that can't be decoded may stay
+		c.forgetPartlyListed()
 	}
 	for incarnation, u := range c.unreportedWorkers {
 		if c.now.Held < c.expiryOf(incarnation, u) {
@@ -305,6 +305,16 @@
 	}
 }
 
+// forgetPartlyListed drops the hosts whose workers list now, since a row that can't be decoded
+// may stay. The others have leases that this holder has let their sidecars extend.
+func (c *Core) forgetPartlyListed() {
+	for host := range c.partlyListed {
+		if w := c.workers[host]; w == nil || w.listed {
+			delete(c.partlyListed, host)
+		}
+	}
+}
+
 // expiryOf returns the time from which no run of an unreported worker can go on: its last lease
 // has expired, whichever holder let it be extended, or it is gone.
 func (c *Core) expiryOf(incarnation runs.Incarnation, u unreportedWorker) time.Duration {
--- a/scheduler/dispatch/unlisted_lease_test.go
+++ b/scheduler/dispatch/unlisted_lease_test.go
@@ -96,6 +96,19 @@
 	}
 }
 
+func TestTaskThatMayBeUnlistedDoesNotRestartUnderALeaseThatThisHolderExtended(t *testing.T) {
+	g := NewWithT(t)
+	h := newTakenOver()
+	h.run(testLease)
+	extended := h.now
+	h.link("lost", 2)
+	h.list(dispatch.WorkerListing{Host: "lost", Partial: true})
+	h.core.HostLost("lost")
+	h.run(2 * testLease)
+	g.Expect(h.startedAt).To(BeNumerically(">", extended+testLease))
+	g.Expect(h.startedAt).To(BeNumerically("<", extended+testLease+time.Second))
+}
+
 func TestTaskDoesNotWaitForAnIncarnationBesideOneThatLists(t *testing.T) {
 	g := NewWithT(t)
 	h := newTakenOver()
