Take jobs from a read in several pages only up to its first page

What callers could have seen: TWICE.

Cause: a holder relies on reading a later holder's epoch before any job that was accepted in that holder's time. The feed keeps that order; a read of the table in several pages does not: the row of the epoch is in the first page, and a later page may hold a job that was accepted after a takeover between the two. Both holders would start its tasks. It takes a table of more than a page, and history that is lost or a takeover at the same moment. The class: evidence of two moments read as one.

Change: rows that are later than the first page are left to the feed, which delivers them again in order.

--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -85,12 +85,13 @@
 	follower := follow.Follower{
 		Rows: n.rows, Table: TableJobs, Part: n.config.Shard, Wait: followTimeout, Log: n.log,
 		OnUpdate: func(changes follow.Update) {
-			if len(changes.Rows) == 0 {
+			rows := rowsUpTo(changes.Rows, changes.Version)
+			if len(rows) == 0 {
 				return
 			}
 			n.events.Push(func(l *loop) {
 				if l.core != nil && l.term == term {
-					l.applyJobRows(changes.Rows, epochVersion)
+					l.applyJobRows(rows, epochVersion)
 				}
 			})
 		},
@@ -98,6 +99,13 @@
 	follower.Run(term, from)
 }
 
+// rowsUpTo returns the rows that were written up to a version. A read in several pages may find
+// a job that was accepted under a later holder but not the row of that holder's epoch. The feed
+// delivers both, in their order.
+func rowsUpTo(rows []table.VersionedRow, version table.Version) []table.VersionedRow {
+	return slices.DeleteFunc(rows, func(row table.VersionedRow) bool { return row.Version > version })
+}
+
 // applyJobRows applies rows of jobs and of cancellations. Jobs from before the
 // epoch may have runs that an earlier holder started. Later jobs do not: the
 // earlier holder sees the row of this epoch before them, in the same table.
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -190,7 +190,11 @@
 	read(TableProgress, &t.progress, &ignored[0])
 	read(TableWorkers, &t.workers, &ignored[1])
 	read(TableInterference, &t.interference, &ignored[2])
-	return group.Wait()
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	t.jobs = rowsUpTo(t.jobs, t.from)
+	return nil
 }
 
 // superseded reports whether a later holder appeared while the shard was read.
--- a/table/follow/follow.go
+++ b/table/follow/follow.go
@@ -26,6 +26,9 @@
 	// Full reports that Rows holds all rows of the part, so that any other
 	// row has been deleted.
 	Full bool
+	// Version is that of the table up to which all changes are reported. A full read in
+	// several pages may hold later rows, without others of that time; they are reported again.
+	Version table.Version
 	// RequestedAt is the time at which the call was sent, by clock.Boottime. The rows
 	// reflect the table at that time or later.
 	RequestedAt time.Duration
@@ -104,7 +107,7 @@
 		if err != nil {
 			return 0, err
 		}
-		f.OnUpdate(Update{Rows: scan.Rows, Full: true, RequestedAt: requestedAt})
+		f.OnUpdate(Update{Rows: scan.Rows, Full: true, Version: scan.Version, RequestedAt: requestedAt})
 		return scan.Version, nil
 	}
 	changes, err := f.Rows.Follow(ctx, f.Table, from, wait)
@@ -117,6 +120,7 @@
 			rows = append(rows, row)
 		}
 	}
-	f.OnUpdate(Update{Rows: rows, RequestedAt: requestedAt})
-	return max(from, changes.Next), nil
+	next := max(from, changes.Next)
+	f.OnUpdate(Update{Rows: rows, Version: next, RequestedAt: requestedAt})
+	return next, nil
 }
