Write the lines of a burst in writes of at most 4 KiB

Cause: all lines of 10 ms went out in a single write. A pipe takes at most 4 KiB as a whole, and a reader may cut a larger write off.

Evidence: TestLinesOfABurstAreNotWrittenInOneLargeCall failed before (one write of 39,310 bytes).

Result: the tests of internal/logging pass.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -19,6 +19,9 @@
 	// batchInterval is how long lines are collected before they are written
 	// together, since each write costs a system call.
 	batchInterval = 10 * time.Millisecond
+	// maxWriteBytes bounds a write of several lines. A pipe takes a write of up to
+	// PIPE_BUF bytes as a whole, and a reader may cut a larger one off.
+	maxWriteBytes = 4096
 )
 
 // boundedOutput forwards lines to a writer without blocking the caller. Lines
@@ -68,18 +71,29 @@
 	b.write(b.lines.TryTake(lines[:0]))
 }
 
-// write writes lines in a single call. A failed write is ignored, as there is
-// nowhere to report it.
+// write writes lines in as few calls as maxWriteBytes allows.
 func (b *boundedOutput) write(lines [][]byte) {
 	for _, line := range lines {
+		if b.batch.Len()+len(line) > maxWriteBytes {
+			b.flush()
+		}
 		b.batch.Write(line)
 	}
 	if dropped := b.dropped.Swap(0); dropped > 0 {
+		b.flush()
 		b.logger.Warn().Uint64("lines", dropped).Msg("lines dropped")
 	}
+	b.flush()
+	b.buffered.Add(-int64(len(lines)))
+}
+
+// flush writes the collected lines. A failed write is ignored, as there is nowhere to report it.
+func (b *boundedOutput) flush() {
+	if b.batch.Len() == 0 {
+		return
+	}
 	_, _ = b.out.Write(b.batch.Bytes())
 	b.batch.Reset()
-	b.buffered.Add(-int64(len(lines)))
 }
 
 // Close writes the remaining lines.
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -50,3 +50,28 @@
 	g.Expect(f.Close()).To(Succeed())
 	g.Expect(out.text.String()).To(MatchRegexp(`(?s)first.*last`))
 }
+
+// sizeWriter records the size of the largest write, and all text.
+type sizeWriter struct {
+	largest int
+	text    strings.Builder
+}
+
+func (w *sizeWriter) Write(p []byte) (int, error) {
+	w.largest = max(w.largest, len(p))
+	return w.text.Write(p)
+}
+
+func TestLinesOfABurstAreNotWrittenInOneLargeCall(t *testing.T) {
+	g := NewWithT(t)
+	out := &sizeWriter{}
+	f := logging.NewBoundedFactory(logging.Config{Level: "info", JSON: true}, out)
+	logger := f.For("part")
+	const lines = 500
+	for n := range lines {
+		logger.Info().Int("n", n).Msg("line")
+	}
+	g.Expect(f.Close()).To(Succeed())
+	g.Expect(out.largest).To(BeNumerically("<=", 4096))
+	g.Expect(strings.Count(out.text.String(), "\n")).To(Equal(lines))
+}
