Number the processes of a sidecar in the fence of its calls

Cause: the generation of a new process of a sidecar was made from the time of day. After the time was set back between two processes, those of the second one were below those of the first. A worker that had restarted meanwhile took the second one's calls, and then a late call of the first one: a start that the holder had given up, a lease, an acknowledgement of ends that nobody had read. The second one's calls were refused until it had overtaken the first. The class: an order of two processes that is derived from a clock.

Evidence: TestCallsOfAnEarlierProcessAreBelowThoseOfTheNextWhateverTheTimeOfDay, on and without the number in its Pong, which isn't there: "Expected <runs.Result>: 0 to equal <runs.Result>: 1", that is, the restarted worker carried out the late call.

Change: the generation is the holder's number for the process, in its upper 12 bits, and the doubts of that process in the lower 20. The holder numbers the processes of a host in the order in which they are linked, and says the number with each answer to a ping (Pong.Process). The epoch and the number are one value, gate.Term. A worker is confirmed by the fence of the listing that it answered, so a call extends the lease, acknowledges ends or starts a run only once the incarnation has listed under the very fence of that call, number included. After a takeover that is after the first listing and not with it. A listing that was requested without the number isn't forwarded. A worker that no heartbeat has named is fenced as soon as the number is known.

A worker that refuses a listing in the present term has heard another process that the holder numbered later. That one must not be overtaken, so Overtake and MaxRefusals are gone.

Changes to tests: - TestGenerationsOfALaterSidecarProcessAreHigher: holds for any number of doubts now, not for ten in five seconds. - TestRefusedListingsOvertakeTheGenerationOfAnEarlierProcess and TestListingsRefusedForTheirGenerationFollowAtOnceUntilOneIsAccepted asked that a process below an earlier one overtakes it, which is wrong: TestProcessThatWasReplacedDoesNotOvertakeTheNext. What they protected, that the next process is accepted soon and generations are left, is in TestFirstListingOfTheNextProcessIsAccepted (by its first listing) and TestWorkerIsNotConfirmedOnceTheDoubtsAreUsedUp. - TestGenerationRisesNoFasterThanThatOfALaterProcess is TestGenerationRisesAtABoundedRate, with the same bound of 600 a minute. - TestHeartbeatsOfOthersRaiseTheGenerationNoFasterThanTime: the same bound of five; the next process is above it by its number, without a second in between. - Message model: sidecars are numbered as by the holder, processes begin without a number, their doubts begin anew, and listings without the number are not forwarded. The broken rule "all processes of a sidecar have one number" is new. Calls of before a restart are excused until a call above all that were sent, or one after a later doubt, has reached the worker. - Others follow the signatures.

--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -119,8 +119,7 @@
 	takingOver atomic.Bool
 	resigned   atomic.Bool
 	sidecars   sync.Map
-	// lastProcesses maps each host to the incarnation of the sidecar's process that was
-	// linked last.
+	// lastProcesses maps each host to the hostProcess that was linked last.
 	lastProcesses sync.Map
 	// holdRead is when the last read was requested that showed that this node holds the
 	// shard.
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -42,6 +42,9 @@
 	host        string
 	incarnation uint64
 	linkNumber  uint64
+	// process is the number of the sidecar's process among those of its host, zero before the
+	// hello.
+	process atomic.Uint32
 	// followsOther reports that another process of the host's sidecar had the link before.
 	// provesAbsenceAfter is the number of the listing after which this one's listings then
 	// show what does not run, zero before the first one. The reading goroutine uses it.
@@ -140,8 +143,12 @@
 	if !p.becomeCurrent() {
 		return errors.New("the host has a later link, or one of another process that goes on")
 	}
-	last, known := p.node.lastProcesses.Swap(p.host, p.incarnation)
-	p.followsOther = known && last != p.incarnation
+	process, followsOther := p.node.recordProcess(p.host, p.incarnation)
+	p.followsOther = followsOther
+	p.process.Store(uint32(process.processNumber()))
+	if process.processNumber() == 0 {
+		p.node.log.Error().Str("host", p.host).Msg("no numbers left for processes of the sidecar")
+	}
 	p.push(func(l *loop) {
 		l.core.HostLinked(p.host, p.coreLink())
 		l.core.HostPinged(p.host, 0)
--- a/scheduler/holder/ping.go
+++ b/scheduler/holder/ping.go
@@ -35,7 +35,7 @@
 // answerPing tells the peer whether this node holds the shard, and in which epoch. A sidecar
 // may extend the worker's lease after that, so the core is told of the ping before.
 func (p *peer) answerPing(ping wire.Ping) {
-	pong := p.node.pongTo(ping.Sequence)
+	pong := p.pongTo(ping.Sequence)
 	if p.role == wire.RoleSidecar && pong.IsHolder {
 		p.pushPinged(ping)
 	}
@@ -61,7 +61,16 @@
 	})
 }
 
-// pongTo returns the answer to the ping with the given number.
+// pongTo returns the answer to the peer's ping with the given number.
+func (p *peer) pongTo(ping uint64) *wire.Pong {
+	pong := p.node.pongTo(ping)
+	if pong.IsHolder {
+		pong.Process = p.process.Load()
+	}
+	return pong
+}
+
+// pongTo returns the answer to a ping with the given number, from any peer.
 func (n *Node) pongTo(ping uint64) *wire.Pong {
 	pong := &wire.Pong{
 		Sequence:    ping,
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -48,6 +48,9 @@
 	// ExtendsLease reports that the sidecar may extend the worker's lease, counted from
 	// the Ping.
 	ExtendsLease bool
+	// Process is the number of the sidecar's process among those of its host under the epoch,
+	// zero if the sender doesn't hold the shard or has given no number.
+	Process uint32
 }
 
 // TakingOver precedes a Pong of an entry that is about to hold the shard: it writes
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -865,14 +865,15 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Pong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendBool(o, z.IsHolder)
 	o = msgp.AppendUint64(o, z.Epoch)
 	o = msgp.AppendInt64(o, z.StoreAge)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendBool(o, z.ExtendsLease)
+	o = msgp.AppendUint32(o, z.Process)
 	return
 }
 
@@ -884,8 +885,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -918,13 +919,18 @@
 		err = msgp.WrapError(err, "ExtendsLease")
 		return
 	}
+	z.Process, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Process")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pong) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size
 	return
 }
 
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -252,6 +252,19 @@
 	g.Expect(leftOut).To(HaveLen(1))
 }
 
+func TestPongRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pong := &wire.Pong{
+			Sequence: rapid.Uint64().Draw(t, "sequence"), IsHolder: rapid.Bool().Draw(t, "holder"), Epoch: rapid.Uint64().Draw(t, "epoch"),
+			StoreAge: rapid.Int64().Draw(t, "age"), Incarnation: rapid.Uint64().Draw(t, "incarnation"),
+			ExtendsLease: rapid.Bool().Draw(t, "extends"), Process: rapid.Uint32().Draw(t, "process"),
+		}
+		var decoded wire.Pong
+		roundTrip(t, pong, &decoded)
+		NewWithT(t).Expect(&decoded).To(Equal(pong))
+	})
+}
+
 func TestMessageLargerThanAFrameIsNotSent(t *testing.T) {
 	_, err := wire.Encode(wire.TypeHello, &wire.Hello{Host: strings.Repeat("x", frame.MaxPayload)})
 	NewWithT(t).Expect(err).To(HaveOccurred())
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -48,8 +48,8 @@
 	started time.Duration
 
 	// holder, state and clock are immutable snapshots that are replaced as a unit.
-	// A call to the worker uses one snapshot of its state, so that what is addressed to
-	// one incarnation never carries the generation of the next.
+	// A call to the worker uses one snapshot of its state and one of the holder's term, so
+	// that what is addressed to one incarnation never carries the fence of the next.
 	holder atomic.Pointer[gate.Holder]
 	state  atomic.Pointer[gate.Worker]
 	clock  atomic.Pointer[workerClock]
@@ -126,8 +126,7 @@
 	}
 	a.SetSeeds(config.Seeds)
 	a.holder.Store(&gate.Holder{})
-	state := gate.NewWorker(time.Now())
-	a.state.Store(&state)
+	a.state.Store(&gate.Worker{})
 	a.clock.Store(&workerClock{})
 	a.acknowledged.Store(&acknowledgement{})
 	return a
--- a/sidecar/agent/departure.go
+++ b/sidecar/agent/departure.go
@@ -19,7 +19,7 @@
 		return
 	}
 	if holderLink := a.holderLink.Load(); holderLink != nil {
-		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.epoch()))
+		a.sendListing(holderLink, state, envelopeWithoutLease(state, holderLink.term()))
 	}
 	verified := state.Verified
 	a.updateState(func(w gate.Worker) gate.Worker {
--- a/sidecar/agent/failure.go
+++ b/sidecar/agent/failure.go
@@ -4,14 +4,13 @@
 	"context"
 	"time"
 
-	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // handleFailure records a listing that was refused or not answered, and waits before
 // the next one.
-func (l *lister) handleFailure(ctx context.Context, d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) {
+func (l *lister) handleFailure(ctx context.Context, d *runs.Description, term gate.Term, answer runs.Answer, err error) {
 	a := l.agent
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
@@ -24,13 +23,13 @@
 	}
 	a.examineCandidate()
 	if !a.state.Load().Describes(d.Incarnation) {
-		l.failures, l.refusals = 0, 0 // they say nothing about the incarnation that is known now
+		l.failures = 0 // they say nothing about the incarnation that is known now
 		return
 	}
 	if l.failures >= unresponsiveAfter {
 		l.reportUnresponsive(d, err)
 	}
-	if l.suspectRestart(d, epoch, answer, err) {
+	if l.suspectRestart(d, term, answer, err) {
 		return // nothing starts on the worker before it has answered
 	}
 	// The listing's context may have ended, which must not cut the pause short.
@@ -55,24 +54,23 @@
 }
 
 // suspectRestart raises the generation of the calls to the worker after a listing without a
-// usable answer, and reports whether the next one is due at once. A refusal under no epoch, or
+// usable answer, and reports whether the next one is due at once. A refusal in no term, or in
 // one that is over, says nothing about the generation, nor does a worker that answers that it
 // is unhealthy.
-func (l *lister) suspectRestart(d *runs.Description, epoch carobkeel.Epoch, answer runs.Answer, err error) bool {
+func (l *lister) suspectRestart(d *runs.Description, term gate.Term, answer runs.Answer, err error) bool {
 	a := l.agent
 	holder := a.holder.Load()
-	isCurrent := holder.Known && epoch == holder.Epoch
+	isCurrent := holder.Known && term == holder.Term
 	switch {
 	case err != nil:
-		a.doubt(d.Incarnation, doubtNoAnswer, func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) })
+		a.doubt(d.Incarnation, doubtNoAnswer, gate.Worker.Suspect)
 		return l.mayRetryAtOnce()
 	case answer.Result == runs.ResultOtherIncarnation:
-		a.doubt(d.Incarnation, doubtOtherIncarnation, func(w gate.Worker) gate.Worker { return w.Deny(time.Now()) })
+		a.doubt(d.Incarnation, doubtOtherIncarnation, gate.Worker.Deny)
 		return l.mayRetryAtOnce()
 	case answer.Result == runs.ResultStaleEpoch && isCurrent:
-		l.refusals++
-		a.doubt(d.Incarnation, doubtOvertaken, func(w gate.Worker) gate.Worker { return w.Overtake(l.refusals) })
-		return l.refusals <= gate.MaxRefusals
+		a.doubt(d.Incarnation, doubtOvertaken, gate.Worker.Suspect)
+		return l.mayRetryAtOnce()
 	}
 	return false
 }
@@ -90,7 +88,7 @@
 func (a *Agent) doubt(incarnation runs.Incarnation, reason string, change func(gate.Worker) gate.Worker) *gate.Worker {
 	wasConfirmed := false
 	a.updateState(func(w gate.Worker) gate.Worker {
-		if wasConfirmed = w.Describes(incarnation) && w.Confirmed; !w.Describes(incarnation) {
+		if wasConfirmed = w.Describes(incarnation) && w.Confirmed != (runs.Fence{}); !w.Describes(incarnation) {
 			return w
 		}
 		return change(w)
@@ -98,7 +96,12 @@
 	state := a.state.Load()
 	if wasConfirmed {
 		a.log.Warn().Str("reason", reason).Str("worker", incarnation.ID).Int64("born", incarnation.StartedAtMs).
-			Uint32("generation", uint32(state.Generation)).Msg("generation raised")
+			Uint32("generation", a.generation(state)).Msg("generation raised")
 	}
 	return state
 }
+
+// generation returns the generation of calls to the worker in the present term, for the log.
+func (a *Agent) generation(state *gate.Worker) uint32 {
+	return uint32(state.Fence(a.holder.Load().Term).Generation)
+}
--- a/sidecar/agent/heartbeat.go
+++ b/sidecar/agent/heartbeat.go
@@ -26,7 +26,7 @@
 		if d.Sequence <= old.Sequence {
 			return true
 		}
-		if next := state.Describe(&d, time.Now()); a.state.CompareAndSwap(state, &next) {
+		if next := state.Describe(&d); a.state.CompareAndSwap(state, &next) {
 			a.recordUpdate(old, &d, state.Verified)
 			return true
 		}
@@ -72,7 +72,7 @@
 }
 
 // refutedTime is how long a refuted incarnation under the known ID is not asked for again. Each
-// such question raises the generation, which must not run ahead of that of a later process.
+// such question raises the generation, and interrupts the starts on the known incarnation.
 const refutedTime = 200 * time.Millisecond
 
 // refutation is the last answer that the known incarnation, and not the asked one under its ID,
--- a/sidecar/agent/incarnation.go
+++ b/sidecar/agent/incarnation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -14,8 +13,7 @@
 	if known.Description != nil && known.Description.ID == d.ID {
 		// If the worker has restarted, this call is the first one to reach it, and keeps those to
 		// the earlier incarnation off.
-		suspect := func(w gate.Worker) gate.Worker { return w.Suspect(time.Now()) }
-		state = a.doubt(known.Description.Incarnation, doubtHeartbeat, suspect)
+		state = a.doubt(known.Description.Incarnation, doubtHeartbeat, gate.Worker.Suspect)
 	}
 	return a.ask(d.Incarnation, state)
 }
@@ -24,15 +22,13 @@
 func (a *Agent) ask(incarnation runs.Incarnation, state *gate.Worker) gate.Evidence {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	envelope := runs.Envelope{
-		Incarnation: incarnation, Fence: runs.Fence{Epoch: a.holder.Load().Epoch, Generation: state.Generation},
-	}
+	envelope := runs.Envelope{Incarnation: incarnation, Fence: state.Fence(a.holder.Load().Term)}
 	listing, answer, err := a.worker.List(ctx, envelope, 0, 0)
 	if err != nil {
 		return gate.NotAnswered
 	}
 	if answer.Result == runs.ResultOK && state.Describes(runs.Incarnation{ID: incarnation.ID, StartedAtMs: listing.StartedAtMs}) {
-		a.confirmState(state)
+		a.confirmState(state, envelope.Fence)
 	}
 	return gate.Examine(incarnation, state, answer.Result, listing.StartedAtMs)
 }
@@ -55,7 +51,7 @@
 		if state.Description != nil && (known.Description == nil || !state.Describes(known.Description.Incarnation)) {
 			return false
 		}
-		next := state.Describe(d, time.Now())
+		next := state.Describe(d)
 		next.Verified = evidence == gate.AnsweredAsIt
 		if a.state.CompareAndSwap(state, &next) {
 			a.recordReplacement(state.Description, &next, evidence)
@@ -73,12 +69,12 @@
 	a.deadline.Store(0)
 	if old == nil {
 		a.log.Info().Stringer("evidence", evidence).Str("worker", d.ID).Int64("born", d.StartedAtMs).
-			Uint32("generation", uint32(state.Generation)).Msg("first heartbeat of a worker incarnation")
+			Uint32("generation", a.generation(state)).Msg("first heartbeat of a worker incarnation")
 	} else {
 		a.metrics.IncarnationsReplaced.Inc(1)
 		a.log.Warn().Stringer("evidence", evidence).Str("worker", d.ID).Int64("born", d.StartedAtMs).
 			Str("known", old.ID).Int64("known_born", old.StartedAtMs).
-			Uint32("generation", uint32(state.Generation)).Msg("worker incarnation replaced")
+			Uint32("generation", a.generation(state)).Msg("worker incarnation replaced")
 	}
 	if state.Verified {
 		a.sendDescription(a.holderLink.Load())
@@ -87,7 +83,7 @@
 		a.reportShutdown(old.Incarnation)
 		// The lister may still wait for the earlier incarnation, and until this one has been
 		// reached, it carries out what was sent to that one.
-		go a.requestListing(state, envelopeWithoutLease(state, a.holder.Load().Epoch))
+		go a.requestListing(state, envelopeWithoutLease(state, a.holder.Load().Term))
 	}
 	a.wakeLister()
 }
@@ -99,16 +95,17 @@
 	return a.unresponsive.Load() && max(a.leaseRemaining(), a.earlierLeaseRemaining()) <= 0
 }
 
-// fenceUnknownWorker has whatever worker answers at the address refuse calls of earlier
-// generations. It may have begun together with this process, and until its first heartbeat
-// it carries out what was sent to its earlier incarnation.
+// fenceUnknownWorker has whatever worker answers at the address refuse calls with lower fences.
+// It may have begun together with this process, and until its first heartbeat it carries out
+// what was sent to its earlier incarnation. Without a number for this process, only calls of
+// earlier epochs have a lower fence.
 func (a *Agent) fenceUnknownWorker(ctx context.Context, state *gate.Worker) {
-	epoch := a.holder.Load().Epoch
-	if epoch == 0 {
+	fence := state.Fence(a.holder.Load().Term)
+	if fence.Epoch == 0 {
 		return // the fence would be below those of earlier calls
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	// What it lists is not used: its ID is not known, and whose heartbeat comes first neither.
-	_, _, _ = a.worker.List(ctx, runs.Envelope{Fence: runs.Fence{Epoch: epoch, Generation: state.Generation}}, 0, 0)
+	_, _, _ = a.worker.List(ctx, runs.Envelope{Fence: fence}, 0, 0)
 }
--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
@@ -18,18 +17,16 @@
 
 // envelopeWithoutLease returns the envelope of a request to the described worker that
 // leaves its lease as it is.
-func envelopeWithoutLease(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
-	return runs.Envelope{
-		Incarnation: state.Description.Incarnation, Fence: runs.Fence{Epoch: epoch, Generation: state.Generation},
-	}
+func envelopeWithoutLease(state *gate.Worker, term gate.Term) runs.Envelope {
+	return runs.Envelope{Incarnation: state.Description.Incarnation, Fence: state.Fence(term)}
 }
 
 // envelope returns the envelope of a request to the worker. It extends the lease only
 // while the worker answers and the holder knows that.
-func (a *Agent) envelope(state *gate.Worker, epoch carobkeel.Epoch) runs.Envelope {
-	e := envelopeWithoutLease(state, epoch)
+func (a *Agent) envelope(state *gate.Worker, term gate.Term) runs.Envelope {
+	e := envelopeWithoutLease(state, term)
 	holder := a.holder.Load()
-	if !state.Confirmed || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
+	if !state.IsConfirmed(e.Fence) || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
 		return e
 	}
 	deadline := gate.LeaseDeadline(*holder, a.clockOf(state.Description), a.config.WorkerLease)
--- a/sidecar/agent/links.go
+++ b/sidecar/agent/links.go
@@ -47,9 +47,11 @@
 	link    *link.Link
 	// pingTimes holds the sending times of the last pings, by sequence number
 	// modulo pingWindow.
-	pingTimes    [pingWindow]atomic.Int64
-	sequence     atomic.Uint64
-	currentEpoch atomic.Uint64
+	pingTimes [pingWindow]atomic.Int64
+	sequence  atomic.Uint64
+	// currentTerm is the last one in which the entry has answered as the holder, nil if it has
+	// not.
+	currentTerm atomic.Pointer[gate.Term]
 	// leftOut limits the log lines about orders that can't be decoded.
 	leftOut logging.RateLimit
 }
@@ -58,7 +60,13 @@
 // pings are ignored, and starts that were decided after older pings have expired.
 const pingWindow = 32
 
-func (l *entryLink) epoch() carobkeel.Epoch { return carobkeel.Epoch(l.currentEpoch.Load()) }
+// term returns the last term in which the entry has answered as the holder.
+func (l *entryLink) term() gate.Term {
+	if term := l.currentTerm.Load(); term != nil {
+		return *term
+	}
+	return gate.Term{}
+}
 
 // maintainLinks maintains a link to each known entry until ctx ends.
 func (a *Agent) maintainLinks(ctx context.Context) {
@@ -204,25 +212,25 @@
 	return nil
 }
 
-// handlePong records the entry as the holder if the pong states that it leads the shard and
-// may extend leases.
+// handlePong records the entry as the holder if the pong states that it leads the shard, may
+// extend leases, and has numbered this process.
 func (l *entryLink) handlePong(pong *wire.Pong) {
 	a := l.agent
 	pingTime, known := l.pingTime(pong.Sequence)
 	if !pong.IsHolder {
 		a.updateHolder(func(h gate.Holder) (gate.Holder, bool) { return h.Observe(carobkeel.Epoch(pong.Epoch)), true })
 	}
-	if !pong.IsHolder || !pong.ExtendsLease || !known {
+	if !pong.IsHolder || !pong.ExtendsLease || !known || pong.Process == 0 {
 		return
 	}
-	epoch := carobkeel.Epoch(pong.Epoch)
-	if !a.confirm(epoch, pingTime) {
+	term := gate.Term{Epoch: carobkeel.Epoch(pong.Epoch), Process: runs.ProcessNumber(pong.Process)}
+	if !a.confirm(term, pingTime) {
 		return
 	}
-	changed := l.currentEpoch.Swap(pong.Epoch) != pong.Epoch
+	changed := l.setTerm(term)
 	if old := a.holderLink.Swap(l); old != l || changed {
 		a.metrics.HoldersFound.Inc(1)
-		a.log.Info().Str("entry", l.address).Uint64("epoch", pong.Epoch).Msg("holder found")
+		a.log.Info().Str("entry", l.address).Uint64("epoch", pong.Epoch).Uint32("process", pong.Process).Msg("holder found")
 		a.sendDescription(l)
 		if incarnation := a.leftIncarnation.Load(); incarnation != nil {
 			a.sendLeft(l, *incarnation)
@@ -231,11 +239,17 @@
 	}
 }
 
-// confirm records an answer of a holder. It returns false for an answer under an
-// older epoch.
-func (a *Agent) confirm(epoch carobkeel.Epoch, pingTime time.Duration) bool {
+// setTerm records the term in which the entry has answered, and reports whether it is another
+// one than before.
+func (l *entryLink) setTerm(term gate.Term) bool {
+	old := l.currentTerm.Swap(&term)
+	return old == nil || *old != term
+}
+
+// confirm records an answer of a holder. It returns false for an answer in an earlier term.
+func (a *Agent) confirm(term gate.Term, pingTime time.Duration) bool {
 	return a.updateHolder(func(h gate.Holder) (gate.Holder, bool) {
-		return h.Confirm(epoch, pingTime), epoch >= h.Epoch
+		return h.Confirm(term, pingTime), !term.Less(h.Term)
 	})
 }
 
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -27,8 +27,8 @@
 	// acknowledgeWait bounds the wait for ended runs to be acknowledged before the
 	// next listing, which would otherwise return them again immediately.
 	acknowledgeWait = 60 * time.Millisecond
-	// retryPause is the delay after a failed listing. It is longer than the time in which
-	// the generation of a later process of the sidecar rises by one.
+	// retryPause is the delay after a failed listing. Each one takes a generation of the
+	// process, of which there are runs.MaxDoubts.
 	retryPause = 150 * time.Millisecond
 	// immediateRetryInterval is the least time between two failed listings that the next
 	// one follows at once.
@@ -46,9 +46,6 @@
 type lister struct {
 	agent    *Agent
 	failures int
-	// refusals counts the listings that the worker has refused for their fence, since the
-	// last one that it answered.
-	refusals int
 	// retriedAt is when a listing last followed a failed one at once.
 	retriedAt time.Time
 	// lastFullAt, lastFullLink and lastListed are the sending time, the link and the
@@ -94,30 +91,31 @@
 func (l *lister) listOnce(ctx context.Context, state *gate.Worker) {
 	a, d := l.agent, state.Description
 	number := a.listingNumber.Add(1)
+	term := a.holder.Load().Term
+	fence := state.Fence(term)
 	wait := listWait
-	if !state.Confirmed || !a.clockOf(d).Known {
+	if !state.HasListed(fence) || !a.clockOf(d).Known {
 		wait = 0 // the answer is needed before a lease can be requested
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+listTimeout)
 	defer cancel()
-	epoch := a.holder.Load().Epoch
-	listing, answer, err := a.worker.List(ctx, a.envelope(state, epoch), a.acknowledgedUpTo(state), wait)
+	listing, answer, err := a.worker.List(ctx, a.envelope(state, term), a.acknowledgedUpTo(state, fence), wait)
 	if err == nil && isOfOtherIncarnation(&listing, d) {
 		answer.Result = runs.ResultOtherIncarnation
 	}
 	if err != nil || answer.Result != runs.ResultOK {
-		l.handleFailure(ctx, d, epoch, answer, err)
+		l.handleFailure(ctx, d, term, answer, err)
 		return
 	}
-	l.failures, l.refusals = 0, 0
+	l.failures = 0
 	a.candidate.Store(nil)
-	a.confirmState(state)
+	a.confirmState(state, fence)
 	a.observeClock(d.Incarnation, answer)
 	a.logLeftOut(d, listing.LeftOut)
-	if l.forward(d, number, epoch, listing) {
+	if l.forward(d, number, term, listing) {
 		a.recordAnswering(d)
 	}
-	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(a.state.Load())
+	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(a.state.Load(), fence)
 	if newEnds || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
 	}
@@ -146,9 +144,10 @@
 	state := a.state.Load()
 	if state.Description == nil {
 		a.reportUnknownWorker(holderLink)
+		a.fenceUnknownWorker(context.Background(), state)
 		return
 	}
-	a.sendListing(holderLink, state, a.envelope(state, holderLink.epoch()))
+	a.sendListing(holderLink, state, a.envelope(state, holderLink.term()))
 }
 
 // sendListing requests a listing and sends it to the holder. A failure is left to the
@@ -162,7 +161,7 @@
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
 		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
-	}, holderLink.epoch()))
+	}, e.Fence.Epoch))
 }
 
 // requestListing requests a listing that does not wait for a run to end. It returns false if
@@ -171,37 +170,38 @@
 	d := state.Description
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state), 0)
+	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state, e.Fence), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
 		return runs.Listing{}, false
 	}
-	a.confirmState(state)
+	a.confirmState(state, e.Fence)
 	a.observeClock(d.Incarnation, answer)
 	return listing, true
 }
 
-// confirmState records that the worker has answered a listing requested in the given state.
-// The holder hears of an incarnation once it has answered.
-func (a *Agent) confirmState(state *gate.Worker) {
+// confirmState records that the worker has answered a listing that was requested in the given
+// state, under the fence. The holder hears of an incarnation once it has answered.
+func (a *Agent) confirmState(state *gate.Worker, fence runs.Fence) {
 	first := false
 	a.updateState(func(w gate.Worker) gate.Worker {
 		if !w.Describes(state.Description.Incarnation) {
 			return w
 		}
 		first = !w.Verified
-		return w.Confirm(state.Generation)
+		return w.Confirm(fence)
 	})
 	if first {
 		a.sendDescription(a.holderLink.Load())
 	}
 }
 
-// forward sends a listing to the holder. A listing that was requested under another
-// epoch is dropped, as it has not fenced the worker for this holder. It reports whether
-// the holder knows the worker's state.
-func (l *lister) forward(d *runs.Description, number uint64, epoch carobkeel.Epoch, listing runs.Listing) bool {
+// forward sends a listing to the holder. A listing that was requested in another term is
+// dropped, as it has not fenced the worker for this holder: under the same epoch, but without
+// the number of this process, calls of an earlier process may still be carried out after it. It
+// reports whether the holder knows the worker's state.
+func (l *lister) forward(d *runs.Description, number uint64, term gate.Term, listing runs.Listing) bool {
 	holderLink := l.agent.holderLink.Load()
-	if holderLink == nil || holderLink.epoch() != epoch {
+	if holderLink == nil || holderLink.term() != term {
 		return false
 	}
 	now := clock.Boottime()
@@ -218,10 +218,10 @@
 		l.agent.sendDescription(holderLink) // who has verified the worker may not have sent it yet
 	}
 	if full {
-		report.Running = l.withoutKnownCheckpoints(listing.Running, holderLink, epoch)
+		report.Running = l.withoutKnownCheckpoints(listing.Running, holderLink, term.Epoch)
 		l.lastFullAt, l.lastFullLink, l.lastListed = now, holderLink, d.Incarnation
 	}
-	holderLink.send(wire.TypeListing, wire.FromListing(report, epoch))
+	holderLink.send(wire.TypeListing, wire.FromListing(report, term.Epoch))
 	return true
 }
 
@@ -245,11 +245,11 @@
 	return reported
 }
 
-// acknowledgedUpTo returns the number up to which the incarnation's ended runs are
-// acknowledged. It is zero while another incarnation, whose ends are numbered anew, may have
-// followed.
-func (a *Agent) acknowledgedUpTo(state *gate.Worker) uint64 {
-	if acknowledged := a.acknowledged.Load(); state.Confirmed && acknowledged.incarnation == state.Description.Incarnation {
+// acknowledgedUpTo returns the number up to which a request with the fence acknowledges the
+// incarnation's ended runs. It is zero while another incarnation, whose ends are numbered anew,
+// may have followed.
+func (a *Agent) acknowledgedUpTo(state *gate.Worker, fence runs.Fence) uint64 {
+	if acknowledged := a.acknowledged.Load(); state.IsConfirmed(fence) && acknowledged.incarnation == state.Description.Incarnation {
 		return acknowledged.upTo
 	}
 	return 0
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -125,13 +125,13 @@
 			// Starts must not wait behind it. The holder repeats it once the worker lists.
 			return runs.ResultUnknown, true
 		}
-		state := a.state.Load()
-		result := a.admit(state, o)
+		state, holder := a.state.Load(), a.holder.Load()
+		result := admit(holder, state, o)
 		if result == runs.ResultOK && a.isWithdrawn(o.order) {
 			result = runs.ResultWithdrawn
 		}
 		if result == runs.ResultOK {
-			result = a.sendOnce(ctx, state, o)
+			result = a.sendOnce(ctx, holder.TermOf(o.epoch), state, o)
 		} else {
 			a.metrics.Refused.Inc(1)
 		}
@@ -164,8 +164,8 @@
 
 // admit decides whether to send an order to the worker. A draining worker gets all
 // orders but starts.
-func (a *Agent) admit(state *gate.Worker, o receivedOrder) runs.Result {
-	result := gate.AdmitOrder(*a.holder.Load(), o.epoch, *state, o.order.Incarnation)
+func admit(holder *gate.Holder, state *gate.Worker, o receivedOrder) runs.Result {
+	result := gate.AdmitOrder(*holder, o.epoch, *state, o.order.Incarnation)
 	if result == runs.ResultDraining && o.order.Kind != dispatch.OrderStart {
 		return runs.ResultOK
 	}
@@ -173,13 +173,13 @@
 }
 
 // sendOnce makes one attempt to send an order.
-func (a *Agent) sendOnce(ctx context.Context, state *gate.Worker, o receivedOrder) runs.Result {
+func (a *Agent) sendOnce(ctx context.Context, term gate.Term, state *gate.Worker, o receivedOrder) runs.Result {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	if !state.Confirmed && !a.unresponsive.Load() && o.order.Kind == dispatch.OrderStart {
+	if !state.IsConfirmed(state.Fence(term)) && !a.unresponsive.Load() && o.order.Kind == dispatch.OrderStart {
 		return runs.ResultUnconfirmed // that says nothing about the worker's health
 	}
-	envelope := a.envelope(state, o.epoch)
+	envelope := a.envelope(state, term)
 	if envelope.Deadline == 0 && o.order.Kind == dispatch.OrderStart {
 		return runs.ResultUnhealthy // there is no lease to start under, so nothing is sent
 	}
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -12,10 +12,26 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
+// Term is an epoch with the number that its holder has given this process of the sidecar. Both
+// are part of the fence of calls to the worker, so they are read and replaced together.
+type Term struct {
+	Epoch carobkeel.Epoch
+	// Process is zero until the holder of the epoch has answered.
+	Process runs.ProcessNumber
+}
+
+// Less reports whether t is earlier than other.
+func (t Term) Less(other Term) bool {
+	if t.Epoch != other.Epoch {
+		return t.Epoch < other.Epoch
+	}
+	return t.Process < other.Process
+}
+
 // Holder is the sidecar's record of the holder of its shard.
 type Holder struct {
-	// Epoch is the holder's or, until one has answered, the last that an entry knew.
-	Epoch carobkeel.Epoch
+	// Term is the holder's or, until one has answered, the last epoch that an entry knew.
+	Term
 	// Confirmed is the sending time of the last ping that the holder answered.
 	// The worker's lease is counted from it.
 	Confirmed time.Duration
@@ -23,16 +39,16 @@
 	Known bool
 }
 
-// Confirm returns h updated by an answer under the epoch to a ping sent at pinged.
-// An answer under an older epoch changes nothing.
-func (h Holder) Confirm(epoch carobkeel.Epoch, pinged time.Duration) Holder {
-	if epoch < h.Epoch {
+// Confirm returns h updated by an answer in the term to a ping sent at pinged.
+// An answer in an earlier term changes nothing.
+func (h Holder) Confirm(term Term, pinged time.Duration) Holder {
+	if term.Less(h.Term) {
 		return h
 	}
-	if epoch > h.Epoch || pinged > h.Confirmed {
+	if term.Epoch > h.Epoch || pinged > h.Confirmed {
 		h.Confirmed = pinged
 	}
-	h.Epoch = epoch
+	h.Term = term
 	h.Known = true
 	return h
 }
@@ -46,6 +62,14 @@
 	return h
 }
 
+// TermOf returns the term of calls under an epoch, for which this process may have no number.
+func (h Holder) TermOf(epoch carobkeel.Epoch) Term {
+	if epoch == h.Epoch {
+		return h.Term
+	}
+	return Term{Epoch: epoch}
+}
+
 // Clock maps the sidecar's time to the worker's clock.
 type Clock struct {
 	// Reading is the worker's clock as stated in an answer that arrived at
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -1,36 +1,47 @@
 package gate
 
-import (
-	"math"
-	"time"
-
-	"github.com/carobkeel/carobkeel/worker/runs"
-)
+import "github.com/carobkeel/carobkeel/worker/runs"
 
 // Worker is the sidecar's record of the worker on its host.
 //
 // A worker may restart under its ID, and a call that got no answer may be carried out seconds
 // later, by the next incarnation as well: that one knows no fence, no run that ended or was
-// stopped, and numbers its ends anew. So the generation of the calls rises whenever another
-// incarnation may have begun, and the first call to reach it keeps all earlier ones off.
+// stopped, and numbers its ends anew. So the doubts, which are part of the calls' fence, rise
+// whenever another incarnation may have begun, and the first call to reach it keeps all earlier
+// ones off. The holder's number for the process, above the doubts, keeps off those of earlier
+// processes.
 type Worker struct {
 	// Description is the worker's last description of itself, nil before the first one.
 	Description *runs.Description
-	// Generation is that of the calls to the worker.
-	Generation runs.Generation
+	// Doubts counts the events after which another incarnation may have begun.
+	Doubts uint32
 	// Verified reports that the described incarnation has answered at the worker's address.
 	// Until then the description may be that of another worker.
 	Verified bool
-	// Confirmed reports that the described incarnation has listed its runs in this
-	// generation. What is known of its clock and its ends counts only then.
-	Confirmed bool
+	// Confirmed is the highest fence of the listings that the described incarnation has answered
+	// since the last doubt, zero if there was none.
+	Confirmed runs.Fence
 	// Denied reports that the worker has answered that it is another incarnation than the
 	// described one.
 	Denied bool
 }
 
-// NewWorker returns the record of a process of the sidecar that has had no description yet.
-func NewWorker(now time.Time) Worker { return Worker{Generation: nextGeneration(0, now)} }
+// Fence returns the fence of calls to the worker in the term.
+func (w Worker) Fence(term Term) runs.Fence {
+	return runs.Fence{Epoch: term.Epoch, Generation: runs.NewGeneration(term.Process, w.Doubts)}
+}
+
+// HasListed reports whether the described incarnation has listed its runs under the fence, and
+// there was no doubt since.
+func (w Worker) HasListed(fence runs.Fence) bool { return w.Confirmed == fence }
+
+// IsConfirmed reports whether a call with the fence may extend the lease, acknowledge ends or
+// start a run: the incarnation that the call is for is known to refuse all earlier calls. Without
+// the number of the process, those of an earlier process may have a higher fence; and once the
+// doubts are used up, those before the last doubt have the same.
+func (w Worker) IsConfirmed(fence runs.Fence) bool {
+	return w.HasListed(fence) && fence.Generation.Process() != 0 && w.Doubts < runs.MaxDoubts
+}
 
 // Is reports whether the incarnation is the described one, as far as the sidecar knows.
 func (w Worker) Is(incarnation runs.Incarnation) bool {
@@ -43,66 +54,38 @@
 }
 
 // Describe returns w with another description of the worker.
-func (w Worker) Describe(d *runs.Description, now time.Time) Worker {
+func (w Worker) Describe(d *runs.Description) Worker {
 	if !w.Describes(d.Incarnation) {
-		w.Generation = nextGeneration(w.Generation, now)
-		w.Verified, w.Confirmed, w.Denied = false, false, false
+		w = w.Suspect()
+		w.Verified, w.Denied = false, false
 	}
 	w.Description = d
 	return w
 }
 
-// Confirm returns w after the described incarnation has listed its runs in a generation.
-func (w Worker) Confirm(generation runs.Generation) Worker {
+// Confirm returns w after the described incarnation has listed its runs under a fence.
+func (w Worker) Confirm(fence runs.Fence) Worker {
 	w.Verified = true
-	if generation == w.Generation {
-		w.Confirmed, w.Denied = true, false
+	if fence.Generation.Doubts() != w.Doubts {
+		return w
+	}
+	w.Denied = false
+	if w.Confirmed.Less(fence) {
+		w.Confirmed = fence
 	}
 	return w
 }
 
 // Suspect returns w after a call without a usable answer: the worker may have restarted.
-func (w Worker) Suspect(now time.Time) Worker {
-	w.Generation = nextGeneration(w.Generation, now)
-	w.Confirmed = false
+func (w Worker) Suspect() Worker {
+	w.Doubts = min(w.Doubts+1, runs.MaxDoubts)
+	w.Confirmed = runs.Fence{}
 	return w
 }
 
 // Deny returns w after the worker has answered that it is another incarnation.
-func (w Worker) Deny(now time.Time) Worker {
-	w = w.Suspect(now)
+func (w Worker) Deny() Worker {
+	w = w.Suspect()
 	w.Denied = true
 	return w
 }
-
-// MaxRefusals bounds the refusals after which a generation is raised, so that those under
-// an epoch that is over do not use all generations up.
-const MaxRefusals = 24
-
-// Overtake returns w after the worker has refused a listing for its fence, for the given
-// number of times on end. The worker knows a higher generation of an earlier process if the
-// time of day was set back since, or a later epoch, which the sidecar learns of by itself.
-func (w Worker) Overtake(refusals int) Worker {
-	if refusals <= MaxRefusals {
-		w.Generation = addGenerations(w.Generation, 1<<refusals)
-	}
-	w.Confirmed = false
-	return w
-}
-
-// generationInterval is the time in which the generation of a new process rises by one. A
-// process raises its own less often, so that those of later processes are above it. The
-// generations last for 13 years.
-const generationInterval = 100 * time.Millisecond
-
-// generationEpoch is the time of day of generation zero.
-var generationEpoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
-
-func nextGeneration(last runs.Generation, now time.Time) runs.Generation {
-	byTime := min(max(0, now.Sub(generationEpoch)/generationInterval), math.MaxUint32)
-	return max(addGenerations(last, 1), runs.Generation(byTime))
-}
-
-func addGenerations(g runs.Generation, n uint64) runs.Generation {
-	return runs.Generation(min(uint64(g)+n, math.MaxUint32))
-}
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -205,26 +205,6 @@
 	Clock  time.Duration
 }
 
-// Generation numbers the calls to a worker beyond the epoch. Its sidecar raises it whenever
-// another incarnation of the worker may have begun.
-type Generation uint32
-
-// Fence orders calls to a worker, by epoch and then by generation. A worker does nothing for
-// a call with a lower fence than it has received. An incarnation that has just begun has
-// received none.
-type Fence struct {
-	Epoch      carobkeel.Epoch
-	Generation Generation
-}
-
-// Less reports whether f is lower than other.
-func (f Fence) Less(other Fence) bool {
-	if f.Epoch != other.Epoch {
-		return f.Epoch < other.Epoch
-	}
-	return f.Generation < other.Generation
-}
-
 // Envelope holds the fields that are common to all orders.
 type Envelope struct {
 	// Incarnation is the incarnation that the order is addressed to. A worker checks its
