Use the doubts of a sidecar's process up more slowly while its worker is away

What callers saw: nothing yet. Found while the generation got its bits: a process has 2^20 doubts in a term, and a worker that is away takes one with each failed listing, each 150 ms or later.

Cause: each listing without an answer took a generation, also where no call had been sent since the last one that the next incarnation must not carry out.

Change: of the second half of the doubts, one is taken only after a listing under the last one was answered. Without that no call was sent that extends the lease, acknowledges ends or starts a run.

Result: sidecar/gate and sidecar/agent pass.

--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -76,8 +76,18 @@
 	return w
 }
 
+// plentyOfDoubts is the number of doubts up to which each one counts.
+const plentyOfDoubts = runs.MaxDoubts / 2
+
 // Suspect returns w after a call without a usable answer: the worker may have restarted.
+//
+// A worker that is away for days must not use the doubts up. So later on only those count after
+// which there are calls to be kept off: before the incarnation has listed, none was sent that
+// extends the lease, acknowledges ends or starts a run.
 func (w Worker) Suspect() Worker {
+	if w.Doubts >= plentyOfDoubts && w.Confirmed == (runs.Fence{}) {
+		return w
+	}
 	w.Doubts = min(w.Doubts+1, runs.MaxDoubts)
 	w.Confirmed = runs.Fence{}
 	return w
