Log each step of a run from its order to the acknowledgement of its end

Callers saw nothing of this; whoever traced a task that ran twice could not say from the logs whether a start was answered, when a worker first listed the run, or which stored progress and acknowledgement covered its end. The end of a run that the holder did not have, as after a takeover, left no line at all.

Cause: of ordered, answered, listed, released, end listed, end stored and end acknowledged, only the order, the release and the end of a known run had a line, and the ends had no number.

Change: new decisions "start answered", "start repeated", "run listed" (once per run and epoch), "unknown run ended", "progress stored" (one per job and batch), "ends acknowledged" (one per worker and round) and "inherited worker listed" (the first listing after a takeover, which releases what it lacks). Lines of ends carry the number of the end, the listing, the worker's incarnation and the revision of the job's progress that includes the effect, so that the first "progress stored" of the epoch with that revision or a later one covers the end. The decisions themselves are as before. A run of an unknown task now leaves the line of its end or release too.

--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // DecisionKind is the type of a decision.
@@ -22,6 +23,13 @@
 	DecidedJobCancelled DecisionKind = "job cancelled"
 	// DecidedRunStarted orders the start of a run.
 	DecidedRunStarted DecisionKind = "run started"
+	// DecidedStartRepeated orders the start of a run once more, as its answer was lost or
+	// inconclusive. The detail has the number of the order.
+	DecidedStartRepeated DecisionKind = "start repeated"
+	// DecidedStartAnswered reports the answer to a start order.
+	DecidedStartAnswered DecisionKind = "start answered"
+	// DecidedRunListed reports the first listing that shows a run to this holder.
+	DecidedRunListed DecisionKind = "run listed"
 	// DecidedRunStopped orders the stop of a run.
 	DecidedRunStopped DecisionKind = "run stopped"
 	// DecidedStopOverdue reports a run that has not ended in time after its stop
@@ -34,6 +42,17 @@
 	DecidedRunGivenUp DecisionKind = "run given up"
 	// DecidedGivenUpRunEnded reports the listed end of a run that this holder gave up before.
 	DecidedGivenUpRunEnded DecisionKind = "given-up run ended"
+	// DecidedUnknownRunEnded reports the listed end of another run that this holder does not
+	// have: of an earlier holder, or released before.
+	DecidedUnknownRunEnded DecisionKind = "unknown run ended"
+	// DecidedProgressStored reports that a revision of a job's progress is durable, with the
+	// effects of all ends up to that revision.
+	DecidedProgressStored DecisionKind = "progress stored"
+	// DecidedEndsAcknowledged orders the acknowledgement of a worker's ends up to a number.
+	DecidedEndsAcknowledged DecisionKind = "ends acknowledged"
+	// DecidedInheritedWorkerListed reports the first full listing of a worker that an earlier
+	// holder used. Runs of that holder which it lacks count as over.
+	DecidedInheritedWorkerListed DecisionKind = "inherited worker listed"
 	// DecidedRunAdopted adopts a run that an earlier holder started.
 	DecidedRunAdopted DecisionKind = "run adopted"
 	// DecidedPaceSet sets the pace of a best-effort run.
@@ -89,6 +108,18 @@
 	Waited time.Duration
 	// Detail holds further inputs.
 	Detail string
+	// Incarnation is that of the worker, if the decision depends on it: it numbers its ends.
+	Incarnation runs.Incarnation
+	// Listing is the number of the sidecar's listing that led to the decision, or that was in
+	// progress at an answer, zero for none.
+	Listing uint64
+	// End is the number of an end or, for an acknowledgement, of the last one that it covers.
+	// Outcome is that of the end.
+	End     uint64
+	Outcome runs.Outcome
+	// Revision is the revision of the job's progress in this epoch that includes the effect
+	// of the end, or that is stored. Zero is the one that the holder began with.
+	Revision uint64
 }
 
 func (c *Core) recordDecision(d Decision) {
--- a/scheduler/dispatch/incarnation.go
+++ b/scheduler/dispatch/incarnation.go
@@ -90,6 +90,7 @@
 		}
 		r.carriedOver, r.percent, r.observedFrom = true, 0, c.now.Monotonic
 		r.phase, r.inconclusive, r.stopConfirmed = runOrdered, false, false
+		r.listed = false
 		r.confirmed, r.stopConfirmedAt = listingMark{}, listingMark{}
 	}
 }
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -39,7 +39,7 @@
 		c.extendLease(w)
 	}
 	for _, end := range l.Ends {
-		c.handleEnd(w, end)
+		c.handleEnd(w, end, l.Number)
 	}
 	if !l.Full {
 		return
@@ -51,6 +51,7 @@
 		if c.updateRun(w, running, l.Requested) {
 			advanced = true
 		}
+		c.recordListed(w, running, l.Number)
 	}
 	c.observeProgress(w, advanced || l.Partial)
 	w.sharing = nil // the load metrics have changed
@@ -68,6 +69,7 @@
 		if l.Partial && c.mayHaveInheritedRuns(w) {
 			c.partlyListed[w.host] = true
 		}
+		c.recordInheritedListing(w, &l)
 		c.forgetUnreported(w.host, w.description.Incarnation)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
@@ -77,8 +79,8 @@
 	}
 }
 
-// handleEnd handles one end. A worker repeats ends until they are acknowledged.
-func (c *Core) handleEnd(w *workerState, end runs.End) {
+// handleEnd handles one end in a listing. A worker repeats ends until they are acknowledged.
+func (c *Core) handleEnd(w *workerState, end runs.End, listing uint64) {
 	if end.Number <= w.lastEnd {
 		return
 	}
@@ -86,12 +88,14 @@
 	w.lastEnd, w.followsEnds = end.Number, true
 	w.stall.lastProgress = c.now.Monotonic
 	t := c.task(end.Task)
-	c.applyEnd(w, t, end)
+	firstDecision := len(c.decisions)
+	c.applyEnd(w, t, end, listing)
 	pending := pendingEnd{number: end.Number}
 	if t != nil {
 		pending.job, pending.revision = t.job(), t.job().revision
 	}
 	w.pendingEnds = append(w.pendingEnds, pending)
+	c.recordRevision(firstDecision, pending)
 }
 
 // reportMissedEnds reports a gap before the end with the given number. Ends are numbered
@@ -105,21 +109,20 @@
 
 // applyEnd updates the run and the task after an end. The task is nil if it is
 // unknown.
-func (c *Core) applyEnd(w *workerState, t *task, end runs.End) {
+func (c *Core) applyEnd(w *workerState, t *task, end runs.End, listing uint64) {
 	r := w.runs[runKey{end.Task, end.Run}]
 	if t != nil && end.Checkpoint != "" && !t.done && t.step.spec.SavesProgress {
 		t.checkpoint = end.Checkpoint
 	}
 	if r != nil {
 		c.recordOutcome(r, end.Outcome)
-		c.releaseEnded(r, end.Outcome)
+		c.releaseEnded(r, end, listing)
+	} else {
+		c.recordUnknownEnd(w, t, end, listing)
 	}
 	if t == nil {
 		return
 	}
-	if r == nil && end.Run == t.givenUp {
-		c.recordDecision(Decision{Kind: DecidedGivenUpRunEnded, Task: end.Task, Run: end.Run, Host: w.host, Detail: end.Outcome.String()})
-	}
 	switch end.Outcome {
 	case runs.OutcomeDone:
 		c.handleDone(t)
@@ -207,7 +210,7 @@
 	switch {
 	case t == nil:
 		return "unknown task"
-	case run > t.lastRun || (t.job().inherited && run <= c.inheritedRuns()):
+	case c.isOfEarlierHolder(t, run):
 		return "of an earlier holder"
 	case t.done:
 		return "given up before, and the task is done"
@@ -215,6 +218,12 @@
 	return "given up before"
 }
 
+// isOfEarlierHolder reports whether a run that this holder does not have is one that it has
+// not started.
+func (c *Core) isOfEarlierHolder(t *task, run int) bool {
+	return run > t.lastRun || (t.job().inherited && run <= c.inheritedRuns())
+}
+
 // releaseMissing releases runs that are missing from a full listing although
 // the worker should list them. A run is released only by a listing that was requested
 // after the last message that could have started it.
@@ -248,6 +257,7 @@
 			r.inconclusive = true
 		case r.phase == runOrdered:
 			c.orderStart(r)
+			c.recordRepeatedStart(r)
 		}
 	}
 }
@@ -267,6 +277,7 @@
 
 // ApplyAnswer applies the answer to a start or a stop.
 func (c *Core) ApplyAnswer(a OrderAnswer) {
+	c.recordStartAnswered(a)
 	w := c.workers[a.Host]
 	if w == nil || w.description.Incarnation != a.Incarnation {
 		return
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -166,6 +166,7 @@
 // callers.
 func (c *Core) BatchStored(b Batch) {
 	for id, revision := range b.revisions {
+		c.recordStored(id, b.states[id], revision)
 		j := c.jobs[id]
 		j.storedRevision = revision
 		if j.revision == revision {
@@ -205,6 +206,7 @@
 // orderAcknowledge tells the sidecar up to which number the worker's ends are stored.
 func (c *Core) orderAcknowledge(w *workerState) {
 	c.order(w, Order{Kind: OrderAcknowledge, Acknowledged: w.acknowledged})
+	c.recordAcknowledged(w)
 }
 
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -27,6 +27,8 @@
 	// reserved holds the worker's resources that the run has reserved.
 	reserved carobkeel.Resources
 	phase    runPhase
+	// listed reports that a listing has shown the run to this holder.
+	listed bool
 	// startOrders counts the start orders sent. If there was more than one, the
 	// refusal of one of them does not show that the run did not start.
 	startOrders int
@@ -83,16 +85,17 @@
 	if r.task != nil {
 		r.task.givenUp = r.number
 	}
-	c.remove(r, DecidedRunGivenUp, reason)
+	c.remove(r, Decision{Kind: DecidedRunGivenUp, Detail: reason})
 }
 
 // releaseEnded releases a run whose end its worker has listed.
-func (c *Core) releaseEnded(r *runState, outcome runs.Outcome) {
-	c.remove(r, DecidedRunEnded, outcome.String())
+func (c *Core) releaseEnded(r *runState, end runs.End, listing uint64) {
+	c.remove(r, endDecision(DecidedRunEnded, r.worker, end, listing))
 }
 
-// remove frees the resources of a run. Its task waits again unless it is done.
-func (c *Core) remove(r *runState, kind DecisionKind, reason string) {
+// remove frees the resources of a run, and records the decision that led to it. The run's task
+// waits again unless it is done.
+func (c *Core) remove(r *runState, d Decision) {
 	w := r.worker
 	c.recordEndedBestEffort(r)
 	delete(w.runs, runKey{r.name, r.number})
@@ -104,6 +107,8 @@
 		w.beingStopped = w.beingStopped.Sub(r.reserved)
 	}
 	c.markChanged(w)
+	d.Task, d.Run, d.Host, d.Waited = r.name, r.number, w.host, c.now.Monotonic-r.started
+	c.recordDecision(d)
 	if r.task == nil {
 		return
 	}
@@ -117,7 +122,6 @@
 	if t.isWaiting() {
 		t.waitingSince = c.now.Monotonic
 	}
-	c.recordDecision(Decision{Kind: kind, Task: r.name, Run: r.number, Host: w.host, Detail: reason, Waited: c.now.Monotonic - r.started})
 }
 
 // reserve adds a run to a worker and reserves its resources.
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -63,5 +63,22 @@
 	if d.Waited != 0 {
 		line = line.Int64("ms", d.Waited.Milliseconds())
 	}
-	line.Msg(string(d.Kind))
+	logVersions(line, d).Msg(string(d.Kind))
+}
+
+// logVersions adds the versions of what a decision is based on.
+func logVersions(line *log.Entry, d *dispatch.Decision) *log.Entry {
+	if d.Incarnation.ID != "" {
+		line = line.Str("worker", d.Incarnation.ID).Int64("worker_started", d.Incarnation.StartedAtMs)
+	}
+	if d.Listing != 0 {
+		line = line.Uint64("listing", d.Listing)
+	}
+	if d.End != 0 {
+		line = line.Uint64("end", d.End)
+	}
+	if d.Revision != 0 {
+		line = line.Uint64("revision", d.Revision)
+	}
+	return line
 }
