Say on an expired inherited lease whether the host was linked

When a holder drops a worker of an earlier holder whose runs it has not seen, the line named the incarnation alone, or nothing: it could not be told from a host that is gone that the worker had a lease extended for this holder, so that its runs went on.

Evidence: TestInheritedLeaseThatExpiresNamesTheLinkAndTheLeaseOfThisHolder on the code before: "inherited lease expired","detail":"i-1","host":"host-1".

Change: the detail names the incarnation, whether its host was linked, and how long a lease that this holder extended counts, or how long ago it expired. What is decided is as before.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -299,7 +299,7 @@
 		if c.now.Held < c.expiryOf(u) {
 			continue
 		}
-		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: u.host, Detail: incarnation.ID})
+		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: u.host, Detail: c.describeInherited(incarnation, u.host)})
 		delete(c.unreportedWorkers, incarnation)
 		c.dropRecord(incarnation, u.host)
 	}
--- a/scheduler/dispatch/evidence.go
+++ b/scheduler/dispatch/evidence.go
@@ -79,3 +79,28 @@
 	}
 	return "nothing listed"
 }
+
+// describeInherited names an incarnation of an earlier holder that is dropped without a listing,
+// and what this holder then knows of its host, for the log.
+func (c *Core) describeInherited(incarnation runs.Incarnation, host string) string {
+	w := c.workers[host]
+	if w == nil {
+		w = &workerState{}
+	}
+	linked := "host not linked"
+	if w.linked {
+		linked = "host linked"
+	}
+	return fmt.Sprintf("%s, %s, %s", incarnation.ID, linked, describeOwnLease(w, c.now.Held))
+}
+
+// describeOwnLease returns how long after held a lease counts that was extended for this holder.
+func describeOwnLease(w *workerState, held time.Duration) string {
+	switch {
+	case w.expiry() == 0:
+		return "no own lease"
+	case w.expiry() <= held:
+		return fmt.Sprintf("own lease expired %d ms ago", (held - w.expiry()).Milliseconds())
+	}
+	return fmt.Sprintf("own lease for %d ms", (w.expiry() - held).Milliseconds())
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -177,6 +177,6 @@
 	if !w.linked || !w.follows || !w.unresponsive || c.now.Held < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
 		return
 	}
-	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host})
+	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host, Detail: c.describeInherited(w.description.Incarnation, w.host)})
 	c.forgetAllUnreported(w.host)
 }
--- /dev/null
+++ b/scheduler/holder/inherited_lines_test.go
@@ -0,0 +1,28 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// Guards against TWICE that can't be traced: an inherited worker is dropped while it is linked.
+func TestInheritedLeaseThatExpiresNamesTheLinkAndTheLeaseOfThisHolder(t *testing.T) {
+	linked := newTracedRun(2, dispatch.WorkerRecord{Incarnation: tracedIncarnation, Host: tracedHost})
+	linked.advance(2 * time.Second)
+	linked.core.HostPinged(tracedHost, 2)
+	linked.advance(2 * time.Second)
+	linked.log()
+	g := NewWithT(t)
+	g.Expect(linked.story()).To(ContainElement(
+		`"inherited lease expired","detail":"i-1, host linked, own lease for 1210 ms","host":"host-1","epoch":2`))
+	lost := newTracedRun(2, dispatch.WorkerRecord{Incarnation: runs.Incarnation{ID: "i-9"}, Host: "host-9"})
+	lost.advance(4 * time.Second)
+	lost.log()
+	g.Expect(lost.story()).To(ContainElement(
+		`"inherited lease expired","detail":"i-9, host not linked, no own lease","host":"host-9","epoch":2`))
+}
