Report the end of each run that was given up, not of the last one alone

Callers saw nothing of this. Where two runs of a task were given up, the late end of the first one left no "given-up run ended", so that the near miss was unseen.

Cause: a task kept the number of its last given-up run only.

Evidence: TestEndOfEachRunThatWasGivenUpIsReported on the code before: "unknown run ended","detail":"done, released before" for run 1.

Change: a task keeps the last eight such numbers until their ends are listed. Nothing but lines and counts depends on them.

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -83,8 +83,9 @@
 	done  bool
 	// lastRun is the highest run number assigned so far.
 	lastRun int
-	// givenUp is the number of the last run that was given up, zero if none was.
-	givenUp int
+	// givenUp holds the numbers of the last runs that were given up and whose end has not been
+	// listed since, at most maxGivenUp.
+	givenUp []int
 	// failedRuns holds the numbers of the runs that failed. Numbers are needed
 	// because a worker also reports an end to the next holder until the end is
 	// acknowledged, and workers list in any order.
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -83,7 +83,7 @@
 // names the evidence.
 func (c *Core) release(r *runState, reason string) {
 	if r.task != nil {
-		r.task.givenUp = r.number
+		r.task.recordGivenUp(r.number)
 	}
 	c.remove(r, Decision{Kind: DecidedRunGivenUp, Detail: reason})
 }
--- a/scheduler/dispatch/run_record.go
+++ b/scheduler/dispatch/run_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -62,7 +63,7 @@
 // recordUnknownEnd records the end of a run that this holder does not have.
 func (c *Core) recordUnknownEnd(w *workerState, t *task, end runs.End, listing uint64) {
 	d := endDecision(DecidedUnknownRunEnded, w, end, listing)
-	if t != nil && end.Run == t.givenUp {
+	if t != nil && t.takeGivenUp(end.Run) {
 		d.Kind = DecidedGivenUpRunEnded
 	} else {
 		d.Detail += ", " + c.explainUnknownEnd(t, end.Run)
@@ -70,6 +71,28 @@
 	c.recordDecision(d)
 }
 
+// maxGivenUp bounds the runs of a task that were given up and whose ends are awaited, for the
+// log.
+const maxGivenUp = 8
+
+// recordGivenUp records that a run of the task was given up.
+func (t *task) recordGivenUp(run int) {
+	if len(t.givenUp) == maxGivenUp {
+		t.givenUp = t.givenUp[1:]
+	}
+	t.givenUp = append(t.givenUp, run)
+}
+
+// takeGivenUp reports whether a run of the task was given up, and forgets that.
+func (t *task) takeGivenUp(run int) bool {
+	i := slices.Index(t.givenUp, run)
+	if i < 0 {
+		return false
+	}
+	t.givenUp = slices.Delete(t.givenUp, i, i+1)
+	return true
+}
+
 // explainUnknownEnd returns why a worker may list the end of a run that this holder does not
 // have.
 func (c *Core) explainUnknownEnd(t *task, run int) string {
--- a/scheduler/holder/run_lines_test.go
+++ b/scheduler/holder/run_lines_test.go
@@ -199,3 +199,20 @@
 		`"inherited worker listed","detail":"0 running, 0 ended","host":"host-1","epoch":2,"worker":"i-1","worker_started":2000,"listing":7`,
 	))
 }
+
+// Guards against a near miss that isn't counted: the end of the first of two runs that were given up.
+func TestEndOfEachRunThatWasGivenUpIsReported(t *testing.T) {
+	r := newTracedRun(1).ready()
+	r.submit(false)
+	r.answer(1, runs.ResultUnhealthy, 1)
+	r.advance(time.Minute)
+	r.core.HostPinged(tracedHost, 2)
+	r.list(2)
+	r.answer(2, runs.ResultUnhealthy, 2)
+	r.listEnd(3, 1, 1)
+	NewWithT(t).Expect(r.story()).To(ContainElements(
+		HavePrefix(`"run given up","detail":"start refused: unhealthy","task":"00000000000000aa.0.0.0","run":1`),
+		HavePrefix(`"run given up","detail":"start refused: unhealthy","task":"00000000000000aa.0.0.0","run":2`),
+		HavePrefix(`"given-up run ended","detail":"done","task":"00000000000000aa.0.0.0","run":1`),
+	))
+}
