Count the ends of runs that were given up by their outcome

A run that is released without an end, and whose end then comes as done, is a near miss of a task that is done twice, also where no rule broke. It had a log line and no metric.

--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/telemetry"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // Metrics holds the metrics of a node's decisions while it holds the shard.
@@ -22,8 +23,13 @@
 	StoreLatency tally.Histogram
 	series       *telemetry.ByOwner[series]
 	workers      map[dispatch.DecisionKind]tally.Counter
+	// givenUpEnds counts the listed ends of runs that were given up before, by outcome.
+	givenUpEnds map[runs.Outcome]tally.Counter
 }
 
+// labelOutcome is the label with the outcome of a run.
+const labelOutcome = "outcome"
+
 // series holds the metrics of one queue and class.
 type series struct {
 	// startDelay is the time that a task waited for its start, and jobTime the
@@ -35,6 +41,10 @@
 // NewMetrics creates the metrics in the scope.
 func NewMetrics(root tally.Scope) *Metrics {
 	scope := root.SubScope("scheduler")
+	givenUpEnds := make(map[runs.Outcome]tally.Counter)
+	for outcome := runs.OutcomeDone; outcome <= runs.OutcomeUnknown; outcome++ {
+		givenUpEnds[outcome] = scope.Tagged(map[string]string{labelOutcome: outcome.String()}).Counter("given_up_runs_ended")
+	}
 	return &Metrics{
 		Takeovers:     scope.Counter("takeovers"),
 		StepDowns:     scope.Counter("step_downs"),
@@ -51,6 +61,7 @@
 			dispatch.DecidedWorkerDraining:    scope.Counter("workers_draining"),
 			dispatch.DecidedLeaseExpired:      scope.Counter("leases_lapsed"),
 		},
+		givenUpEnds: givenUpEnds,
 	}
 }
 
@@ -88,6 +99,8 @@
 		s.startDelay.RecordDuration(max(0, d.Waited))
 	case dispatch.DecidedJobDone:
 		s.jobTime.RecordDuration(d.Waited)
+	case dispatch.DecidedGivenUpRunEnded:
+		m.givenUpEnds[min(d.Outcome, runs.OutcomeUnknown)].Inc(1)
 	}
 }
 
