Name the host in a sidecar's line of an order

Callers saw nothing of this. The line of an answered order had task, run, result and epoch; its host could be told from the name of the file alone.

Evidence: TestLineOfAnOrderNamesItsHostAndEpoch on the code before: "task":"j.0.0.0","run":1,"epoch":3, without a host.

Change: the line has the host.

Result: go test ./sidecar/agent passes.

--- a/sidecar/agent/order_log_test.go
+++ b/sidecar/agent/order_log_test.go
@@ -27,3 +27,11 @@
 		g.Expect(out.Len() == 0).To(Equal(want == ""))
 	}
 }
+
+func TestLineOfAnOrderNamesItsHostAndEpoch(t *testing.T) {
+	a, order := linkedAgent(&scriptedWorker{})
+	var out bytes.Buffer
+	a.log = logging.NewFactory(logging.Config{Level: "info", JSON: true}, &out).For("sidecar")
+	a.logOrder(order, runs.ResultOK)
+	NewWithT(t).Expect(out.String()).To(ContainSubstring(`"task":"j.0.0.0","run":1,"host":"h","epoch":3`))
+}
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -111,7 +111,8 @@
 		level = log.DebugLevel
 	}
 	a.log.WithLevel(level).Stringer("order", o.order.Kind).Stringer("result", result).
-		Stringer("task", o.order.Task).Int("run", o.order.Run).Uint64("epoch", uint64(o.epoch)).Msg("order")
+		Stringer("task", o.order.Task).Int("run", o.order.Run).Str("host", a.config.Host).Uint64("epoch", uint64(o.epoch)).
+		Msg("order")
 }
 
 // sendWithRetries sends an order until it is answered, at most orderAttempts times. The
