Explain the runs of a task from a file of logs that another tool printed

The soak's -explain read the folder of a play of ours only, and printed lines.

Evidence: TestRunsOfATaskAreExplainedFromPrintedLogs on the code before: open testdata/printed-logs.txt/record.jsonl: not a directory.

Change: -explain takes such a file too; whether its argument is a folder decides. For both it prints a table first, with a row for each entry that shows a step of a run (ordered, answered, listed, released, end listed, end stored, end acknowledged) and a dash for a step without one, and then the lines. These now include the holder's decisions about the hosts of the runs, and the changes of the holder.

Result: go test ./cmd/soak/jobs -run 'TestLinesOnATask|TestRunsOfATask|Plan|Traffic' passes.

--- a/cmd/soak/jobs.go
+++ b/cmd/soak/jobs.go
@@ -50,7 +50,7 @@
 	fs.IntVar(&c.steps, "job-steps", 4, "most steps of a job")
 	fs.IntVar(&c.entries, "job-entries", 3, "number of entries on the path of jobs")
 	fs.IntVar(&c.workers, "job-workers", 11, "number of workers with a sidecar on the path of jobs")
-	fs.StringVar(&c.explain, "explain", "", "folder of a broken play, of which the lines on the task in the argument are printed")
+	fs.StringVar(&c.explain, "explain", "", "folder of a broken play, or file of logs with the second and the host before each line, of which the runs of the task in the argument and the lines on it are printed")
 }
 
 // Check implements settings.Checker.
--- a/cmd/soak/jobs/explain.go
+++ b/cmd/soak/jobs/explain.go
@@ -27,40 +27,85 @@
 	at     time.Time
 	source string
 	text   string
+	// line has the fields of a log line.
+	line logLine
 }
 
-// Explain writes all lines on a task from the record and the logs of a broken play in order
-// of time: those that name the task, or its job and no other task, the troubles, and the
-// calls without a task that workers carried out late where the task ran.
-func Explain(out io.Writer, folder, taskName string) error {
+// timeline is what was seen of a task.
+type timeline struct {
+	task    carobkeel.TaskName
+	began   time.Time
+	entries []timelineEntry
+}
+
+// Explain writes a table of the runs of a task, and then all lines on it in order of time: those
+// that name the task, or its job and no other task, and those on the hosts and the holders of its
+// runs. The source is the folder of a broken play, or a file of logs that another tool printed.
+// A folder has the record, the troubles, and the calls without a task that workers carried out
+// late where the task ran, too.
+func Explain(out io.Writer, source, taskName string) error {
 	task, err := carobkeel.ParseTaskName(taskName)
 	if err != nil {
 		return err
 	}
-	seen, err := readRecord(filepath.Join(folder, recordFile))
+	info, err := os.Stat(source)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	read := readPrefixedLog
+	if info.IsDir() {
+		read = readFolder
+	}
+	t, err := read(source, task)
 	if err != nil {
 		return err
 	}
-	entries := recordEntries(seen, task)
+	slices.SortStableFunc(t.entries, func(a, b timelineEntry) int { return a.at.Compare(b.at) })
+	return t.write(out)
+}
+
+// readFolder returns what the folder of a broken play has on a task.
+func readFolder(folder string, task carobkeel.TaskName) (timeline, error) {
+	seen, err := readRecord(filepath.Join(folder, recordFile))
+	if err != nil {
+		return timeline{}, err
+	}
+	t := timeline{task: task, began: seen.Began, entries: recordEntries(seen, task)}
 	logs, err := filepath.Glob(filepath.Join(folder, "*"+logSuffix))
 	if err != nil {
-		return errors.WithStack(err)
+		return t, errors.WithStack(err)
 	}
 	filter := newLineFilter(seen, task)
 	for _, path := range logs {
 		found, err := logEntries(path, filter)
 		if err != nil {
-			return err
+			return t, err
 		}
-		entries = append(entries, found...)
+		t.entries = append(t.entries, found...)
+	}
+	return t, nil
+}
+
+// write writes the table of the runs and the lines.
+func (t timeline) write(out io.Writer) error {
+	runs := traceRuns(t.task, t.entries)
+	if err := t.writeTable(out, runs); err != nil {
+		return err
 	}
-	slices.SortStableFunc(entries, func(a, b timelineEntry) int { return a.at.Compare(b.at) })
-	for _, e := range entries {
-		fmt.Fprintf(out, "%8.3f  %-9s %s\n", e.at.Sub(seen.Began).Seconds(), e.source, e.text)
+	hosts := hostsOf(runs)
+	acknowledgements := acknowledgementsOf(runs)
+	for i := range t.entries {
+		e := &t.entries[i]
+		if !e.line.isAboutHost() || hosts[e.line.Host] && (!e.line.isAcknowledgement() || acknowledgements[e]) {
+			fmt.Fprintf(out, "%8.3f  %-9s %s\n", t.seconds(e), e.source, e.text)
+		}
 	}
 	return nil
 }
 
+// seconds returns when an entry was written, in seconds since the beginning.
+func (t timeline) seconds(e *timelineEntry) float64 { return e.at.Sub(t.began).Seconds() }
+
 func readRecord(path string) (judge.Play, error) {
 	file, err := os.Open(path)
 	if err != nil {
@@ -120,15 +165,6 @@
 	return f
 }
 
-// logLine is what the filter reads of a line.
-type logLine struct {
-	Time   time.Time `json:"time"`
-	Part   string    `json:"part"`
-	Task   string    `json:"task"`
-	Worker string    `json:"worker"`
-	Late   bool      `json:"late"`
-}
-
 // concerns reports whether a line belongs to the timeline.
 func (f *lineFilter) concerns(line logLine, text string) bool {
 	names := f.tasks.FindAllString(text, -1)
@@ -137,7 +173,7 @@
 		return true
 	case len(names) == 0 && strings.Contains(text, f.job):
 		return true
-	case line.Part == troublePart:
+	case line.Part == troublePart, line.isAboutHost(), line.isAboutHolder():
 		return true
 	}
 	return line.Late && line.Task == "" && f.workers[line.Worker]
@@ -164,7 +200,7 @@
 			last = line.Time
 		}
 		if plain || filter.concerns(line, text) {
-			entries = append(entries, timelineEntry{at: last, source: source, text: text})
+			entries = append(entries, timelineEntry{at: last, source: source, text: text, line: line})
 		}
 	}
 	return entries, errors.Wrap(scanner.Err(), "read "+path)
--- a/cmd/soak/jobs/explain_test.go
+++ b/cmd/soak/jobs/explain_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
@@ -45,3 +46,12 @@
 		g.Expect(lines[i]).To(ContainSubstring(text))
 	}
 }
+
+func TestRunsOfATaskAreExplainedFromPrintedLogs(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	g.Expect(Explain(&out, "testdata/printed-logs.txt", "00000000000000aa.0.0.1")).To(Succeed())
+	want, err := os.ReadFile("testdata/printed-logs-explained.txt")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.String()).To(Equal(string(want)))
+}
