Log the store's version of what a holder writes and of what the next one reads

Callers saw nothing of this. Where an end was acknowledged and its task ran again under a later holder, the logs could not tell whether what the earlier holder stored was not read, or lost: neither the writes nor the takeover had a version.

Change: "records stored" for each transaction of a holder, with its version and the number of its rows; "shard taken over" has the store's version when the progress was read. The store has one version counter for all rows, so the two can be compared.

--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -65,6 +65,7 @@
 		switch {
 		case err == nil && outcome.Applied:
 			w.record(txn.Writes, outcome.Version)
+			w.logStored(&txn, outcome.Version)
 			return nil
 		case err == nil:
 			if err := w.refreshVersions(txn.Conditions, &outcome); err != nil {
@@ -108,6 +109,13 @@
 	return nil
 }
 
+// logStored logs that a transaction is durable. A later holder has read it if what it has read is
+// of that version or a later one.
+func (w *batchWriter) logStored(txn *table.RowTransaction, version table.Version) {
+	w.node.log.Info().Uint64("version", uint64(version)).Int("rows", len(txn.Writes)).
+		Uint64("epoch", w.holder.Row.Epoch).Msg("records stored")
+}
+
 func (w *batchWriter) logRejected(err error) {
 	line := w.node.log.Error().Err(err).Int("records", w.batch.Len())
 	if len(w.batch.Progress) > 0 {
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -100,8 +100,9 @@
 	progress     []table.VersionedRow
 	workers      []table.VersionedRow
 	interference []table.VersionedRow
-	// from is the version to follow the jobs table from.
-	from table.Version
+	// from is the version to follow the jobs table from, and progressVersion the newest version
+	// in the service when the progress was read.
+	from, progressVersion table.Version
 	// refusedBy is the holder row of another process, which refused the takeover. Its version
 	// is zero if there is none.
 	refusedBy table.VersionedRow
@@ -185,11 +186,11 @@
 			return errors.Wrap(err, name)
 		})
 	}
-	var ignored [3]table.Version
+	var ignored [2]table.Version
 	read(TableJobs, &t.jobs, &t.from)
-	read(TableProgress, &t.progress, &ignored[0])
-	read(TableWorkers, &t.workers, &ignored[1])
-	read(TableInterference, &t.interference, &ignored[2])
+	read(TableProgress, &t.progress, &t.progressVersion)
+	read(TableWorkers, &t.workers, &ignored[0])
+	read(TableInterference, &t.interference, &ignored[1])
 	return group.Wait()
 }
 
@@ -229,11 +230,15 @@
 	l.startCore(t)
 	n.holderState.Store(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
-	n.log.Info().Uint64("epoch", t.holderState.Row.Epoch).Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
-		Msg("shard taken over")
+	n.logTakenOver(t)
 	n.notifySidecars()
 }
 
+func (n *Node) logTakenOver(t *takeoverState) {
+	n.log.Info().Uint64("epoch", t.holderState.Row.Epoch).Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
+		Uint64("progress_version", uint64(t.progressVersion)).Msg("shard taken over")
+}
+
 // startCore creates the core from the state that was read.
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
