Show a job as active once a worker has confirmed a start

Cause: Core.start took the order of a start for the start. A job whose start got no answer, was refused or was stopped before it began stayed active for good.

Change: a job begins when a run of it is confirmed: by the answer to its start, by a listing of the run, or by a listed end. beginJob alone makes it visible. Stored progress is read as before: a row that is not final is written only after an end, so its job has begun.

Result: go test ./scheduler/dispatch ./scheduler/holder ./caller/submission ./platform passes (without -race).

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -17,7 +17,7 @@
 	accepted  time.Duration
 	cancelled bool
 	failed    bool
-	// hasStarted reports that a task of the job has been started.
+	// hasStarted reports that a worker has confirmed the start of a task of the job.
 	hasStarted  bool
 	occurrences []*occurrence
 	// criticalPaths holds, for each step, the longest chain of estimated work
@@ -261,6 +261,14 @@
 	return carobkeel.JobPending
 }
 
+// beginJob records that a task of the job has started, and makes that visible to callers.
+func (c *Core) beginJob(j *job) {
+	j.hasStarted = true
+	if j.visibleState == carobkeel.JobPending {
+		c.publishState(j, carobkeel.JobActive)
+	}
+}
+
 // publishState makes a state visible to callers.
 func (c *Core) publishState(j *job, state carobkeel.JobState) {
 	j.visibleState = state
@@ -293,7 +301,6 @@
 	t.step.done++
 	j := t.job()
 	j.remaining--
-	j.hasStarted = true
 	c.markDirty(j)
 	if j.remaining == 0 {
 		c.recordEnded(j)
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -117,6 +117,7 @@
 	if t == nil {
 		return
 	}
+	c.beginJob(t.job())
 	if r == nil && end.Run == t.givenUp {
 		c.recordDecision(Decision{Kind: DecidedGivenUpRunEnded, Task: end.Task, Run: end.Run, Host: w.host, Detail: end.Outcome.String()})
 	}
@@ -163,7 +164,7 @@
 	}
 	r.carriedOver = false
 	if r.phase == runOrdered {
-		r.phase = runConfirmed
+		c.confirm(r)
 	}
 	if mark := markAt(w, requested); r.confirmed.precedes(w, requested) {
 		r.confirmed = mark
@@ -184,15 +185,11 @@
 	needed := t != nil && t.isWaiting() && !c.isFinal(t.job())
 	detail := c.explainUnknownRun(t, running.Run)
 	r := c.reserve(w, t, running.Task, running.Run)
-	r.phase = runConfirmed
 	r.adopted = true
+	c.confirm(r)
 	if t != nil {
 		t.lastRun = max(t.lastRun, running.Run)
 		t.located = t.located || !t.step.spec.AllowsDuplicates
-		t.job().hasStarted = true
-		if t.job().visibleState == carobkeel.JobPending {
-			c.publishState(t.job(), carobkeel.JobActive)
-		}
 	}
 	c.recordDecision(Decision{Kind: DecidedRunAdopted, Task: running.Task, Run: running.Run, Host: w.host, Detail: detail})
 	if !needed {
@@ -290,7 +287,7 @@
 	c.recordStartAnswer(r.worker, a.Result)
 	switch a.Result {
 	case runs.ResultOK:
-		r.phase = runConfirmed
+		c.confirm(r)
 		r.confirmed = markAt(r.worker, a.Listing)
 		r.worker.control.pacesChangedAt = 0 // a best-effort task starts at full pace
 	case runs.ResultUnknown, runs.ResultOtherIncarnation, runs.ResultStaleEpoch:
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -181,14 +181,18 @@
 func (c *Core) start(t *task, w *workerState) {
 	r := c.reserve(w, t, t.name(), c.nextRun(t))
 	r.ticket, _ = c.ticketFor(t.step, w)
-	t.job().hasStarted = true
 	c.orderStart(r)
 	c.recordDecision(Decision{
 		Kind: DecidedRunStarted, Task: r.name, Run: r.number, Host: w.host,
 		Waited: c.now.Monotonic - max(t.waitingSince, t.step.readyAt),
 	})
-	if t.job().visibleState == carobkeel.JobPending {
-		c.publishState(t.job(), carobkeel.JobActive)
+}
+
+// confirm records that a run has started.
+func (c *Core) confirm(r *runState) {
+	r.phase = runConfirmed
+	if r.task != nil {
+		c.beginJob(r.task.job())
 	}
 }
 
