Store that a job has begun before callers see it

What callers saw: a job that was active was pending again after a takeover, until its worker had listed its runs to the next holder, and for good if that worker was gone.

Cause: nothing was stored of a job before the end of one of its runs, and the state was shown at once. So the next holder had no row of the job, and showed it as pending.

Evidence: on the commit before, go test ./scheduler/dispatch -run 'ActiveJobStays|ShownAsActive' fails: 1 s after a takeover with the worker cut off the job was shown as 0 (pending) instead of 1, and a confirmed start was shown while nothing was stored.

Change: the first confirmed start of a job makes its progress due within 1 s, together with other records; callers see the state once it is stored, as with all other states. An end makes the row due at once.

Result: go test -p 2 ./scheduler/dispatch ./scheduler/holder ./caller/submission ./platform . passes (without -race).

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -266,6 +266,11 @@
 	for _, u := range c.unreportedWorkers {
 		c.awaitExpiry(c.expiryOf(u))
 	}
+	for _, j := range c.dirty {
+		if j.storeBy > c.now.Monotonic {
+			c.wakeAt(j.storeBy)
+		}
+	}
 	if len(c.partlyListed) > 0 {
 		c.awaitExpiry(c.inheritedExpiry)
 	}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -30,6 +30,8 @@
 	// revision counts the changes of the progress, and storedRevision is the
 	// newest revision that is durable.
 	revision, storedRevision uint64
+	// storeBy is when the newest revision is to be stored.
+	storeBy time.Duration
 	// rejectedUntil is when the job's progress, which the table service has rejected, is
 	// offered to it again.
 	rejectedUntil time.Duration
@@ -261,12 +263,15 @@
 	return carobkeel.JobPending
 }
 
-// beginJob records that a task of the job has started, and makes that visible to callers.
+// beginJob records that a task of the job has started. Callers see that once it is stored, so
+// that no later holder shows them the job as pending.
 func (c *Core) beginJob(j *job) {
-	j.hasStarted = true
-	if j.visibleState == carobkeel.JobPending {
-		c.publishState(j, carobkeel.JobActive)
+	if j.hasStarted || c.isFinal(j) {
+		return
 	}
+	j.hasStarted = true
+	c.markDirty(j)
+	j.storeBy = c.now.Monotonic + maxStartDelay
 }
 
 // publishState makes a state visible to callers.
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -90,6 +90,7 @@
 	pending := pendingEnd{number: end.Number}
 	if t != nil {
 		pending.job, pending.revision = t.job(), t.job().revision
+		pending.job.storeBy = c.now.Monotonic
 	}
 	w.pendingEnds = append(w.pendingEnds, pending)
 }
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -90,6 +90,7 @@
 
 func (c *Core) markDirty(j *job) {
 	j.revision++
+	j.storeBy = c.now.Monotonic
 	c.dirty[j.spec.ID] = j
 }
 
@@ -105,7 +106,21 @@
 
 // HasBatch reports whether there are records to store.
 func (c *Core) HasBatch() bool {
-	return len(c.dirty)+len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasExpired()
+	return len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasDueProgress() || c.hasExpired()
+}
+
+// maxStartDelay is how long the start of a job may wait for other records to be stored with. A
+// count of waiting jobs may be 2 s old.
+const maxStartDelay = time.Second
+
+// hasDueProgress reports whether there is progress of a job that is to be stored now.
+func (c *Core) hasDueProgress() bool {
+	for _, j := range c.dirty {
+		if c.now.Monotonic >= j.storeBy {
+			return true
+		}
+	}
+	return false
 }
 
 // NextBatch returns records within a limit, first those that callers and
