Count a run's age from its confirmed start

What callers saw: a worker could be quarantined, and its runs stopped, as soon as a run began there late; and a task that may run twice could get a second run although its first one had only just begun.

Cause: a run's age, and the time from which it should progress, counted from the order of its start. Orders that are repeated after a new link or a late sidecar, and those that the next incarnation of a worker begins, are carried out seconds later.

Evidence: on the commit before, go test ./scheduler/dispatch -run 'RunThatBeganLate|RunIsNotStalled' fails: "worker quarantined ... no run makes progress" in the first listing with the run, ordered 2 s before; and a second run of a task that had done a fifth of its work in 200 ms.

Change: confirm sets both times. Typical durations, the work that a preemption loses and the share of a load metric's window use the same age.

Result: go test ./scheduler/dispatch passes (without -race).

--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -39,7 +39,8 @@
 	// carriedOver reports that the run was ordered from an incarnation that another one with
 	// the same ID has replaced. That one may begin it, until it has listed its runs.
 	carriedOver bool
-	started     time.Duration
+	// started is when the start was confirmed, or ordered if it is not confirmed yet.
+	started time.Duration
 	// confirmed is the mark at which the run was last known to have started.
 	confirmed listingMark
 	stopping  bool
@@ -55,7 +56,7 @@
 	// percent is the progress in the last listing.
 	percent int
 	pace    int
-	// observedFrom is when the run was started, or when its pace last rose to
+	// observedFrom is when the run started, or when its pace last rose to
 	// minObservedPace. No progress is missed before.
 	observedFrom time.Duration
 	// slowSince is when the run's pace dropped below minStartPace, zero while
@@ -188,9 +189,11 @@
 	})
 }
 
-// confirm records that a run has started.
+// confirm records that a run has started. Its age counts from now on: the order may have taken
+// long to be carried out.
 func (c *Core) confirm(r *runState) {
 	r.phase = runConfirmed
+	r.started, r.observedFrom = c.now.Monotonic, c.now.Monotonic
 	if r.task != nil {
 		c.beginJob(r.task.job())
 	}
