Let a task's wait go on through starts that never took place

What callers saw: a task whose starts were refused or got no answer waited anew after each of them. It lost its place before later tasks of its step, its 300 ms before it may preempt, and its 1.5 s before a less suitable worker is used: a job that lasts had no run although a worker was free. The log and start_delay showed only the last part of its wait.

Cause: remove took the end of an order for the end of a run, and began the wait anew.

Evidence: without the change, go test ./scheduler/dispatch -run 'WaitOfATask|TaskWhoseStarts' fails: a wait of 400 ms instead of 800 ms after a refusal, and no start within 3 s on the only worker, which is quarantined for the starts without an answer. TestWaitOfATaskBeginsAnewAfterARunThatBegan holds before and after.

Change: only the removal of a run that has begun begins a wait: one that a worker has confirmed, under whatever incarnation, or whose end it has listed.

Result: go test ./scheduler/dispatch passes (without -race).

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -97,7 +97,8 @@
 	// located reports that a worker has listed the only run of the task under this
 	// epoch, so that no other worker has one that an earlier holder started.
 	located bool
-	// waitingSince is when the task last began to wait.
+	// waitingSince is when the task last began to wait. Starts that never took place don't
+	// end a wait.
 	waitingSince time.Duration
 	// failedHosts are the hosts on which runs failed, and failedAt is when the
 	// last one did.
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -27,6 +27,9 @@
 	// reserved holds the worker's resources that the run has reserved.
 	reserved carobkeel.Resources
 	phase    runPhase
+	// hasBegun reports that a worker has confirmed the start, if only an earlier incarnation
+	// of it.
+	hasBegun bool
 	// startOrders counts the start orders sent. If there was more than one, the
 	// refusal of one of them does not show that the run did not start.
 	startOrders int
@@ -89,10 +92,12 @@
 
 // releaseEnded releases a run whose end its worker has listed.
 func (c *Core) releaseEnded(r *runState, outcome runs.Outcome) {
+	r.hasBegun = true
 	c.remove(r, DecidedRunEnded, outcome.String())
 }
 
-// remove frees the resources of a run. Its task waits again unless it is done.
+// remove frees the resources of a run. Its task waits again unless it is done. It has waited all
+// the while if the run never began.
 func (c *Core) remove(r *runState, kind DecisionKind, reason string) {
 	w := r.worker
 	c.recordEndedBestEffort(r)
@@ -115,7 +120,7 @@
 			break
 		}
 	}
-	if t.isWaiting() {
+	if t.isWaiting() && r.hasBegun {
 		t.waitingSince = c.now.Monotonic
 	}
 	c.recordDecision(Decision{Kind: kind, Task: r.name, Run: r.number, Host: w.host, Detail: reason, Waited: c.now.Monotonic - r.started})
@@ -192,7 +197,7 @@
 // confirm records that a run has started. Its age counts from now on: the order may have taken
 // long to be carried out.
 func (c *Core) confirm(r *runState) {
-	r.phase = runConfirmed
+	r.phase, r.hasBegun = runConfirmed, true
 	r.started, r.observedFrom = c.now.Monotonic, c.now.Monotonic
 	if r.task != nil {
 		c.beginJob(r.task.job())
