Learn nothing of interference from a run that has not begun

What callers saw: beside starts that get no answer, the holder could take a best-effort image that slows others for harmless, and give its tasks too high a pace (HARM).

Cause: a run counted as using its full share of the worker from the order of its start, for a second, although the listing that was learned from lacked it.

Change: the model is given confirmed runs only. What a run that is ordered may use still counts where paces are planned and tasks are placed.

Result: go test ./scheduler/dispatch ./worker/interference passes (without -race).

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -99,9 +99,14 @@
 // observeSharing updates the interference model from a full listing.
 func (c *Core) observeSharing(w *workerState) {
 	s := c.sharing(w)
-	bestEffort := slices.Clone(s.bestEffort)
+	var bestEffort []interference.BestEffort
 	for i, r := range s.bestEffortRuns {
-		bestEffort[i].Share = c.usageInWindow(r, bestEffort[i].Share, bestEffort[i].FullShare)
+		if r.phase != runConfirmed {
+			continue // the listing lacks it
+		}
+		f := s.bestEffort[i]
+		f.Share = c.usageInWindow(r, f.Share, f.FullShare)
+		bestEffort = append(bestEffort, f)
 	}
 	bestEffort = append(bestEffort, c.recentBestEffortUsage(w)...)
 	w.control.budget = c.interference.Observe(c.now.Monotonic, s.latencyCritical, bestEffort)
