Count a job without a working run as starved beside a withdrawn start

What callers saw: a job of which nothing ran waited for as long as its workers were quarantined, 4 s after starts without an answer, although one of them had room.

Cause: the limit of 1.5 s before a less suitable worker is used did not apply while the job had a run, and an order whose start was not confirmed and that is being stopped counted as one.

Change: isStarved passes over such runs. An order that waits for its answer still counts, so that one task of a job is started on a less suitable worker, and not all at once. mayExpire keeps counting all runs.

Result: go test ./scheduler/dispatch passes (without -race).

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -234,10 +234,20 @@
 
 // hasRuns reports whether a run of the job may be active.
 func (j *job) hasRuns() bool {
+	return j.hasRunThat(func(*runState) bool { return true })
+}
+
+// hasExpectedRun reports whether a run of the job has started, or is meant to start.
+func (j *job) hasExpectedRun() bool {
+	return j.hasRunThat(func(r *runState) bool { return !r.isWithdrawn() })
+}
+
+// hasRunThat reports whether a condition holds for one of the job's runs.
+func (j *job) hasRunThat(holds func(*runState) bool) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for i := range s.tasks {
-				if len(s.tasks[i].runs) > 0 {
+				if slices.ContainsFunc(s.tasks[i].runs, holds) {
 					return true
 				}
 			}
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -266,20 +266,20 @@
 	return pace >= minStartPace
 }
 
-// starvationLimit is how long a job may have no run, or a long-running task no
+// starvationLimit is how long a job may have no expected run, or a long-running task no
 // run of its own, before a less suitable worker is used. The platform requires a
 // start within 3 s where resources are free.
 const starvationLimit = 1500 * time.Millisecond
 
 // isStarved reports whether the task has waited for at least starvationLimit
-// while its job has no run, or whatever its job runs if it is long-running.
+// while its job has no expected run, or whatever its job runs if it is long-running.
 func (c *Core) isStarved(t *task) bool {
 	since := max(t.waitingSince, t.step.readyAt)
 	if c.now.Monotonic-since < starvationLimit {
 		c.wakeAt(since + starvationLimit)
 		return false
 	}
-	return t.step.spec.LongRunning || !t.job().hasRuns()
+	return t.step.spec.LongRunning || !t.job().hasExpectedRun()
 }
 
 // stopOnDrainingWorkers stops long-running tasks on workers that shut down
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -73,6 +73,10 @@
 	run  int
 }
 
+// isWithdrawn reports whether the run is stopped and its start was not confirmed, so that it may
+// never have begun.
+func (r *runState) isWithdrawn() bool { return r.stopping && r.phase == runOrdered }
+
 // releaseRuns releases all runs of a worker, because none of them is active any
 // more.
 func (c *Core) releaseRuns(w *workerState, reason string) {
--- a/scheduler/dispatch/wait_start_test.go
+++ b/scheduler/dispatch/wait_start_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -65,3 +66,28 @@
 	sim.run(500 * time.Millisecond)
 	g.Expect(sim.record.Starts).NotTo(BeEmpty(), "the only worker is quarantined for the starts without an answer")
 }
+
+// Guards against LOST: a job of which nothing ran did not count as starved, since one of its
+// starts had no answer and could not be withdrawn.
+func TestJobWithAWithdrawnStartIsStarved(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	other := f.addHost("other")
+	f.submitStep(f.task.Job, step(2, 5000))
+	f.answer(dispatch.OrderStart, 1, runs.ResultUnknown, 1)
+	answer := dispatch.OrderAnswer{
+		Host: "other", Incarnation: other, Kind: dispatch.OrderStart,
+		Task: carobkeel.TaskName{Job: f.task.Job, Index: 1}, Run: 1, Result: runs.ResultUnknown, Listing: 1,
+	}
+	f.core.ApplyAnswer(answer)
+	f.core.Finish()
+	answer.Kind, answer.Result = dispatch.OrderStop, runs.ResultOK
+	f.core.ApplyAnswer(answer)
+	f.advance(time.Second)
+	f.core.HostPinged("other", 2)
+	listing := dispatch.WorkerListing{Host: "other", Incarnation: other, Number: 2, Requested: 2, Full: true}
+	f.core.ApplyListing(listing)
+	g.Expect(f.starts()).To(BeEmpty(), "both workers are quarantined")
+	f.advance(time.Second)
+	g.Expect(f.starts()).To(Equal([]int{2}))
+}
