Measure the delay of a start when a worker confirms it

What users of the metrics saw: start_delay had a sample for each order of a start, also of starts that were refused or never took place, so a task that waited for seconds seemed to start within milliseconds.

Cause: the sample was taken with the decision "run started", which is the order.

Change: the decision "run confirmed", at level debug so that starts keep one line each at info, has the wait of the task up to the confirmation; start_delay follows it. A speculative run has none: its task does not wait. A time that stood in four places has a name.

Result: go test -p 2 . ./scheduler/dispatch ./scheduler/holder ./cmd/carobkeel passes (without -race).

--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -22,6 +22,9 @@
 	DecidedJobCancelled DecisionKind = "job cancelled"
 	// DecidedRunStarted orders the start of a run.
 	DecidedRunStarted DecisionKind = "run started"
+	// DecidedRunConfirmed reports that a worker has confirmed the start of a run, and how long
+	// the task had waited for it.
+	DecidedRunConfirmed DecisionKind = "run confirmed"
 	// DecidedRunStopped orders the stop of a run.
 	DecidedRunStopped DecisionKind = "run stopped"
 	// DecidedStopOverdue reports a run that has not ended in time after its stop
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -274,7 +274,7 @@
 // isStarved reports whether the task has waited for at least starvationLimit
 // while its job has no expected run, or whatever its job runs if it is long-running.
 func (c *Core) isStarved(t *task) bool {
-	since := max(t.waitingSince, t.step.readyAt)
+	since := t.waitsSince()
 	if c.now.Monotonic-since < starvationLimit {
 		c.wakeAt(since + starvationLimit)
 		return false
--- a/scheduler/dispatch/preempt.go
+++ b/scheduler/dispatch/preempt.go
@@ -39,7 +39,7 @@
 	if t.step.spec.LongRunning {
 		delay = longRunningPreemptionDelay
 	}
-	since := max(t.waitingSince, t.step.readyAt)
+	since := t.waitsSince()
 	if c.now.Monotonic-since < delay {
 		c.wakeAt(since + delay)
 		return false
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -194,20 +194,34 @@
 	c.orderStart(r)
 	c.recordDecision(Decision{
 		Kind: DecidedRunStarted, Task: r.name, Run: r.number, Host: w.host,
-		Waited: c.now.Monotonic - max(t.waitingSince, t.step.readyAt),
+		Waited: c.now.Monotonic - t.waitsSince(),
 	})
 }
 
 // confirm records that a run has started. Its age counts from now on: the order may have taken
 // long to be carried out.
 func (c *Core) confirm(r *runState) {
-	r.phase, r.hasBegun = runConfirmed, true
 	r.started, r.observedFrom = c.now.Monotonic, c.now.Monotonic
 	if r.task != nil {
+		c.reportConfirmed(r)
 		c.beginJob(r.task.job())
 	}
+	r.phase, r.hasBegun = runConfirmed, true
 }
 
+// reportConfirmed records how long a task has waited for a run that this holder has started. A
+// task does not wait for its speculative run.
+func (c *Core) reportConfirmed(r *runState) {
+	if r.adopted || r.hasBegun || r != r.task.runs[0] {
+		return
+	}
+	waited := c.now.Monotonic - r.task.waitsSince()
+	c.recordDecision(Decision{Kind: DecidedRunConfirmed, Task: r.name, Run: r.number, Host: r.worker.host, Waited: waited})
+}
+
+// waitsSince returns when the task last began to wait and could start.
+func (t *task) waitsSince() time.Duration { return max(t.waitingSince, t.step.readyAt) }
+
 func (c *Core) orderStart(r *runState) {
 	r.startOrders++
 	c.order(r.worker, Order{
--- a/scheduler/dispatch/wait_start_test.go
+++ b/scheduler/dispatch/wait_start_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -91,3 +92,17 @@
 	f.advance(time.Second)
 	g.Expect(f.starts()).To(Equal([]int{2}))
 }
+
+func TestConfirmedStartStatesTheWholeWait(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	run := f.submit()[0].Run
+	f.answer(dispatch.OrderStart, run, runs.ResultNoRoom, 1)
+	f.advance(400 * time.Millisecond)
+	run = f.starts()[0]
+	f.advance(100 * time.Millisecond)
+	f.answer(dispatch.OrderStart, run, runs.ResultOK, 1)
+	f.list(2, 2, run)
+	confirmed := slices.DeleteFunc(f.core.Finish().Decisions, func(d dispatch.Decision) bool { return d.Kind != dispatch.DecidedRunConfirmed })
+	g.Expect(confirmed).To(ConsistOf(And(HaveField("Run", run), HaveField("Waited", 500*time.Millisecond))))
+}
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -27,7 +27,7 @@
 		if t == nil || reports == maxWaitReports {
 			continue
 		}
-		waited := c.now.Monotonic - max(t.waitingSince, s.readyAt)
+		waited := c.now.Monotonic - t.waitsSince()
 		if waited < minReportedWait {
 			continue
 		}
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -17,7 +17,7 @@
 
 // levels has the levels of decisions that are not logged at info. What takes a run from a
 // worker without a listed end is a warning. Paces are set all the time, so that their lines
-// would crowd out those of starts and ends.
+// would crowd out those of starts and ends; so would a second line for each start.
 var levels = map[dispatch.DecisionKind]log.Level{
 	dispatch.DecidedRunGivenUp:            log.WarnLevel,
 	dispatch.DecidedGivenUpRunEnded:       log.WarnLevel,
@@ -29,6 +29,7 @@
 	dispatch.DecidedEndsMissed:            log.WarnLevel,
 	dispatch.DecidedStopOverdue:           log.WarnLevel,
 	dispatch.DecidedPaceSet:               log.DebugLevel,
+	dispatch.DecidedRunConfirmed:          log.DebugLevel,
 }
 
 func levelOf(kind dispatch.DecisionKind) log.Level {
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -26,7 +26,7 @@
 
 // series holds the metrics of one queue and class.
 type series struct {
-	// startDelay is the time that a task waited for its start, and jobTime the
+	// startDelay is the time that a task waited for its confirmed start, and jobTime the
 	// time from the acceptance of a job to its end.
 	startDelay, jobTime tally.Histogram
 	jobs                map[dispatch.DecisionKind]tally.Counter
@@ -84,7 +84,7 @@
 		counter.Inc(1)
 	}
 	switch d.Kind {
-	case dispatch.DecidedRunStarted:
+	case dispatch.DecidedRunConfirmed:
 		s.startDelay.RecordDuration(max(0, d.Waited))
 	case dispatch.DecidedJobDone:
 		s.jobTime.RecordDuration(d.Waited)
