Check shown job states in all simulations of the shard

Cause: no simulation noticed that a job was shown as active before it had begun, or as pending after it was active.

Change: each state that a simulated holder shows is checked against the workers' record of starts, and against what callers saw before.

--- a/scheduler/dispatch/begun_test.go
+++ b/scheduler/dispatch/begun_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -160,3 +161,33 @@
 	v.store()
 	g.Expect(v.core.Finish().Orders).To(ContainElement(HaveField("Kind", dispatch.OrderAcknowledge)))
 }
+
+// checkStates records a violation if a job is shown as active although no worker has begun a
+// task of it, or as pending after it was shown as active.
+func (sim *simulation) checkStates(changes []dispatch.StateChange) {
+	latest := make(map[carobkeel.JobID]carobkeel.JobState)
+	for _, v := range changes {
+		if !v.Removed {
+			latest[v.Job] = v.State
+		}
+	}
+	for job, state := range latest {
+		seen := sim.visibleStates[job]
+		if state == carobkeel.JobPending && seen == carobkeel.JobActive {
+			sim.record.Violations = append(sim.record.Violations, fmt.Sprintf("%s is pending again", job))
+		}
+		if state == carobkeel.JobActive && seen == carobkeel.JobPending && !sim.hasBegun(job) {
+			sim.record.Violations = append(sim.record.Violations, fmt.Sprintf("%s is active and has not begun", job))
+		}
+	}
+}
+
+// hasBegun reports whether a worker has begun a task of the job.
+func (sim *simulation) hasBegun(job carobkeel.JobID) bool {
+	for task := range sim.record.Starts {
+		if task.Job == job {
+			return true
+		}
+	}
+	return false
+}
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -291,6 +291,7 @@
 			sim.trace(fmt.Sprintf("%v e%d %s %s %s run %d %s %s", sim.now-time.Hour, h.epoch, d.Kind, d.Job, d.Task, d.Run, d.Host, d.Detail))
 		}
 	}
+	sim.checkStates(out.StateChanges)
 	for _, v := range out.StateChanges {
 		if v.Removed {
 			delete(sim.visibleStates, v.Job)
