--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -30,6 +30,9 @@
 	DecidedStartAnswered DecisionKind = "start answered"
 	// DecidedRunListed reports the first listing that shows a run to this holder.
 	DecidedRunListed DecisionKind = "run listed"
+	// DecidedRunConfirmed reports that a worker has confirmed the start of a run, and how long
+	// the task had waited for it.
+	DecidedRunConfirmed DecisionKind = "run confirmed"
 	// DecidedRunStopped orders the stop of a run.
 	DecidedRunStopped DecisionKind = "run stopped"
 	// DecidedStopOverdue reports a run that has not ended in time after its stop
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -17,7 +17,7 @@
 	accepted  time.Duration
 	cancelled bool
 	failed    bool
-	// hasStarted reports that a task of the job has been started.
+	// hasStarted reports that a worker has confirmed the start of a task of the job.
 	hasStarted  bool
 	occurrences []*occurrence
 	// criticalPaths holds, for each step, the longest chain of estimated work
@@ -30,6 +30,8 @@
 	// revision counts the changes of the progress, and storedRevision is the
 	// newest revision that is durable.
 	revision, storedRevision uint64
+	// storeBy is when the newest revision is to be stored.
+	storeBy time.Duration
 	// rejectedUntil is when the job's progress, which the table service has rejected, is
 	// offered to it again.
 	rejectedUntil time.Duration
@@ -96,7 +98,8 @@
 	// located reports that a worker has listed the only run of the task under this
 	// epoch, so that no other worker has one that an earlier holder started.
 	located bool
-	// waitingSince is when the task last began to wait.
+	// waitingSince is when the task last began to wait. Starts that never took place don't
+	// end a wait.
 	waitingSince time.Duration
 	// failedHosts are the hosts on which runs failed, and failedAt is when the
 	// last one did.
@@ -232,10 +235,20 @@
 
 // hasRuns reports whether a run of the job may be active.
 func (j *job) hasRuns() bool {
+	return j.hasRunThat(func(*runState) bool { return true })
+}
+
+// hasExpectedRun reports whether a run of the job has started, or is meant to start.
+func (j *job) hasExpectedRun() bool {
+	return j.hasRunThat(func(r *runState) bool { return !r.isWithdrawn() })
+}
+
+// hasRunThat reports whether a condition holds for one of the job's runs.
+func (j *job) hasRunThat(holds func(*runState) bool) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for i := range s.tasks {
-				if len(s.tasks[i].runs) > 0 {
+				if slices.ContainsFunc(s.tasks[i].runs, holds) {
 					return true
 				}
 			}
@@ -262,6 +275,17 @@
 	return carobkeel.JobPending
 }
 
+// beginJob records that a task of the job has started. Callers see that once it is stored, so
+// that no later holder shows them the job as pending.
+func (c *Core) beginJob(j *job) {
+	if j.hasStarted || c.isFinal(j) {
+		return
+	}
+	j.hasStarted = true
+	c.markDirty(j)
+	j.storeBy = c.now.Monotonic + maxStartDelay
+}
+
 // publishState makes a state visible to callers.
 func (c *Core) publishState(j *job, state carobkeel.JobState) {
 	j.visibleState = state
@@ -294,7 +318,6 @@
 	t.step.done++
 	j := t.job()
 	j.remaining--
-	j.hasStarted = true
 	c.markDirty(j)
 	if j.remaining == 0 {
 		c.recordEnded(j)
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -93,6 +93,7 @@
 	pending := pendingEnd{number: end.Number}
 	if t != nil {
 		pending.job, pending.revision = t.job(), t.job().revision
+		pending.job.storeBy = c.now.Monotonic
 	}
 	w.pendingEnds = append(w.pendingEnds, pending)
 	c.recordRevision(firstDecision, pending)
@@ -123,6 +124,7 @@
 	if t == nil {
 		return
 	}
+	c.beginJob(t.job())
 	switch end.Outcome {
 	case runs.OutcomeDone:
 		c.handleDone(t)
@@ -166,7 +168,7 @@
 	}
 	r.carriedOver = false
 	if r.phase == runOrdered {
-		r.phase = runConfirmed
+		c.confirm(r)
 	}
 	if mark := markAt(w, requested); r.confirmed.precedes(w, requested) {
 		r.confirmed = mark
@@ -187,15 +189,11 @@
 	needed := t != nil && t.isWaiting() && !c.isFinal(t.job())
 	detail := c.explainUnknownRun(t, running.Run)
 	r := c.reserve(w, t, running.Task, running.Run)
-	r.phase = runConfirmed
 	r.adopted = true
+	c.confirm(r)
 	if t != nil {
 		t.lastRun = max(t.lastRun, running.Run)
 		t.located = t.located || !t.step.spec.AllowsDuplicates
-		t.job().hasStarted = true
-		if t.job().visibleState == carobkeel.JobPending {
-			c.publishState(t.job(), carobkeel.JobActive)
-		}
 	}
 	c.recordDecision(Decision{Kind: DecidedRunAdopted, Task: running.Task, Run: running.Run, Host: w.host, Detail: detail})
 	if !needed {
@@ -301,7 +299,7 @@
 	c.recordStartAnswer(r.worker, a.Result)
 	switch a.Result {
 	case runs.ResultOK:
-		r.phase = runConfirmed
+		c.confirm(r)
 		r.confirmed = markAt(r.worker, a.Listing)
 		r.worker.control.pacesChangedAt = 0 // a best-effort task starts at full pace
 	case runs.ResultUnknown, runs.ResultOtherIncarnation, runs.ResultStaleEpoch:
