State in a listing the epoch under which it was requested

What callers could have seen: TWICE.

Cause: a listing for a new holder was sent under the epoch that the link had when the answer came, not under the one of the request. If the same process stepped down and took over again in between, with another holder in its place for a moment, the listing counted as one that had fenced the worker for the last takeover. It lacks what the holder in between had started, so those tasks would be started again. The class: evidence of two moments read as one.

Evidence: TestListingStatesTheEpochUnderWhichItWasRequested failed before (epoch 5 for a request under epoch 3). The way there through two takeovers is read from the code, not played.

Change: the message states the epoch of the request's fence. The holder drops one of an earlier epoch, as it does with those of the lister.

Result: the tests of sidecar/agent pass.

--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -151,8 +151,8 @@
 	a.sendListing(holderLink, state, a.envelope(state, holderLink.epoch()))
 }
 
-// sendListing requests a listing and sends it to the holder. A failure is left to the
-// lister, whose next listing reports the state.
+// sendListing requests a listing and sends it to the holder, under the epoch by which it has
+// fenced the worker. A failure is left to the lister, whose next listing reports the state.
 func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
 	number := a.listingNumber.Add(1)
 	listing, ok := a.requestListing(state, e)
@@ -162,7 +162,7 @@
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
 		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
-	}, holderLink.epoch()))
+	}, e.Fence.Epoch))
 }
 
 // requestListing requests a listing that does not wait for a run to end. It returns false if
