Report that no lease is left on a worker that the sidecar has never reached

What callers could have seen: jobs of a shard that wait after a takeover, for as long as the link of one sidecar is lost again and again (LOST).

Cause: a sidecar whose process had never reached its worker said that it does not know how long the worker's lease may last. A new holder then waits for a whole lease from its last ping, and since also before the first listing. Each new link begins that wait anew. But such a process has extended no lease, and the ones of the process before it end a lease after its start.

Evidence: TestNoLeaseIsLeftOnAWorkerThatThisProcessHasNeverReached failed before (-1 ms, which stands for unknown).

Change: the report states the rest of an earlier process's lease, or none, as it already does for a worker without a heartbeat.

Result: the tests of sidecar/agent pass.

--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -113,10 +113,15 @@
 }
 
 // leaseRemaining returns how long the worker's lease may still be valid, or
-// gate.UnknownRemaining.
+// gate.UnknownRemaining. This process has extended none of an incarnation that has never answered
+// it, and that of the one before had ended when it was replaced.
 func (a *Agent) leaseRemaining() time.Duration {
-	remaining := gate.LeaseRemaining(a.clockOf(a.state.Load().Description), time.Duration(a.deadline.Load()), clock.Boottime())
-	if earlier := a.earlierLeaseRemaining(); earlier > 0 {
+	state, earlier := a.state.Load(), a.earlierLeaseRemaining()
+	if !state.Verified {
+		return max(0, earlier)
+	}
+	remaining := gate.LeaseRemaining(a.clockOf(state.Description), time.Duration(a.deadline.Load()), clock.Boottime())
+	if earlier > 0 {
 		return max(earlier, remaining)
 	}
 	return remaining
