Count the lease that a further report of an unresponsive worker states

Cause: once a sidecar had reported that its worker does not answer, the holder counted neither pings nor further reports until a listing came. The sidecar goes by what it has sent: after a listing it extends the lease again. A listing under the epoch before, sent while the same process took over again, is dropped by the holder, so the two disagree. If the worker then falls silent once more, the next report states the longer lease, and it was ignored. The class: what was sent is taken for what has come back.

Evidence: TestLeaseThatALaterReportStatesIsWaitedFor failed before: the task began within 2.5 s of a report by which the lease lasts 2.7 s, with drift and slack. That the dropped listing leads there is read from the code, not played.

Change: a further report raises the counted lease, never beyond a whole one, and not after a departure. Reports that go on do not put the end off (TestReportsThatGoOnDoNotPutTheEndOfALeaseOff, which held before too).

--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -14,7 +14,7 @@
 		return
 	}
 	w.linked, w.link = true, link
-	w.listed, w.reachable, w.unresponsive, w.follows = false, false, false, false
+	w.listed, w.reachable, w.unresponsive, w.shutDown, w.follows = false, false, false, false, false
 	w.candidate, w.lastPing = nil, 0
 }
 
@@ -94,6 +94,7 @@
 func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
 	w := c.worker(host)
 	if w.unresponsive {
+		c.countLaterReport(w, remaining)
 		return
 	}
 	w.reachable, w.listed, w.unresponsive = false, false, true
@@ -105,6 +106,16 @@
 	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
 }
 
+// countLaterReport counts the lease that a further report states. The worker may have answered
+// since the one before, in a listing that this holder dropped, and its lease was extended then.
+func (c *Core) countLaterReport(w *workerState, remaining time.Duration) {
+	if remaining <= 0 || w.shutDown {
+		return
+	}
+	expiry := c.now.Monotonic + maxLeaseDuration(min(remaining, c.config.WorkerLease))
+	w.leaseExpiry, w.inheritedExpiry = max(w.leaseExpiry, expiry), max(w.inheritedExpiry, expiry)
+}
+
 // isInDoubt reports whether what the sidecar of a host says of its worker's lease may be about
 // another incarnation than the one whose runs this holder waits for.
 func (c *Core) isInDoubt(w *workerState) bool {
@@ -144,7 +155,7 @@
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedWorkerShutDown, Host: host, Detail: incarnation.ID})
-	w.reachable, w.listed, w.unresponsive = false, false, true
+	w.reachable, w.listed, w.unresponsive, w.shutDown = false, false, true, true
 	w.leaseExpiry, w.lateExpiry = min(w.leaseExpiry, goneFrom), min(w.lateExpiry, goneFrom)
 }
 
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -35,7 +35,7 @@
 	c.countLateCalls(w, &l)
 	w.reachable, w.hasListed = w.linked, true
 	if w.unresponsive {
-		w.unresponsive = false
+		w.unresponsive, w.shutDown = false, false
 		c.extendLease(w)
 	}
 	for _, end := range l.Ends {
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -20,8 +20,8 @@
 	link Link
 	// unresponsive reports that the sidecar can't reach its worker, or that the
 	// worker has shut down. The sidecar's pings do not extend the worker's lease
-	// in this state.
-	unresponsive bool
+	// in this state. shutDown reports that it is the departure that was reported.
+	unresponsive, shutDown bool
 	// listed reports that the worker has listed its runs in this epoch.
 	listed bool
 	// hasListed reports that this incarnation has listed runs to this holder at some time.
