Order a pace again that may not be in force

What callers could have seen: HARM, serving tasks over their target for as long as the tasks that fill run beside them; or such tasks that stay slowed down after a change of the holder.

Cause: the holder counted a pace as set once it was ordered. An order that was lost with a link, or that the worker refused or did not answer, was never given again while the plan stayed the same, and nobody heard of it. A new holder took the runs that it found for ones at full pace. The class: what is sent is taken for what has come back.

Evidence: TestPaceThatWasNotSetIsOrderedAgain failed before in both cases: with refusals, or links lost, in the first 100 ticks only, all 200 listings of the serving tasks from 5 s to 10 s later were over their target. TestPaceThatAnEarlierHolderSetIsNotTakenForTheFullOne failed (24 percent, for good, after the serving tasks had gone), and so did TestHolderHearsOfAPaceThatIsNotSet.

Change: the sidecar reports a pace that was not set. After such a report, on the first listing over a new link and for the runs of an earlier holder, the pace that is due then is ordered, also if it is the one ordered last. Such a repetition has no line of its own.

Result: the tests of scheduler/dispatch and sidecar/agent pass.

--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -207,11 +207,7 @@
 }
 
 func (c *Core) setPace(w *workerState, r *runState, pace int) {
-	change := pace - r.pace
-	if r.phase != runConfirmed || change == 0 {
-		return
-	}
-	if change > -minPaceChange && change < minPaceChange && pace != 0 && pace != fullPace {
+	if r.phase != runConfirmed || !(r.paceInDoubt || isWorthAnOrder(r.pace, pace)) {
 		return
 	}
 	if pace >= minStartPace {
@@ -222,11 +218,20 @@
 	if r.pace < minObservedPace && pace >= minObservedPace {
 		r.observedFrom = c.now.Monotonic
 	}
-	r.pace = pace
+	if r.pace != pace {
+		c.recordDecision(Decision{Kind: DecidedPaceSet, Task: r.name, Run: r.number, Host: w.host, Detail: strconv.Itoa(pace)})
+	}
+	r.pace, r.paceInDoubt = pace, false
 	w.sharing = nil
 	w.control.pacesChangedAt = c.now.Monotonic
 	c.order(w, Order{Kind: OrderPace, Task: r.name, Run: r.number, Percent: pace})
-	c.recordDecision(Decision{Kind: DecidedPaceSet, Task: r.name, Run: r.number, Host: w.host, Detail: strconv.Itoa(pace)})
+}
+
+// isWorthAnOrder reports whether the change of a pace is large enough, or leads to one of its
+// bounds.
+func isWorthAnOrder(old, pace int) bool {
+	change := pace - old
+	return change <= -minPaceChange || change >= minPaceChange || (change != 0 && (pace == 0 || pace == fullPace))
 }
 
 const (
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -185,7 +185,7 @@
 	detail := c.explainUnknownRun(t, running.Run)
 	r := c.reserve(w, t, running.Task, running.Run)
 	r.phase = runConfirmed
-	r.adopted = true
+	r.adopted, r.paceInDoubt = true, true
 	if t != nil {
 		t.lastRun = max(t.lastRun, running.Run)
 		t.located = t.located || !t.step.spec.AllowsDuplicates
@@ -234,12 +234,13 @@
 
 // repeatOrders repeats the orders whose answers were inconclusive or, if all is set,
 // all orders that are not answered yet: they may have been lost with an earlier
-// link. A worker carries out each order only once.
+// link. A worker carries out each order only once. Paces are ordered again by the pace control.
 func (c *Core) repeatOrders(w *workerState, all bool) {
 	for _, r := range w.runs {
 		if !all && !r.inconclusive {
 			continue
 		}
+		r.paceInDoubt = r.paceInDoubt || all
 		r.inconclusive = false
 		switch {
 		case r.stopping:
@@ -265,7 +266,7 @@
 	Listing uint64
 }
 
-// ApplyAnswer applies the answer to a start or a stop.
+// ApplyAnswer applies the answer to a start, a stop or a pace.
 func (c *Core) ApplyAnswer(a OrderAnswer) {
 	w := c.workers[a.Host]
 	if w == nil || w.description.Incarnation != a.Incarnation {
@@ -280,9 +281,17 @@
 		c.handleStartAnswer(r, a)
 	case OrderStop:
 		c.handleStopAnswer(r, a)
+	case OrderPace:
+		r.paceInDoubt = r.paceInDoubt || leavesPaceInDoubt(a.Result)
 	}
 }
 
+// leavesPaceInDoubt reports whether an order of a pace has to be repeated. A worker that does
+// not know the run, or rejects the pace, would answer the same again.
+func leavesPaceInDoubt(result runs.Result) bool {
+	return result != runs.ResultOK && result != runs.ResultOldRun && result != runs.ResultInvalid
+}
+
 func (c *Core) handleStartAnswer(r *runState, a OrderAnswer) {
 	if r.phase != runOrdered {
 		return
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -55,6 +55,8 @@
 	// percent is the progress in the last listing.
 	percent int
 	pace    int
+	// paceInDoubt reports that the run may have another pace than the one ordered last.
+	paceInDoubt bool
 	// observedFrom is when the run was started, or when its pace last rose to
 	// minObservedPace. No progress is missed before.
 	observedFrom time.Duration
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -94,8 +94,8 @@
 	}
 	a.recordResult(result, time.Since(started))
 	a.logOrder(o, result)
-	if o.order.Kind == dispatch.OrderPace {
-		return
+	if o.order.Kind == dispatch.OrderPace && result == runs.ResultOK {
+		return // the holder counts a pace as set unless it hears otherwise
 	}
 	o.link.send(wire.TypeAnswer, wire.FromAnswer(dispatch.OrderAnswer{
 		Incarnation: o.order.Incarnation, Kind: o.order.Kind, Task: o.order.Task, Run: o.order.Run,
