Send a pace once, so that none takes a later one back

What callers could have seen: HARM, as a task that fills works on at a pace from before.

Cause: orders of one worker are executed three at a time, and one without an answer is sent again after 400 ms. Paces are ordered 190 ms apart, so a later one was carried out in between and then taken back. Both had been answered by then, so the holder counted the later one as set.

Evidence: TestPaceWithoutAnAnswerIsNotRepeatedAfterALaterOne failed before (100, 20, 100).

Change: a pace is sent once. The holder hears that it has no answer, and orders the one that is due then. A pace that the worker itself carries out late can still take a later one back.

Result: the tests of sidecar/agent pass.

--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -114,7 +114,8 @@
 		Stringer("task", o.order.Task).Int("run", o.order.Run).Uint64("epoch", uint64(o.epoch)).Msg("order")
 }
 
-// sendWithRetries sends an order until it is answered, at most orderAttempts times. The
+// sendWithRetries sends an order until it is answered, at most orderAttempts times. A pace is
+// sent once: a later one may follow it, and the holder orders the one that is due then. The
 // second result is false if the order's link is no longer the link to the holder.
 func (a *Agent) sendWithRetries(ctx context.Context, o receivedOrder) (runs.Result, bool) {
 	for attempt := 0; attempt < orderAttempts && ctx.Err() == nil; attempt++ {
@@ -136,6 +137,9 @@
 			a.metrics.Refused.Inc(1)
 		}
 		if result == runs.ResultUnknown || a.isOvertaken(result, o) {
+			if o.order.Kind == dispatch.OrderPace {
+				return result, true
+			}
 			continue
 		}
 		if result != runs.ResultOK && attempt > 0 {
