Publish the states of jobs before a new holder answers for them

For a moment after a takeover, the holder said that none of the jobs wait, or gave the number from its own term before.

Cause: the node led, and answered, before its first scheduling step had published the states. The count of an earlier term stayed in place, for good if the shard has no jobs at the takeover. The class: what is begun is taken for what is done.

Evidence: TestHolderKnowsTheWaitingJobsOnceItLeads failed before (7 of an earlier term, for 1 and for 0).

Change: the states are published first, then the node leads, then the rest of the step is carried out. A term begins with no jobs waiting.

Result: the tests of scheduler/holder and scheduler/runner pass.

--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -231,13 +231,23 @@
 	}
 	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
-	n.holderState.Store(&t.holderState)
+	l.lead(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
 	n.log.Info().Uint64("epoch", t.holderState.Row.Epoch).Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
 		Msg("shard taken over")
 	n.notifySidecars()
 }
 
+// lead has this node lead. Callers ask it for the states of jobs from then on, so it publishes
+// them before.
+func (l *loop) lead(holderState *HolderState) {
+	out := l.core.Finish()
+	l.publish(out.StateChanges)
+	out.StateChanges = nil
+	l.node.holderState.Store(holderState)
+	l.execute(out)
+}
+
 // startCore creates the core from the state that was read.
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
@@ -247,6 +257,7 @@
 	l.batchInFlight = false
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
+	n.waiting.Store(&map[carobkeel.QueueName]int{})
 	l.core = dispatch.New(dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
