Ask for the hold as soon as the lease of a partly listed worker is over

Cause: since a worker that has listed only a part of its runs, and does not list any more, is waited for until its lease is over. The core asked to be woken, and for a fresh confirmation that it holds the shard, at the end of the earlier holders' leases only.

Evidence: TestHoldIsConfirmedOnceTheLeaseOfAPartlyListedWorkerIsOver failed before (no wake).

Change: the wake is at the end of the wait.

Result: the tests of scheduler/dispatch pass.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -266,8 +266,8 @@
 	for incarnation, u := range c.unreportedWorkers {
 		c.awaitExpiry(c.expiryOf(incarnation, u))
 	}
-	if len(c.partlyListed) > 0 {
-		c.awaitExpiry(c.inheritedExpiry)
+	for host := range c.partlyListed {
+		c.awaitExpiry(c.forgetsPartlyListedAt(host))
 	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
@@ -305,6 +305,14 @@
 	}
 }
 
+// forgetsPartlyListedAt returns when the wait for the rest of what a host's worker runs ends.
+func (c *Core) forgetsPartlyListedAt(host string) time.Duration {
+	if w := c.workers[host]; w != nil && !w.listed {
+		return w.expiry()
+	}
+	return c.inheritedExpiry
+}
+
 // forgetPartlyListed drops the hosts whose workers list now, since a row that can't be decoded
 // may stay. The others have leases that this holder has let their sidecars extend.
 func (c *Core) forgetPartlyListed() {
--- a/scheduler/dispatch/unlisted_lease_test.go
+++ b/scheduler/dispatch/unlisted_lease_test.go
@@ -123,3 +123,21 @@
 	}
 	g.Expect(h.startedAt).To(BeNumerically("~", time.Hour+testLease, time.Second))
 }
+
+// Guards against LOST: the end of such a lease was noticed with the next read that was due anyway.
+func TestHoldIsConfirmedOnceTheLeaseOfAPartlyListedWorkerIsOver(t *testing.T) {
+	g := NewWithT(t)
+	h := newTakenOver()
+	h.run(testLease - 500*time.Millisecond)
+	h.link("lost", 2)
+	h.list(dispatch.WorkerListing{Host: "lost", Partial: true})
+	h.core.HostLost("lost")
+	lost := h.now
+	h.run(time.Second) // the leases of the earlier holder are over
+	wake := h.core.Finish().Wake
+	g.Expect(wake).To(BeNumerically("~", lost+testLease, 300*time.Millisecond))
+	now := h.instant()
+	now.Monotonic, now.Held = wake, lost
+	h.core.Advance(now)
+	g.Expect(h.core.Finish().ConfirmHold).To(BeTrue())
+}
