Record a worker again whose record was dropped while it was being stored

What callers could have seen: TWICE after a later takeover, as the new holder does not wait for a worker that has no record.

Cause: an incarnation listed its runs, another one at the same address did, and the first one again. If the first one's record was being stored at the second listing, it was dropped, then taken for stored, and the removal followed. The worker got tasks without a record. The class: evidence of two moments read as one.

Evidence: TestWorkerWhoseRecordIsStoredAfterItWasDroppedIsRecordedAgain failed before: a start was ordered while the store had no record.

Change: a record whose removal is due does not count as stored. The next first listing records the worker anew, which withdraws the removal, as before.

--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -209,8 +209,13 @@
 
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
 
+// confirmIncarnations records which incarnations have a record now. One that was dropped while
+// its record was being stored has none soon.
 func (c *Core) confirmIncarnations(b Batch) {
 	for _, record := range b.Workers {
+		if slices.Contains(c.incarnationsToForget, record.Incarnation) {
+			continue
+		}
 		c.recordedIncarnations[record.Incarnation] = record.Host
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
