--- a/scheduler/dispatch/unlisted_lease_test.go
+++ b/scheduler/dispatch/unlisted_lease_test.go
@@ -80,6 +80,10 @@
 		"link lost":           func(h *takenOver) { h.core.HostLost("lost") },
 		"worker unresponsive": func(h *takenOver) { h.core.WorkerUnreachable("lost", testLease) },
 		"listing delayed":     func(*takenOver) {},
+		"worker silent for a second": func(h *takenOver) {
+			h.run(time.Second)
+			h.core.WorkerUnreachable("lost", testLease-time.Second)
+		},
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
