Wait for the ends that follow a full list of them after a takeover

What callers could have seen: TWICE.

Cause: a worker that lists is not waited for beyond the leases of earlier holders, as a row that can't be decoded may stay. But a worker with more ends than it lists at a time may hold back one that says that a task is done, for as long as no end can be stored: writes may fail for seconds after a takeover while reads are answered. The class: a list with a limit is read as a complete one.

Evidence: TestTaskThatMayHaveEndedBeyondAListingWaitsForTheRest failed before: started 3.25 s after the takeover, while each listing had 500 ends.

Change: such a worker is waited for until a full listing has fewer ends.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -314,10 +314,11 @@
 }
 
 // forgetPartlyListed drops the hosts whose workers list now, since a row that can't be decoded
-// may stay. The others have leases that this holder has let their sidecars extend.
+// may stay. The others have leases that this holder has let their sidecars extend, or ends that
+// follow.
 func (c *Core) forgetPartlyListed() {
 	for host := range c.partlyListed {
-		if w := c.workers[host]; w == nil || w.listed {
+		if w := c.workers[host]; w == nil || (w.listed && !w.endsCutOff) {
 			delete(c.partlyListed, host)
 		}
 	}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -44,6 +44,7 @@
 	if !l.Full {
 		return
 	}
+	w.endsCutOff = len(l.Ends) >= runs.MaxListedEnds
 	seen := make(map[runKey]bool, len(l.Running))
 	advanced := false
 	for _, running := range l.Running {
--- a/scheduler/dispatch/unlisted_lease_test.go
+++ b/scheduler/dispatch/unlisted_lease_test.go
@@ -145,3 +145,23 @@
 	h.core.Advance(now)
 	g.Expect(h.core.Finish().ConfirmHold).To(BeTrue())
 }
+
+// Guards against TWICE: an end beyond the 500 of a listing was not waited for.
+func TestTaskThatMayHaveEndedBeyondAListingWaitsForTheRest(t *testing.T) {
+	g := NewWithT(t)
+	h := newTakenOver()
+	h.link("lost", 2)
+	ends := make([]runs.End, 500)
+	for i := range ends {
+		ends[i] = runs.End{Number: uint64(i + 1), Task: carobkeel.TaskName{Job: "00000000000000bb"}, Run: 1}
+	}
+	for n := uint64(2); h.now < time.Hour+2*testLease; n++ {
+		h.core.HostPinged("lost", n)
+		h.list(dispatch.WorkerListing{Host: "lost", Ends: ends, Partial: true})
+		h.run(tick)
+	}
+	g.Expect(h.startedAt).To(BeZero())
+	h.list(dispatch.WorkerListing{Host: "lost"})
+	h.run(time.Second)
+	g.Expect(h.startedAt).NotTo(BeZero())
+}
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -58,6 +58,9 @@
 	// one, or from one that an earlier holder left to it.
 	followsEnds bool
 	pendingEnds []pendingEnd
+	// endsCutOff reports that the last full listing had as many ends as a worker lists at a
+	// time. Further ones follow once these are acknowledged.
+	endsCutOff bool
 	// acknowledged is the number up to which the effects of ends are durable.
 	acknowledged uint64
 	// candidate is another incarnation that was described over the present link after the
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -108,6 +108,9 @@
 	Checkpoint string
 }
 
+// MaxListedEnds is how many ends a worker lists at a time. It may have more.
+const MaxListedEnds = 500
+
 // Listing is what a worker reports as running and ended at one time.
 type Listing struct {
 	StartedAtMs int64
