--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -271,8 +271,8 @@
 			c.wakeAt(j.storeBy)
 		}
 	}
-	if len(c.partlyListed) > 0 {
-		c.awaitExpiry(c.inheritedExpiry)
+	for host := range c.partlyListed {
+		c.awaitExpiry(c.forgetsPartlyListedAt(host))
 	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
@@ -310,11 +310,20 @@
 	}
 }
 
+// forgetsPartlyListedAt returns when the wait for the rest of what a host's worker runs ends.
+func (c *Core) forgetsPartlyListedAt(host string) time.Duration {
+	if w := c.workers[host]; w != nil && !w.listed {
+		return w.expiry()
+	}
+	return c.inheritedExpiry
+}
+
 // forgetPartlyListed drops the hosts whose workers list now, since a row that can't be decoded
-// may stay. The others have leases that this holder has let their sidecars extend.
+// may stay. The others have leases that this holder has let their sidecars extend, or ends that
+// follow.
 func (c *Core) forgetPartlyListed() {
 	for host := range c.partlyListed {
-		if w := c.workers[host]; w == nil || w.listed {
+		if w := c.workers[host]; w == nil || (w.listed && !w.endsCutOff) {
 			delete(c.partlyListed, host)
 		}
 	}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -35,7 +35,7 @@
 	c.countLateCalls(w, &l)
 	w.reachable, w.hasListed = w.linked, true
 	if w.unresponsive {
-		w.unresponsive = false
+		w.unresponsive, w.shutDown = false, false
 		c.extendLease(w)
 	}
 	for _, end := range l.Ends {
@@ -44,6 +44,7 @@
 	if !l.Full {
 		return
 	}
+	w.endsCutOff = len(l.Ends) >= runs.MaxListedEnds
 	seen := make(map[runKey]bool, len(l.Running))
 	advanced := false
 	for _, running := range l.Running {
@@ -189,7 +190,7 @@
 	needed := t != nil && t.isWaiting() && !c.isFinal(t.job())
 	detail := c.explainUnknownRun(t, running.Run)
 	r := c.reserve(w, t, running.Task, running.Run)
-	r.adopted = true
+	r.adopted, r.paceInDoubt = true, true
 	c.confirm(r)
 	if t != nil {
 		t.lastRun = max(t.lastRun, running.Run)
@@ -241,12 +242,13 @@
 
 // repeatOrders repeats the orders whose answers were inconclusive or, if all is set,
 // all orders that are not answered yet: they may have been lost with an earlier
-// link. A worker carries out each order only once.
+// link. A worker carries out each order only once. Paces are ordered again by the pace control.
 func (c *Core) repeatOrders(w *workerState, all bool) {
 	for _, r := range w.runs {
 		if !all && !r.inconclusive {
 			continue
 		}
+		r.paceInDoubt = r.paceInDoubt || all
 		r.inconclusive = false
 		switch {
 		case r.stopping:
@@ -273,7 +275,7 @@
 	Listing uint64
 }
 
-// ApplyAnswer applies the answer to a start or a stop.
+// ApplyAnswer applies the answer to a start, a stop or a pace.
 func (c *Core) ApplyAnswer(a OrderAnswer) {
 	c.recordStartAnswered(a)
 	w := c.workers[a.Host]
@@ -289,9 +291,17 @@
 		c.handleStartAnswer(r, a)
 	case OrderStop:
 		c.handleStopAnswer(r, a)
+	case OrderPace:
+		r.paceInDoubt = r.paceInDoubt || leavesPaceInDoubt(a.Result)
 	}
 }
 
+// leavesPaceInDoubt reports whether an order of a pace has to be repeated. A worker that does
+// not know the run, or rejects the pace, would answer the same again.
+func leavesPaceInDoubt(result runs.Result) bool {
+	return result != runs.ResultOK && result != runs.ResultOldRun && result != runs.ResultInvalid
+}
+
 func (c *Core) handleStartAnswer(r *runState, a OrderAnswer) {
 	if r.phase != runOrdered {
 		return
--- a/scheduler/dispatch/unlisted_lease_test.go
+++ b/scheduler/dispatch/unlisted_lease_test.go
@@ -80,6 +80,10 @@
 		"link lost":           func(h *takenOver) { h.core.HostLost("lost") },
 		"worker unresponsive": func(h *takenOver) { h.core.WorkerUnreachable("lost", testLease) },
 		"listing delayed":     func(*takenOver) {},
+		"worker silent for a second": func(h *takenOver) {
+			h.run(time.Second)
+			h.core.WorkerUnreachable("lost", testLease-time.Second)
+		},
 	}
 	for name, lose := range losses {
 		t.Run(name, func(t *testing.T) {
@@ -123,3 +127,41 @@
 	}
 	g.Expect(h.startedAt).To(BeNumerically("~", time.Hour+testLease, time.Second))
 }
+
+// Guards against LOST: the end of such a lease was noticed with the next read that was due anyway.
+func TestHoldIsConfirmedOnceTheLeaseOfAPartlyListedWorkerIsOver(t *testing.T) {
+	g := NewWithT(t)
+	h := newTakenOver()
+	h.run(testLease - 500*time.Millisecond)
+	h.link("lost", 2)
+	h.list(dispatch.WorkerListing{Host: "lost", Partial: true})
+	h.core.HostLost("lost")
+	lost := h.now
+	h.run(time.Second) // the leases of the earlier holder are over
+	wake := h.core.Finish().Wake
+	g.Expect(wake).To(BeNumerically("~", lost+testLease, 300*time.Millisecond))
+	now := h.instant()
+	now.Monotonic, now.Held = wake, lost
+	h.core.Advance(now)
+	g.Expect(h.core.Finish().ConfirmHold).To(BeTrue())
+}
+
+// Guards against TWICE: an end beyond the 500 of a listing was not waited for.
+func TestTaskThatMayHaveEndedBeyondAListingWaitsForTheRest(t *testing.T) {
+	g := NewWithT(t)
+	h := newTakenOver()
+	h.link("lost", 2)
+	ends := make([]runs.End, 500)
+	for i := range ends {
+		ends[i] = runs.End{Number: uint64(i + 1), Task: carobkeel.TaskName{Job: "00000000000000bb"}, Run: 1}
+	}
+	for n := uint64(2); h.now < time.Hour+2*testLease; n++ {
+		h.core.HostPinged("lost", n)
+		h.list(dispatch.WorkerListing{Host: "lost", Ends: ends, Partial: true})
+		h.run(tick)
+	}
+	g.Expect(h.startedAt).To(BeZero())
+	h.list(dispatch.WorkerListing{Host: "lost"})
+	h.run(time.Second)
+	g.Expect(h.startedAt).NotTo(BeZero())
+}
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -232,7 +232,7 @@
 	}
 	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
-	n.holderState.Store(&t.holderState)
+	l.lead(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
 	n.logTakenOver(t)
 	n.notifySidecars()
@@ -243,6 +243,16 @@
 		Uint64("progress_version", uint64(t.progressVersion)).Msg("shard taken over")
 }
 
+// lead has this node lead. Callers ask it for the states of jobs from then on, so it publishes
+// them before.
+func (l *loop) lead(holderState *HolderState) {
+	out := l.core.Finish()
+	l.publish(out.StateChanges)
+	out.StateChanges = nil
+	l.node.holderState.Store(holderState)
+	l.execute(out)
+}
+
 // startCore creates the core from the state that was read.
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
@@ -252,6 +262,7 @@
 	l.batchInFlight = false
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
+	n.waiting.Store(&map[carobkeel.QueueName]int{})
 	l.core = dispatch.New(dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -150,8 +150,8 @@
 	a.sendListing(holderLink, state, a.envelope(state, holderLink.term()))
 }
 
-// sendListing requests a listing and sends it to the holder. A failure is left to the
-// lister, whose next listing reports the state.
+// sendListing requests a listing and sends it to the holder, under the epoch by which it has
+// fenced the worker. A failure is left to the lister, whose next listing reports the state.
 func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
 	number := a.listingNumber.Add(1)
 	listing, ok := a.requestListing(state, e)
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -94,8 +94,8 @@
 	}
 	a.recordResult(result, time.Since(started))
 	a.logOrder(o, result)
-	if o.order.Kind == dispatch.OrderPace {
-		return
+	if o.order.Kind == dispatch.OrderPace && result == runs.ResultOK {
+		return // the holder counts a pace as set unless it hears otherwise
 	}
 	o.link.send(wire.TypeAnswer, wire.FromAnswer(dispatch.OrderAnswer{
 		Incarnation: o.order.Incarnation, Kind: o.order.Kind, Task: o.order.Task, Run: o.order.Run,
@@ -115,7 +115,8 @@
 		Msg("order")
 }
 
-// sendWithRetries sends an order until it is answered, at most orderAttempts times. The
+// sendWithRetries sends an order until it is answered, at most orderAttempts times. A pace is
+// sent once: a later one may follow it, and the holder orders the one that is due then. The
 // second result is false if the order's link is no longer the link to the holder.
 func (a *Agent) sendWithRetries(ctx context.Context, o receivedOrder) (runs.Result, bool) {
 	for attempt := 0; attempt < orderAttempts && ctx.Err() == nil; attempt++ {
@@ -137,6 +138,9 @@
 			a.metrics.Refused.Inc(1)
 		}
 		if result == runs.ResultUnknown || a.isOvertaken(result, o) {
+			if o.order.Kind == dispatch.OrderPace {
+				return result, true
+			}
 			continue
 		}
 		if result != runs.ResultOK && attempt > 0 {
