Show the states of jobs before a new holder answers callers

What callers saw: for a moment after a takeover the new holder said that no job waits, or gave the count of its last term, and did not know the jobs (MIXED).

Cause: finishTakeover set Leading, from which on the node answers, and the states were published by the step after it, which first decides for the whole shard. A node also kept the count of waiting jobs of an earlier term.

Evidence: without the change, go test ./scheduler/holder -run NewHolderKnows fails: 0 waiting jobs instead of 1 while Leading.

Change: what was read is published before Leading is set, and the count starts empty.

Result: go test -race -p 2 ./scheduler/dispatch ./scheduler/holder passes, without the known red TestTasksOfADeadWorkerRestartAlthoughItsSidecarIsBack.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -242,11 +242,19 @@
 	c.controlInterference()
 	c.acknowledgeEnds()
 	c.scheduleWake()
-	out := Output{Orders: c.orders, Decisions: c.decisions, StateChanges: c.views, AdviceQuestion: c.adviceQuestion, Wake: c.wake, ConfirmHold: c.confirmHold}
-	c.orders, c.decisions, c.views, c.adviceQuestion = nil, nil, nil, nil
+	out := Output{Orders: c.orders, Decisions: c.decisions, StateChanges: c.TakeStateChanges(), AdviceQuestion: c.adviceQuestion, Wake: c.wake, ConfirmHold: c.confirmHold}
+	c.orders, c.decisions, c.adviceQuestion = nil, nil, nil
 	return out
 }
 
+// TakeStateChanges returns the state changes since the last call of Finish, which returns only
+// later ones.
+func (c *Core) TakeStateChanges() []StateChange {
+	views := c.views
+	c.views = nil
+	return views
+}
+
 // wakeAt requests a call of Advance at t or earlier.
 func (c *Core) wakeAt(t time.Duration) {
 	if c.wake == 0 || t < c.wake {
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -227,6 +227,7 @@
 	}
 	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
+	l.publish(l.core.TakeStateChanges()) // before Leading, as this node answers callers from then on
 	n.holderState.Store(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
 	n.log.Info().Uint64("epoch", t.holderState.Row.Epoch).Int("jobs", len(t.jobs)).Int("workers", len(t.workers)).
@@ -243,6 +244,7 @@
 	l.batchInFlight = false
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
+	n.waiting.Store(&map[carobkeel.QueueName]int{})
 	l.core = dispatch.New(dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
