--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -232,7 +232,8 @@
 	}
 	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
-	l.lead(&t.holderState)
+	l.publish(l.core.TakeStateChanges()) // before Leading, as this node answers callers from then on
+	n.holderState.Store(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
 	n.logTakenOver(t)
 	n.notifySidecars()
@@ -243,16 +244,6 @@
 		Uint64("progress_version", uint64(t.progressVersion)).Msg("shard taken over")
 }
 
-// lead has this node lead. Callers ask it for the states of jobs from then on, so it publishes
-// them before.
-func (l *loop) lead(holderState *HolderState) {
-	out := l.core.Finish()
-	l.publish(out.StateChanges)
-	out.StateChanges = nil
-	l.node.holderState.Store(holderState)
-	l.execute(out)
-}
-
 // startCore creates the core from the state that was read.
 func (l *loop) startCore(t *takeoverState) {
 	n := l.node
