Play takeovers and lost listings in the model of messages

No drawn model found it.

Cause: the model of messages had one holder for the whole play, so there was nothing to inherit. The simulation has takeovers, but a listing was always read by the holder in the tick in which it was requested: a lease could not be extended by a request whose answer was lost.

The next holder starts from what was stored, with or without the batch in flight. What the earlier one had sent may still arrive. Listings are lost although their request was carried out, with its lease and its acknowledgement; links end right after the first answered ping, as also after a takeover during which the host was cut off. Two rules that are broken on purpose are new.

The sidecar of the model does more of what the real one does: a failed listing for a new holder is left to the lister, a listing of another epoch is not forwarded, a refusal under an epoch that is over raises no generation, and two failed listings on end are reported.

--- a/scheduler/dispatch/evidence_model_link_test.go
+++ b/scheduler/dispatch/evidence_model_link_test.go
@@ -10,7 +10,9 @@
 
 // modelLink is a link with the messages under way in both directions.
 type modelLink struct {
-	id       dispatch.LinkID
+	id dispatch.LinkID
+	// epoch is that of the holder at its other end.
+	epoch    carobkeel.Epoch
 	process  carobkeel.Incarnation
 	number   uint64
 	up, down []func()
@@ -19,6 +21,18 @@
 	listed   bool
 }
 
+// hasEnded reports whether the holder at the other end has ended.
+func (l *modelLink) hasEnded(m *messageModel) bool { return l.epoch != m.epoch }
+
+// sendUp sends a message to the holder, which is lost if that one has ended.
+func (l *modelLink) sendUp(m *messageModel, message func()) {
+	l.up = append(l.up, func() {
+		if !l.hasEnded(m) {
+			message()
+		}
+	})
+}
+
 func (s *modelSidecar) describe(link *modelLink) {
 	if link == nil {
 		return
@@ -30,7 +44,7 @@
 // report sends a report to the holder, which drops it if the link has been replaced.
 func (s *modelSidecar) report(link *modelLink, event func()) {
 	m := s.model
-	link.up = append(link.up, func() {
+	link.sendUp(m, func() {
 		m.events = append(m.events, func() {
 			if s.current == link {
 				event()
@@ -69,9 +83,9 @@
 	m := s.model
 	m.links++
 	s.openedLinks++
-	link := &modelLink{id: m.links, process: s.process, number: s.openedLinks}
+	link := &modelLink{id: m.links, epoch: m.epoch, process: s.process, number: s.openedLinks}
 	s.open = append(s.open, link)
-	link.up = append(link.up, func() {
+	link.sendUp(m, func() {
 		if s.current != nil && s.current.process == link.process && s.current.number > link.number {
 			return
 		}
@@ -89,18 +103,21 @@
 // ping sends a ping on the newest link, which is dialled again if it was closed. The holder
 // answers it as soon as it reads it.
 func (s *modelSidecar) ping() {
-	if len(s.open) == 0 || s.open[len(s.open)-1].closed {
+	if len(s.open) == 0 || s.open[len(s.open)-1].closed || s.open[len(s.open)-1].hasEnded(s.model) {
 		s.dial()
 		return
 	}
 	m, link := s.model, s.open[len(s.open)-1]
 	link.pings = append(link.pings, m.now)
-	number := uint64(len(link.pings))
-	link.up = append(link.up, func() {
+	number, follows := uint64(len(link.pings)), s.holder.Epoch == link.epoch
+	link.sendUp(m, func() {
 		m.events = append(m.events, func() {
 			switch {
 			case s.current == link:
 				m.core.HostPinged(s.host, number)
+				if follows {
+					m.core.HostFollows(s.host)
+				}
 			case !m.broken.forgottenPings:
 				m.core.LeaseExtended(s.host)
 			}
@@ -112,7 +129,10 @@
 }
 
 func (s *modelSidecar) confirm(link *modelLink, number uint64) {
-	s.holder = s.holder.Confirm(modelEpoch, link.pings[number-1])
+	if link.epoch < s.holder.Epoch {
+		return
+	}
+	s.holder = s.holder.Confirm(link.epoch, link.pings[number-1])
 	if s.link == link {
 		return
 	}
--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -36,6 +36,8 @@
 	deadline      time.Duration
 	extendsFrom   time.Duration
 	unresponsive  bool
+	// failures counts the lister's requests without an answer since the last one with one.
+	failures int
 	// state is the sidecar's record of the worker.
 	state        gate.Worker
 	acknowledged uint64
@@ -64,6 +66,7 @@
 type modelListing struct {
 	number  uint64
 	link    *modelLink // nil for the lister, which takes the link at the time of the answer
+	epoch   carobkeel.Epoch
 	taken   bool
 	listing runs.Listing
 	answer  runs.Answer
@@ -84,7 +87,7 @@
 	s.requested, s.listings, s.queue = 0, nil, nil
 	s.withdrawn = make(map[runs.Stop]bool)
 	s.holder, s.clock, s.deadline, s.extendsFrom = gate.Holder{}, gate.Clock{}, 0, 0
-	s.unresponsive, s.acknowledged, s.openedLinks = false, 0, 0
+	s.unresponsive, s.failures, s.acknowledged, s.openedLinks = false, 0, 0, 0
 	s.state = gate.Worker{Generation: s.state.Suspect(time.Time{}).Generation} // it rises with the time of day
 }
 
@@ -161,8 +164,8 @@
 	s.queue = append(s.queue, o)
 }
 
-func (s *modelSidecar) envelope() runs.Envelope {
-	e := runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: runs.Fence{Epoch: modelEpoch, Generation: s.state.Generation}}
+func (s *modelSidecar) envelope(epoch carobkeel.Epoch) runs.Envelope {
+	e := runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: runs.Fence{Epoch: epoch, Generation: s.state.Generation}}
 	if !s.state.Confirmed || s.unresponsive || s.holder.Confirmed < s.extendsFrom {
 		return e
 	}
@@ -194,7 +197,7 @@
 
 func (s *modelSidecar) send(o modelOrder, lost bool) runs.Result {
 	m := s.model
-	envelope := s.envelope()
+	envelope := s.envelope(o.link.epoch)
 	stop := runs.Stop{Task: o.order.Task, Run: o.order.Run}
 	var call func(runs.Envelope) runs.Result
 	var start *runs.Stop
@@ -274,7 +277,7 @@
 	late := s.late[0]
 	s.late = s.late[1:]
 	if s.unreached && late.envelope.Fence.Generation <= s.crashedAt {
-		if late.acknowledged > 0 || (late.start != nil && s.model.over[*late.start]) {
+		if late.acknowledged > 0 || (late.start != nil && s.model.isOver(*late.start)) {
 			return
 		}
 	}
@@ -300,7 +303,11 @@
 	if l.taken || l.lost {
 		return
 	}
-	envelope, acknowledged := s.envelope(), s.acknowledgedUpTo()
+	l.epoch = s.holder.Epoch
+	if l.link != nil {
+		l.epoch = l.link.epoch
+	}
+	envelope, acknowledged := s.envelope(l.epoch), s.acknowledgedUpTo()
 	list := func(e runs.Envelope) runs.Result {
 		l.listing, l.answer, _ = s.worker.List(context.Background(), e, acknowledged, 0)
 		return l.answer.Result
@@ -344,24 +351,20 @@
 	if described != s.state.Description.Incarnation {
 		return
 	}
-	switch {
-	case l.lost:
-		s.state = s.state.Suspect(time.Time{})
-		return
-	case l.answer.Result == runs.ResultStaleEpoch:
-		s.state = s.state.Overtake(0)
-		return
-	case l.answer.Result != runs.ResultOK || l.listing.StartedAtMs != described.StartedAtMs:
-		s.state = s.state.Deny(time.Time{})
+	if l.lost || l.answer.Result != runs.ResultOK || l.listing.StartedAtMs != described.StartedAtMs {
+		s.handleFailure(l)
 		return
 	}
+	if l.link == nil {
+		s.failures = 0
+	}
 	s.state = s.state.Confirm(l.state.Generation)
 	s.clock = gate.Clock{Reading: l.answer.Clock, Received: s.model.now, Known: true}
 	link := l.link
 	if link == nil {
 		link = s.link
 	}
-	if link == nil || link.closed {
+	if link == nil || link.closed || link.epoch != l.epoch {
 		return
 	}
 	s.forward(link, l)
@@ -388,7 +391,7 @@
 
 // reportUnresponsive tells the holder that the worker does not answer.
 func (s *modelSidecar) reportUnresponsive() {
-	if !s.mute {
+	if !s.mute && s.failures < modelUnresponsiveAfter {
 		return
 	}
 	s.unresponsive = true
--- a/scheduler/dispatch/evidence_model_test.go
+++ b/scheduler/dispatch/evidence_model_test.go
@@ -16,7 +16,7 @@
 	"github.com/carobkeel/carobkeel/worker/runs/standin"
 )
 
-// messageModel plays one holder, its sidecars and their workers message by message: each
+// messageModel plays a holder at a time, its sidecars and their workers message by message: each
 // message waits until it is drawn, links are replaced while messages are under way, and
 // processes and workers pause for as long as nothing is drawn for them.
 type messageModel struct {
@@ -28,14 +28,23 @@
 	handledUpTo time.Duration
 	links       dispatch.LinkID
 	jobs        int
+	// epoch is that of the present holder, and durable what it and the earlier ones have stored.
+	epoch   carobkeel.Epoch
+	durable modelStore
+	// pending is the batch that is being stored, nil for none.
+	pending *dispatch.Batch
 	// over holds the runs that the holder has given up or has seen end.
 	over map[runs.Stop]bool
+	// newest holds the newest run that was ordered of each task.
+	newest map[carobkeel.TaskName]int
 	// lateCallsLast lets calls without an answer reach the next incarnation of a worker.
 	// Otherwise they end with the one that received them.
 	lateCallsLast bool
 	// foreignHeartbeats has sidecars describe incarnations that are not their worker's.
 	foreignHeartbeats bool
-	broken            brokenEvidence
+	// takeovers has other holders replace the present one.
+	takeovers bool
+	broken    brokenEvidence
 }
 
 // brokenEvidence selects rules on evidence that a test breaks on purpose.
@@ -54,14 +63,16 @@
 	oneGeneration bool
 	// unprovenListings lists for an incarnation that has only sent a heartbeat.
 	unprovenListings bool
+	// forgottenWorkers keeps the records of workers from the next holder.
+	forgottenWorkers bool
+	// earlyInheritance takes the leases of earlier holders as expired at a takeover.
+	earlyInheritance bool
 }
 
-const modelEpoch = 1
-
 func newMessageModel(hosts int) *messageModel {
-	m := &messageModel{now: time.Hour, record: standin.NewRecord(), over: make(map[runs.Stop]bool)}
-	m.handledUpTo = m.now
-	m.core = dispatch.New(dispatch.Config{Epoch: modelEpoch, WorkerLease: testLease}, m.time(), nil)
+	m := &messageModel{now: time.Hour, record: standin.NewRecord(), over: make(map[runs.Stop]bool), newest: make(map[carobkeel.TaskName]int)}
+	m.durable = newModelStore()
+	m.startHolder()
 	for i := range hosts {
 		s := &modelSidecar{model: m, host: fmt.Sprintf("host-%d", i), started: m.now - time.Hour}
 		s.worker = standin.New(standin.Config{
@@ -106,14 +117,18 @@
 		m.handledUpTo = m.now
 	}
 	m.core.Advance(m.time())
+	m.finishBatch()
 	for _, event := range batch {
 		event()
 	}
 	m.handledUpTo = taken
 	out := m.core.Finish()
 	for _, d := range out.Decisions {
-		if d.Kind == dispatch.DecidedRunEnded || d.Kind == dispatch.DecidedRunGivenUp {
+		switch d.Kind {
+		case dispatch.DecidedRunEnded, dispatch.DecidedRunGivenUp:
 			m.over[runs.Stop{Task: d.Task, Run: d.Run}] = true
+		case dispatch.DecidedRunStarted:
+			m.newest[d.Task] = d.Run
 		}
 	}
 	for _, o := range out.Orders {
@@ -125,10 +140,20 @@
 		link.down = append(link.down, func() { s.receive(modelOrder{o, link}) })
 	}
 	if m.core.HasBatch() {
-		m.core.BatchStored(m.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10}))
+		batch := m.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 512 << 10})
+		m.pending = &batch
+		if !m.takeovers {
+			m.finishBatch()
+		}
 	}
 }
 
+// isOver reports whether a run has been given up, or has ended, as far as a holder knows. A later
+// holder has given up an earlier one's run once it has ordered another of the task.
+func (m *messageModel) isOver(run runs.Stop) bool {
+	return m.over[run] || run.Run < m.newest[run.Task]
+}
+
 func (m *messageModel) sidecar(host string) *modelSidecar {
 	return m.sidecars[slices.IndexFunc(m.sidecars, func(s *modelSidecar) bool { return s.host == host })]
 }
@@ -139,6 +164,7 @@
 		ID: carobkeel.JobID(fmt.Sprintf("%016x", m.jobs)), Queue: testQueue(0, 3), Payload: "payload",
 		Steps: []carobkeel.Step{{Count: 2, Demand: carobkeel.Resources{MilliCPU: 1000}, Estimate: time.Second}},
 	}
+	m.durable.jobs = append(m.durable.jobs, job)
 	m.events = append(m.events, func() { m.core.AddJob(job, false) })
 }
 
@@ -176,17 +202,21 @@
 	{1, func(_ *messageModel, s *modelSidecar, index int) { s.pause(index) }},
 }
 
-// foreignEvents holds the events of the model with heartbeats of other workers.
-var foreignEvents = append(slices.Clone(modelEvents),
-	modelEvent{2, func(_ *messageModel, s *modelSidecar, index int) { s.foreignHeartbeat(index) }})
+// foreignEvents holds the further events of the model with heartbeats of other workers.
+var foreignEvents = []modelEvent{
+	{2, func(_ *messageModel, s *modelSidecar, index int) { s.foreignHeartbeat(index) }},
+}
 
 // step draws and plays one event.
 func (m *messageModel) step(draw drawer) {
 	s := m.sidecars[draw("host", 0, len(m.sidecars)-1)]
 	index := draw("index", 0, 3)
-	events, all := modelEvents, 0
+	events, all := slices.Clone(modelEvents), 0
 	if m.foreignHeartbeats {
-		events = foreignEvents
+		events = append(events, foreignEvents...)
+	}
+	if m.takeovers {
+		events = append(events, takeoverEvents...)
 	}
 	for _, e := range events {
 		all += e.frequency
@@ -217,6 +247,7 @@
 		m := newMessageModel(2)
 		m.lateCallsLast = rapid.Bool().Draw(t, "late calls last")
 		m.foreignHeartbeats = rapid.Bool().Draw(t, "foreign heartbeats")
+		m.takeovers = rapid.Bool().Draw(t, "takeovers")
 		m.play(func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) })
 		NewWithT(t).Expect(m.record.Violations).To(BeEmpty())
 	})
@@ -229,28 +260,32 @@
 // broken on purpose, and none without.
 func TestSearchFindsBrokenEvidence(t *testing.T) {
 	for _, c := range []struct {
-		name                             string
-		lateCallsLast, foreignHeartbeats bool
-		broken                           brokenEvidence
+		name                                        string
+		lateCallsLast, foreignHeartbeats, takeovers bool
+		broken                                      brokenEvidence
 	}{
-		{"nothing", false, false, brokenEvidence{}},
-		{"nothing, and late calls reach the next incarnation", true, false, brokenEvidence{}},
-		{"nothing, and heartbeats of other workers come", false, true, brokenEvidence{}},
-		{"nothing, and both", true, true, brokenEvidence{}},
-		{"the first listing over a link wins", false, false, brokenEvidence{firstListingWins: true}},
-		{"listings do not say when", false, false, brokenEvidence{unmarkedListings: true}},
-		{"starts are valid without end", false, false, brokenEvidence{endlessStarts: true}},
-		{"pings on a replaced link are dropped", false, false, brokenEvidence{forgottenPings: true}},
-		{"leases expire before events are known", false, false, brokenEvidence{earlyExpiry: true}},
-		{"all calls are of one generation", true, false, brokenEvidence{oneGeneration: true}},
-		{"a heartbeat counts as a listing", false, true, brokenEvidence{unprovenListings: true}},
+		{"nothing", false, false, false, brokenEvidence{}},
+		{"nothing, and late calls reach the next incarnation", true, false, false, brokenEvidence{}},
+		{"nothing, and heartbeats of other workers come", false, true, false, brokenEvidence{}},
+		{"nothing, and both", true, true, false, brokenEvidence{}},
+		{"nothing, and other holders take over", false, false, true, brokenEvidence{}},
+		{"nothing, and all of these", true, true, true, brokenEvidence{}},
+		{"the first listing over a link wins", false, false, false, brokenEvidence{firstListingWins: true}},
+		{"listings do not say when", false, false, false, brokenEvidence{unmarkedListings: true}},
+		{"starts are valid without end", false, false, false, brokenEvidence{endlessStarts: true}},
+		{"pings on a replaced link are dropped", false, false, false, brokenEvidence{forgottenPings: true}},
+		{"leases expire before events are known", false, false, false, brokenEvidence{earlyExpiry: true}},
+		{"all calls are of one generation", true, false, false, brokenEvidence{oneGeneration: true}},
+		{"a heartbeat counts as a listing", false, true, false, brokenEvidence{unprovenListings: true}},
+		{"a new holder does not know its workers", false, false, true, brokenEvidence{forgottenWorkers: true}},
+		{"a new holder waits for no lease", false, false, true, brokenEvidence{earlyInheritance: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(modelSeeds) {
 				random := rand.New(rand.NewPCG(seed, seed))
 				m := newMessageModel(2)
-				m.lateCallsLast, m.foreignHeartbeats, m.broken = c.lateCallsLast, c.foreignHeartbeats, c.broken
+				m.lateCallsLast, m.foreignHeartbeats, m.takeovers, m.broken = c.lateCallsLast, c.foreignHeartbeats, c.takeovers, c.broken
 				m.play(func(_ string, low, high int) int { return low + random.IntN(high-low+1) })
 				if len(m.record.Violations) == 0 {
 					continue
