Count the lease of a worker whose first listing was partial

What callers saw: nothing yet.

Cause: a new holder holds inherited tasks back while a worker has listed a part of its runs or ends (500 ends at a time, or the first listing of another process of its sidecar), but only until the leases of earlier holders have ended. By then its own answers had extended the worker's lease, and the rest of the listing could be a moment away or lost: evidence of an earlier term released what a later listing was to name.

Change: such a worker has one lease from its first listing on to list the rest, and the tasks of one that does not list any more wait for its lease. A row that can't be decoded still holds them back for a bounded time (TestListingsThatStayPartialHoldBackInheritedTasksForAWhileOnly).

TestPartialListingHoldsBackInheritedTasksForOneLease: Expected [4097] to be empty TestTasksOfAPartlyListedWorkerWaitForItsLease: Expected [4097] to be empty

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -111,8 +111,9 @@
 	// used, and that have not yet listed their runs to this holder.
 	unreportedWorkers map[runs.Incarnation]unreportedWorker
 	// partlyListed holds the hosts whose workers may have runs of an earlier holder that
-	// they have not listed yet, although they have listed others.
-	partlyListed map[string]bool
+	// they have not listed yet, although they have listed others, and how long they have to
+	// list them.
+	partlyListed map[string]time.Duration
 	// recordedIncarnations maps the worker incarnations that have a record in the
 	// store to their hosts.
 	recordedIncarnations map[runs.Incarnation]string
@@ -172,7 +173,7 @@
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
 		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
-		partlyListed:         make(map[string]bool),
+		partlyListed:         make(map[string]time.Duration),
 		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
@@ -266,8 +267,8 @@
 	for _, u := range c.unreportedWorkers {
 		c.awaitExpiry(c.expiryOf(u))
 	}
-	if len(c.partlyListed) > 0 {
-		c.awaitExpiry(c.inheritedExpiry)
+	for host := range c.partlyListed {
+		c.awaitExpiry(c.partialExpiry(host))
 	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
@@ -292,8 +293,10 @@
 }
 
 func (c *Core) expireInherited() {
-	if c.now.Held >= c.inheritedExpiry {
-		clear(c.partlyListed) // a row that can't be decoded may stay
+	for host := range c.partlyListed {
+		if c.now.Held >= c.partialExpiry(host) {
+			delete(c.partlyListed, host) // a row that can't be decoded may stay
+		}
 	}
 	for incarnation, u := range c.unreportedWorkers {
 		if c.now.Held < c.expiryOf(u) {
@@ -307,3 +310,12 @@
 
 // expiryOf returns the time from which no run of an unreported worker can go on.
 func (c *Core) expiryOf(u unreportedWorker) time.Duration { return min(c.inheritedExpiry, u.goneFrom) }
+
+// partialExpiry returns the time from which nothing waits for the runs that a partly listed
+// worker may have. Of a worker that does not list any more they may last as long as its lease.
+func (c *Core) partialExpiry(host string) time.Duration {
+	if w := c.worker(host); !w.listed {
+		return w.expiry()
+	}
+	return max(c.inheritedExpiry, c.partlyListed[host])
+}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -66,7 +66,7 @@
 		c.recordIncarnation(w)
 		c.forgetReplaced(w)
 		if l.Partial && c.mayHaveInheritedRuns(w) {
-			c.partlyListed[w.host] = true
+			c.partlyListed[w.host] = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
 		}
 		c.forgetUnreported(w.host, w.description.Incarnation)
 		delete(c.unreportedWorkers, w.description.Incarnation)
--- a/scheduler/dispatch/partial_test.go
+++ b/scheduler/dispatch/partial_test.go
@@ -42,3 +42,45 @@
 	}
 	g.Expect(started).To(BeNumerically(">", 0))
 }
+
+// expectNoStartFor lets time pass in which all hosts ping and nothing is to start.
+func (f *evidenceFixture) expectNoStartFor(g Gomega, d time.Duration) {
+	const interval = 100 * time.Millisecond
+	for ; d > 0; d -= interval {
+		f.advance(interval)
+		f.core.HostPinged(evidenceHost, 1)
+		f.core.HostPinged("free", 1)
+		g.Expect(f.starts()).To(BeEmpty())
+	}
+}
+
+// Guards against TWICE: a first listing that was partial came shortly before the leases of earlier
+// holders ended, and the tasks of the ends that it lacked were started again.
+func TestPartialListingHoldsBackInheritedTasksForOneLease(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.expectNoStartFor(g, testAuthority+testLease)
+	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
+	f.expectNoStartFor(g, testLease)
+	f.list(2, 2)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// Guards against TWICE: the link ended after a first listing that was partial.
+func TestTasksOfAPartlyListedWorkerWaitForItsLease(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.expectNoStartFor(g, testAuthority)
+	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
+	f.expectNoStartFor(g, testLease)
+	f.core.HostLost(evidenceHost)
+	f.advance(testLease)
+	g.Expect(f.starts()).To(BeEmpty())
+	f.core.HostPinged("free", 1)
+	f.advance(300 * time.Millisecond)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
