Wait on while a partly listed worker names further ends

Cause: a worker that has more ends than it lists at a time lists the next ones once the first are stored and acknowledged. The wait for the rest was bounded from its first listing on, however many it went on to name.

Change: each end of an earlier holder's run gives it another lease to list the rest. There are only so many such runs, so a row that can't be decoded still holds tasks back for a bounded time.

Evidence: TestPartialListingsThatNameFurtherInheritedEndsGoOnHoldingBack failed before: Expected [4097] to be empty.

--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -84,6 +84,7 @@
 	}
 	c.reportMissedEnds(w, end.Number)
 	w.lastEnd, w.followsEnds = end.Number, true
+	c.awaitFurtherEnds(w, end)
 	w.stall.lastProgress = c.now.Monotonic
 	t := c.task(end.Task)
 	c.applyEnd(w, t, end)
@@ -94,6 +95,14 @@
 	w.pendingEnds = append(w.pendingEnds, pending)
 }
 
+// awaitFurtherEnds gives a partly listed worker another lease to list the rest, after an end of a
+// run that an earlier holder started. There are only so many of them.
+func (c *Core) awaitFurtherEnds(w *workerState, end runs.End) {
+	if _, partly := c.partlyListed[w.host]; partly && end.Run <= c.inheritedRuns() {
+		c.partlyListed[w.host] = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
+	}
+}
+
 // reportMissedEnds reports a gap before the end with the given number. Ends are numbered
 // without gaps, and are listed until this holder has had them acknowledged.
 func (c *Core) reportMissedEnds(w *workerState, number uint64) {
--- a/scheduler/dispatch/partial_test.go
+++ b/scheduler/dispatch/partial_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // Guards against TWICE: a worker had more ends than it lists at a time when a new holder came,
@@ -84,3 +86,17 @@
 	f.advance(300 * time.Millisecond)
 	g.Expect(f.starts()).To(HaveLen(1))
 }
+
+// Guards against TWICE: a worker took longer than a lease to list its ends, some at a time.
+func TestPartialListingsThatNameFurtherInheritedEndsGoOnHoldingBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.expectNoStartFor(g, testAuthority+testLease)
+	for number := uint64(1); number < 4; number++ {
+		end := runs.End{Number: number, Task: carobkeel.TaskName{Job: "0000000000000002"}, Run: 1, Outcome: runs.OutcomeDone}
+		f.listing(dispatch.WorkerListing{Number: number, Requested: number, Partial: true, Ends: []runs.End{end}})
+		f.expectNoStartFor(g, testLease)
+	}
+}
