End the wait for a partly listed worker by a listing, not by time alone

Cause: the wait for what a partial listing lacks ran on while the worker listed nothing, as its host was silent or cut off. Over the next link the first listing was as partial as the one before, and by then the time was up. Ends of jobs that are new to the holder also lengthened the wait, without a bound.

Change: a partial listing that comes after the time ends the wait, and otherwise the end of the lease of a worker that does not list any more. The first listing over a link begins the wait anew, and only ends of inherited runs lengthen it.

Evidence, on the code before: TestPartlyListedWorkerHoldsBackInheritedTasksUntilItsNextListing and TestPartlyListedWorkerHasALeaseToListTheRestOverItsNextLink: Expected [4097] to be empty.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -257,7 +257,7 @@
 
 func (c *Core) scheduleWake() {
 	for _, w := range c.workers {
-		if !w.reachable && len(w.runs) > 0 {
+		if _, partly := c.partlyListed[w.host]; !w.reachable && (partly || len(w.runs) > 0) {
 			c.awaitExpiry(w.expiry())
 		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
@@ -267,9 +267,6 @@
 	for _, u := range c.unreportedWorkers {
 		c.awaitExpiry(c.expiryOf(u))
 	}
-	for host := range c.partlyListed {
-		c.awaitExpiry(c.partialExpiry(host))
-	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
 	}
@@ -293,11 +290,6 @@
 }
 
 func (c *Core) expireInherited() {
-	for host := range c.partlyListed {
-		if c.now.Held >= c.partialExpiry(host) {
-			delete(c.partlyListed, host) // a row that can't be decoded may stay
-		}
-	}
 	for incarnation, u := range c.unreportedWorkers {
 		if c.now.Held < c.expiryOf(u) {
 			continue
@@ -310,12 +302,3 @@
 
 // expiryOf returns the time from which no run of an unreported worker can go on.
 func (c *Core) expiryOf(u unreportedWorker) time.Duration { return min(c.inheritedExpiry, u.goneFrom) }
-
-// partialExpiry returns the time from which nothing waits for the runs that a partly listed
-// worker may have. Of a worker that does not list any more they may last as long as its lease.
-func (c *Core) partialExpiry(host string) time.Duration {
-	if w := c.worker(host); !w.listed {
-		return w.expiry()
-	}
-	return max(c.inheritedExpiry, c.partlyListed[host])
-}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -60,14 +60,13 @@
 	if !l.Partial {
 		delete(c.partlyListed, w.host)
 		c.releaseMissing(w, l.Number, seen)
+	} else {
+		c.holdBackInherited(w, first)
 	}
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
 		c.forgetReplaced(w)
-		if l.Partial && c.mayHaveInheritedRuns(w) {
-			c.partlyListed[w.host] = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
-		}
 		c.forgetUnreported(w.host, w.description.Incarnation)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
@@ -98,11 +97,30 @@
 // awaitFurtherEnds gives a partly listed worker another lease to list the rest, after an end of a
 // run that an earlier holder started. There are only so many of them.
 func (c *Core) awaitFurtherEnds(w *workerState, end runs.End) {
-	if _, partly := c.partlyListed[w.host]; partly && end.Run <= c.inheritedRuns() {
-		c.partlyListed[w.host] = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
+	t := c.task(end.Task)
+	isInherited := t == nil || (t.job().inherited && end.Run <= c.inheritedRuns())
+	if _, partly := c.partlyListed[w.host]; partly && isInherited {
+		c.awaitRest(w)
+	}
+}
+
+// holdBackInherited decides after a partial listing whether inherited tasks wait for what it may
+// lack. A worker has one lease from its first listing over a link on to list the rest.
+func (c *Core) holdBackInherited(w *workerState, first bool) {
+	until, partly := c.partlyListed[w.host]
+	switch {
+	case first && (partly || c.mayHaveInheritedRuns(w)):
+		c.awaitRest(w)
+	case partly && c.now.Held >= max(c.inheritedExpiry, until):
+		delete(c.partlyListed, w.host) // a row that can't be decoded may stay
 	}
 }
 
+// awaitRest gives a partly listed worker a lease to list the rest.
+func (c *Core) awaitRest(w *workerState) {
+	c.partlyListed[w.host] = c.now.Monotonic + maxLeaseDuration(c.config.WorkerLease)
+}
+
 // reportMissedEnds reports a gap before the end with the given number. Ends are numbered
 // without gaps, and are listed until this holder has had them acknowledged.
 func (c *Core) reportMissedEnds(w *workerState, number uint64) {
--- a/scheduler/dispatch/partial_test.go
+++ b/scheduler/dispatch/partial_test.go
@@ -100,3 +100,34 @@
 		f.expectNoStartFor(g, testLease)
 	}
 }
+
+// Guards against TWICE: time alone released what a worker had not listed, while its next listing
+// was under way.
+func TestPartlyListedWorkerHoldsBackInheritedTasksUntilItsNextListing(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
+	f.expectNoStartFor(g, testAuthority+2*testLease)
+	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Partial: true})
+	g.Expect(f.starts()).To(HaveLen(1))
+}
+
+// Guards against TWICE: the first listing over the next link was as partial as the one before.
+func TestPartlyListedWorkerHasALeaseToListTheRestOverItsNextLink(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	f.expectNoStartFor(g, testAuthority)
+	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
+	f.expectNoStartFor(g, testLease)
+	f.core.HostLost(evidenceHost)
+	f.advance(testLease)
+	f.link(3, 1)
+	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Partial: true})
+	f.expectNoStartFor(g, testLease)
+	f.list(3, 3)
+	g.Expect(f.starts()).To(HaveLen(1))
+}
