Play listings of a part of the ends in the model of messages

The model's workers listed all their ends at once. In plays with takeovers they now list two at a time, and such a listing is partial, as one of 500 ends is.

--- a/scheduler/dispatch/evidence_model_takeover_test.go
+++ b/scheduler/dispatch/evidence_model_takeover_test.go
@@ -95,6 +95,9 @@
 // takes its worker for unresponsive.
 const modelUnresponsiveAfter = 2
 
+// modelListedEnds is how many ends a worker lists at a time.
+const modelListedEnds = 2
+
 // handleFailure records a listing that was refused or not answered. The one for a new holder
 // is left to the lister, whose next one shows the state.
 func (s *modelSidecar) handleFailure(l *modelListing) {
--- a/scheduler/dispatch/evidence_model_test.go
+++ b/scheduler/dispatch/evidence_model_test.go
@@ -67,6 +67,8 @@
 	forgottenWorkers bool
 	// earlyInheritance takes the leases of earlier holders as expired at a takeover.
 	earlyInheritance bool
+	// unmarkedParts reports parts of listings as whole ones.
+	unmarkedParts bool
 }
 
 func newMessageModel(hosts int) *messageModel {
@@ -279,6 +281,7 @@
 		{"a heartbeat counts as a listing", false, true, false, brokenEvidence{unprovenListings: true}},
 		{"a new holder does not know its workers", false, false, true, brokenEvidence{forgottenWorkers: true}},
 		{"a new holder waits for no lease", false, false, true, brokenEvidence{earlyInheritance: true}},
+		{"a part of a listing counts as a whole one", false, false, true, brokenEvidence{unmarkedParts: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
