Report the lease of an incarnation that was replaced and is back

What callers saw: nothing yet; it would be two runs of a task at once.

Cause: when a sidecar takes another incarnation in, it forgets the worker's clock and the deadline that it had requested. If the earlier one is back and does not answer, what is left of its lease is unknown. A process younger than a lease then reported the rest of the leases of earlier processes, which is less, and the holder released the runs too early. An older one took the worker for gone and took in whatever incarnation had sent a heartbeat.

Change: what was extended before a replacement counts like what an earlier process extended: for one lease from the replacement on.

Evidence: TestLeaseOfAWorkerThatWasReplacedMeanwhileIsNotReportedAsOver failed before: 1.06 s (young process) and -1 ms (old process) in place of 3 s.

--- a/scheduler/dispatch/evidence_model_foreign_test.go
+++ b/scheduler/dispatch/evidence_model_foreign_test.go
@@ -23,7 +23,7 @@
 	case 1:
 		d.ID, d.StartedAtMs = "w-other", 0
 	}
-	s.state = s.state.Describe(&d, time.Time{})
+	s.state, s.replacedAt = s.state.Describe(&d, time.Time{}), s.model.now
 	s.clock, s.deadline, s.acknowledged = gate.Clock{}, 0, 0
 	s.withdrawn = make(map[runs.Stop]bool)
 	s.describe(s.link)
--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -21,6 +21,8 @@
 	process carobkeel.Incarnation
 	// started is when the sidecar's process started.
 	started time.Duration
+	// replacedAt is when the process last took another incarnation in.
+	replacedAt time.Duration
 	// open holds all links whose messages may still arrive at the holder.
 	open []*modelLink
 	// link is the sidecar's link to the holder, and current the newest one at the
@@ -147,7 +149,7 @@
 // heartbeat has the sidecar know the present incarnation of its worker.
 func (s *modelSidecar) heartbeat() {
 	if d := s.worker.Description(); d.Incarnation != s.state.Description.Incarnation {
-		s.state = s.state.Describe(&d, time.Time{})
+		s.state, s.replacedAt = s.state.Describe(&d, time.Time{}), s.model.now
 		s.clock, s.deadline, s.acknowledged = gate.Clock{}, 0, 0
 		s.withdrawn = make(map[runs.Stop]bool)
 		s.describe(s.link)
@@ -411,7 +413,7 @@
 	s.unresponsive = true
 	s.listings = slices.DeleteFunc(s.listings, func(l *modelListing) bool { return l.link == nil })
 	remaining := gate.LeaseRemaining(s.clock, s.deadline, s.model.now)
-	if earlier := s.started + gate.LongestLease(testLease) - s.model.now; earlier > 0 {
+	if earlier := max(s.started, s.replacedAt) + gate.LongestLease(testLease) - s.model.now; earlier > 0 {
 		remaining = max(remaining, earlier)
 	}
 	if s.link != nil {
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -46,6 +46,9 @@
 	log         *log.Logger
 	// started is when this process was started.
 	started time.Duration
+	// replacedAt is when this process last took another incarnation of the worker in, zero for
+	// never.
+	replacedAt atomic.Int64
 
 	// holder, state and clock are immutable snapshots that are replaced as a unit.
 	// A call to the worker uses one snapshot of its state, so that what is addressed to
--- a/sidecar/agent/incarnation.go
+++ b/sidecar/agent/incarnation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -55,6 +56,9 @@
 		if state.Description != nil && (known.Description == nil || !state.Describes(known.Description.Incarnation)) {
 			return false
 		}
+		if state.Description != nil {
+			a.replacedAt.Store(int64(clock.Boottime())) // its lease is not known any more
+		}
 		next := state.Describe(d, time.Now())
 		next.Verified = evidence == gate.AnsweredAsIt
 		if a.state.CompareAndSwap(state, &next) {
--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -123,7 +123,9 @@
 }
 
 // earlierLeaseRemaining returns how long a lease that an earlier process of this sidecar
-// extended may still be valid.
+// extended may still be valid, or one that this process extended before it took the present
+// incarnation in: the worker may have been taken for another one meanwhile.
 func (a *Agent) earlierLeaseRemaining() time.Duration {
-	return a.started + gate.LongestLease(a.config.WorkerLease) - clock.Boottime()
+	extendedUntil := max(a.started, time.Duration(a.replacedAt.Load()))
+	return extendedUntil + gate.LongestLease(a.config.WorkerLease) - clock.Boottime()
 }
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -71,6 +71,25 @@
 	g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
 }
 
+// Guards against TWICE: a process that had begun a moment before told the holder how long leases of
+// earlier processes last, although it had extended one itself before it took another worker in.
+func TestLeaseOfAWorkerThatWasReplacedMeanwhileIsNotReportedAsOver(t *testing.T) {
+	for name, age := range map[string]time.Duration{"young process": 2 * time.Second, "old process": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := linkedAgent(&scriptedWorker{})
+			a.started = clock.Boottime() - age
+			a.envelope(a.state.Load(), 3)
+			for _, next := range []runs.Incarnation{{ID: "x", StartedAtMs: 9}, testIncarnation} {
+				g.Expect(a.replaceWorker(a.state.Load(), &runs.Description{Incarnation: next}, gate.AnsweredAsIt)).To(BeTrue())
+			}
+			a.unresponsive.Store(true)
+			g.Expect(a.leaseRemaining()).To(BeNumerically("~", a.config.WorkerLease, a.config.WorkerLease/10))
+			g.Expect(a.workerIsGone()).To(BeFalse())
+		})
+	}
+}
+
 // Runs must not outlive the remaining lease that the holder was told.
 func TestLeaseIsNotExtendedBeforeTheHolderKnowsThatTheWorkerAnswers(t *testing.T) {
 	g := NewWithT(t)
