--- a/scheduler/dispatch/evidence_model_takeover_test.go
+++ b/scheduler/dispatch/evidence_model_takeover_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
@@ -98,37 +97,6 @@
 // modelListedEnds is how many ends a worker lists at a time.
 const modelListedEnds = 2
 
-// handleFailure records a listing that was refused or not answered. The one for a new holder
-// is left to the lister, whose next one shows the state.
-func (s *modelSidecar) handleFailure(l *modelListing) {
-	if l.link != nil {
-		return
-	}
-	s.failures++
-	switch {
-	case l.lost:
-		s.state = s.state.Suspect(time.Time{})
-	case l.answer.Result != runs.ResultStaleEpoch:
-		s.state = s.state.Deny(time.Time{})
-	case l.epoch == s.holder.Epoch:
-		s.state = s.state.Overtake(0)
-	}
-}
-
-// loseListing has the worker carry out one of the requests for a listing, with its lease and
-// its acknowledgement, while the answer is lost.
-func (s *modelSidecar) loseListing(index int) {
-	if len(s.listings) == 0 || s.mute {
-		return
-	}
-	l := s.listings[index%len(s.listings)]
-	if l.taken || l.lost {
-		return
-	}
-	s.takeListing(index)
-	l.taken, l.lost = false, true
-}
-
 // loseFirstListing has a new holder take over while a host is cut off, and the host's first
 // listing for it get lost.
 func (s *modelSidecar) loseFirstListing(index int) {
