Lose listings in the simulation of a shard

Why the simulation did not find it: the holder read each listing in the tick in which it was requested, so no lease was extended without a listing, and no new holder knew that its predecessor had ended, so it waited until all leases of before had long lapsed.

Change: drawn faults include listings that are carried out without an answer, links that end once a listing was requested, and takeovers from a holder that has ended while a host is cut off, which is linked again within 3.2 s.

--- a/scheduler/dispatch/faults_test.go
+++ b/scheduler/dispatch/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -125,6 +126,14 @@
 		if len(sim.delayed) == 0 { // a start that is carried out late could not be stopped until then
 			sim.restartSidecar(s, describedFrom)
 		}
+	case 14:
+		s.listingsLost = !s.listingsLost
+	case 15:
+		s.cutAfterRequest = true
+	case 16:
+		s.partitioned = true
+		s.relinkedAt = sim.now + time.Duration(draw("relinked", 0, 32))*100*time.Millisecond
+		sim.replaceEndedHolder()
 	case 12:
 		sim.delay = time.Duration(draw("delay", 0, 4)) * tick
 	case 10:
@@ -138,6 +147,17 @@
 	return jobs
 }
 
+// replaceEndedHolder ends the newest holder and has another one take over, which knows that it has
+// ended unless an earlier one may still go on.
+func (sim *simulation) replaceEndedHolder() {
+	sim.holders[len(sim.holders)-1].ended = true
+	goesOn := slices.ContainsFunc(sim.holders, func(h *holder) bool { return !h.ended })
+	next := sim.takeOver()
+	if !goesOn {
+		next.core.LimitInheritedLease(testLease)
+	}
+}
+
 // mostFailures returns the largest number of failed runs of any task of a job.
 func (sim *simulation) mostFailures(spec *carobkeel.JobSpec) int {
 	most := 0
@@ -158,7 +178,7 @@
 		sim := newSimulation(8000, 8000, 12000, 16000)
 		sim.trace = func(line string) { t.Log(line) }
 		sim.failures = true
-		sim.events = 13
+		sim.events = 16
 		runScenario(sim, func(label string, low, high int) int { return rapid.IntRange(low, high).Draw(t, label) })
 		NewWithT(t).Expect(sim.record.Violations).To(BeEmpty())
 		for _, spec := range sim.store.jobs {
--- a/scheduler/dispatch/simulation_hosts_test.go
+++ b/scheduler/dispatch/simulation_hosts_test.go
@@ -53,6 +53,14 @@
 	refusesOrders bool
 	// orders counts the starts and stops that the sidecar has received.
 	orders int
+	// listingsLost reports that listings are carried out, but get no answer, and failures counts
+	// those since the last one with an answer.
+	listingsLost bool
+	failures     int
+	// cutAfterRequest partitions the host once the next listing has been requested, and
+	// relinkedAt ends its partition, zero for never. What it lists then gets lost.
+	cutAfterRequest bool
+	relinkedAt      time.Duration
 	// departed reports that the worker has shut down and the sidecar has not.
 	departed bool
 	fault    faultKind
@@ -66,7 +74,7 @@
 func (sim *simulation) restartSidecar(s *host, heartbeatAt time.Duration) {
 	s.holder, s.clock = gate.Holder{}, gate.Clock{}
 	s.state = gate.Worker{Generation: s.state.Suspect(time.Time{}).Generation} // it rises with the time of day
-	s.listing, s.requestedLease = 0, 0
+	s.listing, s.requestedLease, s.failures = 0, 0, 0
 	s.process++
 	s.acked = make(map[runs.Incarnation]uint64)
 	s.restarted, s.heartbeatAt = true, heartbeatAt
@@ -185,17 +193,46 @@
 	if err != nil || answer.Result != runs.ResultOK {
 		return
 	}
+	if s.listingsLost {
+		sim.recordLostListing(h, s)
+		return
+	}
+	s.state, s.failures = s.state.Confirm(s.state.Generation), 0
 	if n := len(listing.Ends); n > 0 && sim.broken.earlyAcknowledge {
 		s.acked[d.Incarnation] = listing.Ends[n-1].Number
 	}
 	s.clock = gate.Clock{Reading: answer.Clock, Received: sim.now, Known: true}
+	if s.cutAfterRequest {
+		s.cutAfterRequest, s.partitioned = false, true
+		return
+	}
 	h.core.ApplyListing(dispatch.WorkerListing{
 		Host: s.name, Incarnation: d.Incarnation, Number: s.listing, Requested: s.listing, Full: true, Running: listing.Running, Ends: listing.Ends,
 	})
 }
 
+// recordLostListing does what a sidecar does after a listing without an answer.
+func (sim *simulation) recordLostListing(h *holder, s *host) {
+	s.failures++
+	s.state = s.state.Suspect(time.Time{})
+	if s.failures >= modelUnresponsiveAfter {
+		h.core.WorkerUnreachable(s.name, gate.LeaseRemaining(s.clock, s.requestedLease, sim.now))
+	}
+}
+
+// relink ends the partition of a host when that is due. Its listings get lost.
+func (sim *simulation) relink(s *host) {
+	if s.relinkedAt > 0 && sim.now >= s.relinkedAt {
+		s.relinkedAt, s.partitioned, s.listingsLost = 0, false, true
+	}
+}
+
+// envelope returns the envelope of a request, which extends the lease while the worker answers.
 func (s *host) envelope(epoch carobkeel.Epoch) runs.Envelope {
-	deadline := gate.LeaseDeadline(s.holder, s.clock, testLease)
+	var deadline time.Duration
+	if s.state.Confirmed {
+		deadline = gate.LeaseDeadline(s.holder, s.clock, testLease)
+	}
 	s.requestedLease = max(s.requestedLease, deadline)
 	return runs.Envelope{Incarnation: s.worker.Description().Incarnation, Fence: s.fence(epoch), Deadline: deadline}
 }
@@ -264,6 +301,10 @@
 		sim.answer(h, s, o, runs.ResultUnhealthy)
 		return
 	}
+	if o.Kind == dispatch.OrderStart && !s.state.Confirmed {
+		sim.answer(h, s, o, runs.ResultUnconfirmed)
+		return
+	}
 	envelope := s.envelope(h.epoch)
 	envelope.Incarnation = o.Incarnation
 	if sim.broken.withoutFencing {
--- a/scheduler/dispatch/simulation_test.go
+++ b/scheduler/dispatch/simulation_test.go
@@ -239,6 +239,7 @@
 	sim.now += tick
 	for _, name := range sim.hosts {
 		sim.workers[name].worker.Advance(tick)
+		sim.relink(sim.workers[name])
 	}
 	due := slices.IndexFunc(sim.delayed, func(l delayedOrder) bool { return l.at <= sim.now })
 	for due >= 0 {
@@ -374,6 +375,7 @@
 	sim.delay = 0
 	for _, s := range sim.workers {
 		s.partitioned, s.workerUnreachable, s.refusesOrders = false, false, false
+		s.listingsLost, s.cutAfterRequest, s.relinkedAt = false, false, 0
 		s.worker.Stall(false)
 	}
 	for _, h := range sim.holders {
--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -108,6 +108,30 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
+// Guards against TWICE: the first request for a listing extends the lease, whether it is answered
+// or not.
+func TestNewHolderWaitsForTheLeaseOfAFirstListingThatIsLost(t *testing.T) {
+	for name, lose := range map[string]func(*host){
+		"at the worker": func(s *host) { s.listingsLost = true },
+		"on the link":   func(s *host) { s.cutAfterRequest = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sim := newSimulation(8000, 8000)
+			h, silent := isolateWorkerAndReplaceHolder(g, sim)
+			h.core.LimitInheritedLease(testLease)
+			sim.run(testLease / 2)
+			silent.partitioned = false
+			lose(silent)
+			sim.run(testLease - tick)
+			g.Expect(countRunsElsewhere(sim, silent)).To(BeZero())
+			sim.run(time.Second)
+			g.Expect(countRunsElsewhere(sim, silent)).To(Equal(1))
+			g.Expect(sim.record.Violations).To(BeEmpty())
+		})
+	}
+}
+
 func TestNewHolderDoesNotWaitForAWorkerThatLeft(t *testing.T) {
 	g := NewWithT(t)
 	sim := newSimulation(8000, 8000)
