Cut the host off once its first listing was carried out

The test of a first listing that is lost counted on a lease with the first request under a new epoch. The next one does, with the holder's answer to a ping. So the worker's host is now cut off from the next holder when its worker has carried out the first listing, and the test waits for a request that extended the lease; its verdict is the same.

--- a/scheduler/holder/first_listing_test.go
+++ b/scheduler/holder/first_listing_test.go
@@ -12,26 +12,26 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
-// unansweredListings is a worker that carries out listings of an epoch and later ones without an
-// answer.
-type unansweredListings struct {
+// cutOffWorker is a worker whose host is cut off from the holder of an epoch once it has carried
+// out the first request for a listing, before the holder has that.
+type cutOffWorker struct {
 	*realTimeWorker
 
-	from carobkeel.Epoch
-	// unanswered counts those that requested a lease.
-	unanswered atomic.Int64
+	epoch carobkeel.Epoch
+	cut   func()
+	// extended counts the requests under that epoch that extended the lease.
+	extended atomic.Int64
 }
 
-func (w *unansweredListings) List(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
+func (w *cutOffWorker) List(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
 	listing, answer, err := w.realTimeWorker.List(ctx, e, acknowledged, wait)
-	if e.Fence.Epoch < w.from {
-		return listing, answer, err
+	if e.Fence.Epoch == w.epoch {
+		w.cut()
+		if e.Deadline > 0 {
+			w.extended.Add(1)
+		}
 	}
-	if e.Deadline > 0 {
-		w.unanswered.Add(1)
-	}
-	<-ctx.Done()
-	return runs.Listing{}, runs.Answer{}, ctx.Err()
+	return listing, answer, err
 }
 
 // remainingLease returns the rest of the worker's lease.
@@ -52,7 +52,7 @@
 	next, _, nextAddress, _ := f.startNode(t, 2)
 	route := startRelay(t, nextAddress)
 	route.cut.Store(true)
-	silent := &unansweredListings{realTimeWorker: f.newWorker("host-0"), from: 2}
+	silent := &cutOffWorker{realTimeWorker: f.newWorker("host-0"), epoch: 2, cut: func() { route.cut.Store(true) }}
 	f.record.OnStart = func(carobkeel.TaskName, int) { silent.advance() } // its lease may have expired
 	a, _ := f.startSidecarOf(t, "host-0", silent, oldAddress, route.address)
 	a.RecordHeartbeat(silent.worker.Description())
@@ -65,7 +65,7 @@
 	g.Eventually(next.node.Leading, waitTimeout).Should(BeTrue())
 	route.cut.Store(false)
 	route.breakLinks()
-	g.Eventually(silent.unanswered.Load, waitTimeout).Should(BeNumerically(">", 0))
+	g.Eventually(silent.extended.Load, waitTimeout).Should(BeNumerically(">", 0))
 	g.Eventually(other.countTasks, waitTimeout).Should(Equal(1))
 	g.Expect(f.violations()).To(BeEmpty())
 }
