--- a/scheduler/dispatch/evidence_model_link_test.go
+++ b/scheduler/dispatch/evidence_model_link_test.go
@@ -6,21 +6,28 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
+	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // modelLink is a link with the messages under way in both directions.
 type modelLink struct {
 	id dispatch.LinkID
 	// epoch is that of the holder at its other end.
-	epoch    carobkeel.Epoch
-	process  carobkeel.Incarnation
-	number   uint64
-	up, down []func()
-	pings    []time.Duration
-	closed   bool
-	listed   bool
+	epoch   carobkeel.Epoch
+	process carobkeel.Incarnation
+	number  uint64
+	// processNumber is the holder's number for the process, zero before it has read the hello.
+	processNumber runs.ProcessNumber
+	up, down      []func()
+	pings         []time.Duration
+	closed        bool
+	listed        bool
 }
 
+// term returns the term of the sidecar's process at the holder at the other end.
+func (l *modelLink) term() gate.Term { return gate.Term{Epoch: l.epoch, Process: l.processNumber} }
+
 // hasEnded reports whether the holder at the other end has ended.
 func (l *modelLink) hasEnded(m *messageModel) bool { return l.epoch != m.epoch }
 
@@ -86,6 +93,7 @@
 	link := &modelLink{id: m.links, epoch: m.epoch, process: s.process, number: s.openedLinks}
 	s.open = append(s.open, link)
 	link.sendUp(m, func() {
+		link.processNumber = s.numberProcess(link.process)
 		if s.current != nil && s.current.process == link.process && s.current.number > link.number {
 			return
 		}
@@ -128,11 +136,20 @@
 	})
 }
 
+// numberProcess returns the holder's number for a process of the sidecar.
+func (s *modelSidecar) numberProcess(process carobkeel.Incarnation) runs.ProcessNumber {
+	if s.lastNumber == 0 || (s.lastProcess != process && !s.model.broken.unnumberedProcesses) {
+		s.lastNumber++
+	}
+	s.lastProcess = process
+	return s.lastNumber
+}
+
 func (s *modelSidecar) confirm(link *modelLink, number uint64) {
-	if link.epoch < s.holder.Epoch {
+	if link.term().Less(s.holder.Term) {
 		return
 	}
-	s.holder = s.holder.Confirm(link.epoch, link.pings[number-1])
+	s.holder = s.holder.Confirm(link.term(), link.pings[number-1])
 	if s.link == link {
 		return
 	}
--- a/scheduler/dispatch/evidence_model_listing_test.go
+++ b/scheduler/dispatch/evidence_model_listing_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"math"
 	"slices"
-	"time"
 
-	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -15,14 +13,20 @@
 type modelListing struct {
 	number  uint64
 	link    *modelLink // nil for the lister, which takes the link at the time of the answer
-	epoch   carobkeel.Epoch
 	taken   bool
 	listing runs.Listing
 	answer  runs.Answer
 	// lost reports that the request got no answer.
 	lost bool
-	// state is the sidecar's record of the worker when it requested the listing.
+	// state is the sidecar's record of the worker when it requested the listing, under the
+	// fence.
 	state gate.Worker
+	fence runs.Fence
+}
+
+// term returns the term under which the listing was requested.
+func (l *modelListing) term() gate.Term {
+	return gate.Term{Epoch: l.fence.Epoch, Process: l.fence.Generation.Process()}
 }
 
 // requestListing begins a listing of the lister, which has one at a time.
@@ -44,11 +48,12 @@
 	if l.taken || l.lost {
 		return
 	}
-	l.epoch = s.holder.Epoch
+	term := s.holder.Term
 	if l.link != nil {
-		l.epoch = l.link.epoch
+		term = l.link.term()
 	}
-	envelope, acknowledged := s.envelope(l.epoch), s.acknowledgedUpTo()
+	envelope := s.envelope(term)
+	acknowledged := s.acknowledgedUpTo(envelope)
 	list := func(e runs.Envelope) runs.Result {
 		l.listing, l.answer, _ = s.worker.List(context.Background(), e, acknowledged, 0)
 		return l.answer.Result
@@ -56,22 +61,22 @@
 	if s.mute && !s.model.lateCallsLast {
 		return
 	}
-	l.state = s.state
+	l.state, l.fence = s.state, envelope.Fence
 	if s.mute {
 		l.lost = true
 		if !slices.ContainsFunc(s.late, func(c modelCall) bool { return c.start == nil }) {
-			s.late = append(s.late, modelCall{envelope: envelope, call: list, acknowledged: acknowledged})
+			s.late = append(s.late, modelCall{envelope: envelope, origin: s.origin(), call: list, acknowledged: acknowledged})
 		}
 		return
 	}
 	l.taken = true
-	s.reach(envelope, list)
+	s.reach(envelope, s.origin(), list)
 }
 
-// acknowledgedUpTo returns the acknowledgement to send. None is sent to the next incarnation by a
-// sidecar that has not noticed the restart: that is left out as well.
-func (s *modelSidecar) acknowledgedUpTo() uint64 {
-	if s.state.Confirmed && !s.precedesCrash(runs.Fence{Generation: s.state.Generation}) {
+// acknowledgedUpTo returns the acknowledgement to send in an envelope. None is sent to the next
+// incarnation by a sidecar that has not noticed the restart: that is left out as well.
+func (s *modelSidecar) acknowledgedUpTo(e runs.Envelope) uint64 {
+	if s.state.IsConfirmed(e.Fence) && (!s.unreached || s.isOfNext(e, s.origin())) {
 		return s.acknowledged
 	}
 	return 0
@@ -100,13 +105,13 @@
 	if l.link == nil {
 		s.failures = 0
 	}
-	s.state = s.state.Confirm(l.state.Generation)
+	s.state = s.state.Confirm(l.fence)
 	s.clock = gate.Clock{Reading: l.answer.Clock, Received: s.model.now, Known: true}
 	link := l.link
 	if link == nil {
 		link = s.link
 	}
-	if link == nil || link.closed || link.epoch != l.epoch {
+	if link == nil || link.closed || link.term() != l.term() {
 		return
 	}
 	s.forward(link, l)
@@ -168,11 +173,11 @@
 	s.failures++
 	switch {
 	case l.lost:
-		s.state = s.state.Suspect(time.Time{})
+		s.state = s.state.Suspect()
 	case l.answer.Result != runs.ResultStaleEpoch:
-		s.state = s.state.Deny(time.Time{})
-	case l.epoch == s.holder.Epoch:
-		s.state = s.state.Overtake(0)
+		s.state = s.state.Deny()
+	case l.term() == s.holder.Term:
+		s.state = s.state.Suspect()
 	}
 }
 
--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -19,6 +19,9 @@
 	host    string
 	worker  *standin.Worker
 	process carobkeel.Incarnation
+	// lastProcess is the process whose hello the holder read last, with its number.
+	lastProcess carobkeel.Incarnation
+	lastNumber  runs.ProcessNumber
 	// started is when the sidecar's process started.
 	started time.Duration
 	// replacedAt is when the process last took another incarnation in.
@@ -47,27 +50,18 @@
 	// late, and is carried out some time, by its next incarnation as well.
 	mute bool
 	late []modelCall
-	// sentEpoch is the newest epoch of a call to the worker, by whichever process.
-	sentEpoch carobkeel.Epoch
-	// unreached reports that no call with a generation above crashedAt, under crashedEpoch or
-	// a later one, has reached the worker since it restarted.
-	unreached    bool
-	crashedAt    runs.Generation
-	crashedEpoch carobkeel.Epoch
+	// sent is the highest fence of the calls that were sent.
+	sent runs.Fence
+	// unreached reports that no call with a fence above crashedAt, and none of a numbered
+	// process that was sent after a doubt since crashOrigin, has reached the worker since it
+	// restarted.
+	unreached   bool
+	crashedAt   runs.Fence
+	crashOrigin modelOrigin
 	// leftLease is the end of the earlier incarnation's lease, on the worker's clock.
 	leftLease time.Duration
 }
 
-// modelCall is a call to the worker that got no answer.
-type modelCall struct {
-	envelope runs.Envelope
-	// start is the run that the call starts, nil for other calls.
-	start *runs.Stop
-	call  func(runs.Envelope) runs.Result
-	// acknowledged is the end up to which a listing acknowledges.
-	acknowledged uint64
-}
-
 type modelOrder struct {
 	order dispatch.Order
 	link  *modelLink
@@ -78,9 +72,9 @@
 	s.process++
 	s.requested, s.listings, s.queue = 0, nil, nil
 	s.withdrawn = make(map[runs.Stop]bool)
-	s.holder, s.clock, s.deadline, s.extendsFrom = gate.Holder{}, gate.Clock{}, 0, 0
+	s.holder, s.clock, s.deadline, s.extendsFrom = gate.Holder{}.Observe(s.model.epoch), gate.Clock{}, 0, 0
 	s.unresponsive, s.failures, s.acknowledged, s.openedLinks = false, 0, 0, 0
-	s.state = gate.Worker{Generation: s.state.Suspect(time.Time{}).Generation} // it rises with the time of day
+	s.state = gate.Worker{}
 }
 
 // restart replaces the process of the sidecar. The first heartbeat that the next one has may
@@ -93,50 +87,14 @@
 	if late && d.StartedAtMs > 1 {
 		d.StartedAtMs--
 	}
-	s.state = s.state.Describe(&d, time.Time{})
+	s.state = s.state.Describe(&d)
 	s.dial()
 }
 
-// crash replaces the worker by its next incarnation, which the sidecar does not know of
-// unless it waits for a listing.
-func (s *modelSidecar) crash() {
-	lease := s.worker.Lease()
-	s.worker.Crash()
-	if !s.model.lateCallsLast {
-		s.late = nil
-		s.heartbeat()
-		return
-	}
-	s.unreached, s.crashedAt, s.crashedEpoch = true, s.state.Generation, s.sentEpoch
-	s.leftLease = time.Second + lease // the clock begins at a second
-	outstanding := len(s.listings)
-	s.listings = slices.DeleteFunc(s.listings, func(l *modelListing) bool { return l.link == nil && !l.taken })
-	if len(s.listings) < outstanding {
-		s.state = s.state.Suspect(time.Time{})
-	}
-}
-
-// restartBeforeLateCalls restarts the worker, whose tasks begin elsewhere or there again
-// before the calls to the earlier incarnation are carried out.
-func (s *modelSidecar) restartBeforeLateCalls() {
-	s.mute = false
-	s.crash()
-	for range 3 {
-		for _, other := range s.model.sidecars {
-			other.exchange()
-			other.list()
-			other.exchange()
-		}
-	}
-	for len(s.late) > 0 {
-		s.carryOutLate()
-	}
-}
-
 // heartbeat has the sidecar know the present incarnation of its worker.
 func (s *modelSidecar) heartbeat() {
 	if d := s.worker.Description(); d.Incarnation != s.state.Description.Incarnation {
-		s.state, s.replacedAt = s.state.Describe(&d, time.Time{}), s.model.now
+		s.state, s.replacedAt = s.state.Describe(&d), s.model.now
 		s.clock, s.deadline, s.acknowledged = gate.Clock{}, 0, 0
 		s.withdrawn = make(map[runs.Stop]bool)
 		s.describe(s.link)
@@ -156,10 +114,12 @@
 	s.queue = append(s.queue, o)
 }
 
-func (s *modelSidecar) envelope(epoch carobkeel.Epoch) runs.Envelope {
-	s.sentEpoch = max(s.sentEpoch, epoch)
-	e := runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: runs.Fence{Epoch: epoch, Generation: s.state.Generation}}
-	if !s.state.Confirmed || s.unresponsive || s.holder.Confirmed < s.extendsFrom {
+func (s *modelSidecar) envelope(term gate.Term) runs.Envelope {
+	e := runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: s.state.Fence(term)}
+	if s.sent.Less(e.Fence) {
+		s.sent = e.Fence
+	}
+	if !s.state.IsConfirmed(e.Fence) || s.unresponsive || s.holder.Confirmed < s.extendsFrom {
 		return e
 	}
 	e.Deadline = gate.LeaseDeadline(s.holder, s.clock, testLease)
@@ -190,7 +150,7 @@
 
 func (s *modelSidecar) send(o modelOrder, lost bool) runs.Result {
 	m := s.model
-	envelope := s.envelope(o.link.epoch)
+	envelope := s.envelope(o.link.term())
 	stop := runs.Stop{Task: o.order.Task, Run: o.order.Run}
 	var call func(runs.Envelope) runs.Result
 	var start *runs.Stop
@@ -230,10 +190,10 @@
 		return runs.ResultOK
 	}
 	if s.mute || lost {
-		s.late = append(s.late, modelCall{envelope: envelope, start: start, call: call})
+		s.late = append(s.late, modelCall{envelope: envelope, origin: s.origin(), start: start, call: call})
 		return runs.ResultUnknown
 	}
-	result := s.reach(envelope, call)
+	result := s.reach(envelope, s.origin(), call)
 	if result == runs.ResultStaleEpoch {
 		return runs.ResultUnknown // it is sent again, in a later generation
 	}
@@ -243,46 +203,6 @@
 	return result
 }
 
-// reach has a call reach the worker.
-func (s *modelSidecar) reach(e runs.Envelope, call func(runs.Envelope) runs.Result) runs.Result {
-	generation, epoch := e.Fence.Generation, e.Fence.Epoch
-	if s.precedesCrash(e.Fence) {
-		e.Deadline = min(e.Deadline, s.leftLease)
-	}
-	if s.model.broken.oneGeneration {
-		e.Fence.Generation = 0
-	}
-	result := call(e)
-	if result != runs.ResultStaleEpoch && result != runs.ResultOtherIncarnation && generation > s.crashedAt && epoch >= s.crashedEpoch {
-		s.unreached = false
-	}
-	return result
-}
-
-// precedesCrash reports whether a call was sent before the sidecar knew that the worker might have
-// restarted, and nothing has kept it off since.
-func (s *modelSidecar) precedesCrash(fence runs.Fence) bool {
-	return s.unreached && fence.Generation <= s.crashedAt
-}
-
-// carryOutLate carries out one of the calls that were not answered. Before the sidecar has
-// reached an incarnation, nothing can keep off a start of a run that is over, an
-// acknowledgement, or a longer lease than the earlier one by the earlier clock: that is left
-// out.
-func (s *modelSidecar) carryOutLate() {
-	if len(s.late) == 0 {
-		return
-	}
-	late := s.late[0]
-	s.late = s.late[1:]
-	if s.precedesCrash(late.envelope.Fence) {
-		if late.acknowledged > 0 || (late.start != nil && s.model.isOver(*late.start)) {
-			return
-		}
-	}
-	s.reach(late.envelope, late.call)
-}
-
 // exchange has all messages and orders that are under way for a host arrive.
 func (s *modelSidecar) exchange() {
 	s.heartbeat()
--- a/scheduler/dispatch/evidence_model_takeover_test.go
+++ b/scheduler/dispatch/evidence_model_takeover_test.go
@@ -77,7 +77,7 @@
 	}
 	m.pending, m.events = nil, nil
 	for _, s := range m.sidecars {
-		s.current = nil
+		s.current, s.lastProcess, s.lastNumber = nil, 0, 0
 	}
 	m.startHolder()
 }
--- a/scheduler/dispatch/evidence_model_test.go
+++ b/scheduler/dispatch/evidence_model_test.go
@@ -61,6 +61,8 @@
 	earlyExpiry bool
 	// oneGeneration sends all calls to a worker in one generation.
 	oneGeneration bool
+	// unnumberedProcesses gives all processes of a sidecar the same number.
+	unnumberedProcesses bool
 	// unprovenListings lists for an incarnation that has only sent a heartbeat.
 	unprovenListings bool
 	// forgottenWorkers keeps the records of workers from the next holder.
@@ -89,7 +91,7 @@
 		})
 		s.reset()
 		d := s.worker.Description()
-		s.state = s.state.Describe(&d, time.Time{})
+		s.state = s.state.Describe(&d)
 		s.dial()
 		m.sidecars = append(m.sidecars, s)
 	}
@@ -279,6 +281,7 @@
 		{"pings on a replaced link are dropped", false, false, false, brokenEvidence{forgottenPings: true}},
 		{"leases expire before events are known", false, false, false, brokenEvidence{earlyExpiry: true}},
 		{"all calls are of one generation", true, false, false, brokenEvidence{oneGeneration: true}},
+		{"all processes of a sidecar have one number", true, false, false, brokenEvidence{unnumberedProcesses: true}},
 		{"a heartbeat counts as a listing", false, true, false, brokenEvidence{unprovenListings: true}},
 		{"a new holder does not know its workers", false, false, true, brokenEvidence{forgottenWorkers: true}},
 		{"a new holder waits for no lease", false, false, true, brokenEvidence{earlyInheritance: true}},
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -90,6 +90,7 @@
 
 func (c *Core) markDirty(j *job) {
 	j.revision++
+	j.storeBy = c.now.Monotonic
 	c.dirty[j.spec.ID] = j
 }
 
@@ -105,7 +106,21 @@
 
 // HasBatch reports whether there are records to store.
 func (c *Core) HasBatch() bool {
-	return len(c.dirty)+len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasExpired()
+	return len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasDueProgress() || c.hasExpired()
+}
+
+// maxStartDelay is how long the start of a job may wait for other records to be stored with. A
+// count of waiting jobs may be 2 s old.
+const maxStartDelay = time.Second
+
+// hasDueProgress reports whether there is progress of a job that is to be stored now.
+func (c *Core) hasDueProgress() bool {
+	for _, j := range c.dirty {
+		if c.now.Monotonic >= j.storeBy {
+			return true
+		}
+	}
+	return false
 }
 
 // NextBatch returns records within a limit, first those that callers and
@@ -166,6 +181,7 @@
 // callers.
 func (c *Core) BatchStored(b Batch) {
 	for id, revision := range b.revisions {
+		c.recordStored(id, b.states[id], revision)
 		j := c.jobs[id]
 		j.storedRevision = revision
 		if j.revision == revision {
@@ -205,6 +221,7 @@
 // orderAcknowledge tells the sidecar up to which number the worker's ends are stored.
 func (c *Core) orderAcknowledge(w *workerState) {
 	c.order(w, Order{Kind: OrderAcknowledge, Acknowledged: w.acknowledged})
+	c.recordAcknowledged(w)
 }
 
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -27,6 +27,11 @@
 	// reserved holds the worker's resources that the run has reserved.
 	reserved carobkeel.Resources
 	phase    runPhase
+	// listed reports that a listing has shown the run to this holder.
+	listed bool
+	// hasBegun reports that a worker has confirmed the start, if only an earlier incarnation
+	// of it.
+	hasBegun bool
 	// startOrders counts the start orders sent. If there was more than one, the
 	// refusal of one of them does not show that the run did not start.
 	startOrders int
@@ -39,7 +44,8 @@
 	// carriedOver reports that the run was ordered from an incarnation that another one with
 	// the same ID has replaced. That one may begin it, until it has listed its runs.
 	carriedOver bool
-	started     time.Duration
+	// started is when the start was confirmed, or ordered if it is not confirmed yet.
+	started time.Duration
 	// confirmed is the mark at which the run was last known to have started.
 	confirmed listingMark
 	stopping  bool
@@ -55,7 +61,7 @@
 	// percent is the progress in the last listing.
 	percent int
 	pace    int
-	// observedFrom is when the run was started, or when its pace last rose to
+	// observedFrom is when the run started, or when its pace last rose to
 	// minObservedPace. No progress is missed before.
 	observedFrom time.Duration
 	// slowSince is when the run's pace dropped below minStartPace, zero while
@@ -69,6 +75,10 @@
 	run  int
 }
 
+// isWithdrawn reports whether the run is stopped and its start was not confirmed, so that it may
+// never have begun.
+func (r *runState) isWithdrawn() bool { return r.stopping && r.phase == runOrdered }
+
 // releaseRuns releases all runs of a worker, because none of them is active any
 // more.
 func (c *Core) releaseRuns(w *workerState, reason string) {
@@ -81,18 +91,20 @@
 // names the evidence.
 func (c *Core) release(r *runState, reason string) {
 	if r.task != nil {
-		r.task.givenUp = r.number
+		r.task.recordGivenUp(r.number)
 	}
-	c.remove(r, DecidedRunGivenUp, reason)
+	c.remove(r, Decision{Kind: DecidedRunGivenUp, Detail: reason})
 }
 
 // releaseEnded releases a run whose end its worker has listed.
-func (c *Core) releaseEnded(r *runState, outcome runs.Outcome) {
-	c.remove(r, DecidedRunEnded, outcome.String())
+func (c *Core) releaseEnded(r *runState, end runs.End, listing uint64) {
+	r.hasBegun = true
+	c.remove(r, endDecision(DecidedRunEnded, r.worker, end, listing))
 }
 
-// remove frees the resources of a run. Its task waits again unless it is done.
-func (c *Core) remove(r *runState, kind DecisionKind, reason string) {
+// remove frees the resources of a run, and records the decision that led to it. The run's task
+// waits again unless it is done. It has waited all the while if the run never began.
+func (c *Core) remove(r *runState, d Decision) {
 	w := r.worker
 	c.recordEndedBestEffort(r)
 	delete(w.runs, runKey{r.name, r.number})
@@ -104,6 +116,8 @@
 		w.beingStopped = w.beingStopped.Sub(r.reserved)
 	}
 	c.markChanged(w)
+	d.Task, d.Run, d.Host, d.Waited = r.name, r.number, w.host, c.now.Monotonic-r.started
+	c.recordDecision(d)
 	if r.task == nil {
 		return
 	}
@@ -114,10 +128,9 @@
 			break
 		}
 	}
-	if t.isWaiting() {
+	if t.isWaiting() && r.hasBegun {
 		t.waitingSince = c.now.Monotonic
 	}
-	c.recordDecision(Decision{Kind: kind, Task: r.name, Run: r.number, Host: w.host, Detail: reason, Waited: c.now.Monotonic - r.started})
 }
 
 // reserve adds a run to a worker and reserves its resources.
@@ -181,17 +194,37 @@
 func (c *Core) start(t *task, w *workerState) {
 	r := c.reserve(w, t, t.name(), c.nextRun(t))
 	r.ticket, _ = c.ticketFor(t.step, w)
-	t.job().hasStarted = true
 	c.orderStart(r)
 	c.recordDecision(Decision{
 		Kind: DecidedRunStarted, Task: r.name, Run: r.number, Host: w.host,
-		Waited: c.now.Monotonic - max(t.waitingSince, t.step.readyAt),
+		Waited: c.now.Monotonic - t.waitsSince(),
 	})
-	if t.job().visibleState == carobkeel.JobPending {
-		c.publishState(t.job(), carobkeel.JobActive)
+}
+
+// confirm records that a run has started. Its age counts from now on: the order may have taken
+// long to be carried out.
+func (c *Core) confirm(r *runState) {
+	r.started, r.observedFrom = c.now.Monotonic, c.now.Monotonic
+	if r.task != nil {
+		c.reportConfirmed(r)
+		c.beginJob(r.task.job())
 	}
+	r.phase, r.hasBegun = runConfirmed, true
 }
 
+// reportConfirmed records how long a task has waited for a run that this holder has started. A
+// task does not wait for its speculative run.
+func (c *Core) reportConfirmed(r *runState) {
+	if r.adopted || r.hasBegun || r != r.task.runs[0] {
+		return
+	}
+	waited := c.now.Monotonic - r.task.waitsSince()
+	c.recordDecision(Decision{Kind: DecidedRunConfirmed, Task: r.name, Run: r.number, Host: r.worker.host, Waited: waited})
+}
+
+// waitsSince returns when the task last began to wait and could start.
+func (t *task) waitsSince() time.Duration { return max(t.waitingSince, t.step.readyAt) }
+
 func (c *Core) orderStart(r *runState) {
 	r.startOrders++
 	c.order(r.worker, Order{
--- a/scheduler/dispatch/simulation_hosts_test.go
+++ b/scheduler/dispatch/simulation_hosts_test.go
@@ -73,7 +73,7 @@
 // heartbeat of its worker at the given time.
 func (sim *simulation) restartSidecar(s *host, heartbeatAt time.Duration) {
 	s.holder, s.clock = gate.Holder{}, gate.Clock{}
-	s.state = gate.Worker{Generation: s.state.Suspect(time.Time{}).Generation} // it rises with the time of day
+	s.state = gate.Worker{}
 	s.listing, s.requestedLease, s.failures = 0, 0, 0
 	s.process++
 	s.acked = make(map[runs.Incarnation]uint64)
@@ -95,11 +95,16 @@
 	if s.state.Description == nil || s.state.Description.Incarnation != d.Incarnation {
 		s.clock, s.requestedLease = gate.Clock{}, 0
 	}
-	s.state = s.state.Describe(&d, time.Time{})
+	s.state = s.state.Describe(&d)
 }
 
 func (s *host) fence(epoch carobkeel.Epoch) runs.Fence {
-	return runs.Fence{Epoch: epoch, Generation: s.state.Generation}
+	return s.state.Fence(s.term(epoch))
+}
+
+// term returns the term of the sidecar's process under an epoch.
+func (s *host) term(epoch carobkeel.Epoch) gate.Term {
+	return gate.Term{Epoch: epoch, Process: runs.ProcessNumber(s.process) + 1}
 }
 
 // endWorker ends a worker without a successor.
@@ -179,7 +184,7 @@
 		}
 	}
 	h.core.HostPinged(s.name, 0)
-	s.holder = s.holder.Confirm(h.epoch, sim.now)
+	s.holder = s.holder.Confirm(s.term(h.epoch), sim.now)
 	h.core.HostFollows(s.name)
 	if s.departed || !sim.reportsWorker(h, s) {
 		return
@@ -197,7 +202,7 @@
 		sim.recordLostListing(h, s)
 		return
 	}
-	s.state, s.failures = s.state.Confirm(s.state.Generation), 0
+	s.state, s.failures = s.state.Confirm(s.fence(h.epoch)), 0
 	if n := len(listing.Ends); n > 0 && sim.broken.earlyAcknowledge {
 		s.acked[d.Incarnation] = listing.Ends[n-1].Number
 	}
@@ -214,7 +219,7 @@
 // recordLostListing does what a sidecar does after a listing without an answer.
 func (sim *simulation) recordLostListing(h *holder, s *host) {
 	s.failures++
-	s.state = s.state.Suspect(time.Time{})
+	s.state = s.state.Suspect()
 	if s.failures >= modelUnresponsiveAfter {
 		h.core.WorkerUnreachable(s.name, gate.LeaseRemaining(s.clock, s.requestedLease, sim.now))
 	}
@@ -230,7 +235,7 @@
 // envelope returns the envelope of a request, which extends the lease while the worker answers.
 func (s *host) envelope(epoch carobkeel.Epoch) runs.Envelope {
 	var deadline time.Duration
-	if s.state.Confirmed {
+	if s.state.IsConfirmed(s.fence(epoch)) {
 		deadline = gate.LeaseDeadline(s.holder, s.clock, testLease)
 	}
 	s.requestedLease = max(s.requestedLease, deadline)
@@ -301,7 +306,7 @@
 		sim.answer(h, s, o, runs.ResultUnhealthy)
 		return
 	}
-	if o.Kind == dispatch.OrderStart && !s.state.Confirmed {
+	if o.Kind == dispatch.OrderStart && !s.state.IsConfirmed(s.fence(h.epoch)) {
 		sim.answer(h, s, o, runs.ResultUnconfirmed)
 		return
 	}
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -17,7 +17,7 @@
 
 // levels has the levels of decisions that are not logged at info. What takes a run from a
 // worker without a listed end is a warning. Paces are set all the time, so that their lines
-// would crowd out those of starts and ends.
+// would crowd out those of starts and ends; so would a second line for each start.
 var levels = map[dispatch.DecisionKind]log.Level{
 	dispatch.DecidedRunGivenUp:            log.WarnLevel,
 	dispatch.DecidedGivenUpRunEnded:       log.WarnLevel,
@@ -29,6 +29,7 @@
 	dispatch.DecidedEndsMissed:            log.WarnLevel,
 	dispatch.DecidedStopOverdue:           log.WarnLevel,
 	dispatch.DecidedPaceSet:               log.DebugLevel,
+	dispatch.DecidedRunConfirmed:          log.DebugLevel,
 }
 
 func levelOf(kind dispatch.DecisionKind) log.Level {
@@ -63,5 +64,22 @@
 	if d.Waited != 0 {
 		line = line.Int64("ms", d.Waited.Milliseconds())
 	}
-	line.Msg(string(d.Kind))
+	logVersions(line, d).Msg(string(d.Kind))
+}
+
+// logVersions adds the versions of what a decision is based on.
+func logVersions(line *log.Entry, d *dispatch.Decision) *log.Entry {
+	if d.Incarnation.ID != "" {
+		line = line.Str("worker", d.Incarnation.ID).Int64("worker_started", d.Incarnation.StartedAtMs)
+	}
+	if d.Listing != 0 {
+		line = line.Uint64("listing", d.Listing)
+	}
+	if d.End != 0 {
+		line = line.Uint64("end", d.End)
+	}
+	if d.Revision != 0 {
+		line = line.Uint64("revision", d.Revision)
+	}
+	return line
 }
