--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -111,8 +111,9 @@
 	// used, and that have not yet listed their runs to this holder.
 	unreportedWorkers map[runs.Incarnation]unreportedWorker
 	// partlyListed holds the hosts whose workers may have runs of an earlier holder that
-	// they have not listed yet, although they have listed others.
-	partlyListed map[string]bool
+	// they have not listed yet, although they have listed others, and how long they have to
+	// list them.
+	partlyListed map[string]time.Duration
 	// recordedIncarnations maps the worker incarnations that have a record in the
 	// store to their hosts.
 	recordedIncarnations map[runs.Incarnation]string
@@ -172,7 +173,7 @@
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
 		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
-		partlyListed:         make(map[string]bool),
+		partlyListed:         make(map[string]time.Duration),
 		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
@@ -264,7 +265,7 @@
 
 func (c *Core) scheduleWake() {
 	for _, w := range c.workers {
-		if !w.reachable && len(w.runs) > 0 {
+		if _, partly := c.partlyListed[w.host]; !w.reachable && (partly || len(w.runs) > 0) {
 			c.awaitExpiry(w.expiry())
 		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
@@ -279,9 +280,6 @@
 			c.wakeAt(j.storeBy)
 		}
 	}
-	for host := range c.partlyListed {
-		c.awaitExpiry(c.forgetsPartlyListedAt(host))
-	}
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
 	}
@@ -305,9 +303,6 @@
 }
 
 func (c *Core) expireInherited() {
-	if c.now.Held >= c.inheritedExpiry {
-		c.forgetPartlyListed()
-	}
 	for incarnation, u := range c.unreportedWorkers {
 		if c.now.Held < c.expiryOf(incarnation, u) {
 			continue
@@ -318,25 +313,6 @@
 	}
 }
 
-// forgetsPartlyListedAt returns when the wait for the rest of what a host's worker runs ends.
-func (c *Core) forgetsPartlyListedAt(host string) time.Duration {
-	if w := c.workers[host]; w != nil && !w.listed {
-		return w.expiry()
-	}
-	return c.inheritedExpiry
-}
-
-// forgetPartlyListed drops the hosts whose workers list now, since a row that can't be decoded
-// may stay. The others have leases that this holder has let their sidecars extend, or ends that
-// follow.
-func (c *Core) forgetPartlyListed() {
-	for host := range c.partlyListed {
-		if w := c.workers[host]; w == nil || (w.listed && !w.endsCutOff) {
-			delete(c.partlyListed, host)
-		}
-	}
-}
-
 // expiryOf returns the time from which no run of an unreported worker can go on: its last lease
 // has expired, whichever holder let it be extended, or it is gone.
 func (c *Core) expiryOf(incarnation runs.Incarnation, u unreportedWorker) time.Duration {
--- a/scheduler/dispatch/evidence_model_late_test.go
+++ b/scheduler/dispatch/evidence_model_late_test.go
@@ -93,7 +93,7 @@
 // isOfNext reports whether a call was sent to the worker's incarnation after its last restart,
 // as far as the sidecar's rules say.
 func (s *modelSidecar) isOfNext(e runs.Envelope, origin modelOrigin) bool {
-	return e.Fence.Generation > s.crashedAt || origin.follows(s.crashOrigin)
+	return s.crashedAt.Less(e.Fence) || (e.Fence.Epoch >= s.crashedAt.Epoch && origin.follows(s.crashOrigin))
 }
 
 // carryOutLate carries out one of the calls that were not answered. Before the sidecar has
@@ -107,7 +107,7 @@
 	late := s.late[0]
 	s.late = s.late[1:]
 	if s.unreached && !s.isOfNext(late.envelope, late.origin) {
-		if late.acknowledged > 0 || (late.start != nil && s.model.over[*late.start]) {
+		if late.acknowledged > 0 || (late.start != nil && s.model.isOver(*late.start)) {
 			return
 		}
 	}
--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -24,6 +24,8 @@
 	lastNumber  runs.ProcessNumber
 	// started is when the sidecar's process started.
 	started time.Duration
+	// replacedAt is when the process last took another incarnation in.
+	replacedAt time.Duration
 	// open holds all links whose messages may still arrive at the holder.
 	open []*modelLink
 	// link is the sidecar's link to the holder, and current the newest one at the
@@ -39,6 +41,8 @@
 	deadline      time.Duration
 	extendsFrom   time.Duration
 	unresponsive  bool
+	// failures counts the lister's requests without an answer since the last one with one.
+	failures int
 	// state is the sidecar's record of the worker.
 	state        gate.Worker
 	acknowledged uint64
@@ -46,32 +50,18 @@
 	// late, and is carried out some time, by its next incarnation as well.
 	mute bool
 	late []modelCall
-	// sent is the highest generation of the calls that were sent.
-	sent runs.Generation
-	// unreached reports that no call with a generation above crashedAt, and none of a numbered
+	// sent is the highest fence of the calls that were sent.
+	sent runs.Fence
+	// unreached reports that no call with a fence above crashedAt, and none of a numbered
 	// process that was sent after a doubt since crashOrigin, has reached the worker since it
 	// restarted.
 	unreached   bool
-	crashedAt   runs.Generation
+	crashedAt   runs.Fence
 	crashOrigin modelOrigin
 	// leftLease is the end of the earlier incarnation's lease, on the worker's clock.
 	leftLease time.Duration
 }
 
-type modelListing struct {
-	number  uint64
-	link    *modelLink // nil for the lister, which takes the link at the time of the answer
-	taken   bool
-	listing runs.Listing
-	answer  runs.Answer
-	// lost reports that the request got no answer.
-	lost bool
-	// state is the sidecar's record of the worker when it requested the listing, under the
-	// fence.
-	state gate.Worker
-	fence runs.Fence
-}
-
 type modelOrder struct {
 	order dispatch.Order
 	link  *modelLink
@@ -82,8 +72,8 @@
 	s.process++
 	s.requested, s.listings, s.queue = 0, nil, nil
 	s.withdrawn = make(map[runs.Stop]bool)
-	s.holder, s.clock, s.deadline, s.extendsFrom = gate.Holder{}.Observe(modelEpoch), gate.Clock{}, 0, 0
-	s.unresponsive, s.acknowledged, s.openedLinks = false, 0, 0
+	s.holder, s.clock, s.deadline, s.extendsFrom = gate.Holder{}.Observe(s.model.epoch), gate.Clock{}, 0, 0
+	s.unresponsive, s.failures, s.acknowledged, s.openedLinks = false, 0, 0, 0
 	s.state = gate.Worker{}
 }
 
@@ -104,7 +94,7 @@
 // heartbeat has the sidecar know the present incarnation of its worker.
 func (s *modelSidecar) heartbeat() {
 	if d := s.worker.Description(); d.Incarnation != s.state.Description.Incarnation {
-		s.state = s.state.Describe(&d)
+		s.state, s.replacedAt = s.state.Describe(&d), s.model.now
 		s.clock, s.deadline, s.acknowledged = gate.Clock{}, 0, 0
 		s.withdrawn = make(map[runs.Stop]bool)
 		s.describe(s.link)
@@ -124,9 +114,11 @@
 	s.queue = append(s.queue, o)
 }
 
-func (s *modelSidecar) envelope() runs.Envelope {
-	e := runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: s.state.Fence(s.holder.Term)}
-	s.sent = max(s.sent, e.Fence.Generation)
+func (s *modelSidecar) envelope(term gate.Term) runs.Envelope {
+	e := runs.Envelope{Incarnation: s.state.Description.Incarnation, Fence: s.state.Fence(term)}
+	if s.sent.Less(e.Fence) {
+		s.sent = e.Fence
+	}
 	if !s.state.IsConfirmed(e.Fence) || s.unresponsive || s.holder.Confirmed < s.extendsFrom {
 		return e
 	}
@@ -158,7 +150,7 @@
 
 func (s *modelSidecar) send(o modelOrder, lost bool) runs.Result {
 	m := s.model
-	envelope := s.envelope()
+	envelope := s.envelope(o.link.term())
 	stop := runs.Stop{Task: o.order.Task, Run: o.order.Run}
 	var call func(runs.Envelope) runs.Result
 	var start *runs.Stop
@@ -211,137 +203,6 @@
 	return result
 }
 
-// requestListing begins a listing of the lister, which has one at a time.
-func (s *modelSidecar) requestListing() {
-	if slices.ContainsFunc(s.listings, func(l *modelListing) bool { return l.link == nil }) {
-		return
-	}
-	s.requested++
-	s.listings = append(s.listings, &modelListing{number: s.requested})
-}
-
-// takeListing has the worker list its runs for one of the requests. The request may get no
-// answer and be carried out late.
-func (s *modelSidecar) takeListing(index int) {
-	if len(s.listings) == 0 {
-		return
-	}
-	l := s.listings[index%len(s.listings)]
-	if l.taken || l.lost {
-		return
-	}
-	envelope := s.envelope()
-	acknowledged := s.acknowledgedUpTo(envelope.Fence)
-	list := func(e runs.Envelope) runs.Result {
-		l.listing, l.answer, _ = s.worker.List(context.Background(), e, acknowledged, 0)
-		return l.answer.Result
-	}
-	if s.mute && !s.model.lateCallsLast {
-		return
-	}
-	l.state, l.fence = s.state, envelope.Fence
-	if s.mute {
-		l.lost = true
-		if !slices.ContainsFunc(s.late, func(c modelCall) bool { return c.start == nil }) {
-			s.late = append(s.late, modelCall{envelope: envelope, origin: s.origin(), call: list, acknowledged: acknowledged})
-		}
-		return
-	}
-	l.taken = true
-	s.reach(envelope, s.origin(), list)
-}
-
-// acknowledgedUpTo returns the acknowledgement to send under a fence.
-func (s *modelSidecar) acknowledgedUpTo(fence runs.Fence) uint64 {
-	if s.state.IsConfirmed(fence) {
-		return s.acknowledged
-	}
-	return 0
-}
-
-// answerListing has the answer to one of the requests arrive at the sidecar, or its timeout
-// pass.
-func (s *modelSidecar) answerListing(index int) {
-	if len(s.listings) == 0 {
-		return
-	}
-	index %= len(s.listings)
-	l := s.listings[index]
-	if !l.taken && !l.lost {
-		return
-	}
-	s.listings = slices.Delete(s.listings, index, index+1)
-	described := l.state.Description.Incarnation
-	if described != s.state.Description.Incarnation {
-		return
-	}
-	switch {
-	case l.lost:
-		s.state = s.state.Suspect()
-		return
-	case l.answer.Result == runs.ResultStaleEpoch:
-		s.state = s.state.Suspect()
-		return
-	case l.answer.Result != runs.ResultOK || l.listing.StartedAtMs != described.StartedAtMs:
-		s.state = s.state.Deny()
-		return
-	}
-	s.state = s.state.Confirm(l.fence)
-	s.clock = gate.Clock{Reading: l.answer.Clock, Received: s.model.now, Known: true}
-	link := l.link
-	if link == nil {
-		link = s.link
-	}
-	if link == nil || link.closed || l.fence.Generation.Process() != link.processNumber {
-		return
-	}
-	s.forward(link, l)
-	if l.link == nil && s.unresponsive {
-		s.unresponsive, s.extendsFrom = false, s.model.now
-		s.ping()
-	}
-}
-
-func (s *modelSidecar) forward(link *modelLink, l *modelListing) {
-	report := dispatch.WorkerListing{
-		Host: s.host, Incarnation: l.state.Description.Incarnation, Number: l.number, Requested: s.requested, Full: true,
-		Running: l.listing.Running, Ends: l.listing.Ends,
-	}
-	if s.model.broken.firstListingWins && !link.listed {
-		report.Number = math.MaxUint64
-	}
-	if s.model.broken.unmarkedListings {
-		report.Requested = 0
-	}
-	link.listed = true
-	s.report(link, func() { s.model.core.ApplyListing(report) })
-}
-
-// reportUnresponsive tells the holder that the worker does not answer.
-func (s *modelSidecar) reportUnresponsive() {
-	if !s.mute {
-		return
-	}
-	s.unresponsive = true
-	s.listings = slices.DeleteFunc(s.listings, func(l *modelListing) bool { return l.link == nil })
-	remaining := gate.LeaseRemaining(s.clock, s.deadline, s.model.now)
-	if earlier := s.started + gate.LongestLease(testLease) - s.model.now; earlier > 0 {
-		remaining = max(remaining, earlier)
-	}
-	if s.link != nil {
-		s.report(s.link, func() { s.model.core.WorkerUnreachable(s.host, remaining) })
-	}
-}
-
-// list has the worker list its runs and the listings arrive at the sidecar.
-func (s *modelSidecar) list() {
-	s.requestListing()
-	for i := len(s.listings) - 1; i >= 0; i-- {
-		s.takeListing(i)
-		s.answerListing(i)
-	}
-}
-
 // exchange has all messages and orders that are under way for a host arrive.
 func (s *modelSidecar) exchange() {
 	s.heartbeat()
--- a/sidecar/agent/incarnation.go
+++ b/sidecar/agent/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -51,6 +52,9 @@
 		if state.Description != nil && (known.Description == nil || !state.Describes(known.Description.Incarnation)) {
 			return false
 		}
+		if state.Description != nil {
+			a.replacedAt.Store(int64(clock.Boottime())) // its lease is not known any more
+		}
 		next := state.Describe(d)
 		next.Verified = evidence == gate.AnsweredAsIt
 		if a.state.CompareAndSwap(state, &next) {
