--- a/scheduler/dispatch/partial_test.go
+++ b/scheduler/dispatch/partial_test.go
@@ -11,13 +11,20 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
+// newTakeoverFixture returns a fixture whose holder has taken over from one that used its worker,
+// which has not listed yet.
+func newTakeoverFixture() *evidenceFixture {
+	f := newEvidenceFixture()
+	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
+	f.describe(f.incarnation)
+	return f
+}
+
 // Guards against TWICE: a worker had more ends than it lists at a time when a new holder came,
 // which started the tasks of the others again.
 func TestPartialListingDoesNotEndTheWaitOfANewHolder(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
 	g.Expect(f.starts()).To(BeEmpty(), "the task's run may be among the ends that are not listed")
 	f.list(2, 2)
@@ -27,9 +34,7 @@
 // Guards against LOST: a row that can't be decoded makes all listings of a worker partial.
 func TestListingsThatStayPartialHoldBackInheritedTasksForAWhileOnly(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	started := 0
 	for number := uint64(1); number < 40; number++ {
 		f.core.HostPinged(evidenceHost, number)
@@ -60,9 +65,7 @@
 // holders ended, and the tasks of the ends that it lacked were started again.
 func TestPartialListingHoldsBackInheritedTasksForOneLease(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	f.expectNoStartFor(g, testAuthority+testLease)
 	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
 	f.expectNoStartFor(g, testLease)
@@ -73,9 +76,7 @@
 // Guards against TWICE: the link ended after a first listing that was partial.
 func TestTasksOfAPartlyListedWorkerWaitForItsLease(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	f.expectNoStartFor(g, testAuthority)
 	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
 	f.expectNoStartFor(g, testLease)
@@ -90,9 +91,7 @@
 // Guards against TWICE: a worker took longer than a lease to list its ends, some at a time.
 func TestPartialListingsThatNameFurtherInheritedEndsGoOnHoldingBack(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	f.expectNoStartFor(g, testAuthority+testLease)
 	for number := uint64(1); number < 4; number++ {
 		end := runs.End{Number: number, Task: carobkeel.TaskName{Job: "0000000000000002"}, Run: 1, Outcome: runs.OutcomeDone}
@@ -105,9 +104,7 @@
 // was under way.
 func TestPartlyListedWorkerHoldsBackInheritedTasksUntilItsNextListing(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
 	f.expectNoStartFor(g, testAuthority+2*testLease)
 	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Partial: true})
@@ -117,9 +114,7 @@
 // Guards against TWICE: the first listing over the next link was as partial as the one before.
 func TestPartlyListedWorkerHasALeaseToListTheRestOverItsNextLink(t *testing.T) {
 	g := NewWithT(t)
-	f := newEvidenceFixture()
-	f.takeOver(dispatch.WorkerRecord{Incarnation: f.incarnation, Host: evidenceHost})
-	f.describe(f.incarnation)
+	f := newTakeoverFixture()
 	f.expectNoStartFor(g, testAuthority)
 	f.listing(dispatch.WorkerListing{Number: 1, Requested: 1, Partial: true})
 	f.expectNoStartFor(g, testLease)
