--- a/scheduler/dispatch/takeover_test.go
+++ b/scheduler/dispatch/takeover_test.go
@@ -108,8 +108,7 @@
 	g.Expect(sim.record.Violations).To(BeEmpty())
 }
 
-// Guards against TWICE: the first request for a listing extends the lease, whether it is answered
-// or not.
+// Guards against TWICE: a worker whose listings get lost goes on until its lease is over.
 func TestNewHolderWaitsForTheLeaseOfAFirstListingThatIsLost(t *testing.T) {
 	for name, lose := range map[string]func(*host){
 		"at the worker": func(s *host) { s.listingsLost = true },
