--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -3,7 +3,7 @@
 // workers and the callers in this process, and judges what these have seen.
 //
 // It exits with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case
-// could not be played. With TROUBLE=0 it plays the case without its disruption.
+// could not be played. With -trouble=false it plays the case without its disruption.
 package main
 
 import (
@@ -45,6 +45,7 @@
 	name := flag.String("case", "", "name of the case")
 	folder := flag.String("folder", ".", "folder of the case, for the record")
 	binary := flag.String("binary", "target/carobkeel", "program that the deploy file names")
+	trouble := flag.Bool("trouble", true, "play the disruption of the case")
 	flag.Parse()
 	chosen, known := plays[*name]
 	if !known {
@@ -55,7 +56,7 @@
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, longestPlay)
 	defer cancel()
-	finding, err := playCase(ctx, chosen, *binary, filepath.Join(*folder, "record.txt"))
+	finding, err := playCase(ctx, chosen, *trouble, *binary, filepath.Join(*folder, "record.txt"))
 	switch {
 	case err != nil:
 		fmt.Println("not played:", err)
@@ -68,7 +69,7 @@
 	return exitHeld
 }
 
-func playCase(ctx context.Context, chosen play, binary, recordPath string) (finding string, err error) {
+func playCase(ctx context.Context, chosen play, trouble bool, binary, recordPath string) (finding string, err error) {
 	r, err := newRecord(recordPath)
 	if err != nil {
 		return "", err
@@ -84,7 +85,6 @@
 	if err != nil {
 		return "", err
 	}
-	trouble := os.Getenv("TROUBLE") != "0"
 	r.note("case", "trouble %v", trouble)
 	finding, err = chosen(ctx, f, trouble)
 	switch {
