--- a/cmd/carobkeel/hosted_sidecar.go
+++ b/cmd/carobkeel/hosted_sidecar.go
@@ -19,7 +19,7 @@
 	s := &h.settings
 	a := agent.New(agent.Config{
 		Host: s.Host, Incarnation: h.incarnation, Seeds: seedAddresses(s), WorkerAddress: s.WorkerAddress,
-		WorkerLease: min(workerLease, s.Bounds.MaxLease),
+		WorkerLease: min(workerLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease,
 	}, platform.NewWorker(s.WorkerAddress), directory.NewReader(h.store, h.log).Addresses, agent.NewMetrics(h.metrics), h.log)
 	if err := h.serveMetrics(ctx); err != nil {
 		return fail(io, err)
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -160,6 +160,9 @@
 type WorkerRecord struct {
 	Incarnation runs.Incarnation
 	Host        string
+	// LateLease reports that a late call may have extended the incarnation's lease, up to the
+	// longest one.
+	LateLease bool
 }
 
 // New returns the core of a shard without jobs. Workers lists the worker
@@ -179,7 +182,12 @@
 		interference:         interference.New(),
 	}
 	for _, w := range workers {
-		c.unreportedWorkers[w.Incarnation] = unreportedWorker{host: w.Host, goneFrom: math.MaxInt64}
+		u := unreportedWorker{host: w.Host, goneFrom: math.MaxInt64}
+		if w.LateLease {
+			u.lateExpiry = now.Monotonic + maxLeaseDuration(config.MaxLease)
+		}
+		c.unreportedWorkers[w.Incarnation] = u
+		c.worker(w.Host).hadOtherProcess = true // it may have had one under an earlier holder
 		c.recordedIncarnations[w.Incarnation] = w.Host
 	}
 	return c
@@ -269,7 +277,10 @@
 			c.awaitExpiry(w.expiry())
 		}
 		if w.unresponsive && w.follows && c.mayHaveInheritedRuns(w) {
-			c.awaitExpiry(w.inheritedExpiry)
+			c.awaitExpiry(c.inheritedExpiryOn(w))
+		}
+		if w.recordedLate && w.hasListed {
+			c.awaitExpiry(w.lateExpiry)
 		}
 	}
 	for incarnation, u := range c.unreportedWorkers {
@@ -316,7 +327,7 @@
 // expiryOf returns the time from which no run of an unreported worker can go on: its last lease
 // has expired, whichever holder let it be extended, or it is gone.
 func (c *Core) expiryOf(incarnation runs.Incarnation, u unreportedWorker) time.Duration {
-	return min(u.goneFrom, max(c.inheritedExpiry, c.extendedUntil(incarnation, u.host)))
+	return min(u.goneFrom, max(c.inheritedExpiry, u.lateExpiry, c.extendedUntil(incarnation, u.host)))
 }
 
 // extendedUntil returns when the lease has expired that this holder has let a host's sidecar
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -76,6 +76,9 @@
 	// DecidedOtherIncarnation reports a description of another incarnation than the known
 	// one, which has not listed its runs.
 	DecidedOtherIncarnation DecisionKind = "other worker incarnation described"
+	// DecidedLateLease counts the lease that a call to an earlier incarnation may have given a
+	// worker. The detail names it, and waited is the time until that lease is over.
+	DecidedLateLease DecisionKind = "late lease counted"
 	// DecidedWorkerQuarantined quarantines a worker: it gets no tasks for some
 	// time.
 	DecidedWorkerQuarantined DecisionKind = "worker quarantined"
--- a/scheduler/dispatch/incarnation.go
+++ b/scheduler/dispatch/incarnation.go
@@ -71,7 +71,7 @@
 	w.replaced = slices.DeleteFunc(w.replaced, func(i runs.Incarnation) bool { return i == d.Incarnation })
 	w.description = d
 	w.listed, w.hasListed, w.recorded = false, false, recorded
-	w.lateExpiry = 0
+	w.lateExpiry, w.recordedLate = 0, recorded && c.unreportedWorkers[d.Incarnation].lateExpiry > 0
 	w.lastEnd, w.pendingEnds, w.acknowledged = 0, nil, 0
 	w.followsEnds = restarted && !recorded
 	w.health = health{}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -13,6 +13,7 @@
 	if w.linked && w.link == link {
 		return
 	}
+	w.hadOtherProcess = w.hadOtherProcess || (w.link != Link{} && w.link.Process != link.Process)
 	w.linked, w.link = true, link
 	w.listed, w.reachable, w.unresponsive, w.shutDown, w.follows = false, false, false, false, false
 	w.candidate, w.lastPing = nil, 0
@@ -56,14 +57,50 @@
 	w.leaseExpiry = max(w.leaseExpiry, c.now.Monotonic+maxLeaseDuration(c.config.WorkerLease))
 }
 
-// countLateCalls counts the lease that a late call may have given to an incarnation that follows
-// another one under its ID. The deadline of such a call is on the earlier clock, far ahead of the
-// present one. That there were late calls shows in a first listing that is not empty.
-func (c *Core) countLateCalls(w *workerState, l *WorkerListing) {
-	if w.hasListed || len(l.Running)+len(l.Ends) == 0 || !c.followsUnderItsID(w) {
+// countLateLease counts the lease that a late call may have given an incarnation that follows
+// another one under its ID, with the first listing of the incarnation to this holder. Calls that
+// are later than that are refused by their fence.
+func (c *Core) countLateLease(w *workerState, l *WorkerListing) {
+	if w.hasListed {
 		return
 	}
-	w.lateExpiry = c.now.Monotonic + maxLeaseDuration(c.config.MaxLease)
+	switch {
+	case len(l.Running)+len(l.Ends) > 0 && c.followsUnderItsID(w):
+		w.lateExpiry = c.now.Monotonic + maxLeaseDuration(c.config.MaxLease) // as a late start has begun
+	case l.LateLease.Remaining > 0 && c.mayHaveLateLease(w, l):
+		remaining := min(l.LateLease.Remaining, maxLeaseDuration(c.config.MaxLease))
+		w.lateExpiry = c.now.Monotonic + maxLeaseDuration(remaining)
+	default:
+		return
+	}
+	c.recordDecision(Decision{Kind: DecidedLateLease, Host: w.host, Waited: w.lateExpiry - c.now.Monotonic, Detail: w.description.ID})
+}
+
+// mayHaveLateLease reports whether a late call may have extended the lease of an incarnation whose
+// sidecar can't rule that out. The calls of earlier processes of the sidecar matter only if there
+// was such a process and an earlier incarnation, as far as this holder or its predecessors know.
+func (c *Core) mayHaveLateLease(w *workerState, l *WorkerListing) bool {
+	switch {
+	case l.LateLease.Unanswered:
+		return true
+	case c.unreportedWorkers[l.Incarnation].lateExpiry > 0:
+		return true
+	}
+	return w.hadOtherProcess && c.followsUnderItsID(w)
+}
+
+// isYoung reports whether a late call may have extended the lease of the worker beyond the one
+// that the holder counts otherwise. If its host is lost, its tasks wait for the longest lease.
+func (c *Core) isYoung(w *workerState) bool { return c.now.Monotonic < w.lateExpiry }
+
+// recordLateLeaseOver has the record of a worker rewritten once a late lease is over, so that a
+// later holder doesn't count it.
+func (c *Core) recordLateLeaseOver(w *workerState) {
+	if !w.recordedLate || !w.recorded || !w.hasListed || c.now.Held < w.lateExpiry {
+		return
+	}
+	w.recordedLate = false
+	c.record(w)
 }
 
 // followsUnderItsID reports whether another incarnation under the worker's ID preceded it.
@@ -166,6 +203,7 @@
 // may have extended those that expired after Now.Held.
 func (c *Core) expireLeases() {
 	for _, w := range c.workers {
+		c.recordLateLeaseOver(w)
 		if w.reachable || w.listed || c.now.Held < w.expiry() {
 			continue
 		}
@@ -185,9 +223,21 @@
 // expireInheritedOn drops the incarnations of a worker that have not listed to
 // this holder, once no lease of an earlier holder can be valid there.
 func (c *Core) expireInheritedOn(w *workerState) {
-	if !w.linked || !w.follows || !w.unresponsive || c.now.Held < w.inheritedExpiry || !c.mayHaveInheritedRuns(w) {
+	if !w.linked || !w.follows || !w.unresponsive || c.now.Held < c.inheritedExpiryOn(w) || !c.mayHaveInheritedRuns(w) {
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host, Detail: c.describeInherited(w.description.Incarnation, w.host)})
 	c.forgetAllUnreported(w.host)
 }
+
+// inheritedExpiryOn returns when the leases that the sidecar of a worker, which follows this
+// holder, has extended for earlier ones have certainly expired, and those that late calls have.
+func (c *Core) inheritedExpiryOn(w *workerState) time.Duration {
+	expiry := w.inheritedExpiry
+	for _, u := range c.unreportedWorkers {
+		if u.host == w.host {
+			expiry = max(expiry, u.lateExpiry)
+		}
+	}
+	return expiry
+}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -23,6 +23,9 @@
 	// Partial reports that a run that is not in the listing may still run, or may
 	// have ended.
 	Partial bool
+	// LateLease is what the sidecar knows of a lease that late calls may have given the
+	// incarnation.
+	LateLease runs.LateLease
 }
 
 // ApplyListing applies a worker's listing.
@@ -32,7 +35,7 @@
 	if w.description.Incarnation != l.Incarnation {
 		return
 	}
-	c.countLateCalls(w, &l)
+	c.countLateLease(w, &l)
 	w.reachable, w.hasListed = w.linked, true
 	if w.unresponsive {
 		w.unresponsive, w.shutDown = false, false
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -32,6 +32,12 @@
 	// leaseExpiry is when a lease that was extended for this holder has certainly expired, and
 	// lateExpiry when one has that a late call may have given the incarnation.
 	leaseExpiry, lateExpiry time.Duration
+	// recordedLate reports that the store has a record by which a later holder counts the
+	// late lease.
+	recordedLate bool
+	// hadOtherProcess reports that another process of the sidecar was linked before, to this
+	// holder or probably to an earlier one.
+	hadOtherProcess bool
 	// follows reports that the sidecar follows this holder, so that it extends no
 	// lease for an earlier one. inheritedExpiry is then when the leases that it
 	// extended for earlier holders have certainly expired.
@@ -82,6 +88,9 @@
 	host string
 	// goneFrom is when it has certainly exited after its departure was reported.
 	goneFrom time.Duration
+	// lateExpiry is when a lease that a late call may have given it has certainly expired, zero if
+	// there is none.
+	lateExpiry time.Duration
 }
 
 // markChanged records that a worker has changed, so that tasks may start there
@@ -138,7 +147,7 @@
 	}
 	delete(c.recordedIncarnations, incarnation)
 	if w := c.workers[host]; w != nil && w.description.Incarnation == incarnation {
-		w.recorded = false
+		w.recorded, w.recordedLate = false, false
 	}
 	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, func(r WorkerRecord) bool { return r.Incarnation == incarnation })
 	if !slices.Contains(c.incarnationsToForget, incarnation) {
@@ -152,7 +161,14 @@
 	if w.recorded {
 		return
 	}
-	c.workersToRecord = append(c.workersToRecord, WorkerRecord{Incarnation: w.description.Incarnation, Host: w.host})
+	w.recordedLate = c.isYoung(w)
+	c.record(w)
+}
+
+// record has the record of the worker's incarnation written, with the late lease as known now.
+func (c *Core) record(w *workerState) {
+	record := WorkerRecord{Incarnation: w.description.Incarnation, Host: w.host, LateLease: w.recordedLate}
+	c.workersToRecord = append(c.workersToRecord, record)
 	c.keepRecorded(c.workersToRecord)
 }
 
--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -139,7 +139,9 @@
 		changes = append(changes, w.rows[p.Job].changes(p, n.config.valueBytes())...)
 	}
 	for _, record := range w.batch.Workers {
-		row := wire.WorkerRow{Host: record.Host, ID: record.Incarnation.ID, StartedAtMs: record.Incarnation.StartedAtMs}
+		row := wire.WorkerRow{
+			Host: record.Host, ID: record.Incarnation.ID, StartedAtMs: record.Incarnation.StartedAtMs, LateLease: record.LateLease,
+		}
 		set(n.workerRow(record.Incarnation), mustEncode(&row))
 	}
 	for _, job := range w.batch.Expired {
--- a/scheduler/holder/cluster_test.go
+++ b/scheduler/holder/cluster_test.go
@@ -31,6 +31,8 @@
 	testService = carobkeel.Service("desk")
 	// testWorkerLease is the duration of a worker's lease.
 	testWorkerLease = 3 * time.Second
+	// testMaxLease is the longest lease that a worker accepts.
+	testMaxLease = 10 * time.Second
 	// waitTimeout bounds how long a test waits for a condition that is expected
 	// within moments.
 	waitTimeout = 20 * time.Second
@@ -152,7 +154,7 @@
 	host := fmt.Sprintf("entry-%d", len(f.entries))
 	node := holder.New(holder.Config{
 		Host: host, Incarnation: carobkeel.Incarnation(len(f.entries) + 1), Address: listener.Addr().String(),
-		Shard: testShard, WorkerLease: testWorkerLease, RowBytes: f.rowBytes,
+		Shard: testShard, WorkerLease: testWorkerLease, MaxLease: testMaxLease, RowBytes: f.rowBytes,
 	}, f.rows, holder.NewMetrics(tally.NoopScope), f.logger)
 	go func() {
 		if err := node.Serve(ctx, listener); err != nil {
@@ -183,7 +185,7 @@
 			Incarnation: runs.Incarnation{ID: "w-" + host, StartedAtMs: 1}, Service: testService, Rack: "r1", Labels: []string{"a", "r1"},
 			Capacity: carobkeel.Resources{MilliCPU: 8000, MemoryBytes: 32 << 30}, Sequence: 1,
 		},
-		MaxLease: 10 * time.Second, StopGrace: 100 * time.Millisecond, Record: f.record,
+		MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, Record: f.record,
 		Work: func(task carobkeel.TaskName, _ int) standin.Work {
 			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone, Endless: f.endless || task.Job == longRunningJobID}
 		},
@@ -196,7 +198,9 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	a := agent.New(agent.Config{Host: host, Incarnation: carobkeel.Incarnation(len(f.agents) + 1), WorkerLease: testWorkerLease}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(f.sidecarMetrics), f.logger)
+	a := agent.New(agent.Config{
+		Host: host, Incarnation: carobkeel.Incarnation(len(f.agents) + 1), WorkerLease: testWorkerLease, MaxLease: testMaxLease,
+	}, worker, directory.NewReader(f.rows, f.logger).Addresses, agent.NewMetrics(f.sidecarMetrics), f.logger)
 	go a.Run(ctx)
 	f.agents, f.stopAgents = append(f.agents, a), append(f.stopAgents, cancel)
 	return a, cancel
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -27,6 +27,7 @@
 	dispatch.DecidedLeaseExpired:          log.WarnLevel,
 	dispatch.DecidedInheritedLeaseExpired: log.WarnLevel,
 	dispatch.DecidedEndsMissed:            log.WarnLevel,
+	dispatch.DecidedLateLease:             log.WarnLevel,
 	dispatch.DecidedStopOverdue:           log.WarnLevel,
 	dispatch.DecidedPaceSet:               log.DebugLevel,
 	dispatch.DecidedRunConfirmed:          log.DebugLevel,
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -76,7 +76,7 @@
 	if row.Key != workerKey(incarnation) {
 		return dispatch.WorkerRecord{}, errors.Errorf("record of worker %s.%d", w.ID, w.StartedAtMs)
 	}
-	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host}, nil
+	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host, LateLease: w.LateLease}, nil
 }
 
 // followJobs passes accepted jobs and cancellations to the core.
--- a/scheduler/wire/listing.go
+++ b/scheduler/wire/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
@@ -12,7 +13,7 @@
 func FromListing(l dispatch.WorkerListing, epoch carobkeel.Epoch) *Listing {
 	message := &Listing{
 		Incarnation: WorkerIncarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Epoch: uint64(epoch), Full: l.Full,
-		Partial: l.Partial,
+		Partial: l.Partial, LateLease: ceilMilliseconds(l.LateLease.Remaining), LateUnanswered: l.LateLease.Unanswered,
 	}
 	for _, r := range l.Running {
 		message.Running = append(message.Running, Running{
@@ -43,6 +44,9 @@
 	listing = dispatch.WorkerListing{
 		Host: host, Incarnation: runs.Incarnation(l.Incarnation), Number: l.Number, Requested: l.Requested, Full: l.Full,
 		Partial: l.Partial,
+		LateLease: runs.LateLease{
+			Remaining: time.Duration(max(0, min(l.LateLease, maxLateLease))) * time.Millisecond, Unanswered: l.LateUnanswered,
+		},
 	}
 	for _, r := range l.Running {
 		task, ok := l.task(r.Step, r.Index)
@@ -77,3 +81,11 @@
 	name := carobkeel.TaskName{Job: carobkeel.JobID(s.Job), Occurrence: s.Occurrence, Step: s.Step, Index: index}
 	return name, name.Job.IsValid() && s.Occurrence >= 0 && s.Step >= 0
 }
+
+// maxLateLease bounds what a message states of a lease, in milliseconds: an hour.
+const maxLateLease = int64(time.Hour / time.Millisecond)
+
+// ceilMilliseconds returns a duration in milliseconds, rounded up.
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -120,6 +120,11 @@
 	Ends      []End
 	Requested uint64
 	Partial   bool
+	// LateLease is the longest time for which a lease that late calls may have given the
+	// incarnation may still be valid, in milliseconds, rounded up. LateUnanswered reports that
+	// the sender has sent such a call.
+	LateLease      int64
+	LateUnanswered bool
 }
 
 // Answer is the encoding of a dispatch.OrderAnswer.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -411,8 +411,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Listing) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
+	// array header, size 11
+	o = append(o, 0x9b)
 	// array header, size 2
 	o = append(o, 0x92)
 	o = msgp.AppendString(o, z.Incarnation.ID)
@@ -446,6 +446,8 @@
 	}
 	o = msgp.AppendUint64(o, z.Requested)
 	o = msgp.AppendBool(o, z.Partial)
+	o = msgp.AppendInt64(o, z.LateLease)
+	o = msgp.AppendBool(o, z.LateUnanswered)
 	return
 }
 
@@ -457,8 +459,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -592,6 +594,16 @@
 		err = msgp.WrapError(err, "Partial")
 		return
 	}
+	z.LateLease, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LateLease")
+		return
+	}
+	z.LateUnanswered, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LateUnanswered")
+		return
+	}
 	o = bts
 	return
 }
@@ -610,7 +622,7 @@
 	for za0003 := range z.Ends {
 		s += z.Ends[za0003].Msgsize()
 	}
-	s += msgp.Uint64Size + msgp.BoolSize
+	s += msgp.Uint64Size + msgp.BoolSize + msgp.Int64Size + msgp.BoolSize
 	return
 }
 
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -30,6 +30,8 @@
 	Host        string `msg:"h"`
 	ID          string `msg:"i"`
 	StartedAtMs int64  `msg:"b"`
+	// LateLease reports that a late call may have extended its lease, up to the longest one.
+	LateLease bool `msg:"l,omitempty"`
 }
 
 // JobRow is an accepted job.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -1084,18 +1084,36 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WorkerRow) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WorkerRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "h"
-	o = append(o, 0x83, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Host)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendInt64(o, z.StartedAtMs)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.LateLease == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendString(o, z.Host)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.ID)
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendInt64(o, z.StartedAtMs)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBool(o, z.LateLease)
+		}
+	}
 	return
 }
 
@@ -1139,6 +1157,12 @@
 				err = msgp.WrapError(err, "StartedAtMs")
 				return
 			}
+		case "l":
+			z.LateLease, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LateLease")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1152,7 +1176,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WorkerRow) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size
+func (z *WorkerRow) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -31,6 +31,8 @@
 	WorkerAddress string
 	// WorkerLease is the duration of the worker's lease from a confirmed ping.
 	WorkerLease time.Duration
+	// MaxLease is the longest lease that a worker accepts.
+	MaxLease time.Duration
 }
 
 // EntryFinder returns the currently known link addresses of the entries.
@@ -62,6 +64,13 @@
 	// deadline is the latest end of a lease that was requested, on the worker's
 	// clock.
 	deadline atomic.Int64
+	// leaseCalls holds the calls without an answer that extend the lease, and lastLeaseCall the
+	// number of the last one.
+	leaseCalls    atomic.Pointer[gate.LeaseCalls]
+	lastLeaseCall atomic.Uint64
+	// extendedFor is the sending time of the ping for which the worker last answered a listing
+	// that extends its lease.
+	extendedFor atomic.Int64
 	// acknowledged is the last end of a run that the holder has acknowledged as
 	// stored.
 	acknowledged atomic.Pointer[acknowledgement]
@@ -132,6 +141,7 @@
 	a.state.Store(&gate.Worker{})
 	a.clock.Store(&workerClock{})
 	a.acknowledged.Store(&acknowledgement{})
+	a.leaseCalls.Store(&gate.LeaseCalls{})
 	return a
 }
 
--- a/sidecar/agent/failure.go
+++ b/sidecar/agent/failure.go
@@ -95,6 +95,7 @@
 	})
 	state := a.state.Load()
 	if wasConfirmed {
+		a.extendedFor.Store(0) // that may have been for another incarnation
 		a.log.Warn().Str("reason", reason).Str("worker", incarnation.ID).Int64("born", incarnation.StartedAtMs).
 			Uint32("generation", a.generation(state)).Msg("generation raised")
 	}
--- a/sidecar/agent/incarnation.go
+++ b/sidecar/agent/incarnation.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	envelope := runs.Envelope{Incarnation: incarnation, Fence: state.Fence(a.holder.Load().Term)}
-	listing, answer, err := a.worker.List(ctx, envelope, 0, 0)
+	listing, answer, err := a.list(ctx, envelope, 0, 0)
 	if err != nil {
 		return gate.NotAnswered
 	}
@@ -71,6 +71,7 @@
 	a.withdrawn.Clear()
 	a.clock.Store(&workerClock{})
 	a.deadline.Store(0)
+	a.extendedFor.Store(0)
 	if old == nil {
 		a.log.Info().Stringer("evidence", evidence).Str("worker", d.ID).Int64("born", d.StartedAtMs).
 			Uint32("generation", a.generation(state)).Msg("first heartbeat of a worker incarnation")
--- /dev/null
+++ b/sidecar/agent/late_calls.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// list requests a listing of the worker, and keeps a call without an answer in mind if it
+// extends the lease.
+func (a *Agent) list(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
+	call := a.beginLeaseCall(e)
+	listing, answer, err := a.worker.List(ctx, e, acknowledged, wait)
+	if err == nil && listing.StartedAtMs != 0 && listing.StartedAtMs != e.Incarnation.StartedAtMs {
+		call.lose() // another incarnation has carried it out
+	} else {
+		call.end(answer, err)
+	}
+	return listing, answer, err
+}
+
+// start sends a start to the worker, and keeps a call without an answer in mind: it extends the
+// lease too.
+func (a *Agent) start(ctx context.Context, e runs.Envelope, order runs.Start) (runs.Answer, error) {
+	call := a.beginLeaseCall(e)
+	answer, err := a.worker.Start(ctx, e, order)
+	call.end(answer, err)
+	return answer, err
+}
+
+// leaseCall is a call to the worker that extends its lease. The zero value stands for one that
+// does not.
+type leaseCall struct {
+	agent  *Agent
+	number uint64
+	sent   time.Duration
+	// clock is the worker's before the call.
+	clock gate.Clock
+}
+
+// beginLeaseCall records a call that is about to be sent.
+func (a *Agent) beginLeaseCall(e runs.Envelope) leaseCall {
+	if e.Deadline == 0 {
+		return leaseCall{}
+	}
+	call := leaseCall{agent: a, number: a.lastLeaseCall.Add(1), sent: clock.Boottime()}
+	if known := a.clock.Load(); known.incarnation == e.Incarnation {
+		call.clock = known.Clock
+	}
+	a.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls {
+		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: call.sent})
+	})
+	return call
+}
+
+// end records how the call has ended.
+func (c leaseCall) end(answer runs.Answer, err error) {
+	if c.agent == nil {
+		return
+	}
+	notSent := err != nil && errors.Is(err, runs.ErrNotListening)
+	if notSent || (err == nil && gate.IsSettled(answer, c.clock, c.sent)) {
+		c.agent.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls { return l.Settle(c.number) })
+		return
+	}
+	c.lose()
+}
+
+// lose records that the call may still be carried out, by whatever incarnation is there then.
+func (c leaseCall) lose() {
+	if c.agent != nil {
+		c.agent.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls { return l.Lose(c.number) })
+	}
+}
+
+// updateLeaseCalls replaces the calls without an answer by what change makes of them.
+func (a *Agent) updateLeaseCalls(change func(gate.LeaseCalls) gate.LeaseCalls) {
+	for {
+		old := a.leaseCalls.Load()
+		next := change(*old)
+		if a.leaseCalls.CompareAndSwap(old, &next) {
+			return
+		}
+	}
+}
+
+// reach returns the state of a worker that has listed its runs under a fence, with what this
+// process knows of late calls to it.
+func (a *Agent) reach(w gate.Worker, fence runs.Fence) gate.Worker {
+	now := clock.Boottime()
+	return w.Reach(fence, now, a.leaseCalls.Load().LateCallsTo(w.Description.ID, a.started, now, a.config.MaxLease))
+}
+
+// lateLease returns the bound of the lease that late calls may have given an incarnation that has
+// listed its runs.
+func (a *Agent) lateLease(incarnation runs.Incarnation) runs.LateLease {
+	state := a.state.Load()
+	if !state.Describes(incarnation) {
+		return runs.LateLease{}
+	}
+	return state.LateLease(clock.Boottime(), a.config.MaxLease)
+}
+
+// listingRequest is how the next listing is requested.
+type listingRequest struct {
+	envelope runs.Envelope
+	// wait is how long the worker may wait for a run to end.
+	wait time.Duration
+	// extendsFor is the sending time of the ping whose answer lets the request extend the lease,
+	// zero if it doesn't.
+	extendsFor time.Duration
+}
+
+// nextListing returns how the next listing is requested. One that extends the lease doesn't wait,
+// so that a crash of the worker rarely finds it without an answer. The lease is extended once for
+// each ping that the holder has answered.
+func (a *Agent) nextListing(state *gate.Worker, term gate.Term) listingRequest {
+	withoutLease := listingRequest{envelope: envelopeWithoutLease(state, term), wait: listWait}
+	if !state.HasListed(state.Fence(term)) || !a.clockOf(state.Description).Known {
+		withoutLease.wait = 0 // the answer is needed before a lease can be requested
+		return withoutLease
+	}
+	confirmed := a.holder.Load().Confirmed
+	if int64(confirmed) <= a.extendedFor.Load() {
+		return withoutLease
+	}
+	if e := a.envelope(state, term); e.Deadline != 0 {
+		return listingRequest{envelope: e, extendsFor: confirmed}
+	}
+	return withoutLease
+}
--- /dev/null
+++ b/sidecar/agent/late_calls_test.go
@@ -0,0 +1,139 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+// restartingWorker is a worker that can leave calls that extend its lease unanswered, and begin
+// anew under its ID.
+type restartingWorker struct {
+	scriptedWorker
+	born    int64
+	began   time.Duration
+	losesIt bool
+	// waits are those of the listings that extend the lease.
+	waits []time.Duration
+}
+
+func newRestartingWorker() *restartingWorker {
+	return &restartingWorker{born: testIncarnation.StartedAtMs, began: clock.Boottime() - time.Minute}
+}
+
+func (w *restartingWorker) restart() {
+	w.born++
+	w.began = clock.Boottime()
+}
+
+func (w *restartingWorker) incarnation() runs.Incarnation {
+	return runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: w.born}
+}
+
+func (w *restartingWorker) answer() runs.Answer {
+	return runs.Answer{Clock: clock.Boottime() - w.began}
+}
+
+func (w *restartingWorker) List(_ context.Context, e runs.Envelope, _ uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
+	if e.Deadline != 0 {
+		w.waits = append(w.waits, wait)
+		if w.losesIt {
+			return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
+		}
+	}
+	return runs.Listing{StartedAtMs: w.born}, w.answer(), nil
+}
+
+func (w *restartingWorker) Start(context.Context, runs.Envelope, runs.Start) (runs.Answer, error) {
+	if w.losesIt {
+		return runs.Answer{}, context.DeadlineExceeded
+	}
+	return w.answer(), nil
+}
+
+// lateLeaseAfter returns what the agent says of a late lease once an incarnation has listed.
+func lateLeaseAfter(a *Agent, i runs.Incarnation) runs.LateLease {
+	a.RecordHeartbeat(runs.Description{Incarnation: i, Sequence: 1})
+	(&lister{agent: a}).listOnce(context.Background(), a.state.Load())
+	return a.lateLease(i)
+}
+
+// Guards against TWICE: a listing call to the earlier incarnation of a worker was carried out by
+// the next one, whose lease was then longer than the holder knew.
+func TestHolderHearsOfALeaseThatAnUnansweredCallMayHaveLengthened(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose  func(a *Agent, o receivedOrder)
+		bound bool
+	}{
+		"listing": {func(a *Agent, _ receivedOrder) {
+			(&lister{agent: a}).listOnce(context.Background(), a.state.Load())
+		}, true},
+		"start": {func(a *Agent, o receivedOrder) {
+			a.sendOnce(context.Background(), testTerm, a.state.Load(), o)
+		}, true},
+		"nothing": {func(*Agent, receivedOrder) {}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			worker := newRestartingWorker()
+			a, order := linkedAgent(worker)
+			a.config.MaxLease = 10 * time.Second
+			worker.losesIt = true
+			c.lose(a, order)
+			worker.losesIt = false
+			for range 2 { // the call may reach any later incarnation
+				worker.restart()
+				late := lateLeaseAfter(a, worker.incarnation())
+				g.Expect(late.Unanswered).To(Equal(c.bound))
+				if c.bound {
+					g.Expect(late.Remaining).To(BeNumerically("~", 10*time.Second, time.Second))
+				} else {
+					g.Expect(late.Remaining).To(BeZero())
+				}
+			}
+		})
+	}
+}
+
+func TestAnsweredCallsLeaveNoLateLease(t *testing.T) {
+	g := NewWithT(t)
+	worker := newRestartingWorker()
+	a, order := linkedAgent(worker)
+	a.config.MaxLease = 10 * time.Second
+	(&lister{agent: a}).listOnce(context.Background(), a.state.Load())
+	g.Expect(a.sendOnce(context.Background(), testTerm, a.state.Load(), order)).To(Equal(runs.ResultOK))
+	worker.restart()
+	g.Expect(lateLeaseAfter(a, worker.incarnation())).To(Equal(runs.LateLease{}))
+}
+
+// Guards against TWICE: the sidecar did not know yet that its worker had begun anew, and extended
+// the lease of the next incarnation itself, by the clock of the one before.
+func TestCallThatTheNextIncarnationAnswersMayHaveLengthenedItsLease(t *testing.T) {
+	g := NewWithT(t)
+	worker := newRestartingWorker()
+	a, order := linkedAgent(worker)
+	a.config.MaxLease = 10 * time.Second
+	worker.restart()
+	a.sendOnce(context.Background(), testTerm, a.state.Load(), order)
+	g.Expect(lateLeaseAfter(a, worker.incarnation()).Unanswered).To(BeTrue())
+}
+
+// A crash of the worker must rarely find a call that extends the lease without an answer.
+func TestListingThatExtendsTheLeaseDoesNotWait(t *testing.T) {
+	g := NewWithT(t)
+	worker := newRestartingWorker()
+	a, _ := linkedAgent(worker)
+	l := &lister{agent: a}
+	for range 5 {
+		l.listOnce(context.Background(), a.state.Load())
+	}
+	g.Expect(worker.waits).To(Equal([]time.Duration{0}), "one for each ping that was answered")
+	a.confirm(testTerm, clock.Boottime())
+	l.listOnce(context.Background(), a.state.Load())
+	g.Expect(worker.waits).To(Equal([]time.Duration{0, 0}))
+}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -93,13 +93,10 @@
 	number := a.listingNumber.Add(1)
 	term := a.holder.Load().Term
 	fence := state.Fence(term)
-	wait := listWait
-	if !state.HasListed(fence) || !a.clockOf(d).Known {
-		wait = 0 // the answer is needed before a lease can be requested
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+listTimeout)
+	request := a.nextListing(state, term)
+	ctx, cancel := context.WithTimeout(ctx, request.wait+listTimeout)
 	defer cancel()
-	listing, answer, err := a.worker.List(ctx, a.envelope(state, term), a.acknowledgedUpTo(state, fence), wait)
+	listing, answer, err := a.list(ctx, request.envelope, a.acknowledgedUpTo(state, fence), request.wait)
 	if err == nil && isOfOtherIncarnation(&listing, d) {
 		answer.Result = runs.ResultOtherIncarnation
 	}
@@ -111,6 +108,9 @@
 	a.candidate.Store(nil)
 	a.confirmState(state, fence)
 	a.observeClock(d.Incarnation, answer)
+	if request.extendsFor > 0 {
+		a.extendedFor.Store(int64(request.extendsFor))
+	}
 	a.logLeftOut(d, listing.LeftOut)
 	if l.forward(d, number, term, listing) {
 		a.recordAnswering(d)
@@ -160,7 +160,7 @@
 	}
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
-		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial,
+		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial, LateLease: a.lateLease(state.Description.Incarnation),
 	}, e.Fence.Epoch))
 }
 
@@ -170,7 +170,7 @@
 	d := state.Description
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	listing, answer, err := a.worker.List(ctx, e, a.acknowledgedUpTo(state, e.Fence), 0)
+	listing, answer, err := a.list(ctx, e, a.acknowledgedUpTo(state, e.Fence), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
 		return runs.Listing{}, false
 	}
@@ -188,7 +188,7 @@
 			return w
 		}
 		first = !w.Verified
-		return w.Confirm(fence)
+		return a.reach(w.Confirm(fence), fence)
 	})
 	if first {
 		a.sendDescription(a.holderLink.Load())
@@ -212,7 +212,7 @@
 	}
 	report := dispatch.WorkerListing{
 		Incarnation: d.Incarnation, Number: number, Requested: l.agent.listingNumber.Load(), Full: full, Ends: listing.Ends,
-		Partial: listing.Partial,
+		Partial: listing.Partial, LateLease: l.agent.lateLease(d.Incarnation),
 	}
 	if first {
 		l.agent.sendDescription(holderLink) // who has verified the worker may not have sent it yet
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -197,7 +197,7 @@
 	var err error
 	switch o.order.Kind {
 	case dispatch.OrderStart:
-		answer, err = a.worker.Start(ctx, envelope, runs.Start{
+		answer, err = a.start(ctx, envelope, runs.Start{
 			Task: o.order.Task, Run: o.order.Run, Payload: o.order.Payload, Checkpoint: o.order.Checkpoint, Ticket: o.order.Ticket,
 		})
 	case dispatch.OrderStop:
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -1,6 +1,10 @@
 package gate
 
-import "github.com/carobkeel/carobkeel/worker/runs"
+import (
+	"time"
+
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
 
 // Worker is the sidecar's record of the worker on its host.
 //
@@ -24,6 +28,11 @@
 	// Denied reports that the worker has answered that it is another incarnation than the
 	// described one.
 	Denied bool
+	// ReachedAt is when the described incarnation first answered a call that keeps all calls to
+	// earlier incarnations off, zero before. LateCalls is what was known then of calls that it had
+	// let in before.
+	ReachedAt time.Duration
+	LateCalls LateCalls
 }
 
 // Fence returns the fence of calls to the worker in the term.
@@ -58,6 +67,7 @@
 	if !w.Describes(d.Incarnation) {
 		w = w.Suspect()
 		w.Verified, w.Denied = false, false
+		w.ReachedAt, w.LateCalls = 0, NoLateCalls
 	}
 	w.Description = d
 	return w
@@ -76,6 +86,26 @@
 	return w
 }
 
+// Reach returns w after the described incarnation has listed its runs under a fence, with what is
+// known of late calls to it. Only the first time counts: later calls to earlier incarnations are
+// kept off.
+func (w Worker) Reach(fence runs.Fence, at time.Duration, late LateCalls) Worker {
+	if w.ReachedAt == 0 && w.IsConfirmed(fence) {
+		w.ReachedAt, w.LateCalls = at, late
+	}
+	return w
+}
+
+// LateLease returns the bound of the lease that late calls may have given the described
+// incarnation, of which no lease is longer than maxLease.
+func (w Worker) LateLease(now, maxLease time.Duration) runs.LateLease {
+	if w.ReachedAt == 0 || w.LateCalls == NoLateCalls {
+		return runs.LateLease{}
+	}
+	remaining := max(0, w.ReachedAt+LongestLease(maxLease)-now)
+	return runs.LateLease{Remaining: remaining, Unanswered: w.LateCalls == UnansweredLateCalls}
+}
+
 // plentyOfDoubts is the number of doubts up to which each one counts.
 const plentyOfDoubts = runs.MaxDoubts / 2
 
