--- a/caller/httpapi/problem.go
+++ b/caller/httpapi/problem.go
@@ -66,6 +66,7 @@
 	carobkeel.CodeLeaseExpired:        http.StatusConflict,
 	carobkeel.CodeCheckpointInvalid:   http.StatusUnprocessableEntity,
 	carobkeel.CodeJobFinished:         http.StatusConflict,
+	carobkeel.CodeJobCancelled:        http.StatusConflict,
 }
 
 // Status returns the HTTP status for a result code.
--- a/caller/submission/metrics.go
+++ b/caller/submission/metrics.go
@@ -13,6 +13,9 @@
 // class.
 type Metrics struct {
 	series *telemetry.ByOwner[series]
+	// marks counts the cancellations of unknown jobs that were stored, and marksRefused those
+	// that were refused for their number.
+	marks, marksRefused tally.Counter
 }
 
 // series holds the metrics of one queue and class.
@@ -24,7 +27,11 @@
 // NewMetrics returns metrics in the scope.
 func NewMetrics(root tally.Scope) *Metrics {
 	scope := root.SubScope("submission")
-	return &Metrics{series: telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries)}
+	return &Metrics{
+		series:       telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
+		marks:        scope.Counter("unknown_cancelled"),
+		marksRefused: scope.Counter("unknown_cancels_refused"),
+	}
 }
 
 func newSeries(scope tally.Scope) series {
--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/scheduler/holder"
@@ -29,6 +30,12 @@
 	answerMargin = 150 * time.Millisecond
 	// retryDelay is the time between two attempts at a transaction or a read.
 	retryDelay = 30 * time.Millisecond
+	// marksPerSecond and marksBurst bound the cancellations of unknown jobs that this entry
+	// stores: each is a row that stays for dispatch.CancelMarkRetention.
+	marksPerSecond = 10
+	marksBurst     = 200
+	// marksRetryAfter is the retry delay for a caller whose cancellation exceeds that.
+	marksRetryAfter = 2 * time.Second
 )
 
 // Scheduler is the interface of a Service to the scheduler node.
@@ -48,11 +55,16 @@
 	metrics   *Metrics
 	log       *log.Logger
 	unsettled *unsettledJobs
+	// marks bounds the cancellations of unknown jobs.
+	marks *rate.Limiter
 }
 
 // New returns a service that stores jobs in a shard.
 func New(shard string, rows table.Rows, scheduler Scheduler, metrics *Metrics, logger *log.Logger) *Service {
-	return &Service{shard: shard, rows: rows, scheduler: scheduler, metrics: metrics, log: logger, unsettled: newUnsettledJobs()}
+	return &Service{
+		shard: shard, rows: rows, scheduler: scheduler, metrics: metrics, log: logger,
+		unsettled: newUnsettledJobs(), marks: rate.NewLimiter(marksPerSecond, marksBurst),
+	}
 }
 
 // Queues returns the current configuration of the queues. Its version is zero until
@@ -93,13 +105,15 @@
 	if err != nil {
 		return errors.Wrap(err, "job")
 	}
-	id := s.jobRow(job.ID)
-	// If the row already exists, an earlier attempt or request has stored it.
-	_, err = s.transact(ctx, table.RowTransaction{
-		Conditions: []table.RowCondition{{RowID: id}},
+	id, cancelled := s.jobRow(job.ID), s.cancelRow(job.ID)
+	outcome, err := s.transact(ctx, table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: id}, {RowID: cancelled}},
 		Writes:     []table.RowWrite{{RowID: id, Value: value}},
 	})
-	return err
+	if err != nil || outcome.Applied || outcome.CurrentVersion(id) != 0 {
+		return err // if the row already exists, an earlier attempt or request has stored it
+	}
+	return carobkeel.NewError(carobkeel.CodeJobCancelled, "job %s was cancelled before it was stored", job.ID)
 }
 
 // checkEarlier returns what is true of a job whose submission failed, as an earlier one
@@ -109,7 +123,7 @@
 	if failure.Ran != carobkeel.RanNo {
 		s.unsettled.add(id, time.Now())
 	}
-	if failure.Code == carobkeel.CodeInvalidRequest {
+	if failure.Code == carobkeel.CodeInvalidRequest || failure.Code == carobkeel.CodeJobCancelled {
 		return failure
 	}
 	// The caller's time may be used up, but not the margin for the answer.
@@ -227,23 +241,55 @@
 }
 
 // Cancel makes the cancellation of a job durable. For an unknown job the error has
-// the code CodeUnknownJob.
+// the code CodeUnknownJob. No submission of that job can be stored from then on, for
+// dispatch.CancelMarkRetention.
 func (s *Service) Cancel(ctx context.Context, id carobkeel.JobID) error {
 	state, err := s.State(ctx, id)
-	if err != nil {
+	switch {
+	case err != nil && carobkeel.AsError(err).Code == carobkeel.CodeUnknownJob:
+		return s.cancelUnknown(ctx, id, err)
+	case err != nil:
 		return err
-	}
-	if state.IsFinal() {
+	case state.IsFinal():
 		return nil
 	}
-	_, err = s.transact(ctx, table.RowTransaction{Writes: []table.RowWrite{{RowID: s.cancelRow(id), Value: []byte{1}}}})
-	if err != nil {
+	return s.cancelStored(ctx, id)
+}
+
+// cancelStored makes the cancellation of a job durable whose row may be present.
+func (s *Service) cancelStored(ctx context.Context, id carobkeel.JobID) error {
+	if _, err := s.transact(ctx, table.RowTransaction{Writes: []table.RowWrite{s.cancelWrite(id)}}); err != nil {
 		return err
 	}
 	s.scheduler.NotifyCancelled(id)
 	return nil
 }
 
+// cancelUnknown makes the cancellation of a job durable whose row is absent, and returns the given
+// error. A submission of the job may still be under way, through whichever entry.
+func (s *Service) cancelUnknown(ctx context.Context, id carobkeel.JobID, unknown error) error {
+	if !s.marks.Allow() {
+		s.metrics.marksRefused.Inc(1)
+		return carobkeel.NewError(carobkeel.CodeOverloaded, "too many unknown jobs are cancelled").WithRetryAfter(marksRetryAfter)
+	}
+	outcome, err := s.transact(ctx, table.RowTransaction{
+		Conditions: []table.RowCondition{{RowID: s.jobRow(id)}},
+		Writes:     []table.RowWrite{s.cancelWrite(id)},
+	})
+	switch {
+	case err != nil:
+		return err
+	case !outcome.Applied: // it was stored meanwhile
+		return s.cancelStored(ctx, id)
+	}
+	s.metrics.marks.Inc(1)
+	return unknown
+}
+
+func (s *Service) cancelWrite(id carobkeel.JobID) table.RowWrite {
+	return table.RowWrite{RowID: s.cancelRow(id), Value: []byte{1}}
+}
+
 // WaitingCount returns the number of jobs of a queue that have not started.
 func (s *Service) WaitingCount(ctx context.Context, queue carobkeel.QueueName) (int, error) {
 	n, err := s.scheduler.Waiting(ctx, queue)
--- a/code.go
+++ b/code.go
@@ -85,6 +85,8 @@
 	CodeCheckpointInvalid Code = 505
 	// CodeJobFinished means that the job has already ended.
 	CodeJobFinished Code = 506
+	// CodeJobCancelled means that the job was cancelled before it was stored.
+	CodeJobCancelled Code = 507
 )
 
 // Ran tells whether a request was executed.
@@ -157,6 +159,7 @@
 	{CodeLeaseExpired, "lease-expired", "The lease had lapsed", RanNo, false},
 	{CodeCheckpointInvalid, "checkpoint-invalid", "The checkpoint can't be used", RanNo, false},
 	{CodeJobFinished, "job-finished", "The job has already ended", RanNo, false},
+	{CodeJobCancelled, "job-cancelled", "The job was cancelled before it was stored", RanNo, false},
 }
 
 // Codes returns the description of every result code, by number.
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -138,6 +138,8 @@
 	// start.
 	workerChanges uint64
 	interference  *interference.Model
+	// marks are the cancellations of unknown jobs.
+	marks cancelMarks
 	// waitReportedAt is when waiting tasks were last reported, and
 	// heldBackReportedAt when jobs that wait for unreported workers were.
 	waitReportedAt, heldBackReportedAt time.Duration
@@ -291,6 +293,7 @@
 			c.wakeAt(j.storeBy)
 		}
 	}
+	c.wakeForMarks()
 	if len(c.ended) > 0 {
 		c.wakeAt(max(c.ended[0].endedAt+retention, c.now.Monotonic+expireInterval))
 	}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -160,6 +160,7 @@
 		j.remaining += spec.Steps[i].Count * spec.Occurrences()
 	}
 	c.jobs[spec.ID] = j
+	delete(c.marks.latest, spec.ID)
 	c.active = append(c.active, j)
 	c.publishState(j, carobkeel.JobPending)
 	c.recordDecision(Decision{Kind: DecidedJobAdded, Job: spec.ID, Detail: string(spec.Queue.Name)})
@@ -207,17 +208,21 @@
 	return true
 }
 
-// Cancel ends a job at its caller's request.
-func (c *Core) Cancel(id carobkeel.JobID) {
+// Cancel ends a job at its caller's request. It returns false if the job is not known.
+func (c *Core) Cancel(id carobkeel.JobID) (known bool) {
 	j := c.jobs[id]
-	if j == nil || j.cancelled || c.isFinal(j) {
-		return
+	if j == nil {
+		return false
+	}
+	if j.cancelled || c.isFinal(j) {
+		return true
 	}
 	j.cancelled = true
 	c.recordEnded(j)
 	c.recordDecision(Decision{Kind: DecidedJobCancelled, Job: id})
 	c.stopAll(j)
 	c.markDirty(j)
+	return true
 }
 
 // stopAll stops all runs of a job.
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -36,6 +36,8 @@
 	Forgotten []runs.Incarnation
 	// Expired are jobs whose records are removed.
 	Expired []carobkeel.JobID
+	// Marks are the cancellations of unknown jobs that are removed.
+	Marks []CancelMark
 	// Interference holds the interference model's records of images, empty if they
 	// are not due. They are only stored together with other records.
 	Interference []interference.ImageRecord
@@ -106,7 +108,7 @@
 
 // HasBatch reports whether there are records to store.
 func (c *Core) HasBatch() bool {
-	return len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasDueProgress() || c.hasExpired()
+	return len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasDueProgress() || c.hasExpired() || c.hasExpiredMarks()
 }
 
 // maxStartDelay is how long the start of a job may wait for other records to be stored with. A
@@ -143,6 +145,7 @@
 		c.incarnationsToForget = c.incarnationsToForget[1:]
 	}
 	c.addExpired(&b, &limit)
+	c.addExpiredMarks(&b, &limit)
 	c.addLearned(&b, &limit)
 	return b
 }
@@ -174,7 +177,7 @@
 
 // Len returns the number of records in the batch that are due.
 func (b *Batch) Len() int {
-	return len(b.Progress) + len(b.Workers) + len(b.Forgotten) + len(b.Expired)
+	return len(b.Progress) + len(b.Workers) + len(b.Forgotten) + len(b.Expired) + len(b.Marks)
 }
 
 // BatchStored records that a batch is durable, and makes the states in it visible to
@@ -193,6 +196,9 @@
 	}
 	c.confirmIncarnations(b)
 	c.forgetJobs(b.Expired)
+	for _, mark := range b.Marks {
+		c.marks.remove(mark)
+	}
 }
 
 // pendingEnd is an end that has not been acknowledged yet.
@@ -248,6 +254,7 @@
 func (c *Core) BatchFailed(b Batch) {
 	c.workersToRecord = append(b.Workers, c.workersToRecord...)
 	c.incarnationsToForget = append(b.Forgotten, c.incarnationsToForget...)
+	c.marks.order = append(b.Marks, c.marks.order...)
 	c.keepRecorded(c.workersToRecord)
 }
 
@@ -264,6 +271,9 @@
 	}
 	c.confirmIncarnations(Batch{Forgotten: b.Forgotten})
 	c.forgetJobs(b.Expired)
+	for _, mark := range b.Marks {
+		c.marks.remove(mark)
+	}
 }
 
 func (j *job) progress() Progress {
--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -34,6 +34,8 @@
 	rows map[carobkeel.JobID]*progressRows
 	// workers are the versions of the records of workers, by key. They follow what is stored.
 	workers map[string]table.Version
+	// marks are the versions of the cancellations of unknown jobs that are removed.
+	marks map[carobkeel.JobID]table.Version
 }
 
 // run stores the batch. A panic counts as a rejection of its records, so that an odd one
@@ -48,16 +50,48 @@
 	}()
 	holds := table.RowCondition{RowID: w.node.holderRow(), Version: w.holder.Version}
 	for _, txn := range packTransactions(w.changes(), holds) {
-		if err := w.transact(ctx, txn); err != nil {
+		if err := w.transact(ctx, txn, w.refreshVersions); err != nil {
 			return err
 		}
 	}
+	if removal := w.markRemoval(holds); len(removal.Writes) > 0 {
+		return w.transact(ctx, removal, w.keepRewritten)
+	}
+	return nil
+}
+
+// markRemoval returns the transaction that removes the cancellations of unknown jobs. One that
+// was written again since must stay, so it has no place among the other changes, whose versions
+// are refreshed.
+func (w *batchWriter) markRemoval(holds table.RowCondition) table.RowTransaction {
+	removal := table.RowTransaction{Conditions: []table.RowCondition{holds}}
+	for _, mark := range w.batch.Marks {
+		id := w.node.cancelRow(mark.Job)
+		removal.Conditions = append(removal.Conditions, table.RowCondition{RowID: id, Version: w.marks[mark.Job]})
+		removal.Writes = append(removal.Writes, table.RowWrite{RowID: id, Delete: true})
+	}
+	return removal
+}
+
+// keepRewritten takes the rows out of a removal whose version has changed, and those that an
+// earlier attempt has removed.
+func (w *batchWriter) keepRewritten(txn *table.RowTransaction, outcome *table.RowOutcome) error {
+	if outcome.CurrentVersion(w.node.holderRow()) != w.holder.Version {
+		return errSuperseded
+	}
+	txn.Conditions = slices.DeleteFunc(txn.Conditions, func(c table.RowCondition) bool {
+		return outcome.CurrentVersion(c.RowID) != c.Version
+	})
+	txn.Writes = slices.DeleteFunc(txn.Writes, func(write table.RowWrite) bool {
+		return !slices.ContainsFunc(txn.Conditions, func(c table.RowCondition) bool { return c.RowID == write.RowID })
+	})
 	return nil
 }
 
 // transact executes a transaction. Every write is conditional on the holder row, and each
-// that could do harm if it is carried out late on the version of the row that it replaces.
-func (w *batchWriter) transact(ctx context.Context, txn table.RowTransaction) error {
+// that could do harm if it is carried out late on the version of the row that it replaces. If the
+// conditions don't hold, refresh changes the transaction for the next attempt, or ends it.
+func (w *batchWriter) transact(ctx context.Context, txn table.RowTransaction, refresh func(*table.RowTransaction, *table.RowOutcome) error) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstRetryPause, maxRetryPause
 	for {
@@ -68,9 +102,12 @@
 			w.logStored(&txn, outcome.Version)
 			return nil
 		case err == nil:
-			if err := w.refreshVersions(txn.Conditions, &outcome); err != nil {
+			if err := refresh(&txn, &outcome); err != nil {
 				return err
 			}
+			if len(txn.Writes) == 0 {
+				return nil
+			}
 			continue
 		case errors.Is(err, table.ErrInvalid):
 			w.logRejected(err)
@@ -99,12 +136,12 @@
 
 // refreshVersions adopts the current versions of the rows. They differ when an
 // earlier attempt of this holder was carried out without its answer arriving.
-func (w *batchWriter) refreshVersions(conditions []table.RowCondition, outcome *table.RowOutcome) error {
+func (w *batchWriter) refreshVersions(txn *table.RowTransaction, outcome *table.RowOutcome) error {
 	if outcome.CurrentVersion(w.node.holderRow()) != w.holder.Version {
 		return errSuperseded
 	}
-	for i := range conditions {
-		conditions[i].Version = outcome.CurrentVersion(conditions[i].RowID)
+	for i := range txn.Conditions {
+		txn.Conditions[i].Version = outcome.CurrentVersion(txn.Conditions[i].RowID)
 	}
 	return nil
 }
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -68,6 +68,8 @@
 	// workerRows has the versions of the records of workers, by key. The batch in flight
 	// follows them.
 	workerRows map[string]table.Version
+	// markRows has the versions of the cancellations of unknown jobs.
+	markRows map[carobkeel.JobID]table.Version
 	// pending maps the jobs that have not started to their queues.
 	pending map[carobkeel.JobID]carobkeel.QueueName
 	wake    time.Duration
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -132,11 +132,21 @@
 func (l *loop) applyCancellations(rows []table.VersionedRow) {
 	for _, row := range rows {
 		if job, isCancel := strings.CutSuffix(row.Key, CancelSuffix); isCancel && !row.Deleted {
-			l.core.Cancel(carobkeel.JobID(job))
+			l.applyCancellation(carobkeel.JobID(job), row.Version)
 		}
 	}
 }
 
+// applyCancellation applies a stored cancellation. That of a job which is not stored keeps late
+// submissions of it off.
+func (l *loop) applyCancellation(job carobkeel.JobID, version table.Version) {
+	if known := l.core.Cancel(job); known || !job.IsValid() {
+		return
+	}
+	l.markRows[job] = version
+	l.core.KeepCancelMark(job)
+}
+
 func (l *loop) addJob(row table.VersionedRow, inherited bool) {
 	job, err := decodeJob(row)
 	if err != nil {
--- a/scheduler/holder/store.go
+++ b/scheduler/holder/store.go
@@ -48,6 +48,10 @@
 		rows:   make(map[carobkeel.JobID]*progressRows),
 		// Only the batch in flight uses the map.
 		workers: l.workerRows,
+		marks:   make(map[carobkeel.JobID]table.Version),
+	}
+	for _, mark := range batch.Marks {
+		writer.marks[mark.Job] = l.markRows[mark.Job]
 	}
 	for _, p := range batch.Progress {
 		writer.rows[p.Job] = l.progressRows(p.Job)
@@ -87,6 +91,11 @@
 	for _, job := range w.batch.Expired {
 		delete(l.progress, job)
 	}
+	for job, version := range w.marks {
+		if l.markRows[job] == version {
+			delete(l.markRows, job)
+		}
+	}
 	l.core.BatchStored(w.batch)
 }
 
