--- a/resources.go
+++ b/resources.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// Min returns the smaller one of each component of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{
+		MilliCPU:     min(r.MilliCPU, o.MilliCPU),
+		MemoryBytes:  min(r.MemoryBytes, o.MemoryBytes),
+		Accelerators: min(r.Accelerators, o.Accelerators),
+	}
+}
+
 // FitsIn reports whether every component of r is at most that of o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.MilliCPU <= o.MilliCPU &&
--- a/scheduler/dispatch/control.go
+++ b/scheduler/dispatch/control.go
@@ -277,7 +277,7 @@
 func (c *Core) hasFasterPlace(p *pass, r *runState) bool {
 	demand := r.task.step.spec.Reserved()
 	for _, w := range p.workers {
-		if w == r.worker || !c.isAllowed(r.task, w) || !demand.FitsIn(w.free().Sub(p.reservations[w])) {
+		if w == r.worker || !c.isAllowed(r.task, w) || !demand.FitsIn(c.room(p, r.task, w)) {
 			continue
 		}
 		if p.reservations[w] != (carobkeel.Resources{}) {
--- a/scheduler/dispatch/gang.go
+++ b/scheduler/dispatch/gang.go
@@ -17,9 +17,10 @@
 	}
 	chosen := c.chooseGang(p, s)
 	if chosen == nil {
-		c.reserveForGang(p, s)
+		c.holdForGang(p, s)
 		return
 	}
+	s.plan = nil
 	run, checkpoint := 0, ""
 	for i := range s.tasks {
 		run = max(run, s.tasks[i].lastRun)
@@ -32,7 +33,7 @@
 		s.tasks[i].checkpoint = checkpoint
 	}
 	for i := range s.tasks {
-		c.start(&s.tasks[i], chosen[i])
+		c.startPlanned(p, &s.tasks[i], chosen[i])
 	}
 }
 
@@ -91,7 +92,7 @@
 			if !c.isAllowed(&s.tasks[i], w) || (s.spec.MaxPerWorker > 0 && count[w] >= s.spec.MaxPerWorker) {
 				continue
 			}
-			if len(w.runs)+count[w] >= MaxRunsPerWorker || !demand.FitsIn(w.free().Sub(p.reservations[w]).Sub(assigned[w])) {
+			if len(w.runs)+count[w] >= MaxRunsPerWorker || !demand.FitsIn(c.room(p, &s.tasks[i], w).Sub(assigned[w])) {
 				continue
 			}
 			if score := c.score(&s.tasks[i], w) - assigned[w].DominantShare(w.description.Capacity); best == nil || score > bestScore {
@@ -107,38 +108,3 @@
 	}
 	return chosen
 }
-
-// fitsEmptyWorkers reports whether the workers would have room for a gang if they
-// ran nothing.
-func (c *Core) fitsEmptyWorkers(p *pass, s *stepState) bool {
-	demand := s.spec.Reserved()
-	left := len(s.tasks)
-	for _, w := range p.workers {
-		if !c.meetsRequirements(s, w) {
-			continue
-		}
-		free := w.description.Capacity
-		for n := 0; left > 0 && demand.FitsIn(free) && (s.spec.MaxPerWorker <= 0 || n < s.spec.MaxPerWorker); n++ {
-			free = free.Sub(demand)
-			left--
-		}
-	}
-	return left == 0
-}
-
-// reserveForGang reserves the free resources for a gang that does not fit yet,
-// once it has waited for gangReservationDelay. Without it, smaller tasks could
-// take these resources forever.
-func (c *Core) reserveForGang(p *pass, s *stepState) {
-	if c.now.Monotonic-s.readyAt < gangReservationDelay || !c.fitsEmptyWorkers(p, s) {
-		return
-	}
-	demand := s.spec.Reserved()
-	left := len(s.tasks)
-	for _, w := range p.workers {
-		for left > 0 && !demand.IsZero() && c.isAllowed(&s.tasks[0], w) && demand.FitsIn(w.free().Sub(p.reservations[w])) {
-			p.reservations[w] = p.reservations[w].Add(demand)
-			left--
-		}
-	}
-}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -76,6 +76,8 @@
 	// valueRate is the result of Core.valueRate at the start of the current pass.
 	valueRate float64
 	advice    stepAdvice
+	// plan is that of a gang that waits for room, nil for none.
+	plan *gangPlan
 }
 
 // task is one task of a step.
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -17,6 +17,10 @@
 	// reservations holds the resources of each worker that are reserved for
 	// more urgent tasks.
 	reservations map[*workerState]carobkeel.Resources
+	// plans are those of gangs that wait, by worker, and utilization the shares of the services'
+	// processors in use.
+	plans       map[*workerState]*gangPlan
+	utilization map[carobkeel.Service]float64
 	// preemptible caches, for each worker, the runs that tasks of the highest
 	// priority may preempt.
 	preemptible map[*workerState]*preemptibleRuns
@@ -28,6 +32,8 @@
 		workers:      usable,
 		quarantined:  quarantined,
 		reservations: make(map[*workerState]carobkeel.Resources),
+		plans:        make(map[*workerState]*gangPlan),
+		utilization:  make(map[carobkeel.Service]float64),
 		preemptible:  make(map[*workerState]*preemptibleRuns),
 	}
 }
@@ -165,7 +171,7 @@
 			w = c.selectWorkerAmong(p, p.quarantined, t, anyWorker)
 		}
 		if w != nil {
-			c.start(t, w)
+			c.startPlanned(p, t, w)
 			continue
 		}
 		if !c.makeRoom(p, t) && len(t.avoidedHosts) == 0 {
@@ -184,7 +190,7 @@
 		unchangedUpTo = 0
 	}
 	best := c.selectWorkerAmong(p, p.workers, t, func(w *workerState) bool { return w.lastChange > unchangedUpTo })
-	if best == nil && len(p.reservations) == 0 && !avoidsHosts {
+	if best == nil && len(p.reservations)+len(p.plans) == 0 && !avoidsHosts {
 		t.step.noRoomAt = c.workerChanges
 	}
 	return best
@@ -198,7 +204,7 @@
 	var best *workerState
 	var bestScore float64
 	for _, w := range workers {
-		if !eligible(w) || !c.isAllowed(t, w) || !t.step.spec.Reserved().FitsIn(w.free().Sub(p.reservations[w])) {
+		if !eligible(w) || !c.isAllowed(t, w) || !t.step.spec.Reserved().FitsIn(c.room(p, t, w)) {
 			continue
 		}
 		if t.step.spec.BestEffort && !c.canStartBestEffort(t, w) {
--- a/scheduler/dispatch/preempt.go
+++ b/scheduler/dispatch/preempt.go
@@ -44,7 +44,7 @@
 		c.wakeAt(since + delay)
 		return false
 	}
-	w, victims := c.cheapestVictims(p, t, demand)
+	w, victims := c.cheapestVictims(p, t)
 	if w == nil {
 		return false
 	}
@@ -59,7 +59,7 @@
 // being stopped have ended.
 func (c *Core) workerFreeAfterStops(p *pass, t *task, demand carobkeel.Resources) *workerState {
 	for _, w := range p.workers {
-		if c.isAllowed(t, w) && demand.FitsIn(w.freeAfterStops().Sub(p.reservations[w])) {
+		if c.isAllowed(t, w) && demand.FitsIn(w.freeAfterStops().Sub(c.claimed(p, t, w))) {
 			return w
 		}
 	}
@@ -102,7 +102,7 @@
 // cheapestVictims returns the worker on which preemption loses the least work,
 // and the runs of lower priority to stop there. A worker with an overdue stop is
 // the last choice, since it may not carry out further ones.
-func (c *Core) cheapestVictims(p *pass, t *task, demand carobkeel.Resources) (*workerState, []*runState) {
+func (c *Core) cheapestVictims(p *pass, t *task) (*workerState, []*runState) {
 	var best *workerState
 	var bestVictims []*runState
 	bestCost, bestOverdue := 0.0, false
@@ -110,7 +110,7 @@
 		if !c.isAllowed(t, w) {
 			continue
 		}
-		victims, cost, fits := c.victimsOn(p, w, demand)
+		victims, cost, fits := c.victimsOn(p, t, w)
 		overdue := w.overdueStops > 0
 		if fits && (best == nil || cmp.Or(compareFalseFirst(overdue, bestOverdue), cmp.Compare(cost, bestCost)) < 0) {
 			best, bestVictims, bestCost, bestOverdue = w, victims, cost, overdue
@@ -121,8 +121,9 @@
 
 // victimsOn returns the runs to stop to make room on a worker, the work that
 // would be lost, and whether stopping them frees enough.
-func (c *Core) victimsOn(p *pass, w *workerState, demand carobkeel.Resources) ([]*runState, float64, bool) {
-	free := w.freeAfterStops().Sub(p.reservations[w])
+func (c *Core) victimsOn(p *pass, t *task, w *workerState) ([]*runState, float64, bool) {
+	demand := t.step.spec.Reserved()
+	free := w.freeAfterStops().Sub(c.claimed(p, t, w))
 	candidates := c.preemptibleOn(p, w)
 	if !demand.FitsIn(free.Add(candidates.total)) {
 		return nil, 0, false
--- a/scheduler/dispatch/speculative.go
+++ b/scheduler/dispatch/speculative.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		if w := c.selectWorkerAmong(p, p.workers, t, func(w *workerState) bool { return !w.hasRunOf(t) }); w != nil {
-			c.start(t, w)
+			c.startPlanned(p, t, w)
 		}
 	}
 }
--- a/scheduler/dispatch/value.go
+++ b/scheduler/dispatch/value.go
@@ -1,7 +1,5 @@
 package dispatch
 
-import "time"
-
 const (
 	// lateValue and tooLateValue are the values of the completion of a late job to its
 	// caller, where that of a job in time is 1.
@@ -43,9 +41,5 @@
 
 // taskWork returns the estimated work of one task of the step, in core-seconds.
 func (s *stepState) taskWork() float64 {
-	duration := s.spec.Estimate
-	if s.completedRuns > 0 {
-		duration = s.completedTime / time.Duration(s.completedRuns)
-	}
-	return duration.Seconds() * float64(s.spec.Demand.MilliCPU) / 1000
+	return s.typicalDuration().Seconds() * float64(s.spec.Demand.MilliCPU) / 1000
 }
--- a/scheduler/dispatch/waiting.go
+++ b/scheduler/dispatch/waiting.go
@@ -166,7 +166,7 @@
 		if demand.FitsIn(w.freeAfterStops()) {
 			n.afterStops++
 		}
-	case !demand.FitsIn(w.free().Sub(p.reservations[w])):
+	case !demand.FitsIn(c.room(p, t, w)):
 		n.reserved++
 	case w.lastChange <= t.step.noRoomAt:
 		n.unchanged++
--- a/scheduler/holder/cancel_mark_test.go
+++ b/scheduler/holder/cancel_mark_test.go
@@ -71,8 +71,10 @@
 	l.core = dispatch.New(dispatch.Config{}, dispatch.Now{}, nil)
 	l.core.AddJob(&carobkeel.JobSpec{ID: remarkedJob}, false)
 	l.applyCancellations([]table.VersionedRow{
-		{RowID: n.cancelRow(markedJob), Version: 7}, {RowID: n.cancelRow(remarkedJob), Version: 8},
-		{RowID: n.cancelRow("odd.key"), Version: 9}, {RowID: n.cancelRow("00000000000000cc"), Version: 10, Deleted: true},
+		{RowID: n.cancelRow(markedJob), Version: 7},
+		{RowID: n.cancelRow(remarkedJob), Version: 8},
+		{RowID: n.cancelRow("odd.key"), Version: 9},
+		{RowID: n.cancelRow("00000000000000cc"), Version: 10, Deleted: true},
 	})
 	g.Expect(l.markRows).To(Equal(map[carobkeel.JobID]table.Version{markedJob: 7}))
 }
