--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -18,8 +18,11 @@
 	cancelled bool
 	failed    bool
 	// hasStarted reports that a worker has confirmed the start of a task of the job.
-	hasStarted  bool
+	hasStarted bool
+	// occurrences are those from doneUpTo on that have come due or that a worker or the store has
+	// named. All tasks of the ones before are done.
 	occurrences []*occurrence
+	doneUpTo    int
 	// criticalPaths holds, for each step, the longest chain of estimated work
 	// that begins with it.
 	criticalPaths []time.Duration
@@ -41,16 +44,6 @@
 	endedAt time.Duration
 }
 
-// occurrence is one execution of a job's steps. A repeated job has several.
-type occurrence struct {
-	job   *job
-	index int
-	// due is the time of day at which a scheduled occurrence starts. It is zero
-	// if the occurrence starts immediately.
-	due   time.Time
-	steps []*stepState
-}
-
 // stepState is a step of an occurrence.
 type stepState struct {
 	occurrence *occurrence
@@ -155,12 +148,10 @@
 		return
 	}
 	j := &job{spec: spec, inherited: inherited, accepted: c.now.Monotonic}
-	for k := range spec.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, k, c.now.Monotonic))
-	}
-	for i := range spec.Steps {
-		j.remaining += spec.Steps[i].Count * spec.Occurrences()
+	if spec.Repeats == 0 {
+		c.makeOccurrences(j, 1)
 	}
+	j.remaining = j.tasksPerOccurrence() * spec.Occurrences()
 	c.jobs[spec.ID] = j
 	delete(c.marks.latest, spec.ID)
 	c.active = append(c.active, j)
@@ -168,23 +159,6 @@
 	c.recordDecision(Decision{Kind: DecidedJobAdded, Job: spec.ID, Detail: string(spec.Queue.Name)})
 }
 
-func newOccurrence(j *job, index int, now time.Duration) *occurrence {
-	o := &occurrence{job: j, index: index}
-	if j.spec.Repeats > 0 {
-		o.due = j.spec.First.Add(time.Duration(index) * j.spec.Period)
-	}
-	for i := range j.spec.Steps {
-		s := &stepState{occurrence: o, index: i, spec: &j.spec.Steps[i]}
-		s.name = carobkeel.TaskName{Job: j.spec.ID, Occurrence: index, Step: i}.StepName()
-		s.tasks = make([]task, s.spec.Count)
-		for n := range s.tasks {
-			s.tasks[n] = task{step: s, index: n, waitingSince: now}
-		}
-		o.steps = append(o.steps, s)
-	}
-	return o
-}
-
 // maxWake bounds the time to the next call of Advance.
 const maxWake = 24 * time.Hour
 
@@ -302,10 +276,14 @@
 // task returns the named task, nil if there is none.
 func (c *Core) task(name carobkeel.TaskName) *task {
 	j := c.jobs[name.Job]
-	if j == nil || name.Occurrence < 0 || name.Occurrence >= len(j.occurrences) {
+	if j == nil {
+		return nil
+	}
+	o := c.occurrence(j, name.Occurrence)
+	if o == nil {
 		return nil
 	}
-	steps := j.occurrences[name.Occurrence].steps
+	steps := o.steps
 	if name.Step < 0 || name.Step >= len(steps) {
 		return nil
 	}
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -105,6 +105,7 @@
 }
 
 func (c *Core) appendWaiting(steps []*stepState, j *job) []*stepState {
+	c.updateOccurrences(j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if s.done < len(s.tasks) && c.hasStartable(s) && c.isReady(s) {
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -13,8 +13,10 @@
 type Progress struct {
 	Job   carobkeel.JobID
 	State carobkeel.JobState
-	// Tasks lists the tasks that are done, have failed runs or have saved a
-	// checkpoint, in the order of their names.
+	// DoneUpTo is the number of the first occurrences whose tasks are all done.
+	DoneUpTo int
+	// Tasks lists the tasks of later occurrences that are done, have failed runs or have saved
+	// a checkpoint, in the order of their names.
 	Tasks []TaskProgress
 }
 
@@ -281,6 +283,7 @@
 	if p.State.IsFinal() {
 		return p
 	}
+	p.DoneUpTo = j.doneUpTo
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for i := range s.tasks {
@@ -308,6 +311,7 @@
 	if p.State == carobkeel.JobCompleted {
 		j.completeAll()
 	}
+	j.restoreDone(p.DoneUpTo)
 	for _, tp := range p.Tasks {
 		t := c.task(tp.Task)
 		if t == nil {
@@ -329,6 +333,10 @@
 // completeAll marks all tasks as done, for a job that is stored as completed.
 func (j *job) completeAll() {
 	j.remaining = 0
+	if j.spec.Repeats > 0 {
+		j.occurrences, j.doneUpTo = nil, j.spec.Occurrences()
+		return
+	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.done = len(s.tasks)
--- a/scheduler/holder/fuzz_test.go
+++ b/scheduler/holder/fuzz_test.go
@@ -28,7 +28,7 @@
 	f.Add("j", mustEncode(&job), mustEncode(&progress), mustEncode(&wire.InterferenceRow{}))
 	f.Add("0.0", deep, deep, deep)
 	f.Add("", []byte{0x81, 0xa5, 's', 't', 'e', 'p', 's', 0xdd, 0, 0, 0xff, 0xff}, []byte{0xc1}, []byte{0x81, 0xa1, 'i', 0xdc, 0xff, 0xff})
-	part := wire.FromProgressPart(carobkeel.TaskName{Job: "j", Index: 1}, nil)
+	part := wire.FromProgressPart(carobkeel.TaskName{Job: "j", Index: 1}, 0, nil)
 	f.Add("j", mustEncode(&job), mustEncode(part), mustEncode(&wire.InterferenceRow{}))
 	logger := logging.Discard().For("test")
 	f.Fuzz(func(_ *testing.T, key string, jobValue, progressValue, learnedValue []byte) {
--- a/scheduler/holder/progress_rows.go
+++ b/scheduler/holder/progress_rows.go
@@ -90,11 +90,11 @@
 	for i := len(r.rows) - 1; i >= 0; i-- {
 		lists := wire.SplitProgress(p.Tasks[r.end(p.Tasks, i):r.end(p.Tasks, i+1)], valueBytes)
 		for k := len(lists) - 1; k > 0; k-- {
-			changes = append(changes, r.create(lists[k]))
+			changes = append(changes, r.create(p.DoneUpTo, lists[k]))
 		}
-		row := wire.FromProgressPart(r.rows[i].first, lists[0])
+		row := wire.FromProgressPart(r.rows[i].first, p.DoneUpTo, lists[0])
 		if i == 0 {
-			row = wire.FromProgress(&dispatch.Progress{State: p.State, Tasks: lists[0]})
+			row = wire.FromProgress(&dispatch.Progress{State: p.State, DoneUpTo: p.DoneUpTo, Tasks: lists[0]})
 		}
 		if value := mustEncode(row); r.rows[i].Version == 0 || !bytes.Equal(value, r.rows[i].Value) {
 			changes = append(changes, r.rows[i].write(value))
@@ -105,11 +105,11 @@
 
 // create returns the change that adds a row. Its condition on the row with the state keeps
 // it from being carried out once the job has ended and its rows are removed.
-func (r *progressRows) create(tasks []dispatch.TaskProgress) table.RowTransaction {
+func (r *progressRows) create(doneUpTo int, tasks []dispatch.TaskProgress) table.RowTransaction {
 	first := tasks[0].Task
 	added := progressRow{VersionedRow: table.VersionedRow{RowID: r.rows[0].RowID}}
 	added.Key = first.String()
-	change := added.write(mustEncode(wire.FromProgressPart(first, tasks)))
+	change := added.write(mustEncode(wire.FromProgressPart(first, doneUpTo, tasks)))
 	change.Conditions = append(change.Conditions, r.rows[0].unchanged())
 	return change
 }
@@ -197,33 +197,34 @@
 	if err != nil && base.Version != 0 {
 		logLeftOut(logger, base.Key, err)
 	}
-	lists := append([][]dispatch.TaskProgress{p.Tasks}, r.decodeParts(logger)...)
-	p.Tasks = nil
+	parts, doneUpTo := r.decodeParts(logger)
+	lists := append([][]dispatch.TaskProgress{p.Tasks}, parts...)
+	p.Tasks, p.DoneUpTo = nil, max(p.DoneUpTo, doneUpTo)
 	if !p.State.IsFinal() {
 		p.Tasks = r.ownTasks(lists)
 	}
 	return p, err == nil || len(r.rows) > 1
 }
 
-// decodeParts returns the tasks in each of the further rows. Those that can't be read
-// become odd.
-func (r *progressRows) decodeParts(logger *log.Logger) [][]dispatch.TaskProgress {
+// decodeParts returns the tasks in each of the further rows, and the number of the first occurrences
+// that are done by the rows. Those that can't be read become odd.
+func (r *progressRows) decodeParts(logger *log.Logger) (lists [][]dispatch.TaskProgress, doneUpTo int) {
 	for i := range r.odd {
 		logLeftOut(logger, r.odd[i].Key, errors.New("key names no task"))
 	}
-	var lists [][]dispatch.TaskProgress
 	readable := r.rows[:1:1]
 	for _, row := range r.rows[1:] {
-		tasks, err := wire.DecodeProgressPart(row.Value, row.first)
+		part, err := wire.DecodeProgressPart(row.Value, row.first)
 		if err != nil {
 			logLeftOut(logger, row.Key, err)
 			r.odd = append(r.odd, row)
 			continue
 		}
-		readable, lists = append(readable, row), append(lists, tasks)
+		readable, lists = append(readable, row), append(lists, part.Tasks)
+		doneUpTo = max(doneUpTo, part.DoneUpTo)
 	}
 	r.rows = readable
-	return lists
+	return lists, doneUpTo
 }
 
 // ownTasks returns the tasks of each row's list that belong to the row.
--- a/scheduler/holder/progress_rows_test.go
+++ b/scheduler/holder/progress_rows_test.go
@@ -191,6 +191,32 @@
 	})
 }
 
+// Guards against TWICE: the rows of later tasks were rewritten without the tasks of dropped
+// occurrences, and the holder ended before the row that says that these are done.
+func TestDroppedOccurrencesAreKnownAsDoneWhereverAWriteEnds(t *testing.T) {
+	const occurrences, tasks = 12, 100
+	before := dispatch.Progress{Job: largeJobID, State: carobkeel.JobActive}
+	for i := range occurrences * tasks {
+		name := carobkeel.TaskName{Job: largeJobID, Occurrence: i / tasks, Index: i % tasks}
+		before.Tasks = append(before.Tasks, dispatch.TaskProgress{Task: name, Done: true})
+	}
+	after := dispatch.Progress{Job: largeJobID, State: carobkeel.JobActive, DoneUpTo: occurrences}
+	for transactions := range 4 {
+		g := NewWithT(t)
+		s := newProgressStore(g, 400)
+		g.Expect(s.write(progressBatch(before), 0)).To(Succeed())
+		err := s.write(progressBatch(after), transactions)
+		found := s.takeOver()
+		if err == nil {
+			g.Expect(found.DoneUpTo).To(Equal(occurrences))
+		}
+		for _, task := range before.Tasks {
+			listed := slices.ContainsFunc(found.Tasks, func(t dispatch.TaskProgress) bool { return t.Task == task.Task && t.Done })
+			g.Expect(listed || task.Task.Occurrence < found.DoneUpTo).To(BeTrue(), "%s after %d transactions", task.Task, transactions)
+		}
+	}
+}
+
 // setTask sets the progress of a task in the order of their names.
 func setTask(tasks []dispatch.TaskProgress, set dispatch.TaskProgress) []dispatch.TaskProgress {
 	i, found := slices.BinarySearchFunc(tasks, set.Task, func(t dispatch.TaskProgress, name carobkeel.TaskName) int { return compareTasks(t.Task, name) })
@@ -225,10 +251,10 @@
 		{"not a progress", ".0.0.100", []byte{0xc1}},
 		{"deeply nested", ".0.0.100", append([]byte{0x81, 0xa1, 'x'}, bytes.Repeat([]byte{0x91}, 1<<10)...)},
 		{"empty", ".0.0.100", []byte{0x80}},
-		{"of another task", ".0.0.100", mustEncode(wire.FromProgressPart(carobkeel.TaskName{Job: largeJobID, Index: 7}, nil))},
-		{"of all tasks", ".0.0.0", mustEncode(wire.FromProgressPart(carobkeel.TaskName{Job: largeJobID}, nil))},
+		{"of another task", ".0.0.100", mustEncode(wire.FromProgressPart(carobkeel.TaskName{Job: largeJobID, Index: 7}, 0, nil))},
+		{"of all tasks", ".0.0.0", mustEncode(wire.FromProgressPart(carobkeel.TaskName{Job: largeJobID}, 0, nil))},
 		{"key of no task", ".x", mustEncode(&wire.ProgressRow{})},
-		{"key in another form", ".0.0.+100", mustEncode(wire.FromProgressPart(carobkeel.TaskName{Job: largeJobID, Index: 100}, nil))},
+		{"key in another form", ".0.0.+100", mustEncode(wire.FromProgressPart(carobkeel.TaskName{Job: largeJobID, Index: 100}, 0, nil))},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/scheduler/wire/progress.go
+++ b/scheduler/wire/progress.go
@@ -9,16 +9,18 @@
 
 // FromProgress returns the row for the progress of a job.
 func FromProgress(p *dispatch.Progress) *ProgressRow {
-	row := &ProgressRow{State: uint8(p.State)}
+	row := &ProgressRow{State: uint8(p.State), DoneUpTo: p.DoneUpTo}
 	for i := range p.Tasks {
 		row.Tasks = append(row.Tasks, fromTaskProgress(&p.Tasks[i]))
 	}
 	return row
 }
 
-// FromProgressPart returns the row for the tasks of a job from the given one on.
-func FromProgressPart(first carobkeel.TaskName, tasks []dispatch.TaskProgress) *ProgressRow {
-	row := FromProgress(&dispatch.Progress{Tasks: tasks})
+// FromProgressPart returns the row for the tasks of a job from the given one on. It has DoneUpTo as
+// well: tasks that it does not list any more are done, also if the row with the state is not
+// rewritten yet.
+func FromProgressPart(first carobkeel.TaskName, doneUpTo int, tasks []dispatch.TaskProgress) *ProgressRow {
+	row := FromProgress(&dispatch.Progress{DoneUpTo: doneUpTo, Tasks: tasks})
 	row.First = first.String()
 	return row
 }
@@ -82,20 +84,20 @@
 }
 
 // DecodeProgressPart decodes the row of the tasks of a job from the given one on.
-func DecodeProgressPart(value []byte, first carobkeel.TaskName) ([]dispatch.TaskProgress, error) {
+func DecodeProgressPart(value []byte, first carobkeel.TaskName) (dispatch.Progress, error) {
 	var row ProgressRow
 	if _, err := row.UnmarshalMsg(value); err != nil {
-		return nil, errors.Wrap(err, "decode a part of progress")
+		return dispatch.Progress{}, errors.Wrap(err, "decode a part of progress")
 	}
 	if row.First != first.String() {
-		return nil, errors.Errorf("decode a part of progress: it begins with %q", row.First)
+		return dispatch.Progress{}, errors.Errorf("decode a part of progress: it begins with %q", row.First)
 	}
-	return row.Decoded(first.Job).Tasks, nil
+	return row.Decoded(first.Job), nil
 }
 
 // Decoded returns the progress of the job with the given ID.
 func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
-	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State)}
+	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State), DoneUpTo: r.DoneUpTo}
 	for _, t := range r.Tasks {
 		p.Tasks = append(p.Tasks, dispatch.TaskProgress{
 			Task: carobkeel.TaskName{Job: id, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index},
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -91,6 +91,8 @@
 	Tasks []TaskProgress `msg:"t"`
 	// First names the first task of a part. It is empty in the row that has the state.
 	First string `msg:"f,omitempty"`
+	// DoneUpTo is the number of the first occurrences whose tasks are all done.
+	DoneUpTo int `msg:"d,omitempty"`
 }
 
 // TaskProgress is the encoding of a dispatch.TaskProgress.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -726,13 +726,17 @@
 func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.First == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.DoneUpTo == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -756,6 +760,11 @@
 			o = append(o, 0xa1, 0x66)
 			o = msgp.AppendString(o, z.First)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendInt(o, z.DoneUpTo)
+		}
 	}
 	return
 }
@@ -817,6 +826,12 @@
 				err = msgp.WrapError(err, "First")
 				return
 			}
+		case "d":
+			z.DoneUpTo, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DoneUpTo")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -835,7 +850,7 @@
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.First)
+	s += 2 + msgp.StringPrefixSize + len(z.First) + 2 + msgp.IntSize
 	return
 }
 
