--- a/scheduler/holder/holder_row.go
+++ b/scheduler/holder/holder_row.go
@@ -111,6 +111,6 @@
 		next.Row.Epoch = old.Row.Epoch
 	}
 	l.recordPredecessor(next)
-	l.predecessors.add(next.Row, next.Since) // the row may have hidden one that this process has not seen
+	l.predecessors.addUnknown(next.Row, next.Since) // the row may have hidden one that this process has not seen
 	l.node.holderState.Store(next)
 }
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -72,7 +72,11 @@
 	markRows map[carobkeel.JobID]table.Version
 	// pending maps the jobs that have not started to their queues.
 	pending map[carobkeel.JobID]carobkeel.QueueName
-	wake    time.Duration
+	// storeClock is the last reading of the table service's clock in this term, and authority the
+	// state of the promises by it.
+	storeClock storeInstant
+	authority  authority
+	wake       time.Duration
 }
 
 func newLoop(n *Node) *loop { return &loop{node: n} }
@@ -177,6 +181,7 @@
 	} else {
 		l.confirmHold(holdReadInterval)
 	}
+	l.renewAuthority()
 	l.store()
 }
 
@@ -191,13 +196,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(term, followTimeout)
 		defer cancel()
-		row, _, err := n.rows.Get(ctx, n.holderRow())
-		if err != nil || row.Version != version {
+		scan, err := n.rows.Scan(ctx, TableHolders, n.config.Shard, holderKey)
+		if err != nil || findRow(scan.Rows, holderKey).Version != version {
 			return // the feed delivers a newer row
 		}
+		read := storeInstant{at: scan.Transfer.ServiceTime, requested: requestedAt, received: clock.Boottime()}
 		n.recordHoldRead(requestedAt)
 		n.events.Push(func(l *loop) {
 			if l.core != nil && l.term == term {
+				l.storeClock = read
 				l.holdConfirmed = max(l.holdConfirmed, requestedAt)
 				l.core.Advance(l.now())
 			}
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -27,6 +27,7 @@
 	TableProgress     = "progress"
 	TableWorkers      = "workers"
 	TableInterference = "learned"
+	TableAuthority    = "authority"
 )
 
 // holderKey is the key of the row that names the holder.
@@ -124,6 +125,9 @@
 	// holdRead is when the last read was requested that showed that this node holds the
 	// shard.
 	holdRead atomic.Int64
+	// promisedUntil is when this node lets no lease be extended any more by the promise that is
+	// stored, zero if it has made none.
+	promisedUntil atomic.Int64
 	// acceptedLinks is the number of links that other processes have opened.
 	acceptedLinks atomic.Uint64
 }
--- a/scheduler/holder/ping.go
+++ b/scheduler/holder/ping.go
@@ -96,8 +96,12 @@
 }
 
 // mayExtendLeases reports whether this node, which leads as far as it knows, may let
-// sidecars extend leases. It may have been paused since it last checked that.
+// sidecars extend leases. It may have been paused since it last checked that, or since it promised
+// to later holders until when it does.
 func (n *Node) mayExtendLeases(now time.Duration) bool {
+	if promised := time.Duration(n.promisedUntil.Load()); promised > 0 && now >= promised {
+		return false
+	}
 	return now-time.Duration(n.holdRead.Load()) <= leaseAuthority
 }
 
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -31,6 +31,15 @@
 	return incarnation.ID + "." + strconv.FormatInt(incarnation.StartedAtMs, 10)
 }
 
+// findRow returns the row with a key. Its version is zero if there is none.
+func findRow(rows []table.VersionedRow, key string) table.VersionedRow {
+	i := slices.IndexFunc(rows, func(row table.VersionedRow) bool { return row.Key == key })
+	if i < 0 {
+		return table.VersionedRow{}
+	}
+	return rows[i]
+}
+
 // restoreProgress applies the stored progress of jobs, in the order of their IDs.
 func (l *loop) restoreProgress(rows []table.VersionedRow) {
 	l.progress = groupProgress(rows)
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -100,6 +100,9 @@
 	progress     []table.VersionedRow
 	workers      []table.VersionedRow
 	interference []table.VersionedRow
+	authority    []table.VersionedRow
+	// storeClock is the table service's clock when the authority was read.
+	storeClock storeInstant
 	// from is the version to follow the jobs table from, and progressVersion the newest version
 	// in the service when the progress was read.
 	from, progressVersion table.Version
@@ -191,6 +194,13 @@
 	read(TableProgress, &t.progress, &t.progressVersion)
 	read(TableWorkers, &t.workers, &ignored[0])
 	read(TableInterference, &t.interference, &ignored[1])
+	group.Go(func() error {
+		requested := clock.Boottime()
+		scan, err := n.rows.Scan(ctx, TableAuthority, n.config.Shard, holderKey)
+		t.authority = scan.Rows
+		t.storeClock = storeInstant{at: scan.Transfer.ServiceTime, requested: requested, received: clock.Boottime()}
+		return errors.Wrap(err, TableAuthority)
+	})
 	if err := group.Wait(); err != nil {
 		return err
 	}
@@ -251,6 +261,8 @@
 	l.holdConfirmed = max(l.holdConfirmed, t.requestedAt)
 	n.recordHoldRead(t.requestedAt)
 	l.batchInFlight = false
+	l.startAuthority(t)
+	l.storeClock = t.storeClock
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
 	n.waiting.Store(&map[carobkeel.QueueName]int{})
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -18,6 +18,17 @@
 	Successions uint8 `msg:"s,omitempty"`
 }
 
+// AuthorityRow is a holder's promise. Its times are in milliseconds on the table service's steady
+// clock.
+type AuthorityRow struct {
+	Epoch uint64 `msg:"e"`
+	// Since is when the holder had replaced all earlier ones.
+	Since int64 `msg:"s"`
+	// Until is when it lets no lease of a worker be extended any more, unless a later promise
+	// is stored before.
+	Until int64 `msg:"u"`
+}
+
 // EntryRow is the record of a running entry process.
 type EntryRow struct {
 	Host        string `msg:"h"`
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -60,6 +60,80 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z AuthorityRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Since)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.Until)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *AuthorityRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > zd41d09belimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "s":
+			z.Since, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Since")
+				return
+			}
+		case "u":
+			z.Until, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Until")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z AuthorityRow) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z EntryRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/scheduler/wire/wire_test.go
+++ b/scheduler/wire/wire_test.go
@@ -284,7 +284,7 @@
 		for _, into := range []msgp.Unmarshaler{
 			&wire.Hello{}, &wire.Ping{}, &wire.Pong{}, &wire.Description{}, &wire.Listing{}, &wire.Answer{}, &wire.Orders{},
 			&wire.Query{}, &wire.Reply{}, &wire.JobRow{}, &wire.ProgressRow{}, &wire.HolderRow{},
-			&wire.WorkerUnreachable{}, &wire.WorkerShutDown{}, &wire.EntryRow{}, &wire.WorkerRow{}, &wire.InterferenceRow{},
+			&wire.WorkerUnreachable{}, &wire.WorkerShutDown{}, &wire.EntryRow{}, &wire.WorkerRow{}, &wire.InterferenceRow{}, &wire.AuthorityRow{},
 		} {
 			_ = wire.Decode(message, into) // an error is fine; a panic is not
 		}
