--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -310,6 +310,21 @@
 	}
 }
 
+// failures returns how many attempts have failed: of the task or, as its members start and end
+// together, of its gang.
+func (t *task) failures() int {
+	if !t.step.spec.Gang {
+		return len(t.failedRuns)
+	}
+	failed := make(map[int]bool)
+	for i := range t.step.tasks {
+		for _, run := range t.step.tasks[i].failedRuns {
+			failed[run] = true
+		}
+	}
+	return len(failed)
+}
+
 // addFailedHost records the host of a failed run. Long-running tasks also fail on
 // sound hosts now and then, so only failures in quick succession add up.
 func (c *Core) addFailedHost(t *task, host string) {
@@ -360,7 +375,7 @@
 		t.failedRuns = nil // long-running tasks have no limit of attempts
 		return
 	}
-	if limit == 0 || len(t.failedRuns) < limit || j.failed {
+	if limit == 0 || t.failures() < limit || j.failed {
 		return
 	}
 	j.failed = true
