--- a/scheduler/dispatch/gang.go
+++ b/scheduler/dispatch/gang.go
@@ -21,16 +21,18 @@
 		return
 	}
 	s.plan = nil
-	run, checkpoint := 0, ""
+	run, newest := 0, &s.tasks[0]
 	for i := range s.tasks {
-		run = max(run, s.tasks[i].lastRun)
-		if s.tasks[i].checkpoint != "" {
-			checkpoint = s.tasks[i].checkpoint
+		t := &s.tasks[i]
+		run = max(run, t.lastRun)
+		if t.checkpoint != "" && (newest.checkpoint == "" || t.checkpointRun > newest.checkpointRun) {
+			newest = t
 		}
 	}
+	checkpoint, checkpointRun := newest.checkpoint, newest.checkpointRun
 	for i := range s.tasks {
 		s.tasks[i].lastRun = run
-		s.tasks[i].checkpoint = checkpoint
+		s.tasks[i].checkpoint, s.tasks[i].checkpointRun = checkpoint, checkpointRun
 	}
 	for i := range s.tasks {
 		c.startPlanned(p, &s.tasks[i], chosen[i])
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -87,7 +87,10 @@
 	// because a worker also reports an end to the next holder until the end is
 	// acknowledged, and workers list in any order.
 	failedRuns []int
-	checkpoint string
+	// checkpoint is the newest one that is known, and checkpointRun the run that saved it, zero if
+	// it was read from the store.
+	checkpoint    string
+	checkpointRun int
 	// runs are the runs that may be active.
 	runs []*runState
 	// located reports that a worker has listed the only run of the task under this
@@ -112,6 +115,16 @@
 
 func (t *task) job() *job { return t.step.occurrence.job }
 
+// keepCheckpoint keeps the checkpoint of a run, unless a later run has saved one. It reports whether
+// it is a new one.
+func (t *task) keepCheckpoint(run int, checkpoint string) bool {
+	if t.done || checkpoint == "" || run < t.checkpointRun || checkpoint == t.checkpoint {
+		return false
+	}
+	t.checkpoint, t.checkpointRun = checkpoint, run
+	return true
+}
+
 // isWaiting reports whether the task needs to be started.
 func (t *task) isWaiting() bool { return !t.done && len(t.runs) == 0 }
 
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -144,8 +144,8 @@
 // unknown.
 func (c *Core) applyEnd(w *workerState, t *task, end runs.End, listing uint64) {
 	r := w.runs[runKey{end.Task, end.Run}]
-	if t != nil && end.Checkpoint != "" && !t.done && t.step.spec.SavesProgress {
-		t.checkpoint = end.Checkpoint
+	if t != nil && t.step.spec.SavesProgress && t.keepCheckpoint(end.Run, end.Checkpoint) && !c.isFinal(t.job()) {
+		c.markDirty(t.job()) // the worker forgets it once the end is acknowledged
 	}
 	if r != nil {
 		c.recordOutcome(r, end.Outcome)
@@ -208,8 +208,8 @@
 	r.loadMetric = running.LoadMetric
 	advanced := c.shouldProgress(r) && running.Percent > r.percent
 	r.percent = running.Percent
-	if t := r.task; t != nil && running.Checkpoint != "" && !t.done {
-		t.checkpoint = running.Checkpoint
+	if t := r.task; t != nil {
+		t.keepCheckpoint(running.Run, running.Checkpoint)
 	}
 	return advanced
 }
