--- a/cmd/carobkeel/hosted.go
+++ b/cmd/carobkeel/hosted.go
@@ -100,11 +100,22 @@
 	metricsPage    http.Handler
 	metricsAddress string
 	linkListen     string
+	// hangups receives SIGHUP from the start to the end of the process: the platform may send it at
+	// any moment, and its default action ends a process.
+	hangups <-chan os.Signal
+}
+
+// notifyHangups keeps SIGHUP from ending the process, for good.
+func notifyHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
 }
 
 // startHosted reads the settings and sets up logging, metrics and the store.
 // Where it returns false, the command must end with the returned exit code.
 func startHosted(name string, args []string, io streams) (*hostedProcess, int, bool) {
+	hangups := notifyHangups()
 	fs := newFlagSet(name, io)
 	config := registerHostedFlags(fs)
 	logConfig := logging.RegisterFlags(fs)
@@ -127,6 +138,7 @@
 		metricsAddress: net.JoinHostPort(s.IP, strconv.Itoa(config.metricsPort)),
 		linkListen:     config.linkListen,
 		path:           config.nodeFile,
+		hangups:        hangups,
 		settings:       s,
 		incarnation:    newIncarnation(),
 		store:          platform.NewStore(s.Store, logs.For("store")),
@@ -150,10 +162,7 @@
 // ends. The platform may announce a change by SIGHUP; the file is also polled, as
 // a change may come without the signal.
 func (h *hostedProcess) watchSettings(ctx context.Context, changed func(platform.Settings)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	platform.WatchSettings(ctx, h.path, settingsInterval, signals, func(s platform.Settings) {
+	platform.WatchSettings(ctx, h.path, settingsInterval, h.hangups, func(s platform.Settings) {
 		h.log.Info().Int("seeds", len(s.SeedHosts)).Msg("settings reloaded")
 		h.logInvalidSeeds(&s)
 		changed(s)
