--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -89,9 +89,9 @@
 	return w.hadOtherProcess && c.followsUnderItsID(w)
 }
 
-// isYoung reports whether a late call may have extended the lease of the worker beyond the one
+// hasLateLease reports whether a late call may have extended the lease of the worker beyond the one
 // that the holder counts otherwise. If its host is lost, its tasks wait for the longest lease.
-func (c *Core) isYoung(w *workerState) bool { return c.now.Monotonic < w.lateExpiry }
+func (c *Core) hasLateLease(w *workerState) bool { return c.now.Monotonic < w.lateExpiry }
 
 // recordLateLeaseOver has the record of a worker rewritten once a late lease is over, so that a
 // later holder doesn't count it.
--- a/scheduler/dispatch/score.go
+++ b/scheduler/dispatch/score.go
@@ -14,10 +14,10 @@
 	// failedHostPenalty keeps a task away from the hosts on which it has
 	// failed.
 	failedHostPenalty = 2.0
-	// youngWorkerPenalty keeps long-running tasks away from workers whose lease may be longer
+	// lateLeasePenalty keeps long-running tasks away from workers whose lease may be longer
 	// than their holder's pings say: if such a host is lost, its tasks wait that long. It outweighs
 	// all other terms.
-	youngWorkerPenalty = 10.0
+	lateLeasePenalty = 10.0
 	// latencyCriticalPenalty keeps best-effort tasks away from latency-critical
 	// ones. It outweighs a full pace together with a full budget.
 	latencyCriticalPenalty = 2.0
@@ -56,8 +56,8 @@
 	}
 	if s.LongRunning {
 		score -= sameStepPenalty * float64(w.countRuns(t.step))
-		if c.isYoung(w) {
-			score -= youngWorkerPenalty
+		if c.hasLateLease(w) {
+			score -= lateLeasePenalty
 		}
 	}
 	if s.DataRack != "" && !w.description.HasLabel(s.DataRack) {
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -161,7 +161,7 @@
 	if w.recorded {
 		return
 	}
-	w.recordedLate = c.isYoung(w)
+	w.recordedLate = c.hasLateLease(w)
 	c.record(w)
 }
 
--- a/scheduler/holder/authority.go
+++ b/scheduler/holder/authority.go
@@ -58,6 +58,7 @@
 	return i.received + left + drift(left)
 }
 
+// drift returns how far the two clocks may drift apart in a time.
 func drift(d time.Duration) time.Duration { return time.Duration(float64(d) * storeClockDrift) }
 
 // authority is the state of a holder's promises.
