--- a/sidecar/agent/late_calls_test.go
+++ b/sidecar/agent/late_calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 // anew under its ID.
 type restartingWorker struct {
 	scriptedWorker
+	mu      sync.Mutex
 	born    int64
 	began   time.Duration
 	losesIt bool
@@ -27,11 +29,22 @@
 }
 
 func (w *restartingWorker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.born++
 	w.began = clock.Boottime()
 }
 
+// lose has calls that extend the lease get no answer, or answers them again.
+func (w *restartingWorker) lose(lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.losesIt = lost
+}
+
 func (w *restartingWorker) incarnation() runs.Incarnation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: w.born}
 }
 
@@ -40,6 +53,8 @@
 }
 
 func (w *restartingWorker) List(_ context.Context, e runs.Envelope, _ uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if e.Deadline != 0 {
 		w.waits = append(w.waits, wait)
 		if w.losesIt {
@@ -50,6 +65,8 @@
 }
 
 func (w *restartingWorker) Start(context.Context, runs.Envelope, runs.Start) (runs.Answer, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.losesIt {
 		return runs.Answer{}, context.DeadlineExceeded
 	}
@@ -83,9 +100,9 @@
 			worker := newRestartingWorker()
 			a, order := linkedAgent(worker)
 			a.config.MaxLease = 10 * time.Second
-			worker.losesIt = true
+			worker.lose(true)
 			c.lose(a, order)
-			worker.losesIt = false
+			worker.lose(false)
 			for range 2 { // the call may reach any later incarnation
 				worker.restart()
 				late := lateLeaseAfter(a, worker.incarnation())
