Keep the record of a worker that has ended as long as calls to it may be late

What callers saw: two runs of a task at the same time. A listing call that extends the lease of a worker has no answer, the host is dark for longer than the lease, the holder is killed; the worker is back under its ID, carries the late call out, which gives it the longest lease, gets tasks, and is cut off.

Cause: knowledge that has to outlive the holder. As the lease of the earlier incarnation expired, the holder removed its record, which was the only evidence that calls to it might be late; the next holder knew of no earlier incarnation, and the new process of the sidecar can't speak for the one before. So nobody counted the longer lease.

Change: the record is marked as ended in place of removed, and is removed once no call to the incarnation can matter any more (30 s and the longest lease later), or once a later incarnation is recorded. A later holder waits for no run of an ended incarnation, but knows that the present one follows it. The mark is conditional on the version of the record, as the removal is, since a worker may be recorded anew meanwhile. A change of a record that could not be stored does not replace a later one of the same record any more.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -127,7 +127,11 @@
 	dirty                map[carobkeel.JobID]*job
 	workersToRecord      []WorkerRecord
 	incarnationsToForget []runs.Incarnation
-	wake                 time.Duration
+	// recordsToEnd are those of incarnations that are to be rewritten as ended.
+	recordsToEnd []WorkerRecord
+	// endedWorkers are the incarnations whose records are kept after their runs have ended.
+	endedWorkers map[runs.Incarnation]endedWorker
+	wake         time.Duration
 	// confirmHold reports that Now.Held is too old to take a lease as expired.
 	confirmHold bool
 	// adviceStep is the step of the outstanding advice question, nil if there
@@ -165,6 +169,9 @@
 	// LateLease reports that a late call may have extended the incarnation's lease, up to the
 	// longest one.
 	LateLease bool
+	// Ended reports that no run of the incarnation goes on. Calls to it that got no answer may
+	// still be carried out by a later one under its ID.
+	Ended bool
 }
 
 // New returns the core of a shard without jobs. Workers lists the worker
@@ -178,18 +185,23 @@
 		jobs:                 make(map[carobkeel.JobID]*job),
 		workers:              make(map[string]*workerState),
 		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
+		endedWorkers:         make(map[runs.Incarnation]endedWorker),
 		partlyListed:         make(map[string]time.Duration),
 		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
 		interference:         interference.New(),
 	}
 	for _, w := range workers {
+		c.worker(w.Host).hadOtherProcess = true // it may have had one under an earlier holder
+		if w.Ended {
+			c.keepEnded(w.Incarnation, w.Host)
+			continue
+		}
 		u := unreportedWorker{host: w.Host, goneFrom: math.MaxInt64}
 		if w.LateLease {
 			u.lateExpiry = now.Monotonic + maxLeaseDuration(config.MaxLease)
 		}
 		c.unreportedWorkers[w.Incarnation] = u
-		c.worker(w.Host).hadOtherProcess = true // it may have had one under an earlier holder
 		c.recordedIncarnations[w.Incarnation] = w.Host
 	}
 	return c
@@ -227,6 +239,7 @@
 	c.now = now
 	c.expireLeases()
 	c.expireInherited()
+	c.forgetOldEnded()
 }
 
 // Output holds the actions to carry out after a batch of events.
@@ -288,6 +301,9 @@
 	for incarnation, u := range c.unreportedWorkers {
 		c.awaitExpiry(c.expiryOf(incarnation, u))
 	}
+	for _, e := range c.endedWorkers {
+		c.wakeAt(e.keptUntil)
+	}
 	for _, j := range c.dirty {
 		if j.storeBy > c.now.Monotonic {
 			c.wakeAt(j.storeBy)
@@ -322,8 +338,7 @@
 			continue
 		}
 		c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: u.host, Detail: c.describeInherited(incarnation, u.host)})
-		delete(c.unreportedWorkers, incarnation)
-		c.dropRecord(incarnation, u.host)
+		c.endUnreported(incarnation, u.host)
 	}
 }
 
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -111,6 +111,11 @@
 			return true
 		}
 	}
+	for incarnation, e := range c.endedWorkers {
+		if e.host == w.host && incarnation.ID == known.ID && incarnation != known {
+			return true
+		}
+	}
 	return slices.ContainsFunc(w.replaced, func(i runs.Incarnation) bool { return i.ID == known.ID })
 }
 
@@ -216,7 +221,7 @@
 		evidence := describeExpiry(w, c.now.Held)
 		c.recordDecision(Decision{Kind: DecidedLeaseExpired, Host: w.host, Detail: evidence})
 		c.releaseRuns(w, "lease expired: "+evidence)
-		c.forgetIncarnation(w)
+		c.endRecords(w)
 	}
 }
 
@@ -227,7 +232,7 @@
 		return
 	}
 	c.recordDecision(Decision{Kind: DecidedInheritedLeaseExpired, Host: w.host, Detail: c.describeInherited(w.description.Incarnation, w.host)})
-	c.forgetAllUnreported(w.host)
+	c.endAllUnreported(w.host)
 }
 
 // inheritedExpiryOn returns when the leases that the sidecar of a worker, which follows this
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -74,6 +74,7 @@
 		c.forgetReplaced(w)
 		c.recordInheritedListing(w, &l)
 		c.forgetUnreported(w.host, w.description.Incarnation)
+		c.forgetEndedBefore(w.host, w.description.Incarnation)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -34,6 +34,8 @@
 type Batch struct {
 	Progress []Progress
 	Workers  []WorkerRecord
+	// Ended are records of worker incarnations that are rewritten as ended.
+	Ended []WorkerRecord
 	// Forgotten are worker incarnations whose records are not needed any more.
 	Forgotten []runs.Incarnation
 	// Expired are jobs whose records are removed.
@@ -110,7 +112,7 @@
 
 // HasBatch reports whether there are records to store.
 func (c *Core) HasBatch() bool {
-	return len(c.workersToRecord)+len(c.incarnationsToForget) > 0 || c.hasDueProgress() || c.hasExpired() || c.hasExpiredMarks()
+	return len(c.workersToRecord)+len(c.recordsToEnd)+len(c.incarnationsToForget) > 0 || c.hasDueProgress() || c.hasExpired() || c.hasExpiredMarks()
 }
 
 // maxStartDelay is how long the start of a job may wait for other records to be stored with. A
@@ -140,6 +142,10 @@
 		c.workersToRecord = c.workersToRecord[1:]
 	}
 	c.addProgress(&b, &limit)
+	for len(c.recordsToEnd) > 0 && limit.take(workerEntries, workerBytes) {
+		b.Ended = append(b.Ended, c.recordsToEnd[0])
+		c.recordsToEnd = c.recordsToEnd[1:]
+	}
 	for len(c.incarnationsToForget) > 0 && limit.take(workerEntries, workerBytes) {
 		if incarnation := c.incarnationsToForget[0]; !b.hasRecordOf(incarnation) {
 			b.Forgotten = append(b.Forgotten, incarnation)
@@ -174,12 +180,12 @@
 // hasRecordOf reports whether the batch writes a record of a worker
 // incarnation.
 func (b *Batch) hasRecordOf(incarnation runs.Incarnation) bool {
-	return slices.ContainsFunc(b.Workers, func(w WorkerRecord) bool { return w.Incarnation == incarnation })
+	return containsIncarnation(b.Workers, incarnation)
 }
 
 // Len returns the number of records in the batch that are due.
 func (b *Batch) Len() int {
-	return len(b.Progress) + len(b.Workers) + len(b.Forgotten) + len(b.Expired) + len(b.Marks)
+	return len(b.Progress) + len(b.Workers) + len(b.Ended) + len(b.Forgotten) + len(b.Expired) + len(b.Marks)
 }
 
 // BatchStored records that a batch is durable, and makes the states in it visible to
@@ -238,7 +244,7 @@
 // its record was being stored has none soon.
 func (c *Core) confirmIncarnations(b Batch) {
 	for _, record := range b.Workers {
-		if slices.Contains(c.incarnationsToForget, record.Incarnation) {
+		if c.isWithdrawn(record.Incarnation) {
 			continue
 		}
 		c.recordedIncarnations[record.Incarnation] = record.Host
@@ -251,13 +257,36 @@
 	}
 }
 
+// isWithdrawn reports whether the record of an incarnation is to be removed, or marked as ended.
+func (c *Core) isWithdrawn(incarnation runs.Incarnation) bool {
+	return slices.Contains(c.incarnationsToForget, incarnation) || containsIncarnation(c.recordsToEnd, incarnation)
+}
+
 // BatchFailed records that a batch was not stored. Its records are kept for the
 // next batch.
 func (c *Core) BatchFailed(b Batch) {
-	c.workersToRecord = append(b.Workers, c.workersToRecord...)
-	c.incarnationsToForget = append(b.Forgotten, c.incarnationsToForget...)
+	recorded := withoutPending(c, b.Workers, incarnationOf)
+	ended := withoutPending(c, b.Ended, incarnationOf)
+	forgotten := withoutPending(c, b.Forgotten, func(i runs.Incarnation) runs.Incarnation { return i })
+	c.workersToRecord = append(recorded, c.workersToRecord...)
+	c.recordsToEnd = append(ended, c.recordsToEnd...)
+	c.incarnationsToForget = append(forgotten, c.incarnationsToForget...)
 	c.marks.order = append(b.Marks, c.marks.order...)
-	c.keepRecorded(c.workersToRecord)
+}
+
+func incarnationOf(r WorkerRecord) runs.Incarnation { return r.Incarnation }
+
+// withoutPending returns the changes of records without those of incarnations whose record is
+// to change again.
+func withoutPending[T any](c *Core, changes []T, incarnation func(T) runs.Incarnation) []T {
+	return slices.DeleteFunc(slices.Clone(changes), func(change T) bool {
+		i := incarnation(change)
+		return c.isWithdrawn(i) || containsIncarnation(c.workersToRecord, i)
+	})
+}
+
+func containsIncarnation(records []WorkerRecord, i runs.Incarnation) bool {
+	return slices.ContainsFunc(records, func(r WorkerRecord) bool { return r.Incarnation == i })
 }
 
 // rejectedPause is how long a job's progress that the table service has rejected is not
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -124,35 +123,32 @@
 	}
 }
 
-// forgetAllUnreported drops the incarnations of a host's worker that have not listed.
-func (c *Core) forgetAllUnreported(host string) {
-	c.forgetUnreported(host, runs.Incarnation{StartedAtMs: math.MaxInt64})
-}
-
-// forgetIncarnation drops the record of an incarnation without runs. If the
-// worker reports again, a new record is written before anything starts there.
-func (c *Core) forgetIncarnation(w *workerState) {
-	c.forgetReplaced(w)
-	if w.recorded {
-		c.dropRecord(w.description.Incarnation, w.host)
-	}
-}
-
 // dropRecord has the record of an incarnation of a host's worker removed. From now on the
 // incarnation counts as not recorded. Another host's worker keeps its record: its heartbeats
 // may reach the sidecar of any host.
 func (c *Core) dropRecord(incarnation runs.Incarnation, host string) {
-	if recordedHost, recorded := c.recordedIncarnations[incarnation]; recorded && recordedHost != host {
+	if !c.withdrawRecord(incarnation, host) {
 		return
 	}
+	if !slices.Contains(c.incarnationsToForget, incarnation) {
+		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
+	}
+}
+
+// withdrawRecord takes an incarnation of a host's worker as not recorded from now on. It returns
+// false if the record is that of another host's worker.
+func (c *Core) withdrawRecord(incarnation runs.Incarnation, host string) bool {
+	if recordedHost, recorded := c.recordedIncarnations[incarnation]; recorded && recordedHost != host {
+		return false
+	}
 	delete(c.recordedIncarnations, incarnation)
 	if w := c.workers[host]; w != nil && w.description.Incarnation == incarnation {
 		w.recorded, w.recordedLate = false, false
 	}
-	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, func(r WorkerRecord) bool { return r.Incarnation == incarnation })
-	if !slices.Contains(c.incarnationsToForget, incarnation) {
-		c.incarnationsToForget = append(c.incarnationsToForget, incarnation)
-	}
+	isOfIncarnation := func(r WorkerRecord) bool { return r.Incarnation == incarnation }
+	c.workersToRecord = slices.DeleteFunc(c.workersToRecord, isOfIncarnation)
+	c.recordsToEnd = slices.DeleteFunc(c.recordsToEnd, isOfIncarnation)
+	return true
 }
 
 // recordIncarnation has a record of the worker's incarnation written, so that a
@@ -168,14 +164,14 @@
 // record has the record of the worker's incarnation written, with the late lease as known now.
 func (c *Core) record(w *workerState) {
 	record := WorkerRecord{Incarnation: w.description.Incarnation, Host: w.host, LateLease: w.recordedLate}
+	delete(c.endedWorkers, record.Incarnation)
 	c.workersToRecord = append(c.workersToRecord, record)
 	c.keepRecorded(c.workersToRecord)
 }
 
-// keepRecorded withdraws the removals of earlier records of incarnations that are to be
-// recorded: a batch may hold the record without the removal, which would follow it.
+// keepRecorded withdraws the removals and the ends of earlier records of incarnations that are to
+// be recorded: a batch may hold the record without the removal, which would follow it.
 func (c *Core) keepRecorded(records []WorkerRecord) {
-	c.incarnationsToForget = slices.DeleteFunc(c.incarnationsToForget, func(i runs.Incarnation) bool {
-		return slices.ContainsFunc(records, func(r WorkerRecord) bool { return r.Incarnation == i })
-	})
+	c.incarnationsToForget = slices.DeleteFunc(c.incarnationsToForget, func(i runs.Incarnation) bool { return containsIncarnation(records, i) })
+	c.recordsToEnd = slices.DeleteFunc(c.recordsToEnd, func(r WorkerRecord) bool { return containsIncarnation(records, r.Incarnation) })
 }
--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -176,10 +176,7 @@
 		changes = append(changes, w.rows[p.Job].changes(p, n.config.valueBytes())...)
 	}
 	for _, record := range w.batch.Workers {
-		row := wire.WorkerRow{
-			Host: record.Host, ID: record.Incarnation.ID, StartedAtMs: record.Incarnation.StartedAtMs, LateLease: record.LateLease,
-		}
-		set(n.workerRow(record.Incarnation), mustEncode(&row))
+		set(n.workerRow(record.Incarnation), encodeWorker(record))
 	}
 	for _, job := range w.batch.Expired {
 		changes = append(changes, w.rows[job].removal(n.jobRow(job), n.cancelRow(job))...)
@@ -187,18 +184,21 @@
 	if len(w.batch.Interference) > 0 {
 		set(n.learnedRow(), mustEncode(wire.FromInterference(w.batch.Interference)))
 	}
+	for _, record := range w.batch.Ended {
+		changes = append(changes, w.replaceWorker(table.RowWrite{RowID: n.workerRow(record.Incarnation), Value: encodeWorker(record)}))
+	}
 	for _, incarnation := range w.batch.Forgotten {
-		changes = append(changes, w.removeWorker(n.workerRow(incarnation)))
+		changes = append(changes, w.replaceWorker(table.RowWrite{RowID: n.workerRow(incarnation), Delete: true}))
 	}
 	return changes
 }
 
-// removeWorker returns the change that removes the known version of a worker's record. The
-// worker may be recorded anew before the removal is carried out.
-func (w *batchWriter) removeWorker(id table.RowID) table.RowTransaction {
+// replaceWorker returns the change that ends or removes the known version of a worker's record.
+// The worker may be recorded anew before the change is carried out.
+func (w *batchWriter) replaceWorker(write table.RowWrite) table.RowTransaction {
 	return table.RowTransaction{
-		Conditions: []table.RowCondition{{RowID: id, Version: w.workers[id.Key]}},
-		Writes:     []table.RowWrite{{RowID: id, Delete: true}},
+		Conditions: []table.RowCondition{{RowID: write.RowID, Version: w.workers[write.Key]}},
+		Writes:     []table.RowWrite{write},
 	}
 }
 
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -85,7 +85,14 @@
 	if row.Key != workerKey(incarnation) {
 		return dispatch.WorkerRecord{}, errors.Errorf("record of worker %s.%d", w.ID, w.StartedAtMs)
 	}
-	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host, LateLease: w.LateLease}, nil
+	return dispatch.WorkerRecord{Incarnation: incarnation, Host: w.Host, LateLease: w.LateLease, Ended: w.Ended}, nil
+}
+
+func encodeWorker(record dispatch.WorkerRecord) []byte {
+	return mustEncode(&wire.WorkerRow{
+		Host: record.Host, ID: record.Incarnation.ID, StartedAtMs: record.Incarnation.StartedAtMs,
+		LateLease: record.LateLease, Ended: record.Ended,
+	})
 }
 
 // followJobs passes accepted jobs and cancellations to the core.
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -43,6 +43,8 @@
 	StartedAtMs int64  `msg:"b"`
 	// LateLease reports that a late call may have extended its lease, up to the longest one.
 	LateLease bool `msg:"l,omitempty"`
+	// Ended reports that no run of the incarnation goes on.
+	Ended bool `msg:"e,omitempty"`
 }
 
 // JobRow is an accepted job.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -1176,13 +1176,17 @@
 func (z *WorkerRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.LateLease == false {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Ended == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1202,6 +1206,11 @@
 			o = append(o, 0xa1, 0x6c)
 			o = msgp.AppendBool(o, z.LateLease)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendBool(o, z.Ended)
+		}
 	}
 	return
 }
@@ -1252,6 +1261,12 @@
 				err = msgp.WrapError(err, "LateLease")
 				return
 			}
+		case "e":
+			z.Ended, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1266,6 +1281,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WorkerRow) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Host) + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -7,9 +7,6 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
-// longestDelay bounds how long after it was sent a call without an answer is carried out.
-const longestDelay = 30 * time.Second
-
 // LeaseCall is a call that extends a worker's lease and that may still be carried out.
 type LeaseCall struct {
 	Number   uint64
@@ -57,7 +54,7 @@
 	})
 }
 
-func (c LeaseCall) isOver(now time.Duration) bool { return now-c.Sent > longestDelay }
+func (c LeaseCall) isOver(now time.Duration) bool { return now-c.Sent > runs.LongestCallDelay }
 
 // IsSettled reports whether an answer shows that a call that extends a lease was carried out by
 // the incarnation that it was sent to, or by none. The clock is the reading from before the call
@@ -88,7 +85,7 @@
 	switch {
 	case l.MayReach(workerID, now):
 		return UnansweredLateCalls
-	case now-started < longestDelay+LongestLease(maxLease):
+	case now-started < runs.LongestCallDelay+LongestLease(maxLease):
 		return LateCallsOfOthers
 	}
 	return NoLateCalls
--- a/worker/runs/late_lease.go
+++ b/worker/runs/late_lease.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// LongestCallDelay bounds how long after it was sent a call without an answer is carried out.
+const LongestCallDelay = 30 * time.Second
+
 // LateLease bounds the lease that calls to an earlier incarnation of a worker may have given the
 // present one under its ID, before its sidecar reached it. A call that gets no answer may be
 // carried out seconds later, and its deadline is on the clock of the earlier incarnation, far
