Extend no lease of a worker that has nothing to hold it for

Cause: the sidecar extended the lease of each worker that had listed. Nobody knows of such a call once its sender and its holder have gone: a later holder finds no record of the worker, and takes the next incarnation for the first one.

Change: a listing extends the lease only if the last one had runs, or ends that are not acknowledged. A start extends the lease itself, as before, and nothing starts on a worker that isn't recorded. So no call extends a lease before a later holder would know of the worker. It costs tasks nothing: leases of running tasks are extended as before, and idle workers have no calls that can be late. Weighed instead: a message of the holder that the incarnation is recorded (one more state on the link, the same effect), and to count each worker whose sidecar can't speak for the past (the longest lease for lasting tasks on all hosts for 40 s after a rolling update, or when a zone comes back).

Tests that lost a call of an idle worker, or expected its lease to be extended, have a run there now; what they check is the same.

TestLeaseOfAWorkerWithoutRunsIsNotExtended plays the agent.

--- a/scheduler/dispatch/vanishing_host_test.go
+++ b/scheduler/dispatch/vanishing_host_test.go
@@ -32,6 +32,8 @@
 	kind     lostCall
 	envelope runs.Envelope
 	sent     time.Duration
+	// begins reports that it is a start that is not refused.
+	begins bool
 }
 
 // vanishingHost is a host with its worker and its sidecar.
@@ -102,6 +104,8 @@
 	case late == nil || h.world.now-late.sent > runs.LongestCallDelay:
 	case late.kind == lostListing:
 		_, _, _ = h.worker.List(context.Background(), late.envelope, 0, 0)
+	case late.begins:
+		_, _ = h.worker.Start(context.Background(), late.envelope, runs.Start{Task: vanishingTask, Run: 1})
 	default:
 		_, _ = h.worker.Start(context.Background(), late.envelope, runs.Start{Task: vanishingTask, Run: 1, Ticket: refusedTicket})
 	}
--- a/scheduler/dispatch/vanishing_play_test.go
+++ b/scheduler/dispatch/vanishing_play_test.go
@@ -65,9 +65,13 @@
 	unrecordedWorker
 	// unrecordedNextWorker is one that has listed a moment ago, after a recorded one.
 	unrecordedNextWorker
+	// unrecordedLateStart is the same, and a late start of the one before has begun there.
+	unrecordedLateStart
 )
 
-var vanishingHistoryNames = [...]string{"recorded", "recorded, young sidecar", "first, unrecorded", "next, unrecorded"}
+var vanishingHistoryNames = [...]string{
+	"recorded", "recorded, young sidecar", "first, unrecorded", "next, unrecorded", "next, unrecorded, with a late start",
+}
 
 // vanishingEvent is what vanishes at a point of a play.
 type vanishingEvent struct {
@@ -112,6 +116,8 @@
 	// ranThere reports that the task ran on the host before the cut, and lateLease that it had the
 	// lease of a late call by then.
 	ranThere, lateLease bool
+	// hasLost reports that a call got no answer.
+	hasLost bool
 	// goesAstray reports that an incarnation has answered a call to an earlier one.
 	goesAstray bool
 	// wait is the time to the next start of the task, from the cut, from the last takeover, or from
@@ -162,36 +168,68 @@
 	w.run(200 * time.Millisecond)
 	h.isUp = true
 	h.beginSidecar()
-	if p.row.history == recordedWorker {
+	switch p.row.history {
+	case recordedWorker:
 		h.sidecar.started -= time.Minute
+		fallthrough
+	case youngSidecar:
+		w.run(time.Second)
+		p.submitBeforeLoss()
+	case unrecordedWorker:
+		p.listWithoutStore()
+	case unrecordedNextWorker:
+		w.run(time.Second)
+		p.restartWithoutStore()
+	case unrecordedLateStart:
+		w.run(time.Second)
+		h.loses = lostStart
+		w.submit()
+		w.until(2*time.Second, func() bool { return h.late != nil })
+		h.late.begins = true
+		p.restartWithoutStore()
+		h.late = nil
 	}
-	if p.row.history == unrecordedWorker {
-		w.store.awayUntil = w.now + time.Second
-		w.until(time.Second, h.hasListed)
-		return
-	}
-	w.run(time.Second)
-	if p.row.history == unrecordedNextWorker {
-		h.endWorker()
-		w.run(100 * time.Millisecond)
-		h.beginWorker()
-		h.worker.Advance(time.Minute) // its clock is far ahead of that of the next incarnation
-		w.store.awayUntil = w.now + time.Second
-		w.until(time.Second, h.hasListed)
+}
+
+// submitBeforeLoss has the task run before the lost call, if that is a listing: no other extends the
+// lease of a worker without runs. A start that is lost is one of the task.
+func (p *vanishingPlay) submitBeforeLoss() {
+	if p.row.lost == lostListing {
+		p.world.submit()
+		p.world.until(2*time.Second, p.host.isRunning)
 	}
 }
 
-// loseCall has a call get no answer that extends the lease.
+// restartWithoutStore has the worker begin anew while nothing can be recorded.
+func (p *vanishingPlay) restartWithoutStore() {
+	p.host.endWorker()
+	p.world.run(100 * time.Millisecond)
+	p.host.worker.Advance(time.Minute) // its clock is far ahead of that of the next incarnation
+	p.host.beginWorker()
+	p.listWithoutStore()
+}
+
+// listWithoutStore has the worker list while nothing can be recorded.
+func (p *vanishingPlay) listWithoutStore() {
+	p.world.store.awayUntil = p.world.now + 1500*time.Millisecond
+	p.world.until(time.Second, p.host.hasListed)
+}
+
+// loseCall has a call get no answer that extends the lease, if there is one.
 func (p *vanishingPlay) loseCall() {
 	w, h := p.world, p.host
-	switch h.loses = p.row.lost; p.row.lost {
-	case noLostCall:
-		w.run(500 * time.Millisecond)
-		return
-	case lostStart, lostFirstTry:
+	wait := 2 * time.Second
+	if p.row.history >= unrecordedWorker {
+		wait = 600 * time.Millisecond // until the worker is recorded
+	}
+	h.loses = p.row.lost
+	if p.row.lost == lostStart || p.row.lost == lostFirstTry {
 		w.submit()
 	}
-	w.until(2*time.Second, func() bool { return h.late != nil })
+	if p.row.lost == noLostCall {
+		wait = 500 * time.Millisecond
+	}
+	w.until(wait, func() bool { return h.late != nil })
 	if p.row.lost == lostListing {
 		h.loses = noLostCall
 	}
@@ -253,7 +291,7 @@
 	})
 	result.wait = w.now - from
 	w.run(time.Second)
-	result.goesAstray = h.goesAstray
+	result.goesAstray, result.hasLost = h.goesAstray, h.late != nil
 	result.violations, result.knowers = w.record.Violations, slices.Compact(w.knowers)
 	return result
 }
--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -52,6 +52,7 @@
 	extendsFrom  time.Duration
 	extendedFor  time.Duration
 	replacedAt   time.Duration
+	needsLease   bool
 	unresponsive bool
 	failures     int
 	listings     uint64
@@ -94,7 +95,7 @@
 	s.ping()
 	s.describe()
 	if s.state.Description != nil {
-		s.requestListing(s.envelope(s.link.term()))
+		s.requestListing(s.listingEnvelope(s.link.term()))
 	}
 }
 
@@ -180,6 +181,13 @@
 	return e
 }
 
+func (s *vanishingSidecar) listingEnvelope(term gate.Term) runs.Envelope {
+	if !s.needsLease && !s.world.broken.idleLeases {
+		return s.envelopeWithoutLease(term)
+	}
+	return s.envelope(term)
+}
+
 func (s *vanishingSidecar) knownClock() gate.Clock {
 	if s.state.Description == nil || s.clockOf != s.state.Description.Incarnation {
 		return gate.Clock{}
@@ -196,6 +204,9 @@
 	} else {
 		s.endCall(number, clock, sent, answer, err)
 	}
+	if err == nil && answer.Result == runs.ResultOK {
+		s.needsLease = gate.NeedsLease(&listing)
+	}
 	return listing, answer, err
 }
 
@@ -257,7 +268,7 @@
 	if !s.state.HasListed(e.Fence) || !s.knownClock().Known || s.holder.Confirmed <= s.extendedFor {
 		return e, 0
 	}
-	return s.envelope(term), s.holder.Confirmed
+	return s.listingEnvelope(term), s.holder.Confirmed
 }
 
 func (s *vanishingSidecar) confirm(fence runs.Fence, answer runs.Answer) {
--- a/scheduler/dispatch/vanishing_test.go
+++ b/scheduler/dispatch/vanishing_test.go
@@ -34,20 +34,31 @@
 	return vanishingHistoryNames[g.history] + ", " + lostCallNames[g.lost]
 }
 
-// vanishingGroups returns all groups. Nothing starts on a worker that isn't recorded.
-func vanishingGroups(histories ...vanishingHistory) []vanishingGroup {
+// vanishingGroups returns all groups.
+func vanishingGroups() []vanishingGroup {
 	var groups []vanishingGroup
-	for _, history := range histories {
+	for history := range vanishingHistory(len(vanishingHistoryNames)) {
 		for lost := range lostCall(len(lostCallNames)) {
-			isStart := lost == lostStart || lost == lostFirstTry
-			if !isStart || history == recordedWorker || history == youngSidecar {
-				groups = append(groups, vanishingGroup{history, lost})
+			if g := (vanishingGroup{history, lost}); g.canBe() {
+				groups = append(groups, g)
 			}
 		}
 	}
 	return groups
 }
 
+// canBe reports whether the call can be lost after the history. Nothing is started on a worker that
+// isn't recorded, and a start that is late has had no answer.
+func (g vanishingGroup) canBe() bool {
+	switch {
+	case g.history == unrecordedLateStart:
+		return g.lost == lostListing
+	case g.history >= unrecordedWorker:
+		return g.lost == noLostCall || g.lost == lostListing
+	}
+	return true
+}
+
 // rows returns the rows of the group with up to a number of things that vanish, each at each
 // point, in each order.
 func (g vanishingGroup) rows(events int) []vanishingRow {
@@ -141,7 +152,7 @@
 
 // vanishingCount counts the rows of a group.
 type vanishingCount struct {
-	rows, lateLeases int
+	rows, lost, lateLeases int
 	// knowers counts the rows with a longer lease by who knew it.
 	knowers map[string]int
 	// faults holds the rows with a fault.
@@ -154,6 +165,9 @@
 	for _, row := range rows {
 		result := playVanishing(row, broken)
 		count.rows++
+		if result.hasLost {
+			count.lost++
+		}
 		if result.lateLease {
 			count.lateLeases++
 			count.knowers[result.knownBy()]++
@@ -171,7 +185,7 @@
 // Guards against TWICE: a lease that a late call had lengthened was known to nobody any more once the
 // processes that knew it had vanished.
 func TestTasksRunOnceWhoeverVanishesBetweenALostCallAndTheCut(t *testing.T) {
-	groups := vanishingGroups(recordedWorker, youngSidecar, unrecordedNextWorker)
+	groups := vanishingGroups()
 	var mu sync.Mutex
 	knowers := make(map[string]int)
 	t.Run("rows", func(t *testing.T) {
@@ -179,13 +193,11 @@
 			t.Run(g.String(), func(t *testing.T) {
 				t.Parallel()
 				count := playGroup(g.played(), brokenKnowledge{}, false)
-				t.Logf("%d rows, %d with a longer lease, known by %v", count.rows, count.lateLeases, count.knowers)
+				t.Logf("%d rows, %d with a lost call, %d with a longer lease, known by %v", count.rows, count.lost, count.lateLeases, count.knowers)
 				for _, fault := range count.faults {
 					t.Error(fault)
 				}
-				if g.lost != noLostCall && count.lateLeases < count.rows/2 {
-					t.Errorf("only %d of %d rows have a longer lease", count.lateLeases, count.rows)
-				}
+				g.check(t, count)
 				mu.Lock()
 				defer mu.Unlock()
 				for knower, n := range count.knowers {
@@ -199,22 +211,35 @@
 	}
 }
 
+// check checks that the rows of the group play what they are meant to.
+func (g vanishingGroup) check(t *testing.T, count vanishingCount) {
+	losesNone := g.lost == noLostCall || g.history == unrecordedWorker || g.history == unrecordedNextWorker
+	switch {
+	case losesNone && count.lost > 0:
+		t.Errorf("%d rows have a call to lose, of a worker that is not recorded", count.lost)
+	case !losesNone && count.lateLeases < count.rows/2:
+		t.Errorf("only %d of %d rows have a longer lease", count.lateLeases, count.rows)
+	}
+}
+
 // TestTableOfWhoVanishesHasTeeth checks that rows fail once any knowledge of late calls is withheld.
 func TestTableOfWhoVanishesHasTeeth(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		broken brokenKnowledge
+		name    string
+		history vanishingHistory
+		broken  brokenKnowledge
 	}{
-		{"records of ended workers are withheld from the next holder", brokenKnowledge{noEnded: true}},
-		{"records are removed when a worker has ended", brokenKnowledge{shortEnded: true}},
-		{"marks of late leases are withheld from the next holder", brokenKnowledge{noLateMarks: true}},
-		{"records of workers are withheld from the next holder", brokenKnowledge{noRecords: true}},
-		{"the sidecar speaks for the processes before it", brokenKnowledge{noAge: true}},
-		{"the sidecar forgets its calls", brokenKnowledge{noCalls: true}},
+		{"records of ended workers are withheld from the next holder", recordedWorker, brokenKnowledge{noEnded: true}},
+		{"records are removed when a worker has ended", recordedWorker, brokenKnowledge{shortEnded: true}},
+		{"marks of late leases are withheld from the next holder", recordedWorker, brokenKnowledge{noLateMarks: true}},
+		{"records of workers are withheld from the next holder", recordedWorker, brokenKnowledge{noRecords: true}},
+		{"the sidecar speaks for the processes before it", recordedWorker, brokenKnowledge{noAge: true}},
+		{"the sidecar forgets its calls", recordedWorker, brokenKnowledge{noCalls: true}},
+		{"the lease is extended of workers without runs", unrecordedWorker, brokenKnowledge{idleLeases: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			count := playGroup(vanishingGroup{recordedWorker, lostListing}.rows(2), c.broken, true)
+			count := playGroup(vanishingGroup{c.history, lostListing}.rows(2), c.broken, true)
 			if len(count.faults) == 0 {
 				t.Fatalf("no fault in %d rows", count.rows)
 			}
--- a/scheduler/dispatch/vanishing_world_test.go
+++ b/scheduler/dispatch/vanishing_world_test.go
@@ -59,6 +59,8 @@
 	noAge bool
 	// noCalls has a process of the sidecar forget its calls without an answer.
 	noCalls bool
+	// idleLeases extends the lease of workers without runs.
+	idleLeases bool
 	// shortEnded removes a record instead of marking it as ended.
 	shortEnded bool
 }
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -68,6 +68,8 @@
 	// number of the last one.
 	leaseCalls    atomic.Pointer[gate.LeaseCalls]
 	lastLeaseCall atomic.Uint64
+	// needsLease reports that the worker's last listing has something that a lease is needed for.
+	needsLease atomic.Bool
 	// extendedFor is the sending time of the ping for which the worker last answered a listing
 	// that extends its lease.
 	extendedFor atomic.Int64
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -21,6 +21,9 @@
 	} else {
 		call.end(answer, err)
 	}
+	if err == nil && answer.Result == runs.ResultOK {
+		a.needsLease.Store(gate.NeedsLease(&listing))
+	}
 	return listing, answer, err
 }
 
@@ -129,7 +132,7 @@
 	if int64(confirmed) <= a.extendedFor.Load() {
 		return withoutLease
 	}
-	if e := a.envelope(state, term); e.Deadline != 0 {
+	if e := a.listingEnvelope(state, term); e.Deadline != 0 {
 		return listingRequest{envelope: e, extendsFor: confirmed}
 	}
 	return withoutLease
--- a/sidecar/agent/late_calls_test.go
+++ b/sidecar/agent/late_calls_test.go
@@ -61,7 +61,7 @@
 			return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
 		}
 	}
-	return runs.Listing{StartedAtMs: w.born}, w.answer(), nil
+	return runs.Listing{StartedAtMs: w.born, Running: []runs.Running{{Run: 1}}}, w.answer(), nil
 }
 
 func (w *restartingWorker) Start(context.Context, runs.Envelope, runs.Start) (runs.Answer, error) {
--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -37,6 +37,15 @@
 	return e
 }
 
+// listingEnvelope returns the envelope of a request for a listing. It extends the lease only if
+// something on the worker needs it: a call that is not sent can't be carried out late.
+func (a *Agent) listingEnvelope(state *gate.Worker, term gate.Term) runs.Envelope {
+	if !a.needsLease.Load() {
+		return envelopeWithoutLease(state, term)
+	}
+	return a.envelope(state, term)
+}
+
 // recordAnswering records that the worker answers and that its listing was sent to the
 // holder.
 func (a *Agent) recordAnswering(d *runs.Description) {
--- a/sidecar/agent/lease_test.go
+++ b/sidecar/agent/lease_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
@@ -22,3 +24,31 @@
 	a.started = clock.Boottime() - time.Hour
 	g.Expect(a.leaseRemaining()).To(BeZero())
 }
+
+// Guards against TWICE: a call extended the lease of a worker that no holder had recorded, was lost, and
+// lengthened the lease of the next incarnation, which nobody knew to follow another one.
+func TestLeaseOfAWorkerWithoutRunsIsNotExtended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		worker := newLateWorker()
+		a := startProcess(worker)
+		l := answerAsHolder(a, 3, 1)
+		a.holderLink.Store(l)
+		for range 3 {
+			listOnce(t, a)
+			a.listForNewHolder(l)
+		}
+		g.Expect(isConfirmed(a)).To(BeTrue())
+		g.Expect(worker.Lease()).To(BeZero())
+		g.Expect(*a.leaseCalls.Load()).To(BeEmpty())
+
+		start := runs.Start{Task: carobkeel.TaskName{Job: "j"}, Run: 1}
+		_, err := a.start(t.Context(), a.envelope(a.state.Load(), testTerm), start)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(worker.Lease()).To(BeNumerically(">", 0))
+		listOnce(t, a)
+		g.Expect(a.extendedFor.Load()).To(BeZero())
+		listOnce(t, a)
+		g.Expect(a.extendedFor.Load()).To(BeNumerically(">", 0), "the last listing has shown the run")
+	})
+}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -147,7 +147,7 @@
 		a.fenceUnknownWorker(context.Background(), state)
 		return
 	}
-	a.sendListing(holderLink, state, a.envelope(state, holderLink.term()))
+	a.sendListing(holderLink, state, a.listingEnvelope(state, holderLink.term()))
 }
 
 // sendListing requests a listing and sends it to the holder, under the epoch by which it has
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -173,7 +173,7 @@
 	if w.fails {
 		return runs.Listing{}, runs.Answer{}, context.DeadlineExceeded
 	}
-	return runs.Listing{StartedAtMs: testIncarnation.StartedAtMs}, runs.Answer{Result: w.result, Clock: time.Minute}, nil
+	return runs.Listing{StartedAtMs: testIncarnation.StartedAtMs, Running: []runs.Running{{Run: 1}}}, runs.Answer{Result: w.result, Clock: time.Minute}, nil
 }
 
 // Guards against TWICE: a worker that had restarted forgot ends that nobody had read, as the
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -89,6 +89,7 @@
 	a.wakeLister()
 	now := clock.Boottime()
 	a.started = now - time.Hour
+	a.needsLease.Store(true) // the worker has runs
 	a.clock.Store(&workerClock{gate.Clock{Reading: time.Minute, Received: now, Known: true}, testIncarnation})
 	holder := gate.Holder{}.Confirm(testTerm, now)
 	a.holder.Store(&holder)
--- a/sidecar/agent/process_test.go
+++ b/sidecar/agent/process_test.go
@@ -172,6 +172,8 @@
 		}
 		listOnce(t, earlier)
 		g.Expect(isConfirmed(earlier)).To(BeTrue())
+		_, err := earlier.start(t.Context(), earlier.envelope(earlier.state.Load(), earlier.holder.Load().Term), runs.Start{Run: 1})
+		g.Expect(err).NotTo(HaveOccurred())
 		next := startProcess(worker)
 		answerAsHolder(next, 3, 2)
 		g.Expect(isConfirmed(next)).To(BeTrue())
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -67,6 +67,13 @@
 	return c.Known && answer.Clock >= c.lowerBound(sent)
 }
 
+// NeedsLease reports whether a worker needs a lease after a listing: it has runs, or ends that the
+// holder has not acknowledged. A start extends the lease itself. Nothing is started on a worker
+// before it is recorded, so no lease is extended before a later holder would know of the worker.
+func NeedsLease(l *runs.Listing) bool {
+	return len(l.Running)+len(l.Ends)+l.LeftOut > 0 || l.Partial
+}
+
 // LateCalls is what a process of the sidecar knows, when the described incarnation first answers
 // it, of calls to earlier incarnations that may have extended its lease.
 type LateCalls uint8
