--- a/sidecar/agent/late_calls_test.go
+++ b/sidecar/agent/late_calls_test.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// Guards against TWICE: a start was answered on its second try, and the first one was carried out by the
+// next incarnation, whose lease was then longer than the holder knew.
+func TestFirstTryOfAStartMayStillBeLateOnceTheSecondIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	a, order := linkedAgent(&scriptedWorker{answers: []runs.Result{runs.ResultUnknown, runs.ResultOK}})
+	result, _ := a.sendWithRetries(t.Context(), order)
+	g.Expect(result).To(Equal(runs.ResultOK))
+	g.Expect(a.leaseCalls.Load().MayReach(testIncarnation.ID, clock.Boottime())).To(BeTrue())
+}
+
 func TestAnsweredCallsLeaveNoLateLease(t *testing.T) {
 	g := NewWithT(t)
 	worker := newRestartingWorker()
--- a/sidecar/gate/lease_calls_test.go
+++ b/sidecar/gate/lease_calls_test.go
@@ -23,6 +23,16 @@
 	g.Expect(lost.Add(LeaseCall{Number: 2, WorkerID: "v", Sent: time.Hour})).To(HaveLen(1))
 }
 
+// Guards against TWICE: the answer to a call's second try was taken for one to the first, which was
+// carried out later.
+func TestAnswerToASecondTryDoesNotSettleTheFirst(t *testing.T) {
+	g := NewWithT(t)
+	calls := LeaseCalls{}.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: time.Minute}).Lose(1)
+	calls = calls.Add(LeaseCall{Number: 2, WorkerID: "w", Sent: time.Minute + time.Second}).Settle(2)
+	g.Expect(calls.MayReach("w", time.Minute+runs.LongestCallDelay)).To(BeTrue())
+	g.Expect(calls.MayReach("w", time.Minute+runs.LongestCallDelay+1)).To(BeFalse())
+}
+
 func TestLostLeaseCallsAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	var calls LeaseCalls
