Keep the record of an earlier incarnation until the next one is recorded

Cause: the first listing of an incarnation had the records of the earlier ones removed, and its own one written. A record that the store rejects is given up, and the removals were stored all the same: the next holder knew of no earlier incarnation.

Change: with the listing the earlier incarnations are kept in mind as ended; their records are removed once the present one is stored, or once no call to them can matter any more. The removal follows in the next batch, so a worker that begins anew takes two batches in place of one.

TestRecordOfAWorkerThatWasTakenForAnotherIsKept guards the new state: an incarnation that is listed again is not taken as ended. TestRecordsOfEndedWorkersStayBounded: one record for each host over 200 restarts, under one ID and under others, and over 200 takeovers that each begin the time anew; none is left 40 s after the last one.

Result: tests of scheduler/dispatch pass.

--- a/scheduler/dispatch/ended_worker.go
+++ b/scheduler/dispatch/ended_worker.go
@@ -67,11 +67,32 @@
 	}
 }
 
+// retireEarlier takes the incarnations of a host's worker as over that began before the present one,
+// which has listed: none of their runs can begin any more. Their records are kept until the present
+// one is recorded. Until then a later holder would know of none.
+func (c *Core) retireEarlier(w *workerState) {
+	for _, incarnation := range w.replaced {
+		c.keepEnded(incarnation, w.host)
+	}
+	w.replaced = nil
+	listed := w.description.Incarnation
+	delete(c.endedWorkers, listed)
+	for old, u := range c.unreportedWorkers {
+		if u.host == w.host && old != listed && old.StartedAtMs <= listed.StartedAtMs {
+			delete(c.unreportedWorkers, old)
+			c.keepEnded(old, w.host)
+		}
+	}
+	if w.recorded {
+		c.forgetEndedBefore(w.host, listed)
+	}
+}
+
 // forgetEndedBefore drops the ended incarnations of a host's worker that began before the given
 // one, which has listed its runs and is recorded itself.
-func (c *Core) forgetEndedBefore(host string, listed runs.Incarnation) {
+func (c *Core) forgetEndedBefore(host string, recorded runs.Incarnation) {
 	for incarnation, e := range c.endedWorkers {
-		if e.host == host && incarnation != listed && incarnation.StartedAtMs <= listed.StartedAtMs {
+		if e.host == host && incarnation != recorded && incarnation.StartedAtMs <= recorded.StartedAtMs {
 			c.forgetEnded(incarnation, host)
 		}
 	}
--- a/scheduler/dispatch/incarnation.go
+++ b/scheduler/dispatch/incarnation.go
@@ -97,12 +97,3 @@
 
 // reasonRestarted is the reason for the release of runs that ended with an incarnation.
 const reasonRestarted = "worker restarted"
-
-// forgetReplaced drops the incarnations that the present one has replaced, of whose runs none
-// can begin any more.
-func (c *Core) forgetReplaced(w *workerState) {
-	for _, incarnation := range w.replaced {
-		c.dropRecord(incarnation, w.host)
-	}
-	w.replaced = nil
-}
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -71,10 +71,8 @@
 	c.observeStops(w)
 	if first {
 		c.recordIncarnation(w)
-		c.forgetReplaced(w)
 		c.recordInheritedListing(w, &l)
-		c.forgetUnreported(w.host, w.description.Incarnation)
-		c.forgetEndedBefore(w.host, w.description.Incarnation)
+		c.retireEarlier(w)
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -250,6 +250,7 @@
 		c.recordedIncarnations[record.Incarnation] = record.Host
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
+			c.forgetEndedBefore(w.host, record.Incarnation)
 		}
 	}
 	for _, incarnation := range b.Forgotten {
--- a/scheduler/dispatch/worker.go
+++ b/scheduler/dispatch/worker.go
@@ -111,18 +111,6 @@
 	return w
 }
 
-// forgetUnreported drops the incarnations of a host's worker that began before the given
-// one, which has listed its runs.
-func (c *Core) forgetUnreported(host string, incarnation runs.Incarnation) {
-	for old, u := range c.unreportedWorkers {
-		if u.host != host || old == incarnation || old.StartedAtMs > incarnation.StartedAtMs {
-			continue
-		}
-		delete(c.unreportedWorkers, old)
-		c.dropRecord(old, host)
-	}
-}
-
 // dropRecord has the record of an incarnation of a host's worker removed. From now on the
 // incarnation counts as not recorded. Another host's worker keeps its record: its heartbeats
 // may reach the sidecar of any host.
