Count the age of calls to the worker without the time in which the host was suspended

What callers would see: two runs of a task at the same time, in rows of the generated table: a call that extends the lease is lost, its host is suspended for 40 s, the worker begins anew and carries the call out, and the host is cut off.

Cause: the sidecar counts for 30 s that a lost call may be carried out, by the boot time, which goes on while the host is suspended. The call stands still with it. The same holds for the age from which a process of the sidecar speaks for those before it.

Change: both are counted on the monotonic clock (clock.Monotonic). Leases are counted on the boot time as before: the worker's clock is at most 2% slow, whatever its host does. A worker whose clock stands still with its host would break each lease.

Evidence: with the rule before, broken on purpose in TestTableOfWhoVanishesHasTeeth, "recorded; listing lost; host suspended for 40 s after the lost call; host cut off" fails. TestAgeOfACallDoesNotCountTheTimeInWhichTheHostWasSuspended checks the agent's use of the two clocks; no test suspends a real host.

Result: tests of internal/clock, sidecar/agent and the table pass. What remains: a host that is suspended for more than 40 s, whose worker and sidecar both begin anew before the sidecar has reached the worker.

--- a/scheduler/dispatch/vanishing_host_test.go
+++ b/scheduler/dispatch/vanishing_host_test.go
@@ -47,7 +47,9 @@
 	// hangs reports that the worker answers nothing, and isCutOff that the sidecar reaches no holder.
 	hangs, isCutOff bool
 	// sidecar is nil while there is no process of it, and frozenUntil is when it goes on.
-	sidecar     *vanishingSidecar
+	sidecar *vanishingSidecar
+	// suspended is how long the host has stood still.
+	suspended   time.Duration
 	frozenUntil time.Duration
 	processes   carobkeel.Incarnation
 	// lastProcess is the process that the holder knows, with its number.
@@ -61,6 +63,9 @@
 	goesAstray bool
 }
 
+// awake returns the time by a clock that stands still with the host.
+func (h *vanishingHost) awake() time.Duration { return h.world.now - h.suspended }
+
 func (h *vanishingHost) tick() {
 	if h.isUp {
 		h.worker.Advance(vanishingTick)
@@ -79,6 +84,7 @@
 	h.processes++
 	h.frozenUntil = 0
 	h.sidecar = &vanishingSidecar{host: h, world: h.world, process: h.processes, started: h.world.now}
+	h.sidecar.startedAwake = h.sidecar.callTime()
 }
 
 // endSidecar ends the process of the sidecar.
@@ -101,7 +107,7 @@
 func (h *vanishingHost) beginWorker() {
 	h.isUp, h.bornAt, h.world.knowers = true, h.world.now, nil
 	switch late := h.late; {
-	case late == nil || h.world.now-late.sent > runs.LongestCallDelay:
+	case late == nil || h.awake()-late.sent > runs.LongestCallDelay:
 	case late.kind == lostListing:
 		_, _, _ = h.worker.List(context.Background(), late.envelope, 0, 0)
 	case late.begins:
@@ -123,7 +129,7 @@
 		return false
 	}
 	if h.late == nil {
-		h.late = &lateCall{kind: h.loses, envelope: e, sent: h.world.now}
+		h.late = &lateCall{kind: h.loses, envelope: e, sent: h.awake()}
 	}
 	if h.loses == lostFirstTry {
 		h.loses = noLostCall
--- a/scheduler/dispatch/vanishing_play_test.go
+++ b/scheduler/dispatch/vanishing_play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -45,6 +46,7 @@
 	{name: "host dark for 2 s", endsSidecar: true, play: func(p *vanishingPlay) { p.darken(2 * time.Second) }},
 	{name: "host dark for 5 s", endsSidecar: true, play: func(p *vanishingPlay) { p.darken(5 * time.Second) }},
 	{name: "host dark for 33 s", endsSidecar: true, play: func(p *vanishingPlay) { p.darken(33 * time.Second) }},
+	{name: "host suspended for 40 s", play: func(p *vanishingPlay) { p.suspend(40 * time.Second) }},
 	{name: "holder killed", endsHolder: true, play: func(p *vanishingPlay) { p.world.killHolder(false) }},
 	{name: "holder killed as its batch is stored", endsHolder: true, play: func(p *vanishingPlay) { p.world.killHolder(true) }},
 	{name: "store away for 2 s", play: func(p *vanishingPlay) { p.world.store.awayUntil = p.world.now + 2*time.Second }},
@@ -171,6 +173,7 @@
 	switch p.row.history {
 	case recordedWorker:
 		h.sidecar.started -= time.Minute
+		h.sidecar.startedAwake -= time.Minute
 		fallthrough
 	case youngSidecar:
 		w.run(time.Second)
@@ -266,6 +269,14 @@
 	p.host.beginWorker()
 }
 
+// suspend has the host stand still with all that is under way on it, but for its clocks.
+func (p *vanishingPlay) suspend(d time.Duration) {
+	p.host.frozenUntil = math.MaxInt64
+	p.world.run(d)
+	p.host.suspended += d
+	p.host.frozenUntil = p.world.now
+}
+
 // cut has the host be cut off, or its worker hang, while another host has room.
 func (p *vanishingPlay) cut() vanishingResult {
 	w, h := p.world, p.host
--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -39,8 +39,10 @@
 	host    *vanishingHost
 	world   *vanishingWorld
 	process carobkeel.Incarnation
-	started time.Duration
-	link    vanishingLink
+	// started is when the process began, and startedAwake the same by the clock of calls' ages.
+	started, startedAwake time.Duration
+
+	link vanishingLink
 
 	holder       gate.Holder
 	state        gate.Worker
@@ -216,7 +218,7 @@
 		return 0, gate.Clock{}, 0
 	}
 	s.lastCall++
-	s.calls = s.calls.Add(gate.LeaseCall{Number: s.lastCall, WorkerID: e.Incarnation.ID, Sent: s.world.now})
+	s.calls = s.calls.Add(gate.LeaseCall{Number: s.lastCall, WorkerID: e.Incarnation.ID, Sent: s.callTime()})
 	return s.lastCall, s.knownClock(), s.world.now
 }
 
@@ -280,9 +282,17 @@
 	}
 }
 
+// callTime returns the time by which the age of calls is counted.
+func (s *vanishingSidecar) callTime() time.Duration {
+	if s.world.broken.suspendedCounts {
+		return s.world.now
+	}
+	return s.host.awake()
+}
+
 // lateCalls returns what this process knows of late calls.
 func (s *vanishingSidecar) lateCalls() gate.LateCalls {
-	late := s.calls.LateCallsTo(s.state.Description.ID, s.started, s.world.now, vanishingMaxLease)
+	late := s.calls.LateCallsTo(s.state.Description.ID, s.startedAwake, s.callTime(), vanishingMaxLease)
 	switch {
 	case late == gate.UnansweredLateCalls && s.world.broken.noCalls:
 		return gate.NoLateCalls
--- a/scheduler/dispatch/vanishing_world_test.go
+++ b/scheduler/dispatch/vanishing_world_test.go
@@ -61,6 +61,8 @@
 	noCalls bool
 	// idleLeases extends the lease of workers without runs.
 	idleLeases bool
+	// suspendedCounts counts the time in which a host stood still in the age of calls on it.
+	suspendedCounts bool
 	// shortEnded removes a record instead of marking it as ended.
 	shortEnded bool
 }
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -46,8 +46,9 @@
 	findEntries EntryFinder
 	metrics     *Metrics
 	log         *log.Logger
-	// started is when this process was started.
-	started time.Duration
+	// started is when this process was started, and startedMonotonic the same on the clock that
+	// stands still with the host, as calls to the worker do.
+	started, startedMonotonic time.Duration
 	// replacedAt is when this process last took another incarnation of the worker in, zero for
 	// never.
 	replacedAt atomic.Int64
@@ -128,15 +129,16 @@
 // New returns an agent for the worker.
 func New(config Config, worker runs.Client, find EntryFinder, metrics *Metrics, logger *log.Logger) *Agent {
 	a := &Agent{
-		config:      config,
-		metrics:     metrics,
-		worker:      worker,
-		findEntries: find,
-		log:         logger,
-		started:     clock.Boottime(),
-		orders:      mailbox.New[receivedOrder](),
-		changed:     make(chan struct{}, 1),
-		holderLost:  make(chan struct{}, 1),
+		config:           config,
+		metrics:          metrics,
+		worker:           worker,
+		findEntries:      find,
+		log:              logger,
+		started:          clock.Boottime(),
+		startedMonotonic: clock.Monotonic(),
+		orders:           mailbox.New[receivedOrder](),
+		changed:          make(chan struct{}, 1),
+		holderLost:       make(chan struct{}, 1),
 	}
 	a.SetSeeds(config.Seeds)
 	a.holder.Store(&gate.Holder{})
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -56,7 +56,7 @@
 		call.clock = known.Clock
 	}
 	a.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls {
-		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: call.sent})
+		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: clock.Monotonic()})
 	})
 	return call
 }
@@ -95,8 +95,8 @@
 // reach returns the state of a worker that has listed its runs under a fence, with what this
 // process knows of late calls to it.
 func (a *Agent) reach(w gate.Worker, fence runs.Fence) gate.Worker {
-	now := clock.Boottime()
-	return w.Reach(fence, now, a.leaseCalls.Load().LateCallsTo(w.Description.ID, a.started, now, a.config.MaxLease))
+	late := a.leaseCalls.Load().LateCallsTo(w.Description.ID, a.startedMonotonic, clock.Monotonic(), a.config.MaxLease)
+	return w.Reach(fence, clock.Boottime(), late)
 }
 
 // lateLease returns the bound of the lease that late calls may have given an incarnation that has
--- a/sidecar/agent/late_calls_test.go
+++ b/sidecar/agent/late_calls_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -164,3 +165,23 @@
 	l.listOnce(context.Background(), a.state.Load())
 	g.Expect(worker.waits).To(Equal([]time.Duration{0, 0}))
 }
+
+// Guards against TWICE: a call stood still with its suspended host, and was taken as too old to be carried
+// out once that went on.
+func TestAgeOfACallDoesNotCountTheTimeInWhichTheHostWasSuspended(t *testing.T) {
+	g := NewWithT(t)
+	worker := newRestartingWorker()
+	a, order := linkedAgent(worker)
+	a.config.MaxLease = 10 * time.Second
+	worker.lose(true)
+	a.sendOnce(t.Context(), testTerm, a.state.Load(), order)
+	worker.lose(false)
+	sent := (*a.leaseCalls.Load())[0].Sent
+	g.Expect(sent).To(BeNumerically("~", clock.Monotonic(), time.Second))
+
+	a.started = clock.Boottime() - time.Hour // suspended since, as the process had just begun
+	a.startedMonotonic = clock.Monotonic()
+	a.leaseCalls.Store(&gate.LeaseCalls{})
+	worker.restart()
+	g.Expect(lateLeaseAfter(a, worker.incarnation()).Remaining).To(BeNumerically(">", 0), "an earlier process may have sent one")
+}
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -88,7 +88,7 @@
 	a.state.Store(&known)
 	a.wakeLister()
 	now := clock.Boottime()
-	a.started = now - time.Hour
+	a.started, a.startedMonotonic = now-time.Hour, clock.Monotonic()-time.Hour
 	a.needsLease.Store(true) // the worker has runs
 	a.clock.Store(&workerClock{gate.Clock{Reading: time.Minute, Received: now, Known: true}, testIncarnation})
 	holder := gate.Holder{}.Confirm(testTerm, now)
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -11,7 +11,8 @@
 type LeaseCall struct {
 	Number   uint64
 	WorkerID string
-	Sent     time.Duration
+	// Sent is on a clock that stands still with the host, as the call does.
+	Sent time.Duration
 	// lost reports that the call has ended without an answer.
 	lost bool
 }
@@ -87,7 +88,8 @@
 	UnansweredLateCalls
 )
 
-// LateCallsTo returns what a process that began at started knows at a time now.
+// LateCallsTo returns what a process that began at started knows at a time now, by the clock of the
+// calls' sending.
 func (l LeaseCalls) LateCallsTo(workerID string, started, now, maxLease time.Duration) LateCalls {
 	switch {
 	case l.MayReach(workerID, now):
