Keep a lost call in mind until the lease that it may have given is over

Cause: a lost call was kept in mind for the 30 s in which it may be carried out. If the sidecar first reached the next incarnation after that, it reported no late lease, although one given in the 30th second lasts 10 s longer.

Change: a lost call counts for 30 s and the longest lease, as the age does from which a process of the sidecar speaks for those before it. gate.LeaseCalls.Add keeps it as long. Add takes the longest lease, so its callers in tests pass it; what they check is the same.

TestLeaseOfACallThatIsTooOldMayStillLast fails with the rule before, and TestTableOfWhoVanishesHasTeeth breaks the rule again.

--- a/scheduler/dispatch/vanishing_play_test.go
+++ b/scheduler/dispatch/vanishing_play_test.go
@@ -40,6 +40,7 @@
 var vanishings = []vanishing{
 	{name: "worker restarts", play: func(p *vanishingPlay) { p.restartWorker(100 * time.Millisecond) }},
 	{name: "worker away for 5 s", play: func(p *vanishingPlay) { p.restartWorker(5 * time.Second) }},
+	{name: "worker away for 28 s", play: func(p *vanishingPlay) { p.restartWorker(28 * time.Second) }},
 	{name: "sidecar killed", endsSidecar: true, play: func(p *vanishingPlay) { p.host.replaceSidecar(0) }},
 	{name: "sidecar away for 5 s", endsSidecar: true, play: func(p *vanishingPlay) { p.host.replaceSidecar(5 * time.Second) }},
 	{name: "sidecar frozen for 1 s", play: func(p *vanishingPlay) { p.host.frozenUntil = p.world.now + time.Second }},
--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -218,7 +218,7 @@
 		return 0, gate.Clock{}, 0
 	}
 	s.lastCall++
-	s.calls = s.calls.Add(gate.LeaseCall{Number: s.lastCall, WorkerID: e.Incarnation.ID, Sent: s.callTime()})
+	s.calls = s.calls.Add(gate.LeaseCall{Number: s.lastCall, WorkerID: e.Incarnation.ID, Sent: s.callTime()}, vanishingMaxLease)
 	return s.lastCall, s.knownClock(), s.world.now
 }
 
@@ -292,7 +292,11 @@
 
 // lateCalls returns what this process knows of late calls.
 func (s *vanishingSidecar) lateCalls() gate.LateCalls {
-	late := s.calls.LateCallsTo(s.state.Description.ID, s.startedAwake, s.callTime(), vanishingMaxLease)
+	maxLease := vanishingMaxLease
+	if s.world.broken.shortCalls {
+		maxLease = 0
+	}
+	late := s.calls.LateCallsTo(s.state.Description.ID, s.startedAwake, s.callTime(), maxLease)
 	switch {
 	case late == gate.UnansweredLateCalls && s.world.broken.noCalls:
 		return gate.NoLateCalls
--- a/scheduler/dispatch/vanishing_test.go
+++ b/scheduler/dispatch/vanishing_test.go
@@ -235,6 +235,7 @@
 		{"records of workers are withheld from the next holder", recordedWorker, brokenKnowledge{noRecords: true}},
 		{"the sidecar speaks for the processes before it", recordedWorker, brokenKnowledge{noAge: true}},
 		{"the sidecar forgets its calls", recordedWorker, brokenKnowledge{noCalls: true}},
+		{"the lease of a call ends with its age", recordedWorker, brokenKnowledge{shortCalls: true}},
 		{"a suspended host's calls grow old", recordedWorker, brokenKnowledge{suspendedCounts: true}},
 		{"the lease is extended of workers without runs", unrecordedWorker, brokenKnowledge{idleLeases: true}},
 	} {
--- a/scheduler/dispatch/vanishing_world_test.go
+++ b/scheduler/dispatch/vanishing_world_test.go
@@ -63,6 +63,8 @@
 	idleLeases bool
 	// suspendedCounts counts the time in which a host stood still in the age of calls on it.
 	suspendedCounts bool
+	// shortCalls takes the lease of a call as over once the call is too old.
+	shortCalls bool
 	// shortEnded removes a record instead of marking it as ended.
 	shortEnded bool
 }
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -56,7 +56,7 @@
 		call.clock = known.Clock
 	}
 	a.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls {
-		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: clock.Monotonic()})
+		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: clock.Monotonic()}, a.config.MaxLease)
 	})
 	return call
 }
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -21,9 +21,11 @@
 // answer. Its methods return a changed copy.
 type LeaseCalls []LeaseCall
 
-// Add returns l with a call that is about to be sent.
-func (l LeaseCalls) Add(call LeaseCall) LeaseCalls {
-	kept := slices.DeleteFunc(slices.Clone(l), func(c LeaseCall) bool { return c.lost && c.isOver(call.Sent) })
+// Add returns l with a call that is about to be sent, and without those whose effect is over.
+func (l LeaseCalls) Add(call LeaseCall, maxLease time.Duration) LeaseCalls {
+	kept := slices.DeleteFunc(slices.Clone(l), func(c LeaseCall) bool {
+		return c.lost && c.isOver(call.Sent-LongestLease(maxLease))
+	})
 	return append(kept, call)
 }
 
@@ -89,10 +91,10 @@
 )
 
 // LateCallsTo returns what a process that began at started knows at a time now, by the clock of the
-// calls' sending.
+// calls' sending. A call that is over may have given the incarnation a lease that is not.
 func (l LeaseCalls) LateCallsTo(workerID string, started, now, maxLease time.Duration) LateCalls {
 	switch {
-	case l.MayReach(workerID, now):
+	case l.MayReach(workerID, now-LongestLease(maxLease)):
 		return UnansweredLateCalls
 	case now-started < runs.LongestCallDelay+LongestLease(maxLease):
 		return LateCallsOfOthers
--- a/sidecar/gate/lease_calls_test.go
+++ b/sidecar/gate/lease_calls_test.go
@@ -13,31 +13,44 @@
 	g := NewWithT(t)
 	var calls LeaseCalls
 	g.Expect(calls.MayReach("w", time.Minute)).To(BeFalse())
-	sent := calls.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: time.Minute})
+	sent := calls.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: time.Minute}, 10*time.Second)
 	g.Expect(sent.MayReach("w", time.Hour)).To(BeTrue(), "it has not ended")
 	g.Expect(sent.MayReach("v", time.Minute)).To(BeFalse())
 	g.Expect(sent.Settle(1).MayReach("w", time.Minute)).To(BeFalse())
 	lost := sent.Lose(1)
 	g.Expect(lost.MayReach("w", time.Minute+runs.LongestCallDelay)).To(BeTrue())
 	g.Expect(lost.MayReach("w", time.Minute+runs.LongestCallDelay+1)).To(BeFalse())
-	g.Expect(lost.Add(LeaseCall{Number: 2, WorkerID: "v", Sent: time.Hour})).To(HaveLen(1))
+	g.Expect(lost.Add(LeaseCall{Number: 2, WorkerID: "v", Sent: time.Hour}, 10*time.Second)).To(HaveLen(1))
 }
 
 // Guards against TWICE: the answer to a call's second try was taken for one to the first, which was
 // carried out later.
 func TestAnswerToASecondTryDoesNotSettleTheFirst(t *testing.T) {
 	g := NewWithT(t)
-	calls := LeaseCalls{}.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: time.Minute}).Lose(1)
-	calls = calls.Add(LeaseCall{Number: 2, WorkerID: "w", Sent: time.Minute + time.Second}).Settle(2)
+	calls := LeaseCalls{}.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: time.Minute}, 10*time.Second).Lose(1)
+	calls = calls.Add(LeaseCall{Number: 2, WorkerID: "w", Sent: time.Minute + time.Second}, 10*time.Second).Settle(2)
 	g.Expect(calls.MayReach("w", time.Minute+runs.LongestCallDelay)).To(BeTrue())
 	g.Expect(calls.MayReach("w", time.Minute+runs.LongestCallDelay+1)).To(BeFalse())
 }
 
+// Guards against TWICE: a call was carried out just before it was too old, and the sidecar reached the worker
+// just after that.
+func TestLeaseOfACallThatIsTooOldMayStillLast(t *testing.T) {
+	g := NewWithT(t)
+	const maxLease = 10 * time.Second
+	calls := LeaseCalls{}.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: time.Minute}, maxLease).Lose(1)
+	last := time.Minute + runs.LongestCallDelay + LongestLease(maxLease)
+	calls = calls.Add(LeaseCall{Number: 2, WorkerID: "v", Sent: last}, maxLease).Settle(2)
+	g.Expect(calls.LateCallsTo("w", 0, last, maxLease)).To(Equal(UnansweredLateCalls))
+	g.Expect(calls.LateCallsTo("w", 0, last+1, maxLease)).To(Equal(NoLateCalls))
+	g.Expect(calls.Add(LeaseCall{Number: 3, WorkerID: "v", Sent: last + 1}, maxLease)).To(HaveLen(1))
+}
+
 func TestLostLeaseCallsAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	var calls LeaseCalls
 	for n := uint64(1); n <= 1000; n++ {
-		calls = calls.Add(LeaseCall{Number: n, WorkerID: "w", Sent: time.Duration(n) * time.Millisecond}).Lose(n)
+		calls = calls.Add(LeaseCall{Number: n, WorkerID: "w", Sent: time.Duration(n) * time.Millisecond}, 10*time.Second).Lose(n)
 	}
 	g.Expect(calls).To(HaveLen(1))
 	g.Expect(calls[0].Sent).To(Equal(time.Second))
@@ -75,7 +88,7 @@
 	old := started + runs.LongestCallDelay + LongestLease(maxLease)
 	g.Expect(LeaseCalls{}.LateCallsTo("w", started, old-1, maxLease)).To(Equal(LateCallsOfOthers))
 	g.Expect(LeaseCalls{}.LateCallsTo("w", started, old, maxLease)).To(Equal(NoLateCalls))
-	calls := LeaseCalls{}.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: old})
+	calls := LeaseCalls{}.Add(LeaseCall{Number: 1, WorkerID: "w", Sent: old}, maxLease)
 	g.Expect(calls.LateCallsTo("w", started, old, maxLease)).To(Equal(UnansweredLateCalls))
 }
 
