Count the failures of a gang in the check as the scheduler does

Callers saw nothing: the check was wrong. It failed once, in TestFaultsInRandomOrder with freely drawn values.

Cause: the check that a job has failed only after its last attempt counts the failed runs of each task. Since the scheduler counts those of a gang, whose members share the numbers of their runs, as the users' pages say (a task, or a gang, has failed as often as it may). A gang that fails once by one member and twice by another has failed three times, and the check saw two.

Change: the record keeps the numbers of failed runs, and the check counts each number once for a gang, and for each other task by itself as before.

--- a/scheduler/dispatch/faults_test.go
+++ b/scheduler/dispatch/faults_test.go
@@ -158,13 +158,27 @@
 	}
 }
 
-// mostFailures returns the largest number of failed runs of any task of a job.
+// mostFailures returns the largest number of failed runs of any task or gang of a job. The members
+// of a gang share the numbers of their runs, and each run of which a member fails counts once.
 func (sim *simulation) mostFailures(spec *carobkeel.JobSpec) int {
-	most := 0
-	for task, n := range sim.record.FailedRuns {
-		if task.Job == spec.ID {
-			most = max(most, n)
+	failed := make(map[carobkeel.TaskName]map[int]bool)
+	for task, numbers := range sim.record.FailedRuns {
+		if task.Job != spec.ID {
+			continue
+		}
+		if spec.Steps[task.Step].Gang {
+			task.Index = 0
+		}
+		if failed[task] == nil {
+			failed[task] = make(map[int]bool)
 		}
+		for _, number := range numbers {
+			failed[task][number] = true
+		}
+	}
+	most := 0
+	for _, numbers := range failed {
+		most = max(most, len(numbers))
 	}
 	return most
 }
--- a/worker/runs/standin/record.go
+++ b/worker/runs/standin/record.go
@@ -17,8 +17,8 @@
 	Done map[carobkeel.TaskName]int
 	// Failed counts acknowledged ends of runs that failed.
 	Failed map[carobkeel.TaskName]int
-	// FailedRuns counts runs that failed, acknowledged or not.
-	FailedRuns map[carobkeel.TaskName]int
+	// FailedRuns holds the numbers of the runs that failed, acknowledged or not.
+	FailedRuns map[carobkeel.TaskName][]int
 	// Starts counts started runs.
 	Starts map[carobkeel.TaskName]int
 	// Interrupted counts runs that were stopped or lost their lease.
@@ -41,7 +41,7 @@
 		Done:   make(map[carobkeel.TaskName]int),
 		Failed: make(map[carobkeel.TaskName]int),
 
-		FailedRuns: make(map[carobkeel.TaskName]int),
+		FailedRuns: make(map[carobkeel.TaskName][]int),
 		Starts:     make(map[carobkeel.TaskName]int),
 
 		Interrupted: make(map[carobkeel.TaskName]int),
@@ -72,7 +72,7 @@
 	r.active[task]--
 	switch outcome {
 	case runs.OutcomeFailed:
-		r.FailedRuns[task]++
+		r.FailedRuns[task] = append(r.FailedRuns[task], run)
 	case runs.OutcomeStopped, runs.OutcomeExpired:
 		r.Interrupted[task]++
 	case runs.OutcomeDone:
