Request no lease that has run out

Cause: a sidecar that is cut off from its holder, and goes on to reach its worker, requested the lease of its last answered ping again after each doubt, however long ago that lease had run out. The worker itself ignores such a deadline, but carried out late by its next incarnation, whose clock is far behind, it gives the longest lease. So nothing bounded when the last call that can do so was sent, and the record of an ended worker is kept for a time that is counted from the end of its lease.

Evidence: TestNoLeaseIsRequestedThatHasRunOut.

Change: gate.LeaseDeadline takes the time and returns no deadline once the lease is over. A start without a deadline is not sent, as before.

--- a/scheduler/dispatch/evidence_model_sidecar_test.go
+++ b/scheduler/dispatch/evidence_model_sidecar_test.go
@@ -122,7 +122,7 @@
 	if !s.state.IsConfirmed(e.Fence) || s.unresponsive || s.holder.Confirmed < s.extendsFrom {
 		return e
 	}
-	e.Deadline = gate.LeaseDeadline(s.holder, s.clock, testLease)
+	e.Deadline = gate.LeaseDeadline(s.holder, s.clock, testLease, s.model.now)
 	s.deadline = max(s.deadline, e.Deadline)
 	return e
 }
--- a/scheduler/dispatch/retention_test.go
+++ b/scheduler/dispatch/retention_test.go
@@ -45,7 +45,7 @@
 		g.Expect(state).To(Equal(carobkeel.JobCompleted), string(job))
 	}
 	for _, s := range sim.workers {
-		listing, _, _ := s.worker.List(context.Background(), s.envelope(1), s.acked[s.state.Description.Incarnation], 0)
+		listing, _, _ := s.worker.List(context.Background(), s.envelope(1, sim.now), s.acked[s.state.Description.Incarnation], 0)
 		g.Expect(listing.Ends).To(BeEmpty())
 	}
 }
--- a/scheduler/dispatch/simulation_hosts_test.go
+++ b/scheduler/dispatch/simulation_hosts_test.go
@@ -194,7 +194,7 @@
 	s.described = &d
 	h.core.DescribeWorker(s.name, d)
 	s.listing++
-	listing, answer, err := s.worker.List(context.Background(), s.envelope(h.epoch), s.acked[d.Incarnation], 0)
+	listing, answer, err := s.worker.List(context.Background(), s.envelope(h.epoch, sim.now), s.acked[d.Incarnation], 0)
 	if err != nil || answer.Result != runs.ResultOK {
 		return
 	}
@@ -233,10 +233,10 @@
 }
 
 // envelope returns the envelope of a request, which extends the lease while the worker answers.
-func (s *host) envelope(epoch carobkeel.Epoch) runs.Envelope {
+func (s *host) envelope(epoch carobkeel.Epoch, now time.Duration) runs.Envelope {
 	var deadline time.Duration
 	if s.state.IsConfirmed(s.fence(epoch)) {
-		deadline = gate.LeaseDeadline(s.holder, s.clock, testLease)
+		deadline = gate.LeaseDeadline(s.holder, s.clock, testLease, now)
 	}
 	s.requestedLease = max(s.requestedLease, deadline)
 	return runs.Envelope{Incarnation: s.worker.Description().Incarnation, Fence: s.fence(epoch), Deadline: deadline}
@@ -310,7 +310,7 @@
 		sim.answer(h, s, o, runs.ResultUnconfirmed)
 		return
 	}
-	envelope := s.envelope(h.epoch)
+	envelope := s.envelope(h.epoch, sim.now)
 	envelope.Incarnation = o.Incarnation
 	if sim.broken.withoutFencing {
 		envelope.Fence.Epoch = sim.store.epoch
--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -29,7 +29,7 @@
 	if !state.IsConfirmed(e.Fence) || a.unresponsive.Load() || int64(holder.Confirmed) < a.extendsFrom.Load() {
 		return e
 	}
-	deadline := gate.LeaseDeadline(*holder, a.clockOf(state.Description), a.config.WorkerLease)
+	deadline := gate.LeaseDeadline(*holder, a.clockOf(state.Description), a.config.WorkerLease, clock.Boottime())
 	a.raiseDeadline(deadline)
 	if !a.unresponsive.Load() { // otherwise the report may not include this deadline
 		e.Deadline = deadline
--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -93,11 +93,12 @@
 	return c.Reading + elapsed - time.Duration(float64(elapsed)*workerClockDrift)
 }
 
-// LeaseDeadline returns the end of the lease to request, on the worker's clock: the
+// LeaseDeadline returns the end of the lease to request at a time now, on the worker's clock: the
 // given duration after the last confirmed ping. It is zero, which extends nothing,
-// if no holder has answered yet or the worker's clock is unknown.
-func LeaseDeadline(h Holder, c Clock, duration time.Duration) time.Duration {
-	if !h.Known || !c.Known {
+// if no holder has answered yet, the worker's clock is unknown or the lease has run out by now: the
+// next incarnation, whose clock is behind, could only be given a lease by it that nobody counts.
+func LeaseDeadline(h Holder, c Clock, duration, now time.Duration) time.Duration {
+	if !h.Known || !c.Known || now >= h.Confirmed+duration {
 		return 0
 	}
 	return max(0, c.at(h.Confirmed)+duration)
--- a/sidecar/gate/gate_test.go
+++ b/sidecar/gate/gate_test.go
@@ -43,8 +43,18 @@
 func TestNoLeaseWithoutAHolderOrAClock(t *testing.T) {
 	g := NewWithT(t)
 	clock := gate.Clock{Reading: time.Hour, Received: time.Second, Known: true}
-	g.Expect(gate.LeaseDeadline(gate.Holder{}, clock, time.Second)).To(BeZero())
-	g.Expect(gate.LeaseDeadline(gate.Holder{}.Confirm(termOf(1), time.Second), gate.Clock{}, time.Second)).To(BeZero())
+	g.Expect(gate.LeaseDeadline(gate.Holder{}, clock, time.Second, 2*time.Second)).To(BeZero())
+	g.Expect(gate.LeaseDeadline(gate.Holder{}.Confirm(termOf(1), time.Second), gate.Clock{}, time.Second, time.Second)).To(BeZero())
+}
+
+// Guards against TWICE: a lease that had run out was requested all the same, as late as the sidecar liked, and
+// lengthened that of the worker's next incarnation, whose clock is far behind.
+func TestNoLeaseIsRequestedThatHasRunOut(t *testing.T) {
+	g := NewWithT(t)
+	clock := gate.Clock{Reading: time.Hour, Received: time.Second, Known: true}
+	holder := gate.Holder{}.Confirm(termOf(1), 2*time.Second)
+	g.Expect(gate.LeaseDeadline(holder, clock, time.Second, 3*time.Second-1)).NotTo(BeZero())
+	g.Expect(gate.LeaseDeadline(holder, clock, time.Second, 3*time.Second)).To(BeZero())
 }
 
 // A worker's clock runs at 98 to 100% of the true rate and is read at some time
@@ -64,7 +74,7 @@
 		clock := gate.Clock{Reading: reading, Received: received, Known: true}
 		pinged := received + millis("until the ping", 2000)
 		holder := gate.Holder{}.Confirm(termOf(1), pinged)
-		deadline := gate.LeaseDeadline(holder, clock, lease)
+		deadline := gate.LeaseDeadline(holder, clock, lease, pinged)
 		expiresAt := read + time.Duration(float64(deadline-reading)/rate)
 		slack := 150*time.Millisecond + time.Duration(float64(lease)*0.02)
 		NewWithT(t).Expect(expiresAt).To(BeNumerically("<=", pinged+lease+slack))
