--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -178,7 +178,7 @@
 	if !s.state.IsConfirmed(e.Fence) || s.unresponsive || s.holder.Confirmed < s.extendsFrom {
 		return e
 	}
-	e.Deadline = gate.LeaseDeadline(s.holder, s.knownClock(), testLease)
+	e.Deadline = gate.LeaseDeadline(s.holder, s.knownClock(), testLease, s.world.now)
 	s.deadline = max(s.deadline, e.Deadline)
 	return e
 }
