Remove replaced records of workers in the batch that records the next incarnation

What callers saw: in two rows of the generated table, tasks that last waited for the longest lease although all calls were answered: the store was away between the record of an incarnation and the removal of the one before, another holder took over, and took the present incarnation for one that had just followed another.

They stay in mind until the batch is stored, so a batch that fails or is rejected removes none, also when the records are stored one by one afterwards.

The flag of the table is a number now: -all-vanishing=2 plays all pairs, 3 triples too.

Evidence: "recorded; all calls answered; store away for 8 s after its record; host suspended for 40 s after its first start", with both ends, waited 20.4 s with a bound of 4 s before, and holds now.

--- a/scheduler/dispatch/ended_worker.go
+++ b/scheduler/dispatch/ended_worker.go
@@ -84,20 +84,57 @@
 		}
 	}
 	if w.recorded {
-		c.forgetEndedBefore(w.host, listed)
+		c.forgetReplaced([]WorkerRecord{{Incarnation: listed, Host: w.host}})
 	}
 }
 
-// forgetEndedBefore drops the ended incarnations of a host's worker that began before the given
-// one, which has listed its runs and is recorded itself.
-func (c *Core) forgetEndedBefore(host string, recorded runs.Incarnation) {
+// replacedBy returns the ended incarnations of hosts' workers that began before those of the given
+// records, which have listed their runs, with their hosts.
+func (c *Core) replacedBy(records []WorkerRecord) map[runs.Incarnation]string {
+	present := make(map[string]runs.Incarnation, len(records))
+	for _, r := range records {
+		present[r.Host] = r.Incarnation
+	}
+	replaced := make(map[runs.Incarnation]string)
 	for incarnation, e := range c.endedWorkers {
-		if e.host == host && incarnation != recorded && incarnation.StartedAtMs <= recorded.StartedAtMs {
-			c.forgetEnded(incarnation, host)
+		by, found := present[e.host]
+		if found && incarnation != by && incarnation.StartedAtMs <= by.StartedAtMs {
+			replaced[incarnation] = e.host
+		}
+	}
+	return replaced
+}
+
+// addReplaced has a batch that records incarnations remove the records of those before them. They
+// stay in mind until the batch is stored.
+func (c *Core) addReplaced(b *Batch, limit *BatchLimit) {
+	if len(b.Workers) == 0 {
+		return
+	}
+	for incarnation, host := range c.replacedBy(b.Workers) {
+		if !b.hasRecordOf(incarnation) && limit.take(workerEntries, workerBytes) && c.withdrawRecord(incarnation, host) {
+			b.Forgotten = append(b.Forgotten, incarnation)
 		}
 	}
 }
 
+// forgetReplaced drops the ended incarnations that were replaced by those of records that are
+// stored.
+func (c *Core) forgetReplaced(stored []WorkerRecord) {
+	if len(stored) == 0 {
+		return
+	}
+	for incarnation, host := range c.replacedBy(stored) {
+		c.forgetEnded(incarnation, host)
+	}
+}
+
+// isEnded reports whether an incarnation is kept in mind as ended.
+func (c *Core) isEnded(i runs.Incarnation) bool {
+	_, ended := c.endedWorkers[i]
+	return ended
+}
+
 func (c *Core) forgetEnded(incarnation runs.Incarnation, host string) {
 	delete(c.endedWorkers, incarnation)
 	c.dropRecord(incarnation, host)
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -141,6 +141,7 @@
 		b.Workers = append(b.Workers, c.workersToRecord[0])
 		c.workersToRecord = c.workersToRecord[1:]
 	}
+	c.addReplaced(&b, &limit)
 	c.addProgress(&b, &limit)
 	for len(c.recordsToEnd) > 0 && limit.take(workerEntries, workerBytes) {
 		b.Ended = append(b.Ended, c.recordsToEnd[0])
@@ -250,12 +251,15 @@
 		c.recordedIncarnations[record.Incarnation] = record.Host
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
-			c.forgetEndedBefore(w.host, record.Incarnation)
 		}
 	}
 	for _, incarnation := range b.Forgotten {
 		delete(c.recordedIncarnations, incarnation)
+		if !containsIncarnation(c.recordsToEnd, incarnation) {
+			delete(c.endedWorkers, incarnation)
+		}
 	}
+	c.forgetReplaced(b.Workers)
 }
 
 // isWithdrawn reports whether the record of an incarnation is to be removed, or marked as ended.
@@ -269,6 +273,7 @@
 	recorded := withoutPending(c, b.Workers, incarnationOf)
 	ended := withoutPending(c, b.Ended, incarnationOf)
 	forgotten := withoutPending(c, b.Forgotten, func(i runs.Incarnation) runs.Incarnation { return i })
+	forgotten = slices.DeleteFunc(forgotten, c.isEnded) // they are removed with the records that replace them
 	c.workersToRecord = append(recorded, c.workersToRecord...)
 	c.recordsToEnd = append(ended, c.recordsToEnd...)
 	c.incarnationsToForget = append(forgotten, c.incarnationsToForget...)
--- a/scheduler/dispatch/vanishing_test.go
+++ b/scheduler/dispatch/vanishing_test.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// allVanishingRows selects all rows, and triples. Otherwise one pair in a few is played.
-var allVanishingRows = flag.Bool("all-vanishing-rows", false, "play all rows of the table of who vanishes when, and triples")
+// allVanishing selects all rows with up to so many things that vanish. Without it, each of them is
+// played alone, and one pair in a few.
+var allVanishing = flag.Int("all-vanishing", 0, "play all rows with up to this many things that vanish")
 
 // pairStride is how many pairs there are for each one that is played without the flag. It has no
 // common divisor with the number of things that vanish at a point.
@@ -92,8 +93,8 @@
 
 // played returns the rows of the group that are played, most of them with both ends.
 func (g vanishingGroup) played() []vanishingRow {
-	if *allVanishingRows {
-		return g.allRows()
+	if *allVanishing > 0 {
+		return withBothEnds(g.rows(*allVanishing))
 	}
 	var played []vanishingRow
 	for i, row := range withBothEnds(g.rows(2)) {
@@ -109,14 +110,6 @@
 	return (int(g.history)*len(lostCallNames) + int(g.lost)) % pairStride
 }
 
-// allRows returns all rows of the group, with triples where a listing is lost.
-func (g vanishingGroup) allRows() []vanishingRow {
-	if g.lost == lostListing {
-		return withBothEnds(g.rows(3))
-	}
-	return withBothEnds(g.rows(2))
-}
-
 func withBothEnds(rows []vanishingRow) []vanishingRow {
 	var both []vanishingRow
 	for _, row := range rows {
