Let the soak's callers cancel jobs until that is acknowledged

Cause: no entry took the cancelling. The entries had been restarted while they were cut off from the store, and had no configuration: the eight tries were answered with 503, or found no connection. The caller gave up after 2.1 s, 0.3 s before the links were back, and the judge counts a cancelling without an answer as one that waits for it. A caller that has given up doesn't wait.

Change: callers cancel until a 2xx or a 410, or the end of the play.

--- a/cmd/soak/jobs/traffic.go
+++ b/cmd/soak/jobs/traffic.go
@@ -138,10 +138,17 @@
 	return job
 }
 
+// caller sends the requests of callers to entries.
+type caller interface {
+	Submit(ctx context.Context, entry string, job *carobkeel.JobSpec, connected func()) standin.Reply
+	State(ctx context.Context, entry string, job *carobkeel.JobSpec) standin.Reply
+	Cancel(ctx context.Context, entry string, job *carobkeel.JobSpec) standin.Reply
+}
+
 // traffic submits jobs and follows them until they have ended.
 type traffic struct {
 	fleet  *fleet
-	caller *standin.Caller
+	caller caller
 	jobs   *generator
 	// repeats reports that callers repeat requests.
 	repeats  atomic.Bool
@@ -248,17 +255,16 @@
 
 // cancel cancels a job through one entry after the other until that is acknowledged.
 func (t *traffic) cancel(ctx context.Context, job *carobkeel.JobSpec, entry int) {
-	for attempt := range submitTries {
-		to, address := t.to(entry + attempt)
+	for ctx.Err() == nil {
+		to, address := t.to(entry)
 		t.fleet.record.Add(judge.CancelSent{Job: job.ID, Entry: to})
 		reply := t.caller.Cancel(ctx, address, job)
 		if reply.Answer == judge.AnswerAccepted || reply.Answer == judge.AnswerGone {
 			t.fleet.record.Add(judge.CancelAcknowledged{Job: job.ID})
 			return
 		}
-		if clock.Sleep(ctx, submitPause) != nil {
-			return
-		}
+		entry++
+		_ = clock.Sleep(ctx, submitPause)
 	}
 }
 
