Pass each row of a job to the scheduler once

Seen: by a test. Ten minutes after a job has ended, the holder removes its rows. If the history of the jobs table is lost at that time, the holder reads the whole table, in pages. A job that is removed after its page was read comes back as a new one without progress: its tasks start again (TWICE; UNASKED if it was cancelled).

Cause: a read that is older than a removal is handled after it. What the holder forgets of the job is also all that it knows of the row's age.

Change: the holder keeps the version of each job's row that it has passed to the core, until the feed reports the row's removal or a read of the whole table does not find it. All later reads are newer than that. A row of such a version, or an older one, is passed over; a job that is submitted again has a newer one.

--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -68,6 +68,9 @@
 	// workerRows has the versions of the records of workers, by key. The batch in flight
 	// follows them.
 	workerRows map[string]table.Version
+	// jobRows has the versions of the rows of jobs that were passed to the core, until the feed
+	// reports their removal.
+	jobRows map[carobkeel.JobID]table.Version
 	// markRows has the versions of the cancellations of unknown jobs.
 	markRows map[carobkeel.JobID]table.Version
 	// pending maps the jobs that have not started to their queues.
@@ -79,7 +82,9 @@
 	wake       time.Duration
 }
 
-func newLoop(n *Node) *loop { return &loop{node: n} }
+func newLoop(n *Node) *loop {
+	return &loop{node: n, jobRows: make(map[carobkeel.JobID]table.Version)}
+}
 
 func (l *loop) run(ctx context.Context) {
 	l.ctx = ctx
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -102,12 +102,16 @@
 		Rows: n.rows, Table: TableJobs, Part: n.config.Shard, Wait: followTimeout, Log: n.log,
 		OnUpdate: func(changes follow.Update) {
 			rows := rowsUpTo(changes.Rows, changes.Version)
-			if len(rows) == 0 {
+			if len(rows) == 0 && !changes.Full {
 				return
 			}
 			n.events.Push(func(l *loop) {
-				if l.core != nil && l.term == term {
-					l.applyJobRows(rows, epochVersion)
+				if l.core == nil || l.term != term {
+					return
+				}
+				l.applyJobRows(rows, epochVersion)
+				if changes.Full {
+					l.keepJobRows(rows)
 				}
 			})
 		},
@@ -138,13 +142,27 @@
 
 func (l *loop) addJobs(rows []table.VersionedRow, epochVersion table.Version) {
 	for _, row := range rows {
-		if row.Deleted || row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
+		if row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
+			continue
+		}
+		if row.Deleted {
+			delete(l.jobRows, carobkeel.JobID(row.Key))
 			continue
 		}
 		l.addJob(row, row.Version < epochVersion)
 	}
 }
 
+// keepJobRows forgets the rows of jobs that a read of the whole table has not found. No later
+// read finds them.
+func (l *loop) keepJobRows(rows []table.VersionedRow) {
+	found := make(map[carobkeel.JobID]bool, len(rows))
+	for _, row := range rows {
+		found[carobkeel.JobID(row.Key)] = true
+	}
+	maps.DeleteFunc(l.jobRows, func(job carobkeel.JobID, _ table.Version) bool { return !found[job] })
+}
+
 func (l *loop) applyCancellations(rows []table.VersionedRow) {
 	for _, row := range rows {
 		if job, isCancel := strings.CutSuffix(row.Key, CancelSuffix); isCancel && !row.Deleted {
@@ -163,7 +181,13 @@
 	l.core.KeepCancelMark(job)
 }
 
+// addJob passes a job to the core, once: a read that began before its removal still holds its row.
 func (l *loop) addJob(row table.VersionedRow, inherited bool) {
+	id := carobkeel.JobID(row.Key)
+	if row.Version <= l.jobRows[id] {
+		return
+	}
+	l.jobRows[id] = row.Version
 	job, err := decodeJob(row)
 	if err != nil {
 		l.node.log.Error().Err(err).Str("job", row.Key).Msg("job row left out")
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -272,6 +272,7 @@
 		MaxLease:       n.config.MaxLease,
 		InheritedLease: l.predecessors.remainingLease(clock.Boottime(), n.config.WorkerLease),
 	}, l.now(), n.decodeWorkers(t.workers))
+	l.jobRows = make(map[carobkeel.JobID]table.Version)
 	l.markRows = make(map[carobkeel.JobID]table.Version)
 	l.workerRows = make(map[string]table.Version)
 	for _, row := range t.workers {
