Apply a cancellation that is written again while a new holder reads the shard

Seen: by a test. A new holder reads the jobs in pages and leaves out the rows that are newer than the first page, as the feed delivers them. A caller that cancels a job again rewrites the row of an acknowledged cancellation, which is then newer: until the feed has delivered it, the holder takes the job for one that nobody cancelled (UNASKED, if the store can't be reached at that time).

Cause: the rule for jobs, which must not be known before the row of a later holder, was applied to cancellations.

Change: cancellations are kept whenever they were written.

Evidence: TestCancellationThatIsWrittenAgainDuringATakeoverIsApplied failed before. The tests on pages hold.

--- a/scheduler/holder/pages_test.go
+++ b/scheduler/holder/pages_test.go
@@ -84,3 +84,31 @@
 	}
 	g.Expect(added).To(Equal([]carobkeel.JobID{earlierJob}))
 }
+
+// rewrittenCancellation answers a scan of the jobs with two pages. Between them the caller of a
+// cancelled job has cancelled it again.
+type rewrittenCancellation struct{ pagedRows }
+
+func (r *rewrittenCancellation) Scan(ctx context.Context, name, part, from string) (table.RowScan, error) {
+	scan, err := r.pagedRows.Scan(ctx, name, part, from)
+	if name == TableJobs && from != "" {
+		scan.Rows[0].Key = earlierJob + CancelSuffix
+	}
+	return scan, err
+}
+
+// Guards against UNASKED: a new holder left out a cancellation that was written again while it read the shard.
+func TestCancellationThatIsWrittenAgainDuringATakeoverIsApplied(t *testing.T) {
+	g := NewWithT(t)
+	paged := newPagedNode().rows.(*trackedRows).rows.(*pagedRows)
+	n := New(Config{Shard: "shard"}, &rewrittenCancellation{*paged}, nil, logging.Discard().For("test"))
+	var state takeoverState
+	g.Expect(n.readShard(t.Context(), &state)).To(Succeed())
+	l := newLoop(n)
+	l.core = dispatch.New(dispatch.Config{Epoch: 1}, l.now(), nil)
+	l.addJobs(state.jobs, 1)
+	l.applyCancellations(state.jobs)
+	g.Expect(l.core.HasBatch()).To(BeTrue())
+	g.Expect(l.core.NextBatch(dispatch.BatchLimit{Entries: batchEntries, Bytes: batchBytes}).Progress).To(
+		ConsistOf(HaveField("State", carobkeel.JobCancelled)))
+}
--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -121,11 +121,16 @@
 
 // rowsUpTo returns the rows that were written up to a version. A read in several pages may find
 // a job that was accepted under a later holder but not the row of that holder's epoch. The feed
-// delivers both, in their order.
+// delivers both, in their order. A cancellation holds whenever it was written: callers repeat theirs,
+// and a job must not start until the feed delivers the last one.
 func rowsUpTo(rows []table.VersionedRow, version table.Version) []table.VersionedRow {
-	return slices.DeleteFunc(rows, func(row table.VersionedRow) bool { return row.Version > version })
+	return slices.DeleteFunc(rows, func(row table.VersionedRow) bool {
+		return row.Version > version && !isCancellation(row.Key)
+	})
 }
 
+func isCancellation(key string) bool { return strings.HasSuffix(key, CancelSuffix) }
+
 // applyJobRows applies rows of jobs and of cancellations. Jobs from before the
 // epoch may have runs that an earlier holder started. Later jobs do not: the
 // earlier holder sees the row of this epoch before them, in the same table.
@@ -142,7 +147,7 @@
 
 func (l *loop) addJobs(rows []table.VersionedRow, epochVersion table.Version) {
 	for _, row := range rows {
-		if row.Key == epochKey || strings.HasSuffix(row.Key, CancelSuffix) {
+		if row.Key == epochKey || isCancellation(row.Key) {
 			continue
 		}
 		if row.Deleted {
