--- a/scheduler/holder/shard_rows.go
+++ b/scheduler/holder/shard_rows.go
@@ -186,7 +186,8 @@
 	l.core.KeepCancelMark(job)
 }
 
-// addJob passes a job to the core, once: a read that began before its removal still holds its row.
+// addJob passes a job to the core unless that was done with this row or a later one: a read that
+// began before the job's removal still holds the row.
 func (l *loop) addJob(row table.VersionedRow, inherited bool) {
 	id := carobkeel.JobID(row.Key)
 	if row.Version <= l.jobRows[id] {
