Say until when a holder counts the lease of a worker, and why

The holder that started the second one wrote no line about the lease that it did not count.

Cause: a late lease was logged only where it was counted, without the evidence. A sidecar that could not rule one out, and a holder that ruled it out since it knew of no earlier incarnation, left no trace; nor did a takeover say how long it counts the leases of the holder before, or what the records of workers say.

Change: `late lease counted` has its evidence and the incarnation; `late lease ruled out` (with a counter) says what the holder does not know of; `inherited leases counted` is written at each takeover; the lines of a lost link and of a worker that does not answer name a late lease that is the longer one. No decision changes: the order of the cases and what they count are as before.

--- a/cmd/soak/jobs/logline.go
+++ b/cmd/soak/jobs/logline.go
@@ -38,7 +38,8 @@
 func (l *logLine) isAboutHost() bool {
 	switch l.Message {
 	case dispatch.DecidedEndsAcknowledged, dispatch.DecidedEndsMissed, dispatch.DecidedInheritedWorkerListed,
-		dispatch.DecidedInheritedLeaseExpired, dispatch.DecidedLateLease, dispatch.DecidedLeaseExpired, dispatch.DecidedLinkLost,
+		dispatch.DecidedInheritedLeaseExpired, dispatch.DecidedLateLease, dispatch.DecidedLateLeaseRuledOut,
+		dispatch.DecidedLeaseExpired, dispatch.DecidedLinkLost,
 		dispatch.DecidedOtherIncarnation, dispatch.DecidedWorkerRestarted, dispatch.DecidedWorkerShutDown,
 		dispatch.DecidedWorkerUnreachable:
 		return l.Host != ""
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -77,8 +77,11 @@
 	// one, which has not listed its runs.
 	DecidedOtherIncarnation DecisionKind = "other worker incarnation described"
 	// DecidedLateLease counts the lease that a call to an earlier incarnation may have given a
-	// worker. The detail names it, and waited is the time until that lease is over.
+	// worker. The detail has the evidence, and waited is the time until that lease is over.
 	DecidedLateLease DecisionKind = "late lease counted"
+	// DecidedLateLeaseRuledOut does not count a lease that the worker's sidecar can't rule out.
+	// The detail has what this holder does not know of, and waited is what it would count.
+	DecidedLateLeaseRuledOut DecisionKind = "late lease ruled out"
 	// DecidedWorkerQuarantined quarantines a worker: it gets no tasks for some
 	// time.
 	DecidedWorkerQuarantined DecisionKind = "worker quarantined"
--- a/scheduler/dispatch/evidence.go
+++ b/scheduler/dispatch/evidence.go
@@ -91,7 +91,11 @@
 	if w.linked {
 		linked = "host linked"
 	}
-	return fmt.Sprintf("%s, %s, %s", incarnation.ID, linked, describeOwnLease(w, c.now.Held))
+	late := ""
+	if c.unreportedWorkers[incarnation].lateExpiry > 0 {
+		late = ", late lease counted by an earlier holder"
+	}
+	return fmt.Sprintf("%s, %s, %s%s", incarnation.ID, linked, describeOwnLease(w, c.now.Held), late)
 }
 
 // describeOwnLease returns how long after held a lease counts that was extended for this holder.
@@ -104,3 +108,29 @@
 	}
 	return fmt.Sprintf("own lease for %d ms", (w.expiry() - held).Milliseconds())
 }
+
+// lateLeaseEvidence says why a late call may have extended the lease of a worker's incarnation, or
+// why none has, for the log.
+type lateLeaseEvidence string
+
+const (
+	lateStartMayHaveBegun    lateLeaseEvidence = "first listing has runs or ends"
+	lateCallUnanswered       lateLeaseEvidence = "call without an answer"
+	lateLeaseRecorded        lateLeaseEvidence = "counted by an earlier holder"
+	lateCallOfEarlierProcess lateLeaseEvidence = "calls of an earlier sidecar process unknown"
+	lateCallBeforeEnd        lateLeaseEvidence = "calls of an earlier sidecar process unknown, earlier incarnation ended"
+	noEarlierIncarnation     lateLeaseEvidence = "no earlier incarnation known"
+	noEarlierProcess         lateLeaseEvidence = "no earlier sidecar process known"
+)
+
+// isNone reports whether no late call has extended the lease, as far as this holder knows.
+func (e lateLeaseEvidence) isNone() bool { return e == noEarlierIncarnation || e == noEarlierProcess }
+
+// describeLateLease returns how long a late lease of a worker counts beyond the ordinary one, for
+// the log. It is empty if the ordinary one is the longer one.
+func (c *Core) describeLateLease(w *workerState) string {
+	if !c.hasLateLease(w) || w.lateExpiry <= w.leaseExpiry {
+		return ""
+	}
+	return fmt.Sprintf("late lease for %d ms", (w.lateExpiry - c.now.Monotonic).Milliseconds())
+}
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -64,29 +64,44 @@
 	if w.hasListed {
 		return
 	}
+	evidence := c.lateLeaseEvidence(w, l)
+	remaining := min(l.LateLease.Remaining, maxLeaseDuration(c.config.MaxLease))
 	switch {
-	case len(l.Running)+len(l.Ends) > 0 && c.followsUnderItsID(w):
-		w.lateExpiry = c.now.Monotonic + maxLeaseDuration(c.config.MaxLease) // as a late start has begun
-	case l.LateLease.Remaining > 0 && c.mayHaveLateLease(w, l):
-		remaining := min(l.LateLease.Remaining, maxLeaseDuration(c.config.MaxLease))
-		w.lateExpiry = c.now.Monotonic + maxLeaseDuration(remaining)
-	default:
-		return
+	case evidence == lateStartMayHaveBegun:
+		remaining = c.config.MaxLease
+	case remaining <= 0:
+		return // the sidecar rules out that a call was late
+	}
+	d := Decision{Kind: DecidedLateLease, Host: w.host, Detail: string(evidence), Incarnation: l.Incarnation, Waited: maxLeaseDuration(remaining)}
+	if evidence.isNone() {
+		d.Kind = DecidedLateLeaseRuledOut
+	} else {
+		w.lateExpiry = c.now.Monotonic + d.Waited
 	}
-	c.recordDecision(Decision{Kind: DecidedLateLease, Host: w.host, Waited: w.lateExpiry - c.now.Monotonic, Detail: w.description.ID})
+	c.recordDecision(d)
 }
 
-// mayHaveLateLease reports whether a late call may have extended the lease of an incarnation whose
-// sidecar can't rule that out. The calls of earlier processes of the sidecar matter only if there
-// was such a process and an earlier incarnation, as far as this holder or its predecessors know.
-func (c *Core) mayHaveLateLease(w *workerState, l *WorkerListing) bool {
+// lateLeaseEvidence returns whether a late call may have extended the lease of an incarnation whose
+// sidecar can't rule that out, and why. The calls of earlier processes of the sidecar matter only
+// if there was such a process and an earlier incarnation, as far as this holder or its
+// predecessors know.
+func (c *Core) lateLeaseEvidence(w *workerState, l *WorkerListing) lateLeaseEvidence {
+	follows := c.followsUnderItsID(w)
 	switch {
+	case follows && len(l.Running)+len(l.Ends) > 0:
+		return lateStartMayHaveBegun
 	case l.LateLease.Unanswered:
-		return true
+		return lateCallUnanswered
 	case c.unreportedWorkers[l.Incarnation].lateExpiry > 0:
-		return true
+		return lateLeaseRecorded
+	case !follows:
+		return noEarlierIncarnation
+	case !w.hadOtherProcess:
+		return noEarlierProcess
+	case c.followsEndedUnderItsID(w):
+		return lateCallBeforeEnd
 	}
-	return w.hadOtherProcess && c.followsUnderItsID(w)
+	return lateCallOfEarlierProcess
 }
 
 // hasLateLease reports whether a late call may have extended the lease of the worker beyond the one
@@ -111,12 +126,18 @@
 			return true
 		}
 	}
+	return c.followsEndedUnderItsID(w) || slices.ContainsFunc(w.replaced, func(i runs.Incarnation) bool { return i.ID == known.ID })
+}
+
+// followsEndedUnderItsID reports whether an incarnation under the worker's ID has ended before it.
+func (c *Core) followsEndedUnderItsID(w *workerState) bool {
+	known := w.description.Incarnation
 	for incarnation, e := range c.endedWorkers {
 		if e.host == w.host && incarnation.ID == known.ID && incarnation != known {
 			return true
 		}
 	}
-	return slices.ContainsFunc(w.replaced, func(i runs.Incarnation) bool { return i.ID == known.ID })
+	return false
 }
 
 // expiry returns when no lease of the worker can be valid any more.
@@ -127,7 +148,7 @@
 	w := c.worker(host)
 	w.linked, w.reachable, w.listed = false, false, false
 	w.candidate = nil
-	c.recordDecision(Decision{Kind: DecidedLinkLost, Host: host, Waited: w.leaseExpiry - c.now.Monotonic})
+	c.recordDecision(Decision{Kind: DecidedLinkLost, Host: host, Waited: w.leaseExpiry - c.now.Monotonic, Detail: c.describeLateLease(w)})
 }
 
 // WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
@@ -145,7 +166,7 @@
 		w.leaseExpiry = min(w.leaseExpiry, expiry)
 		w.inheritedExpiry = min(w.inheritedExpiry, expiry)
 	}
-	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining})
+	c.recordDecision(Decision{Kind: DecidedWorkerUnreachable, Host: host, Waited: remaining, Detail: c.describeLateLease(w)})
 }
 
 // countLaterReport counts the lease that a further report states. The worker may have answered
--- a/scheduler/holder/inherited_lines_test.go
+++ b/scheduler/holder/inherited_lines_test.go
@@ -1,12 +1,15 @@
 package holder
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/table/memory"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -29,3 +32,11 @@
 	g.Expect(lost.story()).To(ContainElement(
 		`"inherited lease expired","detail":"i-9, host not linked, no own lease","host":"host-9","epoch":2`))
 }
+
+func TestTakeoverLogsHowLongInheritedLeasesCountAndWhatItsRecordsSay(t *testing.T) {
+	var out bytes.Buffer
+	logger := logging.NewFactory(logging.Config{Level: "info", JSON: true}, &out).For("scheduler")
+	n := New(Config{Host: "a", Shard: "shard"}, memory.NewRows(), nil, logger)
+	n.logInherited(dispatch.Config{Epoch: 3, InheritedLease: 2500 * time.Millisecond}, []dispatch.WorkerRecord{{Ended: true}, {LateLease: true}, {}})
+	NewWithT(t).Expect(out.String()).To(ContainSubstring(`"inherited leases counted","epoch":3,"ms":2500,"workers":3,"ended":1,"late_leases":1`))
+}
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -58,6 +58,7 @@
 			dispatch.DecidedWorkerRestarted:   scope.Counter("workers_replaced"),
 			dispatch.DecidedEndsMissed:        scope.Counter("ends_missed"),
 			dispatch.DecidedLateLease:         scope.Counter("late_leases"),
+			dispatch.DecidedLateLeaseRuledOut: scope.Counter("late_leases_ruled_out"),
 			dispatch.DecidedWorkerQuarantined: scope.Counter("workers_set_aside"),
 			dispatch.DecidedWorkerDraining:    scope.Counter("workers_draining"),
 			dispatch.DecidedLeaseExpired:      scope.Counter("leases_lapsed"),
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -266,12 +266,15 @@
 	l.pending = make(map[carobkeel.JobID]carobkeel.QueueName)
 	n.states.Clear()
 	n.waiting.Store(&map[carobkeel.QueueName]int{})
-	l.core = dispatch.New(dispatch.Config{
+	config := dispatch.Config{
 		Epoch:          carobkeel.Epoch(t.holderState.Row.Epoch),
 		WorkerLease:    n.config.WorkerLease,
 		MaxLease:       n.config.MaxLease,
 		InheritedLease: l.predecessors.remainingLease(clock.Boottime(), n.config.WorkerLease),
-	}, l.now(), n.decodeWorkers(t.workers))
+	}
+	records := n.decodeWorkers(t.workers)
+	n.logInherited(config, records)
+	l.core = dispatch.New(config, l.now(), records)
 	l.markRows = make(map[carobkeel.JobID]table.Version)
 	l.workerRows = make(map[string]table.Version)
 	for _, row := range t.workers {
@@ -292,6 +295,22 @@
 	go l.followJobs(l.term, t.from, t.holderState.Version)
 }
 
+// logInherited logs how long the leases count that earlier holders have let be extended, and what
+// their records say of workers.
+func (n *Node) logInherited(config dispatch.Config, records []dispatch.WorkerRecord) {
+	ended, late := 0, 0
+	for _, r := range records {
+		if r.Ended {
+			ended++
+		}
+		if r.LateLease {
+			late++
+		}
+	}
+	n.log.Info().Uint64("epoch", uint64(config.Epoch)).Int64("ms", config.InheritedLease.Milliseconds()).
+		Int("workers", len(records)).Int("ended", ended).Int("late_leases", late).Msg("inherited leases counted")
+}
+
 // entrySeen records that a process runs on an entry's host and follows the holder
 // of an epoch.
 func (l *loop) entrySeen(host string, incarnation, epoch uint64) {
