--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -22,6 +22,9 @@
 		call.end(answer, err)
 	}
 	a.recordUnanswered(e, acknowledged, err)
+	if err == nil && answer.Result == runs.ResultOK {
+		a.needsLease.Store(gate.NeedsLease(&listing))
+	}
 	return listing, answer, err
 }
 
@@ -66,7 +69,7 @@
 		call.clock = known.Clock
 	}
 	a.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls {
-		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: call.sent})
+		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: clock.Monotonic()}, a.config.MaxLease)
 	})
 	return call
 }
@@ -105,8 +108,8 @@
 // reach returns the state of a worker that has listed its runs under a fence, with what this
 // process knows of late calls to it.
 func (a *Agent) reach(w gate.Worker, fence runs.Fence) gate.Worker {
-	now := clock.Boottime()
-	return w.Reach(fence, now, a.leaseCalls.Load().LateCallsTo(w.Description.ID, a.started, now, a.config.MaxLease))
+	late := a.leaseCalls.Load().LateCallsTo(w.Description.ID, a.startedMonotonic, clock.Monotonic(), a.config.MaxLease)
+	return w.Reach(fence, clock.Boottime(), late)
 }
 
 // lateLease returns the bound of the lease that late calls may have given an incarnation that has
@@ -142,7 +145,7 @@
 	if int64(confirmed) <= a.extendedFor.Load() {
 		return withoutLease
 	}
-	if e := a.envelope(state, term); e.Deadline != 0 {
+	if e := a.listingEnvelope(state, term); e.Deadline != 0 {
 		return listingRequest{envelope: e, extendsFor: confirmed}
 	}
 	return withoutLease
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -11,7 +11,8 @@
 type LeaseCall struct {
 	Number   uint64
 	WorkerID string
-	Sent     time.Duration
+	// Sent is on a clock that stands still with the host, as the call does.
+	Sent time.Duration
 	// lost reports that the call has ended without an answer.
 	lost bool
 }
@@ -20,9 +21,11 @@
 // answer. Its methods return a changed copy.
 type LeaseCalls []LeaseCall
 
-// Add returns l with a call that is about to be sent.
-func (l LeaseCalls) Add(call LeaseCall) LeaseCalls {
-	kept := slices.DeleteFunc(slices.Clone(l), func(c LeaseCall) bool { return c.lost && c.isOver(call.Sent) })
+// Add returns l with a call that is about to be sent, and without those whose effect is over.
+func (l LeaseCalls) Add(call LeaseCall, maxLease time.Duration) LeaseCalls {
+	kept := slices.DeleteFunc(slices.Clone(l), func(c LeaseCall) bool {
+		return c.lost && c.isOver(call.Sent-LongestLease(maxLease))
+	})
 	return append(kept, call)
 }
 
@@ -67,6 +70,13 @@
 	return c.Known && answer.Clock >= c.lowerBound(sent)
 }
 
+// NeedsLease reports whether a worker needs a lease after a listing: it has runs, or ends that the
+// holder has not acknowledged. A start extends the lease itself. Nothing is started on a worker
+// before it is recorded, so no lease is extended before a later holder would know of the worker.
+func NeedsLease(l *runs.Listing) bool {
+	return len(l.Running)+len(l.Ends)+l.LeftOut > 0 || l.Partial
+}
+
 // LateCalls is what a process of the sidecar knows, when the described incarnation first answers
 // it, of calls to earlier incarnations that may have extended its lease.
 type LateCalls uint8
@@ -80,10 +90,11 @@
 	UnansweredLateCalls
 )
 
-// LateCallsTo returns what a process that began at started knows at a time now.
+// LateCallsTo returns what a process that began at started knows at a time now, by the clock of the
+// calls' sending. A call that is over may have given the incarnation a lease that is not.
 func (l LeaseCalls) LateCallsTo(workerID string, started, now, maxLease time.Duration) LateCalls {
 	switch {
-	case l.MayReach(workerID, now):
+	case l.MayReach(workerID, now-LongestLease(maxLease)):
 		return UnansweredLateCalls
 	case now-started < runs.LongestCallDelay+LongestLease(maxLease):
 		return LateCallsOfOthers
