Measure how long a worker's incarnation carries out calls to the one before

Neither logs nor metrics told how long that time was: a line names the raise of the generation, none the first answer under it.

Change: the sidecar logs 'worker incarnation reached' once for each incarnation, with its age by the worker's own clock, and by which call, and has the histogram incarnation_reached. An answer counts if its fence is above all that earlier incarnations have answered. The soak prints the ages and the processor time of the sidecars.

--- a/cmd/soak/jobs/fleet.go
+++ b/cmd/soak/jobs/fleet.go
@@ -281,6 +281,16 @@
 	return f.entries[0]
 }
 
+// endSidecars ends all sidecars and returns the processor time that they took.
+func (f *fleet) endSidecars() time.Duration {
+	var spent time.Duration
+	for _, p := range f.sidecars {
+		p.kill()
+		spent += time.Duration(p.spent.Load())
+	}
+	return spent
+}
+
 // stop ends all processes and stand-ins.
 func (f *fleet) stop() {
 	for _, p := range append(f.entries, f.sidecars...) {
--- a/cmd/soak/jobs/play.go
+++ b/cmd/soak/jobs/play.go
@@ -57,9 +57,12 @@
 	Jobs     int64  `json:"jobs"`
 	Accepted int64  `json:"accepted"`
 	// Ended are the jobs that callers were told have ended.
-	Ended    int64           `json:"ended"`
-	Runs     int             `json:"runs"`
-	Findings []judge.Finding `json:"findings"`
+	Ended   int64   `json:"ended"`
+	Runs    int     `json:"runs"`
+	Windows Windows `json:"windows"`
+	// SidecarTime is the processor time of all sidecars.
+	SidecarTime time.Duration   `json:"sidecar_time"`
+	Findings    []judge.Finding `json:"findings"`
 	// Folder is where a broken play is kept, empty for a whole one.
 	Folder string `json:"folder,omitempty"`
 }
@@ -71,6 +74,7 @@
 func (r *Result) Print(out io.Writer) {
 	fmt.Fprintf(out, "seed %d: %d jobs, %d accepted, %d ended; %d runs, %d troubles; broken: %s\n",
 		r.Seed, r.Jobs, r.Accepted, r.Ended, r.Runs, r.Troubles, countByRule(r.Findings))
+	fmt.Fprintf(out, "incarnations of workers reached: %v; processor time of sidecars: %v\n", r.Windows, r.SidecarTime)
 	printed := make(map[judge.Rule]int)
 	for _, f := range r.Findings {
 		if printed[f.Rule]++; printed[f.Rule] <= printedFindings {
@@ -96,12 +100,16 @@
 	if err != nil {
 		return nil, err
 	}
+	began := time.Now()
 	r := f.play(ctx, c)
 	if ctx.Err() != nil {
 		return nil, errors.Wrap(ctx.Err(), "the play was interrupted")
 	}
 	seen := f.record.Play()
-	r.Findings, r.Runs = judge.Evaluate(seen, bounds), countRuns(seen)
+	r.Findings, r.Runs, r.SidecarTime = judge.Evaluate(seen, bounds), countRuns(seen), f.endSidecars()
+	if r.Windows, err = readWindows(folder, began); err != nil {
+		return nil, err
+	}
 	if !r.Broken() {
 		return r, nil
 	}
--- a/cmd/soak/jobs/process.go
+++ b/cmd/soak/jobs/process.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,6 +31,8 @@
 	// linkListen is where the process accepts links that a relay forwards.
 	linkListen string
 	log        *os.File
+	// spent is the processor time of the processes that have ended.
+	spent atomic.Int64
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -83,6 +86,7 @@
 	p.command, p.exited = command, exited
 	go func() {
 		_ = command.Wait() // the exit status is in the log
+		p.spent.Add(int64(command.ProcessState.UserTime() + command.ProcessState.SystemTime()))
 		close(exited)
 	}()
 	return nil
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -82,6 +82,8 @@
 	candidate atomic.Pointer[runs.Description]
 	// refutation is the last one, nil before the first.
 	refutation atomic.Pointer[refutation]
+	// reached is the last incarnation that has answered, nil before the first.
+	reached atomic.Pointer[reachedIncarnation]
 	// refused limits the log lines about heartbeats of other workers, listingsRefused those
 	// about listings that the worker refuses.
 	refused, listingsRefused logging.RateLimit
--- a/sidecar/agent/incarnation.go
+++ b/sidecar/agent/incarnation.go
@@ -112,5 +112,5 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	// What it lists is not used: its ID is not known, and whose heartbeat comes first neither.
-	_, _, _ = a.worker.List(ctx, runs.Envelope{Fence: fence}, 0, 0)
+	_, _, _ = a.list(ctx, runs.Envelope{Fence: fence}, 0, 0)
 }
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -16,6 +16,9 @@
 func (a *Agent) list(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
 	call := a.beginLeaseCall(e)
 	listing, answer, err := a.worker.List(ctx, e, acknowledged, wait)
+	if err == nil {
+		a.noteAnswer(e, listing.StartedAtMs, answer)
+	}
 	if err == nil && listing.StartedAtMs != 0 && listing.StartedAtMs != e.Incarnation.StartedAtMs {
 		call.lose() // another incarnation has carried it out
 	} else {
--- a/sidecar/agent/metrics.go
+++ b/sidecar/agent/metrics.go
@@ -19,6 +19,9 @@
 	HeartbeatsRefused tally.Counter
 	// IncarnationsReplaced counts changes of the known incarnation of the worker.
 	IncarnationsReplaced tally.Counter
+	// IncarnationReached is the age of an incarnation of the worker at its first answer to a call
+	// that keeps those to earlier incarnations off.
+	IncarnationReached tally.Histogram
 	// HoldersFound counts changes of the holder, of its link and of its epoch.
 	HoldersFound tally.Counter
 }
@@ -35,6 +38,7 @@
 
 		HeartbeatsRefused:    scope.Counter("heartbeats_refused"),
 		IncarnationsReplaced: scope.Counter("incarnations_replaced"),
+		IncarnationReached:   scope.Histogram("incarnation_reached", telemetry.LatencyBuckets()),
 
 		HoldersFound: scope.Counter("holders_found"),
 	}
