Acknowledge ends by requests for a listing that don't wait

Runs of a worker's earlier incarnation had begun late in the next one and ended as done there; the next holder read '0 running, 1 ended' and ordered their tasks again.

Cause: a request for a listing that waits for ends carried their acknowledgement too. One is in flight nearly all the time, so a crash nearly always left one without an answer. Where the next incarnation carried it out before its sidecar's first call, it forgot its own ends, which are numbered anew, before anybody had read them. The class is that of the lease, which was taken out of such requests before.

Change: a request that acknowledges doesn't wait, and each number is acknowledged once, until the worker has answered that. Requests that wait acknowledge nothing. A worker that lists acknowledged ends again is told again after a pause; before, such a one was asked in a tight loop.

Evidence: TestWaitingRequestThatIsCarriedOutLateTakesNoEnds failed before (no end listed), and so did the tests on the numbers and on the pause. A request that acknowledges and is lost itself can still be carried out by the next incarnation.

Result: the tests of sidecar/agent hold.

--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -110,13 +110,6 @@
 	holderLost chan struct{}
 }
 
-// acknowledgement is the number up to which the ended runs of a worker's incarnation
-// are stored by the holder.
-type acknowledgement struct {
-	incarnation runs.Incarnation
-	upTo        uint64
-}
-
 // receivedOrder is an order with the epoch under which it was sent and the link on
 // which it arrived.
 type receivedOrder struct {
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -112,6 +112,8 @@
 // listingRequest is how the next listing is requested.
 type listingRequest struct {
 	envelope runs.Envelope
+	// acknowledged is the number up to which it acknowledges ends, zero for none.
+	acknowledged uint64
 	// wait is how long the worker may wait for a run to end.
 	wait time.Duration
 	// extendsFor is the sending time of the ping whose answer lets the request extend the lease,
@@ -119,21 +121,24 @@
 	extendsFor time.Duration
 }
 
-// nextListing returns how the next listing is requested. One that extends the lease doesn't wait,
-// so that a crash of the worker rarely finds it without an answer. The lease is extended once for
-// each ping that the holder has answered.
-func (a *Agent) nextListing(state *gate.Worker, term gate.Term) listingRequest {
-	withoutLease := listingRequest{envelope: envelopeWithoutLease(state, term), wait: listWait}
+// nextListing returns how the next listing is requested. One that extends the lease or
+// acknowledges ends doesn't wait, so that a crash of the worker rarely finds it without an answer.
+// The lease is extended once for each ping that the holder has answered, and each number is
+// acknowledged once.
+func (l *lister) nextListing(state *gate.Worker, term gate.Term) listingRequest {
+	a := l.agent
+	r := listingRequest{envelope: envelopeWithoutLease(state, term), acknowledged: l.pendingAcknowledgement(state, term)}
 	if !state.HasListed(state.Fence(term)) || !a.clockOf(state.Description).Known {
-		withoutLease.wait = 0 // the answer is needed before a lease can be requested
-		return withoutLease
+		return r // the answer is needed before a lease can be requested
 	}
 	confirmed := a.holder.Load().Confirmed
-	if int64(confirmed) <= a.extendedFor.Load() {
-		return withoutLease
+	if int64(confirmed) > a.extendedFor.Load() {
+		if e := a.envelope(state, term); e.Deadline != 0 {
+			r.envelope, r.extendsFor = e, confirmed
+		}
 	}
-	if e := a.envelope(state, term); e.Deadline != 0 {
-		return listingRequest{envelope: e, extendsFor: confirmed}
+	if r.extendsFor == 0 && r.acknowledged == 0 {
+		r.wait = listWait
 	}
-	return withoutLease
+	return r
 }
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -53,6 +53,8 @@
 	lastFullAt   time.Duration
 	lastFullLink *entryLink
 	lastListed   runs.Incarnation
+	// acknowledged is the last acknowledgement that the worker has answered.
+	acknowledged answeredAcknowledgement
 	// checkpoints are those in the last full listing. The holder keeps them, so that
 	// only changed ones are sent again over that link and under that epoch.
 	checkpoints      map[runKey]string
@@ -93,10 +95,10 @@
 	number := a.listingNumber.Add(1)
 	term := a.holder.Load().Term
 	fence := state.Fence(term)
-	request := a.nextListing(state, term)
+	request := l.nextListing(state, term)
 	ctx, cancel := context.WithTimeout(ctx, request.wait+listTimeout)
 	defer cancel()
-	listing, answer, err := a.list(ctx, request.envelope, a.acknowledgedUpTo(state, fence), request.wait)
+	listing, answer, err := a.list(ctx, request.envelope, request.acknowledged, request.wait)
 	if err == nil && isOfOtherIncarnation(&listing, d) {
 		answer.Result = runs.ResultOtherIncarnation
 	}
@@ -115,8 +117,9 @@
 	if l.forward(d, number, term, listing) {
 		a.recordAnswering(d)
 	}
+	listedAgain := !l.recordAcknowledged(request, listing.Ends)
 	newEnds := len(listing.Ends) > 0 && listing.Ends[len(listing.Ends)-1].Number > a.acknowledgedUpTo(a.state.Load(), fence)
-	if newEnds || listing.LeftOut > 0 {
+	if newEnds || listedAgain || listing.LeftOut > 0 {
 		a.waitForChange(ctx, acknowledgeWait)
 	}
 }
@@ -244,13 +247,3 @@
 	}
 	return reported
 }
-
-// acknowledgedUpTo returns the number up to which a request with the fence acknowledges the
-// incarnation's ended runs. It is zero while another incarnation, whose ends are numbered anew,
-// may have followed.
-func (a *Agent) acknowledgedUpTo(state *gate.Worker, fence runs.Fence) uint64 {
-	if acknowledged := a.acknowledged.Load(); state.IsConfirmed(fence) && acknowledged.incarnation == state.Description.Incarnation {
-		return acknowledged.upTo
-	}
-	return 0
-}
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -77,11 +77,6 @@
 	}
 }
 
-func (a *Agent) acknowledge(o dispatch.Order) {
-	a.acknowledged.Store(&acknowledgement{incarnation: o.Incarnation, upTo: o.Acknowledged})
-	a.wakeLister()
-}
-
 // execute executes one order and sends its result to the holder.
 func (a *Agent) execute(ctx context.Context, o receivedOrder) {
 	started := time.Now()
