Reach a worker that begins anew within some 10 ms while its address refuses connections

Cause: after each listing without an answer the sidecar paused for 150 ms, also where the address had refused the connection, so that nothing had been sent. The pause bounded the rate at which generations are used up; a call that was not sent needs none. A listing that had taken 400 ms to time out was followed by the same pause.

Change: a call that was not sent is a doubt only if the incarnation has listed since the last one. It is repeated after 10 ms, later after a hundredth of the time for which the worker has been away, up to 150 ms as before. An answer to a call from before it confirms nothing, as the fence is the same. The pause counts from the beginning of the failed listing. While nothing listens, the holder is told and a candidate asked at most every 150 ms, as before. A new process asks for a worker without a heartbeat likewise.

--- a/sidecar/agent/failure.go
+++ b/sidecar/agent/failure.go
@@ -8,32 +8,60 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
+// failedListing is a request for a listing that was refused or not answered.
+type failedListing struct {
+	// state and term are those in which it was requested.
+	state  *gate.Worker
+	term   gate.Term
+	began  time.Time
+	answer runs.Answer
+	err    error
+}
+
 // handleFailure records a listing that was refused or not answered, and waits before
 // the next one.
-func (l *lister) handleFailure(ctx context.Context, d *runs.Description, term gate.Term, answer runs.Answer, err error) {
-	a := l.agent
+func (l *lister) handleFailure(ctx context.Context, f failedListing) {
+	a, d := l.agent, f.state.Description
 	l.failures++
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
-	if err == nil && answer.Result != runs.ResultUnhealthy {
-		a.logRefused(d, answer.Result)
+	if f.err == nil && f.answer.Result != runs.ResultUnhealthy {
+		a.logRefused(d, f.answer.Result)
 	}
-	if hasEnded(answer, err) {
+	if hasEnded(f.answer, f.err) {
 		a.reportShutdown(d.Incarnation)
 	}
-	a.examineCandidate()
+	l.examineCandidate(f)
 	if !a.state.Load().Describes(d.Incarnation) {
 		l.failures = 0 // they say nothing about the incarnation that is known now
 		return
 	}
-	if l.failures >= unresponsiveAfter {
-		l.reportUnresponsive(d, err)
+	if l.failures >= unresponsiveAfter && (!a.unresponsive.Load() || mayRepeat(&l.reportedAt)) {
+		l.reportUnresponsive(d, f.err)
+	}
+	// Nothing starts on the worker before it has answered. The listing's context may have ended,
+	// which must not cut the pause short.
+	if pause := l.suspectRestart(f) - time.Since(f.began); pause > 0 {
+		a.waitForChange(context.WithoutCancel(ctx), pause)
+	}
+}
+
+// mayRepeat reports whether something was last done a retryPause ago, and records that it is done
+// now.
+func mayRepeat(last *time.Time) bool {
+	if time.Since(*last) < retryPause {
+		return false
 	}
-	if l.suspectRestart(d, term, answer, err) {
-		return // nothing starts on the worker before it has answered
+	*last = time.Now()
+	return true
+}
+
+// examineCandidate asks once more for an incarnation that did not answer after its heartbeat. It
+// does so at once if the known one is denied.
+func (l *lister) examineCandidate(f failedListing) {
+	if isDenied := f.err == nil && f.answer.Result == runs.ResultOtherIncarnation; isDenied || mayRepeat(&l.examinedAt) {
+		l.agent.examineCandidate()
 	}
-	// The listing's context may have ended, which must not cut the pause short.
-	a.waitForChange(context.WithoutCancel(ctx), retryPause)
 }
 
 func (a *Agent) logRefused(d *runs.Description, result runs.Result) {
@@ -54,30 +82,46 @@
 }
 
 // suspectRestart raises the generation of the calls to the worker after a listing without a
-// usable answer, and reports whether the next one is due at once. A refusal in no term, or in
+// usable answer, and returns the least time from that one to the next. A refusal in no term, or in
 // one that is over, says nothing about the generation, nor does a worker that answers that it
 // is unhealthy.
-func (l *lister) suspectRestart(d *runs.Description, term gate.Term, answer runs.Answer, err error) bool {
-	a := l.agent
+func (l *lister) suspectRestart(f failedListing) time.Duration {
+	a, incarnation := l.agent, f.state.Description.Incarnation
 	holder := a.holder.Load()
-	isCurrent := holder.Known && term == holder.Term
+	isCurrent := holder.Known && f.term == holder.Term
 	switch {
-	case err != nil:
-		a.doubt(d.Incarnation, doubtNoAnswer, gate.Worker.Suspect)
-		return l.mayRetryAtOnce()
-	case answer.Result == runs.ResultOtherIncarnation:
-		a.doubt(d.Incarnation, doubtOtherIncarnation, gate.Worker.Deny)
-		return l.mayRetryAtOnce()
-	case answer.Result == runs.ResultStaleEpoch && isCurrent:
-		a.doubt(d.Incarnation, doubtOvertaken, gate.Worker.Suspect)
-		return l.mayRetryAtOnce()
+	case runs.IsUnsent(f.err):
+		if state := a.doubt(incarnation, doubtNotSent, gate.Worker.Miss); state.Doubts == f.state.Doubts {
+			return l.absencePause()
+		}
+	case f.err != nil:
+		a.doubt(incarnation, doubtNoAnswer, gate.Worker.Suspect)
+	case f.answer.Result == runs.ResultOtherIncarnation:
+		a.doubt(incarnation, doubtOtherIncarnation, gate.Worker.Deny)
+	case f.answer.Result == runs.ResultStaleEpoch && isCurrent:
+		a.doubt(incarnation, doubtOvertaken, gate.Worker.Suspect)
+	default:
+		return retryPause
+	}
+	if l.mayRetryAtOnce() {
+		return 0
+	}
+	return retryPause
+}
+
+// absencePause returns the pause after a listing that was not sent and took no generation.
+func (l *lister) absencePause() time.Duration {
+	now := time.Now()
+	if l.missedSince.IsZero() {
+		l.missedSince = now
 	}
-	return false
+	return min(max(now.Sub(l.missedSince)/absenceShare, shortestAbsencePause), retryPause)
 }
 
 // Reasons for which the generation of the calls to a worker rises.
 const (
 	doubtNoAnswer         = "a listing got no answer"
+	doubtNotSent          = "there was no connection for a listing"
 	doubtOtherIncarnation = "another incarnation answered"
 	doubtOvertaken        = "the worker knows a later generation"
 	doubtHeartbeat        = "a heartbeat under its ID states another start"
--- a/sidecar/agent/incarnation.go
+++ b/sidecar/agent/incarnation.go
@@ -103,14 +103,15 @@
 // fenceUnknownWorker has whatever worker answers at the address refuse calls with lower fences.
 // It may have begun together with this process, and until its first heartbeat it carries out
 // what was sent to its earlier incarnation. Without a number for this process, only calls of
-// earlier epochs have a lower fence.
-func (a *Agent) fenceUnknownWorker(ctx context.Context, state *gate.Worker) {
+// earlier epochs have a lower fence. The error says whether the call was sent.
+func (a *Agent) fenceUnknownWorker(ctx context.Context, state *gate.Worker) error {
 	fence := state.Fence(a.holder.Load().Term)
 	if fence.Epoch == 0 {
-		return // the fence would be below those of earlier calls
+		return nil // the fence would be below those of earlier calls
 	}
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	// What it lists is not used: its ID is not known, and whose heartbeat comes first neither.
-	_, _, _ = a.list(ctx, runs.Envelope{Fence: fence}, 0, 0)
+	_, _, err := a.list(ctx, runs.Envelope{Fence: fence}, 0, 0)
+	return err
 }
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -66,8 +64,7 @@
 	if c.agent == nil {
 		return
 	}
-	notSent := err != nil && errors.Is(err, runs.ErrNotListening)
-	if notSent || (err == nil && gate.IsSettled(answer, c.clock, c.sent)) {
+	if runs.IsUnsent(err) || (err == nil && gate.IsSettled(answer, c.clock, c.sent)) {
 		c.agent.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls { return l.Settle(c.number) })
 		return
 	}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -27,9 +27,14 @@
 	// acknowledgeWait bounds the wait for ended runs to be acknowledged before the
 	// next listing, which would otherwise return them again immediately.
 	acknowledgeWait = 60 * time.Millisecond
-	// retryPause is the delay after a failed listing. Each one takes a generation of the
+	// retryPause is the least time from a failed listing to the next one. Each one takes a generation of the
 	// process, of which there are runs.MaxDoubts.
 	retryPause = 150 * time.Millisecond
+	// shortestAbsencePause is the least delay after a listing that was not sent. It takes no
+	// generation. The delay rises with the time for which the worker has been away, by
+	// absenceShare, up to retryPause.
+	shortestAbsencePause = 10 * time.Millisecond
+	absenceShare         = 100
 	// immediateRetryInterval is the least time between two failed listings that the next
 	// one follows at once.
 	immediateRetryInterval = time.Second
@@ -48,6 +53,11 @@
 	failures int
 	// retriedAt is when a listing last followed a failed one at once.
 	retriedAt time.Time
+	// missedSince is the time since which no listing was sent, zero if the last one was.
+	missedSince time.Time
+	// reportedAt and examinedAt are when the worker was last reported as unresponsive, and when a
+	// candidate was last examined.
+	reportedAt, examinedAt time.Time
 	// lastFullAt, lastFullLink and lastListed are the sending time, the link and the
 	// incarnation of the last full listing.
 	lastFullAt   time.Duration
@@ -67,15 +77,28 @@
 	for ctx.Err() == nil {
 		state := a.state.Load()
 		if state.Description == nil {
-			a.reportUnknownWorker(a.holderLink.Load())
-			a.fenceUnknownWorker(ctx, state)
-			a.waitForChange(ctx, a.noWorkerPause())
+			l.awaitWorker(ctx, state)
 			continue
 		}
 		l.listOnce(ctx, state)
 	}
 }
 
+// awaitWorker fences whatever worker answers before the first heartbeat, and waits for a while.
+func (l *lister) awaitWorker(ctx context.Context, state *gate.Worker) {
+	a := l.agent
+	if mayRepeat(&l.reportedAt) {
+		a.reportUnknownWorker(a.holderLink.Load())
+	}
+	pause := a.noWorkerPause()
+	if err := a.fenceUnknownWorker(ctx, state); !runs.IsUnsent(err) {
+		l.missedSince = time.Time{}
+	} else if short := l.absencePause(); short < retryPause {
+		pause = short
+	}
+	a.waitForChange(ctx, pause)
+}
+
 // noWorkerPause returns the interval of the checks for a worker that has sent no heartbeat yet.
 func (a *Agent) noWorkerPause() time.Duration {
 	if clock.Boottime()-a.started < firstHeartbeatTime {
@@ -96,6 +119,7 @@
 	term := a.holder.Load().Term
 	fence := state.Fence(term)
 	request := l.nextListing(state, term)
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, request.wait+listTimeout)
 	defer cancel()
 	listing, answer, err := a.list(ctx, request.envelope, request.acknowledged, request.wait)
@@ -103,10 +127,10 @@
 		answer.Result = runs.ResultOtherIncarnation
 	}
 	if err != nil || answer.Result != runs.ResultOK {
-		l.handleFailure(ctx, d, term, answer, err)
+		l.handleFailure(ctx, failedListing{state: state, term: term, began: began, answer: answer, err: err})
 		return
 	}
-	l.failures = 0
+	l.failures, l.missedSince = 0, time.Time{}
 	a.candidate.Store(nil)
 	a.confirmState(state, fence)
 	a.observeClock(d.Incarnation, answer)
@@ -147,7 +171,7 @@
 	state := a.state.Load()
 	if state.Description == nil {
 		a.reportUnknownWorker(holderLink)
-		a.fenceUnknownWorker(context.Background(), state)
+		_ = a.fenceUnknownWorker(context.Background(), state) // the lister repeats it
 		return
 	}
 	a.sendListing(holderLink, state, a.envelope(state, holderLink.term()))
@@ -191,7 +215,7 @@
 			return w
 		}
 		first = !w.Verified
-		return a.reach(w.Confirm(fence), fence)
+		return a.reach(w.ConfirmAsked(state, fence), fence)
 	})
 	if first {
 		a.sendDescription(a.holderLink.Load())
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -19,6 +19,9 @@
 	Description *runs.Description
 	// Doubts counts the events after which another incarnation may have begun.
 	Doubts uint32
+	// Misses counts calls after which another incarnation may have begun, and that were no doubt,
+	// as no call had the present fence that has to be kept off.
+	Misses uint32
 	// Verified reports that the described incarnation has answered at the worker's address.
 	// Until then the description may be that of another worker.
 	Verified bool
@@ -86,6 +89,16 @@
 	return w
 }
 
+// ConfirmAsked returns w after the described incarnation has listed its runs under a fence, on a
+// call that was sent in the state asked. It may have answered before a call missed it.
+func (w Worker) ConfirmAsked(asked *Worker, fence runs.Fence) Worker {
+	if w.Misses != asked.Misses {
+		w.Verified = true
+		return w
+	}
+	return w.Confirm(fence)
+}
+
 // Reach returns w after the described incarnation has listed its runs under a fence, with what is
 // known of late calls to it. Only the first time counts: later calls to earlier incarnations are
 // kept off.
@@ -116,6 +129,7 @@
 // extends the lease, acknowledges ends or starts a run.
 func (w Worker) Suspect() Worker {
 	if w.Doubts >= plentyOfDoubts && w.Confirmed == (runs.Fence{}) {
+		w.Misses++
 		return w
 	}
 	w.Doubts = min(w.Doubts+1, runs.MaxDoubts)
@@ -123,6 +137,18 @@
 	return w
 }
 
+// Miss returns w after a call that was not sent, as there was no connection to the worker. It is
+// repeated often while the worker is away, so it is a doubt only if the incarnation has listed
+// since the last one: otherwise no call with the present fence extends the lease, acknowledges
+// ends or starts a run.
+func (w Worker) Miss() Worker {
+	if w.Confirmed != (runs.Fence{}) {
+		return w.Suspect()
+	}
+	w.Misses++
+	return w
+}
+
 // Deny returns w after the worker has answered that it is another incarnation.
 func (w Worker) Deny() Worker {
 	w = w.Suspect()
--- a/sidecar/gate/worker_test.go
+++ b/sidecar/gate/worker_test.go
@@ -104,3 +104,25 @@
 	g.Expect(next.Is(firstWorker.Incarnation)).To(BeFalse())
 	g.Expect(confirm(next, firstTerm).Is(firstWorker.Incarnation)).To(BeTrue())
 }
+
+// Guards against generations that are used up by a worker that is away.
+func TestMissedCallIsADoubtOnlyOnceTheIncarnationHasListed(t *testing.T) {
+	g := NewWithT(t)
+	w := confirm(gate.Worker{}.Describe(firstWorker), firstTerm)
+	first := w.Miss()
+	g.Expect(w.Fence(firstTerm).Less(first.Fence(firstTerm))).To(BeTrue())
+	second := first.Miss()
+	g.Expect(second.Fence(firstTerm)).To(Equal(first.Fence(firstTerm)))
+	g.Expect(isConfirmed(confirm(second, firstTerm).Miss(), firstTerm)).To(BeFalse())
+}
+
+// Guards against TWICE: an answer of the incarnation before confirmed the worker.
+func TestAnswerToACallFromBeforeAMissDoesNotConfirm(t *testing.T) {
+	g := NewWithT(t)
+	asked := gate.Worker{}.Describe(firstWorker)
+	missed := asked.Miss()
+	answered := missed.ConfirmAsked(&asked, asked.Fence(firstTerm))
+	g.Expect(answered.Verified).To(BeTrue())
+	g.Expect(isConfirmed(answered, firstTerm)).To(BeFalse())
+	g.Expect(isConfirmed(missed.ConfirmAsked(&missed, missed.Fence(firstTerm)), firstTerm)).To(BeTrue())
+}
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -224,8 +224,16 @@
 // has not begun yet.
 var ErrNotListening = errors.New("nothing listens at the worker's address")
 
+// ErrNotConnected means that no connection to the worker was established in time.
+var ErrNotConnected = errors.New("no connection to the worker")
+
+// IsUnsent reports whether an error of a client means that the call was not sent.
+func IsUnsent(err error) bool {
+	return errors.Is(err, ErrNotListening) || errors.Is(err, ErrNotConnected)
+}
+
 // Client sends orders to the worker on this host. An error means that no answer was
-// received. It wraps ErrNotListening where that is known.
+// received. It wraps ErrNotListening or ErrNotConnected where it is known that nothing was sent.
 type Client interface {
 	Start(ctx context.Context, e Envelope, order Start) (Answer, error)
 	Stop(ctx context.Context, e Envelope, order Stop) (Answer, error)
