Answer a start that was not sent as one that can't begin

After a start without an answer its task is stopped there and ordered again.

Change: a first attempt that was not sent is answered as unconfirmed, which the holder takes as a refusal without blame: the task is ordered elsewhere. After an attempt that was sent the result stays unknown.

Evidence: TestStartThatWasNotSentIsNoStartWithoutAnAnswer failed before for a refused connection and for none.

--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -200,6 +200,9 @@
 	case dispatch.OrderPace:
 		answer, err = a.worker.Pace(ctx, envelope, runs.Pace{Task: o.order.Task, Run: o.order.Run, Percent: o.order.Percent})
 	}
+	if o.order.Kind == dispatch.OrderStart && runs.IsUnsent(err) {
+		return runs.ResultUnconfirmed // it can't begin any more, and the lister finds out about the worker
+	}
 	if err != nil {
 		a.log.Warn().Err(err).Stringer("task", o.order.Task).Int("run", o.order.Run).Msg("worker did not answer an order")
 		return runs.ResultUnknown
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -24,6 +24,8 @@
 // ResultUnknown stands for no answer.
 type scriptedWorker struct {
 	answers []runs.Result
+	// unanswered is the error of starts without an answer, a time limit if it is nil.
+	unanswered error
 	starts  []runs.Envelope
 	// stops counts the requested stops.
 	stops int
@@ -43,6 +45,9 @@
 	}
 	result := s.answers[0]
 	s.answers = s.answers[1:]
+	if result == runs.ResultUnknown && s.unanswered != nil {
+		return runs.Answer{}, s.unanswered
+	}
 	if result == runs.ResultUnknown {
 		return runs.Answer{}, context.DeadlineExceeded
 	}
@@ -120,6 +125,46 @@
 	}
 }
 
+// Guards against TWICE: a start that was never sent, as its worker had ended, counted as one that
+// may begin late.
+func TestStartThatWasNotSentIsNoStartWithoutAnAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		unanswered error
+		starts     int
+		want       runs.Result
+	}{
+		{"refused connection", runs.ErrNotListening, 1, runs.ResultUnconfirmed},
+		{"no connection", runs.ErrNotConnected, 1, runs.ResultUnconfirmed},
+		{"lost answer", context.DeadlineExceeded, orderAttempts, runs.ResultUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			worker := &scriptedWorker{unanswered: c.unanswered, answers: slices.Repeat([]runs.Result{runs.ResultUnknown}, orderAttempts)}
+			a, order := linkedAgent(worker)
+			result, current := a.sendWithRetries(t.Context(), order)
+			g.Expect(current).To(BeTrue())
+			g.Expect(result).To(Equal(c.want))
+			g.Expect(worker.starts).To(HaveLen(c.starts))
+			g.Expect(a.leaseCalls.Load().MayReach(testIncarnation.ID, clock.Boottime())).To(Equal(c.want == runs.ResultUnknown))
+		})
+	}
+}
+
+// Guards against TWICE: an attempt without an answer was forgotten, as the next one was not sent.
+func TestStartWhoseSecondAttemptWasNotSentMayHaveBegun(t *testing.T) {
+	g := NewWithT(t)
+	worker := &scriptedWorker{answers: slices.Repeat([]runs.Result{runs.ResultUnknown}, orderAttempts)}
+	worker.onStart = func() {
+		if len(worker.starts) > 1 {
+			worker.unanswered = runs.ErrNotListening
+		}
+	}
+	a, order := linkedAgent(worker)
+	result, _ := a.sendWithRetries(t.Context(), order)
+	g.Expect(result).To(Equal(runs.ResultUnknown))
+}
+
 func TestNothingIsStartedWithoutALease(t *testing.T) {
 	g := NewWithT(t)
 	worker := &scriptedWorker{answers: []runs.Result{runs.ResultOK}}
