Repeat a listing that was reset as soon as one that was refused

What callers saw: the time until a worker that began anew was reached, after its connections had been reset.

Cause: each listing without an answer took a generation, so the next one waited 150 ms.

Change: a listing without an answer takes a generation only if the incarnation has listed since the last one, as for one that was not sent. Without that, no call has the present fence that extends the lease, acknowledges ends or starts a run, so a late one has no effect but the fence itself.

Evidence: TestWorkerThatBeginsAnewIsReachedAtOnce failed before for reset connections. TestFirstAnswerOfTheNextIncarnationIsAboveAllCallsWithAnEffect checks the fences; it held before too.

--- a/sidecar/agent/absence_test.go
+++ b/sidecar/agent/absence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,10 +13,12 @@
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
-// absentWorker refuses connections until it begins anew under its ID.
+// absentWorker answers nothing until it begins anew under its ID.
 type absentWorker struct {
 	scriptedWorker
-	begins  time.Time
+	begins time.Time
+	// failure is why it doesn't answer.
+	failure error
 	fences  []runs.Fence
 	refused []time.Time
 	// reachedAfter is how long it had run at its first call.
@@ -25,7 +28,7 @@
 func (w *absentWorker) List(_ context.Context, e runs.Envelope, _ uint64, _ time.Duration) (runs.Listing, runs.Answer, error) {
 	if time.Now().Before(w.begins) {
 		w.refused = append(w.refused, time.Now())
-		return runs.Listing{}, runs.Answer{}, runs.ErrNotListening
+		return runs.Listing{}, runs.Answer{}, w.failure
 	}
 	if len(w.fences) == 0 {
 		w.reachedAfter = time.Since(w.begins)
@@ -37,20 +40,22 @@
 // Guards against TWICE: the sidecar paused 150 ms after each refused connection, and a worker that
 // had begun meanwhile carried out calls to its earlier incarnation.
 func TestWorkerThatBeginsAnewIsReachedAtOnce(t *testing.T) {
-	for _, away := range []time.Duration{3 * time.Millisecond, 333 * time.Millisecond, 999 * time.Millisecond} {
-		t.Run(away.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				worker := &absentWorker{begins: time.Now().Add(away)}
-				a, _ := linkedAgent(worker)
-				before := a.state.Load().Fence(testTerm)
-				for l := (&lister{agent: a}); len(worker.fences) == 0; {
-					l.listOnce(t.Context(), a.state.Load())
-				}
-				g.Expect(worker.reachedAfter).To(BeNumerically("<", 2*shortestAbsencePause))
-				g.Expect(before.Less(worker.fences[0])).To(BeTrue())
+	for name, failure := range map[string]error{"refused": runs.ErrNotListening, "reset": syscall.ECONNRESET} {
+		for _, away := range []time.Duration{3 * time.Millisecond, 333 * time.Millisecond, 999 * time.Millisecond} {
+			t.Run(name+" for "+away.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					g := NewWithT(t)
+					worker := &absentWorker{failure: failure, begins: time.Now().Add(away)}
+					a, _ := linkedAgent(worker)
+					before := a.state.Load().Fence(testTerm)
+					for l := (&lister{agent: a}); len(worker.fences) == 0; {
+						l.listOnce(t.Context(), a.state.Load())
+					}
+					g.Expect(worker.reachedAfter).To(BeNumerically("<", 2*shortestAbsencePause))
+					g.Expect(before.Less(worker.fences[0])).To(BeTrue())
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -60,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		began := time.Now()
-		worker := &absentWorker{begins: began.Add(time.Hour)}
+		worker := &absentWorker{failure: runs.ErrNotListening, begins: began.Add(time.Hour)}
 		a, _ := linkedAgent(worker)
 		doubts := a.state.Load().Doubts
 		l := &lister{agent: a}
@@ -88,7 +93,7 @@
 func TestAnswerFromBeforeARefusedConnectionDoesNotConfirmTheWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		worker := &absentWorker{begins: time.Now().Add(time.Hour)}
+		worker := &absentWorker{failure: runs.ErrNotListening, begins: time.Now().Add(time.Hour)}
 		a, _ := linkedAgent(worker)
 		l := &lister{agent: a}
 		l.listOnce(t.Context(), a.state.Load())
@@ -108,7 +113,7 @@
 func TestWorkerThatBeginsAfterItsSidecarIsFencedBeforeItsFirstHeartbeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		worker := &absentWorker{begins: time.Now().Add(433 * time.Millisecond)}
+		worker := &absentWorker{failure: runs.ErrNotListening, begins: time.Now().Add(433 * time.Millisecond)}
 		linked, _ := linkedAgent(worker)
 		a := New(linked.config, worker, nil, linked.metrics, linked.log)
 		a.confirm(testTerm, clock.Boottime())
@@ -122,7 +127,7 @@
 func TestWorkerThatNeverBeginsIsAskedForOnceASecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		worker := &absentWorker{begins: time.Now().Add(time.Hour)}
+		worker := &absentWorker{failure: runs.ErrNotListening, begins: time.Now().Add(time.Hour)}
 		linked, _ := linkedAgent(worker)
 		a := New(linked.config, worker, nil, linked.metrics, linked.log)
 		a.confirm(testTerm, clock.Boottime())
@@ -138,3 +143,36 @@
 		g.Expect(len(worker.refused) - before).To(BeNumerically("~", time.Minute/idlePause, 1))
 	})
 }
+
+// Guards against TWICE: a call that starts runs, acknowledges ends or extends the lease had the
+// fence of the first call that reached the next incarnation.
+func TestFirstAnswerOfTheNextIncarnationIsAboveAllCallsWithAnEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		worker := &callRecorder{}
+		a, order := linkedAgent(worker)
+		acknowledgeUpTo(a, 9)
+		l := &lister{agent: a}
+		var effects []runs.Fence
+		for play := range 60 {
+			worker.fails = play%5 < 3
+			wasConfirmed, from := isConfirmed(a), len(worker.envelopes)
+			l.listOnce(t.Context(), a.state.Load())
+			if !wasConfirmed && isConfirmed(a) {
+				g.Expect(effects).NotTo(ContainElement(a.state.Load().Confirmed))
+			}
+			for i, e := range worker.envelopes[from:] {
+				if e.Deadline != 0 || worker.acknowledged[from+i] != 0 {
+					effects = append(effects, e.Fence)
+				}
+			}
+			worker.answers = []runs.Result{runs.ResultOK}
+			if a.sendOnce(t.Context(), testTerm, a.state.Load(), order) == runs.ResultOK {
+				effects = append(effects, worker.starts[len(worker.starts)-1].Fence)
+			}
+			a.confirm(testTerm, clock.Boottime())
+			acknowledgeUpTo(a, uint64(10+play))
+		}
+		g.Expect(len(effects)).To(BeNumerically(">", 20))
+	})
+}
--- a/sidecar/agent/failure.go
+++ b/sidecar/agent/failure.go
@@ -90,12 +90,10 @@
 	holder := a.holder.Load()
 	isCurrent := holder.Known && f.term == holder.Term
 	switch {
-	case runs.IsUnsent(f.err):
-		if state := a.doubt(incarnation, doubtNotSent, gate.Worker.Miss); state.Doubts == f.state.Doubts {
+	case f.err != nil:
+		if state := a.doubt(incarnation, doubtNoAnswer, gate.Worker.Miss); state.Doubts == f.state.Doubts {
 			return l.absencePause()
 		}
-	case f.err != nil:
-		a.doubt(incarnation, doubtNoAnswer, gate.Worker.Suspect)
 	case f.answer.Result == runs.ResultOtherIncarnation:
 		a.doubt(incarnation, doubtOtherIncarnation, gate.Worker.Deny)
 	case f.answer.Result == runs.ResultStaleEpoch && isCurrent:
@@ -109,7 +107,7 @@
 	return retryPause
 }
 
-// absencePause returns the pause after a listing that was not sent and took no generation.
+// absencePause returns the pause after a listing without an answer that took no generation.
 func (l *lister) absencePause() time.Duration {
 	now := time.Now()
 	if l.missedSince.IsZero() {
@@ -121,7 +119,6 @@
 // Reasons for which the generation of the calls to a worker rises.
 const (
 	doubtNoAnswer         = "a listing got no answer"
-	doubtNotSent          = "there was no connection for a listing"
 	doubtOtherIncarnation = "another incarnation answered"
 	doubtOvertaken        = "the worker knows a later generation"
 	doubtHeartbeat        = "a heartbeat under its ID states another start"
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -30,8 +30,8 @@
 	// retryPause is the least time from a failed listing to the next one. Each one takes a generation of the
 	// process, of which there are runs.MaxDoubts.
 	retryPause = 150 * time.Millisecond
-	// shortestAbsencePause is the least delay after a listing that was not sent. It takes no
-	// generation. The delay rises with the time for which the worker has been away, by
+	// shortestAbsencePause is the least time from a listing without an answer that took no
+	// generation to the next one. It rises with the time for which the worker has been away, by
 	// absenceShare, up to retryPause.
 	shortestAbsencePause = 10 * time.Millisecond
 	absenceShare         = 100
@@ -53,7 +53,7 @@
 	failures int
 	// retriedAt is when a listing last followed a failed one at once.
 	retriedAt time.Time
-	// missedSince is the time since which no listing was sent, zero if the last one was.
+	// missedSince is the time since which no listing was answered, zero if the last one was.
 	missedSince time.Time
 	// reportedAt and examinedAt are when the worker was last reported as unresponsive, and when a
 	// candidate was last examined.
--- a/sidecar/agent/orders_test.go
+++ b/sidecar/agent/orders_test.go
@@ -26,7 +26,7 @@
 	answers []runs.Result
 	// unanswered is the error of starts without an answer, a time limit if it is nil.
 	unanswered error
-	starts  []runs.Envelope
+	starts     []runs.Envelope
 	// stops counts the requested stops.
 	stops int
 	// onStart is called at each start, if set.
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -137,10 +137,10 @@
 	return w
 }
 
-// Miss returns w after a call that was not sent, as there was no connection to the worker. It is
-// repeated often while the worker is away, so it is a doubt only if the incarnation has listed
-// since the last one: otherwise no call with the present fence extends the lease, acknowledges
-// ends or starts a run.
+// Miss returns w after a listing without an answer, which is repeated often while the worker is
+// away. It is a doubt only if the incarnation has listed since the last one: otherwise no call
+// with the present fence extends the lease, acknowledges ends or starts a run, and a late listing
+// does nothing but raise the fence.
 func (w Worker) Miss() Worker {
 	if w.Confirmed != (runs.Fence{}) {
 		return w.Suspect()
