--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -27,8 +27,8 @@
 	// acknowledgeWait bounds the wait for ended runs to be acknowledged before the
 	// next listing, which would otherwise return them again immediately.
 	acknowledgeWait = 60 * time.Millisecond
-	// retryPause is the least time from a failed listing to the next one. Each one takes a generation of the
-	// process, of which there are runs.MaxDoubts.
+	// retryPause is the least time from the beginning of a failed listing to the next one where the
+	// failure takes a generation of the process, of which there are runs.MaxDoubts.
 	retryPause = 150 * time.Millisecond
 	// shortestAbsencePause is the least time from a listing without an answer that took no
 	// generation to the next one. It rises with the time for which the worker has been away, by
