--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -85,6 +85,8 @@
 	candidate atomic.Pointer[runs.Description]
 	// refutation is the last one, nil before the first.
 	refutation atomic.Pointer[refutation]
+	// reached is the last incarnation that has answered, nil before the first.
+	reached atomic.Pointer[reachedIncarnation]
 	// refused limits the log lines about heartbeats of other workers, listingsRefused those
 	// about listings that the worker refuses.
 	refused, listingsRefused logging.RateLimit
@@ -111,13 +113,6 @@
 	holderLost chan struct{}
 }
 
-// acknowledgement is the number up to which the ended runs of a worker's incarnation
-// are stored by the holder.
-type acknowledgement struct {
-	incarnation runs.Incarnation
-	upTo        uint64
-}
-
 // receivedOrder is an order with the epoch under which it was sent and the link on
 // which it arrived.
 type receivedOrder struct {
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -15,7 +13,10 @@
 // extends the lease.
 func (a *Agent) list(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
 	call := a.beginLeaseCall(e)
-	listing, answer, err := a.worker.List(ctx, e, acknowledged, wait)
+	listing, answer, err := a.sendList(ctx, e, acknowledged, wait)
+	if err == nil {
+		a.noteAnswer(e, listing.StartedAtMs, answer)
+	}
 	if err == nil && listing.StartedAtMs != 0 && listing.StartedAtMs != e.Incarnation.StartedAtMs {
 		call.lose() // another incarnation has carried it out
 	} else {
@@ -28,10 +29,19 @@
 	return listing, answer, err
 }
 
+// sendList sends a request for a listing, and one without an effect again beside the first if that is not
+// answered soon.
+func (a *Agent) sendList(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
+	if e.Deadline == 0 && acknowledged == 0 && wait == 0 {
+		return a.listRepeatedly(ctx, e)
+	}
+	return a.worker.List(ctx, e, acknowledged, wait)
+}
+
 // recordUnanswered logs and counts a call for a listing without an answer that extends the lease
 // or acknowledges ends: the next incarnation of the worker may carry it out.
 func (a *Agent) recordUnanswered(e runs.Envelope, acknowledged uint64, err error) {
-	if err == nil || errors.Is(err, runs.ErrNotListening) || (e.Deadline == 0 && acknowledged == 0) {
+	if err == nil || runs.IsUnsent(err) || (e.Deadline == 0 && acknowledged == 0) {
 		return
 	}
 	a.metrics.ListingsUnanswered.Inc(1)
@@ -79,8 +89,7 @@
 	if c.agent == nil {
 		return
 	}
-	notSent := err != nil && errors.Is(err, runs.ErrNotListening)
-	if notSent || (err == nil && gate.IsSettled(answer, c.clock, c.sent)) {
+	if runs.IsUnsent(err) || (err == nil && gate.IsSettled(answer, c.clock, c.sent)) {
 		c.agent.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls { return l.Settle(c.number) })
 		return
 	}
@@ -125,6 +134,8 @@
 // listingRequest is how the next listing is requested.
 type listingRequest struct {
 	envelope runs.Envelope
+	// acknowledged is the number up to which it acknowledges ends, zero for none.
+	acknowledged uint64
 	// wait is how long the worker may wait for a run to end.
 	wait time.Duration
 	// extendsFor is the sending time of the ping whose answer lets the request extend the lease,
@@ -132,21 +143,24 @@
 	extendsFor time.Duration
 }
 
-// nextListing returns how the next listing is requested. One that extends the lease doesn't wait,
-// so that a crash of the worker rarely finds it without an answer. The lease is extended once for
-// each ping that the holder has answered.
-func (a *Agent) nextListing(state *gate.Worker, term gate.Term) listingRequest {
-	withoutLease := listingRequest{envelope: envelopeWithoutLease(state, term), wait: listWait}
+// nextListing returns how the next listing is requested. One that extends the lease or
+// acknowledges ends doesn't wait, so that a crash of the worker rarely finds it without an answer.
+// The lease is extended once for each ping that the holder has answered, and each number is
+// acknowledged once.
+func (l *lister) nextListing(state *gate.Worker, term gate.Term) listingRequest {
+	a := l.agent
+	r := listingRequest{envelope: envelopeWithoutLease(state, term), acknowledged: l.pendingAcknowledgement(state, term)}
 	if !state.HasListed(state.Fence(term)) || !a.clockOf(state.Description).Known {
-		withoutLease.wait = 0 // the answer is needed before a lease can be requested
-		return withoutLease
+		return r // the answer is needed before a lease can be requested
 	}
 	confirmed := a.holder.Load().Confirmed
-	if int64(confirmed) <= a.extendedFor.Load() {
-		return withoutLease
+	if int64(confirmed) > a.extendedFor.Load() {
+		if e := a.listingEnvelope(state, term); e.Deadline != 0 {
+			r.envelope, r.extendsFor = e, confirmed
+		}
 	}
-	if e := a.listingEnvelope(state, term); e.Deadline != 0 {
-		return listingRequest{envelope: e, extendsFor: confirmed}
+	if r.extendsFor == 0 && r.acknowledged == 0 {
+		r.wait = listWait
 	}
-	return withoutLease
+	return r
 }
