Extend the lease of a worker that is recorded, also while it has no runs

Cause: closed the case of an incarnation that nobody has recorded by extending no lease of idle workers at all. The case needs less: a later holder knows of a recorded worker.

Change: the holder tells the sidecar when the worker's incarnation is recorded, with the order that acknowledges ends, whose number is zero where there are none. The sidecar extends the lease by listings from then on, for that incarnation and that link, and, as before, of a worker that has runs or ends. The tests of holders lose the call of an idle worker again, as before.

Evidence: TestLeaseOfAWorkerThatIsNotRecordedIsNotExtended, TestLeaseIsExtendedOnceThePresentHolderHasRecordedTheWorker; the rows of the generated table with unrecorded workers, whose model of the sidecar follows the rule.

--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -90,8 +90,8 @@
 	Ping uint64
 	// Percent is the pace that OrderPace sets.
 	Percent int
-	// Acknowledged is used by OrderAcknowledge: the effects of all ends up to
-	// this number are stored.
+	// Acknowledged is used by OrderAcknowledge: the incarnation is recorded, and the effects of
+	// all ends up to this number are stored. It is zero where there are none yet.
 	Acknowledged uint64
 }
 
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -76,7 +76,7 @@
 		delete(c.unreportedWorkers, w.description.Incarnation)
 	}
 	c.repeatOrders(w, first)
-	if first && w.acknowledged > 0 {
+	if first && (w.recorded || w.acknowledged > 0) {
 		c.orderAcknowledge(w)
 	}
 }
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -232,10 +232,13 @@
 	}
 }
 
-// orderAcknowledge tells the sidecar up to which number the worker's ends are stored.
+// orderAcknowledge tells the sidecar that the worker's incarnation is recorded, and up to which
+// number its ends are stored.
 func (c *Core) orderAcknowledge(w *workerState) {
 	c.order(w, Order{Kind: OrderAcknowledge, Acknowledged: w.acknowledged})
-	c.recordAcknowledged(w)
+	if w.acknowledged > 0 {
+		c.recordAcknowledged(w)
+	}
 }
 
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
@@ -251,6 +254,9 @@
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
 			c.forgetEndedBefore(w.host, record.Incarnation)
+			if w.listed {
+				c.orderAcknowledge(w)
+			}
 		}
 	}
 	for _, incarnation := range b.Forgotten {
--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -44,17 +44,20 @@
 
 	link vanishingLink
 
-	holder       gate.Holder
-	state        gate.Worker
-	clock        gate.Clock
-	clockOf      runs.Incarnation
-	calls        gate.LeaseCalls
-	lastCall     uint64
-	deadline     time.Duration
-	extendsFrom  time.Duration
-	extendedFor  time.Duration
-	replacedAt   time.Duration
-	needsLease   bool
+	holder      gate.Holder
+	state       gate.Worker
+	clock       gate.Clock
+	clockOf     runs.Incarnation
+	calls       gate.LeaseCalls
+	lastCall    uint64
+	deadline    time.Duration
+	extendsFrom time.Duration
+	extendedFor time.Duration
+	replacedAt  time.Duration
+	needsLease  bool
+	// recorded is the incarnation that the holder has said to be recorded, over the link recordedBy.
+	recorded     runs.Incarnation
+	recordedBy   dispatch.LinkID
 	unresponsive bool
 	failures     int
 	listings     uint64
@@ -184,7 +187,8 @@
 }
 
 func (s *vanishingSidecar) listingEnvelope(term gate.Term) runs.Envelope {
-	if !s.needsLease && !s.world.broken.idleLeases {
+	isRecorded := s.recorded == s.state.Description.Incarnation && s.recordedBy == s.link.id
+	if !s.needsLease && !isRecorded && !s.world.broken.idleLeases {
 		return s.envelopeWithoutLease(term)
 	}
 	return s.envelope(term)
@@ -388,6 +392,9 @@
 			result = s.start(o)
 		case dispatch.OrderStop:
 			result = s.stop(o)
+		case dispatch.OrderAcknowledge:
+			s.recorded, s.recordedBy = o.Incarnation, o.Link
+			continue
 		default:
 			continue
 		}
--- a/scheduler/holder/late_lease_test.go
+++ b/scheduler/holder/late_lease_test.go
@@ -71,11 +71,10 @@
 	worker.worker.Advance(time.Minute) // its clock is far ahead of the next incarnation's
 	a, _ := f.startSidecar(t, "host-0", worker)
 	a.RecordHeartbeat(worker.worker.Description())
-	f.submit(g, f.entries[0], 1)
-	g.Eventually(worker.countTasks, waitTimeout).Should(Equal(3))
 	worker.loses.Store(true)
 	g.Eventually(worker.lost.Load, waitTimeout).ShouldNot(BeNil())
 	a.RecordHeartbeat(worker.restartWithLateCall())
+	f.submit(g, f.entries[0], 1)
 	g.Eventually(worker.countTasks, waitTimeout).Should(Equal(3))
 	other, _ := f.startWorker(t, "host-1")
 	worker.hangs.Store(true)
--- a/sidecar/agent/acknowledge.go
+++ b/sidecar/agent/acknowledge.go
@@ -1,29 +1,42 @@
 package agent
 
 import (
-	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
 // acknowledgement is the number up to which the ended runs of a worker's incarnation
-// are stored by the holder.
+// are stored by the holder. It says too that the incarnation is recorded, so that a later holder
+// would know of it.
 type acknowledgement struct {
 	incarnation runs.Incarnation
 	upTo        uint64
 }
 
+// recordedIncarnation is the incarnation that a holder has last said to be recorded, over a link.
+type recordedIncarnation struct {
+	incarnation runs.Incarnation
+	link        *entryLink
+}
+
 // answeredAcknowledgement is an acknowledgement that the worker has answered under a fence.
 type answeredAcknowledgement struct {
 	acknowledgement
 	fence runs.Fence
 }
 
-func (a *Agent) acknowledge(o dispatch.Order) {
-	a.acknowledged.Store(&acknowledgement{incarnation: o.Incarnation, upTo: o.Acknowledged})
+func (a *Agent) acknowledge(o receivedOrder) {
+	a.acknowledged.Store(&acknowledgement{incarnation: o.order.Incarnation, upTo: o.order.Acknowledged})
+	a.recorded.Store(&recordedIncarnation{incarnation: o.order.Incarnation, link: o.link})
 	a.wakeLister()
 }
 
+// isRecorded reports whether the present holder has said that an incarnation is recorded.
+func (a *Agent) isRecorded(incarnation runs.Incarnation) bool {
+	r := a.recorded.Load()
+	return r != nil && r.incarnation == incarnation && r.link == a.holderLink.Load()
+}
+
 // acknowledgedUpTo returns the number up to which a request with the fence acknowledges the
 // incarnation's ended runs. It is zero while another incarnation, whose ends are numbered anew,
 // may have followed.
--- a/sidecar/agent/acknowledge_test.go
+++ b/sidecar/agent/acknowledge_test.go
@@ -23,7 +23,7 @@
 		a := startProcess(worker)
 		answerAsHolder(a, 3, 1)
 		a.unresponsive.Store(false)
-		a.acknowledge(dispatch.Order{Incarnation: testIncarnation, Acknowledged: 1})
+		a.acknowledge(receivedOrder{order: dispatch.Order{Incarnation: testIncarnation, Acknowledged: 1}})
 		l := &lister{agent: a}
 		for range 3 {
 			l.listOnce(t.Context(), a.state.Load())
@@ -75,7 +75,7 @@
 }
 
 func acknowledgeUpTo(a *Agent, number uint64) {
-	a.acknowledge(dispatch.Order{Incarnation: testIncarnation, Acknowledged: number})
+	a.acknowledge(receivedOrder{order: dispatch.Order{Incarnation: testIncarnation, Acknowledged: number}})
 }
 
 func TestEachNumberIsAcknowledgedOnceByARequestThatDoesNotWait(t *testing.T) {
--- a/sidecar/agent/agent.go
+++ b/sidecar/agent/agent.go
@@ -77,6 +77,8 @@
 	// acknowledged is the last end of a run that the holder has acknowledged as
 	// stored.
 	acknowledged atomic.Pointer[acknowledgement]
+	// recorded is the incarnation that the holder has recorded, nil before the first.
+	recorded atomic.Pointer[recordedIncarnation]
 	// leaving is the worker's incarnation that has announced its shutdown, and
 	// leftIncarnation the one that has shut down, nil for none.
 	leaving, leftIncarnation atomic.Pointer[runs.Incarnation]
--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -37,10 +37,11 @@
 	return e
 }
 
-// listingEnvelope returns the envelope of a request for a listing. It extends the lease only if
-// something on the worker needs it: a call that is not sent can't be carried out late.
+// listingEnvelope returns the envelope of a request for a listing. It extends the lease only if a
+// later holder would know of the incarnation, since the request may be carried out by the next
+// one: the holder has said so, or there are runs, and none is started before.
 func (a *Agent) listingEnvelope(state *gate.Worker, term gate.Term) runs.Envelope {
-	if !a.needsLease.Load() {
+	if !a.needsLease.Load() && !a.isRecorded(state.Description.Incarnation) {
 		return envelopeWithoutLease(state, term)
 	}
 	return a.envelope(state, term)
--- a/sidecar/agent/lease_test.go
+++ b/sidecar/agent/lease_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -27,7 +28,7 @@
 
 // Guards against TWICE: a call extended the lease of a worker that no holder had recorded, was lost, and
 // lengthened the lease of the next incarnation, which nobody knew to follow another one.
-func TestLeaseOfAWorkerWithoutRunsIsNotExtended(t *testing.T) {
+func TestLeaseOfAWorkerThatIsNotRecordedIsNotExtended(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		worker := newLateWorker()
@@ -52,3 +53,24 @@
 		g.Expect(a.extendedFor.Load()).To(BeNumerically(">", 0), "the last listing has shown the run")
 	})
 }
+
+// Guards against TWICE: what an earlier holder had recorded was taken for a record of the present one's.
+func TestLeaseIsExtendedOnceThePresentHolderHasRecordedTheWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		worker := newLateWorker()
+		a := startProcess(worker)
+		l := answerAsHolder(a, 3, 1)
+		a.holderLink.Store(l)
+		listOnce(t, a)
+		a.acknowledge(receivedOrder{link: &entryLink{}, order: dispatch.Order{Incarnation: testIncarnation}})
+		listOnce(t, a)
+		g.Expect(worker.Lease()).To(BeZero(), "another link")
+		a.acknowledge(receivedOrder{link: l, order: dispatch.Order{Incarnation: runs.Incarnation{ID: testIncarnation.ID, StartedAtMs: 99}}})
+		listOnce(t, a)
+		g.Expect(worker.Lease()).To(BeZero(), "another incarnation")
+		a.acknowledge(receivedOrder{link: l, order: dispatch.Order{Incarnation: testIncarnation}})
+		listOnce(t, a)
+		g.Expect(worker.Lease()).To(BeNumerically(">", 0))
+	})
+}
--- a/sidecar/agent/listing_test.go
+++ b/sidecar/agent/listing_test.go
@@ -182,7 +182,7 @@
 	g := NewWithT(t)
 	worker := &callRecorder{}
 	a, _ := linkedAgent(worker)
-	a.acknowledge(dispatch.Order{Incarnation: testIncarnation, Acknowledged: 9})
+	a.acknowledge(receivedOrder{order: dispatch.Order{Incarnation: testIncarnation, Acknowledged: 9}})
 	l := &lister{agent: a}
 	list := func() { l.listOnce(context.Background(), a.state.Load()) }
 	list()
--- a/sidecar/agent/orders.go
+++ b/sidecar/agent/orders.go
@@ -61,7 +61,7 @@
 		}
 		for _, o := range batch {
 			if o.order.Kind == dispatch.OrderAcknowledge {
-				a.acknowledge(o.order)
+				a.acknowledge(o)
 				continue
 			}
 			select {
--- a/sidecar/agent/process_test.go
+++ b/sidecar/agent/process_test.go
@@ -118,7 +118,7 @@
 		a, order := linkedAgent(worker)
 		a.updateState(gate.Worker.Suspect)
 		a.holder.Store(&gate.Holder{Term: gate.Term{Epoch: 3}, Confirmed: a.holder.Load().Confirmed, Known: true})
-		a.acknowledge(dispatch.Order{Incarnation: testIncarnation, Acknowledged: 9})
+		a.acknowledge(receivedOrder{order: dispatch.Order{Incarnation: testIncarnation, Acknowledged: 9}})
 		for range 3 {
 			listOnce(t, a)
 		}
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -71,8 +71,8 @@
 }
 
 // NeedsLease reports whether a worker needs a lease after a listing: it has runs, or ends that the
-// holder has not acknowledged. A start extends the lease itself. Nothing is started on a worker
-// before it is recorded, so no lease is extended before a later holder would know of the worker.
+// holder has not acknowledged. A start extends the lease itself, and nothing is started on a worker
+// before it is recorded.
 func NeedsLease(l *runs.Listing) bool {
 	return len(l.Running)+len(l.Ends)+l.LeftOut > 0 || l.Partial
 }
