--- a/sidecar/agent/metrics.go
+++ b/sidecar/agent/metrics.go
@@ -15,10 +15,16 @@
 	OrderLatency tally.Histogram
 	// ListingsFailed counts listings that were refused or not answered.
 	ListingsFailed tally.Counter
+	// ListingsUnanswered counts the listings without an answer that extend the lease or
+	// acknowledge ends.
+	ListingsUnanswered tally.Counter
 	// HeartbeatsRefused counts heartbeats of other workers than the one on this host.
 	HeartbeatsRefused tally.Counter
 	// IncarnationsReplaced counts changes of the known incarnation of the worker.
 	IncarnationsReplaced tally.Counter
+	// IncarnationReached is the age of an incarnation of the worker at its first answer to a call
+	// that keeps those to earlier incarnations off.
+	IncarnationReached tally.Histogram
 	// HoldersFound counts changes of the holder, of its link and of its epoch.
 	HoldersFound tally.Counter
 }
@@ -33,8 +39,10 @@
 		OrderLatency:   scope.Histogram("order_latency", telemetry.LatencyBuckets()),
 		ListingsFailed: scope.Counter("listings_failed"),
 
+		ListingsUnanswered:   scope.Counter("listings_unanswered"),
 		HeartbeatsRefused:    scope.Counter("heartbeats_refused"),
 		IncarnationsReplaced: scope.Counter("incarnations_replaced"),
+		IncarnationReached:   scope.Histogram("incarnation_reached", telemetry.LatencyBuckets()),
 
 		HoldersFound: scope.Counter("holders_found"),
 	}
