Lose the listing call of an idle worker too in the table of who vanishes

The sidecar extends the lease of a recorded worker without runs again, so the rows of a recorded worker lose such a call, and those of a young sidecar one of a worker with a run, as before.

With -race the tests of the table, of records, late leases and evidence pass.

--- a/scheduler/dispatch/vanishing_play_test.go
+++ b/scheduler/dispatch/vanishing_play_test.go
@@ -177,7 +177,7 @@
 	case recordedWorker:
 		h.sidecar.started -= time.Minute
 		h.sidecar.startedAwake -= time.Minute
-		fallthrough
+		w.run(time.Second)
 	case youngSidecar:
 		w.run(time.Second)
 		p.submitBeforeLoss()
@@ -197,8 +197,8 @@
 	}
 }
 
-// submitBeforeLoss has the task run before the lost call, if that is a listing: no other extends the
-// lease of a worker without runs. A start that is lost is one of the task.
+// submitBeforeLoss has the task run before the lost call, if that is a listing. A start that is lost is
+// one of the task.
 func (p *vanishingPlay) submitBeforeLoss() {
 	if p.row.lost == lostListing {
 		p.world.submit()
