--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -141,6 +141,7 @@
 		b.Workers = append(b.Workers, c.workersToRecord[0])
 		c.workersToRecord = c.workersToRecord[1:]
 	}
+	c.addReplaced(&b, &limit)
 	c.addProgress(&b, &limit)
 	for len(c.recordsToEnd) > 0 && limit.take(workerEntries, workerBytes) {
 		b.Ended = append(b.Ended, c.recordsToEnd[0])
@@ -232,13 +233,18 @@
 	}
 }
 
-// orderAcknowledge tells the sidecar that the worker's incarnation is recorded, and up to which
-// number its ends are stored.
+// orderAcknowledge tells the sidecar up to which number the worker's ends are stored.
 func (c *Core) orderAcknowledge(w *workerState) {
 	c.order(w, Order{Kind: OrderAcknowledge, Acknowledged: w.acknowledged})
-	if w.acknowledged > 0 {
-		c.recordAcknowledged(w)
-	}
+	c.recordAcknowledged(w)
+}
+
+// tellRecorded tells the sidecar that the worker's incarnation is recorded, so that a later holder
+// would know of it.
+func (c *Core) tellRecorded(w *workerState) {
+	c.recordedWorkers = append(c.recordedWorkers, Order{
+		Host: w.host, Incarnation: w.description.Incarnation, Link: w.link.ID, Kind: OrderAcknowledge, Acknowledged: w.acknowledged,
+	})
 }
 
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
@@ -253,15 +259,18 @@
 		c.recordedIncarnations[record.Incarnation] = record.Host
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
-			c.forgetEndedBefore(w.host, record.Incarnation)
 			if w.listed {
-				c.orderAcknowledge(w)
+				c.tellRecorded(w)
 			}
 		}
 	}
 	for _, incarnation := range b.Forgotten {
 		delete(c.recordedIncarnations, incarnation)
+		if !containsIncarnation(c.recordsToEnd, incarnation) {
+			delete(c.endedWorkers, incarnation)
+		}
 	}
+	c.forgetReplaced(b.Workers)
 }
 
 // isWithdrawn reports whether the record of an incarnation is to be removed, or marked as ended.
@@ -275,6 +284,7 @@
 	recorded := withoutPending(c, b.Workers, incarnationOf)
 	ended := withoutPending(c, b.Ended, incarnationOf)
 	forgotten := withoutPending(c, b.Forgotten, func(i runs.Incarnation) runs.Incarnation { return i })
+	forgotten = slices.DeleteFunc(forgotten, c.isEnded) // they are removed with the records that replace them
 	c.workersToRecord = append(recorded, c.workersToRecord...)
 	c.recordsToEnd = append(ended, c.recordsToEnd...)
 	c.incarnationsToForget = append(forgotten, c.incarnationsToForget...)
