Take an answer in the same millisecond for one of the known incarnation

What callers saw: the tasks of a worker that began anew, and whose host was lost within 10 s of that, waited up to 10.5 s in place of 3.7 s, although all calls to the earlier incarnation had been answered; lasting tasks avoided such workers.

Cause: a worker states its clock in whole milliseconds, rounded down. A call that extends the lease follows the reading before by less than one, mostly; its answer then was behind the bound that was reckoned from that reading, and the call was taken for one that the next incarnation had carried out. It was kept in mind for 30 s as without an answer. The stand-in of the tests states its clock in nanoseconds, so no test saw it.

Evidence: TestAnswerInTheSameMillisecondSettlesALeaseCall failed before (sent 1 µs after the reading).

Change: the bound allows for the resolution of the clock. An incarnation that began since is still behind it, unless its clock stands within a millisecond of the earlier one's.

The tests of sidecar/gate, sidecar/agent, scheduler/holder (125 s) pass.

--- a/sidecar/gate/gate.go
+++ b/sidecar/gate/gate.go
@@ -82,6 +82,9 @@
 // workerClockDrift is the largest share by which a worker's clock may run slow: 2%.
 const workerClockDrift = 0.02
 
+// clockResolution is the unit in which a worker states its clock, rounded down.
+const clockResolution = time.Millisecond
+
 // at returns the worker's clock at time t, assuming that it runs at the true rate.
 // The reading was taken at Received or earlier, so a lease counted from it ends no
 // later than it should.
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -58,13 +58,13 @@
 
 // IsSettled reports whether an answer shows that a call that extends a lease was carried out by
 // the incarnation that it was sent to, or by none. The clock is the reading from before the call
-// was sent: that of an incarnation that began since is behind it.
+// was sent: that of an incarnation that began since is behind it. The answer's clock is rounded down.
 func IsSettled(answer runs.Answer, c Clock, sent time.Duration) bool {
 	switch answer.Result {
 	case runs.ResultOtherIncarnation, runs.ResultStaleEpoch, runs.ResultUnhealthy, runs.ResultInvalid:
 		return true
 	}
-	return c.Known && answer.Clock >= c.lowerBound(sent)
+	return c.Known && answer.Clock+clockResolution > c.lowerBound(sent)
 }
 
 // LateCalls is what a process of the sidecar knows, when the described incarnation first answers
--- a/sidecar/gate/lease_calls_test.go
+++ b/sidecar/gate/lease_calls_test.go
@@ -84,3 +84,15 @@
 	next := w.Describe(&runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 2}})
 	g.Expect(next.LateLease(time.Hour, 10*time.Second)).To(Equal(runs.LateLease{}))
 }
+
+// Guards against LOST: a worker states its clock in whole milliseconds, and an answer within one of
+// the reading before was taken for that of another incarnation.
+func TestAnswerInTheSameMillisecondSettlesALeaseCall(t *testing.T) {
+	known := Clock{Reading: time.Minute, Received: time.Hour, Known: true}
+	for _, elapsed := range []time.Duration{0, time.Microsecond, 300 * time.Microsecond, 999 * time.Microsecond} {
+		settled := IsSettled(runs.Answer{Clock: time.Minute}, known, time.Hour+elapsed)
+		NewWithT(t).Expect(settled).To(BeTrue(), "sent %v after the reading", elapsed)
+	}
+	elapsed := time.Millisecond + 100*time.Microsecond
+	NewWithT(t).Expect(IsSettled(runs.Answer{Clock: time.Minute}, known, time.Hour+elapsed)).To(BeFalse(), "its clock stands still")
+}
