--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -129,6 +129,8 @@
 	incarnationsToForget []runs.Incarnation
 	// recordsToEnd are those of incarnations that are to be rewritten as ended.
 	recordsToEnd []WorkerRecord
+	// recordedWorkers are the orders that tell sidecars of new records.
+	recordedWorkers []Order
 	// endedWorkers are the incarnations whose records are kept after their runs have ended.
 	endedWorkers map[runs.Incarnation]endedWorker
 	wake         time.Duration
@@ -244,7 +246,11 @@
 
 // Output holds the actions to carry out after a batch of events.
 type Output struct {
-	Orders    []Order
+	Orders []Order
+	// RecordedWorkers tell sidecars that the incarnations of their workers are recorded. They are
+	// orders that acknowledge what has been acknowledged before.
+	RecordedWorkers []Order
+
 	Decisions []Decision
 	// StateChanges are the states that callers may see from now on.
 	StateChanges []StateChange
@@ -266,8 +272,11 @@
 	c.controlInterference()
 	c.acknowledgeEnds()
 	c.scheduleWake()
-	out := Output{Orders: c.orders, Decisions: c.decisions, StateChanges: c.TakeStateChanges(), AdviceQuestion: c.adviceQuestion, Wake: c.wake, ConfirmHold: c.confirmHold}
-	c.orders, c.decisions, c.adviceQuestion = nil, nil, nil
+	out := Output{
+		Orders: c.orders, RecordedWorkers: c.recordedWorkers, Decisions: c.decisions, StateChanges: c.TakeStateChanges(),
+		AdviceQuestion: c.adviceQuestion, Wake: c.wake, ConfirmHold: c.confirmHold,
+	}
+	c.orders, c.recordedWorkers, c.decisions, c.adviceQuestion = nil, nil, nil, nil
 	return out
 }
 
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -233,13 +233,18 @@
 	}
 }
 
-// orderAcknowledge tells the sidecar that the worker's incarnation is recorded, and up to which
-// number its ends are stored.
+// orderAcknowledge tells the sidecar up to which number the worker's ends are stored.
 func (c *Core) orderAcknowledge(w *workerState) {
 	c.order(w, Order{Kind: OrderAcknowledge, Acknowledged: w.acknowledged})
-	if w.acknowledged > 0 {
-		c.recordAcknowledged(w)
-	}
+	c.recordAcknowledged(w)
+}
+
+// tellRecorded tells the sidecar that the worker's incarnation is recorded, so that a later holder
+// would know of it.
+func (c *Core) tellRecorded(w *workerState) {
+	c.recordedWorkers = append(c.recordedWorkers, Order{
+		Host: w.host, Incarnation: w.description.Incarnation, Link: w.link.ID, Kind: OrderAcknowledge, Acknowledged: w.acknowledged,
+	})
 }
 
 func (e *pendingEnd) isStored() bool { return e.job == nil || e.job.storedRevision >= e.revision }
@@ -255,7 +260,7 @@
 		if w := c.workers[record.Host]; w != nil && w.description.Incarnation == record.Incarnation {
 			w.recorded = true
 			if w.listed {
-				c.orderAcknowledge(w)
+				c.tellRecorded(w)
 			}
 		}
 	}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/carobkeel/carobkeel"
@@ -222,7 +223,7 @@
 	l.logDecisions(out.Decisions)
 	l.publish(out.StateChanges)
 	l.requestAdvice(out.AdviceQuestion)
-	l.sendOrders(out.Orders)
+	l.sendOrders(slices.Concat(out.RecordedWorkers, out.Orders))
 }
 
 // sendOrders sends each order over the link on which it was decided. Orders for a link that
