Pass on no listing of an incarnation that has not been reached yet

What callers saw: two runs of a task at the same time, by regular starts, in a test of an independent review: a late call has lengthened the lease of a worker that began anew, and a delayed heartbeat of its earlier incarnation arrives while the next one answers its first listing.

Cause: a listing whose request was overtaken by a doubt does not show that all earlier calls are kept off, so the sidecar does not know yet which of them have extended the lease. It passed the listing on all the same, with no word of a late lease, which reads as none; and the holder counts one with the first listing that it gets.

Change: no listing of an incarnation goes to the holder before it has answered a call that keeps all earlier ones off.

The model of messages and the generated table have calls that nothing interrupts, so they did not show it.

--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -121,6 +121,14 @@
 	return w.Reach(fence, clock.Boottime(), late)
 }
 
+// isReached reports whether an incarnation has answered a call that keeps all earlier ones off. Before
+// that it isn't known which of them have extended its lease, and the holder counts that with the first
+// listing that it gets.
+func (a *Agent) isReached(incarnation runs.Incarnation) bool {
+	state := a.state.Load()
+	return state.Describes(incarnation) && state.ReachedAt != 0
+}
+
 // lateLease returns the bound of the lease that late calls may have given an incarnation that has
 // listed its runs.
 func (a *Agent) lateLease(incarnation runs.Incarnation) runs.LateLease {
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -182,7 +182,7 @@
 func (a *Agent) sendListing(holderLink *entryLink, state *gate.Worker, e runs.Envelope) {
 	number := a.listingNumber.Add(1)
 	listing, ok := a.requestListing(state, e)
-	if !ok {
+	if !ok || !a.isReached(state.Description.Incarnation) {
 		return
 	}
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
@@ -224,11 +224,12 @@
 
 // forward sends a listing to the holder. A listing that was requested in another term is
 // dropped, as it has not fenced the worker for this holder: under the same epoch, but without
-// the number of this process, calls of an earlier process may still be carried out after it. It
-// reports whether the holder knows the worker's state.
+// the number of this process, calls of an earlier process may still be carried out after it. So is one
+// of an incarnation that has not been reached yet. It reports whether the holder knows the worker's
+// state.
 func (l *lister) forward(d *runs.Description, number uint64, term gate.Term, listing runs.Listing) bool {
 	holderLink := l.agent.holderLink.Load()
-	if holderLink == nil || holderLink.term() != term {
+	if holderLink == nil || holderLink.term() != term || !l.agent.isReached(d.Incarnation) {
 		return false
 	}
 	now := clock.Boottime()
