Show that a late start runs beside its task's next run after a cut

Cause: the lease that a late call gives the next life of a worker counts for the holder only with the first listing of that life. A life that is cut off as it begins does not list.

Nothing is mended.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 # review/build-3.sh have made. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/carobkeel ] && [ -x target/review-standin3 ] || exit 2
-exec target/review-standin3 -scenario wide -binary target/carobkeel -record review/12/record.txt
+exec target/review-standin3 -scenario learned -binary target/carobkeel -record review/12/record.txt
--- a/review/standin3/scenarios.go
+++ b/review/standin3/scenarios.go
@@ -14,6 +14,7 @@
 
 var scenarios = map[string]scenario{
 	"learned": {3, 3, learned},
+	"recut":   {3, 3, recut},
 	"wide":    {3, 11, wide},
 }
 
@@ -227,3 +228,58 @@
 	}
 	return false
 }
+
+// recut leaves a start on a minion unanswered. The minion crashes and begins again under its id, and is cut
+// off as it begins. The start is carried out there.
+func recut(f *fleet) {
+	time.Sleep(12 * time.Second) // so that the minions' clocks are ahead of that of a new life
+	if f.trouble {
+		f.world.mu.Lock()
+		for _, w := range f.workers {
+			w.startsLate = true
+		}
+		f.world.mu.Unlock()
+	}
+	j := &job{ID: newID(), Spec: spec(), Steps: []step{{Count: 1, CPU: 3500, Memory: 6400, Estimate: 6000, work: 6 * time.Second}}}
+	f.submit(batch, j)
+	if w := f.awaitLateStart(); w != nil {
+		time.Sleep(100 * time.Millisecond)
+		f.world.mu.Lock()
+		w.crash()
+		f.world.mu.Unlock()
+		time.Sleep(600 * time.Millisecond)
+		f.world.mu.Lock()
+		w.begin()
+		w.cut = true
+		f.world.note("%s begins again and is cut off", w.name)
+		f.world.mu.Unlock()
+		time.Sleep(5500 * time.Millisecond)
+		f.world.mu.Lock()
+		w.cut = false
+		f.world.note("%s is not cut off any more", w.name)
+		f.world.mu.Unlock()
+	}
+	f.finish(batch, []*job{j})
+}
+
+// awaitLateStart returns the minion on which a start was left without an answer, and lets all others
+// answer. It returns nil if there is none for a second.
+func (f *fleet) awaitLateStart() *worker {
+	for begun := time.Now(); time.Since(begun) < time.Second; time.Sleep(time.Millisecond) {
+		f.world.mu.Lock()
+		var found *worker
+		for _, w := range f.workers {
+			if !w.lateAt.IsZero() {
+				found = w
+			}
+		}
+		for _, w := range f.workers {
+			w.startsLate = w.startsLate && found == nil
+		}
+		f.world.mu.Unlock()
+		if found != nil {
+			return found
+		}
+	}
+	return nil
+}
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -143,6 +143,12 @@
 	lastEnd  uint64
 	endAdded chan struct{}
 	draining bool
+	// cut is set while the minion is cut off and runs on: no call reaches it, and none of its own gets out.
+	cut bool
+	// startsLate lets the next start get no answer. It is then carried out after lateBy.
+	startsLate bool
+	// lateAt is when a start was left without an answer.
+	lateAt time.Time
 	// lapsedAt is when the lease was last seen to have lapsed.
 	lapsedAt time.Time
 }
@@ -191,7 +197,20 @@
 			m.Unlock()
 			abort()
 		}
-		if target := r.Header.Get("Target-Instance"); target != "" && target != w.id {
+		if w.cut {
+			m.Unlock()
+			<-r.Context().Done()
+			abort()
+		}
+		target := r.Header.Get("Target-Instance")
+		if w.startsLate && strings.HasSuffix(r.URL.Path, "/run-start") {
+			w.startsLate, w.lateAt = false, time.Now()
+			w.carryOutLate(&o, target)
+			m.Unlock()
+			<-r.Context().Done()
+			abort()
+		}
+		if target != "" && target != w.id {
 			m.Unlock()
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -235,6 +254,26 @@
 	}
 }
 
+// lateBy is how much later than it was sent a start without an answer is carried out.
+const lateBy = 2500 * time.Millisecond
+
+// carryOutLate carries a start out later, if the minion, or its next life under the same id, then accepts
+// it. The caller holds the world's lock.
+func (w *worker) carryOutLate(o *order, target string) {
+	w.world.note("start %s run %d on %s gets no answer", o.Task, o.Run, w.name)
+	time.AfterFunc(lateBy, func() {
+		w.world.mu.Lock()
+		defer w.world.mu.Unlock()
+		if !w.up || (target != "" && target != w.id) || o.Fence < w.fence {
+			w.world.note("the late start is refused")
+			return
+		}
+		w.world.note("the late start is carried out, deadline %d on a clock of %d", o.Deadline, w.clock().Milliseconds())
+		w.admit(o)
+		w.start(o)
+	})
+}
+
 // admit applies the fence and the deadline of a call.
 func (w *worker) admit(o *order) {
 	w.fence = o.Fence
@@ -422,7 +461,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for {
 		w.world.mu.Lock()
-		up, id := w.up, w.id
+		up, id := w.up && !w.cut, w.id
 		w.seq++
 		state := "ready"
 		if w.draining {
