Show that lasting tasks wait too long after a third holder is lost

Cause: the time that a holder may be silent doubles with each young holder that is replaced for it, up to 3.6 s, and the next one counts the longest inherited lease from its own takeover.

Nothing is mended.

Conclusion: two freezes of holders in a row make a later loss break the bound.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -442,3 +442,14 @@
 		}
 	}
 }
+
+// holder returns the entry that the store names as the holder, nil for none.
+func (f *fleet) holder() *process {
+	value := string(f.store.read(rowID{Table: "holders", Part: "shard-0", Key: "holder"}).Value)
+	for _, p := range f.entries {
+		if strings.Contains(value, p.name) {
+			return p
+		}
+	}
+	return nil
+}
--- a/review/standin3/scenarios.go
+++ b/review/standin3/scenarios.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +16,7 @@
 var scenarios = map[string]scenario{
 	"learned": {3, 3, learned},
 	"recut":   {3, 3, recut},
+	"silence": {3, 4, silence},
 	"wide":    {3, 11, wide},
 }
 
@@ -283,3 +285,35 @@
 	}
 	return nil
 }
+
+// silence freezes the holder twice, for 4 s each, and then takes away the machine of the one that holds the
+// shard then, and that of a minion, for good.
+func silence(f *fleet) {
+	j := &job{ID: newID(), Spec: spec(), Steps: []step{{Count: 6, CPU: 6400, Memory: 13000, Estimate: 1000, Perpetual: true, AntiAffinity: 2, work: time.Hour}}}
+	f.submit(watch, j)
+	time.Sleep(3 * time.Second)
+	go f.watchLasting()
+	for range 2 {
+		p := f.holder()
+		if f.trouble && p != nil {
+			f.world.disturb(p.name + " is frozen")
+			p.signal(syscall.SIGSTOP)
+		}
+		time.Sleep(4 * time.Second)
+		if f.trouble && p != nil {
+			p.signal(syscall.SIGCONT)
+			f.world.disturb(p.name + " wakes")
+		}
+		time.Sleep(4 * time.Second)
+	}
+	if p := f.holder(); f.trouble && p != nil {
+		lost, _ := f.busiest()
+		p.signal(syscall.SIGSTOP) // its addresses stay silent for good
+		f.sidecars[lost].signal(syscall.SIGSTOP)
+		f.world.mu.Lock()
+		f.workers[lost].crash()
+		f.world.mu.Unlock()
+		f.world.disturb(p.name + " and " + f.workers[lost].name + " are gone for good")
+	}
+	time.Sleep(16 * time.Second)
+}
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -165,6 +166,7 @@
 func (w *worker) crash() {
 	for _, r := range w.running {
 		r.finished = true
+		w.world.history(r.task).remove(r)
 		w.world.breakGang(r)
 	}
 	w.running = make(map[string]*run)
@@ -510,6 +512,11 @@
 	failures  int
 }
 
+// remove records that a run is over.
+func (h *history) remove(r *run) {
+	h.active = slices.DeleteFunc(h.active, func(other *run) bool { return other == r })
+}
+
 func newWorld() *world {
 	return &world{
 		begun: time.Now(), jobs: make(map[string]*job), tasks: make(map[taskID]*history), gangs: make(map[string]*gang),
@@ -661,12 +668,7 @@
 func (x *world) ended(e *end) {
 	x.note("end %s run %d on %s %s", e.run.task, e.run.number, e.run.worker.name, e.how)
 	h := x.history(e.run.task)
-	for i, r := range h.active {
-		if r == e.run {
-			h.active = append(h.active[:i:i], h.active[i+1:]...)
-			break
-		}
-	}
+	h.remove(e.run)
 	if e.how == "done" {
 		x.dones++
 		h.doneEnds = append(h.doneEnds, e)
