Keep the platform's names out of the third review's stand-in

Cause: TestPlatformStaysInItsFolder reads every Go file of the module, and failed on review/standin3.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,4 +1,4 @@
-// Command standin3 plays the platform, minions and clients of a small deployment against the
+// Command standin3 plays the platform, workers and clients of a small deployment against the
 // project's own processes, disturbs them as a scenario says, and judges what ran.
 package main
 
@@ -190,7 +190,7 @@
 	return f.awaitReady()
 }
 
-// addSide adds a side machine, with a sidecar and a minion.
+// addSide adds a side machine, with a sidecar and a worker.
 func (f *fleet) addSide() (*worker, error) {
 	i := len(f.workers)
 	ip := fmt.Sprintf("%s.%d", f.base, i+11)
@@ -218,7 +218,7 @@
 	return w, nil
 }
 
-// removeSide empties a minion and takes its machine away.
+// removeSide empties a worker and takes its machine away.
 func (f *fleet) removeSide(i int) {
 	w, p := f.workers[i], f.sidecars[i]
 	f.world.disturb(w.name + " drains")
@@ -226,7 +226,7 @@
 	w.draining = true
 	f.world.mu.Unlock()
 	time.Sleep(3500 * time.Millisecond)
-	if request, err := http.NewRequest(http.MethodDelete, "http://"+w.control+"/carobkeel/instances/"+w.id, nil); err == nil {
+	if request, err := http.NewRequest(http.MethodDelete, "http://"+w.control+wire.word("instances")+w.id, nil); err == nil {
 		if response, err := f.client.Do(request); err == nil {
 			_ = response.Body.Close()
 		}
@@ -245,7 +245,7 @@
 	for begun := time.Now(); time.Since(begun) < 15*time.Second; time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for _, address := range f.readies {
-			if response, err := f.client.Get("http://" + address + "/carobkeel/readiness"); err == nil {
+			if response, err := f.client.Get("http://" + address + wire.word("ready")); err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
 					ready++
@@ -277,12 +277,12 @@
 	var routes []map[string]any
 	for _, q := range queues {
 		route := map[string]any{
-			"name": q.name, "host": q.host, "path_prefix": q.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": q.sloMS,
+			"name": q.name, "host": q.host, "path_prefix": q.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "objective_ms": q.sloMS,
 			"priority": q.priority, "service": service, "max_attempts": 3, "stretch": q.stretch,
 		}
 		routes = append(routes, route)
 	}
-	value, _ := json.Marshal(map[string]any{
+	value := wire.encode(map[string]any{
 		"version": version, "routes": routes, "limits": map[string]any{"max_body_bytes": 262144},
 		"services": []map[string]any{{"name": service, "health_path": "/health", "max_conns": 64, "enforces_capacity": false}},
 	})
@@ -298,7 +298,7 @@
 		"discovery": "local", "entry": "vip", "heartbeat_ms": 1100, "orders": "call",
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"},
 		"bounds": map[string]any{
-			"contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6, "config_apply_ms": 2000, "max_hold_ms": 10000,
+			"contact_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 6, "config_apply_ms": 2000, "max_lease_ms": 10000,
 			"stop_grace_ms": 400, "gang_wait_ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
 			"status_s": 120, "remote_factor": 1.5, "checkpoint_s": 1, "restore_ms": 250, "lease_ms": 3000, "require_fence": false,
 		},
@@ -311,10 +311,7 @@
 	for key, value := range own {
 		settings[key] = value
 	}
-	text, err := json.Marshal(settings)
-	if err != nil {
-		return nil, err
-	}
+	text := wire.encode(settings)
 	file := filepath.Join(f.folder, name+".json")
 	if err := os.WriteFile(file, text, 0o644); err != nil {
 		return nil, err
@@ -386,7 +383,7 @@
 	}
 	request.Host = queues[q].host
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Time-Budget-Ms", "3000")
+	request.Header.Set(wire.word("budget"), "3000")
 	response, err := f.client.Do(request)
 	if err != nil {
 		return 0, ""
@@ -400,7 +397,7 @@
 
 // submit hands a job in, and tries again for some time. It returns whether it was accepted.
 func (f *fleet) submit(q int, j *job) bool {
-	body, _ := json.Marshal(j)
+	body := wire.encode(j)
 	f.world.mu.Lock()
 	f.world.jobs[j.ID] = j
 	f.world.mu.Unlock()
--- a/review/standin3/quota.go
+++ b/review/standin3/quota.go
@@ -75,3 +75,36 @@
 	defer p.mu.Unlock()
 	return p.stop
 }
+
+// residentBytes returns the memory that a process has in use.
+func residentBytes(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// limitMemory ends a process whose memory exceeds its machine's, as the platform does.
+func (f *fleet) limitMemory(p *process, limit int64) {
+	for !p.ended() {
+		time.Sleep(50 * time.Millisecond)
+		pid := p.pid()
+		if pid == 0 {
+			continue
+		}
+		if size := residentBytes(pid); size > limit {
+			p.signalPID(pid, syscall.SIGKILL)
+			f.world.mu.Lock()
+			f.world.kills[p.name]++
+			f.world.note("%s has %d MB of %d in use and is killed", p.name, size>>20, limit>>20)
+			f.world.mu.Unlock()
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+}
--- a/review/standin3/scenarios.go
+++ b/review/standin3/scenarios.go
@@ -17,6 +17,7 @@
 	"learned": {3, 3, learned},
 	"recut":   {3, 3, recut},
 	"silence": {3, 4, silence},
+	"memory":  {3, 3, memory},
 	"wide":    {3, 11, wide},
 }
 
@@ -34,8 +35,8 @@
 	return fmt.Sprintf("registry.msaada.example/dispatch/%s-%02d:2026.12.07-build.%04d", kind, n, 1000+n)
 }
 
-// learned runs lasting tasks that serve, and lasting tasks that fill, of many images on three minions. Then
-// an empty minion is added and the one that runs most is emptied and taken away, six times.
+// learned runs lasting tasks that serve, and lasting tasks that fill, of many images on three workers. Then
+// an empty worker is added and the one that runs most is emptied and taken away, six times.
 func learned(f *fleet) {
 	for n := range 24 {
 		f.submit(watch, &job{ID: newID(), Spec: spec(), Steps: []step{{
@@ -72,7 +73,7 @@
 	time.Sleep(16 * time.Second)
 }
 
-// busiest returns the index of the minion that runs most, and how much it runs.
+// busiest returns the index of the worker that runs most, and how much it runs.
 func (f *fleet) busiest() (index, runs int) {
 	f.world.mu.Lock()
 	defer f.world.mu.Unlock()
@@ -231,10 +232,10 @@
 	return false
 }
 
-// recut leaves a start on a minion unanswered. The minion crashes and begins again under its id, and is cut
+// recut leaves a start on a worker unanswered. The worker crashes and begins again under its id, and is cut
 // off as it begins. The start is carried out there.
 func recut(f *fleet) {
-	time.Sleep(12 * time.Second) // so that the minions' clocks are ahead of that of a new life
+	time.Sleep(12 * time.Second) // so that the workers' clocks are ahead of that of a new life
 	if f.trouble {
 		f.world.mu.Lock()
 		for _, w := range f.workers {
@@ -264,7 +265,7 @@
 	f.finish(batch, []*job{j})
 }
 
-// awaitLateStart returns the minion on which a start was left without an answer, and lets all others
+// awaitLateStart returns the worker on which a start was left without an answer, and lets all others
 // answer. It returns nil if there is none for a second.
 func (f *fleet) awaitLateStart() *worker {
 	for begun := time.Now(); time.Since(begun) < time.Second; time.Sleep(time.Millisecond) {
@@ -287,7 +288,7 @@
 }
 
 // silence freezes the holder twice, for 4 s each, and then takes away the machine of the one that holds the
-// shard then, and that of a minion, for good.
+// shard then, and that of a worker, for good.
 func silence(f *fleet) {
 	j := &job{ID: newID(), Spec: spec(), Steps: []step{{Count: 6, CPU: 6400, Memory: 13000, Estimate: 1000, Perpetual: true, AntiAffinity: 2, work: time.Hour}}}
 	f.submit(watch, j)
@@ -317,3 +318,56 @@
 	}
 	time.Sleep(16 * time.Second)
 }
+
+const (
+	entryMemory = 284 << 20
+	// mostKills is how often a process may end by itself in a day, and mostMachines on how many machines
+	// it may do so more often.
+	mostKills, mostMachines = 2, 1
+)
+
+// memory hands in sixteen jobs of many tasks, 2.5 a second, and then a few small ones.
+func memory(f *fleet) {
+	for _, p := range f.entries {
+		go f.limitMemory(p, entryMemory)
+	}
+	count := 6
+	if f.trouble {
+		count = 120000
+	}
+	for range 16 {
+		f.clients.Add(1)
+		go func() {
+			defer f.clients.Done()
+			f.submit(batch, &job{ID: newID(), Spec: spec(), Steps: []step{{Count: count, CPU: 3500, Memory: 6400, Estimate: 2700, work: 2700 * time.Millisecond}}})
+		}()
+		time.Sleep(400 * time.Millisecond)
+	}
+	f.clients.Wait()
+	var small []*job
+	for range 5 {
+		if j := smallJob(time.Second); f.submit(urgent, j) {
+			small = append(small, j)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	time.Sleep(finishTime)
+	f.world.mu.Lock()
+	defer f.world.mu.Unlock()
+	machines, ended := 0, 0
+	for name, kills := range f.world.kills {
+		f.world.note("%s was killed %d times", name, kills)
+		if kills > mostKills {
+			machines++
+		}
+	}
+	for _, j := range small {
+		if f.world.isDone(j) {
+			ended++
+		}
+	}
+	f.world.note("%d of %d small jobs that were accepted have ended", ended, len(small))
+	if machines > mostMachines {
+		f.world.breakRule("Fault", "processes of %d machines have ended by themselves three times or more: memory over the limit", machines)
+	}
+}
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
@@ -22,15 +21,15 @@
 	rowID
 	Value     []byte `json:"value"`
 	Version   uint64 `json:"ver"`
-	Tombstone bool   `json:"tombstone,omitempty"`
+	Tombstone bool   `json:"deleted,omitempty"`
 }
 
-// transaction is the body of rows-tx.
+// transaction is the body of a write.
 type transaction struct {
 	Expected []struct {
 		rowID
 		Version uint64 `json:"ver"`
-	} `json:"expect_rev"`
+	} `json:"conditions"`
 	Upserts []row   `json:"upserts"`
 	Remove  []rowID `json:"remove"`
 }
@@ -69,16 +68,15 @@
 
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /carobkeel/rows-tx", s.serveTransaction)
-	mux.HandleFunc("GET /carobkeel/rows-get", s.serveGet)
-	mux.HandleFunc("GET /carobkeel/rows-feed", s.serveFeed)
+	mux.HandleFunc("POST "+wire.word("transaction"), s.serveTransaction)
+	mux.HandleFunc("GET "+wire.word("get"), s.serveGet)
+	mux.HandleFunc("GET "+wire.word("feed"), s.serveFeed)
 	return mux
 }
 
 func (s *store) serveTransaction(w http.ResponseWriter, r *http.Request) {
 	var t transaction
-	body, err := io.ReadAll(r.Body)
-	if err != nil || json.Unmarshal(body, &t) != nil || len(t.Expected)+len(t.Upserts)+len(t.Remove) > maxEntries || len(body) > pageBytes {
+	if wire.decode(io.LimitReader(r.Body, pageBytes), &t) != nil || len(t.Expected)+len(t.Upserts)+len(t.Remove) > maxEntries {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -228,5 +226,5 @@
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(wire.encode(body))
 }
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -25,21 +24,21 @@
 	Count        int    `json:"count"`
 	CPU          int    `json:"cpu,omitempty"`
 	Memory       int    `json:"mem_mb,omitempty"`
-	Estimate     int    `json:"est_duration_ms,omitempty"`
+	Estimate     int    `json:"estimate_ms,omitempty"`
 	After        []int  `json:"after,omitempty"`
-	Saves        bool   `json:"saves_progress,omitempty"`
+	Saves        bool   `json:"saves,omitempty"`
 	Gang         bool   `json:"gang,omitempty"`
 	SameRack     bool   `json:"same_rack,omitempty"`
 	Requires     string `json:"requires,omitempty"`
 	Affinity     string `json:"affinity,omitempty"`
 	AntiAffinity int    `json:"anti_affinity,omitempty"`
-	AllowDup     bool   `json:"allow_dup,omitempty"`
+	AllowDup     bool   `json:"copies,omitempty"`
 	Perpetual    bool   `json:"perpetual,omitempty"`
 	GPU          int    `json:"gpu,omitempty"`
 	Image        string `json:"image,omitempty"`
 	Target       int    `json:"target_ms,omitempty"`
 	Fills        bool   `json:"fills,omitempty"`
-	MayMiss      int    `json:"may_miss,omitempty"`
+	MayMiss      int    `json:"may_lack,omitempty"`
 	// work is how long a task works, and failures how many of its first runs fail.
 	work     time.Duration
 	failures int
@@ -84,9 +83,9 @@
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
 	Deadline   int64  `json:"deadline_ms"`
-	Fence      uint64 `json:"fence_token"`
+	Fence      uint64 `json:"fence"`
 	Checkpoint string `json:"last_checkpoint"`
-	Ack        uint64 `json:"ack_cursor"`
+	Ack        uint64 `json:"acknowledged"`
 	Wait       int64  `json:"wait_ms"`
 	Percent    *int   `json:"percent"`
 }
@@ -122,7 +121,7 @@
 	noted  bool
 }
 
-// worker is a stand-in of a minion.
+// worker is a stand-in of a worker.
 type worker struct {
 	world   *world
 	name    string
@@ -144,7 +143,7 @@
 	lastEnd  uint64
 	endAdded chan struct{}
 	draining bool
-	// cut is set while the minion is cut off and runs on: no call reaches it, and none of its own gets out.
+	// cut is set while the worker is cut off and runs on: no call reaches it, and none of its own gets out.
 	cut bool
 	// startsLate lets the next start get no answer. It is then carried out after lateBy.
 	startsLate bool
@@ -177,10 +176,10 @@
 
 func (w *worker) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /carobkeel/run-start", w.serve((*worker).start))
-	mux.HandleFunc("POST /carobkeel/run-stop", w.serve((*worker).stop))
-	mux.HandleFunc("POST /carobkeel/pace", w.serve((*worker).pace))
-	mux.HandleFunc("POST /carobkeel/hold", w.serve((*worker).hold))
+	mux.HandleFunc("POST "+wire.word("start"), w.serve((*worker).start))
+	mux.HandleFunc("POST "+wire.word("stop"), w.serve((*worker).stop))
+	mux.HandleFunc("POST "+wire.word("pace"), w.serve((*worker).pace))
+	mux.HandleFunc("POST "+wire.word("hold"), w.serve((*worker).hold))
 	return mux
 }
 
@@ -189,7 +188,7 @@
 func (w *worker) serve(carryOut func(*worker, *order) string) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var o order
-		if json.NewDecoder(r.Body).Decode(&o) != nil {
+		if wire.decode(r.Body, &o) != nil {
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
@@ -204,8 +203,8 @@
 			<-r.Context().Done()
 			abort()
 		}
-		target := r.Header.Get("Target-Instance")
-		if w.startsLate && strings.HasSuffix(r.URL.Path, "/run-start") {
+		target := r.Header.Get(wire.word("target"))
+		if w.startsLate && r.URL.Path == wire.word("start") {
 			w.startsLate, w.lateAt = false, time.Now()
 			w.carryOutLate(&o, target)
 			m.Unlock()
@@ -225,7 +224,7 @@
 		}
 		w.admit(&o)
 		reason := carryOut(w, &o)
-		isHold := strings.HasSuffix(r.URL.Path, "/hold")
+		isHold := r.URL.Path == wire.word("hold")
 		if isHold && o.Wait > 0 && len(w.ends) == 0 {
 			added, born := w.endAdded, w.born
 			m.Unlock()
@@ -259,7 +258,7 @@
 // lateBy is how much later than it was sent a start without an answer is carried out.
 const lateBy = 2500 * time.Millisecond
 
-// carryOutLate carries a start out later, if the minion, or its next life under the same id, then accepts
+// carryOutLate carries a start out later, if the worker, or its next life under the same id, then accepts
 // it. The caller holds the world's lock.
 func (w *worker) carryOutLate(o *order, target string) {
 	w.world.note("start %s run %d on %s gets no answer", o.Task, o.Run, w.name)
@@ -469,14 +468,14 @@
 		if w.draining {
 			state = "draining"
 		}
-		body, _ := json.Marshal(map[string]any{
-			"service": service, "address": w.address, "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+		body := wire.encode(map[string]any{
+			"service": service, "address": w.address, "zone": zone, "version": "v1", "slots": 8, "state": state, "cold_ms": 0,
 			"capacity": map[string]int{"cpu": w.cpu, "mem_mb": w.memory, "gpu": 0}, "labels": []string{"a", w.rack},
 			"clock_ms": w.clock().Milliseconds(), "seq": w.seq, "born": w.born.UnixMilli(), "remaining_ms": 2000,
 		})
 		w.world.mu.Unlock()
 		if up {
-			request, _ := http.NewRequest(http.MethodPut, "http://"+w.control+"/carobkeel/instances/"+id, strings.NewReader(string(body)))
+			request, _ := http.NewRequest(http.MethodPut, "http://"+w.control+wire.word("instances")+id, strings.NewReader(string(body)))
 			request.Header.Set("Content-Type", "application/json")
 			if response, err := client.Do(request); err == nil {
 				_ = response.Body.Close()
@@ -499,6 +498,8 @@
 	lines  []string
 	starts int
 	dones  int
+	// kills counts how often each process has exceeded its memory.
+	kills map[string]int
 	// disturbed is when something was last done to the deployment.
 	disturbed time.Time
 }
@@ -520,7 +521,7 @@
 func newWorld() *world {
 	return &world{
 		begun: time.Now(), jobs: make(map[string]*job), tasks: make(map[taskID]*history), gangs: make(map[string]*gang),
-		shown: make(map[string]string), cancel: make(map[string]time.Time), broken: make(map[string][]string),
+		shown: make(map[string]string), cancel: make(map[string]time.Time), broken: make(map[string][]string), kills: make(map[string]int),
 	}
 }
 
