Hold a task back that an unreached incarnation may run by a late start

A start got no answer, its worker began anew and was cut off, the start was carried out there under the longest lease, and the holder started the task elsewhere 3.7 s after the last ping.

Cause: a start without an answer may be carried out by any later incarnation under the worker's ID. The sidecar kept one lost call for each worker, without the task, and the holder counted what follows from it with the first listing of that incarnation, which one that isn't reached never gives.

Change: the sidecar keeps the lost start of each task and names the tasks in its reports of a worker that does not answer; the holder starts just these nowhere until the worker lists, the report is taken back, or 40 s have passed. A sidecar that hears of no holder stops what its worker runs before the lease ends that holders count, if a late call may have lengthened the worker's own. Nothing waits where nothing listens.

Tests: the table of who vanishes is played with and without the sidecar's own stops. Three rows of TestTableOfWhoVanishesHasTeeth withhold the stops as well, as these make up for what those rows withhold: with the stops withheld they demand what they did.

--- a/cmd/soak/jobs/logline.go
+++ b/cmd/soak/jobs/logline.go
@@ -39,6 +39,7 @@
 	switch l.Message {
 	case dispatch.DecidedEndsAcknowledged, dispatch.DecidedEndsMissed, dispatch.DecidedInheritedWorkerListed,
 		dispatch.DecidedInheritedLeaseExpired, dispatch.DecidedLateLease, dispatch.DecidedLateLeaseRuledOut,
+		dispatch.DecidedLateStart,
 		dispatch.DecidedLeaseExpired, dispatch.DecidedLinkLost,
 		dispatch.DecidedOtherIncarnation, dispatch.DecidedWorkerRestarted, dispatch.DecidedWorkerShutDown,
 		dispatch.DecidedWorkerUnreachable:
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -116,6 +116,8 @@
 	// they have not listed yet, although they have listed others, and how long they have to
 	// list them.
 	partlyListed map[string]time.Duration
+	// lateStarts holds the tasks that workers which don't answer may run by late starts.
+	lateStarts map[carobkeel.TaskName]lateStart
 	// recordedIncarnations maps the worker incarnations that have a record in the
 	// store to their hosts.
 	recordedIncarnations map[runs.Incarnation]string
@@ -195,6 +197,7 @@
 		workers:              make(map[string]*workerState),
 		unreportedWorkers:    make(map[runs.Incarnation]unreportedWorker),
 		endedWorkers:         make(map[runs.Incarnation]endedWorker),
+		lateStarts:           make(map[carobkeel.TaskName]lateStart),
 		partlyListed:         make(map[string]time.Duration),
 		recordedIncarnations: make(map[runs.Incarnation]string),
 		dirty:                make(map[carobkeel.JobID]*job),
@@ -253,6 +256,7 @@
 	c.now = now
 	c.expireLeases()
 	c.expireInherited()
+	c.expireLateStarts()
 	c.forgetOldEnded()
 }
 
@@ -325,6 +329,9 @@
 	for _, e := range c.endedWorkers {
 		c.wakeAt(e.keptUntil)
 	}
+	for _, s := range c.lateStarts {
+		c.wakeAt(s.until)
+	}
 	for _, j := range c.dirty {
 		if j.storeBy > c.now.Monotonic {
 			c.wakeAt(j.storeBy)
--- a/scheduler/dispatch/decision.go
+++ b/scheduler/dispatch/decision.go
@@ -82,6 +82,9 @@
 	// DecidedLateLeaseRuledOut does not count a lease that the worker's sidecar can't rule out.
 	// The detail has what this holder does not know of, and waited is what it would count.
 	DecidedLateLeaseRuledOut DecisionKind = "late lease ruled out"
+	// DecidedLateStart holds a task back that a worker which does not answer may run by a late start. Waited
+	// is the longest time for which it may.
+	DecidedLateStart DecisionKind = "task may run by a late start"
 	// DecidedWorkerQuarantined quarantines a worker: it gets no tasks for some
 	// time.
 	DecidedWorkerQuarantined DecisionKind = "worker quarantined"
--- a/scheduler/dispatch/lease.go
+++ b/scheduler/dispatch/lease.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -153,9 +154,10 @@
 
 // WorkerUnreachable records that the sidecar of a host can't reach its worker, whose
 // lease expires after remaining. A negative value means that the sidecar does
-// not know the time.
-func (c *Core) WorkerUnreachable(host string, remaining time.Duration) {
+// not know the time. The worker may run the tasks of late starts, by a later incarnation under its ID.
+func (c *Core) WorkerUnreachable(host string, remaining time.Duration, lateStarts ...carobkeel.TaskName) {
 	w := c.worker(host)
+	c.updateLateStarts(w, lateStarts)
 	if w.unresponsive {
 		c.countLaterReport(w, remaining)
 		return
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -64,6 +64,7 @@
 	w.listed = true
 	if !l.Partial {
 		delete(c.partlyListed, w.host)
+		c.dropLateStarts(w.host)
 		c.releaseMissing(w, l.Number, seen)
 	} else {
 		c.holdBackInherited(w, first)
--- a/scheduler/dispatch/task.go
+++ b/scheduler/dispatch/task.go
@@ -66,6 +66,9 @@
 
 // isHeldBack reports whether a worker that has not listed its runs may run the task.
 func (c *Core) isHeldBack(t *task) bool {
+	if c.mayRunLate(t) {
+		return true
+	}
 	return t.job().inherited && len(c.unreportedWorkers)+len(c.partlyListed) > 0 && !t.located
 }
 
--- a/scheduler/dispatch/vanishing_orders_test.go
+++ b/scheduler/dispatch/vanishing_orders_test.go
@@ -75,7 +75,7 @@
 	case gate.StartExpired(pinged, s.extendsFrom, s.world.now, testLease):
 		return runs.ResultExpired
 	}
-	number, clock, sent := s.beginCall(e)
+	number, clock, sent := s.beginCall(e, o.Task)
 	answer, err := s.host.start(e, runs.Start{Task: o.Task, Run: o.Run, Payload: "payload"})
 	s.endCall(number, clock, sent, answer, err)
 	if err != nil {
--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -65,6 +65,8 @@
 	tickedAt time.Duration
 	pingAt   time.Duration
 	listAt   time.Duration
+	// nextStop is when the process may next stop runs by itself.
+	nextStop time.Duration
 }
 
 func (s *vanishingSidecar) tick() {
@@ -202,7 +204,7 @@
 
 // list requests a listing, and keeps it in mind if it extends the lease and gets no answer.
 func (s *vanishingSidecar) list(e runs.Envelope) (runs.Listing, runs.Answer, error) {
-	number, clock, sent := s.beginCall(e)
+	number, clock, sent := s.beginCall(e, carobkeel.TaskName{})
 	listing, answer, err := s.host.list(e)
 	if err == nil && listing.StartedAtMs != 0 && listing.StartedAtMs != e.Incarnation.StartedAtMs {
 		s.calls = s.calls.Lose(number)
@@ -216,12 +218,12 @@
 }
 
 // beginCall notes a call that extends the lease. The number is zero for others.
-func (s *vanishingSidecar) beginCall(e runs.Envelope) (uint64, gate.Clock, time.Duration) {
+func (s *vanishingSidecar) beginCall(e runs.Envelope, start carobkeel.TaskName) (uint64, gate.Clock, time.Duration) {
 	if e.Deadline == 0 {
 		return 0, gate.Clock{}, 0
 	}
 	s.lastCall++
-	s.calls = s.calls.Add(gate.LeaseCall{Number: s.lastCall, WorkerID: e.Incarnation.ID, Sent: s.callTime()}, vanishingMaxLease)
+	s.calls = s.calls.Add(gate.LeaseCall{Number: s.lastCall, WorkerID: e.Incarnation.ID, Start: start, Sent: s.callTime()}, vanishingMaxLease)
 	return s.lastCall, s.knownClock(), s.world.now
 }
 
@@ -238,7 +240,7 @@
 func (s *vanishingSidecar) listOnce() {
 	if s.state.Description == nil {
 		s.unresponsive = true
-		s.reportUnreachable(max(0, s.earlierLeaseRemaining()))
+		s.reportUnreachable(max(0, s.earlierLeaseRemaining()), nil)
 		if fence := s.state.Fence(s.holder.Term); fence.Epoch != 0 {
 			_, _, _ = s.host.list(runs.Envelope{Fence: fence})
 		}
@@ -262,12 +264,24 @@
 	if extendsFor > 0 {
 		s.extendedFor = extendsFor
 	}
+	s.stopLateRuns(listing.Running)
 	if s.forward(number, term, listing) && s.unresponsive {
 		s.extendsFrom, s.unresponsive = s.world.now, false
 		s.ping()
 	}
 }
 
+// stopLateRuns stops the runs under a lease that a holder need not know of.
+func (s *vanishingSidecar) stopLateRuns(running []runs.Running) {
+	if s.world.broken.noStops || s.world.now < s.nextStop || !s.state.MustStop(s.holder, s.world.now, testLease, vanishingMaxLease) {
+		return
+	}
+	s.nextStop = s.world.now + gate.StopMargin
+	for _, r := range running {
+		s.host.stop(s.envelopeWithoutLease(s.holder.Term), runs.Stop{Task: r.Task, Run: r.Run})
+	}
+}
+
 func (s *vanishingSidecar) nextListing(term gate.Term) (runs.Envelope, time.Duration) {
 	e := s.envelopeWithoutLease(term)
 	if !s.state.HasListed(e.Fence) || !s.knownClock().Known || s.holder.Confirmed <= s.extendedFor {
@@ -278,7 +292,7 @@
 
 func (s *vanishingSidecar) confirm(fence runs.Fence, answer runs.Answer) {
 	wasVerified := s.state.Verified
-	s.state = s.state.Confirm(fence).Reach(fence, s.world.now, s.lateCalls())
+	s.state = s.state.Confirm(fence).Answer(s.callTime()).Reach(fence, s.world.now, s.lateCalls())
 	s.clock, s.clockOf = gate.Clock{Reading: answer.Clock, Received: s.world.now, Known: true}, s.state.Description.Incarnation
 	if !wasVerified {
 		s.describe()
@@ -338,9 +352,12 @@
 
 func (s *vanishingSidecar) handleFailure(answer runs.Answer, err error, term gate.Term) {
 	s.failures++
+	if err != nil {
+		s.state = s.state.Fail(err)
+	}
 	if s.failures >= modelUnresponsiveAfter {
 		s.unresponsive = true
-		s.reportUnreachable(s.leaseRemaining())
+		s.reportUnreachable(s.leaseRemaining(), s.lateStarts(err))
 	}
 	wasConfirmed := s.state.Confirmed != (runs.Fence{})
 	switch {
@@ -356,9 +373,17 @@
 	}
 }
 
-func (s *vanishingSidecar) reportUnreachable(remaining time.Duration) {
+// lateStarts returns the tasks that a worker which does not answer may run by late starts.
+func (s *vanishingSidecar) lateStarts(err error) []carobkeel.TaskName {
+	if s.world.broken.noLateStarts {
+		return nil
+	}
+	return s.state.LateStarts(s.calls, err, s.world.now, s.callTime(), vanishingMaxLease)
+}
+
+func (s *vanishingSidecar) reportUnreachable(remaining time.Duration, lateStarts []carobkeel.TaskName) {
 	if s.isLinked() {
-		s.world.core.WorkerUnreachable(s.host.name, remaining)
+		s.world.core.WorkerUnreachable(s.host.name, remaining, lateStarts...)
 	}
 }
 
--- a/scheduler/dispatch/vanishing_test.go
+++ b/scheduler/dispatch/vanishing_test.go
@@ -181,24 +181,27 @@
 	groups := vanishingGroups()
 	var mu sync.Mutex
 	knowers := make(map[string]int)
-	t.Run("rows", func(t *testing.T) {
-		for _, g := range groups {
-			t.Run(g.String(), func(t *testing.T) {
-				t.Parallel()
-				count := playGroup(g.played(), brokenKnowledge{}, false)
-				t.Logf("%d rows, %d with a lost call, %d with a longer lease, known by %v", count.rows, count.lost, count.lateLeases, count.knowers)
-				for _, fault := range count.faults {
-					t.Error(fault)
-				}
-				g.check(t, count)
-				mu.Lock()
-				defer mu.Unlock()
-				for knower, n := range count.knowers {
-					knowers[knower] += n
-				}
-			})
-		}
-	})
+	// Records alone suffice too, without the sidecars' own stops.
+	for name, broken := range map[string]brokenKnowledge{"rows": {}, "rows without stops by sidecars": {noStops: true}} {
+		t.Run(name, func(t *testing.T) {
+			for _, g := range groups {
+				t.Run(g.String(), func(t *testing.T) {
+					t.Parallel()
+					count := playGroup(g.played(), broken, false)
+					t.Logf("%d rows, %d with a lost call, %d with a longer lease, known by %v", count.rows, count.lost, count.lateLeases, count.knowers)
+					for _, fault := range count.faults {
+						t.Error(fault)
+					}
+					g.check(t, count)
+					mu.Lock()
+					defer mu.Unlock()
+					for knower, n := range count.knowers {
+						knowers[knower] += n
+					}
+				})
+			}
+		})
+	}
 	for _, knower := range slices.Sorted(maps.Keys(knowers)) {
 		t.Logf("%s: %d rows", knower, knowers[knower])
 	}
@@ -215,22 +218,23 @@
 	}
 }
 
-// TestTableOfWhoVanishesHasTeeth checks that rows fail once any knowledge of late calls is withheld.
+// TestTableOfWhoVanishesHasTeeth checks that rows fail once any knowledge of late calls is withheld. Where
+// the sidecars' own stops make up for it, they are withheld too.
 func TestTableOfWhoVanishesHasTeeth(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		history vanishingHistory
 		broken  brokenKnowledge
 	}{
-		{"records of ended workers are withheld from the next holder", recordedWorker, brokenKnowledge{noEnded: true}},
-		{"records are removed when a worker has ended", recordedWorker, brokenKnowledge{shortEnded: true}},
+		{"records of ended workers are withheld from the next holder", recordedWorker, brokenKnowledge{noEnded: true, noStops: true}},
+		{"records are removed when a worker has ended", recordedWorker, brokenKnowledge{shortEnded: true, noStops: true}},
 		{"marks of late leases are withheld from the next holder", recordedWorker, brokenKnowledge{noLateMarks: true}},
 		{"records of workers are withheld from the next holder", recordedWorker, brokenKnowledge{noRecords: true}},
 		{"the sidecar speaks for the processes before it", recordedWorker, brokenKnowledge{noAge: true}},
 		{"the sidecar forgets its calls", recordedWorker, brokenKnowledge{noCalls: true}},
 		{"the lease of a call ends with its age", recordedWorker, brokenKnowledge{shortCalls: true}},
 		{"a suspended host's calls grow old", recordedWorker, brokenKnowledge{suspendedCounts: true}},
-		{"the lease is extended of workers without runs", unrecordedWorker, brokenKnowledge{idleLeases: true}},
+		{"the lease is extended of workers without runs", unrecordedWorker, brokenKnowledge{idleLeases: true, noStops: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/scheduler/dispatch/vanishing_world_test.go
+++ b/scheduler/dispatch/vanishing_world_test.go
@@ -67,6 +67,10 @@
 	shortCalls bool
 	// shortEnded removes a record instead of marking it as ended.
 	shortEnded bool
+	// noStops has the sidecar not stop by itself what a holder need not know of.
+	noStops bool
+	// noLateStarts has the sidecar not report the tasks of starts without an answer.
+	noLateStarts bool
 }
 
 func newVanishingWorld(broken brokenKnowledge) *vanishingWorld {
--- a/scheduler/holder/decision_log.go
+++ b/scheduler/holder/decision_log.go
@@ -28,6 +28,7 @@
 	dispatch.DecidedInheritedLeaseExpired: log.WarnLevel,
 	dispatch.DecidedEndsMissed:            log.WarnLevel,
 	dispatch.DecidedLateLease:             log.WarnLevel,
+	dispatch.DecidedLateStart:             log.WarnLevel,
 	dispatch.DecidedStopOverdue:           log.WarnLevel,
 	dispatch.DecidedPaceSet:               log.DebugLevel,
 	dispatch.DecidedMoveWithheld:          log.DebugLevel,
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -66,6 +66,7 @@
 			dispatch.DecidedEndsMissed:        scope.Counter("ends_missed"),
 			dispatch.DecidedLateLease:         scope.Counter("late_leases"),
 			dispatch.DecidedLateLeaseRuledOut: scope.Counter("late_leases_ruled_out"),
+			dispatch.DecidedLateStart:         scope.Counter("late_starts"),
 			dispatch.DecidedWorkerQuarantined: scope.Counter("workers_set_aside"),
 			dispatch.DecidedCommonRefusal:     scope.Counter("common_refusals"),
 			dispatch.DecidedSlowStartBegun:    scope.Counter("slow_starts_begun"),
--- a/scheduler/holder/peer.go
+++ b/scheduler/holder/peer.go
@@ -249,7 +249,7 @@
 			return nil, err
 		}
 		return func(l *loop) {
-			l.core.WorkerUnreachable(p.host, s.Decoded())
+			l.core.WorkerUnreachable(p.host, s.Decoded(), s.DecodedLateStarts()...)
 		}, nil
 	}
 	var left wire.WorkerShutDown
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -52,10 +52,31 @@
 	}
 }
 
+// FromUnreachable returns the report that a worker is not reached.
+func FromUnreachable(remaining time.Duration, lateStarts []carobkeel.TaskName) *WorkerUnreachable {
+	u := &WorkerUnreachable{Remaining: remaining.Milliseconds()}
+	for _, t := range lateStarts {
+		u.LateStarts = append(u.LateStarts, t.String())
+	}
+	return u
+}
+
 // Decoded returns the time until the worker's lease expires, which is negative if it is not
 // known.
 func (u *WorkerUnreachable) Decoded() time.Duration { return fromMillis(u.Remaining) }
 
+// DecodedLateStarts returns the tasks of which the worker may have carried out a late start, but for
+// names that can't be read: those name no task.
+func (u *WorkerUnreachable) DecodedLateStarts() []carobkeel.TaskName {
+	var tasks []carobkeel.TaskName
+	for _, name := range u.LateStarts {
+		if t, err := carobkeel.ParseTaskName(name); err == nil {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
 // FromAnswer returns the message for the answer to an order.
 func FromAnswer(a dispatch.OrderAnswer, epoch carobkeel.Epoch) *Answer {
 	return &Answer{
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -143,6 +143,8 @@
 	// Remaining is the time until the worker's lease expires, in milliseconds. It
 	// is negative if the sidecar does not know it.
 	Remaining int64
+	// LateStarts names the tasks of which the worker may have carried out a late start.
+	LateStarts []string
 }
 
 // WorkerShutDown reports that a worker has shut down in an orderly way.
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -1657,11 +1657,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WorkerUnreachable) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WorkerUnreachable) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendInt64(o, z.Remaining)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.LateStarts)))
+	for za0001 := range z.LateStarts {
+		o = msgp.AppendString(o, z.LateStarts[za0001])
+	}
 	return
 }
 
@@ -1673,8 +1677,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	z.Remaining, bts, err = msgp.ReadInt64Bytes(bts)
@@ -1682,12 +1686,37 @@
 		err = msgp.WrapError(err, "Remaining")
 		return
 	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LateStarts")
+		return
+	}
+	if zb0002 > z2c18a699limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.LateStarts) >= int(zb0002) {
+		z.LateStarts = (z.LateStarts)[:zb0002]
+	} else {
+		z.LateStarts = make([]string, zb0002)
+	}
+	for za0001 := range z.LateStarts {
+		z.LateStarts[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "LateStarts", za0001)
+			return
+		}
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WorkerUnreachable) Msgsize() (s int) {
-	s = 1 + msgp.Int64Size
+func (z *WorkerUnreachable) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.LateStarts {
+		s += msgp.StringPrefixSize + len(z.LateStarts[za0001])
+	}
 	return
 }
--- a/sidecar/agent/late_calls.go
+++ b/sidecar/agent/late_calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
 	"github.com/carobkeel/carobkeel/worker/runs"
@@ -12,7 +13,7 @@
 // list requests a listing of the worker, and keeps a call without an answer in mind if it
 // extends the lease.
 func (a *Agent) list(ctx context.Context, e runs.Envelope, acknowledged uint64, wait time.Duration) (runs.Listing, runs.Answer, error) {
-	call := a.beginLeaseCall(e)
+	call := a.beginLeaseCall(e, carobkeel.TaskName{})
 	listing, answer, err := a.sendList(ctx, e, acknowledged, wait)
 	if err == nil {
 		a.noteAnswer(e, listing.StartedAtMs, answer)
@@ -53,7 +54,7 @@
 // start sends a start to the worker, and keeps a call without an answer in mind: it extends the
 // lease too.
 func (a *Agent) start(ctx context.Context, e runs.Envelope, order runs.Start) (runs.Answer, error) {
-	call := a.beginLeaseCall(e)
+	call := a.beginLeaseCall(e, order.Task)
 	answer, err := a.worker.Start(ctx, e, order)
 	call.end(answer, err)
 	return answer, err
@@ -69,8 +70,8 @@
 	clock gate.Clock
 }
 
-// beginLeaseCall records a call that is about to be sent.
-func (a *Agent) beginLeaseCall(e runs.Envelope) leaseCall {
+// beginLeaseCall records a call that is about to be sent, with the task that it starts.
+func (a *Agent) beginLeaseCall(e runs.Envelope, start carobkeel.TaskName) leaseCall {
 	if e.Deadline == 0 {
 		return leaseCall{}
 	}
@@ -79,7 +80,7 @@
 		call.clock = known.Clock
 	}
 	a.updateLeaseCalls(func(l gate.LeaseCalls) gate.LeaseCalls {
-		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Sent: clock.Monotonic()}, a.config.MaxLease)
+		return l.Add(gate.LeaseCall{Number: call.number, WorkerID: e.Incarnation.ID, Start: start, Sent: clock.Monotonic()}, a.config.MaxLease)
 	})
 	return call
 }
@@ -139,6 +140,36 @@
 	return state.LateLease(clock.Boottime(), a.config.MaxLease)
 }
 
+// lateStarts returns the tasks that an incarnation which does not answer may run, as far as this process
+// knows. Err is the reason why the last call got no answer.
+func (a *Agent) lateStarts(err error) []carobkeel.TaskName {
+	state := a.state.Load()
+	if state.Description == nil {
+		return nil
+	}
+	return state.LateStarts(*a.leaseCalls.Load(), err, clock.Boottime(), clock.Monotonic(), a.config.MaxLease)
+}
+
+// stopLateRuns stops what the worker runs if its lease may be longer than a holder that this process
+// does not reach counts. What is not stopped now is with the next listing.
+func (l *lister) stopLateRuns(ctx context.Context, running []runs.Running) {
+	a, now := l.agent, clock.Boottime()
+	state, holder := a.state.Load(), a.holder.Load()
+	if len(running) == 0 || now < l.nextStop || !state.MustStop(*holder, now, a.config.WorkerLease, a.config.MaxLease) {
+		return
+	}
+	l.nextStop = now + gate.StopMargin
+	e := envelopeWithoutLease(state, holder.Term)
+	for _, r := range running {
+		_, err := a.worker.Stop(ctx, e, runs.Stop{Task: r.Task, Run: r.Run})
+		a.log.Warn().Err(err).Stringer("task", r.Task).Int("run", r.Run).Str("worker", e.Incarnation.ID).
+			Msg("run stopped: no holder, and a late call may have lengthened the lease")
+		if err != nil {
+			return
+		}
+	}
+}
+
 // listingRequest is how the next listing is requested.
 type listingRequest struct {
 	envelope runs.Envelope
--- a/sidecar/agent/late_calls_test.go
+++ b/sidecar/agent/late_calls_test.go
@@ -220,3 +220,58 @@
 	worker.restart()
 	g.Expect(lateLeaseAfter(a, worker.incarnation()).Remaining).To(BeNumerically(">", 0), "an earlier process may have sent one")
 }
+
+// cutOffWorker is a worker that has begun anew with a late start, and the runs that are stopped on it.
+type cutOffWorker struct {
+	*restartingWorker
+	stopped []runs.Stop
+}
+
+func (w *cutOffWorker) Stop(_ context.Context, _ runs.Envelope, order runs.Stop) (runs.Answer, error) {
+	w.stopped = append(w.stopped, order)
+	return runs.Answer{}, nil
+}
+
+// Guards against TWICE: a late start had begun under a long lease, and its host was cut off before a holder
+// heard of that.
+func TestSidecarWithoutAHolderStopsWhatALateStartHasBegun(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost      bool
+		confirmed time.Duration
+		want      int
+	}{
+		"start lost, holder silent":     {true, 2500 * time.Millisecond, 1},
+		"start lost, holder there":      {true, 0, 0},
+		"start answered, holder silent": {false, 2500 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			worker := &cutOffWorker{restartingWorker: newRestartingWorker()}
+			a, order := linkedAgent(worker)
+			a.config.MaxLease = 10 * time.Second
+			worker.lose(c.lost)
+			a.sendOnce(context.Background(), testTerm, a.state.Load(), order)
+			worker.lose(false)
+			worker.restart()
+			a.RecordHeartbeat(runs.Description{Incarnation: worker.incarnation(), Sequence: 1})
+			holder := gate.Holder{}.Confirm(testTerm, clock.Boottime()-c.confirmed)
+			a.holder.Store(&holder)
+			l := &lister{agent: a}
+			for range 3 { // a repeated stop may give the run more time
+				l.listOnce(context.Background(), a.state.Load())
+			}
+			NewWithT(t).Expect(worker.stopped).To(HaveLen(c.want))
+		})
+	}
+}
+
+// Guards against TWICE: the holder did not hear which task an incarnation that isn't reached may run.
+func TestReportOfAWorkerThatDoesNotAnswerNamesTheTasksOfLateStarts(t *testing.T) {
+	g := NewWithT(t)
+	worker := newRestartingWorker()
+	a, order := linkedAgent(worker)
+	a.config.MaxLease = 10 * time.Second
+	worker.lose(true)
+	a.sendOnce(t.Context(), testTerm, a.state.Load(), order)
+	g.Expect(a.lateStarts(context.DeadlineExceeded)).To(ConsistOf(order.order.Task))
+	g.Expect(a.lateStarts(runs.ErrNotListening)).To(BeEmpty())
+}
--- a/sidecar/agent/lease.go
+++ b/sidecar/agent/lease.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/internal/clock"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/sidecar/gate"
@@ -109,7 +110,7 @@
 	if first {
 		a.log.Warn().Err(err).Str("worker", d.ID).Dur("lease_left", remaining).Msg("worker does not answer")
 	}
-	sendUnreachable(a.holderLink.Load(), remaining)
+	sendUnreachable(a.holderLink.Load(), remaining, a.lateStarts(err))
 }
 
 // reportUnknownWorker tells the holder that this process knows no worker yet. It has extended no
@@ -118,16 +119,16 @@
 func (a *Agent) reportUnknownWorker(holderLink *entryLink) {
 	a.unresponsive.BeginReport()
 	defer a.unresponsive.EndReport()
-	sendUnreachable(holderLink, a.leaseRemaining())
+	sendUnreachable(holderLink, a.leaseRemaining(), nil)
 }
 
-// sendUnreachable tells the holder that the worker is not reached, and how long its
-// lease may still be valid.
-func sendUnreachable(holderLink *entryLink, remaining time.Duration) {
+// sendUnreachable tells the holder that the worker is not reached, how long its lease may still be
+// valid, and which tasks it may run by late starts.
+func sendUnreachable(holderLink *entryLink, remaining time.Duration, lateStarts []carobkeel.TaskName) {
 	if holderLink == nil {
 		return
 	}
-	holderLink.send(wire.TypeWorkerUnreachable, &wire.WorkerUnreachable{Remaining: remaining.Milliseconds()})
+	holderLink.send(wire.TypeWorkerUnreachable, wire.FromUnreachable(remaining, lateStarts))
 }
 
 // leaseRemaining returns how long the worker's lease may still be valid, or
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -58,6 +58,8 @@
 	// reportedAt and examinedAt are when the worker was last reported as unresponsive, and when a
 	// candidate was last examined.
 	reportedAt, examinedAt time.Time
+	// nextStop is when this process may next stop runs by itself.
+	nextStop time.Duration
 	// lastFullAt, lastFullLink and lastListed are the sending time, the link and the
 	// incarnation of the last full listing.
 	lastFullAt   time.Duration
@@ -120,7 +122,7 @@
 	term := a.holder.Load().Term
 	fence := state.Fence(term)
 	request := l.nextListing(state, term)
-	began := time.Now()
+	began, sent := time.Now(), clock.Monotonic()
 	ctx, cancel := context.WithTimeout(ctx, request.wait+listTimeout)
 	defer cancel()
 	listing, answer, err := a.list(ctx, request.envelope, request.acknowledged, request.wait)
@@ -134,11 +136,13 @@
 	l.failures, l.missedSince = 0, time.Time{}
 	a.candidate.Store(nil)
 	a.confirmState(state, fence)
+	a.noteAnswered(d.Incarnation, sent)
 	a.observeClock(d.Incarnation, answer)
 	if request.extendsFor > 0 {
 		a.extendedFor.Store(int64(request.extendsFor))
 	}
 	a.logLeftOut(d, listing.LeftOut)
+	l.stopLateRuns(ctx, listing.Running)
 	if l.forward(d, number, term, listing) {
 		a.recordAnswering(d, version)
 	}
@@ -204,11 +208,13 @@
 	d := state.Description
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
+	sent := clock.Monotonic()
 	listing, answer, err := a.list(ctx, e, a.acknowledgedUpTo(state, e.Fence), 0)
 	if err != nil || answer.Result != runs.ResultOK || isOfOtherIncarnation(&listing, d) {
 		return runs.Listing{}, false
 	}
 	a.confirmState(state, e.Fence)
+	a.noteAnswered(d.Incarnation, sent)
 	a.observeClock(d.Incarnation, answer)
 	return listing, true
 }
@@ -229,6 +235,17 @@
 	}
 }
 
+// noteAnswered records that an incarnation has answered a listing that was sent at a time, by the clock of
+// calls' ages.
+func (a *Agent) noteAnswered(incarnation runs.Incarnation, sent time.Duration) {
+	a.updateState(func(w gate.Worker) gate.Worker {
+		if !w.Describes(incarnation) {
+			return w
+		}
+		return w.Answer(sent)
+	})
+}
+
 // forward sends a listing to the holder. A listing that was requested in another term is
 // dropped, as it has not fenced the worker for this holder: under the same epoch, but without
 // the number of this process, calls of an earlier process may still be carried out after it. So is one
--- a/sidecar/gate/lease_calls.go
+++ b/sidecar/gate/lease_calls.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -11,6 +12,8 @@
 type LeaseCall struct {
 	Number   uint64
 	WorkerID string
+	// Start is the task of a call that starts a run, zero for other calls.
+	Start carobkeel.TaskName
 	// Sent is on a clock that stands still with the host, as the call does.
 	Sent time.Duration
 	// lost reports that the call has ended without an answer.
@@ -36,7 +39,7 @@
 }
 
 // Lose returns l after a call has ended without an answer. Of the lost calls to a worker only the
-// last one is kept.
+// last one is kept, and the last one that starts a run of each task.
 func (l LeaseCalls) Lose(number uint64) LeaseCalls {
 	i := slices.IndexFunc(l, func(c LeaseCall) bool { return c.Number == number })
 	if i < 0 {
@@ -45,7 +48,7 @@
 	call := l[i]
 	call.lost = true
 	kept := slices.DeleteFunc(slices.Clone(l), func(c LeaseCall) bool {
-		return c.Number == number || (c.lost && c.WorkerID == call.WorkerID && c.Sent <= call.Sent)
+		return c.Number == number || (c.lost && c.WorkerID == call.WorkerID && c.Start == call.Start && c.Sent <= call.Sent)
 	})
 	return append(kept, call)
 }
@@ -57,6 +60,19 @@
 	})
 }
 
+// startsSentFrom returns the tasks of which a start without an answer, sent at from or later, may still be
+// carried out by an incarnation of the worker, or have begun a run there whose lease is valid at now.
+func (l LeaseCalls) startsSentFrom(workerID string, from, now, maxLease time.Duration) []carobkeel.TaskName {
+	var tasks []carobkeel.TaskName
+	for _, c := range l {
+		isStart := c.WorkerID == workerID && c.Start != carobkeel.TaskName{} && c.Sent >= from
+		if isStart && (!c.lost || !c.isOver(now-LongestLease(maxLease))) && !slices.Contains(tasks, c.Start) {
+			tasks = append(tasks, c.Start)
+		}
+	}
+	return tasks
+}
+
 func (c LeaseCall) isOver(now time.Duration) bool { return now-c.Sent > runs.LongestCallDelay }
 
 // IsSettled reports whether an answer shows that a call that extends a lease was carried out by
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/carobkeel/carobkeel"
 	"github.com/carobkeel/carobkeel/worker/runs"
 )
 
@@ -31,6 +34,11 @@
 	// Denied reports that the worker has answered that it is another incarnation than the
 	// described one.
 	Denied bool
+	// AnsweredAt is when the last listing was sent that the described incarnation has answered, by the
+	// clock of calls' ages. MayHaveEnded reports that a connection was refused or ended by the worker's
+	// side since then.
+	AnsweredAt   time.Duration
+	MayHaveEnded bool
 	// ReachedAt is when the described incarnation first answered a call that keeps all calls to
 	// earlier incarnations off, zero before. LateCalls is what was known then of calls that it had
 	// let in before.
@@ -119,6 +127,47 @@
 	return runs.LateLease{Remaining: remaining, Unanswered: w.LateCalls == UnansweredLateCalls}
 }
 
+// Answer returns w after the described incarnation has answered a listing that was sent at a time.
+func (w Worker) Answer(sent time.Duration) Worker {
+	w.AnsweredAt, w.MayHaveEnded = max(w.AnsweredAt, sent), false
+	return w
+}
+
+// Fail returns w after a call that got no answer, for the reason in err.
+func (w Worker) Fail(err error) Worker {
+	w.MayHaveEnded = w.MayHaveEnded || runs.MayHaveEnded(err)
+	return w
+}
+
+// LateStarts returns the tasks that a worker which does not answer may run since an incarnation of it has
+// carried out a start without an answer to an earlier one. Err is the reason why the last call got no
+// answer, and callTime the time by the clock of calls' ages.
+//
+// Nothing runs where nothing listens. The described incarnation itself refuses, or has listed, what was
+// sent before it answered, so that this counts only if another one may have followed it, or for as long
+// as it may have a longer lease by it.
+func (w Worker) LateStarts(calls LeaseCalls, err error, now, callTime, maxLease time.Duration) []carobkeel.TaskName {
+	from := w.AnsweredAt
+	switch {
+	case errors.Is(err, runs.ErrNotListening):
+		return nil
+	case w.MayHaveEnded || w.LateLease(now, maxLease).Remaining > 0:
+		from = 0
+	}
+	return calls.startsSentFrom(w.Description.ID, from, callTime, maxLease)
+}
+
+// StopMargin is how long before the lease that the holder counts ends the runs under a longer one are
+// stopped, and the least time between two stops of a run: it may take that long to end.
+const StopMargin = time.Second
+
+// MustStop reports whether the sidecar itself has to stop what the worker runs: no holder has confirmed
+// its leases for almost as long as one lasts, and a late call may have given the worker a longer one, of
+// which the holder need not know.
+func (w Worker) MustStop(h Holder, now, workerLease, maxLease time.Duration) bool {
+	return w.LateLease(now, maxLease).Remaining > 0 && now-h.Confirmed > workerLease-StopMargin
+}
+
 // plentyOfDoubts is the number of doubts up to which each one counts.
 const plentyOfDoubts = runs.MaxDoubts / 2
 
--- a/worker/runs/runs.go
+++ b/worker/runs/runs.go
@@ -227,13 +227,24 @@
 // ErrNotConnected means that no connection to the worker was established in time.
 var ErrNotConnected = errors.New("no connection to the worker")
 
+// ErrBroken means that the worker's side has ended the connection before it answered: its process may
+// have ended.
+var ErrBroken = errors.New("connection ended by the worker")
+
+// MayHaveEnded reports whether an error of a client means that the worker's process may have ended.
+// A call that is not answered in time says nothing of that.
+func MayHaveEnded(err error) bool {
+	return errors.Is(err, ErrNotListening) || errors.Is(err, ErrBroken)
+}
+
 // IsUnsent reports whether an error of a client means that the call was not sent.
 func IsUnsent(err error) bool {
 	return errors.Is(err, ErrNotListening) || errors.Is(err, ErrNotConnected)
 }
 
 // Client sends orders to the worker on this host. An error means that no answer was
-// received. It wraps ErrNotListening or ErrNotConnected where it is known that nothing was sent.
+// received. It wraps ErrNotListening or ErrNotConnected where it is known that nothing was sent, and
+// ErrBroken where the worker's side has ended the connection.
 type Client interface {
 	Start(ctx context.Context, e Envelope, order Start) (Answer, error)
 	Stop(ctx context.Context, e Envelope, order Stop) (Answer, error)
