Keep waiting and done tasks of a step as numbers, not as structures

Cause: the core made a structure of 225 bytes for each task as a job was added, and kept it until the job had ended. The bound was a count of tasks of one job, not memory.

Evidence: TestMemoryOfAJobDoesNotGrowWithItsWaitingTasks failed on: 432 MB for 16 x 120,000 tasks, without any row, link or log.

Change: taskSet holds a structure only for tasks that run or have run, have failed, or were looked at; the others of a step are a number, and one bit each when done. It keeps the order of waits, so that the next task to start is found without looking at the others. Progress names ranges of done tasks, cut at the rows of the store; rows of before are read as they were.

TestJobWhoseProgressExceedsARowEndsAcrossATakeover relied on done tasks that fill a row; they follow each other in ranges now, so every second task of it takes longer, and the progress exceeds a row as before.

--- a/scheduler/dispatch/advice.go
+++ b/scheduler/dispatch/advice.go
@@ -79,7 +79,7 @@
 	}
 	for _, s := range steps {
 		policy := c.queueOf(s.occurrence.job).Advice
-		if policy == nil || !s.hasWaiting() {
+		if policy == nil || s.tasks.waiting() == 0 {
 			continue
 		}
 		if c.now.Monotonic < s.advice.nextQuestionAt {
--- a/scheduler/dispatch/backfill.go
+++ b/scheduler/dispatch/backfill.go
@@ -112,7 +112,7 @@
 	}
 	plan := &gangPlan{claims: make(map[*workerState]carobkeel.Resources), spare: make(map[*workerState]carobkeel.Resources)}
 	demand := s.spec.Reserved()
-	left := len(s.tasks)
+	left := s.tasks.count
 	for _, w := range workers {
 		free := w.free().Sub(p.reservations[w]).Add(freed[w])
 		for n := 0; left > 0 && demand.FitsIn(free) && (s.spec.MaxPerWorker <= 0 || n < s.spec.MaxPerWorker) && n < MaxRunsPerWorker; n++ {
--- a/scheduler/dispatch/backlog.go
+++ b/scheduler/dispatch/backlog.go
@@ -54,7 +54,7 @@
 	b.queues[o.job.spec.Queue.Name] = mean
 	key := bandKey{queue.Priority, valueExponent(mean, total, left)}
 	for _, s := range o.steps {
-		if s.spec.LongRunning || s.done == len(s.tasks) {
+		if s.spec.LongRunning || s.done == s.tasks.count {
 			continue
 		}
 		if c.showsLackOfRoom(s) {
@@ -111,23 +111,22 @@
 	if s.completedRuns == 0 {
 		each *= c.estimateRatio.value()
 	}
-	left := 0.0
-	for i := range s.tasks {
-		left += s.tasks[i].shareLeft()
+	left := float64(s.tasks.count - s.done)
+	for _, t := range s.tasks.running {
+		if !t.done {
+			left -= t.shareDone()
+		}
 	}
 	return each * left
 }
 
-// shareLeft returns the share of the task that is not done, by the run that has progressed furthest.
-func (t *task) shareLeft() float64 {
-	if t.done {
-		return 0
-	}
+// shareDone returns the share of a task's work that is done, by the run that has progressed furthest.
+func (t *task) shareDone() float64 {
 	percent := 0
 	for _, r := range t.runs {
 		percent = max(percent, r.percent)
 	}
-	return float64(fullPercent-min(fullPercent, percent)) / fullPercent
+	return float64(min(fullPercent, percent)) / fullPercent
 }
 
 // sortedBands returns the bands, the most urgent first.
--- a/scheduler/dispatch/explain.go
+++ b/scheduler/dispatch/explain.go
@@ -150,8 +150,8 @@
 // claimForWaiting claims near room for the tasks of a step that wait for it.
 func (c *Core) claimForWaiting(p *pass, s *stepState) {
 	rack := s.spec.DataRack
-	for i := range s.tasks {
-		if t := &s.tasks[i]; rack != "" && t.near.waiting && t.isWaiting() {
+	for _, t := range s.tasks.queue {
+		if rack != "" && t.near.waiting {
 			p.forecastFor(c, rack).claim(c.forecastPlaceFor(p, t, rack), s.spec.Reserved())
 		}
 	}
@@ -165,7 +165,7 @@
 		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.ready && s.hasWaiting() {
+				if s.ready && s.tasks.waiting() > 0 {
 					visit(s)
 				}
 			}
@@ -175,17 +175,13 @@
 
 // explainStep returns where the tasks of a step would go, and how many others are ahead of them.
 func (c *Core) explainStep(p *pass, s *stepState) StepExplanation {
-	e := StepExplanation{Tasks: len(s.tasks), Workers: c.explainWorkers(p, &s.tasks[0])}
+	e := StepExplanation{Tasks: s.tasks.count, Workers: c.explainWorkers(p, s.tasks.peek(0))}
 	c.eachWaitingStep(func(other *stepState) {
 		if c.compareUrgency(other, s) > 0 {
 			return
 		}
 		e.StepsAhead++
-		for i := range other.tasks {
-			if other.tasks[i].isWaiting() {
-				e.TasksAhead++
-			}
-		}
+		e.TasksAhead += other.tasks.waiting()
 	})
 	c.explainPlacement(p, s, &e)
 	return e
@@ -202,7 +198,7 @@
 	case s.spec.Gang:
 		e.setHosts(c.chooseGangAmong(p, p.workers, s))
 	default:
-		c.explainTask(p, &s.tasks[0], e)
+		c.explainTask(p, s.tasks.peek(0), e)
 	}
 }
 
--- a/scheduler/dispatch/gang.go
+++ b/scheduler/dispatch/gang.go
@@ -10,10 +10,8 @@
 // placeGang starts all tasks of a gang, or none. They share one run number and
 // one checkpoint, and start only when none of them has a run left.
 func (c *Core) placeGang(p *pass, s *stepState) {
-	for i := range s.tasks {
-		if len(s.tasks[i].runs) > 0 {
-			return
-		}
+	if len(s.tasks.running) > 0 {
+		return
 	}
 	chosen := c.chooseGang(p, s)
 	if chosen == nil {
@@ -24,21 +22,21 @@
 	if c.gangWaitsForRack(p, s, chosen) {
 		return
 	}
-	run, newest := 0, &s.tasks[0]
-	for i := range s.tasks {
-		t := &s.tasks[i]
+	run, newest := 0, s.tasks.get(0)
+	for _, t := range s.tasks.known {
 		run = max(run, t.lastRun)
 		if t.checkpoint != "" && (newest.checkpoint == "" || t.checkpointRun > newest.checkpointRun) {
 			newest = t
 		}
 	}
 	checkpoint, checkpointRun := newest.checkpoint, newest.checkpointRun
-	for i := range s.tasks {
-		s.tasks[i].lastRun = run
-		s.tasks[i].checkpoint, s.tasks[i].checkpointRun = checkpoint, checkpointRun
+	for i := range s.tasks.count {
+		t := s.tasks.get(i)
+		t.lastRun = run
+		t.checkpoint, t.checkpointRun = checkpoint, checkpointRun
 	}
-	for i := range s.tasks {
-		c.startPlanned(p, &s.tasks[i], chosen[i])
+	for i := range s.tasks.count {
+		c.startPlanned(p, s.tasks.get(i), chosen[i])
 	}
 }
 
@@ -46,7 +44,7 @@
 // fit.
 func (c *Core) chooseGang(p *pass, s *stepState) []*workerState {
 	chosen := c.chooseGangAmong(p, p.workers, s)
-	if chosen == nil && c.mayUseQuarantined(p, &s.tasks[0]) {
+	if chosen == nil && c.mayUseQuarantined(p, s.tasks.peek(0)) {
 		chosen = c.chooseGangAmong(p, slices.Concat(p.workers, p.quarantined), s)
 	}
 	return chosen
@@ -86,7 +84,7 @@
 
 // mayFit reports whether the workers together have as many free processors as a gang demands.
 func mayFit(workers []*workerState, s *stepState) bool {
-	demanded, free := float64(len(s.tasks))*float64(s.spec.Reserved().MilliCPU), 0.0
+	demanded, free := float64(s.tasks.count)*float64(s.spec.Reserved().MilliCPU), 0.0
 	for _, w := range workers {
 		free += float64(max(0, w.free().MilliCPU))
 	}
@@ -102,17 +100,18 @@
 	count := make(map[*workerState]int)
 	var chosen []*workerState
 	demand := s.spec.Reserved()
-	for i := range s.tasks {
+	for i := range s.tasks.count {
+		t := s.tasks.peek(i)
 		var best *workerState
 		var bestScore float64
 		for _, w := range workers {
-			if !c.isAllowed(&s.tasks[i], w) || (s.spec.MaxPerWorker > 0 && count[w] >= s.spec.MaxPerWorker) {
+			if !c.isAllowed(t, w) || (s.spec.MaxPerWorker > 0 && count[w] >= s.spec.MaxPerWorker) {
 				continue
 			}
-			if len(w.runs)+count[w] >= MaxRunsPerWorker || !demand.FitsIn(c.room(p, &s.tasks[i], w).Sub(assigned[w])) {
+			if len(w.runs)+count[w] >= MaxRunsPerWorker || !demand.FitsIn(c.room(p, t, w).Sub(assigned[w])) {
 				continue
 			}
-			if score := c.score(&s.tasks[i], w) - assigned[w].DominantShare(w.description.Capacity); best == nil || score > bestScore {
+			if score := c.score(t, w) - assigned[w].DominantShare(w.description.Capacity); best == nil || score > bestScore {
 				best, bestScore = w, score
 			}
 		}
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -51,7 +51,7 @@
 	// name identifies the step among all jobs.
 	name  string
 	spec  *carobkeel.Step
-	tasks []task
+	tasks taskSet
 	done  int
 	// completedTime is the total duration of the completed runs, and
 	// completedRuns their number.
@@ -113,7 +113,7 @@
 	}
 	for _, earlier := range s.spec.After {
 		predecessor := s.occurrence.steps[earlier]
-		if predecessor.done < len(predecessor.tasks) {
+		if predecessor.done < predecessor.tasks.count {
 			return false
 		}
 	}
@@ -143,8 +143,8 @@
 func (c *Core) stopAll(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for i := range s.tasks {
-				for _, r := range s.tasks[i].runs {
+			for _, t := range s.tasks.running {
+				for _, r := range t.runs {
 					c.stop(r, "job ended")
 				}
 			}
@@ -166,8 +166,8 @@
 func (j *job) hasRunThat(holds func(*runState) bool) bool {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for i := range s.tasks {
-				if slices.ContainsFunc(s.tasks[i].runs, holds) {
+			for _, t := range s.tasks.running {
+				if slices.ContainsFunc(t.runs, holds) {
 					return true
 				}
 			}
@@ -225,9 +225,9 @@
 	if name.Step < 0 || name.Step >= len(steps) {
 		return nil
 	}
-	tasks := steps[name.Step].tasks
-	if name.Index < 0 || name.Index >= len(tasks) {
+	tasks := &steps[name.Step].tasks
+	if name.Index < 0 || name.Index >= tasks.count {
 		return nil
 	}
-	return &tasks[name.Index]
+	return tasks.get(name.Index)
 }
--- a/scheduler/dispatch/late_start.go
+++ b/scheduler/dispatch/late_start.go
@@ -35,6 +35,7 @@
 }
 
 func (c *Core) addLateStart(w *workerState, name carobkeel.TaskName) {
+	c.task(name) // from now on it has a structure, so that it is looked at by itself
 	longest := runs.LongestCallDelay + maxLeaseDuration(c.config.MaxLease)
 	if old, known := c.lateStarts[name]; !known || old.host != w.host {
 		c.recordDecision(Decision{Kind: DecidedLateStart, Task: name, Host: w.host, Waited: longest})
--- a/scheduler/dispatch/listing.go
+++ b/scheduler/dispatch/listing.go
@@ -160,6 +160,7 @@
 	if t == nil {
 		return
 	}
+	defer t.step.tasks.update(t) // a task that was done before loses its structure again
 	c.beginJob(t.job())
 	switch end.Outcome {
 	case runs.OutcomeDone:
@@ -182,8 +183,8 @@
 		c.stopRuns(t)
 		return
 	}
-	for i := range t.step.tasks {
-		c.finishTask(&t.step.tasks[i])
+	for i := range t.step.tasks.count {
+		c.finishTask(t.step.tasks.get(i))
 	}
 }
 
--- a/scheduler/dispatch/locality.go
+++ b/scheduler/dispatch/locality.go
@@ -178,7 +178,7 @@
 	if !s.spec.SameRack || !c.weighsLocality(s) {
 		return false
 	}
-	first := &s.tasks[0]
+	first := s.tasks.get(0)
 	if onOneRack(chosen) {
 		c.endNearWait(first, DecidedNearWaitEnded)
 		return false
@@ -218,9 +218,10 @@
 	forecast := c.newRackForecast(p, rack)
 	count := make(map[*workerState]int)
 	last := noPlace()
-	for i := range s.tasks {
+	for i := range s.tasks.count {
+		t := s.tasks.peek(i)
 		place := forecast.earliest(p, s.spec.Reserved(), func(w *workerState) bool {
-			return c.isAllowed(&s.tasks[i], w) && !c.isWithheld(p, &s.tasks[i], w) && (s.spec.MaxPerWorker <= 0 || count[w] < s.spec.MaxPerWorker)
+			return c.isAllowed(t, w) && !c.isWithheld(p, t, w) && (s.spec.MaxPerWorker <= 0 || count[w] < s.spec.MaxPerWorker)
 		})
 		if place.worker == nil {
 			return place
--- a/scheduler/dispatch/occurrence.go
+++ b/scheduler/dispatch/occurrence.go
@@ -27,10 +27,7 @@
 	for i := range j.spec.Steps {
 		s := &stepState{occurrence: o, index: i, spec: &j.spec.Steps[i]}
 		s.name = carobkeel.TaskName{Job: j.spec.ID, Occurrence: index, Step: i}.StepName()
-		s.tasks = make([]task, s.spec.Count)
-		for n := range s.tasks {
-			s.tasks[n] = task{step: s, index: n, waitingSince: now}
-		}
+		s.tasks = newTaskSet(s, s.spec.Count, now)
 		o.steps = append(o.steps, s)
 	}
 	return o
@@ -94,7 +91,7 @@
 // isOver reports whether all tasks are done and none has a run left.
 func (o *occurrence) isOver() bool {
 	for _, s := range o.steps {
-		if s.done < len(s.tasks) || slices.ContainsFunc(s.tasks, func(t task) bool { return len(t.runs) > 0 }) {
+		if s.done < s.tasks.count || len(s.tasks.running) > 0 {
 			return false
 		}
 	}
--- a/scheduler/dispatch/overload.go
+++ b/scheduler/dispatch/overload.go
@@ -157,8 +157,11 @@
 // countStartable returns how many tasks of a step can start.
 func (c *Core) countStartable(s *stepState) int {
 	n := 0
-	for i := range s.tasks {
-		if c.canStart(&s.tasks[i]) {
+	if !c.holdsBackUntouched(s) {
+		n = s.tasks.untouched
+	}
+	for _, t := range s.tasks.queue {
+		if c.canStart(t) {
 			n++
 		}
 	}
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -120,7 +120,7 @@
 	c.updateOccurrences(j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			if s.done < len(s.tasks) && c.hasStartable(s) && c.isReady(s) {
+			if s.done < s.tasks.count && c.hasStartable(s) && c.isReady(s) {
 				s.starved = s.spec.LongRunning && c.isStarved(c.nextStartable(s, nil))
 				s.valueRate = c.valueRate(s)
 				steps = append(steps, s)
@@ -133,47 +133,31 @@
 // hasStartable reports whether tasks of the step can start. All members of a gang
 // start at once.
 func (c *Core) hasStartable(s *stepState) bool {
-	startable := false
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if s.spec.Gang && c.isHeldBack(t) {
-			return false
-		}
-		startable = startable || c.canStart(t)
-		if startable && !s.spec.Gang {
-			return true
-		}
+	if !s.spec.Gang {
+		return c.nextStartable(s, nil) != nil
 	}
-	return startable
-}
-
-func (s *stepState) hasWaiting() bool {
-	for i := range s.tasks {
-		if s.tasks[i].isWaiting() {
-			return true
-		}
+	if s.tasks.untouched > 0 && c.holdsBackUntouched(s) {
+		return false
 	}
-	return false
+	return s.tasks.waiting() > 0 && !slices.ContainsFunc(s.tasks.known, c.isHeldBack)
 }
 
 // nextStartable returns the task that can start and follows another one in the order of
 // their waits, the longest first, and nil after the last. After nil it returns
 // the first.
 func (c *Core) nextStartable(s *stepState, after *task) *task {
-	var next *task
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if c.canStart(t) && (after == nil || compareWait(t, after) > 0) && (next == nil || compareWait(t, next) < 0) {
-			next = t
-		}
+	t := s.tasks.nextQueued(after)
+	for t != nil && !c.canStart(t) {
+		t = s.tasks.nextQueued(t)
 	}
-	return next
-}
-
-// compareWait orders the tasks of a step by the start of their wait, and then by
-// index.
-func compareWait(a, b *task) int {
-	return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.index, b.index))
+	index := -1
+	if !c.holdsBackUntouched(s) {
+		index = s.tasks.nextUntouched(after)
+	}
+	if index < 0 || (t != nil && compareWait(t, s.tasks.peek(index)) < 0) {
+		return t
+	}
+	return s.tasks.get(index)
 }
 
 // placeStep starts the waiting tasks of a step on workers that have room.
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -20,10 +21,12 @@
 	Tasks []TaskProgress
 }
 
-// TaskProgress is the durable record of one task.
+// TaskProgress is the durable record of one task, or of several that are done.
 type TaskProgress struct {
 	Task carobkeel.TaskName
 	Done bool
+	// Count is the number of tasks that are done, in the order of their indexes from Task on, zero for one.
+	Count int
 	// FailedRuns holds the numbers of the runs that failed.
 	FailedRuns []int
 	Checkpoint string
@@ -280,19 +283,33 @@
 	p.DoneUpTo = j.doneUpTo
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			for i := range s.tasks {
-				t := &s.tasks[i]
-				if t.done || len(t.failedRuns) > 0 || t.checkpoint != "" {
-					p.Tasks = append(p.Tasks, TaskProgress{
-						Task: t.name(), Done: t.done, FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint,
-					})
-				}
-			}
+			p.Tasks = append(p.Tasks, s.progress()...)
 		}
 	}
 	return p
 }
 
+// progress returns the progress of the step's tasks, in the order of their indexes.
+func (s *stepState) progress() []TaskProgress {
+	name := carobkeel.TaskName{Job: s.occurrence.job.spec.ID, Occurrence: s.occurrence.index, Step: s.index}
+	var tasks []TaskProgress
+	s.tasks.doneRanges(func(first, count int) {
+		name.Index = first
+		p := TaskProgress{Task: name, Done: true}
+		if count > 1 {
+			p.Count = count
+		}
+		tasks = append(tasks, p)
+	})
+	for _, t := range s.tasks.known {
+		if !t.done && (len(t.failedRuns) > 0 || t.checkpoint != "") {
+			tasks = append(tasks, TaskProgress{Task: t.name(), FailedRuns: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint})
+		}
+	}
+	slices.SortFunc(tasks, func(a, b TaskProgress) int { return cmp.Compare(a.Task.Index, b.Task.Index) })
+	return tasks
+}
+
 // Restore applies the stored progress of a job that was added before.
 func (c *Core) Restore(p Progress) {
 	j := c.jobs[p.Job]
@@ -307,16 +324,7 @@
 	}
 	j.restoreDone(p.DoneUpTo)
 	for _, tp := range p.Tasks {
-		t := c.task(tp.Task)
-		if t == nil {
-			continue
-		}
-		t.failedRuns, t.checkpoint = tp.FailedRuns, tp.Checkpoint
-		if tp.Done && !t.done {
-			t.done = true
-			t.step.done++
-			j.remaining--
-		}
+		c.restoreTask(j, &tp)
 	}
 	if c.isFinal(j) {
 		c.recordEnded(j)
@@ -324,6 +332,20 @@
 	c.publishState(j, p.State)
 }
 
+// restoreTask applies the stored progress of a task, or of several that are done.
+func (c *Core) restoreTask(j *job, p *TaskProgress) {
+	t := c.task(p.Task)
+	switch {
+	case t == nil:
+	case p.Done:
+		done := t.step.tasks.setDoneRange(p.Task.Index, max(1, p.Count))
+		t.step.done += done
+		j.remaining -= done
+	default:
+		t.failedRuns, t.checkpoint = p.FailedRuns, p.Checkpoint
+	}
+}
+
 // completeAll marks all tasks as done, for a job that is stored as completed.
 func (j *job) completeAll() {
 	j.remaining = 0
@@ -333,10 +355,8 @@
 	}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
-			s.done = len(s.tasks)
-			for i := range s.tasks {
-				s.tasks[i].done = true
-			}
+			s.done = s.tasks.count
+			s.tasks.setDoneRange(0, s.tasks.count)
 		}
 	}
 }
--- a/scheduler/dispatch/run.go
+++ b/scheduler/dispatch/run.go
@@ -135,6 +135,7 @@
 	if t.isWaiting() && r.hasBegun {
 		t.waitingSince = c.now.Monotonic
 	}
+	t.step.tasks.update(t)
 }
 
 // reserve adds a run to a worker and reserves its resources.
@@ -143,6 +144,7 @@
 	if t != nil {
 		r.reserved = t.step.spec.Reserved()
 		t.runs = append(t.runs, r)
+		t.step.tasks.update(t)
 	}
 	w.runs[runKey{name, run}] = r
 	w.used = w.used.Add(r.reserved)
--- a/scheduler/dispatch/speculative.go
+++ b/scheduler/dispatch/speculative.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 )
 
@@ -41,7 +42,7 @@
 // maySpeculate reports whether a step allows duplicate runs, has unfinished
 // tasks, and has completed runs to compare them with.
 func (s *stepState) maySpeculate() bool {
-	return s.spec.AllowsDuplicates && !s.spec.Gang && s.completedRuns > 0 && s.done < len(s.tasks)
+	return s.spec.AllowsDuplicates && !s.spec.Gang && s.completedRuns > 0 && s.done < s.tasks.count
 }
 
 func (c *Core) speculate(p *pass, s *stepState) {
@@ -49,9 +50,8 @@
 		return
 	}
 	typical := s.completedTime / time.Duration(s.completedRuns)
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.done || len(t.runs) == 0 || len(t.runs) >= maxRunsPerTask || !c.isStraggler(t.runs[0], typical) {
+	for _, t := range slices.Clone(s.tasks.running) {
+		if t.done || len(t.runs) >= maxRunsPerTask || !c.isStraggler(t.runs[0], typical) {
 			continue
 		}
 		w := c.selectWorkerAmong(p, p.workers, t, func(w *workerState) bool { return !w.hasRunOf(t) })
--- a/scheduler/dispatch/task.go
+++ b/scheduler/dispatch/task.go
@@ -12,6 +12,8 @@
 	step  *stepState
 	index int
 	done  bool
+	// queued reports that the task is in the order of waits of its step.
+	queued bool
 	// lastRun is the highest run number assigned so far.
 	lastRun int
 	// givenUp holds the numbers of the last runs that were given up and whose end has not been
@@ -69,7 +71,13 @@
 	if c.mayRunLate(t) {
 		return true
 	}
-	return t.job().inherited && len(c.unreportedWorkers)+len(c.partlyListed) > 0 && !t.located
+	return c.holdsBackUntouched(t.step) && !t.located
+}
+
+// holdsBackUntouched reports whether workers that have not listed their runs may run tasks of the step that
+// this holder knows nothing of.
+func (c *Core) holdsBackUntouched(s *stepState) bool {
+	return s.occurrence.job.inherited && len(c.unreportedWorkers)+len(c.partlyListed) > 0
 }
 
 // canStart reports whether the task needs to be started and surely runs nowhere.
@@ -98,7 +106,7 @@
 	if t.done {
 		return
 	}
-	t.done = true
+	t.step.tasks.setDone(t)
 	t.step.done++
 	j := t.job()
 	j.remaining--
@@ -116,8 +124,8 @@
 		return len(t.failedRuns)
 	}
 	failed := make(map[int]bool)
-	for i := range t.step.tasks {
-		for _, run := range t.step.tasks[i].failedRuns {
+	for _, member := range t.step.tasks.known {
+		for _, run := range member.failedRuns {
 			failed[run] = true
 		}
 	}
--- a/scheduler/dispatch/value.go
+++ b/scheduler/dispatch/value.go
@@ -29,8 +29,8 @@
 func (o *occurrence) work() (total, left float64) {
 	for _, s := range o.steps {
 		each := s.taskWork()
-		total += each * float64(len(s.tasks))
-		left += each * float64(len(s.tasks)-s.done)
+		total += each * float64(s.tasks.count)
+		left += each * float64(s.tasks.count-s.done)
 	}
 	return total, left
 }
--- a/scheduler/dispatch/whole_fleet_test.go
+++ b/scheduler/dispatch/whole_fleet_test.go
@@ -61,8 +61,8 @@
 	c := newFleet(1, Policy{LocalityWait: true, RemoteFactor: 2})
 	w := c.worker("host-00000")
 	s := newSteps(c, carobkeel.Step{Count: 4, Estimate: time.Second, Demand: carobkeel.Resources{MilliCPU: 4000}})[0]
-	c.addRun(w, &s.tasks[0], 1, 100, time.Second)
-	c.addRun(w, &s.tasks[1], 1, 0, time.Minute).stopping = true
+	c.addRun(w, s.tasks.get(0), 1, 100, time.Second)
+	c.addRun(w, s.tasks.get(1), 1, 0, time.Minute).stopping = true
 	p := newEmptyPass()
 	spreads := make(map[time.Duration]bool)
 	for range 100 {
@@ -82,7 +82,7 @@
 		j.remaining = 1
 		c.active = append(c.active, j)
 		if n == 1 {
-			c.reserve(c.worker("host"), &s.tasks[0], s.tasks[0].name(), 1)
+			c.reserve(c.worker("host"), s.tasks.get(0), s.tasks.get(0).name(), 1)
 		}
 	}
 	g.Expect(c.waitingSteps()).To(HaveLen(1))
@@ -94,13 +94,13 @@
 	c := newFleet(wholeFleet, Policy{LocalityWait: true, RemoteFactor: 2})
 	blocking := newSteps(c, carobkeel.Step{Count: 320, Estimate: time.Second, Demand: carobkeel.Resources{MilliCPU: 1000}})[0]
 	for n := range 320 {
-		c.addRun(c.worker(fmt.Sprintf("host-%05d", n/8)), &blocking.tasks[n], 1, 80, 800*time.Millisecond)
+		c.addRun(c.worker(fmt.Sprintf("host-%05d", n/8)), blocking.tasks.get(n), 1, 80, 800*time.Millisecond)
 	}
 	s := newSteps(c, carobkeel.Step{Count: 320, Estimate: time.Minute, DataRack: "rack-0", Demand: carobkeel.Resources{MilliCPU: 1000}})[0]
 	for b.Loop() {
 		p := c.newPass()
 		c.placeStep(p, s)
-		if len(s.tasks[0].runs) > 0 {
+		if len(s.tasks.get(0).runs) > 0 {
 			b.Fatal("started")
 		}
 	}
@@ -125,7 +125,7 @@
 		s.done, s.completedRuns, s.completedTime = 1, 1, time.Second
 		for n := range 240 {
 			w := c.worker(fmt.Sprintf("host-%05d", (240*i+n)/2))
-			c.addRun(w, &s.tasks[n], n+1000*i, 1, 10*time.Second)
+			c.addRun(w, s.tasks.get(n), n+1000*i, 1, 10*time.Second)
 		}
 		c.active = append(c.active, s.occurrence.job)
 	}
--- /dev/null
+++ b/scheduler/dispatch/wide_job_test.go
@@ -0,0 +1,100 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/scheduler/dispatch"
+	"github.com/carobkeel/carobkeel/worker/runs"
+)
+
+const (
+	wideJobs  = 16
+	wideTasks = 120_000
+	// wideBytesPerTask bounds the memory of a task that waits or is done: all tasks of all wide jobs
+	// take less than 4 MB, where an entry has some hundreds.
+	wideBytesPerTask = 2
+)
+
+// wideJob returns a job with one step of many tasks.
+func wideJob(n, tasks int) *carobkeel.JobSpec {
+	return &carobkeel.JobSpec{
+		ID: carobkeel.JobID(fmt.Sprintf("%016x", n)), Queue: testQueue(0, 3), Payload: "payload",
+		Steps: []carobkeel.Step{{Count: tasks, Demand: carobkeel.Resources{MilliCPU: 10, MemoryBytes: 1 << 20}, Estimate: time.Second}},
+	}
+}
+
+// Guards against Fault: 16 jobs of 120,000 waiting tasks took more memory than an entry has, and a new holder
+// read them again.
+func TestMemoryOfAJobDoesNotGrowWithItsWaitingTasks(t *testing.T) {
+	for name, restore := range map[string]func(core *dispatch.Core, job *carobkeel.JobSpec){
+		"accepted": func(*dispatch.Core, *carobkeel.JobSpec) {},
+		"taken over, some tasks done": func(core *dispatch.Core, job *carobkeel.JobSpec) {
+			p := dispatch.Progress{Job: job.ID, State: carobkeel.JobActive}
+			for i := range 1000 {
+				p.Tasks = append(p.Tasks, dispatch.TaskProgress{Task: carobkeel.TaskName{Job: job.ID, Index: 3 * i}, Done: true})
+			}
+			core.Restore(p)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sim := startedSimulation(32000)
+			core := dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: testLease}, sim.time(), nil)
+			before := heapBytes()
+			for n := range wideJobs {
+				job := wideJob(n, wideTasks)
+				core.AddJob(job, false)
+				restore(core, job)
+			}
+			core.Finish()
+			core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 1 << 20})
+			g.Expect(heapBytes()).To(BeNumerically("<", before+wideJobs*wideTasks*wideBytesPerTask))
+			runtime.KeepAlive(core)
+		})
+	}
+}
+
+// Guards against Fault: the progress of a job named each task that was done, at each write.
+func TestProgressOfDoneTasksIsStoredByRanges(t *testing.T) {
+	g := NewWithT(t)
+	f := newEvidenceFixture()
+	job := f.job()
+	job.Steps[0].Count = wideTasks
+	f.core.AddJob(job, true)
+	task := func(index int) carobkeel.TaskName { return carobkeel.TaskName{Job: job.ID, Index: index} }
+	stored := []dispatch.TaskProgress{
+		{Task: task(7), Done: true, Count: 100_000},
+		{Task: task(110_000), FailedRuns: []int{4}},
+		{Task: task(110_001), Done: true},
+	}
+	f.core.Restore(dispatch.Progress{Job: job.ID, State: carobkeel.JobActive, Tasks: stored})
+	f.listing(dispatch.WorkerListing{Number: 2, Requested: 2, Ends: []runs.End{{Number: 1, Task: task(6), Run: 2, Outcome: runs.OutcomeDone}}})
+	batch := f.core.NextBatch(dispatch.BatchLimit{Entries: 99, Bytes: 1 << 20})
+	g.Expect(batch.Progress).To(HaveLen(1))
+	stored[0] = dispatch.TaskProgress{Task: task(6), Done: true, Count: 100_001}
+	g.Expect(batch.Progress[0].Tasks).To(Equal(stored))
+}
+
+// BenchmarkStartBesideWaitingTasks measures a round of placement that fills three workers, by the number of
+// tasks of the step.
+func BenchmarkStartBesideWaitingTasks(b *testing.B) {
+	for _, tasks := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(tasks), func(b *testing.B) {
+			starts := 0
+			for range b.N {
+				b.StopTimer()
+				z := newZone(3)
+				z.core.AddJob(wideJob(1, tasks), false)
+				b.StartTimer()
+				starts += len(z.core.Finish().Orders)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(starts), "ns/start")
+		})
+	}
+}
--- a/scheduler/holder/cluster_test.go
+++ b/scheduler/holder/cluster_test.go
@@ -114,6 +114,8 @@
 	stopAgents []context.CancelFunc
 	// endless lets runs last until they are stopped.
 	endless bool
+	// oddTasksTake is how long runs of tasks with odd indexes last, if longer than those of others.
+	oddTasksTake time.Duration
 	// rowBytes is the bound on the value of a row, zero for the default.
 	rowBytes int
 	config   *carobkeel.QueueConfig
@@ -191,7 +193,11 @@
 		},
 		MaxLease: testMaxLease, StopGrace: 100 * time.Millisecond, Record: f.record,
 		Work: func(task carobkeel.TaskName, _ int) standin.Work {
-			return standin.Work{Duration: 100 * time.Millisecond, Outcome: runs.OutcomeDone, Endless: f.endless || task.Job == longRunningJobID}
+			duration := 100 * time.Millisecond
+			if task.Index%2 == 1 {
+				duration = max(duration, f.oddTasksTake)
+			}
+			return standin.Work{Duration: duration, Outcome: runs.OutcomeDone, Endless: f.endless || task.Job == longRunningJobID}
 		},
 	})
 	return &realTimeWorker{mu: &f.mu, worker: worker, advancedTo: clock.Boottime()}
--- a/scheduler/holder/large_job_test.go
+++ b/scheduler/holder/large_job_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -28,6 +29,7 @@
 	g := NewWithT(t)
 	f := startCluster(t, 0, 0)
 	f.rowBytes = rowBytes
+	f.oddTasksTake = 1500 * time.Millisecond // no two tasks that follow each other are done, so that each takes bytes
 	f.rows = faulty.NewRows(&limitedRows{Rows: f.memory, progressBytes: rowBytes})
 	f.startEntry(t)
 	f.startEntry(t)
--- a/scheduler/holder/progress_rows.go
+++ b/scheduler/holder/progress_rows.go
@@ -87,8 +87,9 @@
 		return append([]table.RowTransaction{r.rows[0].write(mustEncode(wire.FromProgress(p)))}, r.removalOfParts()...)
 	}
 	var changes []table.RowTransaction
+	tasks := wire.CutProgress(p.Tasks, r.firstTasks())
 	for i := len(r.rows) - 1; i >= 0; i-- {
-		lists := wire.SplitProgress(p.Tasks[r.end(p.Tasks, i):r.end(p.Tasks, i+1)], valueBytes)
+		lists := wire.SplitProgress(tasks[r.end(tasks, i):r.end(tasks, i+1)], valueBytes)
 		for k := len(lists) - 1; k > 0; k-- {
 			changes = append(changes, r.create(p.DoneUpTo, lists[k]))
 		}
@@ -103,6 +104,15 @@
 	return changes
 }
 
+// firstTasks returns the first task of each row.
+func (r *progressRows) firstTasks() []carobkeel.TaskName {
+	first := make([]carobkeel.TaskName, len(r.rows))
+	for i := range r.rows {
+		first[i] = r.rows[i].first
+	}
+	return first
+}
+
 // create returns the change that adds a row. Its condition on the row with the state keeps
 // it from being carried out once the job has ended and its rows are removed.
 func (r *progressRows) create(doneUpTo int, tasks []dispatch.TaskProgress) table.RowTransaction {
--- a/scheduler/wire/progress.go
+++ b/scheduler/wire/progress.go
@@ -11,11 +11,40 @@
 func FromProgress(p *dispatch.Progress) *ProgressRow {
 	row := &ProgressRow{State: uint8(p.State), DoneUpTo: p.DoneUpTo}
 	for i := range p.Tasks {
-		row.Tasks = append(row.Tasks, fromTaskProgress(&p.Tasks[i]))
+		if t := &p.Tasks[i]; t.Count > 1 {
+			row.Done = append(row.Done, fromDoneRange(t))
+		} else {
+			row.Tasks = append(row.Tasks, fromTaskProgress(t))
+		}
 	}
 	return row
 }
 
+func fromDoneRange(t *dispatch.TaskProgress) DoneRange {
+	return DoneRange{Occurrence: t.Task.Occurrence, Step: t.Task.Step, First: t.Task.Index, Count: t.Count}
+}
+
+// CutProgress returns the tasks of a job with each range of done tasks cut before the given tasks, so that
+// none holds tasks of two rows. All are in the order of their names.
+func CutProgress(tasks []dispatch.TaskProgress, before []carobkeel.TaskName) []dispatch.TaskProgress {
+	var cut []dispatch.TaskProgress
+	for _, t := range tasks {
+		for _, b := range before {
+			isInRange := t.Task.Occurrence == b.Occurrence && t.Task.Step == b.Step && t.Task.Index < b.Index && b.Index < t.Task.Index+t.Count
+			if !isInRange {
+				continue
+			}
+			head := t
+			head.Count = b.Index - t.Task.Index
+			cut = append(cut, head)
+			t.Count -= head.Count
+			t.Task.Index = b.Index
+		}
+		cut = append(cut, t)
+	}
+	return cut
+}
+
 // FromProgressPart returns the row for the tasks of a job from the given one on. It has DoneUpTo as
 // well: tasks that it does not list any more are done, also if the row with the state is not
 // rewritten yet.
@@ -46,8 +75,7 @@
 	total := overhead
 	var buffer []byte
 	for i := range tasks {
-		encoded := fromTaskProgress(&tasks[i])
-		buffer, _ = encoded.MarshalMsg(buffer[:0]) // can't fail: numbers and texts only
+		buffer = appendTaskProgress(buffer[:0], &tasks[i])
 		sizes[i] = len(buffer)
 		total += sizes[i]
 	}
@@ -57,6 +85,18 @@
 	return splitBySize(tasks, sizes, rowBytes/2-overhead)
 }
 
+// appendTaskProgress appends the encoding of one task's progress, or of a range of done tasks.
+func appendTaskProgress(buffer []byte, t *dispatch.TaskProgress) []byte {
+	if t.Count > 1 {
+		encoded := fromDoneRange(t)
+		buffer, _ = encoded.MarshalMsg(buffer) // can't fail: numbers only
+		return buffer
+	}
+	encoded := fromTaskProgress(t)
+	buffer, _ = encoded.MarshalMsg(buffer) // can't fail: numbers and texts only
+	return buffer
+}
+
 // splitBySize divides tasks into lists of at most the given size, or of one task.
 func splitBySize(tasks []dispatch.TaskProgress, sizes []int, limit int) [][]dispatch.TaskProgress {
 	var lists [][]dispatch.TaskProgress
@@ -98,6 +138,10 @@
 // Decoded returns the progress of the job with the given ID.
 func (r *ProgressRow) Decoded(id carobkeel.JobID) dispatch.Progress {
 	p := dispatch.Progress{Job: id, State: carobkeel.JobState(r.State), DoneUpTo: r.DoneUpTo}
+	for _, d := range r.Done {
+		name := carobkeel.TaskName{Job: id, Occurrence: d.Occurrence, Step: d.Step, Index: d.First}
+		p.Tasks = append(p.Tasks, dispatch.TaskProgress{Task: name, Done: true, Count: d.Count})
+	}
 	for _, t := range r.Tasks {
 		p.Tasks = append(p.Tasks, dispatch.TaskProgress{
 			Task: carobkeel.TaskName{Job: id, Occurrence: t.Occurrence, Step: t.Step, Index: t.Index},
--- a/scheduler/wire/rows.go
+++ b/scheduler/wire/rows.go
@@ -3,7 +3,7 @@
 //go:generate go tool msgp -file rows.go -o rows_gen.go -tests=false -io=false
 
 //msgp:limit arrays:65536 maps:65536
-//msgp:tuple Advice Step TaskProgress ImageInterference PairInterference
+//msgp:tuple Advice Step TaskProgress DoneRange ImageInterference PairInterference
 
 // HolderRow is the record of the holder of a shard.
 type HolderRow struct {
@@ -106,6 +106,15 @@
 	First string `msg:"f,omitempty"`
 	// DoneUpTo is the number of the first occurrences whose tasks are all done.
 	DoneUpTo int `msg:"d,omitempty"`
+	// Done holds the ranges of several tasks that are done.
+	Done []DoneRange `msg:"r,omitempty"`
+}
+
+// DoneRange names Count tasks of a step that are done, in the order of their indexes from First on.
+type DoneRange struct {
+	Occurrence   int
+	Step         int
+	First, Count int
 }
 
 // TaskProgress is the encoding of a dispatch.TaskProgress.
--- a/scheduler/wire/rows_gen.go
+++ b/scheduler/wire/rows_gen.go
@@ -134,6 +134,60 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *DoneRange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.First)
+	o = msgp.AppendInt(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DoneRange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.First, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "First")
+		return
+	}
+	z.Count, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DoneRange) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z EntryRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -800,8 +854,8 @@
 func (z *ProgressRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.First == "" {
 		zb0001Len--
@@ -811,6 +865,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Done == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -839,6 +897,18 @@
 			o = append(o, 0xa1, 0x64)
 			o = msgp.AppendInt(o, z.DoneUpTo)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Done)))
+			for za0002 := range z.Done {
+				o, err = z.Done[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0002)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -906,6 +976,29 @@
 				err = msgp.WrapError(err, "DoneUpTo")
 				return
 			}
+		case "r":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Done")
+				return
+			}
+			if zb0003 > zd41d09belimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Done) >= int(zb0003) {
+				z.Done = (z.Done)[:zb0003]
+			} else {
+				z.Done = make([]DoneRange, zb0003)
+			}
+			for za0002 := range z.Done {
+				bts, err = z.Done[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Done", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -924,7 +1017,10 @@
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.First) + 2 + msgp.IntSize
+	s += 2 + msgp.StringPrefixSize + len(z.First) + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Done {
+		s += z.Done[za0002].Msgsize()
+	}
 	return
 }
 
