Fit the row of learned images to its bytes, and let no sound record be dropped for it

Workers that were added one by one got no task, until lasting tasks did not run with most of the capacity free.

Cause: the learned images were bounded by counts, and exceeded a row with names of 62 characters. The store rejected the transaction, which says nothing of which row, and the holder took the batch of one record for the culprit, without counting the learned row that went with it: it dropped the record of a worker, or a job's progress.

Evidence: TestRejectedRowOfLearnedImagesHoldsNoWorkerBack failed on: with the learned row rejected, whatever it holds, a sound worker got no task in 20 s.

Change: the row is fitted to the bytes of a row, the images and pairs seen longest ago left out. A rejected transaction is tried again without it. Progress that was rejected is offered again in a batch of its own. The line of a rejection names the largest row, and counters tell of both. Beside it, the same cause: the checkpoints of running tasks in one listing are bounded, as the largest listing exceeded a frame and was dropped again and again.

--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -36,7 +36,7 @@
 	// storeBy is when the newest revision is to be stored.
 	storeBy time.Duration
 	// rejectedUntil is when the job's progress, which the table service has rejected, is
-	// offered to it again.
+	// offered to it again, in a batch of its own. It is zero if the last one was stored.
 	rejectedUntil time.Duration
 	// ended reports that the job is in Core.ended, whose records expire.
 	ended bool
--- a/scheduler/dispatch/progress.go
+++ b/scheduler/dispatch/progress.go
@@ -167,13 +167,15 @@
 func (c *Core) addProgress(b *Batch, limit *BatchLimit) {
 	for _, final := range []bool{true, false} {
 		for id, j := range c.dirty {
-			if c.isFinal(j) != final || c.now.Monotonic < j.rejectedUntil {
+			wasRejected := j.rejectedUntil > 0
+			if c.isFinal(j) != final || c.now.Monotonic < j.rejectedUntil || (wasRejected && limit.taken) {
 				continue
 			}
 			p := j.progress()
 			if !limit.take(progressEntries, progressBytes+taskProgressBytes*len(p.Tasks)) {
 				continue
 			}
+			limit.Single = limit.Single || wasRejected // no other record waits for it once more
 			b.Progress = append(b.Progress, p)
 			b.revisions[id] = j.revision
 			b.states[id] = j.state()
@@ -198,7 +200,7 @@
 	for id, revision := range b.revisions {
 		c.recordStored(id, b.states[id], revision)
 		j := c.jobs[id]
-		j.storedRevision = revision
+		j.storedRevision, j.rejectedUntil = revision, 0
 		if j.revision == revision {
 			delete(c.dirty, id)
 		}
--- a/scheduler/holder/batch_writer.go
+++ b/scheduler/holder/batch_writer.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"context"
 	"runtime/debug"
 	"slices"
@@ -110,8 +111,14 @@
 			}
 			continue
 		case errors.Is(err, table.ErrInvalid):
-			w.logRejected(err)
-			return err
+			w.recordRejected(&txn, err)
+			if !w.dropLearned(&txn) {
+				return err
+			}
+			if len(txn.Writes) == 0 {
+				return nil
+			}
+			continue
 		}
 		w.node.log.Warn().Err(err).Int("jobs", len(w.batch.Progress)).Msg("records not stored, retrying")
 		if err := clock.Sleep(ctx, pause.NextBackOff()); err != nil {
@@ -153,8 +160,22 @@
 		Uint64("epoch", w.holder.Row.Epoch).Msg("records stored")
 }
 
-func (w *batchWriter) logRejected(err error) {
-	line := w.node.log.Error().Err(err).Int("records", w.batch.Len())
+// dropLearned takes the learned interference out of a transaction that the table service has rejected, which
+// says nothing of which row is at fault. No promise rests on that row, so no other one has to wait for it.
+// It reports whether the row was there.
+func (w *batchWriter) dropLearned(txn *table.RowTransaction) bool {
+	learned := w.node.learnedRow()
+	before := len(txn.Writes)
+	txn.Writes = slices.DeleteFunc(txn.Writes, func(write table.RowWrite) bool { return write.RowID == learned })
+	return len(txn.Writes) < before
+}
+
+// recordRejected logs and counts a transaction that the table service rejects, with its largest row.
+func (w *batchWriter) recordRejected(txn *table.RowTransaction, err error) {
+	w.node.metrics.Rejected.Inc(1)
+	largest := slices.MaxFunc(txn.Writes, func(a, b table.RowWrite) int { return cmp.Compare(len(a.Value), len(b.Value)) })
+	line := w.node.log.Error().Err(err).Int("records", w.batch.Len()).Int("rows", len(txn.Writes)).
+		Str("table", largest.Table).Str("key", largest.Key).Int("bytes", len(largest.Value))
 	if len(w.batch.Progress) > 0 {
 		line = line.Str("job", string(w.batch.Progress[0].Job))
 	}
@@ -182,7 +203,9 @@
 		changes = append(changes, w.rows[job].removal(n.jobRow(job), n.cancelRow(job))...)
 	}
 	if len(w.batch.Interference) > 0 {
-		set(n.learnedRow(), mustEncode(wire.FromInterference(w.batch.Interference)))
+		fitted, leftOut := wire.FitInterference(w.batch.Interference, n.config.valueBytes())
+		n.metrics.LearnedLeftOut.Inc(int64(leftOut))
+		set(n.learnedRow(), mustEncode(wire.FromInterference(fitted)))
 	}
 	for _, record := range w.batch.Ended {
 		changes = append(changes, w.replaceWorker(table.RowWrite{RowID: n.workerRow(record.Incarnation), Value: encodeWorker(record)}))
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -21,8 +21,11 @@
 	OrdersDropped tally.Counter
 	// StoreLatency is the time until a batch of records is stored.
 	StoreLatency tally.Histogram
-	series       *telemetry.ByOwner[series]
-	workers      map[dispatch.DecisionKind]tally.Counter
+	// Rejected counts the transactions that the table service has rejected, and LearnedLeftOut the learned
+	// images and pairs of images that did not fit in their row.
+	Rejected, LearnedLeftOut tally.Counter
+	series                   *telemetry.ByOwner[series]
+	workers                  map[dispatch.DecisionKind]tally.Counter
 	// givenUpEnds counts the listed ends of runs that were given up before, by outcome.
 	givenUpEnds map[runs.Outcome]tally.Counter
 }
@@ -53,12 +56,14 @@
 		givenUpEnds[outcome] = scope.Tagged(map[string]string{labelOutcome: outcome.String()}).Counter("given_up_runs_ended")
 	}
 	return &Metrics{
-		Takeovers:     scope.Counter("takeovers"),
-		StepDowns:     scope.Counter("step_downs"),
-		Panics:        scope.Counter("panics"),
-		OrdersDropped: scope.Counter("orders_dropped"),
-		StoreLatency:  scope.Histogram("store_latency", telemetry.LatencyBuckets()),
-		series:        telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
+		Takeovers:      scope.Counter("takeovers"),
+		StepDowns:      scope.Counter("step_downs"),
+		Panics:         scope.Counter("panics"),
+		OrdersDropped:  scope.Counter("orders_dropped"),
+		Rejected:       scope.Counter("transactions_rejected"),
+		LearnedLeftOut: scope.Counter("learned_left_out"),
+		StoreLatency:   scope.Histogram("store_latency", telemetry.LatencyBuckets()),
+		series:         telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
 		workers: map[dispatch.DecisionKind]tally.Counter{
 			dispatch.DecidedLinkLost:          scope.Counter("links_lost"),
 			dispatch.DecidedWorkerUnreachable: scope.Counter("workers_unreachable"),
--- a/scheduler/holder/rejected_records_test.go
+++ b/scheduler/holder/rejected_records_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -24,6 +25,8 @@
 	rejected      carobkeel.JobID
 	panics        bool
 	progressBytes int
+	// rejectsLearned rejects the row of learned images, whatever it holds.
+	rejectsLearned bool
 }
 
 func (r *limitedRows) Transact(ctx context.Context, txn table.RowTransaction) (table.RowOutcome, error) {
@@ -31,6 +34,9 @@
 		if r.panics && w.Table == holder.TableProgress && r.rejects(w) {
 			panic("odd record")
 		}
+		if r.rejectsLearned && w.Table == holder.TableInterference {
+			return table.RowOutcome{}, table.ErrInvalid
+		}
 		if len(w.Key) > maxKeyBytes || len(w.Value) > maxRowBytes || (w.Table == holder.TableProgress && r.rejects(w)) {
 			return table.RowOutcome{}, table.ErrInvalid
 		}
@@ -68,3 +74,25 @@
 		})
 	}
 }
+
+// Guards against LOST: the row of learned images was rejected together with the record of a worker, which
+// was dropped for it: nothing started there any more.
+func TestRejectedRowOfLearnedImagesHoldsNoWorkerBack(t *testing.T) {
+	g := NewWithT(t)
+	f := startCluster(t, 0, 0)
+	f.rows = faulty.NewRows(&limitedRows{Rows: f.memory, rejectsLearned: true})
+	f.startEntry(t)
+	f.startWorker(t, "host-0")
+	serving := longRunningJob()
+	serving.Steps[0].Count, serving.Steps[0].Demand.MilliCPU = 1, 8000 // all of a worker
+	serving.Steps[0].Image, serving.Steps[0].LatencyTarget = "serving", 100*time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	g.Expect(f.entries[0].jobs.Submit(ctx, serving)).To(Succeed())
+	g.Eventually(state(f.entries[0], serving.ID), waitTimeout).Should(Equal(carobkeel.JobActive))
+	// After this time the row goes with the next record.
+	g.Consistently(state(f.entries[0], serving.ID), 2500*time.Millisecond).Should(Equal(carobkeel.JobActive))
+	f.startWorker(t, "host-1")
+	job := f.submit(g, f.entries[0], 2)
+	g.Eventually(state(f.entries[0], job), waitTimeout).Should(Equal(carobkeel.JobCompleted))
+}
--- a/scheduler/wire/convert.go
+++ b/scheduler/wire/convert.go
@@ -178,20 +178,24 @@
 	for _, r := range records {
 		image := ImageInterference{Image: r.Image, Idle: r.Idle}
 		for _, p := range r.Pairs {
-			image.Pairs = append(image.Pairs, PairInterference(p))
+			image.Pairs = append(image.Pairs, fromPair(&p))
 		}
 		row.Images = append(row.Images, image)
 	}
 	return row
 }
 
+func fromPair(p *interference.PairRecord) PairInterference {
+	return PairInterference{BestEffort: p.BestEffort, Sensitivity: p.Sensitivity, Variance: p.Variance}
+}
+
 // Decoded returns the records of images in the row.
 func (r *InterferenceRow) Decoded() []interference.ImageRecord {
 	var records []interference.ImageRecord
 	for _, image := range r.Images {
 		record := interference.ImageRecord{Image: image.Image, Idle: image.Idle}
 		for _, p := range image.Pairs {
-			record.Pairs = append(record.Pairs, interference.PairRecord(p))
+			record.Pairs = append(record.Pairs, interference.PairRecord{BestEffort: p.BestEffort, Sensitivity: p.Sensitivity, Variance: p.Variance})
 		}
 		records = append(records, record)
 	}
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -197,7 +197,8 @@
 	}
 	holderLink.send(wire.TypeListing, wire.FromListing(dispatch.WorkerListing{
 		Incarnation: state.Description.Incarnation, Number: number, Requested: a.listingNumber.Load(), Full: true,
-		Running: listing.Running, Ends: listing.Ends, Partial: listing.Partial, LateLease: a.lateLease(state.Description.Incarnation),
+		Running: withFewCheckpoints(listing.Running), Ends: listing.Ends, Partial: listing.Partial,
+		LateLease: a.lateLease(state.Description.Incarnation),
 	}, e.Fence.Epoch))
 	return true
 }
@@ -286,12 +287,35 @@
 	}
 	l.checkpoints, l.checkpointsEpoch = make(map[runKey]string, len(running)), epoch
 	reported := slices.Clone(running)
+	left := checkpointBytes
 	for i := range reported {
 		r := &reported[i]
 		key := runKey{task: r.Task, run: r.Run}
-		l.checkpoints[key] = r.Checkpoint
 		if r.Checkpoint == known[key] {
+			l.checkpoints[key] = r.Checkpoint
 			r.Checkpoint = ""
+			continue
+		}
+		if left -= len(r.Checkpoint); left < 0 {
+			l.checkpoints[key], r.Checkpoint = known[key], "" // it follows with the next listing
+			continue
+		}
+		l.checkpoints[key] = r.Checkpoint
+	}
+	return reported
+}
+
+// checkpointBytes bounds the checkpoints of running tasks in one listing, which has room for the most runs
+// of a worker, and for as many ends with checkpoints as a worker lists at a time.
+const checkpointBytes = 48 << 10
+
+// withFewCheckpoints returns runs without the checkpoints that don't fit in one listing.
+func withFewCheckpoints(running []runs.Running) []runs.Running {
+	reported := slices.Clone(running)
+	left := checkpointBytes
+	for i := range reported {
+		if left -= len(reported[i].Checkpoint); left < 0 {
+			reported[i].Checkpoint = ""
 		}
 	}
 	return reported
--- a/worker/interference/record.go
+++ b/worker/interference/record.go
@@ -4,11 +4,12 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 // maxLatencyCriticalImages bounds the latency-critical images that a model
-// keeps, and maxBestEffortImages the best-effort images of each, so that a
-// record stays below 64 KB and an update of a filter below 10,000 operations.
+// keeps, and maxBestEffortImages the best-effort images of each, so that an update of a filter stays
+// below 10,000 operations. Who stores the records bounds their bytes, which depend on the images' names.
 const (
 	maxLatencyCriticalImages = 32
 	maxBestEffortImages      = 48
@@ -20,6 +21,8 @@
 	// Idle is the tail latency of an idle task as a share of its target.
 	Idle  float64
 	Pairs []PairRecord
+	// MeasuredAt is when the image was last measured. It is not stored.
+	MeasuredAt time.Duration
 }
 
 // PairRecord is the learned sensitivity of a latency-critical image to one
@@ -29,6 +32,8 @@
 	// Sensitivity is the increase of the utilization if the best-effort image uses
 	// all processors of a worker, and Variance the variance of this estimate.
 	Sensitivity, Variance float64
+	// UsedAt is when the two images were last seen together. It is not stored.
+	UsedAt time.Duration
 }
 
 // Export returns what was learned about the images, ordered by image, to restore a
@@ -36,7 +41,7 @@
 func (m *Model) Export() []ImageRecord {
 	var records []ImageRecord
 	for image, f := range m.filters {
-		records = append(records, ImageRecord{Image: image, Idle: m.idleOf(image), Pairs: f.record()})
+		records = append(records, ImageRecord{Image: image, Idle: m.idleOf(image), Pairs: f.record(), MeasuredAt: f.at})
 	}
 	slices.SortFunc(records, func(a, b ImageRecord) int { return cmp.Compare(a.Image, b.Image) })
 	return records
@@ -46,7 +51,7 @@
 func (f *filter) record() []PairRecord {
 	var pairs []PairRecord
 	for bestEffort, i := range f.sensitivities {
-		pairs = append(pairs, PairRecord{BestEffort: bestEffort, Sensitivity: f.mean[i], Variance: f.cov[i][i]})
+		pairs = append(pairs, PairRecord{BestEffort: bestEffort, Sensitivity: f.mean[i], Variance: f.cov[i][i], UsedAt: f.lastUsed[bestEffort]})
 	}
 	slices.SortFunc(pairs, func(a, b PairRecord) int {
 		return cmp.Compare(a.BestEffort, b.BestEffort)
