Bound a round of placement, and replace a holder that answers and does not decide

One accepted job of 80,000 tasks made steps of the holder's event loop of several seconds; all leases lapsed, lasting tasks of others had no run, and accepted urgent jobs had nothing running.

Cause: work on the event loop in proportion to accepted work. A round looked at all tasks of a step for each that it started, and went on until all that fits had started. A loop that stood still was judged by its links, which answered.

TestRoundOrdersABoundedNumberOfStarts holds the bound of a round.

Change: a round orders 256 starts at most, and the next one follows at once, after the events that have come. The line of a slow step and the histogram step_time tell its parts. A pong says how long ago the holder's loop made decisions, and other entries replace one that has made none for 2.7 s, longer in a succession of holders: its epoch is fenced as that of a frozen one.

--- a/scheduler/dispatch/backfill.go
+++ b/scheduler/dispatch/backfill.go
@@ -202,5 +202,6 @@
 		plan.spare[w] = plan.spare[w].Sub(t.step.spec.Reserved())
 	}
 	p.lastNearWait = nil
+	p.starts++
 	c.start(t, w)
 }
--- a/scheduler/dispatch/place.go
+++ b/scheduler/dispatch/place.go
@@ -29,10 +29,25 @@
 	// lastNearWait is the step of the last task that waits for near room and has failed nowhere, nil
 	// if a task has started since.
 	lastNearWait *stepState
+	// starts counts the starts that were ordered.
+	starts int
 	// copies is nil until the round counts them, once, after its tasks have started.
 	copies *copyCount
 }
 
+// maxStartsPerPass bounds the starts of a round, so that events wait for no longer round than that. The
+// rest is started in the next round, which follows at once.
+const maxStartsPerPass = 256
+
+// isFull reports whether a round has ordered as many starts as it may. The next one follows at once.
+func (c *Core) isFull(p *pass) bool {
+	if p.starts < maxStartsPerPass {
+		return false
+	}
+	c.wakeAt(c.now.Monotonic)
+	return true
+}
+
 func (c *Core) newPass() *pass {
 	p := newEmptyPass()
 	p.workers, p.quarantined = c.usableWorkers()
@@ -62,6 +77,9 @@
 	p := c.newPass()
 	c.askAdvice(p, steps)
 	for _, s := range steps {
+		if c.isFull(p) {
+			break
+		}
 		if s.spec.Gang {
 			c.placeGang(p, s)
 			continue
@@ -162,7 +180,7 @@
 
 // placeStep starts the waiting tasks of a step on workers that have room.
 func (c *Core) placeStep(p *pass, s *stepState) {
-	for t := c.nextStartable(s, nil); t != nil; t = c.nextStartable(s, t) {
+	for t := c.nextStartable(s, nil); t != nil && !c.isFull(p); t = c.nextStartable(s, t) {
 		if c.waitsLikeLast(p, t) {
 			continue
 		}
--- a/scheduler/dispatch/wide_job_test.go
+++ b/scheduler/dispatch/wide_job_test.go
@@ -81,6 +81,52 @@
 	g.Expect(batch.Progress[0].Tasks).To(Equal(stored))
 }
 
+// Guards against LOST: a round started all tasks of a large job at once, while leases, listings and ends of others
+// waited for it.
+func TestRoundOrdersABoundedNumberOfStarts(t *testing.T) {
+	const mostStarts, workers, perWorker = 256, 8, 100
+	g := NewWithT(t)
+	z := newZone(workers)
+	z.core.AddJob(wideJob(1, wideTasks), false)
+	started := make(map[carobkeel.TaskName]bool)
+	for rounds := 0; len(started) < workers*perWorker; rounds++ {
+		g.Expect(rounds).To(BeNumerically("<", workers*perWorker/mostStarts+2))
+		out := z.core.Finish()
+		for _, o := range out.Orders {
+			started[o.Task] = true
+		}
+		g.Expect(len(out.Orders)).To(BeNumerically("<=", mostStarts))
+		if len(out.Orders) == mostStarts {
+			g.Expect(out.Wake).To(BeNumerically("<=", z.now), "the next round follows at once")
+		}
+	}
+	for index := range workers * perWorker {
+		g.Expect(started).To(HaveKey(carobkeel.TaskName{Job: wideJob(1, 1).ID, Index: index}), "in their order")
+	}
+}
+
+// Guards against LOST: a large job kept an urgent one of others from starting.
+func TestUrgentTasksStartBesideALargeJob(t *testing.T) {
+	g := NewWithT(t)
+	z := newZone(8)
+	z.core.AddJob(wideJob(1, wideTasks), false)
+	urgent := wideJob(2, 3)
+	urgent.Queue = testQueue(0, 3)
+	large := wideJob(3, wideTasks)
+	large.Queue = testQueue(2, 3)
+	z.core.AddJob(large, false)
+	z.core.AddJob(urgent, false)
+	orders := z.core.Finish().Orders
+	count := 0
+	for _, o := range orders {
+		if o.Task.Job == urgent.ID {
+			count++
+		}
+		g.Expect(o.Task.Job).NotTo(Equal(large.ID), "less urgent")
+	}
+	g.Expect(count).To(Equal(3))
+}
+
 // BenchmarkStartBesideWaitingTasks measures a round of placement that fills three workers, by the number of
 // tasks of the step.
 func BenchmarkStartBesideWaitingTasks(b *testing.B) {
--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -47,6 +47,8 @@
 	holderTakesOver atomic.Bool
 	takingOver      bool
 	storeAge        atomic.Int64
+	// decisionAge is how long before its last answer the holder last made decisions, in milliseconds.
+	decisionAge atomic.Int64
 	// view is the newest view of the shard's load that the holder has sent, nil for none.
 	view atomic.Pointer[admissionView]
 	// restarted reports that another incarnation answers at the holder's
@@ -124,6 +126,7 @@
 		h.takingOver = false
 		h.restarted.Store(pong.Incarnation != h.holder)
 		h.storeAge.Store(pong.StoreAge)
+		h.decisionAge.Store(pong.DecisionAge)
 		h.lastPong.Store(int64(clock.Boottime()))
 	case wire.TypeTakingOver:
 		h.takingOver = true
@@ -148,6 +151,7 @@
 	o.holderTakesOver = h.holderTakesOver.Load()
 	o.restarted = h.restarted.Load()
 	o.holderStoreAge = time.Duration(h.storeAge.Load()) * time.Millisecond
+	o.holderDecisionAge = time.Duration(h.decisionAge.Load()) * time.Millisecond
 }
 
 // query sends a query and waits for its reply.
--- a/scheduler/holder/election.go
+++ b/scheduler/holder/election.go
@@ -32,6 +32,9 @@
 	// noSidecarDelay delays the takeover by a candidate without any linked
 	// sidecar.
 	noSidecarDelay = 1500 * time.Millisecond
+	// stalledFactor is how many times as long as it may be silent a holder that answers may make no
+	// decisions: about leaseAuthority. Its leases have nearly ended by then.
+	stalledFactor = 3
 	// authorityTimeout is how long a holder keeps scheduling without
 	// confirmation that it still holds the shard, so that a short outage of the
 	// table service does not interrupt scheduling.
@@ -50,6 +53,9 @@
 // reasonSilent is the reason to take over from a holder that does not respond.
 const reasonSilent = "holder does not respond"
 
+// reasonStalled is the reason to take over from a holder that responds, and makes no decisions.
+const reasonStalled = "holder makes no decisions"
+
 // observation is the input of a candidate's decision whether to take over.
 type observation struct {
 	now time.Duration
@@ -74,6 +80,8 @@
 	// holderStoreAge is how long ago the holder had last reached the table
 	// service when it last answered.
 	holderStoreAge time.Duration
+	// holderDecisionAge is how long ago the holder had last made decisions when it last answered.
+	holderDecisionAge time.Duration
 	// holderRefuses reports that the holder's address refuses connections.
 	holderRefuses bool
 	// storeAnswered is when this process last reached the table service, and
@@ -122,6 +130,9 @@
 	if o.holderStoreAge > holderStoreTimeout && o.now-o.storeFailed > minOwnStoreStable {
 		return "holder can't reach the table service", true
 	}
+	if o.holderLeads && o.holderDecisionAge > stalledFactor*o.silenceTimeout {
+		return reasonStalled, true
+	}
 	return "", false
 }
 
@@ -138,7 +149,7 @@
 	if s.Row.Epoch == 0 || now-s.Since >= youngHolder {
 		return 0
 	}
-	if reason != reasonSilent {
+	if reason != reasonSilent && reason != reasonStalled {
 		return s.Row.Successions
 	}
 	return min(s.Row.Successions, maxSilenceDoublings-1) + 1
--- a/scheduler/holder/election_test.go
+++ b/scheduler/holder/election_test.go
@@ -56,6 +56,18 @@
 		{"a new holder that reads the shard is cut from the table service", change(func(o *observation) {
 			o.holderLeads, o.holderTakesOver, o.holderStoreAge = false, true, holderStoreTimeout+time.Millisecond
 		}), true},
+		{"the holder answers and makes no decisions", change(func(o *observation) {
+			o.holderDecisionAge = stalledFactor*holderSilenceTimeout + time.Millisecond
+		}), true},
+		{"the holder makes a step that takes long", change(func(o *observation) {
+			o.holderDecisionAge = stalledFactor * holderSilenceTimeout
+		}), false},
+		{"one of several holders in succession makes a step that takes long", change(func(o *observation) {
+			o.holderDecisionAge, o.silenceTimeout = stalledFactor*holderSilenceTimeout+time.Millisecond, 2*holderSilenceTimeout
+		}), false},
+		{"a new holder reads the shard and has made no decisions", change(func(o *observation) {
+			o.holderDecisionAge, o.holderLeads, o.holderTakesOver = time.Minute, false, true
+		}), false},
 		{"the holder is cut from the table service", change(func(o *observation) {
 			o.holderStoreAge = holderStoreTimeout + time.Millisecond
 		}), true},
@@ -141,3 +153,15 @@
 	g.Expect(takesOver(1)).To(BeTrue())
 	g.Expect(takesOver(2)).To(BeFalse())
 }
+
+// Guards against LOST: the links of a holder answered for an event loop that stood still, so that no other
+// entry took over.
+func TestPongStatesWhenTheHolderLastMadeDecisions(t *testing.T) {
+	g := NewWithT(t)
+	n := &Node{}
+	n.decidedAt.Store(int64(clock.Boottime() - 5*time.Second))
+	n.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 1}})
+	g.Expect(n.pongTo(1).DecisionAge).To(BeZero(), "not the holder")
+	n.holderState.Store(&HolderState{Row: wire.HolderRow{Epoch: 1}, Leading: true})
+	g.Expect(n.pongTo(2).DecisionAge).To(BeNumerically("~", 5000, 1000))
+}
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -81,6 +81,10 @@
 	storeClock storeInstant
 	authority  authority
 	wake       time.Duration
+	// parts are the times that the parts of the present step have taken, and partBegan is when the
+	// present part began.
+	parts     [stepParts]time.Duration
+	partBegan time.Duration
 	// viewMade is when the last view of the shard's load was made.
 	viewMade time.Duration
 }
@@ -131,6 +135,7 @@
 			l.stepDown("scheduling step panicked")
 		}
 	}()
+	l.partBegan = taken
 	if l.core != nil {
 		l.core.Advance(l.now())
 	}
@@ -138,14 +143,22 @@
 		handle(l)
 	}
 	l.handledUpTo = taken
+	l.endPart(partEvents)
 	l.step()
+	l.node.decidedAt.Store(int64(clock.Boottime()))
 }
 
-// logSlowStep logs a step of the holder that delayed the events after it.
+// logSlowStep logs a step of the holder that delayed the events after it, with the time that each part of it
+// took, and clears these.
 func (l *loop) logSlowStep(work time.Duration, events int) {
 	if l.core != nil && work >= slowStep {
-		l.node.log.Warn().Int64("ms", work.Milliseconds()).Int("events", events).Msg("slow scheduling step")
+		line := l.node.log.Warn().Int64("ms", work.Milliseconds()).Int("events", events)
+		for part, took := range l.parts {
+			line = line.Int64(stepPartNames[part]+"_ms", took.Milliseconds())
+		}
+		line.Msg("slow scheduling step")
 	}
+	l.parts = [stepParts]time.Duration{}
 }
 
 // batchDelay returns how long events may accumulate after a step of the given
@@ -182,8 +195,10 @@
 		return
 	}
 	out := l.core.Finish()
+	l.endPart(partDecisions)
 	l.execute(out)
 	l.publishView()
+	l.endPart(partOrders)
 	l.wake = out.Wake
 	if out.ConfirmHold {
 		l.confirmHold(tickInterval)
@@ -192,6 +207,7 @@
 	}
 	l.renewAuthority()
 	l.store()
+	l.endPart(partRecords)
 }
 
 // confirmHold reads the holder row, at most once in each interval.
--- a/scheduler/holder/metrics.go
+++ b/scheduler/holder/metrics.go
@@ -24,8 +24,10 @@
 	// Rejected counts the transactions that the table service has rejected, and LearnedLeftOut the learned
 	// images and pairs of images that did not fit in their row.
 	Rejected, LearnedLeftOut tally.Counter
-	series                   *telemetry.ByOwner[series]
-	workers                  map[dispatch.DecisionKind]tally.Counter
+	// stepTime is the time that the parts of each step of the event loop take.
+	stepTime [stepParts]tally.Histogram
+	series   *telemetry.ByOwner[series]
+	workers  map[dispatch.DecisionKind]tally.Counter
 	// givenUpEnds counts the listed ends of runs that were given up before, by outcome.
 	givenUpEnds map[runs.Outcome]tally.Counter
 }
@@ -33,6 +35,9 @@
 // labelOutcome is the label with the outcome of a run.
 const labelOutcome = "outcome"
 
+// labelPart is the label with the part of a step of the event loop.
+const labelPart = "part"
+
 // labelLateness is the label with the lateness of a job.
 const labelLateness = "lateness"
 
@@ -55,6 +60,10 @@
 	for outcome := runs.OutcomeDone; outcome <= runs.OutcomeUnknown; outcome++ {
 		givenUpEnds[outcome] = scope.Tagged(map[string]string{labelOutcome: outcome.String()}).Counter("given_up_runs_ended")
 	}
+	var stepTime [stepParts]tally.Histogram
+	for part, name := range stepPartNames {
+		stepTime[part] = scope.Tagged(map[string]string{labelPart: name}).Histogram("step_time", telemetry.LatencyBuckets())
+	}
 	return &Metrics{
 		Takeovers:      scope.Counter("takeovers"),
 		StepDowns:      scope.Counter("step_downs"),
@@ -83,6 +92,7 @@
 			dispatch.DecidedOverloadEnded:     scope.Counter("overloads_ended"),
 		},
 		givenUpEnds: givenUpEnds,
+		stepTime:    stepTime,
 	}
 }
 
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -131,6 +131,8 @@
 	// holdRead is when the last read was requested that showed that this node holds the
 	// shard.
 	holdRead atomic.Int64
+	// decidedAt is when the event loop last ended a step.
+	decidedAt atomic.Int64
 	// promisedUntil is when this node lets no lease be extended any more by the promise that is
 	// stored, zero if it has made none.
 	promisedUntil atomic.Int64
--- a/scheduler/holder/ping.go
+++ b/scheduler/holder/ping.go
@@ -83,6 +83,9 @@
 	if s := n.holderState.Load(); s != nil {
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
 		pong.ExtendsLease = s.Leading && n.mayExtendLeases(clock.Boottime())
+		if s.Leading {
+			pong.DecisionAge = (clock.Boottime() - time.Duration(n.decidedAt.Load())).Milliseconds()
+		}
 	}
 	return pong
 }
--- a/scheduler/holder/takeover.go
+++ b/scheduler/holder/takeover.go
@@ -243,7 +243,8 @@
 	}
 	l.recordPredecessor(&t.holderState)
 	l.startCore(t)
-	l.publish(l.core.TakeStateChanges()) // before Leading, as this node answers callers from then on
+	l.publish(l.core.TakeStateChanges())       // before Leading, as this node answers callers from then on
+	n.decidedAt.Store(int64(clock.Boottime())) // the state that was read may have taken long
 	n.holderState.Store(&t.holderState)
 	n.metrics.Takeovers.Inc(1)
 	n.logTakenOver(t)
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -51,6 +51,9 @@
 	// Process is the number of the sidecar's process among those of its host under the epoch,
 	// zero if the sender doesn't hold the shard or has given no number.
 	Process uint32
+	// DecisionAge is the time since the holder's event loop last made decisions, in milliseconds. It is
+	// zero if the sender doesn't hold the shard.
+	DecisionAge int64
 }
 
 // TakingOver precedes a Pong of an entry that is about to hold the shard: it writes
