--- a/scheduler/holder/authority.go
+++ b/scheduler/holder/authority.go
@@ -17,12 +17,13 @@
 // over after all entries were away then knows that the leases of earlier ones are over. What it sees
 // itself, the replacement of a row, says nothing of the time before.
 const (
-	// authorityTerm is how far a promise reaches. It exceeds leaseAuthority, so that it binds a
-	// holder only whose promises were not stored for several tries.
-	authorityTerm = 8 * time.Second
+	// authorityTerm is how far a promise reaches. As long as promises are stored, it binds no holder sooner
+	// than leaseAuthority does. A later holder waits for it, and for a lease, if it has seen the holder
+	// before it silent for long.
+	authorityTerm = leaseAuthority + authorityInterval + holdReadInterval
 	// authorityInterval is the interval of the promises, and authorityRetry the one after a promise
 	// that was not stored.
-	authorityInterval = 2 * time.Second
+	authorityInterval = time.Second
 	authorityRetry    = 500 * time.Millisecond
 	// storeClockDrift bounds how much the clocks of the service and of this process drift apart: 2%.
 	storeClockDrift = 0.02
--- a/scheduler/holder/authority_test.go
+++ b/scheduler/holder/authority_test.go
@@ -49,6 +49,28 @@
 	}
 }
 
+// Guards against LOST: after two young holders in succession were replaced for their silence, the loss of the third was
+// seen late, and a lease of it was counted from then on. Tasks that last may be without a run for 9 s.
+func TestLossOfAThirdHolderInSuccessionIsWaitedForInTime(t *testing.T) {
+	const (
+		lost = time.Hour
+		// lastingGap is how long a task that lasts may have no run, and startTime what remains of it for
+		// the takeover and the start.
+		lastingGap, startTime = 9 * time.Second, 500 * time.Millisecond
+		workerLease           = 3 * time.Second
+	)
+	g := NewWithT(t)
+	third := HolderState{Row: wire.HolderRow{Epoch: 5, Host: "c", Successions: 2}, Since: lost - 4*time.Second}
+	taken := lost + third.silenceTimeout(lost)
+	var p predecessors
+	p.add(third.Row, taken)
+	atLoss := storeInstant{at: time.Minute, requested: lost, received: lost}
+	promised := atLoss.promise(third.Row.Epoch, time.Second)
+	p.shorten(promised.row, storeInstant{at: atLoss.at + taken - lost, requested: taken, received: taken})
+	g.Expect(taken + p.remainingLease(taken, workerLease)).To(BeNumerically("<", lost+lastingGap-startTime))
+	g.Expect(promised.until).To(BeNumerically(">=", lost+leaseAuthority), "its own promise does not bind a holder that reads its row")
+}
+
 func TestPromiseSaysNothingOfAHolderWhoseRowCannotBeRead(t *testing.T) {
 	g := NewWithT(t)
 	var p predecessors
