Refuse jobs once accepted ones take half of a host's memory

Cause: MaxJobTasks bounds one job, by its tasks. Nothing counted the bytes of all.

Change: the core keeps the sum of its jobs' footprints, which counts more than they take and nothing for waiting tasks. A pong states it, with how much the holder may take. An entry refuses a job past half of the memory of the smaller of both hosts, at once and truly, with backlog and a delay that is spread. A job that may be stored already is not refused. A line and a counter tell.

Beside it: Worker.Answered and Worker.Unanswered in place of Answer and Fail.

--- a/caller/submission/metrics.go
+++ b/caller/submission/metrics.go
@@ -19,6 +19,8 @@
 	// returned counts the jobs that were admitted because their callers came back as they were
 	// told to when the jobs were refused for the load.
 	returned tally.Counter
+	// memoryRefused counts the jobs that were refused since the accepted ones took all their memory.
+	memoryRefused tally.Counter
 }
 
 // series holds the metrics of one queue and class.
@@ -31,10 +33,11 @@
 func NewMetrics(root tally.Scope) *Metrics {
 	scope := root.SubScope("submission")
 	return &Metrics{
-		series:       telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
-		marks:        scope.Counter("unknown_cancelled"),
-		marksRefused: scope.Counter("unknown_cancels_refused"),
-		returned:     scope.Counter("returned"),
+		series:        telemetry.NewByOwner(scope, telemetry.DefaultMaxOwners, newSeries),
+		marks:         scope.Counter("unknown_cancelled"),
+		marksRefused:  scope.Counter("unknown_cancels_refused"),
+		returned:      scope.Counter("returned"),
+		memoryRefused: scope.Counter("memory_refused"),
 	}
 }
 
--- a/caller/submission/submission.go
+++ b/caller/submission/submission.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/carobkeel/carobkeel"
+	"github.com/carobkeel/carobkeel/internal/logging"
 	"github.com/carobkeel/carobkeel/scheduler/holder"
 	"github.com/carobkeel/carobkeel/scheduler/wire"
 	"github.com/carobkeel/carobkeel/table"
@@ -68,6 +69,10 @@
 	marks *rate.Limiter
 	// shedding is nil if no submission is refused for the load.
 	shedding *loadShedding
+	// memory returns the memory that accepted jobs take, nil if no job is refused for it. memoryRefusals
+	// limits the lines about those that are.
+	memory         func() holder.JobMemory
+	memoryRefusals logging.RateLimit
 }
 
 // New returns a service that stores jobs in a shard.
@@ -112,6 +117,9 @@
 		return carobkeel.NewError(carobkeel.CodeStoreUnavailable, "the table service has not answered for %d ms", age.Milliseconds()).
 			WithRetryAfter(storeRetryAfter)
 	}
+	if err := s.checkMemory(ctx, job); err != nil {
+		return err
+	}
 	if err := s.shed(ctx, job); err != nil {
 		return err
 	}
--- a/cmd/carobkeel/hosted_entry.go
+++ b/cmd/carobkeel/hosted_entry.go
@@ -64,8 +64,9 @@
 	config := holder.Config{
 		Host: s.Host, Incarnation: e.incarnation, Address: address, Shard: defaultShard,
 		WorkerLease: workerLease, MaxLease: s.Bounds.MaxLease, RowBytes: s.Store.RowBytes,
-		Capacity: holder.Capacity{Processors: s.Processors, LinkBytesPerSecond: s.LinkBytesPerSecond},
-		Policy:   e.policy,
+		Capacity:    holder.Capacity{Processors: s.Processors, LinkBytesPerSecond: s.LinkBytesPerSecond},
+		MemoryBytes: s.MemoryBytes,
+		Policy:      e.policy,
 	}
 	if s.AdviceAddress != "" {
 		config.Advisor = platform.NewAdvisor(s.AdviceAddress)
@@ -92,6 +93,7 @@
 	go directory.Register(ctx, e.store, s.Host, e.incarnation, address, e.log)
 	jobs := submission.New(defaultShard, e.store, e.node, submission.NewMetrics(e.metrics), e.log)
 	e.explain = httpapi.NewExplainHandler(&hostedExplainer{node: e.node, metricsAddress: e.metricsAddress})
+	jobs.BoundMemory(e.node.JobMemory)
 	if e.policy.Admission {
 		jobs.ShedLoad(e.node.LoadView)
 	}
--- a/code.go
+++ b/code.go
@@ -36,7 +36,7 @@
 	// failed.
 	CodeStoreUnavailable Code = 204
 	// CodeBacklog means that accepted jobs keep a new one from being complete in useful
-	// time.
+	// time, or take all the memory that they may.
 	CodeBacklog Code = 205
 	// CodeClientsLimited means that the process holds as many bytes of clients as it
 	// may.
--- a/scheduler/dispatch/core.go
+++ b/scheduler/dispatch/core.go
@@ -121,6 +121,8 @@
 	// recordedIncarnations maps the worker incarnations that have a record in the
 	// store to their hosts.
 	recordedIncarnations map[runs.Incarnation]string
+	// footprint is the sum of the jobs' footprints.
+	footprint int64
 	// active lists the jobs that have not ended, in the order of acceptance.
 	active []*job
 	// ended lists the jobs that have ended, in the order of their end.
--- a/scheduler/dispatch/job.go
+++ b/scheduler/dispatch/job.go
@@ -91,6 +91,7 @@
 	}
 	j.remaining = j.tasksPerOccurrence() * spec.Occurrences()
 	c.jobs[spec.ID] = j
+	c.footprint += footprint(spec)
 	delete(c.marks.latest, spec.ID)
 	c.active = append(c.active, j)
 	c.publishState(j, carobkeel.JobPending)
--- a/scheduler/dispatch/retention.go
+++ b/scheduler/dispatch/retention.go
@@ -71,6 +71,7 @@
 	}
 	for _, id := range ids {
 		c.views = append(c.views, StateChange{Job: id, Queue: c.jobs[id].spec.Queue.Name, Removed: true})
+		c.footprint -= footprint(c.jobs[id].spec)
 		delete(c.jobs, id)
 	}
 	c.ended = slices.DeleteFunc(c.ended, func(j *job) bool { return slices.Contains(ids, j.spec.ID) })
--- a/scheduler/dispatch/vanishing_sidecar_test.go
+++ b/scheduler/dispatch/vanishing_sidecar_test.go
@@ -292,7 +292,7 @@
 
 func (s *vanishingSidecar) confirm(fence runs.Fence, answer runs.Answer) {
 	wasVerified := s.state.Verified
-	s.state = s.state.Confirm(fence).Answer(s.callTime()).Reach(fence, s.world.now, s.lateCalls())
+	s.state = s.state.Confirm(fence).Answered(s.callTime()).Reach(fence, s.world.now, s.lateCalls())
 	s.clock, s.clockOf = gate.Clock{Reading: answer.Clock, Received: s.world.now, Known: true}, s.state.Description.Incarnation
 	if !wasVerified {
 		s.describe()
@@ -353,7 +353,7 @@
 func (s *vanishingSidecar) handleFailure(answer runs.Answer, err error, term gate.Term) {
 	s.failures++
 	if err != nil {
-		s.state = s.state.Fail(err)
+		s.state = s.state.Unanswered(err)
 	}
 	if s.failures >= modelUnresponsiveAfter {
 		s.unresponsive = true
--- a/scheduler/dispatch/wide_job_test.go
+++ b/scheduler/dispatch/wide_job_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,6 +61,27 @@
 	}
 }
 
+// Guards against Fault: the bound on accepted jobs counted less than they take.
+func TestFootprintCoversWhatJobsTake(t *testing.T) {
+	const jobs = 5000
+	for name, payload := range map[string]int{"small": 10, "largest payload": 4000} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			sim := startedSimulation(32000)
+			core := dispatch.New(dispatch.Config{Epoch: 1, WorkerLease: testLease}, sim.time(), nil)
+			before := heapBytes()
+			for n := range jobs {
+				job := wideJob(n, wideTasks)
+				job.Payload = strings.Repeat("p", payload)
+				core.AddJob(job, false)
+			}
+			core.Finish()
+			g.Expect(core.Footprint()).To(BeNumerically(">", heapBytes()-before))
+			runtime.KeepAlive(core)
+		})
+	}
+}
+
 // Guards against Fault: the progress of a job named each task that was done, at each write.
 func TestProgressOfDoneTasksIsStoredByRanges(t *testing.T) {
 	g := NewWithT(t)
--- a/scheduler/holder/client.go
+++ b/scheduler/holder/client.go
@@ -49,6 +49,8 @@
 	storeAge        atomic.Int64
 	// decisionAge is how long before its last answer the holder last made decisions, in milliseconds.
 	decisionAge atomic.Int64
+	// jobMemory is what the holder stated with its last answer, nil before.
+	jobMemory atomic.Pointer[JobMemory]
 	// view is the newest view of the shard's load that the holder has sent, nil for none.
 	view atomic.Pointer[admissionView]
 	// restarted reports that another incarnation answers at the holder's
@@ -127,6 +129,7 @@
 		h.restarted.Store(pong.Incarnation != h.holder)
 		h.storeAge.Store(pong.StoreAge)
 		h.decisionAge.Store(pong.DecisionAge)
+		h.jobMemory.Store(&JobMemory{Used: pong.JobBytes, Limit: pong.MaxJobBytes})
 		h.lastPong.Store(int64(clock.Boottime()))
 	case wire.TypeTakingOver:
 		h.takingOver = true
--- a/scheduler/holder/loop.go
+++ b/scheduler/holder/loop.go
@@ -198,6 +198,7 @@
 	l.endPart(partDecisions)
 	l.execute(out)
 	l.publishView()
+	l.node.jobBytes.Store(l.core.Footprint())
 	l.endPart(partOrders)
 	l.wake = out.Wake
 	if out.ConfirmHold {
--- a/scheduler/holder/node.go
+++ b/scheduler/holder/node.go
@@ -64,6 +64,8 @@
 	// Advisor is asked which workers may run the steps of queues that need
 	// advice. Without it, these steps do not start.
 	Advisor Advisor
+	// MemoryBytes is the memory of this process, zero if it is not known.
+	MemoryBytes int64
 	// Policy switches the scheduling decisions that the deployment asks for.
 	Policy dispatch.Policy
 }
@@ -133,6 +135,8 @@
 	holdRead atomic.Int64
 	// decidedAt is when the event loop last ended a step.
 	decidedAt atomic.Int64
+	// jobBytes is the footprint of the jobs of the shard, as of the event loop's last step.
+	jobBytes atomic.Int64
 	// promisedUntil is when this node lets no lease be extended any more by the promise that is
 	// stored, zero if it has made none.
 	promisedUntil atomic.Int64
--- a/scheduler/holder/ping.go
+++ b/scheduler/holder/ping.go
@@ -84,6 +84,7 @@
 		pong.IsHolder, pong.Epoch = s.Leading, s.Row.Epoch
 		pong.ExtendsLease = s.Leading && n.mayExtendLeases(clock.Boottime())
 		if s.Leading {
+			pong.JobBytes, pong.MaxJobBytes = n.jobBytes.Load(), n.config.maxJobBytes()
 			pong.DecisionAge = (clock.Boottime() - time.Duration(n.decidedAt.Load())).Milliseconds()
 		}
 	}
--- a/scheduler/wire/messages.go
+++ b/scheduler/wire/messages.go
@@ -54,6 +54,9 @@
 	// DecisionAge is the time since the holder's event loop last made decisions, in milliseconds. It is
 	// zero if the sender doesn't hold the shard.
 	DecisionAge int64
+	// JobBytes bounds the memory that the jobs of the shard take in the holder, and MaxJobBytes is up to
+	// where it takes more, zero for no limit. Both are zero if the sender doesn't hold the shard.
+	JobBytes, MaxJobBytes int64
 }
 
 // TakingOver precedes a Pong of an entry that is about to hold the shard: it writes
--- a/scheduler/wire/messages_gen.go
+++ b/scheduler/wire/messages_gen.go
@@ -994,8 +994,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Pong) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 10
+	o = append(o, 0x9a)
 	o = msgp.AppendUint64(o, z.Sequence)
 	o = msgp.AppendBool(o, z.IsHolder)
 	o = msgp.AppendUint64(o, z.Epoch)
@@ -1004,6 +1004,8 @@
 	o = msgp.AppendBool(o, z.ExtendsLease)
 	o = msgp.AppendUint32(o, z.Process)
 	o = msgp.AppendInt64(o, z.DecisionAge)
+	o = msgp.AppendInt64(o, z.JobBytes)
+	o = msgp.AppendInt64(o, z.MaxJobBytes)
 	return
 }
 
@@ -1015,8 +1017,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 10 {
+		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
 	z.Sequence, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1059,13 +1061,23 @@
 		err = msgp.WrapError(err, "DecisionAge")
 		return
 	}
+	z.JobBytes, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "JobBytes")
+		return
+	}
+	z.MaxJobBytes, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxJobBytes")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pong) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Int64Size
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Uint32Size + msgp.Int64Size + msgp.Int64Size + msgp.Int64Size
 	return
 }
 
--- a/sidecar/agent/failure.go
+++ b/sidecar/agent/failure.go
@@ -26,7 +26,7 @@
 	a.metrics.ListingsFailed.Inc(1)
 	l.lastFullLink = nil
 	if f.err != nil {
-		a.updateState(func(w gate.Worker) gate.Worker { return w.Fail(f.err) })
+		a.updateState(func(w gate.Worker) gate.Worker { return w.Unanswered(f.err) })
 	}
 	if f.err == nil && f.answer.Result != runs.ResultUnhealthy {
 		a.logRefused(d, f.answer.Result)
--- a/sidecar/agent/listing.go
+++ b/sidecar/agent/listing.go
@@ -243,7 +243,7 @@
 		if !w.Describes(incarnation) {
 			return w
 		}
-		return w.Answer(sent)
+		return w.Answered(sent)
 	})
 }
 
--- a/sidecar/gate/late_starts_test.go
+++ b/sidecar/gate/late_starts_test.go
@@ -54,20 +54,20 @@
 	noAnswer := errors.New("no answer in time")
 	described := Worker{}.Describe(&runs.Description{Incarnation: runs.Incarnation{ID: "w", StartedAtMs: 1}})
 	fence := described.Fence(Term{Epoch: 1, Process: 1})
-	listed := described.Confirm(fence).Answer(time.Minute + time.Second)
-	lateReached := described.Confirm(fence).Reach(fence, time.Minute, UnansweredLateCalls).Answer(time.Minute + time.Second)
+	listed := described.Confirm(fence).Answered(time.Minute + time.Second)
+	lateReached := described.Confirm(fence).Reach(fence, time.Minute, UnansweredLateCalls).Answered(time.Minute + time.Second)
 	for name, c := range map[string]struct {
 		worker Worker
 		err    error
 		want   int
 	}{
-		"it has not answered since":            {described.Answer(time.Minute), noAnswer, 1},
+		"it has not answered since":            {described.Answered(time.Minute), noAnswer, 1},
 		"it has listed since":                  {listed, noAnswer, 0},
-		"it has listed since and may be gone":  {listed.Fail(errors.Wrap(runs.ErrBroken, "reset")), noAnswer, 1},
-		"it was not reached and may be gone":   {listed.Fail(errors.Wrap(runs.ErrNotListening, "refused")), noAnswer, 1},
+		"it has listed since and may be gone":  {listed.Unanswered(errors.Wrap(runs.ErrBroken, "reset")), noAnswer, 1},
+		"it was not reached and may be gone":   {listed.Unanswered(errors.Wrap(runs.ErrNotListening, "refused")), noAnswer, 1},
 		"it may have a longer lease by a call": {lateReached, noAnswer, 1},
 		"nothing listens":                      {described, runs.ErrNotListening, 0},
-		"it has answered after that":           {listed.Fail(runs.ErrBroken).Answer(time.Minute + time.Second), noAnswer, 0},
+		"it has answered after that":           {listed.Unanswered(runs.ErrBroken).Answered(time.Minute + time.Second), noAnswer, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Minute + 2*time.Second
--- a/sidecar/gate/worker.go
+++ b/sidecar/gate/worker.go
@@ -127,14 +127,14 @@
 	return runs.LateLease{Remaining: remaining, Unanswered: w.LateCalls == UnansweredLateCalls}
 }
 
-// Answer returns w after the described incarnation has answered a listing that was sent at a time.
-func (w Worker) Answer(sent time.Duration) Worker {
+// Answered returns w after the described incarnation has answered a listing that was sent at a time.
+func (w Worker) Answered(sent time.Duration) Worker {
 	w.AnsweredAt, w.MayHaveEnded = max(w.AnsweredAt, sent), false
 	return w
 }
 
-// Fail returns w after a call that got no answer, for the reason in err.
-func (w Worker) Fail(err error) Worker {
+// Unanswered returns w after a call that got no answer, for the reason in err.
+func (w Worker) Unanswered(err error) Worker {
 	w.MayHaveEnded = w.MayHaveEnded || runs.MayHaveEnded(err)
 	return w
 }
